--- a/core/mtshard/mtshard_test.go
+++ b/core/mtshard/mtshard_test.go
@@ -128,7 +128,7 @@
 	table, _ := mtshard.New(ref, 0, 1).Apply(none, mtshard.Create{Shards: 2, Among: []mtid.Holder{a}})
 	value, _ := table.Encode()
 	f.Add(value)
-	f.Fuzz(func(t *testing.T, value []byte) {
+	f.Fuzz(func(_ *testing.T, value []byte) {
 		table, err := mtshard.Decode(value)
 		if err != nil {
 			return
