--- /dev/null
+++ b/io/mtplanner/mtplanner.go
@@ -0,0 +1,233 @@
+// Package mtplanner is the duty that plans for keyed services: it lays the
+// first table of a new service, writes splits and merges, and asks owners to
+// move shards.
+//
+// Every daemon runs one Planner. For each service it acts only while its daemon
+// is the leader by rendezvous rank among the service's live daemons. Two
+// daemons that both take themselves for the leader do no harm: each write is a
+// compare-and-swap on the version that was planned from.
+//
+// # Usage
+//
+//	planner, cleanUp, err := mtplanner.New(config, view, store, mover)
+//	defer cleanUp()
+//
+// The clean-up stops the duty and waits for it. All methods are safe for
+// concurrent use.
+package mtplanner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"magnoliaturn/core/mtbundle"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtplan"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
+	"magnoliaturn/core/mtstore"
+)
+
+// View is the live state as this daemon knows it. Its methods must be safe for
+// concurrent use, and what they return is not changed by anyone.
+type View interface {
+	// Roster returns the records of all daemons.
+	Roster() []*mtroster.Record
+	// Bundles returns the bundles in force.
+	Bundles() []*mtbundle.Bundle
+	// Table returns a chunk of a service's assignment, if it exists.
+	Table(ref mtid.Ref, chunk int) (*mtshard.Table, bool)
+}
+
+// Mover carries a wish to move a shard to its owner, who executes it.
+type Mover interface {
+	// Move asks owner to hand the shard that begins at low to another holder.
+	// It returns when the owner has taken the wish or refused it; the change
+	// itself shows in the table.
+	Move(ctx context.Context, owner mtid.Holder, service mtid.Ref, low mtid.Point, to mtid.Holder) error
+}
+
+// Config is what a Planner is told at its start.
+type Config struct {
+	// Self returns the present life of this daemon; the zero holder while it
+	// is not registered.
+	Self func() mtid.Holder
+	// Stamp returns a stamp that no other write of this daemon carries.
+	Stamp func() mtroster.Stamp
+	// Now returns the present time.
+	Now func() mtclock.Instant
+	Log *slog.Logger
+	// Tick is the time between two looks at the live state; zero means
+	// DefaultTick.
+	Tick time.Duration
+}
+
+// DefaultTick is the time between two looks at the live state.
+const DefaultTick = 500 * time.Millisecond
+
+// writeTimeout bounds one call of the store.
+const writeTimeout = 2 * time.Second
+
+// ConfigError says that a required part of a Config is missing.
+type ConfigError struct{ Field string }
+
+// Error implements error.
+func (e *ConfigError) Error() string { return "planner: " + e.Field + " is missing" }
+
+// Planner is the duty.
+type Planner struct {
+	config Config
+	view   View
+	writer *writer
+	mover  Mover
+
+	services map[mtid.Ref]*serviceState // of the duty's goroutine alone
+}
+
+// serviceState is what the duty keeps of one service between ticks.
+type serviceState struct {
+	creation mtplan.Creation
+}
+
+// New starts the duty. It fails with a *ConfigError.
+func New(config Config, view View, store mtstore.Store, mover Mover) (*Planner, func(), error) {
+	if err := check(config); err != nil {
+		return nil, nil, err
+	}
+	if config.Tick == 0 {
+		config.Tick = DefaultTick
+	}
+	p := &Planner{
+		config:   config,
+		view:     view,
+		writer:   &writer{store: store, stamp: config.Stamp, log: config.Log},
+		mover:    mover,
+		services: make(map[mtid.Ref]*serviceState),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var duty sync.WaitGroup
+	duty.Go(func() {
+		ticker := time.NewTicker(config.Tick)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				p.tick(ctx)
+			}
+		}
+	})
+	return p, func() { cancel(); duty.Wait() }, nil
+}
+
+func check(config Config) error {
+	switch {
+	case config.Self == nil:
+		return &ConfigError{Field: "Self"}
+	case config.Stamp == nil:
+		return &ConfigError{Field: "Stamp"}
+	case config.Now == nil:
+		return &ConfigError{Field: "Now"}
+	case config.Log == nil:
+		return &ConfigError{Field: "Log"}
+	}
+	return nil
+}
+
+// tick looks at every keyed service once.
+func (p *Planner) tick(ctx context.Context) {
+	self := p.config.Self()
+	if self.IsZero() {
+		return
+	}
+	roster := p.view.Roster()
+	for _, bundle := range p.view.Bundles() {
+		for i := range bundle.Services {
+			service := &bundle.Services[i]
+			if service.Kind != mtbundle.Keyed {
+				continue
+			}
+			ref := mtid.Ref{Business: bundle.Business, Service: service.Name}
+			p.serve(ctx, self, ref, service, members(roster, ref))
+		}
+	}
+}
+
+// serve does what one service needs, if this daemon leads it.
+func (p *Planner) serve(ctx context.Context, self mtid.Holder, ref mtid.Ref, service *mtbundle.Service, servers []*mtroster.Record) {
+	if mtplan.Leader(ref, leaders(servers)) != self {
+		delete(p.services, ref)
+		return
+	}
+	state, ok := p.services[ref]
+	if !ok {
+		state = &serviceState{}
+		p.services[ref] = state
+	}
+	p.create(ctx, state, ref, service, holders(servers, mtroster.Serving))
+}
+
+// create lays the chunks that don't exist yet. The first chunk comes alone, and
+// the others follow once it is seen: it fixes the number of chunks, and two
+// planners that read different bundles would otherwise lay chunks of
+// differently divided rings.
+func (p *Planner) create(ctx context.Context, state *serviceState, ref mtid.Ref, service *mtbundle.Service, serving []mtid.Holder) {
+	first, ok := p.view.Table(ref, 0)
+	if !ok {
+		if !state.creation.Ready(p.config.Now(), serving) {
+			return
+		}
+		p.lay(ctx, ref, 0, max(1, service.Chunks), service.Shards, serving)
+		return
+	}
+	if len(serving) == 0 {
+		return
+	}
+	for chunk := 1; chunk < first.Chunks; chunk++ {
+		if _, ok := p.view.Table(ref, chunk); !ok {
+			p.lay(ctx, ref, chunk, first.Chunks, service.Shards, serving)
+		}
+	}
+}
+
+func (p *Planner) lay(ctx context.Context, ref mtid.Ref, chunk, chunks, shards int, serving []mtid.Holder) {
+	p.writer.write(ctx, mtshard.New(ref, chunk, chunks), mtplan.Lay(shards, chunks, serving))
+}
+
+// members returns the live records that offer a service.
+func members(roster []*mtroster.Record, ref mtid.Ref) []*mtroster.Record {
+	var found []*mtroster.Record
+	for _, record := range roster {
+		if !record.Live() {
+			continue
+		}
+		if _, ok := record.Offer(ref); ok {
+			found = append(found, record)
+		}
+	}
+	return found
+}
+
+// holders returns the holders of the records in that state.
+func holders(records []*mtroster.Record, state mtroster.State) []mtid.Holder {
+	var found []mtid.Holder
+	for _, record := range records {
+		if record.State == state {
+			found = append(found, record.Holder)
+		}
+	}
+	return found
+}
+
+// leaders returns the holders among which the planner is chosen: the serving
+// ones, or the leaving ones if no other is left.
+func leaders(records []*mtroster.Record) []mtid.Holder {
+	if serving := holders(records, mtroster.Serving); len(serving) > 0 {
+		return serving
+	}
+	return holders(records, mtroster.Leaving)
+}
