--- /dev/null
+++ b/core/mtwitness/mtwitness_test.go
@@ -0,0 +1,189 @@
+package mtwitness_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtlease"
+	"magnoliaturn/core/mtwitness"
+)
+
+const start = mtclock.Instant(time.Hour)
+
+var (
+	me = mtid.Holder{Daemon: "w", Incarnation: 2}
+	d1 = mtid.Holder{Daemon: "d", Incarnation: 1}
+	d2 = mtid.Holder{Daemon: "d", Incarnation: 2}
+)
+
+func at(d time.Duration) mtclock.Instant { return start.Add(d) }
+
+func registered() *mtwitness.Witness {
+	w := mtwitness.New(me.Daemon, start)
+	w.Register(me.Incarnation)
+	return w
+}
+
+func ask(witness mtid.Holder, version mtid.Version) mtlease.Ask {
+	return mtlease.Ask{Sequence: 1, Witness: witness, Version: version}
+}
+
+// The taker asks at each moment around the end of a promise. A witness that
+// agrees while the holder still counts on it gives the key two owners.
+func TestRevokeWaitsOutThePromise(t *testing.T) {
+	w := registered()
+	asked := 2 * time.Second
+	assert.Equal(t, w.Renew(at(asked), d1, ask(me, 3)).Refusal, mtlease.Granted)
+	request := mtwitness.Request{Target: d1, Version: 3, Witness: me}
+	got := w.Revoke(at(asked+mtlease.Length), request)
+	assert.DeepEqual(t, got, mtwitness.Reply{Wait: mtlease.Guard - mtlease.Length})
+	assert.Assert(t, !w.Revoke(at(asked+mtlease.Guard-1), request).Granted)
+	assert.Assert(t, w.Revoke(at(asked+mtlease.Guard), request).Granted)
+	refused := w.Renew(at(asked+mtlease.Guard), d1, ask(me, 3))
+	assert.DeepEqual(t, refused, mtlease.Answer{Sequence: 1, Refusal: mtlease.Revoked, Floor: 3})
+	again := w.Renew(at(asked+mtlease.Guard), d1, ask(me, 4))
+	assert.DeepEqual(t, again, mtlease.Answer{Sequence: 1, Floor: 3})
+}
+
+// The witness's process ends right after a promise and starts anew, with no
+// memory of it. A taker asks the new process at once.
+func TestNewProcessWaitsBeforeItRevokes(t *testing.T) {
+	w := mtwitness.New(me.Daemon, start)
+	predecessor := mtid.Holder{Daemon: me.Daemon, Incarnation: 1}
+	request := mtwitness.Request{Target: d1, Version: 3, Witness: predecessor}
+	assert.Assert(t, !w.Revoke(at(mtlease.Guard-1), request).Granted)
+	assert.Assert(t, !at(mtlease.Guard-1).After(w.Until(d1)), "it suspects nobody either")
+	assert.Assert(t, w.Revoke(at(mtlease.Guard), request).Granted, "not registered, yet it answers for its predecessor")
+}
+
+// W1 and W2 revoke D, W1 restarts and is asked by D under the same set. If it
+// promised, D would have W1 and W3 while the taker's write lands: two owners.
+func TestNoPromiseUnderPredecessorsSet(t *testing.T) {
+	predecessor := mtid.Holder{Daemon: me.Daemon, Incarnation: 1}
+	unregistered := mtwitness.New(me.Daemon, start)
+	assert.Equal(t, unregistered.Renew(at(0), d1, ask(predecessor, 3)).Refusal, mtlease.Incarnation)
+	assert.Equal(t, unregistered.Renew(at(0), d1, ask(mtid.Holder{Daemon: me.Daemon}, 3)).Refusal, mtlease.Incarnation)
+	assert.Equal(t, registered().Renew(at(0), d1, ask(predecessor, 3)).Refusal, mtlease.Incarnation)
+}
+
+// Two processes run under one name by mistake. The later life's promises must
+// not hide that an earlier one still counts on its own.
+func TestEarlierLifeIsWaitedOut(t *testing.T) {
+	w := registered()
+	w.Renew(at(2*time.Second), d1, ask(me, 3))
+	w.Renew(at(2*time.Second+time.Millisecond), d2, ask(me, 4))
+	request := mtwitness.Request{Target: d1, Version: 3, Witness: me}
+	assert.Assert(t, !w.Revoke(at(2*time.Second+mtlease.Guard-1), request).Granted)
+	w.Renew(at(3*time.Second), d2, ask(me, 4))
+	assert.Assert(t, w.Revoke(at(2*time.Second+mtlease.Guard), request).Granted)
+	assert.Equal(t, w.Renew(at(3*time.Second), d1, ask(me, 9)).Refusal, mtlease.Revoked)
+	assert.Equal(t, w.Renew(at(3*time.Second), d2, ask(me, 4)).Refusal, mtlease.Granted)
+}
+
+func fleet(zones map[mtid.Zone]mtid.Region, each int) []mtwitness.Candidate {
+	var all []mtwitness.Candidate
+	for _, zone := range []mtid.Zone{"a", "b", "c", "x", "y"} {
+		region, ok := zones[zone]
+		for i := range each {
+			if ok {
+				h := mtid.Holder{Daemon: mtid.Daemon(fmt.Sprintf("%s-%d", zone, i)), Incarnation: 1}
+				all = append(all, mtwitness.Candidate{Holder: h, Zone: zone, Region: region})
+			}
+		}
+	}
+	return all
+}
+
+func TestChoosePlaces(t *testing.T) {
+	tests := []struct {
+		name  string
+		zones map[mtid.Zone]mtid.Region
+		each  int
+		want  int // different zones among the witnesses
+		size  int
+	}{
+		{"three zones", map[mtid.Zone]mtid.Region{"a": "r", "b": "r", "c": "r"}, 4, 3, 3},
+		{"two zones and another region", map[mtid.Zone]mtid.Region{"a": "r", "b": "r", "x": "s"}, 4, 3, 3},
+		{"two zones", map[mtid.Zone]mtid.Region{"a": "r", "b": "r"}, 4, 2, 3},
+		{"one zone", map[mtid.Zone]mtid.Region{"a": "r"}, 5, 1, 3},
+		{"one daemon a zone", map[mtid.Zone]mtid.Region{"a": "r", "b": "r", "c": "r"}, 1, 2, 2},
+		{"alone", map[mtid.Zone]mtid.Region{"a": "r"}, 1, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			all := fleet(tt.zones, tt.each)
+			chosen := mtwitness.Choose(all[0], all, nil)
+			assert.Equal(t, len(chosen), tt.size)
+			zones := make(map[mtid.Zone]bool)
+			for _, c := range all {
+				for _, h := range chosen {
+					if c.Holder == h {
+						zones[c.Zone] = true
+					}
+				}
+			}
+			assert.Equal(t, len(zones), tt.want)
+		})
+	}
+}
+
+func TestChooseKeepsMutualAndSelfOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := fleet(map[mtid.Zone]mtid.Region{"a": "r", "b": "r", "c": "r"}, rapid.IntRange(2, 9).Draw(t, "each"))
+		i := rapid.IntRange(0, len(all)-1).Draw(t, "self")
+		keep := all[rapid.IntRange(0, len(all)-1).Draw(t, "keep")].Holder
+		chosen := mtwitness.Choose(all[i], all, []mtid.Holder{keep})
+		assert.Equal(t, len(chosen), mtwitness.SetSize)
+		seen := map[mtid.Holder]bool{all[i].Holder: true}
+		for _, h := range chosen {
+			assert.Assert(t, !seen[h], "%v chosen twice, or by itself", h)
+			seen[h] = true
+		}
+		assert.Assert(t, seen[keep])
+	})
+}
+
+// Daemons choose one after another and see what those before them chose. If
+// few choices were mutual, renewal would cost nearly twice as much.
+func TestChoicesAreMostlyMutual(t *testing.T) {
+	all := fleet(map[mtid.Zone]mtid.Region{"a": "r", "b": "r", "c": "r"}, 16)
+	chosen := make(map[mtid.Holder][]mtid.Holder)
+	names := func(a, b mtid.Holder) bool {
+		for _, h := range chosen[a] {
+			if h == b {
+				return true
+			}
+		}
+		return false
+	}
+	for _, self := range all {
+		peers := make([]mtwitness.Candidate, len(all))
+		for i, p := range all {
+			p.Mutual = names(p.Holder, self.Holder)
+			for _, other := range all {
+				if other.Zone == self.Zone && other.Holder != self.Holder && names(other.Holder, p.Holder) {
+					p.Load++
+				}
+			}
+			peers[i] = p
+		}
+		chosen[self.Holder] = mtwitness.Choose(self, peers, nil)
+	}
+	mutual, total := 0, 0
+	for _, a := range all {
+		for _, b := range chosen[a.Holder] {
+			total++
+			if names(b, a.Holder) {
+				mutual++
+			}
+		}
+	}
+	t.Logf("%d of %d choices are mutual", mutual, total)
+	assert.Assert(t, mutual*4 > total*3, "only %d of %d are mutual", mutual, total)
+}
