--- a/core/mtlease/mtlease.go
+++ b/core/mtlease/mtlease.go
@@ -216,7 +216,8 @@
 }
 
 // Answer takes w's answer. Answers that come late, twice or out of order do no
-// harm: each counts from the ask that it names.
+// harm: each counts from the ask that it names, and is dropped if a later ask
+// was answered before.
 func (l *Lease) Answer(now mtclock.Instant, w mtid.Holder, a Answer) {
 	p, ok := l.promises[w]
 	if !ok {
@@ -234,7 +235,7 @@
 	if a.Refusal != Granted || at.Before(l.fresh) {
 		return
 	}
-	p.end = max(p.end, at.Add(Length))
+	p.end = at.Add(Length)
 }
 
 // Wake is called when the duty that asks wakes up, which was due at an earlier
--- a/core/mtwitness/mtwitness.go
+++ b/core/mtwitness/mtwitness.go
@@ -75,7 +75,7 @@
 // Renew answers a holder that asks for a promise.
 func (w *Witness) Renew(now mtclock.Instant, from mtid.Holder, ask mtlease.Ask) mtlease.Answer {
 	answer := mtlease.Answer{Sequence: ask.Sequence}
-	if w.self.Incarnation == 0 || ask.Witness != w.self {
+	if ask.Witness != w.self {
 		// The set names another life of this daemon. That life may have
 		// revoked the holder, and this one has forgotten it: a promise now
 		// would give the holder a majority while the taker's write lands.
@@ -88,7 +88,7 @@
 		answer.Floor = d.floor
 		return answer
 	}
-	d.until = max(d.until, now.Add(mtlease.Guard))
+	d.until = now.Add(mtlease.Guard)
 	answer.Floor = d.floor
 	return answer
 }
