Decide the life of bundles, load settings, hold credentials

Cause: operators need bundles that are signed off before they are in force, daemons need settings that are checked at once, and credentials that rotate. An apostrophe in a comment was refused before; comments are cut first now. Conclusion: the administration API can be built on pure decisions.

--- a/core/mtbundle/parse.go
+++ b/core/mtbundle/parse.go
@@ -73,6 +73,14 @@
 }
 
 func parseSigners(f *mtini.File, head *mtini.Section) []Signer {
+	signers := readSigners(f)
+	if len(signers) < minSigners || len(signers) > MaxSigners {
+		head.Fault("", strconv.Itoa(len(signers))+" signers", fmt.Sprintf("%d to %d [signer name] sections", minSigners, MaxSigners))
+	}
+	return signers
+}
+
+func readSigners(f *mtini.File) []Signer {
 	var signers []Signer
 	holders := make(map[string]string)
 	for _, s := range f.Kind("signer", 1) {
@@ -88,9 +96,6 @@
 		holders[string(key)] = s.Word(1)
 		signers = append(signers, Signer{Name: s.Word(1), Key: key})
 	}
-	if len(signers) < minSigners || len(signers) > MaxSigners {
-		head.Fault("", strconv.Itoa(len(signers))+" signers", fmt.Sprintf("%d to %d [signer name] sections", minSigners, MaxSigners))
-	}
 	return signers
 }
 
--- a/core/mtini/mtini.go
+++ b/core/mtini/mtini.go
@@ -112,24 +112,36 @@
 		f.fault(0, "text", fmt.Sprintf("%d bytes", len(text)), fmt.Sprintf("up to %d bytes", MaxText))
 		return f
 	}
-	f.scan(text)
-	f.load(text)
+	f.load(f.scan(text))
 	return f
 }
 
-// scan finds the lines of sections and names, and checks the grammar.
-func (f *File) scan(text []byte) {
+// scan finds the lines of sections and names, checks the grammar, and returns
+// the text without comments.
+func (f *File) scan(text []byte) []byte {
 	var current *Section
+	var bare bytes.Buffer
 	for i, raw := range bytes.Split(text, []byte("\n")) {
-		line := strings.TrimSpace(string(raw))
+		line := uncomment(string(raw))
 		switch {
-		case line == "" || line[0] == '#' || line[0] == ';':
+		case line == "":
 		case line[0] == '[':
 			current = f.section(i+1, line)
 		default:
 			f.pair(current, i+1, line)
 		}
+		bare.WriteString(line)
+		bare.WriteByte('\n')
 	}
+	return bare.Bytes()
+}
+
+// comment begins at the start of a line or after a blank, so that a value can
+// hold the characters.
+var comment = regexp.MustCompile(`(^|[ \t])[#;].*$`)
+
+func uncomment(line string) string {
+	return strings.TrimSpace(comment.ReplaceAllString(strings.TrimSpace(line), ""))
 }
 
 func (f *File) section(at int, line string) *Section {
@@ -171,10 +183,10 @@
 
 // options make ini.v1 read one line as one value; scan has refused the rest.
 var options = ini.LoadOptions{
-	IgnoreContinuation:       true,
-	SpaceBeforeInlineComment: true,
-	SkipUnrecognizableLines:  true,
-	KeyValueDelimiters:       "=",
+	IgnoreContinuation:      true,
+	IgnoreInlineComment:     true,
+	SkipUnrecognizableLines: true,
+	KeyValueDelimiters:      "=",
 }
 
 // load takes the values from the library. It reads the raw value: the library
--- a/io/mtsetting/mtsetting.go
+++ b/io/mtsetting/mtsetting.go
@@ -4,11 +4,20 @@
 // # Usage
 //
 //	settings, faults := mtsetting.Load("daemon.ini")
+//	if err := faults.Err(); err != nil { ... every fault, with file and line ... }
 //
-// Every fault of a file is returned at once. Secrets are named by file only.
+// Every fault of a file is returned at once. Secrets are named by file only;
+// a relative name is taken from the directory of the settings file. Plain
+// transport, with no [keys] section, is accepted only while every address is a
+// loopback one, so that a forgotten section can't open a production daemon.
 package mtsetting
 
-import "magnoliaturn/core/mtid"
+import (
+	"log/slog"
+
+	"magnoliaturn/core/mtbundle"
+	"magnoliaturn/core/mtid"
+)
 
 // Settings are what a daemon is told at its start. They don't change while it
 // runs; everything that does is in the bundles.
@@ -27,6 +36,14 @@
 	Seeds  []string
 	Keys   Keys
 	Body   int64 // largest body of a request or reply, bytes
+	// Operators names the file of operator tokens and roles. Without one the
+	// administration API only answers on a loopback address, and takes every
+	// caller for an operator with all roles.
+	Operators string
+	// Roots say who signs the first bundle of a business. A business without
+	// one begins with the signers that its first bundle lists.
+	Roots map[mtid.Business]mtbundle.Authority
+	Log   slog.Level
 }
 
 // Keys name the files that hold credentials, PEM unless said otherwise. Empty
--- /dev/null
+++ b/io/mttls/mttls_test.go
@@ -0,0 +1,193 @@
+package mttls_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/io/mtsetting"
+	"magnoliaturn/io/mttls"
+)
+
+// authority makes an authority in a directory of its own.
+func authority(t *testing.T) (file string, pair tls.Certificate) {
+	t.Helper()
+	dir := t.TempDir()
+	file = filepath.Join(dir, "authority.crt")
+	assert.NilError(t, mttls.MakeAuthority(time.Now(), file, dir+"/authority.key"))
+	pair, err := tls.LoadX509KeyPair(file, dir+"/authority.key")
+	assert.NilError(t, err)
+	return file, pair
+}
+
+// keys makes the files of a daemon that authority vouches for at address.
+func keys(t *testing.T, file string, pair tls.Certificate, address string) mtsetting.Keys {
+	t.Helper()
+	dir := t.TempDir()
+	k := mtsetting.Keys{
+		Certificate: dir + "/daemon.crt", Key: dir + "/daemon.key", Authority: file, Secret: dir + "/secret",
+	}
+	at := []netip.Addr{netip.MustParseAddr(address)}
+	assert.NilError(t, mttls.MakeCertificate(time.Now(), pair, "d", at, k.Certificate, k.Key))
+	assert.NilError(t, mttls.MakeSecret(k.Secret))
+	return k
+}
+
+func open(t *testing.T, k mtsetting.Keys) *mttls.Credentials {
+	t.Helper()
+	c, cleanUp, err := mttls.Open(k, func(error) {})
+	assert.NilError(t, err)
+	t.Cleanup(cleanUp)
+	return c
+}
+
+// handshake connects client to server as gRPC does, and returns both ends'
+// errors.
+func handshake(t *testing.T, client, server *mttls.Credentials, dialled string) (clientErr, serverErr error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	served := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			served <- err
+			return
+		}
+		defer conn.Close()
+		_, _, err = credentials.NewTLS(server.Server()).ServerHandshake(conn)
+		served <- err
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	_, _, clientErr = client.Client().ClientHandshake(context.Background(), dialled, conn)
+	if clientErr != nil {
+		_ = conn.Close()
+	}
+	serverErr = <-served
+	_ = conn.Close()
+	return clientErr, serverErr
+}
+
+// A VM outside the fleet, or a daemon at another address, must not pass for an
+// owner: it would be given requests and answer them falsely.
+func TestHandshake(t *testing.T) {
+	file, pair := authority(t)
+	otherFile, otherPair := authority(t)
+	fleet := open(t, keys(t, file, pair, "127.0.0.1"))
+	elsewhere := open(t, keys(t, file, pair, "127.0.0.9"))
+	stranger := open(t, keys(t, otherFile, otherPair, "127.0.0.1"))
+	tests := []struct {
+		name           string
+		client, server *mttls.Credentials
+		refusedByOne   bool
+	}{
+		{"same authority", fleet, fleet, false},
+		{"server at another address", fleet, elsewhere, true},
+		{"server of another authority", fleet, stranger, true},
+		{"client of another authority", stranger, fleet, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clientErr, serverErr := handshake(t, test.client, test.server, "127.0.0.1:1")
+			assert.Equal(t, clientErr != nil || serverErr != nil, test.refusedByOne, "%v, %v", clientErr, serverErr)
+		})
+	}
+}
+
+// An operator replaces the authority of a running fleet. Both authorities are
+// trusted for a while; once the old one is dropped, its certificates must stop
+// working on connections made from then on, without a restart.
+func TestReloadTakesUpAnAuthority(t *testing.T) {
+	file, pair := authority(t)
+	newFile, newPair := authority(t)
+	serverKeys := keys(t, file, pair, "127.0.0.1")
+	server := open(t, serverKeys)
+	old := open(t, keys(t, file, pair, "127.0.0.1"))
+	both, err := os.ReadFile(newFile)
+	assert.NilError(t, err)
+	first, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	bothFile := filepath.Join(t.TempDir(), "both.crt")
+	assert.NilError(t, os.WriteFile(bothFile, append(both, first...), 0o600))
+	freshKeys := keys(t, bothFile, newPair, "127.0.0.1")
+	fresh := open(t, freshKeys)
+
+	_, err = handshake(t, fresh, server, "127.0.0.1:1")
+	assert.Assert(t, err != nil)
+	assert.NilError(t, os.WriteFile(serverKeys.Authority, append(both, first...), 0o600))
+	assert.NilError(t, server.Reload())
+	_, err = handshake(t, fresh, server, "127.0.0.1:1")
+	assert.NilError(t, err)
+	_, err = handshake(t, old, server, "127.0.0.1:1")
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(serverKeys.Authority, both, 0o600))
+	assert.NilError(t, server.Reload())
+	_, err = handshake(t, old, server, "127.0.0.1:1")
+	assert.Assert(t, err != nil)
+}
+
+// A rotation writes the certificate and then the key. A daemon that reads in
+// between must go on with the old pair.
+func TestReloadKeepsTheOldPairOnAFault(t *testing.T) {
+	file, pair := authority(t)
+	k := keys(t, file, pair, "127.0.0.1")
+	c := open(t, k)
+	other := keys(t, file, pair, "127.0.0.1")
+	newer, err := os.ReadFile(other.Certificate)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(k.Certificate, newer, 0o600))
+	var fault *mttls.FileError
+	assert.ErrorType(t, c.Reload(), fault)
+	clientErr, serverErr := handshake(t, c, c, "127.0.0.1:1")
+	assert.NilError(t, clientErr)
+	assert.NilError(t, serverErr)
+}
+
+func TestSecretsRotate(t *testing.T) {
+	file, pair := authority(t)
+	k := keys(t, file, pair, "127.0.0.1")
+	c := open(t, k)
+	first := c.Secrets()
+	assert.Equal(t, len(first), 1)
+	next := filepath.Join(t.TempDir(), "next")
+	assert.NilError(t, mttls.MakeSecret(next))
+	newer, err := os.ReadFile(next)
+	assert.NilError(t, err)
+	older, err := os.ReadFile(k.Secret)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(k.Secret, append(newer, older...), 0o600))
+	assert.NilError(t, c.Reload())
+	assert.Equal(t, len(c.Secrets()), 2)
+	assert.Equal(t, c.Secrets()[1], first[0])
+	assert.NilError(t, os.WriteFile(k.Secret, []byte("short\n"), 0o600))
+	assert.Assert(t, c.Reload() != nil)
+	assert.Equal(t, len(c.Secrets()), 2)
+}
+
+func TestKeysAreNeverReplaced(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "ilze.key")
+	_, err := mttls.MakeSigner(file)
+	assert.NilError(t, err)
+	before, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	_, err = mttls.MakeSigner(file)
+	assert.Assert(t, err != nil)
+	after, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, before, after)
+	info, err := os.Stat(file)
+	assert.NilError(t, err)
+	assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600))
+	_, err = mttls.ReadSigner(file)
+	assert.NilError(t, err)
+}
