Measure requests by class, services by their three figures

Cause: operators need to see what each business is told and how fast, and the figures that the businesses go by. Change: mtmetric with expvar counters per duty, windowed HdrHistograms per class, outcome and part of the time, live imbalance, churn and unavailable time, and a logger that rates repeats.

--- /dev/null
+++ b/io/mtmetric/mtmetric_test.go
@@ -0,0 +1,183 @@
+package mtmetric_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
+	"magnoliaturn/io/mtmetric"
+)
+
+var dispatch = mtid.Ref{Business: "ratins", Service: "dispatch"}
+
+func TestHistogramsByOutcome(t *testing.T) {
+	h := mtmetric.NewHistograms()
+	for i := 1; i <= 100; i++ {
+		h.Record(mtmetric.Sample{
+			Service: dispatch, Class: "send", Outcome: mtreply.Answered,
+			Total: time.Duration(i) * time.Millisecond, Server: time.Millisecond,
+		})
+	}
+	h.Record(mtmetric.Sample{Service: dispatch, Class: "send", Outcome: mtreply.NotRun, Cause: mtreply.CauseShed, Total: time.Microsecond})
+	got := h.Summaries()
+	assert.Equal(t, len(got.Classes), 3)
+	answered := got.Classes[1]
+	assert.Equal(t, answered.Measure, mtmetric.Total)
+	assert.Equal(t, answered.Outcome, mtreply.Answered)
+	assert.Equal(t, answered.Count, int64(100))
+	near(t, answered.P50.Seconds(), 0.050, 0.01)
+	near(t, answered.P99.Seconds(), 0.099, 0.01)
+	assert.DeepEqual(t, got.Refusals, []mtmetric.Refusals{
+		{Business: "ratins", Service: "dispatch", Class: "send", Outcome: mtreply.NotRun, Cause: mtreply.CauseShed, Count: 1},
+	})
+}
+
+func near(t *testing.T, got, want, share float64) {
+	t.Helper()
+	assert.Assert(t, math.Abs(got-want) <= share*want, "got %v, want %v", got, want)
+}
+
+func TestWindowsDropOldSamples(t *testing.T) {
+	h := mtmetric.NewHistograms()
+	name := mtmetric.Series{Service: dispatch, Class: "send", Outcome: mtreply.Answered, Measure: mtmetric.Total}
+	for i := range mtmetric.Kept {
+		h.Record(mtmetric.Sample{Service: dispatch, Class: "send", Outcome: mtreply.Answered, Total: time.Second})
+		assert.Equal(t, h.Merged(name).TotalCount(), int64(i+1))
+		h.Rotate()
+	}
+	assert.Equal(t, h.Merged(name).TotalCount(), int64(mtmetric.Kept-1))
+	for range mtmetric.Kept {
+		h.Rotate()
+	}
+	assert.Equal(t, len(h.Summaries().Classes), 0)
+}
+
+// Values outside the range must still be counted: a hung request is the one
+// that an operator looks for.
+func TestOutOfRange(t *testing.T) {
+	h := mtmetric.NewHistograms()
+	h.Record(mtmetric.Sample{Service: dispatch, Class: "send", Outcome: mtreply.Unknown, Total: time.Hour})
+	h.Record(mtmetric.Sample{Service: dispatch, Class: "send", Outcome: mtreply.Unknown, Total: -time.Second})
+	assert.Equal(t, h.Summaries().Classes[0].Count, int64(2))
+}
+
+func TestSeriesAreBounded(t *testing.T) {
+	h := mtmetric.NewHistograms()
+	const most = mtmetric.MaxSeries / 4 // classes; each has four measures
+	for i := range most + 5 {
+		h.Record(mtmetric.Sample{Service: dispatch, Class: mtid.Class(fmt.Sprint(i)), Outcome: mtreply.Answered, Total: 1})
+	}
+	got := h.Summaries()
+	assert.Equal(t, len(got.Classes), most)
+	assert.Equal(t, got.Dropped, int64(5))
+}
+
+func TestHandlerShowsEverything(t *testing.T) {
+	m, cleanUp := mtmetric.New()
+	defer cleanUp()
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() {
+			m.Counter("caller", "retries").Add(1)
+			m.Counters("caller", "refused").Add("shed", 1)
+			m.Record(mtmetric.Sample{Service: dispatch, Class: "send", Outcome: mtreply.Answered, Total: time.Millisecond})
+		})
+	}
+	wait.Wait()
+	m.Gauge("renew", "waiting", func() any { return 7 })
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/", nil))
+	var got struct {
+		Caller struct {
+			Retries int
+			Refused map[string]int
+		}
+		Renew    struct{ Waiting int }
+		Requests mtmetric.Summaries
+	}
+	assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &got))
+	assert.Equal(t, got.Caller.Retries, 4)
+	assert.Equal(t, got.Caller.Refused["shed"], 4)
+	assert.Equal(t, got.Renew.Waiting, 7)
+	assert.Equal(t, got.Requests.Classes[0].Count, int64(4))
+}
+
+func TestLogLimitsRepeats(t *testing.T) {
+	var out bytes.Buffer
+	handler := mtmetric.Limit(slog.NewJSONHandler(&out, nil))
+	at := time.UnixMilli(0)
+	log := func(after time.Duration, text string) {
+		assert.NilError(t, handler.WithAttrs([]slog.Attr{slog.Int("shard", 1)}).Handle(t.Context(), slog.NewRecord(at.Add(after), slog.LevelWarn, text, 0)))
+	}
+	for i := range 50 {
+		log(time.Duration(i)*time.Millisecond, "store down")
+	}
+	log(time.Second, "another")
+	assert.Equal(t, strings.Count(out.String(), "store down"), mtmetric.Repeats)
+	assert.Equal(t, strings.Count(out.String(), "another"), 1)
+	log(mtmetric.Quiet, "store down")
+	assert.Assert(t, strings.Contains(out.String(), `"repeats":45`), out.String())
+}
+
+func TestMeter(t *testing.T) {
+	a, b := mtid.Holder{Daemon: "a", Incarnation: 1}, mtid.Holder{Daemon: "b", Incarnation: 1}
+	table := mtshard.New(dispatch, 0, 1)
+	table, err := table.Apply(mtroster.Stamp{}, mtshard.Create{Shards: 4, Among: []mtid.Holder{a}})
+	assert.NilError(t, err)
+	table, err = table.Apply(mtroster.Stamp{}, mtshard.Move{Low: table.Shards[3].Low, To: b})
+	assert.NilError(t, err)
+	live := map[mtid.Holder]bool{a: true, b: true}
+	isLive := func(h mtid.Holder) bool { return live[h] }
+	load := func(h mtid.Holder) (float64, bool) { return map[mtid.Holder]float64{a: 30, b: 10}[h], true }
+	at := func(d time.Duration) mtclock.Instant { return mtclock.Instant(d) }
+
+	m := mtmetric.NewMeter()
+	m.Observe(at(0), []*mtshard.Table{table, nil}, isLive, load)
+	got := m.Figures()
+	assert.Equal(t, got.Owners, 2)
+	assert.Equal(t, got.Shards, 4)
+	near(t, got.KeyImbalance, 1.5, 1e-9)
+	near(t, got.LoadImbalance, 1.5, 1e-9)
+	assert.Equal(t, got.Churn, 0.0)
+
+	// A quarter of the keys has no live owner for two seconds, then moves.
+	live[b] = false
+	m.Observe(at(time.Second), []*mtshard.Table{table}, isLive, load)
+	near(t, m.Figures().Orphaned, 0.25, 1e-9)
+	table, err = table.Apply(mtroster.Stamp{}, mtshard.Failover{Lost: []mtid.Holder{b}, Among: []mtid.Holder{a}})
+	assert.NilError(t, err)
+	m.Observe(at(3*time.Second), []*mtshard.Table{table}, isLive, load)
+	got = m.Figures()
+	near(t, got.Churn, 0.25, 1e-9)
+	near(t, got.Unavailable.Seconds(), 0.5, 1e-9)
+	assert.Equal(t, got.Orphaned, 0.0)
+	assert.Equal(t, got.Owners, 1)
+
+	// A split moves no key.
+	table, err = table.Apply(mtroster.Stamp{}, mtshard.Split{Point: 5})
+	assert.NilError(t, err)
+	m.Observe(at(4*time.Second), []*mtshard.Table{table}, isLive, load)
+	near(t, m.Figures().Churn, 0.25, 1e-9)
+}
+
+func BenchmarkRecord(b *testing.B) {
+	h := mtmetric.NewHistograms()
+	sample := mtmetric.Sample{Service: dispatch, Class: "send", Outcome: mtreply.Answered, Total: 3e6, Queue: 1e6, Relay: 1e6, Server: 1e6}
+	for b.Loop() {
+		h.Record(sample)
+	}
+}
