Remember recent request identifiers at the owner

Cause: A resend could run a payment twice.

Conclusion: Two skews after a grant are needed, one is not enough.

--- /dev/null
+++ b/core/mtrecent/mtrecent_test.go
@@ -0,0 +1,216 @@
+package mtrecent_test
+
+import (
+	"errors"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrecent"
+	"magnoliaturn/core/mtreply"
+)
+
+const last = ^mtid.Point(0)
+
+// owned returns a table that answers for the whole ring, which had no owner
+// before.
+func owned(t *testing.T, limits mtrecent.Limits) *mtrecent.Table {
+	t.Helper()
+	table := mtrecent.New(limits)
+	assert.NilError(t, table.Grant(0, last, time.Time{}))
+	return table
+}
+
+// word returns the kind of a verdict, or the cause of its refusal.
+func word(v mtrecent.Verdict) string {
+	var refused *mtreply.RefusedError
+	var unknown *mtreply.UnknownError
+	switch {
+	case errors.As(v.Err, &refused):
+		return "not-run " + string(refused.Cause)
+	case errors.As(v.Err, &unknown):
+		return "unknown " + string(unknown.Cause)
+	}
+	return []string{"", "run", "wait", "replay"}[v.Kind]
+}
+
+func request(at time.Time, n int) mtrecent.Request {
+	return mtrecent.Request{Name: mtrecent.Name{Point: 7, ID: mint(at, n)}, Fingerprint: 1}
+}
+
+// A payment is sent, and sent again while it runs, after its end, with another
+// body, and after its answer was forgotten. The account is debited once, and
+// each time the adviser reads what is true.
+func TestResendsGetTheTruth(t *testing.T) {
+	small := &mtrecent.Answer{Status: 201, Body: []byte("paid")}
+	large := &mtrecent.Answer{Status: 201, Body: make([]byte, 200)}
+	tests := []struct {
+		name  string
+		end   *mtrecent.Outcome
+		after time.Duration
+		print mtrecent.Fingerprint
+		want  string
+	}{
+		{"while it runs", nil, 0, 1, "wait"},
+		{"while it runs, another body", nil, 0, 2, "not-run malformed"},
+		{"after its answer", &mtrecent.Outcome{What: mtreply.Answered, Answer: small}, 0, 1, "replay"},
+		{"after its answer, another body", &mtrecent.Outcome{What: mtreply.Answered, Answer: small}, 0, 2, "not-run malformed"},
+		{"after an answer too large to keep", &mtrecent.Outcome{What: mtreply.Answered, Answer: large}, 0, 1, "unknown earlier"},
+		{"after it was not run", &mtrecent.Outcome{What: mtreply.NotRun}, 0, 1, "run"},
+		{"after an unknown outcome", &mtrecent.Outcome{What: mtreply.Unknown}, 0, 1, "unknown earlier"},
+		{"just before it is forgotten", &mtrecent.Outcome{What: mtreply.Answered, Answer: small}, keep - 1, 1, "replay"},
+		{"once it is forgotten", &mtrecent.Outcome{What: mtreply.Answered, Answer: small}, keep, 1, "unknown earlier"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := owned(t, mtrecent.Limits{Keep: keep, Skew: skew, Answer: 100})
+			r := request(epoch, 1)
+			assert.Equal(t, word(table.Begin(0, epoch, r, 1)), "run")
+			if tt.end != nil {
+				table.End(0, r.Name, *tt.end)
+			}
+			r.Fingerprint = tt.print
+			got := word(table.Begin(mtclock.Instant(tt.after), epoch.Add(tt.after), r, 2))
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
+
+// An owner is lost with a send order in flight, and another daemon takes its
+// shard over. The desk sends the order again. Whatever the three clocks show
+// within their bound, no second robot leaves, and a new order does leave.
+func TestAfterATakeover(t *testing.T) {
+	granted := epoch
+	tests := []struct {
+		name   string
+		lead   time.Duration // of the identifier's time over the grant
+		minted bool
+		after  time.Duration // of the request over the grant
+		want   string
+	}{
+		{"older than the grant", -time.Second, false, 0, "unknown taken-over"},
+		{"within one skew", skew, false, skew, "unknown taken-over"},
+		{"within two skews, still in the future", 2 * skew, false, 0, "unknown taken-over"},
+		{"within two skews, no longer in the future", 2 * skew, false, 2 * skew, "unknown taken-over"},
+		{"newer", 2*skew + 2*time.Millisecond, false, time.Second, "run"},
+		{"newer, from the future", time.Second, false, 0, "not-run skew"},
+		{"minted for this request by an ingress whose clock lags", -time.Second, true, 0, "run"},
+		{"minted by an ingress whose clock leads too far", skew + time.Millisecond, true, 0, "not-run skew"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := mtrecent.New(mtrecent.Limits{Keep: keep, Skew: skew})
+			assert.NilError(t, table.Grant(0, last, granted))
+			r := request(granted.Add(tt.lead), 1)
+			r.Minted = tt.minted
+			got := word(table.Begin(mtclock.Instant(tt.after), granted.Add(tt.after), r, 1))
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
+
+func TestFullTableRefusesAndForgetsNothing(t *testing.T) {
+	table := owned(t, mtrecent.Limits{Keep: keep, Skew: skew, Count: 2})
+	first, second, third := request(epoch, 1), request(epoch, 2), request(epoch, 3)
+	for _, r := range []mtrecent.Request{first, second} {
+		assert.Equal(t, word(table.Begin(0, epoch, r, 1)), "run")
+		table.End(0, r.Name, mtrecent.Outcome{What: mtreply.Unknown})
+	}
+	v := table.Begin(mtclock.Instant(keep/2), epoch, third, 1)
+	var refused *mtreply.RefusedError
+	assert.Assert(t, errors.As(v.Err, &refused))
+	assert.Equal(t, refused.Cause, mtreply.CauseRecentFull)
+	assert.Equal(t, refused.RetryAfter, keep/2)
+	assert.Equal(t, word(table.Begin(mtclock.Instant(keep/2), epoch, first, 1)), "unknown earlier")
+	late := epoch.Add(keep)
+	assert.Equal(t, word(table.Begin(mtclock.Instant(keep), late, request(late, 3), 1)), "run")
+}
+
+// A clock that is set an hour ahead and back again must neither make the owner
+// forget an order nor make it refuse the orders of the next hour.
+func TestWallClockJump(t *testing.T) {
+	table := owned(t, mtrecent.Limits{Keep: keep, Skew: skew})
+	r := request(epoch, 1)
+	assert.Equal(t, word(table.Begin(0, epoch.Add(time.Hour), r, 1)), "run")
+	table.End(0, r.Name, mtrecent.Outcome{What: mtreply.Unknown})
+	assert.Equal(t, word(table.Begin(1, epoch.Add(-time.Hour), r, 1)), "unknown earlier")
+	assert.Equal(t, word(table.Begin(2, epoch.Add(time.Second), request(epoch.Add(time.Second), 2), 1)), "run")
+}
+
+func TestWaitersAreReturnedOnce(t *testing.T) {
+	table := owned(t, mtrecent.Limits{Keep: keep, Skew: skew, Waiters: 2})
+	r := request(epoch, 1)
+	assert.Equal(t, word(table.Begin(0, epoch, r, 1)), "run")
+	assert.Equal(t, word(table.Begin(0, epoch, r, 2)), "wait")
+	assert.Equal(t, word(table.Begin(0, epoch, r, 3)), "wait")
+	assert.Equal(t, word(table.Begin(0, epoch, r, 4)), "unknown earlier")
+	table.Leave(r.Name, 2)
+	outcome := mtrecent.Outcome{What: mtreply.Answered}
+	assert.DeepEqual(t, table.End(0, r.Name, outcome), []mtrecent.Waiter{3})
+	assert.Equal(t, len(table.End(0, r.Name, outcome)), 0)
+}
+
+func TestImportThatDoesNotFitChangesNothing(t *testing.T) {
+	from := owned(t, mtrecent.Limits{Keep: keep, Skew: skew})
+	for n := range 3 {
+		r := request(epoch, n)
+		from.Begin(0, epoch, r, 1)
+		from.End(0, r.Name, mtrecent.Outcome{What: mtreply.Answered})
+	}
+	to := mtrecent.New(mtrecent.Limits{Keep: keep, Skew: skew, Count: 2})
+	err := to.Import(0, from.Export(0, 0, 100))
+	var full *mtrecent.FullError
+	assert.Assert(t, errors.As(err, &full), "%v", err)
+	assert.Equal(t, to.Len(), 0)
+	assert.Assert(t, !to.Owns(7))
+}
+
+func FuzzDecode(f *testing.F) {
+	table := mtrecent.New(mtrecent.Limits{Keep: keep, Skew: skew})
+	assert.NilError(f, table.Grant(0, last, epoch))
+	r := request(epoch.Add(time.Second), 1)
+	table.Begin(0, epoch.Add(time.Second), r, 1)
+	table.End(0, r.Name, mtrecent.Outcome{What: mtreply.Answered, Answer: &mtrecent.Answer{Status: 200, Body: []byte("x")}})
+	value, err := mtrecent.Encode(table.Export(1, 0, 100))
+	assert.NilError(f, err)
+	f.Add(value)
+	f.Fuzz(func(t *testing.T, value []byte) {
+		h, err := mtrecent.Decode(value)
+		if err != nil {
+			var want *mtrecent.DecodeError
+			assert.Assert(t, errors.As(err, &want), "got %T", err)
+			return
+		}
+		to := mtrecent.New(mtrecent.Limits{Keep: keep, Skew: skew})
+		assert.NilError(t, to.Import(mtclock.Instant(48*time.Hour), h))
+		_, err = mtrecent.Encode(to.Export(mtclock.Instant(48*time.Hour), h.Low, h.High))
+		assert.NilError(t, err)
+	})
+}
+
+// BenchmarkMemory reports the heap bytes that one remembered identifier takes,
+// without its answer.
+func BenchmarkMemory(b *testing.B) {
+	const count = 100_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		table := mtrecent.New(mtrecent.Limits{Count: count})
+		_ = table.Grant(0, last, time.Time{})
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for n := range count {
+			r := request(epoch, n)
+			r.Name.Point = mtid.Point(n)
+			table.Begin(0, epoch, r, 1)
+			table.End(0, r.Name, mtrecent.Outcome{What: mtreply.Unknown})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/identifier")
+		runtime.KeepAlive(table)
+	}
+}
