Suspect and quarantine requests that crash servers

Cause: One request could take down a server after another, each time that its caller sent it again.

Conclusion: Running a suspect alone tells the guilty from the innocent; counting coincidences does not.

--- /dev/null
+++ b/core/mtpoison/mtpoison.go
@@ -0,0 +1,514 @@
+// Package mtpoison finds the requests that crash each backend server which runs
+// them, and keeps them from doing so a third time.
+//
+// A request is known by its fingerprint, a hash of what it asks for; its
+// identifier doesn't count, since a caller may send the same thing under a new
+// one. A fingerprint goes through three states. It is clear until it was in
+// flight when a backend server was lost; then it is suspected. A suspect runs
+// alone: nothing else is in flight on its server. If that server is lost as
+// well, no other request can have done it, and the suspect is quarantined; if
+// it is answered, it is clear again. So the innocent requests that were in
+// flight beside the one that crashes servers are cleared by their own next run,
+// even if all are sent again together.
+//
+// A fingerprint is quarantined as well if it is the only one that two complete
+// lists of requests in flight have in common. That is for a request that runs
+// on several servers at the same time, before anyone can suspect it.
+//
+// # Who knows what
+//
+// The daemon beside the server sees all that is in flight there (Started, Ended,
+// ServerLost). If the whole VM is lost, its daemon's knowledge goes with it;
+// then each ingress knows the requests that it had relayed there (Relayed,
+// Begun, Returned, RelayLost). A broken connection between two daemons proves no
+// crash, hence what an ingress saw only makes suspects until HolderLost confirms
+// that the daemon is gone.
+//
+// Evidence is exchanged by Digest and Merge. It is a set of crashes, each named
+// by the holder and a count, so that merging it twice or in any order gives the
+// same. All of it is bounded and ages.
+//
+// # Usage
+//
+//	switch table.Judge(now, print, hint) {
+//	case mtpoison.Quarantined: // refuse with mtreply.CauseQuarantined
+//	case mtpoison.Suspect:     // admit it with mtgate.Ticket.Alone
+//	}
+//	table.Started(number, print, alone)
+//	table.Ended(now, number, mtpoison.Broken)
+//	table.ServerLost(now) // then send table.Digest(now, ...) to the service's daemons
+//
+// A Table isn't safe for concurrent use.
+package mtpoison
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+)
+
+// Print is the fingerprint of a request.
+type Print uint64
+
+// Content is what a fingerprint is made of.
+type Content struct {
+	Service mtid.Ref
+	Key     mtid.Key
+	Class   mtid.Class
+	Method  string
+	Path    string
+	Query   string
+	Body    []byte
+}
+
+// Print returns the fingerprint. It is called for each request at the ingress.
+func (c *Content) Print() Print {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [...]string{
+		string(c.Service.Business), string(c.Service.Service), string(c.Key),
+		string(c.Class), c.Method, c.Path, c.Query,
+	} {
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString("\x00")
+	}
+	_, _ = d.Write(c.Body)
+	return Print(d.Sum64())
+}
+
+// Verdict is what is known of a fingerprint.
+type Verdict uint8
+
+// The verdicts, from good to bad.
+const (
+	Clear Verdict = iota
+	Suspect
+	Quarantined
+)
+
+// String returns the verdict in words, for logs.
+func (v Verdict) String() string {
+	return [...]string{"clear", "suspect", "quarantined"}[v]
+}
+
+// Coincidence is what is known against a fingerprint.
+type Coincidence struct {
+	Crashes int  // of which it was in flight
+	Alone   bool // in the last of them nothing else was in flight
+	Only    bool // it alone is on two complete lists of requests in flight
+}
+
+// Rule decides when a suspect is guilty, and how suspects run.
+type Rule interface {
+	// Guilty reports whether a fingerprint is to be quarantined.
+	Guilty(c Coincidence) bool
+	// Alone reports whether suspects run alone.
+	Alone() bool
+}
+
+// Narrow is the rule meant for service: suspects run alone, and only a crash
+// that nothing else can have caused is held against one.
+type Narrow struct{}
+
+// Guilty implements Rule.
+func (Narrow) Guilty(c Coincidence) bool { return c.Alone || c.Only }
+
+// Alone implements Rule.
+func (Narrow) Alone() bool { return true }
+
+// Count is the plain rule: what was in flight at so many crashes is guilty.
+type Count struct{ Crashes int }
+
+// Guilty implements Rule.
+func (r Count) Guilty(c Coincidence) bool { return c.Crashes >= r.Crashes }
+
+// Alone implements Rule.
+func (Count) Alone() bool { return false }
+
+// Number tells the requests in flight apart. The caller of the Table chooses
+// it.
+type Number uint64
+
+// End is how a request in flight has ended.
+type End uint8
+
+// The ends of a request.
+const (
+	Whole  End = iota // the server answered it
+	NotRun            // it was not run
+	Broken            // the connection to the server broke
+	Left              // it was given up; nothing is known of the server
+)
+
+// Limits bound a Table. Zero fields take the defaults.
+type Limits struct {
+	Crashes    int           // crashes that are remembered
+	Prints     int           // fingerprints of one crash
+	Sentences  int           // fingerprints in quarantine
+	Suspicion  time.Duration // how long a crash makes suspects
+	Quarantine time.Duration // how long after the last request it ends
+}
+
+// Defaults of Limits.
+const (
+	DefaultCrashes    = 128
+	DefaultPrints     = 256
+	DefaultSentences  = 512
+	DefaultSuspicion  = 10 * time.Minute
+	DefaultQuarantine = time.Hour
+)
+
+// together is how long the connections of one lost server take to break. A
+// request whose connection broke that long before the loss was noticed counts
+// as in flight.
+const together = 2 * time.Second
+
+// flight is a request in flight, here or at another daemon.
+type flight struct {
+	print  Print
+	alone  bool
+	holder mtid.Holder     // where it was relayed to; zero if it runs here
+	broken mtclock.Instant // when its connection broke; zero if it has not
+}
+
+// Table is what one daemon knows. See the package comment.
+type Table[R Rule] struct {
+	rule      R
+	limits    Limits
+	self      mtid.Holder
+	losses    uint32 // of the server beside this daemon
+	here      map[Number]*flight
+	relays    map[Number]*flight
+	crashes   map[Loss]*Crash
+	suspects  map[Print]mtclock.Instant // the last crash that each was part of
+	acquitted map[Print]mtclock.Instant
+	sentences map[Print]mtclock.Instant // when each was last asked for
+	pending   map[Print]mtid.Holder     // sentences that HolderLost would confirm
+}
+
+// New returns an empty Table of the daemon self.
+func New[R Rule](rule R, self mtid.Holder, limits Limits) *Table[R] {
+	return &Table[R]{
+		rule:      rule,
+		limits:    limits.filled(),
+		self:      self,
+		here:      make(map[Number]*flight),
+		relays:    make(map[Number]*flight),
+		crashes:   make(map[Loss]*Crash),
+		suspects:  make(map[Print]mtclock.Instant),
+		acquitted: make(map[Print]mtclock.Instant),
+		sentences: make(map[Print]mtclock.Instant),
+		pending:   make(map[Print]mtid.Holder),
+	}
+}
+
+// filled returns l with its zero fields set to the defaults.
+func (l Limits) filled() Limits {
+	fill(&l.Crashes, DefaultCrashes)
+	fill(&l.Prints, DefaultPrints)
+	fill(&l.Sentences, DefaultSentences)
+	fill(&l.Suspicion, DefaultSuspicion)
+	fill(&l.Quarantine, DefaultQuarantine)
+	return l
+}
+
+// fill sets a zero field to its default.
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Judge is called for each request, at the ingress and again at the owner. hint
+// says that the ingress suspects it; the owner believes that unless it has
+// acquitted the fingerprint itself. A quarantine is renewed by each request, so
+// that it lasts for as long as somebody goes on asking.
+func (t *Table[R]) Judge(now mtclock.Instant, p Print, hint bool) Verdict {
+	if asked, ok := t.sentences[p]; ok {
+		if now.Sub(asked) < t.limits.Quarantine {
+			t.sentences[p] = now
+			return Quarantined
+		}
+		// Out of quarantine, but not clear: the next run is alone.
+		delete(t.sentences, p)
+		t.suspects[p] = now
+	}
+	if !t.rule.Alone() {
+		return Clear
+	}
+	if at, ok := t.suspects[p]; ok && now.Sub(at) < t.limits.Suspicion {
+		return Suspect
+	}
+	if _, ok := t.acquitted[p]; hint && !ok {
+		return Suspect
+	}
+	return Clear
+}
+
+// Started says that a request is sent to the server beside this daemon. alone
+// says that the gate keeps everything else out meanwhile.
+func (t *Table[R]) Started(n Number, p Print, alone bool) {
+	t.here[n] = &flight{print: p, alone: alone}
+}
+
+// Ended says how a started request has ended.
+func (t *Table[R]) Ended(now mtclock.Instant, n Number, how End) {
+	f, ok := t.here[n]
+	if !ok {
+		return
+	}
+	if how == Broken {
+		f.broken = now
+		return
+	}
+	delete(t.here, n)
+	if how == Whole && f.alone {
+		t.acquit(now, f.print)
+	}
+}
+
+// ServerLost says that the server beside this daemon has crashed. It is called
+// once per crash, and never for a single connection that broke.
+func (t *Table[R]) ServerLost(now mtclock.Instant) {
+	t.losses++
+	c := &Crash{Loss: Loss{Holder: t.self, Count: t.losses}, At: now, Complete: true}
+	for n, f := range t.here {
+		delete(t.here, n)
+		if f.broken != 0 && now.Sub(f.broken) > together {
+			continue
+		}
+		c.Prints = append(c.Prints, f.print)
+		c.alone = c.alone || f.alone
+	}
+	// A lone request with company was sent to a server that another one had
+	// taken down just before, unnoticed. It may have been either, so this crash
+	// is no proof against any.
+	if len(c.Prints) > 1 && c.alone {
+		c.alone = false
+		c.Complete = false
+	}
+	if len(c.Prints) > 0 {
+		t.note(now, c)
+	}
+}
+
+// Relayed says that a request is sent to the daemon of its owner.
+func (t *Table[R]) Relayed(n Number, to mtid.Holder, p Print) {
+	t.relays[n] = &flight{print: p, holder: to}
+}
+
+// Begun says that the owner has begun to run a relayed request, alone. It is
+// what tells a suspect that ran from one that only waited when its owner was
+// lost.
+func (t *Table[R]) Begun(n Number) {
+	if f, ok := t.relays[n]; ok {
+		f.alone = true
+	}
+}
+
+// Returned says that the owner's daemon has replied. whole says that the reply
+// is the server's answer.
+func (t *Table[R]) Returned(now mtclock.Instant, n Number, whole bool) {
+	f, ok := t.relays[n]
+	if !ok {
+		return
+	}
+	delete(t.relays, n)
+	if whole && f.alone {
+		t.acquit(now, f.print)
+	}
+}
+
+// RelayLost says that the connection to the owner's daemon broke before the
+// reply. The request is suspected from now on; whether it is quarantined is
+// decided once the daemon is known to be lost.
+func (t *Table[R]) RelayLost(now mtclock.Instant, n Number) {
+	f, ok := t.relays[n]
+	if !ok {
+		return
+	}
+	delete(t.relays, n)
+	loss := Loss{Holder: f.holder, Count: WholeVM}
+	c := &Crash{Loss: loss, At: now, Prints: []Print{f.print}}
+	if f.alone {
+		t.pending[f.print] = f.holder
+	}
+	t.note(now, c)
+}
+
+// HolderLost says that a daemon's life is over: its incarnation was revoked.
+// What was in flight there counts as lost.
+func (t *Table[R]) HolderLost(now mtclock.Instant, holder mtid.Holder) {
+	for n, f := range t.relays {
+		if f.holder == holder {
+			t.RelayLost(now, n)
+		}
+	}
+	for p, at := range t.pending {
+		if at == holder {
+			delete(t.pending, p)
+			t.hear(now, p, Coincidence{Crashes: t.crashesOf(p), Alone: true})
+		}
+	}
+}
+
+// acquit clears a fingerprint that ran alone and was answered.
+func (t *Table[R]) acquit(now mtclock.Instant, p Print) {
+	delete(t.suspects, p)
+	delete(t.pending, p)
+	t.acquitted[p] = now
+}
+
+// sentence quarantines a fingerprint.
+func (t *Table[R]) sentence(now mtclock.Instant, p Print) {
+	delete(t.suspects, p)
+	t.sentences[p] = now
+	for len(t.sentences) > t.limits.Sentences {
+		delete(t.sentences, oldest(t.sentences))
+	}
+}
+
+// note remembers a crash, or adds to what is known of it, and suspects what was
+// in flight.
+func (t *Table[R]) note(now mtclock.Instant, c *Crash) {
+	known, ok := t.crashes[c.Loss]
+	if !ok {
+		known = &Crash{Loss: c.Loss, At: c.At}
+		t.crashes[c.Loss] = known
+	}
+	known.Complete = known.Complete || c.Complete
+	for _, p := range c.Prints {
+		if known.add(p, t.limits.Prints) {
+			t.suspect(p, c.At)
+		}
+	}
+	only := t.onlyCommon(known)
+	for _, p := range known.Prints {
+		t.hear(now, p, Coincidence{Crashes: t.crashesOf(p), Alone: c.alone, Only: only[p]})
+	}
+	t.bound()
+}
+
+// hear quarantines a suspect that the rule finds guilty.
+func (t *Table[R]) hear(now mtclock.Instant, p Print, c Coincidence) {
+	if _, ok := t.suspects[p]; ok && t.rule.Guilty(c) {
+		t.sentence(now, p)
+	}
+}
+
+// crashesOf returns of how many crashes the fingerprint was part.
+func (t *Table[R]) crashesOf(p Print) int {
+	count := 0
+	for _, c := range t.crashes {
+		if c.lists(p) {
+			count++
+		}
+	}
+	return count
+}
+
+// onlyCommon returns the fingerprints that are all that c and another crash
+// have in common, both being completely known.
+func (t *Table[R]) onlyCommon(c *Crash) map[Print]bool {
+	only := make(map[Print]bool)
+	for _, other := range t.crashes {
+		if other == c || !c.Complete || !other.Complete {
+			continue
+		}
+		if p, ok := c.onlyCommon(other); ok {
+			only[p] = true
+		}
+	}
+	return only
+}
+
+// suspect notes that p was part of a crash at that time.
+func (t *Table[R]) suspect(p Print, at mtclock.Instant) {
+	if cleared, ok := t.acquitted[p]; ok && !at.After(cleared) {
+		return
+	}
+	delete(t.acquitted, p)
+	if _, ok := t.sentences[p]; ok {
+		return
+	}
+	t.suspects[p] = max(t.suspects[p], at)
+}
+
+// bound forgets the oldest crashes above the limit.
+func (t *Table[R]) bound() {
+	for len(t.crashes) > t.limits.Crashes {
+		var first *Crash
+		for _, c := range t.crashes {
+			if first == nil || c.older(first) {
+				first = c
+			}
+		}
+		delete(t.crashes, first.Loss)
+	}
+}
+
+// Expire forgets what has aged. It is called now and then.
+func (t *Table[R]) Expire(now mtclock.Instant) {
+	for loss, c := range t.crashes {
+		if now.Sub(c.At) >= t.limits.Suspicion {
+			delete(t.crashes, loss)
+		}
+	}
+	drop(t.suspects, now, t.limits.Suspicion)
+	drop(t.acquitted, now, t.limits.Suspicion)
+	for n, f := range t.here {
+		if f.broken != 0 && now.Sub(f.broken) > together {
+			delete(t.here, n)
+		}
+	}
+	for p, asked := range t.sentences {
+		if now.Sub(asked) >= t.limits.Quarantine {
+			delete(t.sentences, p)
+			t.suspects[p] = now
+		}
+	}
+}
+
+// drop deletes what is older than limit.
+func drop(prints map[Print]mtclock.Instant, now mtclock.Instant, limit time.Duration) {
+	for p, at := range prints {
+		if now.Sub(at) >= limit {
+			delete(prints, p)
+		}
+	}
+}
+
+// oldest returns the fingerprint with the smallest time, the smaller one among
+// equals: maps have no order.
+func oldest(prints map[Print]mtclock.Instant) Print {
+	var first Print
+	found := false
+	for p, at := range prints {
+		if !found || at < prints[first] || (at == prints[first] && p < first) {
+			first, found = p, true
+		}
+	}
+	return first
+}
+
+// Counts are the sizes of a Table, for metrics.
+type Counts struct {
+	Crashes   int
+	Suspects  int
+	Sentences int
+	InFlight  int
+}
+
+// Counts returns the sizes of the Table.
+func (t *Table[R]) Counts() Counts {
+	return Counts{
+		Crashes:   len(t.crashes),
+		Suspects:  len(t.suspects),
+		Sentences: len(t.sentences),
+		InFlight:  len(t.here) + len(t.relays),
+	}
+}
