--- a/core/mtretry/mtretry.go
+++ b/core/mtretry/mtretry.go
@@ -184,8 +184,12 @@
 	return b
 }
 
-// safe reports whether sending the request again can't run it twice.
+// safe reports whether the try failed and sending the request again can't run
+// it twice.
 func safe(a Attempt) bool {
+	if a.Err == nil {
+		return false
+	}
 	var refused *mtreply.RefusedError
 	return a.Idempotent || errors.As(a.Err, &refused)
 }
--- a/core/mtretry/mtretry_test.go
+++ b/core/mtretry/mtretry_test.go
@@ -33,6 +33,7 @@
 		attempt mtretry.Attempt
 		want    bool
 	}{
+		{"answered", mtretry.Attempt{Idempotent: true, Deadline: second}, false},
 		{"order, connection lost", mtretry.Attempt{Err: unknown(mtreply.CauseLost), Deadline: second}, false},
 		{"status check, connection lost", mtretry.Attempt{Idempotent: true, Err: unknown(mtreply.CauseLost), Deadline: second}, true},
 		{"order, never sent", mtretry.Attempt{Err: refused(mtreply.CauseUnreachable, 0), Deadline: second}, true},
