Answer operators over HTTP

Cause: operators drive the system through bundles and need to see who owns what. Change: mtrollout keeps bundles in the store and settles writes in doubt; mtoperator knows tokens and roles; mtadmin is the API, its client and the status page; the Inform service between daemons; names for drafts and former bundles in mtstore (addition to a contract). Measured: go test -race ./io/mtrollout ./io/mtoperator passes; mtadmin has no test yet. Conclusion: tests of the API and the commands come next.

--- a/core/mtbundle/life.go
+++ b/core/mtbundle/life.go
@@ -108,10 +108,13 @@
 	if bundle.Business != l.Business {
 		return nil, nil, &BusinessError{Wanted: l.Business, Text: bundle.Business}
 	}
+	s := &Stored{Business: l.Business, Version: bundle.Version, Text: slices.Clone(text), Proposer: proposer, Proposed: now}
+	if l.accepted(s.Version, s.Digest().String()) {
+		return l.Drafts, l.InForce, nil
+	}
 	if err := l.next(bundle.Version); err != nil {
 		return nil, nil, err
 	}
-	s := &Stored{Business: l.Business, Version: bundle.Version, Text: slices.Clone(text), Proposer: proposer, Proposed: now}
 	drafts := l.open()
 	if same, err := l.find(s.Version, s.Digest().String()); err == nil {
 		return drafts, same, nil
@@ -123,9 +126,13 @@
 }
 
 // Sign returns the open proposals with one more signature, and the signed
-// proposal. A signature that is there already changes nothing. It fails with a
+// proposal. A signature that is there already, or comes after the bundle is in
+// force, changes nothing. It fails with a
 // *MissingError or a *SignatureError.
 func (l *Life) Sign(version mtid.Version, digest string, sig Signature) ([]*Stored, *Stored, error) {
+	if l.accepted(version, digest) {
+		return l.Drafts, l.InForce, nil
+	}
 	draft, err := l.find(version, digest)
 	if err != nil {
 		return nil, nil, err
@@ -152,7 +159,7 @@
 // already, Accept returns it and true, so that a retried request succeeds. It
 // fails with a *ConflictError, a *MissingError or an *UnsignedError.
 func (l *Life) Accept(now time.Time, version mtid.Version, digest, accepter string, stamp mtroster.Stamp) (next *Stored, done bool, err error) {
-	if l.InForce != nil && l.InForce.Version == version && l.InForce.Digest().String() == digest {
+	if l.accepted(version, digest) {
 		return l.InForce, true, nil
 	}
 	if err := l.next(version); err != nil {
@@ -194,6 +201,12 @@
 	return l.InForce.Version
 }
 
+// accepted reports whether that very bundle is in force. A step that is
+// repeated after its answer was lost, while others went on, finds it so.
+func (l *Life) accepted(version mtid.Version, digest string) bool {
+	return l.InForce != nil && l.InForce.Version == version && l.InForce.Digest().String() == digest
+}
+
 // next checks that version is the one that comes after the one in force.
 // Versions only grow by one: a rollback is a new version with an older text.
 func (l *Life) next(version mtid.Version) error {
--- a/core/mtstore/names.go
+++ b/core/mtstore/names.go
@@ -27,3 +27,15 @@
 func ShardName(r mtid.Ref, chunk int) string {
 	return fmt.Sprintf("%s%s/%d", Shard, r, chunk)
 }
+
+// KeptBundles is how many former bundles of a business the store keeps: names
+// are used in turn, since the store deletes nothing.
+const KeptBundles = 64
+
+// DraftName returns the name of the open proposals of a business.
+func DraftName(b mtid.Business) string { return Draft + string(b) }
+
+// PastName returns the name that a former bundle is kept under.
+func PastName(b mtid.Business, version mtid.Version) string {
+	return fmt.Sprintf("%s%s/%d", Past, b, version%KeptBundles)
+}
--- /dev/null
+++ b/io/mtadmin/live.go
@@ -0,0 +1,219 @@
+package mtadmin
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
+	"magnoliaturn/io/mtoperator"
+)
+
+func (s *Server) metrics(c echo.Context, _ *mtoperator.Operator) error {
+	if s.config.Metrics == nil {
+		return &MissingError{What: "a list of metrics"}
+	}
+	s.config.Metrics.ServeHTTP(c.Response(), c.Request())
+	return nil
+}
+
+func (s *Server) status(c echo.Context, o *mtoperator.Operator) error {
+	holder := s.config.Self.Holder()
+	d := StatusDocument{
+		Daemon:      holder.Daemon,
+		Incarnation: holder.Incarnation,
+		Frontier:    s.config.View.Frontier(),
+		Bundles:     make(map[mtid.Business]mtid.Version),
+	}
+	for _, b := range s.config.View.Bundles() {
+		if o.May(mtoperator.View, b.Business) {
+			d.Bundles[b.Business] = b.Version
+		}
+	}
+	if s.config.Figures != nil {
+		d.Services = s.figures(o)
+	}
+	return c.JSON(http.StatusOK, d)
+}
+
+// records returns the roster in order of names, which pages go by.
+func (s *Server) records() []*mtroster.Record {
+	records := slices.Clone(s.config.View.Roster())
+	slices.SortFunc(records, func(a, b *mtroster.Record) int {
+		return cmp.Compare(a.Holder.Daemon, b.Holder.Daemon)
+	})
+	return records
+}
+
+func (s *Server) record(daemon mtid.Daemon) (*mtroster.Record, bool) {
+	for _, r := range s.config.View.Roster() {
+		if r.Holder.Daemon == daemon {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+func (s *Server) roster(c echo.Context, o *mtoperator.Operator) error {
+	var all []DaemonDocument
+	for _, r := range s.records() {
+		all = append(all, describeDaemon(r, o))
+	}
+	page, err := paginate(c, all, func(d DaemonDocument) string { return string(d.Daemon) })
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, page)
+}
+
+// describeDaemon leaves out the backend servers of businesses that the
+// operator has no business with.
+func describeDaemon(r *mtroster.Record, o *mtoperator.Operator) DaemonDocument {
+	d := DaemonDocument{
+		Daemon:      r.Holder.Daemon,
+		Incarnation: r.Holder.Incarnation,
+		Zone:        r.Zone,
+		Region:      r.Region,
+		State:       r.State.String(),
+		Live:        r.Live(),
+		Caller:      r.Caller,
+		Relay:       r.Relay,
+		Renew:       r.Renew,
+		Admin:       r.Admin,
+		Witnesses:   []string{},
+		Offers:      []OfferDocument{},
+	}
+	for _, w := range r.Witnesses {
+		d.Witnesses = append(d.Witnesses, w.String())
+	}
+	for _, offer := range r.Offers {
+		if !o.May(mtoperator.View, offer.Service.Business) {
+			continue
+		}
+		d.Offers = append(d.Offers, OfferDocument{
+			Business: offer.Service.Business, Service: offer.Service.Service,
+			Slots: offer.Slots, Connections: offer.Connections, Epochs: offer.Epochs, Deadlines: offer.Deadlines,
+		})
+	}
+	return d
+}
+
+// tables returns the chunks of a keyed service; ones that this daemon doesn't
+// know yet are nil.
+func (s *Server) tables(ref mtid.Ref) ([]*mtshard.Table, error) {
+	for _, b := range s.config.View.Bundles() {
+		if b.Business != ref.Business {
+			continue
+		}
+		service, ok := b.Service(ref.Service)
+		if !ok {
+			break
+		}
+		tables := make([]*mtshard.Table, service.Chunks)
+		for i := range tables {
+			tables[i], _ = s.config.View.Table(ref, i)
+		}
+		return tables, nil
+	}
+	return nil, &MissingError{What: "service " + ref.String()}
+}
+
+func refOf(c echo.Context) mtid.Ref {
+	return mtid.Ref{Business: businessOf(c), Service: mtid.Service(c.Param("service"))}
+}
+
+func (s *Server) assignment(c echo.Context, _ *mtoperator.Operator) error {
+	tables, err := s.tables(refOf(c))
+	if err != nil {
+		return err
+	}
+	var all []ShardDocument
+	for _, t := range tables {
+		if t == nil {
+			continue
+		}
+		for _, shard := range t.Shards {
+			all = append(all, describeShard(t, shard))
+		}
+	}
+	page, err := paginate(c, all, func(d ShardDocument) string { return d.Low })
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, page)
+}
+
+func describeShard(t *mtshard.Table, shard mtshard.Shard) ShardDocument {
+	return ShardDocument{
+		Chunk:       t.Chunk,
+		Low:         hex(uint64(shard.Low)),
+		Owner:       shard.Owner.Daemon,
+		Incarnation: shard.Owner.Incarnation,
+		Epoch:       shard.Epoch,
+		Version:     t.Version,
+	}
+}
+
+// hex has a fixed width, so that the order of texts is the order of numbers.
+func hex(n uint64) string { return fmt.Sprintf("%016x", n) }
+
+func (s *Server) owner(c echo.Context, _ *mtoperator.Operator) error {
+	ref, key := refOf(c), mtid.Key(c.QueryParam("key"))
+	if key == "" {
+		return &ParameterError{Field: "key", Accept: "a key"}
+	}
+	tables, err := s.tables(ref)
+	if err != nil {
+		return err
+	}
+	point := ref.Point(key)
+	table := tables[mtshard.ChunkOf(point, len(tables))]
+	if table == nil {
+		return &MissingError{What: "the assignment of " + ref.String()}
+	}
+	shard, ok := table.Lookup(point)
+	if !ok {
+		return &MissingError{What: "an owner of " + string(key)}
+	}
+	d := OwnerDocument{
+		Business: ref.Business, Service: ref.Service, Key: key,
+		Point: hex(uint64(point)), Shard: describeShard(table, shard),
+	}
+	if r, ok := s.record(shard.Owner.Daemon); ok {
+		d.Live = live(r, shard.Owner)
+		d.Caller = r.Caller
+	}
+	return c.JSON(http.StatusOK, d)
+}
+
+// live reports whether that life of the record's daemon may still serve.
+func live(r *mtroster.Record, owner mtid.Holder) bool {
+	return r.Holder == owner && r.Live()
+}
+
+// drain takes a daemon out of service. Since that moves the keys of every
+// business whose server stands beside it, the role is needed for each.
+func (s *Server) drain(c echo.Context, o *mtoperator.Operator) error {
+	r, ok := s.record(mtid.Daemon(c.Param("daemon")))
+	if !ok {
+		return &MissingError{What: "daemon " + c.Param("daemon")}
+	}
+	for _, offer := range r.Offers {
+		if !o.May(mtoperator.Drain, offer.Service.Business) {
+			return problem(http.StatusForbidden, ReasonRole, "The operator may not do that",
+				fmt.Sprintf("%s lacks the role %s for %s, whose server stands there", o.Name, mtoperator.Drain, offer.Service.Business))
+		}
+	}
+	if r.State != mtroster.Serving {
+		return c.JSON(http.StatusOK, DrainDocument{Daemon: r.Holder.Daemon, State: r.State.String()})
+	}
+	if err := s.drainHolder(c.Request().Context(), r); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusAccepted, DrainDocument{Daemon: r.Holder.Daemon, State: mtroster.Leaving.String()})
+}
--- /dev/null
+++ b/io/mtadmin/page.go
@@ -0,0 +1,245 @@
+package mtadmin
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	_ "embed" // for the template
+	"fmt"
+	"html/template"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"magnoliaturn/core/mtbundle"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
+	"magnoliaturn/core/mtwire"
+	"magnoliaturn/io/mtmetric"
+	"magnoliaturn/io/mtoperator"
+)
+
+//go:embed page.html
+var pageText string
+
+// pageTemplate escapes whatever it is given: names come from bundles and from
+// servers' announcements.
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+// pageData is what the status page shows, already in words.
+type pageData struct {
+	Holder   string
+	Frontier mtid.Revision
+	At       string
+	Services []pageService
+	Daemons  []pageDaemon
+	More     int // daemons past the page
+}
+
+type pageService struct {
+	Ref     string
+	Kind    mtbundle.Kind
+	Version mtid.Version
+	Figures string
+	Owners  []pageOwner
+}
+
+type pageOwner struct {
+	Daemon string
+	Shards int
+	Share  string // of the keys
+	Width  int    // of the bar, per cent of the largest
+	Live   bool
+}
+
+type pageDaemon struct {
+	Name    string
+	Zone    mtid.Zone
+	State   string
+	Live    bool
+	Bundles string
+	Loads   []pageLoad
+	Error   string
+}
+
+type pageLoad struct {
+	Ref     string
+	Slots   uint32
+	Running uint32
+	Queued  uint32
+	Rate    string
+	Width   int // of the bar, per cent of the slots
+}
+
+// page answers with the status page. It asks the first daemons of the roster
+// for their load, as a page of "force" does.
+func (s *Server) page(c echo.Context, o *mtoperator.Operator) error {
+	data := pageData{
+		Holder:   s.config.Self.Holder().String(),
+		Frontier: s.config.View.Frontier(),
+		At:       s.config.Now().UTC().Format(time.DateTime),
+		Services: s.pageServices(o),
+	}
+	records := s.records()
+	shown := records[:min(len(records), maxAsked)]
+	data.More = len(records) - len(shown)
+	data.Daemons = s.pageDaemons(c.Request().Context(), shown, o)
+	var out bytes.Buffer
+	if err := pageTemplate.Execute(&out, data); err != nil {
+		return err
+	}
+	c.Response().Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'")
+	return c.HTMLBlob(http.StatusOK, out.Bytes())
+}
+
+// figures returns the figures of the services that the operator may view.
+func (s *Server) figures(o *mtoperator.Operator) map[string]mtmetric.Figures {
+	out := make(map[string]mtmetric.Figures)
+	if s.config.Figures == nil {
+		return out
+	}
+	for ref, figures := range s.config.Figures() {
+		if o.May(mtoperator.View, ref.Business) {
+			out[ref.String()] = figures
+		}
+	}
+	return out
+}
+
+func (s *Server) pageServices(o *mtoperator.Operator) []pageService {
+	figures := s.figures(o)
+	var out []pageService
+	for _, b := range s.config.View.Bundles() {
+		if !o.May(mtoperator.View, b.Business) {
+			continue
+		}
+		for i := range b.Services {
+			service := &b.Services[i]
+			ref := mtid.Ref{Business: b.Business, Service: service.Name}
+			out = append(out, pageService{
+				Ref: ref.String(), Kind: service.Kind, Version: b.Version,
+				Figures: inWords(figures, ref.String()), Owners: s.pageOwners(ref),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b pageService) int { return cmp.Compare(a.Ref, b.Ref) })
+	return out
+}
+
+func inWords(figures map[string]mtmetric.Figures, ref string) string {
+	f, ok := figures[ref]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf("keys at the largest owner %.2f× the mean, load %.2f×; %.1f %% of the keys moved, unavailable %s on average",
+		f.KeyImbalance, f.LoadImbalance, 100*f.Churn, f.Unavailable.Round(time.Millisecond))
+}
+
+// pageOwners returns who owns how much of a service, the largest first.
+func (s *Server) pageOwners(ref mtid.Ref) []pageOwner {
+	tables, err := s.tables(ref)
+	if err != nil {
+		return nil
+	}
+	shards, shares := make(map[mtid.Holder]int), make(map[mtid.Holder]float64)
+	for _, t := range tables {
+		if t == nil {
+			continue
+		}
+		for _, shard := range t.Shards {
+			shards[shard.Owner]++
+			shares[shard.Owner] += share(t, shard)
+		}
+	}
+	return s.owners(shards, shares)
+}
+
+// share returns the part of the ring that a shard covers.
+func share(t *mtshard.Table, shard mtshard.Shard) float64 {
+	last, _ := t.High(shard.Low)
+	return (float64(last-shard.Low) + 1) / math.Exp2(64)
+}
+
+func (s *Server) owners(shards map[mtid.Holder]int, shares map[mtid.Holder]float64) []pageOwner {
+	var most float64
+	for _, v := range shares {
+		most = max(most, v)
+	}
+	holders := make([]mtid.Holder, 0, len(shares))
+	for holder := range shares {
+		holders = append(holders, holder)
+	}
+	slices.SortFunc(holders, func(a, b mtid.Holder) int {
+		return cmp.Or(cmp.Compare(shares[b], shares[a]), cmp.Compare(a.String(), b.String()))
+	})
+	var out []pageOwner
+	for _, holder := range holders {
+		r, ok := s.record(holder.Daemon)
+		out = append(out, pageOwner{
+			Daemon: holder.String(), Shards: shards[holder], Share: fmt.Sprintf("%.1f %%", 100*shares[holder]),
+			Width: percent(shares[holder], most), Live: ok && live(r, holder),
+		})
+	}
+	return out
+}
+
+// percent returns part of whole within 0 to 100.
+func percent(part, whole float64) int {
+	if whole <= 0 {
+		return 0
+	}
+	return int(min(max(100*part/whole, 0), 100))
+}
+
+func (s *Server) pageDaemons(ctx context.Context, records []*mtroster.Record, o *mtoperator.Operator) []pageDaemon {
+	var out []pageDaemon
+	for _, a := range s.ask(ctx, records) {
+		d := pageDaemon{
+			Name:  a.record.Holder.String(),
+			Zone:  a.record.Zone,
+			State: a.record.State.String(),
+			Live:  a.record.Live(),
+		}
+		if a.err != nil {
+			d.Error = "no answer"
+		}
+		d.Bundles = bundlesOf(a.report, o)
+		for _, load := range a.report.GetLoads() {
+			if o.May(mtoperator.View, mtid.Business(load.GetBusiness())) {
+				d.Loads = append(d.Loads, describeLoad(load))
+			}
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func bundlesOf(report *mtwire.ReportReply, o *mtoperator.Operator) string {
+	var names []string
+	for name := range report.GetBundles() {
+		if o.May(mtoperator.View, mtid.Business(name)) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	text := ""
+	for _, name := range names {
+		text += fmt.Sprintf("%s %d  ", name, report.GetBundles()[name])
+	}
+	return text
+}
+
+func describeLoad(load *mtwire.Load) pageLoad {
+	return pageLoad{
+		Ref:     load.GetBusiness() + "/" + load.GetService(),
+		Slots:   load.GetSlots(),
+		Running: load.GetRunning(),
+		Queued:  load.GetQueued(),
+		Rate:    fmt.Sprintf("%.1f/s", load.GetRate()),
+		Width:   percent(float64(load.GetRunning()), float64(load.GetSlots())),
+	}
+}
