--- a/io/mtadmin/mtadmin.go
+++ b/io/mtadmin/mtadmin.go
@@ -23,6 +23,7 @@
 package mtadmin
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -50,8 +51,8 @@
 const (
 	MaxBody        = mtini.MaxText + 4<<10
 	MaxHeader      = 16 << 10
-	requestRate    = 50 // per second and client address
-	requestBurst   = 100
+	DefaultRate    = 50 // requests a second of one client address
+	DefaultBurst   = 100
 	readTimeout    = 5 * time.Second
 	handlerTimeout = 10 * time.Second
 	idleTimeout    = time.Minute
@@ -110,6 +111,8 @@
 	Metrics   http.Handler                         // nil: none are shown
 	Now       func() time.Time
 	Logger    *slog.Logger
+	Rate      float64 // requests a second of one client address; 0: DefaultRate
+	Burst     int     // 0: DefaultBurst
 }
 
 // Server is the administration API.
@@ -126,7 +129,7 @@
 	s.echo.HTTPErrorHandler = refuse
 	s.echo.IPExtractor = echo.ExtractIPDirect()
 	s.echo.Use(middleware.Recover())
-	s.echo.Use(middleware.RateLimiterWithConfig(limits()))
+	s.echo.Use(middleware.RateLimiterWithConfig(limits(config)))
 	s.echo.Use(middleware.BodyLimit(strconv.Itoa(MaxBody) + "B"))
 	s.echo.Use(middleware.Secure())
 	s.routes()
@@ -149,10 +152,12 @@
 	}
 }
 
-func limits() middleware.RateLimiterConfig {
+func limits(config Config) middleware.RateLimiterConfig {
 	return middleware.RateLimiterConfig{
 		Store: middleware.NewRateLimiterMemoryStoreWithConfig(middleware.RateLimiterMemoryStoreConfig{
-			Rate: rate.Limit(requestRate), Burst: requestBurst, ExpiresIn: time.Minute,
+			Rate:      rate.Limit(cmp.Or(config.Rate, DefaultRate)),
+			Burst:     cmp.Or(config.Burst, DefaultBurst),
+			ExpiresIn: time.Minute,
 		}),
 		IdentifierExtractor: func(c echo.Context) (string, error) {
 			host, _, err := net.SplitHostPort(c.Request().RemoteAddr)
--- /dev/null
+++ b/io/mtcommand/show.go
@@ -0,0 +1,263 @@
+package mtcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/io/mtadmin"
+	"magnoliaturn/io/mtoperator"
+	"magnoliaturn/io/mtsetting"
+	"magnoliaturn/io/mttls"
+)
+
+func showCommand(c *console) *command {
+	return &command{
+		console: c, name: "show", synopsis: "show owners, daemons and quarantine", usage: "SUBCOMMAND [flags] [arguments]",
+		help:     "Asks any daemon for the live state as that daemon knows it.",
+		example:  "magnoliaturn show owner ratins/dispatch hotel-7/room-214\nmagnoliaturn show roster -json",
+		children: []*command{showOwner(c), showRoster(c), showAssignment(c), showQuarantine(c)},
+	}
+}
+
+func showOwner(c *console) *command {
+	at := &connection{}
+	return &command{
+		console: c, name: "owner", synopsis: "show who owns a key", usage: "BUSINESS/SERVICE KEY",
+		help:    "Shows the shard of a key, its owner and epoch. An owner that is not live is\nabout to be taken over.",
+		example: "magnoliaturn show owner ratins/dispatch hotel-7/room-214",
+		flags:   at.flags,
+		run: func(ctx context.Context, args []string) error {
+			if err := need(args, 2, 2, "BUSINESS/SERVICE KEY"); err != nil {
+				return err
+			}
+			ref, err := refOf(args[0])
+			if err != nil {
+				return err
+			}
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			d, err := client.Owner(ctx, ref, mtid.Key(args[1]))
+			if err != nil {
+				return err
+			}
+			c.show(d, []string{"KEY", "OWNER", "EPOCH", "SHARD", "LIVE", "CALLER"}, [][]string{{
+				string(d.Key), life(d.Shard.Owner, d.Shard.Incarnation), fmt.Sprint(d.Shard.Epoch), d.Shard.Low, yesNo(d.Live), dash(d.Caller),
+			}})
+			return nil
+		},
+	}
+}
+
+func life(d mtid.Daemon, i mtid.Incarnation) string {
+	return mtid.Holder{Daemon: d, Incarnation: i}.String()
+}
+
+func yesNo(v bool) string {
+	if v {
+		return "yes"
+	}
+	return "no"
+}
+
+func showRoster(c *console) *command {
+	at := &connection{}
+	return &command{
+		console: c, name: "roster", synopsis: "list the daemons and their servers", usage: "",
+		help:    "Lists every daemon with its zone, state, witnesses and backend servers.",
+		example: "magnoliaturn show roster",
+		flags:   at.flags,
+		run: func(ctx context.Context, args []string) error {
+			if err := need(args, 0, 0, "no arguments"); err != nil {
+				return err
+			}
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			page, err := client.Roster(ctx)
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, d := range page.Items {
+				rows = append(rows, []string{
+					life(d.Daemon, d.Incarnation), string(d.Zone), string(d.Region), d.State, yesNo(d.Live),
+					offers(d.Offers), dash(strings.Join(d.Witnesses, ",")),
+				})
+			}
+			c.show(page.Items, []string{"DAEMON", "ZONE", "REGION", "STATE", "LIVE", "SERVERS", "WITNESSES"}, rows)
+			return nil
+		},
+	}
+}
+
+func offers(documents []mtadmin.OfferDocument) string {
+	var words []string
+	for _, o := range documents {
+		words = append(words, fmt.Sprintf("%s/%s:%d", o.Business, o.Service, o.Slots))
+	}
+	return dash(strings.Join(words, ","))
+}
+
+func showAssignment(c *console) *command {
+	at := &connection{}
+	return &command{
+		console: c, name: "assignment", synopsis: "list the shards of a service", usage: "BUSINESS/SERVICE",
+		help:    "Lists every shard with its owner and epoch, in order of the ring.",
+		example: "magnoliaturn show assignment ratins/dispatch",
+		flags:   at.flags,
+		run: func(ctx context.Context, args []string) error {
+			if err := need(args, 1, 1, "BUSINESS/SERVICE"); err != nil {
+				return err
+			}
+			ref, err := refOf(args[0])
+			if err != nil {
+				return err
+			}
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			page, err := client.Assignment(ctx, ref)
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, d := range page.Items {
+				rows = append(rows, []string{d.Low, life(d.Owner, d.Incarnation), fmt.Sprint(d.Epoch), strconv.Itoa(d.Chunk), version(d.Version)})
+			}
+			c.show(page.Items, []string{"SHARD", "OWNER", "EPOCH", "CHUNK", "VERSION"}, rows)
+			return nil
+		},
+	}
+}
+
+func showQuarantine(c *console) *command {
+	at := &connection{}
+	return &command{
+		console: c, name: "quarantine", synopsis: "list requests that are kept from running", usage: "BUSINESS",
+		help:    "Lists the fingerprints of requests that are suspected of crashing backend\nservers. Daemons that gave no answer are named on standard error.",
+		example: "magnoliaturn show quarantine ratins",
+		flags:   at.flags,
+		run: func(ctx context.Context, args []string) error {
+			if err := need(args, 1, 1, "BUSINESS"); err != nil {
+				return err
+			}
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			page, err := client.Quarantine(ctx, mtid.Business(args[0]))
+			if err != nil {
+				return err
+			}
+			for _, d := range page.Failed {
+				fmt.Fprintf(c.errs, "%s gave no answer\n", d)
+			}
+			var rows [][]string
+			for _, d := range page.Items {
+				rows = append(rows, []string{d.Fingerprint, string(d.Service), strconv.Itoa(d.Crashes), d.Until.Format(time.RFC3339), string(d.Daemon)})
+			}
+			c.show(page.Items, []string{"FINGERPRINT", "SERVICE", "CRASHES", "UNTIL", "DAEMON"}, rows)
+			return nil
+		},
+	}
+}
+
+func drainCommand(c *console) *command {
+	at := &connection{}
+	return &command{
+		console: c, name: "drain", synopsis: "take a daemon and its server out of service", usage: "DAEMON",
+		help:    "The daemon hands its keys over, takes no new work within seconds and cuts off\nno request in flight. Watch its shards go with \"show assignment\".",
+		example: "magnoliaturn drain riga-old-town-1",
+		flags:   at.flags,
+		run: func(ctx context.Context, args []string) error {
+			if err := need(args, 1, 1, "DAEMON"); err != nil {
+				return err
+			}
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			d, err := client.Drain(ctx, mtid.Daemon(args[0]))
+			if err != nil {
+				return err
+			}
+			c.show(d, []string{"DAEMON", "STATE"}, [][]string{{string(d.Daemon), d.State}})
+			return nil
+		},
+	}
+}
+
+func checkCommand(c *console) *command {
+	return &command{
+		console: c, name: "check", synopsis: "check a daemon's settings", usage: "FILE",
+		help:    "Names every mistake of a settings file and of the files that it names.\nExits with 3 if there is one.",
+		example: "magnoliaturn check daemon.ini",
+		run: func(_ context.Context, args []string) error {
+			if err := need(args, 1, 1, "FILE"); err != nil {
+				return err
+			}
+			settings, faults := mtsetting.Load(args[0])
+			if err := faults.Err(); err != nil {
+				return err
+			}
+			if err := checkOperators(settings.Operators); err != nil {
+				return err
+			}
+			c.show(mtsetting.Faults{}, nil, [][]string{{"no mistakes"}})
+			return nil
+		},
+	}
+}
+
+// checkOperators checks the file of operators, if the settings name one.
+func checkOperators(file string) error {
+	if file == "" {
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return &mttls.FileError{File: file, Reason: "can't be read", Err: err}
+	}
+	_, faults := mtoperator.Parse(file, text)
+	return faults.Err()
+}
+
+// build is the JSON form of "version".
+type build struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+	Go       string `json:"go"`
+	Platform string `json:"platform"`
+}
+
+func versionCommand(c *console) *command {
+	return &command{
+		console: c, name: "version", synopsis: "show what this program was built from", usage: "",
+		help:    "Shows the module version, the source revision and the Go release.",
+		example: "magnoliaturn version -json",
+		run: func(context.Context, []string) error {
+			b := build{Version: "(devel)", Revision: "unknown", Go: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH}
+			if info, ok := debug.ReadBuildInfo(); ok {
+				b.Version = dash(info.Main.Version)
+				for _, setting := range info.Settings {
+					if setting.Key == "vcs.revision" {
+						b.Revision = setting.Value
+					}
+				}
+			}
+			c.show(b, nil, [][]string{{"magnoliaturn", b.Version, b.Revision, b.Go, b.Platform}})
+			return nil
+		},
+	}
+}
