--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -58,7 +58,8 @@
 	Get(ctx context.Context, name string) (Entry, error)
 	// Swap writes value under name if its version is still expected (0: the
 	// name must not exist) and returns the new version. It fails with a
-	// *ConflictError, *UnknownError, *UnavailableError or *RejectedError.
+	// *ConflictError, *UnknownError, *UnavailableError or *RejectedError, or
+	// with a *LapsedError if the lease no longer exists.
 	Swap(ctx context.Context, name string, expected mtid.Version, value []byte, lease LeaseID) (mtid.Version, error)
 	// Watch waits up to wait for a change to a name with that prefix after the
 	// revision, and returns all such changes. From revision 0 it returns the
