--- /dev/null
+++ b/core/mtload/book.go
@@ -0,0 +1,256 @@
+package mtload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtshard"
+)
+
+// Times and bounds of a book.
+const (
+	// fallTime is the half-life with which an estimate follows a lower report.
+	// A higher one counts at once. So a report that wrongly says "idle" can't
+	// draw shards within a round, and a load that swings is seen at its height.
+	fallTime = 6 * time.Second
+	// pointLife is how long a reported key counts as hot.
+	pointLife = 30 * time.Second
+	// maxPoints bounds the hot keys that a book remembers.
+	maxPoints = 4096
+)
+
+// Book is what the planner of one service knows of its load. Estimates belong
+// to shards, not to servers: when a shard moves, its load counts at the new
+// owner in the same instant, however late the reports are. That is what keeps
+// late reports from making the same server shed twice.
+type Book struct {
+	entries []entry // by low, covering the ring once Sync has run
+	spare   []entry
+	points  []pointEntry // by point
+	heard   map[mtid.Holder]hearing
+}
+
+type entry struct {
+	low  mtid.Point
+	load float64
+	at   mtclock.Instant
+}
+
+type pointEntry struct {
+	point mtid.Point
+	load  float64
+	at    mtclock.Instant
+}
+
+// hearing is what is known of a reporter.
+type hearing struct {
+	sequence uint64
+	at       mtclock.Instant // of the last new measurement
+	repeated bool            // the last report repeated an older measurement
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{heard: make(map[mtid.Holder]hearing)}
+}
+
+// Sync brings the book's shards in line with lows, the lows of all shards in
+// order. A split divides its load by the hot keys known and by width, a merge
+// adds up. It is called before Take and Load.
+func (b *Book) Sync(lows []mtid.Point) {
+	next := b.spare[:0]
+	old := b.entries
+	i := 0
+	for k, low := range lows {
+		high := ^mtid.Point(0)
+		if k+1 < len(lows) {
+			high = lows[k+1] - 1
+		}
+		for i+1 < len(old) && old[i+1].low <= low {
+			i++
+		}
+		next = append(next, b.inherit(old, i, low, high))
+	}
+	b.spare, b.entries = b.entries, next
+}
+
+// inherit returns the entry for [low, high] from the old ones, the first of
+// which that overlaps is old[i].
+func (b *Book) inherit(old []entry, i int, low, high mtid.Point) entry {
+	e := entry{low: low}
+	for ; i < len(old) && old[i].low <= high; i++ {
+		oldHigh := ^mtid.Point(0)
+		if i+1 < len(old) {
+			oldHigh = old[i+1].low - 1
+		}
+		if old[i].low == low && oldHigh == high {
+			return old[i]
+		}
+		e.load += b.part(old[i], oldHigh, max(low, old[i].low), min(high, oldHigh))
+		e.at = max(e.at, old[i].at)
+	}
+	return e
+}
+
+// part returns what of an entry's load lies in [low, high].
+func (b *Book) part(e entry, eHigh, low, high mtid.Point) float64 {
+	if low == e.low && high == eHigh {
+		return e.load
+	}
+	var all, inside float64
+	first, _ := b.findPoint(e.low)
+	for _, p := range b.points[first:] {
+		if p.point > eHigh {
+			break
+		}
+		all += p.load
+		if p.point >= low && p.point <= high {
+			inside += p.load
+		}
+	}
+	if all > e.load {
+		return e.load * inside / all
+	}
+	width := (float64(high-low) + 1) / (float64(eHigh-e.low) + 1)
+	return inside + (e.load-all)*width
+}
+
+// Take notes a report. owned are the shards that the table gives its sender.
+// What the report does not list is spread evenly over the sender's other
+// shards.
+func (b *Book) Take(now mtclock.Instant, r *Report, owned []mtshard.Shard) {
+	h, ok := b.heard[r.From]
+	if ok && r.Sequence <= h.sequence {
+		h.repeated = true
+		b.heard[r.From] = h
+		return
+	}
+	b.heard[r.From] = hearing{sequence: r.Sequence, at: now}
+	listed := make(map[mtid.Point]float64, len(r.Shards))
+	for _, s := range r.Shards {
+		listed[s.Low] = s.Load
+	}
+	rest, unlisted := r.Load, len(owned)
+	for _, s := range owned {
+		if load, ok := listed[s.Low]; ok {
+			rest -= load
+			unlisted--
+		}
+	}
+	each := 0.0
+	if unlisted > 0 {
+		each = max(0, rest) / float64(unlisted)
+	}
+	for _, s := range owned {
+		load, ok := listed[s.Low]
+		if !ok {
+			load = each
+		}
+		b.set(now, s.Low, load)
+	}
+	b.takePoints(now, r.Points)
+}
+
+func (b *Book) set(now mtclock.Instant, low mtid.Point, load float64) {
+	i, ok := slices.BinarySearchFunc(b.entries, low, func(e entry, low mtid.Point) int {
+		return cmp.Compare(e.low, low)
+	})
+	if !ok {
+		return
+	}
+	e := &b.entries[i]
+	if load < e.load {
+		load += (e.load - load) * fade(now.Sub(e.at), fallTime)
+	}
+	e.load, e.at = load, now
+}
+
+// findPoint returns the place of point among the hot keys, or where it belongs.
+func (b *Book) findPoint(point mtid.Point) (int, bool) {
+	return slices.BinarySearchFunc(b.points, point, func(p pointEntry, point mtid.Point) int {
+		return cmp.Compare(p.point, point)
+	})
+}
+
+func (b *Book) takePoints(now mtclock.Instant, points []PointLoad) {
+	for _, p := range points {
+		if p.Load <= 0 {
+			continue
+		}
+		i, ok := b.findPoint(p.Point)
+		if !ok {
+			b.points = slices.Insert(b.points, i, pointEntry{})
+		}
+		b.points[i] = pointEntry{point: p.Point, load: p.Load, at: now}
+	}
+	if len(b.points) > maxPoints {
+		b.forget(now)
+	}
+	for len(b.points) > maxPoints {
+		i := b.lightest()
+		b.points = slices.Delete(b.points, i, i+1)
+	}
+}
+
+// lightest returns the place of the hot key with the least load.
+func (b *Book) lightest() int {
+	least := 0
+	for i, p := range b.points {
+		if p.load < b.points[least].load {
+			least = i
+		}
+	}
+	return least
+}
+
+// forget drops keys that were not reported lately.
+func (b *Book) forget(now mtclock.Instant) {
+	b.points = slices.DeleteFunc(b.points, func(p pointEntry) bool { return now.Sub(p.at) > pointLife })
+}
+
+// Loads returns the estimate of each shard, in the order of the last Sync. It
+// is valid until the next call of a method.
+func (b *Book) Loads(into []float64) []float64 {
+	into = into[:0]
+	for _, e := range b.entries {
+		into = append(into, e.load)
+	}
+	return into
+}
+
+// Points returns the hot keys that were reported lately, by point.
+func (b *Book) Points(now mtclock.Instant) []PointLoad {
+	b.forget(now)
+	hot := make([]PointLoad, 0, len(b.points))
+	for _, p := range b.points {
+		hot = append(hot, PointLoad{Point: p.point, Load: p.load})
+	}
+	return hot
+}
+
+// Heard reports whether holder's load is known: it has reported, its last
+// report was a new measurement, and not more than two refreshes have passed.
+// Silence within that time means that the load is where it was.
+func (b *Book) Heard(now mtclock.Instant, holder mtid.Holder) bool {
+	h, ok := b.heard[holder]
+	return ok && !h.repeated && now.Sub(h.at) <= 2*Refresh
+}
+
+// HeardAt returns when the last new measurement of holder came in.
+func (b *Book) HeardAt(holder mtid.Holder) (mtclock.Instant, bool) {
+	h, ok := b.heard[holder]
+	return h.at, ok
+}
+
+// Forget drops what is known of reporters that are not in live. It is called
+// now and then, so that a book doesn't grow with the fleet's turnover.
+func (b *Book) Forget(live func(mtid.Holder) bool) {
+	for holder := range b.heard {
+		if !live(holder) {
+			delete(b.heard, holder)
+		}
+	}
+}
