--- /dev/null
+++ b/cmd/policies/placement.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtplan"
+	"magnoliaturn/core/mtscene"
+)
+
+func init() { reports = append(reports, &placement{}) }
+
+// placement is the subcommand that compares the policies of mtplan.
+type placement struct {
+	seed  uint64
+	plot  string
+	scene string
+	large bool
+}
+
+func (*placement) Name() string { return "placement" }
+func (*placement) Synopsis() string {
+	return "compare the placement of keyed services with its baselines"
+}
+
+func (*placement) Usage() string {
+	return "placement [-seed N] [-plot DIR] [-scene NAME] [-large]\n"
+}
+
+func (c *placement) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the loads")
+	f.StringVar(&c.plot, "plot", "", "directory to write plots to")
+	f.StringVar(&c.scene, "scene", "", "run only the scene with this name")
+	f.BoolVar(&c.large, "large", false, "run the planner on 480 servers and 25,000 shards as well")
+}
+
+func (c *placement) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Printf("placement, seed %d; loads and faults: core/mtscene\n", c.seed)
+	for _, scene := range mtscene.Scenes(c.seed) {
+		if c.scene != "" && c.scene != scene.Name {
+			continue
+		}
+		results := compare(scene)
+		print(os.Stdout, results)
+		if err := c.draw(results); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+	}
+	if c.large {
+		printLarge(os.Stdout, c.seed)
+	}
+	return subcommands.ExitSuccess
+}
+
+// compare runs a scene under each policy.
+func compare(scene mtscene.Scene) []mtscene.Result {
+	return []mtscene.Result{
+		mtscene.Run(scene, mtplan.NewRendezvous()),
+		mtscene.Run(scene, mtplan.NewBounded()),
+		mtscene.Run(scene, mtplan.NewPlanner()),
+	}
+}
+
+// print writes the table of one scene.
+func print(out io.Writer, results []mtscene.Result) {
+	fmt.Fprintf(out, "\n%s (hottest key alone: %.2f of a server's mean)\n", results[0].Scene, results[0].Floor)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "policy\timbalance\tp99\tover 1.15\tlongest\tchurn/min\tmoves\treturns\tunavailable/min\tshed\tsplits\tmerges\tshards\treports B/s\tpeak\t")
+	for _, r := range results {
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.1f %%\t%v\t%.2f %%\t%d\t%d\t%v\t%.2f %%\t%d\t%d\t%d\t%.0f\t%.0f\t\n",
+			r.Policy, r.Mean, r.P99, 100*r.Over, r.Longest, 100*r.Churn, r.Moves, r.Returns,
+			r.Unavailable.Round(10*time.Microsecond), 100*r.Shed, r.Splits, r.Merges, r.Shards, r.ReportRate, r.ReportPeak)
+	}
+	w.Flush()
+}
+
+// timed notes how long each round of a policy takes.
+type timed struct {
+	mtplan.Policy
+	rounds   int
+	sum, max time.Duration
+}
+
+// Plan implements mtplan.Policy.
+func (t *timed) Plan(now mtclock.Instant, state *mtplan.State) mtplan.Plan {
+	start := time.Now()
+	plan := t.Policy.Plan(now, state)
+	spent := time.Since(start)
+	t.rounds++
+	t.sum += spent
+	t.max = max(t.max, spent)
+	return plan
+}
+
+// printLarge writes the figures of the largest fleet.
+func printLarge(out io.Writer, seed uint64) {
+	policy := &timed{Policy: mtplan.NewPlanner()}
+	r := mtscene.Run(mtscene.Fleet480(seed), policy)
+	print(out, []mtscene.Result{r})
+	mean := policy.sum / time.Duration(policy.rounds)
+	minutes := time.Duration(len(r.Series))*time.Second - mtscene.WarmUp
+	fmt.Fprintf(out, "rounds: %d, mean %v, longest %v; chunk writes: %.1f a minute\n",
+		policy.rounds, mean.Round(time.Microsecond), policy.max.Round(time.Microsecond), float64(r.Writes)/minutes.Minutes())
+}
--- a/core/mtload/book.go
+++ b/core/mtload/book.go
@@ -31,12 +31,26 @@
 	spare   []entry
 	points  []pointEntry // by point
 	heard   map[mtid.Holder]hearing
+	audit   audit
 }
 
 type entry struct {
 	low  mtid.Point
 	load float64
 	at   mtclock.Instant
+	// by is who reported last, and listed whether with a figure of its own.
+	by     mtid.Holder
+	listed bool
+	// test is what the owner before by claimed, until by's claim is compared
+	// with it.
+	test claim
+}
+
+// claim is what an owner said of a shard that has moved on.
+type claim struct {
+	by   mtid.Holder
+	load float64
+	at   mtclock.Instant // when the next owner reported the shard first
 }
 
 type pointEntry struct {
@@ -54,7 +68,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{heard: make(map[mtid.Holder]hearing)}
+	return &Book{heard: make(map[mtid.Holder]hearing), audit: make(audit)}
 }
 
 // Sync brings the book's shards in line with lows, the lows of all shards in
@@ -129,11 +143,12 @@
 		return
 	}
 	b.heard[r.From] = hearing{sequence: r.Sequence, at: now}
+	factor := b.audit.factor(r.From)
 	listed := make(map[mtid.Point]float64, len(r.Shards))
 	for _, s := range r.Shards {
-		listed[s.Low] = s.Load
+		listed[s.Low] = s.Load * factor
 	}
-	rest, unlisted := r.Load, len(owned)
+	rest, unlisted := r.Load*factor, len(owned)
 	for _, s := range owned {
 		if load, ok := listed[s.Low]; ok {
 			rest -= load
@@ -149,12 +164,12 @@
 		if !ok {
 			load = each
 		}
-		b.set(now, s.Low, load)
+		b.set(now, s.Low, r.From, load, ok)
 	}
-	b.takePoints(now, r.Points)
+	b.takePoints(now, r.Points, factor)
 }
 
-func (b *Book) set(now mtclock.Instant, low mtid.Point, load float64) {
+func (b *Book) set(now mtclock.Instant, low mtid.Point, from mtid.Holder, load float64, listed bool) {
 	i, ok := slices.BinarySearchFunc(b.entries, low, func(e entry, low mtid.Point) int {
 		return cmp.Compare(e.low, low)
 	})
@@ -162,12 +177,34 @@
 		return
 	}
 	e := &b.entries[i]
+	b.compare(now, e, from, load, listed)
 	if load < e.load {
 		load += (e.load - load) * fade(now.Sub(e.at), fallTime)
 	}
 	e.load, e.at = load, now
 }
 
+// compare holds the claims of two successive owners of a shard against each
+// other.
+func (b *Book) compare(now mtclock.Instant, e *entry, from mtid.Holder, load float64, listed bool) {
+	if e.by != from {
+		e.test = claim{}
+		if e.listed && e.load >= testLoad && now.Sub(e.at) <= testAge {
+			e.test = claim{by: e.by, load: e.load, at: now}
+		}
+		e.by, e.listed = from, listed
+		return
+	}
+	e.listed = listed
+	if e.test.load == 0 || !listed || now.Sub(e.test.at) < testWait {
+		return
+	}
+	if now.Sub(e.test.at) <= testAge {
+		b.audit.add(e.test.by, from, e.test.load, load)
+	}
+	e.test = claim{}
+}
+
 // findPoint returns the place of point among the hot keys, or where it belongs.
 func (b *Book) findPoint(point mtid.Point) (int, bool) {
 	return slices.BinarySearchFunc(b.points, point, func(p pointEntry, point mtid.Point) int {
@@ -175,7 +212,7 @@
 	})
 }
 
-func (b *Book) takePoints(now mtclock.Instant, points []PointLoad) {
+func (b *Book) takePoints(now mtclock.Instant, points []PointLoad, factor float64) {
 	for _, p := range points {
 		if p.Load <= 0 {
 			continue
@@ -184,7 +221,7 @@
 		if !ok {
 			b.points = slices.Insert(b.points, i, pointEntry{})
 		}
-		b.points[i] = pointEntry{point: p.Point, load: p.Load, at: now}
+		b.points[i] = pointEntry{point: p.Point, load: p.Load * factor, at: now}
 	}
 	if len(b.points) > maxPoints {
 		b.forget(now)
@@ -251,6 +288,7 @@
 	for holder := range b.heard {
 		if !live(holder) {
 			delete(b.heard, holder)
+			delete(b.audit, holder)
 		}
 	}
 }
--- a/core/mtload/pace.go
+++ b/core/mtload/pace.go
@@ -105,11 +105,13 @@
 // timetable of their own, so that the many that changed a little don't keep
 // the few that need relief waiting.
 const (
-	AboveRate = 1.5
-	OtherRate = 0.5
+	AboveRate = 1.25
+	OtherRate = 1.0
 	// ReportCost is what a report costs its receiver in bytes, both directions
 	// with headers: see docs/PLACEMENT.md.
-	ReportCost = 650
+	ReportCost = 760
+	// ReportHeaders is the part of it that does not depend on the report.
+	ReportHeaders = 460
 )
 
 // Arrived counts a report and returns the pause to ask its sender for. above
