Lay even tables, and let hot keys that met on one server part again

Cause: rendezvous rank alone begins with uneven servers; several hot keys on one server fitted into no other's gap; late reports and splits counted loads twice.

--- a/core/mtload/book.go
+++ b/core/mtload/book.go
@@ -18,6 +18,12 @@
 	fallTime = 6 * time.Second
 	// pointLife is how long a reported key counts as hot.
 	pointLife = 30 * time.Second
+	// arriveTime is how long a report may still come from before a shard's
+	// arrival at its sender, and leave it out.
+	arriveTime = 20 * time.Second
+	// freshReports is how many reports after a split may still count what was
+	// split off, since the meter files it under the low that both had.
+	freshReports = 2
 	// maxPoints bounds the hot keys that a book remembers.
 	maxPoints = 4096
 )
@@ -41,6 +47,8 @@
 	// by is who reported last, and listed whether with a figure of its own.
 	by     mtid.Holder
 	listed bool
+	// fresh is how many reports may still count what was split off.
+	fresh int
 	// test is what the owner before by claimed, until by's claim is compared
 	// with it.
 	test claim
@@ -105,6 +113,10 @@
 		}
 		e.load += b.part(old[i], oldHigh, max(low, old[i].low), min(high, oldHigh))
 		e.at = max(e.at, old[i].at)
+		e.by = old[i].by
+		if old[i].low == low && oldHigh > high {
+			e.fresh = freshReports
+		}
 	}
 	return e
 }
@@ -148,39 +160,54 @@
 	for _, s := range r.Shards {
 		listed[s.Low] = s.Load * factor
 	}
-	rest, unlisted := r.Load*factor, len(owned)
+	rest := r.Load * factor
+	var others []*entry
 	for _, s := range owned {
-		if load, ok := listed[s.Low]; ok {
-			rest -= load
-			unlisted--
+		e := b.find(s.Low)
+		if e == nil {
+			continue
 		}
-	}
-	each := 0.0
-	if unlisted > 0 {
-		each = max(0, rest) / float64(unlisted)
-	}
-	for _, s := range owned {
 		load, ok := listed[s.Low]
-		if !ok {
-			load = each
+		if ok {
+			rest -= load
+			b.set(now, e, r.From, load, true)
+			continue
+		}
+		// The shard has just arrived, and the report may be from before: the
+		// former owner's word stands, else the new one looks emptier than it
+		// is and is given more.
+		if e.by != r.From && !e.by.IsZero() && now.Sub(e.at) < arriveTime {
+			continue
 		}
-		b.set(now, s.Low, r.From, load, ok)
+		others = append(others, e)
+	}
+	for _, e := range others {
+		b.set(now, e, r.From, max(0, rest)/float64(len(others)), false)
 	}
 	b.takePoints(now, r.Points, factor)
 }
 
-func (b *Book) set(now mtclock.Instant, low mtid.Point, from mtid.Holder, load float64, listed bool) {
+// find returns the entry of the shard that begins at low, or nil.
+func (b *Book) find(low mtid.Point) *entry {
 	i, ok := slices.BinarySearchFunc(b.entries, low, func(e entry, low mtid.Point) int {
 		return cmp.Compare(e.low, low)
 	})
 	if !ok {
-		return
+		return nil
 	}
-	e := &b.entries[i]
+	return &b.entries[i]
+}
+
+func (b *Book) set(now mtclock.Instant, e *entry, from mtid.Holder, load float64, listed bool) {
 	b.compare(now, e, from, load, listed)
-	if load < e.load {
+	switch {
+	case load < e.load:
 		load += (e.load - load) * fade(now.Sub(e.at), fallTime)
+	case e.fresh > 0:
+		// The owner still counts what has been split off, under the old low.
+		load = e.load
 	}
+	e.fresh = max(0, e.fresh-1)
 	e.load, e.at = load, now
 }
 
--- a/core/mtload/mtload_test.go
+++ b/core/mtload/mtload_test.go
@@ -274,15 +274,82 @@
 	assert.Assert(t, !book.Heard(at(10*time.Second+3*mtload.Refresh), a))
 }
 
-// A shard moves from a to b, and b at once reports that it is idle. The estimate
-// must fall over several rounds, not within one, else b is given more and more.
+// A shard's owner at once reports that it is idle. The estimate must fall over
+// several rounds, not within one, else the owner is given more and more.
 func TestBookFallsSlowly(t *testing.T) {
 	book := mtload.NewBook()
 	book.Sync([]mtid.Point{0})
 	book.Take(at(0), report(a, 1, 8), shards(a, 0))
-	book.Take(at(3*time.Second), report(b, 1, 0), shards(b, 0))
+	book.Take(at(3*time.Second), report(a, 2, 0), shards(a, 0))
 	got := book.Loads(nil)[0]
 	assert.Assert(t, got > 5 && got < 6, "got %v, want 8 over the root of two", got)
-	book.Take(at(4*time.Second), report(b, 2, 9), shards(b, 0))
+	book.Take(at(4*time.Second), report(a, 3, 9), shards(a, 0))
 	near(t, book.Loads(nil)[0], 9)
 }
+
+// A shard moves from a to b, and a report of b from before the move comes late.
+// It leaves the shard out. The former owner's figure must stand until b has had
+// time to report the shard, or b looks emptier than it is and is given more.
+func TestBookPassesOverReportsFromBeforeAMove(t *testing.T) {
+	book := mtload.NewBook()
+	book.Sync([]mtid.Point{0, 100})
+	book.Take(at(0), report(a, 1, 8, mtload.ShardLoad{Low: 0, Load: 8}), shards(a, 0))
+	book.Take(at(0), report(b, 1, 2, mtload.ShardLoad{Low: 100, Load: 2}), shards(b, 100))
+	both := shards(b, 0, 100)
+	book.Take(at(5*time.Second), report(b, 2, 2, mtload.ShardLoad{Low: 100, Load: 2}), both)
+	assert.DeepEqual(t, book.Loads(nil), []float64{8, 2})
+	book.Take(at(30*time.Second), report(b, 3, 2, mtload.ShardLoad{Low: 100, Load: 2}), both)
+	assert.Assert(t, book.Loads(nil)[0] < 1, "got %v, want b's word by now", book.Loads(nil)[0])
+}
+
+// A hot key is split off, and for some seconds its owner's meter still files its
+// past requests under the shard that it was in. They must not count twice.
+func TestBookCountsWhatWasSplitOffOnce(t *testing.T) {
+	book := mtload.NewBook()
+	book.Sync([]mtid.Point{0})
+	hot := report(a, 1, 10)
+	hot.Points = []mtload.PointLoad{{Point: 50, Load: 9}}
+	book.Take(at(0), hot, shards(a, 0))
+	lows := []mtid.Point{0, 50, 51}
+	book.Sync(lows)
+	mixed := report(a, 2, 14, mtload.ShardLoad{Low: 0, Load: 7}, mtload.ShardLoad{Low: 50, Load: 7})
+	book.Take(at(5*time.Second), mixed, shards(a, lows...))
+	got := book.Loads(nil)
+	assert.Assert(t, got[0] < 1, "got %v for the rest, want what was left of it", got[0])
+	assert.Assert(t, got[1] >= 7, "got %v for the hot key", got[1])
+}
+
+// One server's reports state a third of its load, whatever the cause. It looks
+// empty and is given shard after shard. Each shard that reaches it seems to
+// shrink to a third, and no other server's do: its reports are corrected, and
+// those of its truthful peers are left alone.
+func TestBookCorrectsAServerThatIsAlwaysOff(t *testing.T) {
+	book := mtload.NewBook()
+	liar := mtid.Holder{Daemon: "liar", Incarnation: 1}
+	var lows []mtid.Point
+	for i := range 20 {
+		lows = append(lows, mtid.Point(i*100))
+	}
+	book.Sync(lows)
+	sequence := uint64(0)
+	say := func(d time.Duration, from mtid.Holder, load float64, low mtid.Point) {
+		sequence++
+		book.Take(at(d), report(from, sequence, load, mtload.ShardLoad{Low: low, Load: load}), shards(from, low))
+	}
+	for i, low := range lows[:12] {
+		now := time.Duration(i) * time.Minute
+		to, claim := liar, 0.1
+		if i%2 == 1 {
+			to, claim = mtid.Holder{Daemon: "honest", Incarnation: 1}, 0.3
+		}
+		say(now, a, 0.3, low)
+		say(now+2*time.Second, to, claim, low)
+		say(now+20*time.Second, to, claim, low)
+	}
+	last := 20 * time.Minute
+	say(last, liar, 1, lows[18])
+	say(last, a, 1, lows[19])
+	got := book.Loads(nil)
+	assert.Assert(t, math.Abs(got[18]-3) < 0.5, "got %v for the liar's shard, want 3", got[18])
+	assert.Assert(t, math.Abs(got[19]-1) < 0.01, "got %v for the truthful one's, want 1", got[19])
+}
--- a/core/mtplan/balance.go
+++ b/core/mtplan/balance.go
@@ -89,6 +89,9 @@
 	for r.load[donor] > goal && !r.full() {
 		excess := r.load[donor] - goal
 		k, to := r.pick(candidates, donor, excess)
+		if k < 0 {
+			k, to = r.displace(candidates, donor, excess)
+		}
 		if k < 0 {
 			r.divide(donor, candidates, excess)
 			return
@@ -155,6 +158,64 @@
 // pickTries bounds the candidates that are looked at for one move.
 const pickTries = 12
 
+// displace returns a shard to move off an overloaded server although no server
+// has room for it, and the server that can best make room: one that ends well
+// below where the donor is now, and that has enough small shards to give away
+// in the next rounds. Without it a server on which several hot keys met would
+// stay overloaded while no other has a hole of the size of one key.
+func (r *round) displace(candidates []int, donor int, excess float64) (int, int) {
+	if r.util(donor) <= r.mean*urgent {
+		return -1, -1
+	}
+	for k := len(candidates) - 1; k >= 0; k-- {
+		load := r.state.Shards[candidates[k]].Load
+		if load < excess/2 || load < hotShare*r.fair(donor) {
+			continue
+		}
+		if to := r.yielding(donor, load); to >= 0 {
+			return k, to
+		}
+	}
+	return -1, -1
+}
+
+// displaceGain is how far below the donor the new owner must end, in means.
+const displaceGain = 0.08
+
+// yielding returns the least loaded server that could give away in small shards
+// what a new one of that load would be too much, or -1.
+func (r *round) yielding(donor int, load float64) int {
+	best := -1
+	for i := range r.state.Servers {
+		if i == donor || r.room[i] == 0 || !r.open(i, load) {
+			continue
+		}
+		after := (r.load[i] + load) / r.room[i]
+		if after > r.util(donor)-displaceGain*r.mean {
+			continue
+		}
+		over := r.load[i] + load - r.fair(i)
+		if r.small(i) < over {
+			continue
+		}
+		if best < 0 || r.util(i) < r.util(best) {
+			best = i
+		}
+	}
+	return best
+}
+
+// small returns the load of a server's shards that fit into any other's gap.
+func (r *round) small(server int) float64 {
+	sum := 0.0
+	for _, i := range r.owned[server] {
+		if load := r.state.Shards[i].Load; load < hotShare*r.fair(server) && r.movable(i) {
+			sum += load
+		}
+	}
+	return sum
+}
+
 // divide splits a shard of an overloaded server that has none small enough to
 // move: the heaviest that isn't a single key, in the middle.
 func (r *round) divide(donor int, candidates []int, excess float64) {
--- a/core/mtplan/create_test.go
+++ b/core/mtplan/create_test.go
@@ -9,6 +9,8 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtplan"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
 )
 
 func holder(name mtid.Daemon) mtid.Holder { return mtid.Holder{Daemon: name, Incarnation: 1} }
@@ -46,8 +48,47 @@
 	}
 }
 
-func TestLayGivesEachChunkAShard(t *testing.T) {
-	got := mtplan.Lay(2, 8, []mtid.Holder{holder("b"), holder("a")})
-	assert.Equal(t, got.Shards, 1)
-	assert.DeepEqual(t, got.Among, []mtid.Holder{holder("a"), holder("b")})
+// Rendezvous rank alone gives some of many servers half as many shards again as
+// others, and a service that starts under load is out of balance until dozens
+// of moves are through. Each server must begin with its share.
+func TestLayGivesEachServerItsShare(t *testing.T) {
+	tests := []struct {
+		name           string
+		shards, chunks int
+		slots          []float64
+	}{
+		{"one server", 8, 2, []float64{12}},
+		{"alike", 600, 4, []float64{12, 12, 12, 12, 12, 12}},
+		{"three sizes", 600, 4, []float64{6, 12, 18}},
+		{"more servers than shards", 2, 2, []float64{9, 9, 9, 9, 9}},
+		{"fewer shards than chunks", 2, 8, []float64{9, 9}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var members []mtplan.Member
+			total := 0.0
+			for i, slots := range tt.slots {
+				members = append(members, mtplan.Member{Holder: holder(mtid.Daemon(rune('a' + i))), Slots: slots})
+				total += slots
+			}
+			laid := mtplan.Lay(tt.shards, tt.chunks, members)
+			assert.Equal(t, len(laid), tt.chunks)
+			counts := make(map[mtid.Holder]int)
+			all := 0
+			for chunk, ops := range laid {
+				table, err := mtshard.New(mtid.Ref{}, chunk, tt.chunks).Apply(mtroster.Stamp{}, ops...)
+				assert.NilError(t, err)
+				assert.Assert(t, len(table.Shards) > 0)
+				all += len(table.Shards)
+				for _, s := range table.Shards {
+					counts[s.Owner]++
+				}
+			}
+			assert.Assert(t, all >= tt.shards)
+			for _, m := range members {
+				share := float64(all) * m.Slots / total
+				assert.Assert(t, float64(counts[m.Holder]) < share+1, "%v has %d shards, its share is %.1f", m.Holder, counts[m.Holder], share)
+			}
+		})
+	}
 }
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -217,9 +217,15 @@
 	if r.tables != nil {
 		return
 	}
-	for chunk := range r.scene.Chunks {
+	var members []mtplan.Member
+	for i := range r.scene.Servers {
+		if r.lives[i] == serving {
+			members = append(members, mtplan.Member{Holder: r.holder(i), Slots: r.scene.Servers[i].Slots})
+		}
+	}
+	for chunk, ops := range mtplan.Lay(r.scene.Shards, r.scene.Chunks, members) {
 		r.tables = append(r.tables, mtshard.New(r.scene.Ref, chunk, r.scene.Chunks))
-		r.apply(chunk, mtplan.Lay(r.scene.Shards, r.scene.Chunks, r.holders(serving)))
+		r.apply(chunk, ops...)
 	}
 }
 
--- a/io/mtplanner/mtplanner.go
+++ b/io/mtplanner/mtplanner.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -168,34 +169,41 @@
 		state = &serviceState{}
 		p.services[ref] = state
 	}
-	p.create(ctx, state, ref, service, holders(servers, mtroster.Serving))
+	p.create(ctx, state, ref, service, serving(servers))
 }
 
 // create lays the chunks that don't exist yet. The first chunk comes alone, and
 // the others follow once it is seen: it fixes the number of chunks, and two
 // planners that read different bundles would otherwise lay chunks of
 // differently divided rings.
-func (p *Planner) create(ctx context.Context, state *serviceState, ref mtid.Ref, service *mtbundle.Service, serving []mtid.Holder) {
+func (p *Planner) create(ctx context.Context, state *serviceState, ref mtid.Ref, service *mtbundle.Service, serving []*mtroster.Record) {
 	first, ok := p.view.Table(ref, 0)
 	if !ok {
-		if !state.creation.Ready(p.config.Now(), serving) {
-			return
+		if state.creation.Ready(p.config.Now(), holders(serving)) {
+			laid := mtplan.Lay(service.Shards, max(1, service.Chunks), layout(serving, ref))
+			p.writer.write(ctx, mtshard.New(ref, 0, len(laid)), laid[0]...)
 		}
-		p.lay(ctx, ref, 0, max(1, service.Chunks), service.Shards, serving)
 		return
 	}
-	if len(serving) == 0 {
+	missing := p.missing(ref, first.Chunks)
+	if len(missing) == 0 || len(serving) == 0 {
 		return
 	}
-	for chunk := 1; chunk < first.Chunks; chunk++ {
-		if _, ok := p.view.Table(ref, chunk); !ok {
-			p.lay(ctx, ref, chunk, first.Chunks, service.Shards, serving)
-		}
+	laid := mtplan.Lay(service.Shards, first.Chunks, layout(serving, ref))
+	for _, chunk := range missing {
+		p.writer.write(ctx, mtshard.New(ref, chunk, len(laid)), laid[chunk]...)
 	}
 }
 
-func (p *Planner) lay(ctx context.Context, ref mtid.Ref, chunk, chunks, shards int, serving []mtid.Holder) {
-	p.writer.write(ctx, mtshard.New(ref, chunk, chunks), mtplan.Lay(shards, chunks, serving))
+// missing returns the chunks that don't exist yet.
+func (p *Planner) missing(ref mtid.Ref, chunks int) []int {
+	var found []int
+	for chunk := range chunks {
+		if _, ok := p.view.Table(ref, chunk); !ok {
+			found = append(found, chunk)
+		}
+	}
+	return found
 }
 
 // members returns the live records that offer a service.
@@ -212,13 +220,25 @@
 	return found
 }
 
-// holders returns the holders of the records in that state.
-func holders(records []*mtroster.Record, state mtroster.State) []mtid.Holder {
+// serving returns the records of the servers that stay.
+func serving(records []*mtroster.Record) []*mtroster.Record {
+	return slices.DeleteFunc(slices.Clone(records), func(r *mtroster.Record) bool { return r.State != mtroster.Serving })
+}
+
+func holders(records []*mtroster.Record) []mtid.Holder {
 	var found []mtid.Holder
 	for _, record := range records {
-		if record.State == state {
-			found = append(found, record.Holder)
-		}
+		found = append(found, record.Holder)
+	}
+	return found
+}
+
+// layout returns what a new table is laid over.
+func layout(records []*mtroster.Record, ref mtid.Ref) []mtplan.Member {
+	var found []mtplan.Member
+	for _, record := range records {
+		offer, _ := record.Offer(ref)
+		found = append(found, mtplan.Member{Holder: record.Holder, Slots: float64(max(1, offer.Slots))})
 	}
 	return found
 }
@@ -226,8 +246,8 @@
 // leaders returns the holders among which the planner is chosen: the serving
 // ones, or the leaving ones if no other is left.
 func leaders(records []*mtroster.Record) []mtid.Holder {
-	if serving := holders(records, mtroster.Serving); len(serving) > 0 {
-		return serving
+	if staying := serving(records); len(staying) > 0 {
+		return holders(staying)
 	}
-	return holders(records, mtroster.Leaving)
+	return holders(records)
 }
