--- /dev/null
+++ b/core/mtload/book.go
@@ -0,0 +1,321 @@
+package mtload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtshard"
+)
+
+// Times and bounds of a book.
+const (
+	// fallTime is the half-life with which an estimate follows a lower report.
+	// A higher one counts at once. So a report that wrongly says "idle" can't
+	// draw shards within a round, and a load that swings is seen at its height.
+	fallTime = 6 * time.Second
+	// pointLife is how long a reported key counts as hot.
+	pointLife = 30 * time.Second
+	// arriveTime is how long a report may still come from before a shard's
+	// arrival at its sender, and leave it out.
+	arriveTime = 20 * time.Second
+	// freshReports is how many reports after a split may still count what was
+	// split off, since the meter files it under the low that both had.
+	freshReports = 2
+	// maxPoints bounds the hot keys that a book remembers.
+	maxPoints = 4096
+)
+
+// Book is what the planner of one service knows of its load. Estimates belong
+// to shards, not to servers: when a shard moves, its load counts at the new
+// owner in the same instant, however late the reports are. That is what keeps
+// late reports from making the same server shed twice.
+type Book struct {
+	entries []entry // by low, covering the ring once Sync has run
+	spare   []entry
+	points  []pointEntry // by point
+	heard   map[mtid.Holder]hearing
+	audit   audit
+}
+
+type entry struct {
+	low  mtid.Point
+	load float64
+	at   mtclock.Instant
+	// by is who reported last, and listed whether with a figure of its own.
+	by     mtid.Holder
+	listed bool
+	// fresh is how many reports may still count what was split off.
+	fresh int
+	// test is what the owner before by claimed, until by's claim is compared
+	// with it.
+	test claim
+}
+
+// claim is what an owner said of a shard that has moved on.
+type claim struct {
+	by   mtid.Holder
+	load float64
+	at   mtclock.Instant // when the next owner reported the shard first
+}
+
+type pointEntry struct {
+	point mtid.Point
+	load  float64
+	at    mtclock.Instant
+}
+
+// hearing is what is known of a reporter.
+type hearing struct {
+	sequence uint64
+	at       mtclock.Instant // of the last new measurement
+	repeated bool            // the last report repeated an older measurement
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{heard: make(map[mtid.Holder]hearing), audit: make(audit)}
+}
+
+// Sync brings the book's shards in line with lows, the lows of all shards in
+// order. A split divides its load by the hot keys known and by width, a merge
+// adds up. It is called before Take and Load.
+func (b *Book) Sync(lows []mtid.Point) {
+	next := b.spare[:0]
+	old := b.entries
+	i := 0
+	for k, low := range lows {
+		high := ^mtid.Point(0)
+		if k+1 < len(lows) {
+			high = lows[k+1] - 1
+		}
+		for i+1 < len(old) && old[i+1].low <= low {
+			i++
+		}
+		next = append(next, b.inherit(old, i, low, high))
+	}
+	b.spare, b.entries = b.entries, next
+}
+
+// inherit returns the entry for [low, high] from the old ones, the first of
+// which that overlaps is old[i].
+func (b *Book) inherit(old []entry, i int, low, high mtid.Point) entry {
+	e := entry{low: low}
+	for ; i < len(old) && old[i].low <= high; i++ {
+		oldHigh := ^mtid.Point(0)
+		if i+1 < len(old) {
+			oldHigh = old[i+1].low - 1
+		}
+		if old[i].low == low && oldHigh == high {
+			return old[i]
+		}
+		e.load += b.part(old[i], oldHigh, max(low, old[i].low), min(high, oldHigh))
+		e.at = max(e.at, old[i].at)
+		e.by = old[i].by
+		if old[i].low == low && oldHigh > high {
+			e.fresh = freshReports
+		}
+	}
+	return e
+}
+
+// part returns what of an entry's load lies in [low, high].
+func (b *Book) part(e entry, eHigh, low, high mtid.Point) float64 {
+	if low == e.low && high == eHigh {
+		return e.load
+	}
+	var all, inside float64
+	first, _ := b.findPoint(e.low)
+	for _, p := range b.points[first:] {
+		if p.point > eHigh {
+			break
+		}
+		all += p.load
+		if p.point >= low && p.point <= high {
+			inside += p.load
+		}
+	}
+	if all > e.load {
+		return e.load * inside / all
+	}
+	width := (float64(high-low) + 1) / (float64(eHigh-e.low) + 1)
+	return inside + (e.load-all)*width
+}
+
+// Take notes a report. owned are the shards that the table gives its sender.
+// What the report does not list is spread evenly over the sender's other
+// shards.
+func (b *Book) Take(now mtclock.Instant, r *Report, owned []mtshard.Shard) {
+	h, ok := b.heard[r.From]
+	if ok && r.Sequence <= h.sequence {
+		h.repeated = true
+		b.heard[r.From] = h
+		return
+	}
+	b.heard[r.From] = hearing{sequence: r.Sequence, at: now}
+	factor := b.audit.factor(r.From)
+	listed := make(map[mtid.Point]float64, len(r.Shards))
+	for _, s := range r.Shards {
+		listed[s.Low] = s.Load * factor
+	}
+	rest := r.Load * factor
+	var others []*entry
+	for _, s := range owned {
+		e := b.find(s.Low)
+		if e == nil {
+			continue
+		}
+		load, ok := listed[s.Low]
+		if ok {
+			rest -= load
+			b.set(now, e, r.From, load, true)
+			continue
+		}
+		// The shard has just arrived, and the report may be from before: the
+		// former owner's word stands, else the new one looks emptier than it
+		// is and is given more.
+		if e.by != r.From && !e.by.IsZero() && now.Sub(e.at) < arriveTime {
+			continue
+		}
+		others = append(others, e)
+	}
+	for _, e := range others {
+		b.set(now, e, r.From, max(0, rest)/float64(len(others)), false)
+	}
+	b.takePoints(now, r.Points, factor)
+}
+
+// find returns the entry of the shard that begins at low, or nil.
+func (b *Book) find(low mtid.Point) *entry {
+	i, ok := slices.BinarySearchFunc(b.entries, low, func(e entry, low mtid.Point) int {
+		return cmp.Compare(e.low, low)
+	})
+	if !ok {
+		return nil
+	}
+	return &b.entries[i]
+}
+
+func (b *Book) set(now mtclock.Instant, e *entry, from mtid.Holder, load float64, listed bool) {
+	b.compare(now, e, from, load, listed)
+	switch {
+	case load < e.load:
+		load += (e.load - load) * fade(now.Sub(e.at), fallTime)
+	case e.fresh > 0:
+		// The owner still counts what has been split off, under the old low.
+		load = e.load
+	}
+	e.fresh = max(0, e.fresh-1)
+	e.load, e.at = load, now
+}
+
+// compare holds the claims of two successive owners of a shard against each
+// other.
+func (b *Book) compare(now mtclock.Instant, e *entry, from mtid.Holder, load float64, listed bool) {
+	if e.by != from {
+		e.test = claim{}
+		if e.listed && e.load >= testLoad && now.Sub(e.at) <= testAge {
+			e.test = claim{by: e.by, load: e.load, at: now}
+		}
+		e.by, e.listed = from, listed
+		return
+	}
+	e.listed = listed
+	if e.test.load == 0 || !listed || now.Sub(e.test.at) < testWait {
+		return
+	}
+	if now.Sub(e.test.at) <= testAge {
+		b.audit.add(e.test.by, from, e.test.load, load)
+	}
+	e.test = claim{}
+}
+
+// findPoint returns the place of point among the hot keys, or where it belongs.
+func (b *Book) findPoint(point mtid.Point) (int, bool) {
+	return slices.BinarySearchFunc(b.points, point, func(p pointEntry, point mtid.Point) int {
+		return cmp.Compare(p.point, point)
+	})
+}
+
+func (b *Book) takePoints(now mtclock.Instant, points []PointLoad, factor float64) {
+	for _, p := range points {
+		if p.Load <= 0 {
+			continue
+		}
+		i, ok := b.findPoint(p.Point)
+		if !ok {
+			b.points = slices.Insert(b.points, i, pointEntry{})
+		}
+		b.points[i] = pointEntry{point: p.Point, load: p.Load * factor, at: now}
+	}
+	if len(b.points) > maxPoints {
+		b.forget(now)
+	}
+	for len(b.points) > maxPoints {
+		i := b.lightest()
+		b.points = slices.Delete(b.points, i, i+1)
+	}
+}
+
+// lightest returns the place of the hot key with the least load.
+func (b *Book) lightest() int {
+	least := 0
+	for i, p := range b.points {
+		if p.load < b.points[least].load {
+			least = i
+		}
+	}
+	return least
+}
+
+// forget drops keys that were not reported lately.
+func (b *Book) forget(now mtclock.Instant) {
+	b.points = slices.DeleteFunc(b.points, func(p pointEntry) bool { return now.Sub(p.at) > pointLife })
+}
+
+// Loads returns the estimate of each shard, in the order of the last Sync. It
+// is valid until the next call of a method.
+func (b *Book) Loads(into []float64) []float64 {
+	into = into[:0]
+	for _, e := range b.entries {
+		into = append(into, e.load)
+	}
+	return into
+}
+
+// Points returns the hot keys that were reported lately, by point.
+func (b *Book) Points(now mtclock.Instant) []PointLoad {
+	b.forget(now)
+	hot := make([]PointLoad, 0, len(b.points))
+	for _, p := range b.points {
+		hot = append(hot, PointLoad{Point: p.point, Load: p.load})
+	}
+	return hot
+}
+
+// Heard reports whether holder's load is known: it has reported, its last
+// report was a new measurement, and not more than two refreshes have passed.
+// Silence within that time means that the load is where it was.
+func (b *Book) Heard(now mtclock.Instant, holder mtid.Holder) bool {
+	h, ok := b.heard[holder]
+	return ok && !h.repeated && now.Sub(h.at) <= 2*Refresh
+}
+
+// HeardAt returns when the last new measurement of holder came in.
+func (b *Book) HeardAt(holder mtid.Holder) (mtclock.Instant, bool) {
+	h, ok := b.heard[holder]
+	return h.at, ok
+}
+
+// Forget drops what is known of reporters that are not in live. It is called
+// now and then, so that a book doesn't grow with the fleet's turnover.
+func (b *Book) Forget(live func(mtid.Holder) bool) {
+	for holder := range b.heard {
+		if !live(holder) {
+			delete(b.heard, holder)
+			delete(b.audit, holder)
+		}
+	}
+}
