Bound every HTTP listener, rotate the datagram secret without a stop

Cause: a slow or silent client could hold connections without end, and a new datagram secret needed all daemons to change at one moment. Change: io/mtlisten (connections, header, read and write limits, graceful end); mtrenew takes Secrets, sends with the first and accepts any (small addition, Secret works as before). Measured: go test -race ./io/mtlisten ./io/mtrenew ./io/mtadmin passes; the rotation test changes two daemons step by step without a refused datagram.

--- a/io/mtadmin/mtadmin.go
+++ b/io/mtadmin/mtadmin.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	server := mtadmin.New(mtadmin.Config{View: view, Self: self, Rollout: rollout, ...})
-//	listener := &http.Server{Handler: server.Handler(), ...}
+//	listener, cleanUp, err := mtlisten.Serve(settings.Admin, server.Handler(), mtadmin.Options(held.Admin()))
 //	mtwire.RegisterInformServer(grpcServer, server.Informer())
 //
 // An operator's program uses Client. Every refusal is a Problem after RFC 9457.
@@ -25,6 +25,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -42,6 +43,7 @@
 	"magnoliaturn/core/mtini"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
+	"magnoliaturn/io/mtlisten"
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtoperator"
 	"magnoliaturn/io/mtrollout"
@@ -50,12 +52,11 @@
 // Limits of the listener for operators.
 const (
 	MaxBody        = mtini.MaxText + 4<<10
-	MaxHeader      = 16 << 10
+	connections    = 128
 	DefaultRate    = 50 // requests a second of one client address
 	DefaultBurst   = 100
 	readTimeout    = 5 * time.Second
 	handlerTimeout = 10 * time.Second
-	idleTimeout    = time.Minute
 )
 
 // View is the live state as the daemon knows it. What it returns is not
@@ -139,16 +140,14 @@
 // Handler returns the API as a handler.
 func (s *Server) Handler() http.Handler { return s.echo }
 
-// HTTP returns a server for the API with its time limits set, so that a slow
-// or silent client can't hold a connection for long.
-func (s *Server) HTTP() *http.Server {
-	return &http.Server{
-		Handler:           s.echo,
-		ReadHeaderTimeout: readTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      handlerTimeout + readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    MaxHeader,
+// Options returns the limits of the listener for operators; config is nil for
+// plain HTTP.
+func Options(config *tls.Config) mtlisten.Options {
+	return mtlisten.Options{
+		Connections: connections,
+		Read:        readTimeout,
+		Write:       handlerTimeout + readTimeout,
+		TLS:         config,
 	}
 }
 
--- /dev/null
+++ b/io/mtlisten/mtlisten.go
@@ -0,0 +1,155 @@
+// Package mtlisten opens the HTTP listeners of a daemon with limits on
+// connections, headers and time, so that a client that is slow, silent or
+// hostile can't use up a small VM.
+//
+// # Usage
+//
+//	server, cleanUp, err := mtlisten.Serve(settings.Admin, api.Handler(), mtlisten.Options{
+//		Connections: 256,
+//		TLS:         held.Admin(), // nil for plain HTTP
+//	})
+//	defer cleanUp()
+//
+// The clean-up stops accepting, lets requests that are being served end within
+// Grace, and then closes what is left.
+package mtlisten
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits of every listener.
+const (
+	HeaderTime  = 5 * time.Second  // for a request's header
+	IdleTime    = 60 * time.Second // for the next request on a connection
+	HeaderBytes = 16 << 10
+	Grace       = 10 * time.Second
+
+	defaultConnections = 1024
+)
+
+// ListenError says that an address can't be listened on.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Options are the limits that differ between listeners.
+type Options struct {
+	Connections int           // open at once; 0 is 1024
+	Read        time.Duration // for a whole request; 0 is no limit
+	Write       time.Duration // for a whole reply; 0 is no limit
+	Grace       time.Duration // for requests that run at the end; 0 is Grace
+	TLS         *tls.Config
+}
+
+// Server is an open listener.
+type Server struct {
+	listener net.Listener
+	failed   chan error
+}
+
+// Address returns where the server listens, with the port that was chosen if
+// the address named port 0.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Failed returns a channel on which the server's end is told, if it comes
+// before the clean-up.
+func (s *Server) Failed() <-chan error { return s.failed }
+
+// Serve listens on address and serves handler until the clean-up. It fails
+// with a *ListenError.
+func Serve(address string, handler http.Handler, options Options) (*Server, func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, &ListenError{Address: address, Err: err}
+	}
+	if options.Connections == 0 {
+		options.Connections = defaultConnections
+	}
+	if options.Grace == 0 {
+		options.Grace = Grace
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: HeaderTime,
+		ReadTimeout:       options.Read,
+		WriteTimeout:      options.Write,
+		IdleTimeout:       IdleTime,
+		MaxHeaderBytes:    HeaderBytes,
+		TLSConfig:         options.TLS,
+	}
+	s := &Server{listener: listener, failed: make(chan error, 1)}
+	done := make(chan struct{})
+	bounded := Limit(listener, options.Connections)
+	go func() {
+		defer close(done)
+		serve := server.Serve
+		if options.TLS != nil {
+			serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+		}
+		if err := serve(bounded); err != http.ErrServerClosed {
+			s.failed <- &ListenError{Address: address, Err: err}
+		}
+	}()
+	return s, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), options.Grace)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close() // what outlived the grace is cut off
+		}
+		<-done
+	}, nil
+}
+
+// Limit returns a listener that closes connections past most at once. A
+// listener that stopped accepting instead would leave new clients waiting in
+// the kernel's queue behind silent ones; so they learn that they must go
+// elsewhere.
+func Limit(listener net.Listener, most int) net.Listener {
+	return &limited{Listener: listener, free: make(chan struct{}, most)}
+}
+
+type limited struct {
+	net.Listener
+	free chan struct{} // holds a token for each open connection
+}
+
+// Accept implements net.Listener.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.free <- struct{}{}:
+			return &counted{Conn: conn, release: sync.OnceFunc(func() { <-l.free })}, nil
+		default:
+			_ = conn.Close()
+		}
+	}
+}
+
+// counted gives its place back when it is closed, once.
+type counted struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *counted) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
--- a/io/mtrenew/mtrenew.go
+++ b/io/mtrenew/mtrenew.go
@@ -58,8 +58,12 @@
 	Self   mtid.Daemon
 	Listen string // address for datagrams, host:port
 	Secret []byte // shared by all daemons
-	Clock  Clock
-	View   View
+	// Secrets returns the shared secrets, the newest first, and takes the place
+	// of Secret; it may be nil. It is called for each datagram, by two
+	// goroutines, so that a rotation needs no restart.
+	Secrets func() [][]byte
+	Clock   Clock
+	View    View
 	// Heard is called for each authentic datagram, from the duty's goroutine;
 	// it must not block. It may be nil.
 	Heard func(peer mtid.Daemon, frontier mtid.Revision)
@@ -116,7 +120,7 @@
 	kick     chan struct{}
 
 	mu       sync.Mutex
-	sealer   *sealer
+	keyring  *keyring
 	lease    *mtlease.Lease
 	witness  *mtwitness.Witness
 	sequence uint64
@@ -152,7 +156,7 @@
 		conn:    conn,
 		ring:    mtring.New[inbound](ringSize),
 		kick:    make(chan struct{}, 1),
-		sealer:  newSealer(config.Secret),
+		keyring: newKeyring(&config),
 		witness: mtwitness.New(config.Self, config.Clock.Steady()),
 		asked:   make(map[mtid.Holder]mtclock.Instant),
 		owed:    make(map[mtid.Daemon]owed),
@@ -319,7 +323,7 @@
 
 // read passes authentic datagrams to the duty until the socket is closed.
 func (d *Duty) read() {
-	sealer := newSealer(d.config.Secret)
+	keyring := newKeyring(&d.config)
 	buffer := make([]byte, maxPacket)
 	for {
 		n, source, err := d.conn.ReadFromUDPAddrPort(buffer)
@@ -332,7 +336,7 @@
 		}
 		d.counters.ReceivedMessages.Add(1)
 		d.counters.ReceivedBytes.Add(wireSize(n, source))
-		message, err := sealer.open(d.config.Self, buffer[:n])
+		message, err := keyring.open(d.config.Self, buffer[:n])
 		if err != nil {
 			d.counters.Refused.Add(1)
 			continue
@@ -533,7 +537,7 @@
 
 // send writes one datagram. What is lost is asked again in the next period.
 func (d *Duty) send(to mtid.Holder, m *mtwire.Renew, address netip.AddrPort) {
-	packet, err := d.sealer.seal(to.Daemon, m)
+	packet, err := d.keyring.seal(to.Daemon, m)
 	if err != nil {
 		d.config.Log.Error("renew: datagram can't be made", "err", err)
 		return
--- a/io/mttls/mttls.go
+++ b/io/mttls/mttls.go
@@ -156,6 +156,16 @@
 // moment at which all daemons change at once.
 func (c *Credentials) Secrets() []Secret { return c.now.Load().secrets }
 
+// SecretBytes returns what Secrets does, for packages that take bytes.
+func (c *Credentials) SecretBytes() [][]byte {
+	secrets := c.now.Load().secrets
+	out := make([][]byte, len(secrets))
+	for i := range secrets {
+		out[i] = secrets[i][:]
+	}
+	return out
+}
+
 // Server returns the configuration of the listener for other daemons: both
 // ends show a certificate of the authority.
 func (c *Credentials) Server() *tls.Config {
