--- a/core/mtring/mtring.go
+++ b/core/mtring/mtring.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// PutWait adds v, waiting for room, and returns false if stop closes first.
+func (r *Ring[T]) PutWait(v T, stop <-chan struct{}) bool {
+	select {
+	case r.items <- v:
+		r.put.Add(1)
+		return true
+	case <-stop:
+		return false
+	}
+}
+
 // Take waits for an item, or returns false once stop is closed.
 func (r *Ring[T]) Take(stop <-chan struct{}) (T, bool) {
 	select {
--- /dev/null
+++ b/io/mtmover/mtmover.go
@@ -0,0 +1,382 @@
+// Package mtmover carries out the planned moves of this daemon's shards: it
+// feeds core/mtmove with what happens at the gate, at the new owner and in the
+// store, and does what it decides.
+//
+// # Usage
+//
+//	mover, cleanUp := mtmover.New(config)
+//	mover.Register(grpcServer)
+//	err := mover.Move(ctx, owner, service, low, to) // the planner's wish
+//	mover.Leave(ctx)                                // hand all shards over
+//
+// One duty owns the decisions; everything reaches it by a bounded ring. All
+// methods are safe for concurrent use.
+package mtmover
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtmove"
+	"magnoliaturn/core/mtring"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtview"
+)
+
+const (
+	eventsWaiting = 4096
+	tickEvery     = 100 * time.Millisecond
+	writeTimeout  = 2 * time.Second
+	sendTimeout   = 2 * time.Second
+)
+
+var counters = expvar.NewMap("move")
+
+type clock interface{ Now() mtclock.Instant }
+
+// gates are this daemon's admission, one per service.
+type gates interface {
+	Stop(ref mtid.Ref, low, high mtid.Point)
+	Resume(ref mtid.Ref, low, high mtid.Point)
+	Release(ref mtid.Ref, low, high mtid.Point)
+}
+
+// recents are this daemon's recent request identifiers.
+type recents interface {
+	// Export returns the identifiers of a range in their wire form.
+	Export(ref mtid.Ref, low, high mtid.Point) ([]byte, error)
+	// Import takes identifiers in.
+	Import(ref mtid.Ref, low, high mtid.Point, value []byte) error
+}
+
+// conns are the pooled connections to other daemons.
+type conns interface {
+	Conn(address string) (*grpc.ClientConn, error)
+}
+
+// Config is what a Mover works with.
+type Config struct {
+	Self    func() mtid.Holder
+	Stamp   func() mtroster.Stamp
+	View    *mtview.View
+	Store   mtstore.Store
+	Gates   gates
+	Recents recents
+	Conns   conns
+	Clock   clock
+	Log     *slog.Logger
+	// Refresh is called after a write, so that the store's revision is learnt.
+	Refresh func()
+}
+
+// Mover carries out moves.
+type Mover struct {
+	Config
+	events *mtring.Ring[func(now mtclock.Instant)]
+	moves  *mtmove.Moves // of the duty alone
+	self   mtid.Holder   // the life that moves belongs to
+	work   sync.WaitGroup
+	ctx    context.Context
+	closed chan struct{}
+}
+
+// New starts the duty and returns the Mover with its clean-up function.
+func New(config Config) (*Mover, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Mover{
+		Config: config,
+		events: mtring.New[func(mtclock.Instant)](eventsWaiting),
+		moves:  mtmove.New(mtid.Holder{}, mtmove.DefaultLimit),
+		ctx:    ctx,
+		closed: make(chan struct{}),
+	}
+	go func() {
+		defer close(m.closed)
+		m.run(ctx)
+	}()
+	return m, func() {
+		cancel()
+		<-m.closed
+		m.work.Wait()
+	}
+}
+
+func (m *Mover) run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-m.events.Items():
+			event(m.Clock.Now())
+		case <-ticker.C:
+			m.tick(m.Clock.Now())
+		}
+	}
+}
+
+// tick follows a change of this daemon's life, notes new tables, and lets the
+// moves repeat what waits.
+func (m *Mover) tick(now mtclock.Instant) {
+	if self := m.Self(); self != m.self {
+		// A new life owns nothing of the former one's: its moves are void, and
+		// what their gates hold belongs to whoever took the shards over.
+		m.self = self
+		m.moves = mtmove.New(self, mtmove.DefaultLimit)
+	}
+	if m.moves.Len() == 0 {
+		return
+	}
+	s := m.View.Now()
+	for _, ref := range s.Services() {
+		for _, table := range s.Tables(ref) {
+			if table != nil {
+				m.do(m.moves.See(now, table))
+			}
+		}
+	}
+	m.do(m.moves.Tick(now))
+}
+
+// post gives the duty an event. A full ring drops it: a wish is repeated by the
+// planner, and a lost Quiet ends in a Resume once the move is overdue.
+func (m *Mover) post(event func(now mtclock.Instant)) bool { return m.events.Put(event) }
+
+// tell gives the duty an outcome that it waits for, and waits itself for room
+// in the ring: a dropped outcome of a write would hold its chunk for good.
+func (m *Mover) tell(event func(now mtclock.Instant)) { m.events.PutWait(event, m.ctx.Done()) }
+
+// Quiet is called by the gate when a stopped range has nothing in flight.
+func (m *Mover) Quiet(ref mtid.Ref, low, _ mtid.Point) {
+	m.post(func(now mtclock.Instant) {
+		m.do(m.moves.Quiet(now, mtmove.Place{Service: ref, Low: low}))
+	})
+}
+
+// BusyError says that the duty has too much waiting to take a wish.
+type BusyError struct{}
+
+// Error implements error.
+func (*BusyError) Error() string { return "move: too many wishes wait" }
+
+// want asks the duty to begin a move, and waits for its word.
+func (m *Mover) want(ctx context.Context, ref mtid.Ref, low mtid.Point, to mtid.Holder) error {
+	result := make(chan error, 1)
+	posted := m.post(func(now mtclock.Instant) {
+		m.tick(now)
+		result <- m.begin(now, ref, low, to)
+	})
+	if !posted {
+		return &BusyError{}
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-m.closed:
+		return &BusyError{}
+	}
+}
+
+func (m *Mover) begin(now mtclock.Instant, ref mtid.Ref, low mtid.Point, to mtid.Holder) error {
+	s := m.View.Now()
+	place := mtmove.Place{Service: ref, Low: low}
+	tables := s.Tables(ref)
+	if len(tables) == 0 || tables[mtshard.ChunkOf(low, len(tables))] == nil {
+		return &mtmove.WantError{Place: place, Reason: "no such service"}
+	}
+	record, _, ok := s.Record(to.Daemon)
+	if !ok || record.Holder != to || !record.Live() || record.State != mtroster.Serving {
+		return &mtmove.WantError{Place: place, Reason: to.String() + " is not serving"}
+	}
+	if _, ok := record.Offer(ref); !ok {
+		return &mtmove.WantError{Place: place, Reason: to.String() + " has no server of the service"}
+	}
+	effects, err := m.moves.Want(now, tables[mtshard.ChunkOf(low, len(tables))], low, to)
+	if err != nil {
+		return err
+	}
+	counters.Add("begun", 1)
+	m.do(effects)
+	return nil
+}
+
+// do carries out effects. What takes time runs beside the duty and comes back
+// as an event.
+func (m *Mover) do(effects []mtmove.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case mtmove.Stop:
+			m.Gates.Stop(e.Place.Service, e.Place.Low, e.High)
+		case mtmove.Handover:
+			m.work.Go(func() { m.handover(e) })
+		case mtmove.Write:
+			m.work.Go(func() { m.write(e) })
+		case mtmove.Resume:
+			counters.Add("resumed_"+string(e.Cause), 1)
+			m.Log.Warn("move given up", "service", e.Place.Service.String(), "shard", uint64(e.Place.Low), "cause", e.Cause)
+			m.Gates.Resume(e.Place.Service, e.Place.Low, e.High)
+		case mtmove.Release:
+			counters.Add("released", 1)
+			m.Gates.Release(e.Place.Service, e.Place.Low, e.High)
+		}
+	}
+}
+
+func (m *Mover) handover(e mtmove.Handover) {
+	err := m.sendRecent(e)
+	if err != nil {
+		m.Log.Warn("handover failed", "service", e.Place.Service.String(), "to", e.To.String(), "error", err)
+	}
+	m.tell(func(now mtclock.Instant) {
+		if err != nil {
+			m.do(m.moves.HandoverFailed(now, e.Place))
+			return
+		}
+		m.do(m.moves.HandedOver(now, e.Place))
+	})
+}
+
+// write swaps a chunk and reports what became of it.
+func (m *Mover) write(e mtmove.Write) {
+	table, result := m.swap(e)
+	if result == mtmove.Landed {
+		counters.Add("written", 1)
+		m.grant(table, e.Ops)
+		m.Refresh()
+	}
+	m.tell(func(now mtclock.Instant) { m.do(m.moves.Wrote(now, table, result)) })
+}
+
+func (m *Mover) swap(e mtmove.Write) (*mtshard.Table, mtmove.Result) {
+	next, err := e.Table.Apply(m.Stamp(), e.Ops...)
+	if err != nil {
+		m.Log.Error("move does not fit the table it was made for", "error", err)
+		return e.Table, mtmove.Unavailable
+	}
+	value, err := next.Encode()
+	if err != nil {
+		m.Log.Error("table can't be written", "error", err)
+		return e.Table, mtmove.Unavailable
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, writeTimeout)
+	defer cancel()
+	name := mtstore.ShardName(next.Service, next.Chunk)
+	version, err := m.Store.Swap(ctx, name, e.Table.Version, value, "")
+	if err == nil {
+		m.learn(mtview.Item{Name: name, Version: version, Value: value})
+		return next, mtmove.Landed
+	}
+	return m.failed(ctx, e.Table, name, err)
+}
+
+// failed tells a write that never took effect from one that may have.
+func (m *Mover) failed(ctx context.Context, table *mtshard.Table, name string, err error) (*mtshard.Table, mtmove.Result) {
+	var conflict *mtstore.ConflictError
+	var unavailable *mtstore.UnavailableError
+	var rejected *mtstore.RejectedError
+	switch {
+	case errors.As(err, &conflict):
+		return m.newest(ctx, table, name), mtmove.Refused
+	case errors.As(err, &unavailable), errors.As(err, &rejected):
+		return table, mtmove.Unavailable
+	}
+	return table, mtmove.InDoubt
+}
+
+// newest reads a chunk after a conflict; if that fails too, the next try
+// conflicts again and comes back here.
+func (m *Mover) newest(ctx context.Context, table *mtshard.Table, name string) *mtshard.Table {
+	entry, err := m.Store.Get(ctx, name)
+	if err != nil {
+		return table
+	}
+	read, err := mtshard.Decode(entry.Value)
+	if err != nil {
+		m.Log.Error("table can't be read", "name", name, "error", err)
+		return table
+	}
+	m.learn(mtview.Item{Name: name, Version: entry.Version, Value: entry.Value})
+	return read
+}
+
+// learn makes a written table this daemon's own before anything is released:
+// a request that was held must not find the old owner in the table.
+func (m *Mover) learn(item mtview.Item) {
+	if _, err := m.View.Wrote(item); err != nil {
+		m.Log.Debug("written table does not follow the known one", "error", err)
+	}
+}
+
+// Leave hands all shards of this daemon to the rendezvous choice among the
+// others, and returns once it owns none or ctx is done. The roster must say
+// that the daemon is leaving, or the planner would give it new ones.
+func (m *Mover) Leave(ctx context.Context) error {
+	for {
+		owned := m.ask(ctx)
+		if owned == 0 {
+			return nil
+		}
+		timer := time.NewTimer(tickEvery)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return &LeaveError{Owned: owned}
+		case <-timer.C:
+		}
+	}
+}
+
+// LeaveError says that shards could not be handed over in time; they will be
+// taken over once this daemon's lease has ended.
+type LeaveError struct{ Owned int }
+
+// Error implements error.
+func (e *LeaveError) Error() string { return "move: shards were still owned when the time was up" }
+
+// ask wishes for the move of every shard that isn't on its way, and returns how
+// many are owned.
+func (m *Mover) ask(ctx context.Context) int {
+	self := m.Self()
+	s := m.View.Now()
+	owned := 0
+	for _, ref := range s.Services() {
+		others := Others(s, ref, self)
+		for _, table := range s.Tables(ref) {
+			if table == nil {
+				continue
+			}
+			for _, shard := range table.Owned(self) {
+				owned++
+				// A refused wish (on its way already, or too many at once) is
+				// repeated at the next round.
+				_ = m.want(ctx, ref, shard.Low, mtshard.Choose(shard.Low, others))
+			}
+		}
+	}
+	return owned
+}
+
+// Others returns the holders that may be given shards of a service, without
+// self.
+func Others(s *mtview.Snapshot, ref mtid.Ref, self mtid.Holder) []mtid.Holder {
+	var out []mtid.Holder
+	for _, r := range s.Roster() {
+		if _, ok := r.Offer(ref); ok && r.Live() && r.State == mtroster.Serving && r.Holder != self {
+			out = append(out, r.Holder)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/mtowner/mtowner.go
@@ -0,0 +1,332 @@
+// Package mtowner runs the requests whose keys this daemon owns: it checks the
+// lease and the assignment, admits at the gate, remembers identifiers, and asks
+// the backend server on this VM.
+//
+// A request is checked twice. Before the gate, so that work for another owner
+// doesn't queue here; and after it, since the shard or the lease may have gone
+// while it waited. What the second check can't see, a pause between it and the
+// send, the backend server sees by the request's start-by time and epoch.
+//
+// # Usage
+//
+//	owner, cleanUp := mtowner.New(config)
+//	reply := owner.Serve(ctx, request)
+//
+// An Owner is safe for concurrent use.
+package mtowner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"magnoliaturn/core/mtannounce"
+	"magnoliaturn/core/mtbundle"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtgate"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtserver"
+)
+
+type clock interface {
+	Now() mtclock.Instant
+	Boot() int64
+	Wall() time.Time
+}
+
+// lease tells which life of this daemon may serve, and until when. The two
+// belong together: a new life starts without permission.
+type lease interface {
+	Permit() (mtid.Holder, mtclock.Instant)
+}
+
+// servers finds the backend server of a service on this VM.
+type servers interface {
+	Server(ref mtid.Ref, now mtclock.Instant) (*mtserver.Server, bool)
+}
+
+// Margin is kept free at the end of a lease: a request must reach the backend
+// server before the lease ends, not just leave the daemon.
+const Margin = 50 * time.Millisecond
+
+// Config is what an Owner works with.
+type Config struct {
+	View    *mtview.View
+	Lease   lease
+	Servers servers
+	Clock   clock
+	Log     *slog.Logger
+	// Quiet is called, from whichever goroutine ended the last request, when a
+	// stopped range has nothing in flight.
+	Quiet func(service mtid.Ref, low, high mtid.Point)
+}
+
+// Owner runs requests.
+type Owner struct {
+	Config
+	mu       sync.Mutex
+	gates    map[mtid.Ref]*gate
+	runs     map[*run]struct{} // requests of keyed services at the backend server
+	stopping atomic.Bool
+}
+
+// run is a request at the backend server.
+type run struct {
+	holder mtid.Holder
+	cancel context.CancelFunc
+}
+
+// New starts the duty that expires waiting requests and cancels running ones
+// whose lease was lost, and returns the Owner with its clean-up function.
+func New(config Config) (*Owner, func()) {
+	o := &Owner{Config: config, gates: make(map[mtid.Ref]*gate), runs: make(map[*run]struct{})}
+	stop := make(chan struct{})
+	var duty sync.WaitGroup
+	duty.Go(func() {
+		ticker := time.NewTicker(expireEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				o.tick(o.Clock.Now())
+			}
+		}
+	})
+	return o, func() {
+		close(stop)
+		duty.Wait()
+	}
+}
+
+// tick refuses what waited too long and cancels what runs without a lease.
+func (o *Owner) tick(now mtclock.Instant) {
+	holder, until := o.Lease.Permit()
+	o.mu.Lock()
+	gates := make([]*gate, 0, len(o.gates))
+	for _, g := range o.gates {
+		gates = append(gates, g)
+	}
+	for r := range o.runs {
+		// A request may outlast one lease, never its holder's ownership: with
+		// the lease gone another daemon may own the key, so the backend server
+		// is told to stop by closing the connection.
+		if r.holder != holder || !now.Before(until) {
+			r.cancel()
+		}
+	}
+	o.mu.Unlock()
+	for _, g := range gates {
+		g.expire(now)
+	}
+}
+
+// declared returns what the bundle in force says of a request.
+func (o *Owner) declared(r *mtrequest.Request) (*mtbundle.Service, *mtbundle.Class, error) {
+	return Declared(o.View.Now(), r)
+}
+
+// Declared returns what the bundle in force says of a request's service and
+// class. It fails with a *mtreply.RefusedError.
+func Declared(s *mtview.Snapshot, r *mtrequest.Request) (*mtbundle.Service, *mtbundle.Class, error) {
+	bundle, ok := s.Bundle(r.Service.Business)
+	if !ok {
+		return nil, nil, noService("no bundle of this business is in force")
+	}
+	service, ok := bundle.Service(r.Service.Service)
+	if !ok {
+		return nil, nil, noService("the business has no such service")
+	}
+	class, ok := service.Class(r.Class)
+	if !ok {
+		return nil, nil, noService("the service has no such class")
+	}
+	return service, class, nil
+}
+
+func noService(detail string) error {
+	return &mtreply.RefusedError{Cause: mtreply.CauseNoService, RetryAfter: -1, Detail: detail}
+}
+
+// Serve runs a request, whoever relayed it, and returns what came of it.
+func (o *Owner) Serve(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply {
+	reply, err := o.serve(ctx, r)
+	if err != nil {
+		reply = mtrequest.FromError(err)
+		reply.Owner = o.ownerOf(r)
+	}
+	reply.Frontier = o.View.Now().Frontier()
+	return reply
+}
+
+// ownerOf returns who owns a request's key as far as this daemon knows.
+func (o *Owner) ownerOf(r *mtrequest.Request) mtid.Holder {
+	shard, ok := o.View.Now().Lookup(r.Service, r.Point())
+	if !ok {
+		return mtid.Holder{}
+	}
+	return shard.Owner
+}
+
+func (o *Owner) serve(ctx context.Context, r *mtrequest.Request) (*mtrequest.Reply, error) {
+	if o.stopping.Load() {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseStopping}
+	}
+	service, class, err := o.declared(r)
+	if err != nil {
+		return nil, err
+	}
+	now := o.Clock.Now()
+	if _, err := o.fence(now, r, service); err != nil {
+		return nil, err
+	}
+	server, ok := o.Servers.Server(r.Service, now)
+	if !ok {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: time.Second}
+	}
+	if server.Announced().State == mtannounce.Draining {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseDraining}
+	}
+	g := o.gate(r.Service)
+	g.fit(now, server.Announced(), r.Service.Business, service)
+	end, err := g.admit(ctx, o.Clock, mtgate.Ticket{
+		Business: r.Service.Business, Class: class.Name, Point: r.Point(), Deadline: r.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	reply, err := o.run(ctx, r, service, server)
+	if err != nil {
+		return nil, err
+	}
+	reply.Queued = o.Clock.Now().Sub(now) - reply.Served
+	return reply, nil
+}
+
+// fence is under which epoch and until when a request may be begun.
+type fence struct {
+	holder mtid.Holder
+	epoch  mtid.Epoch
+	until  mtclock.Instant
+}
+
+// fence fails unless this daemon owns the request's key under a valid lease.
+func (o *Owner) fence(now mtclock.Instant, r *mtrequest.Request, service *mtbundle.Service) (fence, error) {
+	holder, until := o.Lease.Permit()
+	if service.Kind != mtbundle.Keyed {
+		return fence{holder: holder, until: r.Deadline}, nil
+	}
+	shard, ok := o.View.Now().Lookup(r.Service, r.Point())
+	if !ok {
+		return fence{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: time.Second}
+	}
+	if shard.Owner != holder {
+		return fence{}, &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute}
+	}
+	until = until.Add(-Margin)
+	if !now.Before(until) {
+		return fence{}, &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: time.Second}
+	}
+	return fence{holder: holder, epoch: shard.Epoch, until: until}, nil
+}
+
+// run sends an admitted request to the backend server.
+func (o *Owner) run(ctx context.Context, r *mtrequest.Request, service *mtbundle.Service, server *mtserver.Server) (*mtrequest.Reply, error) {
+	now := o.Clock.Now()
+	f, err := o.fence(now, r, service)
+	if err != nil {
+		return nil, err
+	}
+	if !now.Before(r.Deadline) {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1}
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(now))
+	defer cancel()
+	if service.Kind == mtbundle.Keyed {
+		defer o.track(&run{holder: f.holder, cancel: cancel})()
+	}
+	boot := o.Clock.Boot()
+	reply, err := server.Do(ctx, mtserver.Call{
+		Request:  r,
+		Epoch:    f.epoch,
+		StartBy:  boot + int64(f.until.Sub(now)),
+		Deadline: boot + int64(r.Deadline.Sub(now)),
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply.Owner = f.holder
+	reply.Served = o.Clock.Now().Sub(now)
+	return reply, nil
+}
+
+// track lists a run until the returned function is called.
+func (o *Owner) track(r *run) func() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.runs[r] = struct{}{}
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.runs, r)
+	}
+}
+
+func (o *Owner) gate(ref mtid.Ref) *gate {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g := o.gates[ref]
+	if g == nil {
+		g = newGate(func(low, high mtid.Point) { o.Quiet(ref, low, high) })
+		o.gates[ref] = g
+	}
+	return g
+}
+
+// Stop holds new work for a range of a service; Config.Quiet is called once
+// none is in flight.
+func (o *Owner) Stop(ref mtid.Ref, low, high mtid.Point) {
+	o.gate(ref).stop(o.Clock.Now(), low, high)
+}
+
+// Resume admits the held work of a stopped range here.
+func (o *Owner) Resume(ref mtid.Ref, low, high mtid.Point) {
+	o.gate(ref).resume(o.Clock.Now(), low, high)
+}
+
+// Release sends the held work of a stopped range to its new owner.
+func (o *Owner) Release(ref mtid.Ref, low, high mtid.Point) {
+	o.gate(ref).release(o.Clock.Now(), low, high)
+}
+
+// Drain refuses new work of every service and waits until none is in flight or
+// ctx is done. It is called at the end of a graceful shutdown.
+func (o *Owner) Drain(ctx context.Context) {
+	o.stopping.Store(true)
+	o.mu.Lock()
+	gates := make([]*gate, 0, len(o.gates))
+	for _, g := range o.gates {
+		gates = append(gates, g)
+	}
+	o.mu.Unlock()
+	for _, g := range gates {
+		g.drain(o.Clock.Now())
+	}
+	for _, g := range gates {
+		select {
+		case <-g.idle:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Counts returns the counters of a service's gate.
+func (o *Owner) Counts(ref mtid.Ref) mtgate.Counts { return o.gate(ref).counts() }
--- /dev/null
+++ b/io/mtrelay/server.go
@@ -0,0 +1,163 @@
+package mtrelay
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
+	"magnoliaturn/core/mtview"
+	"magnoliaturn/core/mtwire"
+)
+
+// owner runs requests whose key this daemon owns.
+type owner interface {
+	Serve(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply
+}
+
+type clock interface{ Now() mtclock.Instant }
+
+// Server answers other daemons.
+type Server struct {
+	mtwire.UnimplementedPeerServer
+	owner owner
+	view  *mtview.View
+	clock clock
+	hint  func(frontier mtid.Revision, from mtid.Holder)
+}
+
+// NewServer returns the server of a daemon. hint is called with the frontier
+// of each ingress, so that a daemon that is behind learns of it.
+func NewServer(o owner, view *mtview.View, c clock, hint func(mtid.Revision, mtid.Holder)) *Server {
+	return &Server{owner: o, view: view, clock: c, hint: hint}
+}
+
+// Register adds the server to a gRPC server.
+func (s *Server) Register(r grpc.ServiceRegistrar) { mtwire.RegisterPeerServer(r, s) }
+
+// Relay implements mtwire.PeerServer.
+func (s *Server) Relay(ctx context.Context, w *mtwire.RelayRequest) (*mtwire.RelayReply, error) {
+	id, err := mtrequest.ReadID(w.GetId())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil, status.Error(codes.InvalidArgument, "a deadline is required")
+	}
+	r := readRequest(id, w)
+	r.Deadline = s.clock.Now().Add(time.Until(deadline))
+	s.hint(mtid.Revision(w.GetFrontier()), r.Ingress)
+	reply := s.owner.Serve(ctx, r)
+	return wireReply(id, reply, s.view.Now().Frontier()), nil
+}
+
+// Pull implements mtwire.PeerServer.
+func (s *Server) Pull(_ context.Context, w *mtwire.PullRequest) (*mtwire.PullReply, error) {
+	return wireDelta(s.view.Delta(mtid.Revision(w.GetAfter()), DeltaLimit)), nil
+}
+
+func wireRequest(r *mtrequest.Request, frontier mtid.Revision) *mtwire.RelayRequest {
+	return &mtwire.RelayRequest{
+		Id:          r.ID[:],
+		Minted:      r.Minted,
+		Business:    string(r.Service.Business),
+		Service:     string(r.Service.Service),
+		Key:         string(r.Key),
+		Class:       string(r.Class),
+		Method:      r.Method,
+		Path:        r.Path,
+		Query:       r.Query,
+		ContentType: r.ContentType,
+		Body:        r.Body,
+		Frontier:    uint64(frontier),
+		Ingress:     mtroster.WireHolder(r.Ingress),
+	}
+}
+
+func readRequest(id mtrequest.ID, w *mtwire.RelayRequest) *mtrequest.Request {
+	return &mtrequest.Request{
+		ID:          id,
+		Minted:      w.GetMinted(),
+		Service:     mtid.Ref{Business: mtid.Business(w.GetBusiness()), Service: mtid.Service(w.GetService())},
+		Key:         mtid.Key(w.GetKey()),
+		Class:       mtid.Class(w.GetClass()),
+		Method:      w.GetMethod(),
+		Path:        w.GetPath(),
+		Query:       w.GetQuery(),
+		ContentType: w.GetContentType(),
+		Body:        w.GetBody(),
+		Ingress:     mtroster.ReadHolder(w.GetIngress()),
+	}
+}
+
+func wireReply(id mtrequest.ID, r *mtrequest.Reply, frontier mtid.Revision) *mtwire.RelayReply {
+	return &mtwire.RelayReply{
+		Id:           id[:],
+		Outcome:      string(r.Outcome),
+		Cause:        string(r.Cause),
+		Detail:       r.Detail,
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+		Owner:        mtroster.WireHolder(r.Owner),
+		Epoch:        uint64(r.Epoch),
+		Status:       uint32(r.Status),
+		ContentType:  r.ContentType,
+		Body:         r.Body,
+		Frontier:     uint64(frontier),
+		QueueNs:      int64(r.Queued),
+		ServerNs:     int64(r.Served),
+	}
+}
+
+func readReply(w *mtwire.RelayReply) *mtrequest.Reply {
+	return &mtrequest.Reply{
+		Outcome:     mtreply.Outcome(w.GetOutcome()),
+		Cause:       mtreply.Cause(w.GetCause()),
+		Detail:      w.GetDetail(),
+		RetryAfter:  time.Duration(w.GetRetryAfterMs()) * time.Millisecond,
+		Owner:       mtroster.ReadHolder(w.GetOwner()),
+		Epoch:       mtid.Epoch(w.GetEpoch()),
+		Status:      int(w.GetStatus()),
+		ContentType: w.GetContentType(),
+		Body:        w.GetBody(),
+		Frontier:    mtid.Revision(w.GetFrontier()),
+		Queued:      time.Duration(w.GetQueueNs()),
+		Served:      time.Duration(w.GetServerNs()),
+	}
+}
+
+func wireDelta(d mtview.Delta) *mtwire.PullReply {
+	w := &mtwire.PullReply{Revision: uint64(d.Revision), More: d.More}
+	for _, item := range d.Items {
+		w.Items = append(w.Items, &mtwire.Item{
+			Name:     item.Name,
+			Version:  uint64(item.Version),
+			Revision: uint64(item.Revision),
+			Value:    item.Value,
+			Steps:    mtshard.WireSteps(item.Steps),
+		})
+	}
+	return w
+}
+
+func readDelta(after mtid.Revision, w *mtwire.PullReply) mtview.Delta {
+	d := mtview.Delta{After: after, Revision: mtid.Revision(w.GetRevision()), More: w.GetMore()}
+	for _, item := range w.GetItems() {
+		d.Items = append(d.Items, mtview.Item{
+			Name:     item.GetName(),
+			Version:  mtid.Version(item.GetVersion()),
+			Revision: mtid.Revision(item.GetRevision()),
+			Value:    item.GetValue(),
+			Steps:    mtshard.ReadSteps(item.GetSteps()),
+		})
+	}
+	return d
+}
