Ask for whole tables where steps don't fit

Cause: a property test (random pulls in pieces between three copies) found a follower that had passed a table's first version without holding it; the steps that its peer sent failed with a gap, and with the store down it would have stayed without a table for good. Ruled out: a wrong mark at the sender; the marks were right, the claim that a frontier implies held versions was wrong. Change: a pull that fails with a gap is repeated for whole tables. Conclusion: steps are an optimisation, never the only way.

--- a/core/mtview/mtview.go
+++ b/core/mtview/mtview.go
@@ -11,7 +11,7 @@
 //	view := mtview.New()
 //	changed, err := view.Merge(delta)
 //	shard, ok := view.Now().Lookup(ref, ref.Point(key))
-//	delta := view.Delta(after, 64<<10)
+//	delta := view.Delta(after, 64<<10, false)
 //
 // A View is safe for concurrent use. A Snapshot is immutable. Nothing in a view
 // ever goes back: a value is replaced only by one of a higher revision.
@@ -147,8 +147,13 @@
 }
 
 // Delta returns what changed after a revision, cut near limit bytes at a
-// revision's border.
-func (v *View) Delta(after mtid.Revision, limit int) Delta {
+// revision's border. With whole, assignments are never sent as steps.
+//
+// An asker that took in a cut delta has passed revisions whose values were
+// replaced since, without ever holding those values. The steps that it seems to
+// lack then don't fit, its Merge fails with a *mtshard.GapError inside an
+// *ItemError, and it asks for the whole.
+func (v *View) Delta(after mtid.Revision, limit int, whole bool) Delta {
 	s := v.Now()
 	d := Delta{After: after, Revision: s.frontier}
 	for _, name := range s.changedAfter(after) {
@@ -156,7 +161,7 @@
 			d.More = true
 			break
 		}
-		item := s.item(name, after)
+		item := s.item(name, after, whole)
 		limit -= len(item.Value) + len(item.Name) + 64*len(item.Steps)
 		d.Items = append(d.Items, item)
 	}
@@ -417,13 +422,13 @@
 }
 
 // item returns the value of name for an asker that is complete up to after.
-func (s *Snapshot) item(name string, after mtid.Revision) Item {
+func (s *Snapshot) item(name string, after mtid.Revision, whole bool) Item {
 	v := s.values[name]
 	item := Item{Name: name, Version: v.version, Revision: v.revision, Value: v.bytes}
 	if v.table == nil {
 		return item
 	}
-	if steps, ok := v.stepsAfter(after); ok {
+	if steps, ok := v.stepsAfter(after); ok && !whole {
 		item.Steps = steps
 		return item
 	}
@@ -433,8 +438,8 @@
 	return item
 }
 
-// stepsAfter returns the steps that an asker complete up to after lacks. The
-// asker holds at least the version of the newest mark that is not after it.
+// stepsAfter returns the steps that an asker complete up to after most likely
+// lacks: it should hold the version of the newest mark that is not after it.
 func (v *value) stepsAfter(after mtid.Revision) ([]mtshard.Step, bool) {
 	for i := len(v.marks) - 1; i >= 0; i-- {
 		if v.marks[i].revision <= after {
--- a/io/mtmover/mtmover.go
+++ b/io/mtmover/mtmover.go
@@ -55,8 +55,8 @@
 type recents interface {
 	// Export returns the identifiers of a range in their wire form.
 	Export(ref mtid.Ref, low, high mtid.Point) ([]byte, error)
-	// Import takes identifiers in.
-	Import(ref mtid.Ref, low, high mtid.Point, value []byte) error
+	// Import takes identifiers in that from owned until now.
+	Import(ref mtid.Ref, low, high mtid.Point, from mtid.Holder, value []byte) error
 }
 
 // conns are the pooled connections to other daemons.
--- a/io/mtmover/peer.go
+++ b/io/mtmover/peer.go
@@ -161,7 +161,7 @@
 		return &mtwire.HandoverReply{Reason: "sent to " + to.String()}, nil
 	}
 	ref := mtid.Ref{Business: mtid.Business(w.GetBusiness()), Service: mtid.Service(w.GetService())}
-	if err := s.m.Recents.Import(ref, mtid.Point(w.GetLow()), mtid.Point(w.GetHigh()), w.GetRecent()); err != nil {
+	if err := s.m.Recents.Import(ref, mtid.Point(w.GetLow()), mtid.Point(w.GetHigh()), mtroster.ReadHolder(w.GetFrom()), w.GetRecent()); err != nil {
 		return &mtwire.HandoverReply{Reason: err.Error()}, nil
 	}
 	return &mtwire.HandoverReply{Taken: true}, nil
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -29,6 +29,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtserver"
 )
@@ -71,6 +72,7 @@
 	Config
 	mu       sync.Mutex
 	gates    map[mtid.Ref]*gate
+	recents  map[mtid.Ref]*recent
 	runs     map[*run]struct{} // requests of keyed services at the backend server
 	stopping atomic.Bool
 }
@@ -84,7 +86,7 @@
 // New starts the duty that expires waiting requests and cancels running ones
 // whose lease was lost, and returns the Owner with its clean-up function.
 func New(config Config) (*Owner, func()) {
-	o := &Owner{Config: config, gates: make(map[mtid.Ref]*gate), runs: make(map[*run]struct{})}
+	o := &Owner{Config: config, gates: make(map[mtid.Ref]*gate), recents: make(map[mtid.Ref]*recent), runs: make(map[*run]struct{})}
 	stop := make(chan struct{})
 	var duty sync.WaitGroup
 	duty.Go(func() {
@@ -201,15 +203,63 @@
 	if err != nil {
 		return nil, err
 	}
+	reply, err := o.admitted(ctx, r, service, class, server, end)
+	if err != nil {
+		return nil, err
+	}
+	reply.Queued = o.Clock.Now().Sub(now) - reply.Served
+	return reply, nil
+}
+
+// admitted runs a request that has its place at the backend server. end gives
+// the place back.
+func (o *Owner) admitted(ctx context.Context, r *mtrequest.Request, service *mtbundle.Service, class *mtbundle.Class, server *mtserver.Server, end func()) (*mtrequest.Reply, error) {
+	if class.Idempotent || service.Kind != mtbundle.Keyed {
+		defer end()
+		return o.run(ctx, r, service, server)
+	}
+	return o.once(ctx, r, service, server, end)
+}
+
+// once runs a non-idempotent request unless its identifier was seen before.
+//
+// The memory is asked after the gate, not before: a request that is held there
+// while its shard moves would be handed over as one that may have run, and its
+// caller would be told so.
+func (o *Owner) once(ctx context.Context, r *mtrequest.Request, service *mtbundle.Service, server *mtserver.Server, end func()) (*mtrequest.Reply, error) {
+	memory := o.recent(r.Service)
+	v, err := o.begin(memory, r, service)
+	if err != nil || v.reply != nil {
+		end()
+		return v.reply, err
+	}
+	if !v.run {
+		// The first try has a place of its own: this one must not keep another.
+		end()
+		return memory.wait(ctx, r, v)
+	}
+	// The place is given back last: a shard counts as quiet when nothing is in
+	// flight, and its memory must be whole by then.
 	defer end()
 	reply, err := o.run(ctx, r, service, server)
 	if err != nil {
+		memory.end(o.Clock, r, mtrequest.FromError(err))
 		return nil, err
 	}
-	reply.Queued = o.Clock.Now().Sub(now) - reply.Served
+	memory.end(o.Clock, r, reply)
 	return reply, nil
 }
 
+func (o *Owner) begin(memory *recent, r *mtrequest.Request, service *mtbundle.Service) (verdict, error) {
+	f, err := o.fence(o.Clock.Now(), r, service)
+	if err != nil {
+		return verdict{}, err
+	}
+	tables := o.View.Now().Tables(r.Service)
+	memory.adopt(o.Clock, f.holder, tables[mtshard.ChunkOf(r.Point(), len(tables))])
+	return memory.begin(o.Clock, r)
+}
+
 // fence is under which epoch and until when a request may be begun.
 type fence struct {
 	holder mtid.Holder
@@ -290,6 +340,17 @@
 	return g
 }
 
+func (o *Owner) recent(ref mtid.Ref) *recent {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.recents[ref]
+	if r == nil {
+		r = newRecent()
+		o.recents[ref] = r
+	}
+	return r
+}
+
 // Stop holds new work for a range of a service; Config.Quiet is called once
 // none is in flight.
 func (o *Owner) Stop(ref mtid.Ref, low, high mtid.Point) {
@@ -303,6 +364,7 @@
 
 // Release sends the held work of a stopped range to its new owner.
 func (o *Owner) Release(ref mtid.Ref, low, high mtid.Point) {
+	o.recent(ref).forget(low, high)
 	o.gate(ref).release(o.Clock.Now(), low, high)
 }
 
--- /dev/null
+++ b/io/mtowner/recent.go
@@ -0,0 +1,242 @@
+package mtowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrecent"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/core/mtshard"
+)
+
+// recent drives the memory of recent identifiers of one service.
+type recent struct {
+	mu      sync.Mutex
+	table   *mtrecent.Table
+	next    mtrecent.Waiter
+	waiters map[mtrecent.Waiter]chan *mtrequest.Reply
+	// adopted is the assignment that the memory answers for, by chunk; the
+	// epochs are those of the shards that were granted or imported.
+	adopted map[int]*mtshard.Table
+	epochs  map[mtid.Point]mtid.Epoch
+	// imports are the ranges that were handed over, until they are owned.
+	imports map[mtid.Point]imported
+}
+
+// imported is a range that was handed over and isn't owned yet.
+type imported struct {
+	from mtid.Holder
+	high mtid.Point
+}
+
+func newRecent() *recent {
+	return &recent{
+		table:   mtrecent.New(mtrecent.Limits{}),
+		waiters: make(map[mtrecent.Waiter]chan *mtrequest.Reply),
+		adopted: make(map[int]*mtshard.Table),
+		epochs:  make(map[mtid.Point]mtid.Epoch),
+		imports: make(map[mtid.Point]imported),
+	}
+}
+
+// adopt makes the memory answer for the shards that self owns in an assignment.
+// It is called before each request and costs a comparison of pointers when the
+// assignment is the same.
+//
+// A range that came by a planned move keeps the imported memory. Any other new
+// range is granted as of now: its former owner is lost with its memory, so what
+// was minted before may have run there.
+func (r *recent) adopt(clock clock, self mtid.Holder, table *mtshard.Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.adopted[table.Chunk] == table {
+		return
+	}
+	r.adopted[table.Chunk] = table
+	for _, shard := range table.Owned(self) {
+		if r.epochs[shard.Low] == shard.Epoch {
+			continue
+		}
+		r.take(clock, self, table, shard)
+		r.epochs[shard.Low] = shard.Epoch
+	}
+}
+
+func (r *recent) take(clock clock, self mtid.Holder, table *mtshard.Table, shard mtshard.Shard) {
+	high, _ := table.High(shard.Low)
+	if r.known(shard.Low, shard.Epoch) {
+		return // split or merged here
+	}
+	offer, ok := r.imports[shard.Low]
+	delete(r.imports, shard.Low)
+	switch {
+	case ok && movedBy(table, shard.Low, self, offer.from) && r.table.Owns(shard.Low):
+		return
+	case firstOwner(table, shard):
+		_ = r.table.Grant(shard.Low, high, time.Time{})
+	default:
+		// An import of a move that was given up must not answer for any part.
+		r.table.Revoke(shard.Low, max(high, offer.high))
+		_ = r.table.Grant(shard.Low, high, clock.Wall())
+	}
+}
+
+// known reports whether the shard's epoch was adopted before. A split or a
+// merge of shards that are owned here keeps an epoch, and the memory with it; a
+// part that is gained brings a higher one.
+func (r *recent) known(low mtid.Point, epoch mtid.Epoch) bool {
+	for _, e := range r.epochs {
+		if e == epoch && r.table.Owns(low) {
+			return true
+		}
+	}
+	return false
+}
+
+// movedBy reports whether the newest change of owner of the shard at low is a
+// planned move to self that from wrote. An owner writes such a move only right
+// after a handover, and takes nothing in between, so the imported memory is
+// whole. After a handover whose move was given up, the owner went on running
+// requests; if it is lost then, its shard comes by failover, and the imported
+// memory must not be trusted.
+func movedBy(table *mtshard.Table, low mtid.Point, self, from mtid.Holder) bool {
+	for i := len(table.Steps) - 1; i >= 0; i-- {
+		step := table.Steps[i]
+		for _, op := range step.Ops {
+			switch o := op.(type) {
+			case mtshard.Move:
+				if o.Low == low {
+					return o.To == self && step.Stamp.Writer == from
+				}
+			case mtshard.Failover, mtshard.Create:
+				return false
+			}
+		}
+	}
+	return false
+}
+
+// firstOwner reports whether a shard has had no other owner: the first epochs
+// of a chunk are those of its creation.
+func firstOwner(table *mtshard.Table, shard mtshard.Shard) bool {
+	if len(table.Steps) == 0 || len(table.Steps[0].Ops) == 0 {
+		return false
+	}
+	create, ok := table.Steps[0].Ops[0].(mtshard.Create)
+	return ok && shard.Epoch <= mtid.Epoch(create.Shards)
+}
+
+// begin asks whether an admitted request may run. With a nil error exactly one
+// of the results is set: run, a reply to send, or a channel to wait on.
+func (r *recent) begin(clock clock, q *mtrequest.Request) (verdict, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	v := r.table.Begin(clock.Now(), clock.Wall(), mtrecent.Request{
+		Name:        nameOf(q),
+		Fingerprint: mtrecent.Fingerprint(q.Fingerprint()),
+		Minted:      q.Minted,
+	}, r.next)
+	switch v.Kind {
+	case mtrecent.Run:
+		return verdict{run: true}, nil
+	case mtrecent.Replay:
+		return verdict{reply: &mtrequest.Reply{
+			Outcome: mtreply.Answered, Status: v.Answer.Status, ContentType: v.Answer.ContentType, Body: v.Answer.Body,
+		}}, nil
+	case mtrecent.Wait:
+		answer := make(chan *mtrequest.Reply, 1)
+		r.waiters[r.next] = answer
+		return verdict{answer: answer, waiter: r.next}, nil
+	}
+	return verdict{}, v.Err
+}
+
+// verdict is what to do with an admitted request.
+type verdict struct {
+	run    bool
+	reply  *mtrequest.Reply
+	answer chan *mtrequest.Reply
+	waiter mtrecent.Waiter
+}
+
+// end notes what came of a request that begin let run, and tells the resends
+// that wait for it.
+func (r *recent) end(clock clock, q *mtrequest.Request, reply *mtrequest.Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	outcome := mtrecent.Outcome{What: reply.Outcome}
+	if reply.Outcome == mtreply.Answered {
+		outcome.Answer = &mtrecent.Answer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
+	}
+	for _, waiter := range r.table.End(clock.Now(), nameOf(q), outcome) {
+		r.waiters[waiter] <- reply
+		delete(r.waiters, waiter)
+	}
+}
+
+// wait returns the answer that a resend waits for, or an unknown outcome if its
+// caller's time is up first.
+func (r *recent) wait(ctx context.Context, q *mtrequest.Request, v verdict) (*mtrequest.Reply, error) {
+	select {
+	case reply := <-v.answer:
+		same := *reply
+		return &same, nil
+	case <-ctx.Done():
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.table.Leave(nameOf(q), v.waiter)
+		delete(r.waiters, v.waiter)
+		return nil, &mtreply.UnknownError{Cause: mtreply.CauseEarlier, Err: ctx.Err()}
+	}
+}
+
+func nameOf(q *mtrequest.Request) mtrecent.Name {
+	return mtrecent.Name{Point: q.Point(), ID: uuid.UUID(q.ID)}
+}
+
+// Export returns the recent identifiers of a range for its new owner. It is
+// called when nothing of the range is in flight.
+func (o *Owner) Export(ref mtid.Ref, low, high mtid.Point) ([]byte, error) {
+	r := o.recent(ref)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return mtrecent.Encode(r.table.Export(o.Clock.Now(), low, high))
+}
+
+// Import takes the recent identifiers of a range in, which from owned until
+// now. They count once the assignment shows the move.
+func (o *Owner) Import(ref mtid.Ref, low, high mtid.Point, from mtid.Holder, value []byte) error {
+	handover, err := mtrecent.Decode(value)
+	if err != nil {
+		return err
+	}
+	if handover.Low != low || handover.High != high {
+		return &mtrecent.RangeError{Low: handover.Low, High: handover.High}
+	}
+	r := o.recent(ref)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.table.Import(o.Clock.Now(), handover); err != nil {
+		return err
+	}
+	r.imports[low] = imported{from: from, high: high}
+	return nil
+}
+
+// forget drops the memory of a range that has a new owner.
+func (r *recent) forget(low, high mtid.Point) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Revoke(low, high)
+	for at := range r.epochs {
+		if low <= at && at <= high {
+			delete(r.epochs, at)
+		}
+	}
+}
--- a/io/mtrelay/mtrelay.go
+++ b/io/mtrelay/mtrelay.go
@@ -143,13 +143,13 @@
 }
 
 // Pull returns what changed in a peer's copy of the live state after a
-// revision.
-func (c *Client) Pull(ctx context.Context, address string, after mtid.Revision) (mtview.Delta, error) {
+// revision, with no assignment as steps if whole is set.
+func (c *Client) Pull(ctx context.Context, address string, after mtid.Revision, whole bool) (mtview.Delta, error) {
 	conn, err := c.Conn(address)
 	if err != nil {
 		return mtview.Delta{}, err
 	}
-	w, err := mtwire.NewPeerClient(conn).Pull(ctx, &mtwire.PullRequest{After: uint64(after)})
+	w, err := mtwire.NewPeerClient(conn).Pull(ctx, &mtwire.PullRequest{After: uint64(after), Whole: whole})
 	if err != nil {
 		return mtview.Delta{}, &PullError{Address: address, Err: err}
 	}
--- a/io/mtrelay/server.go
+++ b/io/mtrelay/server.go
@@ -62,7 +62,7 @@
 
 // Pull implements mtwire.PeerServer.
 func (s *Server) Pull(_ context.Context, w *mtwire.PullRequest) (*mtwire.PullReply, error) {
-	return wireDelta(s.view.Delta(mtid.Revision(w.GetAfter()), DeltaLimit)), nil
+	return wireDelta(s.view.Delta(mtid.Revision(w.GetAfter()), DeltaLimit, w.GetWhole())), nil
 }
 
 func wireRequest(r *mtrequest.Request, frontier mtid.Revision) *mtwire.RelayRequest {
--- a/io/mtsync/mtsync.go
+++ b/io/mtsync/mtsync.go
@@ -28,6 +28,7 @@
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtring"
+	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
 )
@@ -48,7 +49,7 @@
 
 // puller is the part of the relay's client that pulls deltas.
 type puller interface {
-	Pull(ctx context.Context, address string, after mtid.Revision) (mtview.Delta, error)
+	Pull(ctx context.Context, address string, after mtid.Revision, whole bool) (mtview.Delta, error)
 }
 
 // Config is what a Sync works with.
@@ -155,32 +156,38 @@
 
 // pull brings the copy up to a peer's frontier and reports whether it could.
 func (s *Sync) pull(ctx context.Context, address string) bool {
+	whole := false
 	for {
 		after := s.config.View.Now().Frontier()
-		d, err := s.pullOnce(ctx, address, after)
+		d, err := s.pullOnce(ctx, address, after, whole)
 		if err != nil {
 			counters.Add("pull_failed", 1)
 			s.config.Log.Debug("pull failed", "address", address, "error", err)
 			return false
 		}
 		counters.Add("pulled", 1)
-		if err := s.merge(d); err != nil {
+		err = s.merge(d)
+		var gap *mtshard.GapError
+		switch {
+		case errors.As(err, &gap) && !whole:
+			whole = true
+			continue
+		case err != nil:
 			s.mend(ctx, err)
 			return false
-		}
-		if !d.More || d.Revision <= after {
+		case !d.More || d.Revision <= after:
 			return true
 		}
 	}
 }
 
-func (s *Sync) pullOnce(ctx context.Context, address string, after mtid.Revision) (mtview.Delta, error) {
+func (s *Sync) pullOnce(ctx context.Context, address string, after mtid.Revision, whole bool) (mtview.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	return s.config.Peers.Pull(ctx, address, after)
+	return s.config.Peers.Pull(ctx, address, after, whole)
 }
 
-// mend reads a value whole from the store after steps to it were missing. A
+// mend reads a value from the store after a peer's form of it was no use. A
 // frontier that can't pass the value would stay for good otherwise.
 func (s *Sync) mend(ctx context.Context, failed error) {
 	var item *mtview.ItemError
