Begin the assembly of a daemon

Cause: the parts are landing. Change: kernel registration, listeners, graceful shutdown. Measured: does not build yet without the member duty.

--- /dev/null
+++ b/io/mtdaemon/mtdaemon.go
@@ -0,0 +1,291 @@
+// Package mtdaemon puts a daemon together: it registers the services with the
+// micro-kernel in the order in which they need each other, and runs them.
+//
+// # Usage
+//
+//	daemon, cleanUp, err := mtdaemon.New(mtdaemon.Config{Settings: settings, Log: log})
+//	defer cleanUp()
+//	err = daemon.Run(ctx)
+//
+// When ctx ends, Run shuts down gracefully: no new work is taken, all shards
+// are handed over, what is in flight finishes, and only then the process ends.
+package mtdaemon
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtmember"
+	"magnoliaturn/io/mtmover"
+	"magnoliaturn/io/mtowner"
+	"magnoliaturn/io/mtrelay"
+	"magnoliaturn/io/mtrenew"
+	"magnoliaturn/io/mtrouter"
+	"magnoliaturn/io/mtserver"
+	"magnoliaturn/io/mtsetting"
+	"magnoliaturn/io/mtsync"
+	"magnoliaturn/io/mttime"
+)
+
+// Names under which the services of a daemon find each other.
+const (
+	NameClock   mtkernel.Name = "clock"
+	NameStore   mtkernel.Name = "store"
+	NameView    mtkernel.Name = "view"
+	NameRelay   mtkernel.Name = "relay"
+	NameSync    mtkernel.Name = "sync"
+	NameServers mtkernel.Name = "servers"
+	NameRenew   mtkernel.Name = "renew"
+	NameMember  mtkernel.Name = "member"
+	NameOwner   mtkernel.Name = "owner"
+	NameMover   mtkernel.Name = "mover"
+	NameRouter  mtkernel.Name = "router"
+	NamePlanner mtkernel.Name = "planner"
+	NameKeys    mtkernel.Name = "keys"
+)
+
+const (
+	storeTimeout = 2 * time.Second
+	// leaveTimeout bounds the handing over of shards in a shutdown, and
+	// finishTimeout what is in flight after it.
+	leaveTimeout  = 20 * time.Second
+	finishTimeout = 15 * time.Second
+	expireEvery   = time.Second
+)
+
+var counters = expvar.NewMap("daemon")
+
+// Config is what a daemon is made of.
+type Config struct {
+	Settings *mtsetting.Settings
+	// Store replaces the client of Settings.Store, in examples and tests that
+	// keep everything in one process. It may be nil.
+	Store mtstore.Store
+	Log   *slog.Logger
+}
+
+// Daemon is one router process.
+type Daemon struct {
+	config    Config
+	kernel    *mtkernel.Kernel
+	sequence  atomic.Uint64
+	listeners *listeners
+}
+
+// New puts a daemon together, opens its listeners and starts its duties. The
+// clean-up function ends them; Run calls it too.
+func New(config Config) (*Daemon, func(), error) {
+	d := &Daemon{config: config, kernel: mtkernel.New()}
+	steps := []func() error{
+		d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
+		d.addRenew, d.addMember, d.addOwner, d.addMover, d.addRouter, d.addPlanner, d.listen,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			d.kernel.Close()
+			return nil, nil, err
+		}
+	}
+	return d, d.kernel.Close, nil
+}
+
+// Kernel returns the services, for the administration API and tests.
+func (d *Daemon) Kernel() *mtkernel.Kernel { return d.kernel }
+
+// Self returns the present life of this daemon; zero while not registered.
+func (d *Daemon) Self() mtid.Holder {
+	return need[*mtmember.Member](d, NameMember).Holder()
+}
+
+// Stamp returns a stamp that no other write carries.
+func (d *Daemon) Stamp() mtroster.Stamp {
+	return mtroster.Stamp{Writer: d.Self(), Sequence: d.sequence.Add(1)}
+}
+
+// need returns a service that an earlier step registered. A missing one is a
+// mistake in the order of the steps, which the first start of the program
+// shows.
+func need[T any](d *Daemon, name mtkernel.Name) T {
+	service, err := mtkernel.Lookup[T](d.kernel, name)
+	if err != nil {
+		panic(err)
+	}
+	return service
+}
+
+func (d *Daemon) addClock() error {
+	return mtkernel.Register(d.kernel, NameClock, mttime.New(), nil)
+}
+
+func (d *Daemon) addView() error {
+	return mtkernel.Register(d.kernel, NameView, mtview.New(), nil)
+}
+
+func (d *Daemon) addRelay() error {
+	client, cleanUp := mtrelay.NewClient(need[*credentialSet](d, NameKeys).client(), d.config.Settings.Body)
+	return mtkernel.Register(d.kernel, NameRelay, client, cleanUp)
+}
+
+func (d *Daemon) addSync() error {
+	sync, cleanUp := mtsync.New(mtsync.Config{
+		Self:  d.config.Settings.Name,
+		Zone:  d.config.Settings.Zone,
+		Seeds: d.config.Settings.Seeds,
+		Store: need[mtstore.Store](d, NameStore),
+		Peers: need[*mtrelay.Client](d, NameRelay),
+		View:  need[*mtview.View](d, NameView),
+		Log:   d.config.Log,
+	})
+	return mtkernel.Register(d.kernel, NameSync, sync, cleanUp)
+}
+
+func (d *Daemon) addServers() error {
+	clock := need[*mttime.Clock](d, NameClock)
+	pool := mtserver.NewPool(clock, d.config.Settings.Body, d.config.Log, d.offersChanged)
+	ticker := time.NewTicker(expireEvery)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				pool.Expire(clock.Now())
+			}
+		}
+	}()
+	return mtkernel.Register(d.kernel, NameServers, pool, func() {
+		ticker.Stop()
+		close(stop)
+		<-done
+	})
+}
+
+// offersChanged is called when a backend server joins, leaves or changes.
+func (d *Daemon) offersChanged() {
+	member, err := mtkernel.Lookup[*mtmember.Member](d.kernel, NameMember)
+	if err != nil {
+		return // announced before the daemon is whole: the member asks by itself
+	}
+	member.Offers(need[*mtserver.Pool](d, NameServers).Offers())
+}
+
+// heard passes on what a datagram says of a peer's copy of the live state.
+func (d *Daemon) heard(peer mtid.Daemon, frontier mtid.Revision) {
+	record, _, ok := need[*mtview.View](d, NameView).Now().Record(peer)
+	if ok {
+		need[*mtsync.Sync](d, NameSync).Hint(record.Relay, frontier)
+	}
+}
+
+func (d *Daemon) addOwner() error {
+	owner, cleanUp := mtowner.New(mtowner.Config{
+		View:    need[*mtview.View](d, NameView),
+		Lease:   lease{member: need[*mtmember.Member](d, NameMember), renew: need[*mtrenew.Duty](d, NameRenew)},
+		Servers: need[*mtserver.Pool](d, NameServers),
+		Clock:   need[*mttime.Clock](d, NameClock),
+		Log:     d.config.Log,
+		Quiet:   d.quiet,
+	})
+	return mtkernel.Register(d.kernel, NameOwner, owner, cleanUp)
+}
+
+// quiet passes on that a stopped range has nothing in flight.
+func (d *Daemon) quiet(service mtid.Ref, low, high mtid.Point) {
+	need[*mtmover.Mover](d, NameMover).Quiet(service, low, high)
+}
+
+func (d *Daemon) addMover() error {
+	mover, cleanUp := mtmover.New(mtmover.Config{
+		Self:    d.Self,
+		Stamp:   d.Stamp,
+		View:    need[*mtview.View](d, NameView),
+		Store:   need[mtstore.Store](d, NameStore),
+		Gates:   need[*mtowner.Owner](d, NameOwner),
+		Recents: need[*mtowner.Owner](d, NameOwner),
+		Conns:   need[*mtrelay.Client](d, NameRelay),
+		Clock:   need[*mttime.Clock](d, NameClock),
+		Log:     d.config.Log,
+		Refresh: need[*mtsync.Sync](d, NameSync).Refresh,
+	})
+	return mtkernel.Register(d.kernel, NameMover, mover, cleanUp)
+}
+
+func (d *Daemon) addRouter() error {
+	router := mtrouter.New(mtrouter.Config{
+		Self:  d.Self,
+		View:  need[*mtview.View](d, NameView),
+		Owner: need[*mtowner.Owner](d, NameOwner),
+		Peers: need[*mtrelay.Client](d, NameRelay),
+		Clock: need[*mttime.Clock](d, NameClock),
+		Hint:  need[*mtsync.Sync](d, NameSync).Hint,
+	})
+	return mtkernel.Register(d.kernel, NameRouter, router, nil)
+}
+
+// lease joins the member's life with the duty that holds its promises.
+type lease struct {
+	member *mtmember.Member
+	renew  *mtrenew.Duty
+}
+
+// Permit returns the present life and until when it may serve.
+func (l lease) Permit() (mtid.Holder, mtclock.Instant) { return l.renew.Permit() }
+
+// Run serves until ctx ends and shuts down gracefully then. It returns early
+// with the error of a listener that failed.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.kernel.Duty(func() error {
+		select {
+		case <-ctx.Done():
+			d.shutdown()
+			return nil
+		case <-inner.Done():
+			return nil
+		}
+	}, func(error) { cancel() })
+	d.listeners.duties(d.kernel)
+	return d.kernel.Run(inner)
+}
+
+// shutdown hands everything over. Its order matters: callers are served until
+// nothing is owned here; then the listener for callers closes and their last
+// requests finish; then those that others relayed; the record goes last, since
+// peers find this daemon by it.
+func (d *Daemon) shutdown() {
+	d.config.Log.Info("leaving")
+	counters.Add("leaving", 1)
+	d.Leave(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	d.listeners.closeCallers(ctx)
+	need[*mtowner.Owner](d, NameOwner).Drain(ctx)
+	d.listeners.closePeers(ctx)
+	need[*mtmember.Member](d, NameMember).Gone(ctx)
+	d.config.Log.Info("left")
+}
+
+// Leave makes this daemon take no new shards and hands over those that it has.
+// It is called in a shutdown, and by an operator's drain, after which the
+// daemon goes on as an ingress.
+func (d *Daemon) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	need[*mtmember.Member](d, NameMember).Leave(ctx)
+	if err := need[*mtmover.Mover](d, NameMover).Leave(ctx); err != nil {
+		d.config.Log.Warn("not all shards were handed over", "error", err)
+	}
+}
