Prove what was not sent to a backend server

Cause: net/http sends a GET again on a connection that broke, and its errors don't tell an unsent request from a lost reply. Change: bodies that can't be rewound for the methods it repeats, and a count of writes per connection. Conclusion: not run is claimed only when no write was attempted.

--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -57,7 +57,8 @@
 	local   *httpListener
 	peers   net.Listener
 	grpc    *grpc.Server
-	stopped sync.Once
+	once    sync.Once
+	stop    chan struct{}
 }
 
 // httpListener is a listener with the server behind it.
@@ -79,10 +80,14 @@
 	}}, nil
 }
 
-func (l *httpListener) serve() error {
+// serve serves until stop is closed. After a graceful shutdown of this listener
+// it goes on waiting: a duty that ends would end all others with it, and cut
+// off what they have in flight.
+func (l *httpListener) serve(stop <-chan struct{}) error {
 	if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	<-stop
 	return nil
 }
 
@@ -96,7 +101,7 @@
 
 // listen opens all listeners, so that a wrong address shows at the start.
 func (d *Daemon) listen() error {
-	l := &listeners{}
+	l := &listeners{stop: make(chan struct{})}
 	s := d.config.Settings
 	var err error
 	if l.callers, err = newHTTP("callers", s.Caller, d.callers()); err != nil {
@@ -162,9 +167,18 @@
 
 // duties runs the listeners under the kernel.
 func (l *listeners) duties(k *mtkernel.Kernel) {
-	k.Duty(l.callersUntilStop, func(error) { l.close() })
-	k.Duty(l.localUntilStop, func(error) { l.close() })
-	k.Duty(func() error { return l.grpc.Serve(l.peers) }, func(error) { l.close() })
+	interrupt := func(error) { l.close() }
+	k.Duty(func() error { return l.callers.serve(l.stop) }, interrupt)
+	k.Duty(func() error { return l.local.serve(l.stop) }, interrupt)
+	k.Duty(l.servePeers, interrupt)
+}
+
+func (l *listeners) servePeers() error {
+	if err := l.grpc.Serve(l.peers); err != nil {
+		return err
+	}
+	<-l.stop
+	return nil
 }
 
 func (l *listeners) closeCallers(ctx context.Context) { _ = l.callers.server.Shutdown(ctx) }
@@ -184,7 +198,8 @@
 }
 
 func (l *listeners) close() {
-	l.stopped.Do(func() {
+	l.once.Do(func() {
+		close(l.stop)
 		_ = l.callers.server.Close()
 		_ = l.local.server.Close()
 		l.grpc.Stop()
--- a/io/mtowner/gate.go
+++ b/io/mtowner/gate.go
@@ -103,7 +103,7 @@
 func (g *gate) stop(now mtclock.Instant, low, high mtid.Point) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.run(g.core.Stop(now, low, high, mtgate.HoldWork))
+	g.run(g.core.Stop(now, low, high, mtgate.HoldNew))
 }
 
 // resume admits the held work of a range here.
--- a/io/mtserver/mtserver.go
+++ b/io/mtserver/mtserver.go
@@ -27,7 +27,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"magnoliaturn/core/mtannounce"
@@ -61,7 +60,7 @@
 func newServer(a mtannounce.Announcement, limit int64) *Server {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialCounted(dialer),
 		MaxConnsPerHost:     a.Connections,
 		MaxIdleConnsPerHost: a.Connections,
 		IdleConnTimeout:     idleTimeout,
@@ -80,19 +79,14 @@
 // Do sends one request, once. It fails with a *mtreply.RefusedError if the
 // request was not run, else with a *mtreply.UnknownError.
 func (s *Server) Do(ctx context.Context, call Call) (*mtrequest.Reply, error) {
-	var written atomic.Bool
-	trace := &httptrace.ClientTrace{
-		// WroteHeaders comes after the first bytes may have left, but GotConn
-		// comes before any: without it, nothing was sent.
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
-	}
-	request, err := s.request(httptrace.WithClientTrace(ctx, trace), call)
+	used := &usage{}
+	request, err := s.request(httptrace.WithClientTrace(ctx, used.trace()), call)
 	if err != nil {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseMalformed, Detail: err.Error()}
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
-		return nil, callError(ctx, err, written.Load())
+		return nil, callError(ctx, err, used.written())
 	}
 	defer func() { _ = response.Body.Close() }()
 	return s.read(ctx, call, response)
@@ -106,6 +100,25 @@
 // Close implements io.Closer.
 func (once) Close() error { return nil }
 
+// body returns the body to send. Only the methods that the transport takes for
+// idempotent need the wrapper where there is nothing to send; with the others it
+// would make the transport send an empty chunked body.
+func body(r *mtrequest.Request) io.ReadCloser {
+	if len(r.Body) > 0 || repeatable(r.Method) {
+		return once{bytes.NewReader(r.Body)}
+	}
+	return http.NoBody
+}
+
+// repeatable reports whether net/http would send a request again by itself.
+func repeatable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 func (s *Server) request(ctx context.Context, call Call) (*http.Request, error) {
 	r := call.Request
 	target := url.URL{
@@ -119,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Body = once{bytes.NewReader(r.Body)}
+	request.Body = body(r)
 	request.ContentLength = int64(len(r.Body))
 	h := request.Header
 	h.Set(mtheader.ID, r.ID.String())
--- /dev/null
+++ b/io/mtserver/mtserver_test.go
@@ -0,0 +1,221 @@
+package mtserver_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtannounce"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtheader"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/io/mtserver"
+)
+
+const limit = 1 << 10
+
+var ref = mtid.Ref{Business: "ratins", Service: "dispatch"}
+
+type still struct{}
+
+func (still) Now() mtclock.Instant { return 0 }
+
+func announcement(address string) mtannounce.Announcement {
+	return mtannounce.Announcement{
+		Business: ref.Business, Service: ref.Service, Address: address, Slots: 2, Connections: 2, State: mtannounce.Ready,
+	}
+}
+
+func target(t *testing.T, address string) *mtserver.Server {
+	t.Helper()
+	pool := mtserver.NewPool(still{}, limit, slog.New(slog.DiscardHandler), func() {})
+	pool.Put(announcement(address))
+	server, ok := pool.Server(ref, 0)
+	assert.Assert(t, ok)
+	return server
+}
+
+func call(method string, body string) mtserver.Call {
+	return mtserver.Call{Epoch: 7, StartBy: 8, Deadline: 9, Request: &mtrequest.Request{
+		ID: mtrequest.Mint(time.UnixMilli(1), [10]byte{1}), Service: ref, Key: "hotel/7", Path: "/robots",
+		Query: "a=b", Class: "send", Method: method, Body: []byte(body),
+	}}
+}
+
+func echoID(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(mtheader.ID, r.Header.Get(mtheader.ID))
+		h(w, r)
+	}
+}
+
+func TestReplies(t *testing.T) {
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    mtreply.Outcome
+		cause   mtreply.Cause
+	}{
+		{"whole", echoID(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }), mtreply.Answered, ""},
+		{"an error of its own", echoID(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }), mtreply.Answered, ""},
+		{"for another request", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(mtheader.ID, "x") }, mtreply.Unknown, mtreply.CauseTruncated},
+		{"cut off", echoID(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+		}), mtreply.Unknown, mtreply.CauseTruncated},
+		{"too large", echoID(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, limit+1))
+		}), mtreply.Unknown, mtreply.CauseTooLarge},
+		{"refused", echoID(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(mtheader.Outcome, string(mtreply.NotRun))
+			w.WriteHeader(503)
+		}), mtreply.NotRun, mtreply.CauseRefused},
+		{"fenced", echoID(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(mtheader.Outcome, string(mtreply.NotRun))
+			w.Header().Set(mtheader.Cause, string(mtreply.CauseFenced))
+			w.WriteHeader(412)
+		}), mtreply.NotRun, mtreply.CauseFenced},
+		{"connection lost", echoID(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), mtreply.Unknown, mtreply.CauseLost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			backend := httptest.NewServer(tt.handler)
+			defer backend.Close()
+			reply, err := target(t, backend.Listener.Addr().String()).Do(context.Background(), call("POST", "x"))
+			if err != nil {
+				reply = mtrequest.FromError(err)
+			}
+			assert.Equal(t, reply.Outcome, tt.want)
+			assert.Equal(t, reply.Cause, tt.cause)
+		})
+	}
+}
+
+func TestRequestCarriesKeyAndFences(t *testing.T) {
+	var got *http.Request
+	backend := httptest.NewServer(echoID(func(_ http.ResponseWriter, r *http.Request) { got = r }))
+	defer backend.Close()
+	_, err := target(t, backend.Listener.Addr().String()).Do(context.Background(), call("POST", "x"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.URL.EscapedPath(), "/hotel%2F7/robots")
+	assert.Equal(t, got.URL.RawQuery, "a=b")
+	assert.Equal(t, got.Header.Get(mtheader.Epoch), "7")
+	assert.Equal(t, got.Header.Get(mtheader.StartBy), "8")
+	assert.Equal(t, got.Header.Get(mtheader.Deadline), "9")
+}
+
+// Nothing listens where the backend server said. The caller is told that its
+// payment was not run, since no byte of it left.
+func TestUnreachableIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err = target(t, address).Do(context.Background(), call("POST", "x"))
+	var refused *mtreply.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "got %v, want a RefusedError", err)
+	assert.Equal(t, refused.Cause, mtreply.CauseUnreachable)
+}
+
+// A send order arrives as a GET. The server answers one request, and closes the
+// kept connection after it has read the second without answering. The standard
+// transport would send a GET again on a fresh connection, and the order would
+// run twice.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			var seen atomic.Int32
+			address := closing(t, &seen)
+			server := target(t, address)
+			_, err := server.Do(context.Background(), call(method, ""))
+			assert.NilError(t, err)
+			_, err = server.Do(context.Background(), call(method, ""))
+			var unknown *mtreply.UnknownError
+			assert.Assert(t, errors.As(err, &unknown), "got %v, want an UnknownError", err)
+			assert.Equal(t, seen.Load(), int32(2))
+		})
+	}
+}
+
+// closing serves one request per connection, reads one more and closes.
+func closing(t *testing.T, seen *atomic.Int32) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerOne(conn, seen)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerOne(conn net.Conn, seen *atomic.Int32) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		seen.Add(1)
+		if i == 0 {
+			id := r.Header.Get(mtheader.ID)
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + mtheader.ID + ": " + id + "\r\n\r\n"))
+		}
+	}
+}
+
+// The caller's time is up while the server still works: the request may have
+// run, and the caller must not hear that it was not.
+func TestTimeoutIsUnknown(t *testing.T) {
+	release := make(chan struct{})
+	backend := httptest.NewServer(echoID(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer backend.Close()
+	defer close(release)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := target(t, backend.Listener.Addr().String()).Do(ctx, call("POST", "x"))
+	var unknown *mtreply.UnknownError
+	assert.Assert(t, errors.As(err, &unknown), "got %v, want an UnknownError", err)
+	assert.Equal(t, unknown.Cause, mtreply.CauseTimeout)
+}
+
+func TestSilentServerExpires(t *testing.T) {
+	changes := 0
+	pool := mtserver.NewPool(still{}, limit, slog.New(slog.DiscardHandler), func() { changes++ })
+	pool.Put(announcement("127.0.0.1:1"))
+	pool.Put(announcement("127.0.0.1:1"))
+	assert.Equal(t, changes, 1)
+	late := mtclock.Instant(0).Add(mtannounce.Lifetime + 1)
+	_, ok := pool.Server(ref, late)
+	assert.Assert(t, !ok)
+	assert.Assert(t, pool.Expire(late))
+	assert.Equal(t, len(pool.Offers()), 0)
+	assert.Equal(t, changes, 2)
+}
+
+func TestAnnouncementFaults(t *testing.T) {
+	a := mtannounce.Announcement{Address: "nowhere", State: "asleep"}
+	var fields []string
+	for _, f := range a.Check() {
+		fields = append(fields, f.Field)
+	}
+	assert.Equal(t, strings.Join(fields, " "), "business service address slots connections state")
+}
