--- /dev/null
+++ b/io/mtdaemon/member.go
@@ -0,0 +1,198 @@
+package mtdaemon
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"magnoliaturn/core/mtbundle"
+	"magnoliaturn/core/mtid"
+	coremember "magnoliaturn/core/mtmember"
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtshard"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtmember"
+	"magnoliaturn/io/mtmover"
+	"magnoliaturn/io/mtplanner"
+	"magnoliaturn/io/mtrelay"
+	"magnoliaturn/io/mtrenew"
+	"magnoliaturn/io/mtserver"
+	iostore "magnoliaturn/io/mtstore"
+	"magnoliaturn/io/mtsync"
+	"magnoliaturn/io/mttime"
+	"magnoliaturn/io/mttls"
+)
+
+func (d *Daemon) addStore() error {
+	if d.config.Store != nil {
+		return mtkernel.Register(d.kernel, NameStore, d.config.Store, nil)
+	}
+	client, cleanUp, err := iostore.NewClient(d.config.Settings.Store, storeTimeout)
+	if err != nil {
+		return err
+	}
+	return mtkernel.Register[mtstore.Store](d.kernel, NameStore, client, cleanUp)
+}
+
+// credentialSet is what this daemon shows to others, or plain transport where
+// the settings name no keys.
+type credentialSet struct {
+	tls    *mttls.Credentials
+	secret []byte
+}
+
+func (c *credentialSet) client() credentials.TransportCredentials {
+	if c.tls == nil {
+		return insecure.NewCredentials()
+	}
+	return c.tls.Client()
+}
+
+func (c *credentialSet) server() credentials.TransportCredentials {
+	if c.tls == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(c.tls.Server())
+}
+
+// plainSecret authenticates datagrams of daemons without keys, which run in
+// one process or on loopback only. It keeps out mistakes, not attackers.
+var plainSecret = []byte("magnoliaturn without credentials")
+
+func (d *Daemon) addKeys() error {
+	if d.config.Settings.Keys.Certificate == "" {
+		return mtkernel.Register(d.kernel, NameKeys, &credentialSet{secret: plainSecret}, nil)
+	}
+	opened, cleanUp, err := mttls.Open(d.config.Settings.Keys, func(err error) {
+		d.config.Log.Error("credentials can't be read again", "error", err)
+	})
+	if err != nil {
+		return err
+	}
+	secret := opened.Secrets()[0]
+	return mtkernel.Register(d.kernel, NameKeys, &credentialSet{tls: opened, secret: secret[:]}, cleanUp)
+}
+
+// liveView is the copy of the live state in the form that the duties ask for.
+type liveView struct{ *mtview.View }
+
+func (v liveView) Roster() []*mtroster.Record { return v.Now().Roster() }
+
+func (v liveView) Record(d mtid.Daemon) (*mtroster.Record, mtid.Version, bool) {
+	return v.Now().Record(d)
+}
+
+func (v liveView) Frontier() mtid.Revision { return v.Now().Frontier() }
+
+func (v liveView) Table(ref mtid.Ref, chunk int) (*mtshard.Table, bool) {
+	return v.Now().Table(ref, chunk)
+}
+
+func (v liveView) Bundles() []*mtbundle.Bundle { return v.Now().Bundles() }
+
+// Tables returns every known chunk of every service.
+func (v liveView) Tables() []*mtshard.Table {
+	var out []*mtshard.Table
+	s := v.Now()
+	for _, ref := range s.Services() {
+		for _, table := range s.Tables(ref) {
+			if table != nil {
+				out = append(out, table)
+			}
+		}
+	}
+	return out
+}
+
+func (d *Daemon) addRenew() error {
+	duty, cleanUp, err := mtrenew.New(mtrenew.Config{
+		Self:   d.config.Settings.Name,
+		Listen: d.config.Settings.Renew,
+		Secret: need[*credentialSet](d, NameKeys).secret,
+		Clock:  need[*mttime.Clock](d, NameClock),
+		View:   liveView{need[*mtview.View](d, NameView)},
+		Heard:  d.heard,
+		Log:    d.config.Log,
+	})
+	if err != nil {
+		return err
+	}
+	return mtkernel.Register(d.kernel, NameRenew, duty, cleanUp)
+}
+
+func (d *Daemon) addMember() error {
+	s := d.config.Settings
+	relay := need[*mtrelay.Client](d, NameRelay)
+	member, cleanUp := mtmember.New(mtmember.Config{
+		Profile: coremember.Profile{
+			Daemon: s.Name, Zone: s.Zone, Region: s.Region,
+			Relay: s.Relay, Renew: s.Renew, Caller: s.Caller, Admin: s.Admin,
+		},
+		Store: need[mtstore.Store](d, NameStore),
+		View:  liveView{need[*mtview.View](d, NameView)},
+		Lease: need[*mtrenew.Duty](d, NameRenew),
+		Clock: need[*mttime.Clock](d, NameClock),
+		Dial: func(address string) (grpc.ClientConnInterface, error) {
+			return relay.Conn(address)
+		},
+		Registered: func(h mtid.Holder) { d.config.Log.Info("registered", "holder", h.String()) },
+		Wrote:      d.wrote,
+		Log:        d.config.Log,
+	})
+	return mtkernel.Register(d.kernel, NameMember, member, cleanUp)
+}
+
+// wrote takes in a value that this daemon wrote or read outside a watch.
+func (d *Daemon) wrote(e mtstore.Entry) {
+	item := mtview.Item{Name: e.Name, Version: e.Version, Value: e.Value}
+	if _, err := need[*mtview.View](d, NameView).Wrote(item); err != nil {
+		d.config.Log.Debug("value does not follow the known one", "error", err)
+	}
+	need[*mtsync.Sync](d, NameSync).Refresh()
+}
+
+// offersChanged is called when a backend server joins, leaves or changes. None
+// can before the listeners are open, which come last.
+func (d *Daemon) offersChanged() {
+	need[*mtmember.Member](d, NameMember).Offer(need[*mtserver.Pool](d, NameServers).Offers())
+}
+
+// enter makes the record say a state, and waits until it does or ctx is done.
+func (d *Daemon) enter(ctx context.Context, state mtroster.State) {
+	need[*mtmember.Member](d, NameMember).Enter(state)
+	ticker := time.NewTicker(enterPoll)
+	defer ticker.Stop()
+	for {
+		record, _, ok := need[*mtview.View](d, NameView).Now().Record(d.config.Settings.Name)
+		if !ok || record.State == state {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// enterPoll is how often a shutdown looks whether its record was written.
+const enterPoll = 20 * time.Millisecond
+
+func (d *Daemon) addPlanner() error {
+	clock := need[*mttime.Clock](d, NameClock)
+	planner, cleanUp, err := mtplanner.New(mtplanner.Config{
+		Self:  d.Self,
+		Stamp: d.Stamp,
+		Now:   clock.Now,
+		Log:   d.config.Log,
+	}, liveView{need[*mtview.View](d, NameView)}, need[mtstore.Store](d, NameStore), need[*mtmover.Mover](d, NameMover))
+	if err != nil {
+		return err
+	}
+	return mtkernel.Register(d.kernel, NamePlanner, planner, cleanUp)
+}
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroster"
@@ -59,6 +58,7 @@
 	// finishTimeout what is in flight after it.
 	leaveTimeout  = 20 * time.Second
 	finishTimeout = 15 * time.Second
+	goneTimeout   = 3 * time.Second
 	expireEvery   = time.Second
 )
 
@@ -172,15 +172,6 @@
 	})
 }
 
-// offersChanged is called when a backend server joins, leaves or changes.
-func (d *Daemon) offersChanged() {
-	member, err := mtkernel.Lookup[*mtmember.Member](d.kernel, NameMember)
-	if err != nil {
-		return // announced before the daemon is whole: the member asks by itself
-	}
-	member.Offers(need[*mtserver.Pool](d, NameServers).Offers())
-}
-
 // heard passes on what a datagram says of a peer's copy of the live state.
 func (d *Daemon) heard(peer mtid.Daemon, frontier mtid.Revision) {
 	record, _, ok := need[*mtview.View](d, NameView).Now().Record(peer)
@@ -192,7 +183,7 @@
 func (d *Daemon) addOwner() error {
 	owner, cleanUp := mtowner.New(mtowner.Config{
 		View:    need[*mtview.View](d, NameView),
-		Lease:   lease{member: need[*mtmember.Member](d, NameMember), renew: need[*mtrenew.Duty](d, NameRenew)},
+		Lease:   need[*mtrenew.Duty](d, NameRenew),
 		Servers: need[*mtserver.Pool](d, NameServers),
 		Clock:   need[*mttime.Clock](d, NameClock),
 		Log:     d.config.Log,
@@ -234,15 +225,6 @@
 	return mtkernel.Register(d.kernel, NameRouter, router, nil)
 }
 
-// lease joins the member's life with the duty that holds its promises.
-type lease struct {
-	member *mtmember.Member
-	renew  *mtrenew.Duty
-}
-
-// Permit returns the present life and until when it may serve.
-func (l lease) Permit() (mtid.Holder, mtclock.Instant) { return l.renew.Permit() }
-
 // Run serves until ctx ends and shuts down gracefully then. It returns early
 // with the error of a listener that failed.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -274,7 +256,9 @@
 	d.listeners.closeCallers(ctx)
 	need[*mtowner.Owner](d, NameOwner).Drain(ctx)
 	d.listeners.closePeers(ctx)
-	need[*mtmember.Member](d, NameMember).Gone(ctx)
+	goneCtx, cancelGone := context.WithTimeout(context.Background(), goneTimeout)
+	defer cancelGone()
+	d.enter(goneCtx, mtroster.Gone)
 	d.config.Log.Info("left")
 }
 
@@ -284,7 +268,7 @@
 func (d *Daemon) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	need[*mtmember.Member](d, NameMember).Leave(ctx)
+	d.enter(ctx, mtroster.Leaving)
 	if err := need[*mtmover.Mover](d, NameMover).Leave(ctx); err != nil {
 		d.config.Log.Warn("not all shards were handed over", "error", err)
 	}
--- a/io/mtrenew/mtrenew.go
+++ b/io/mtrenew/mtrenew.go
@@ -112,7 +112,7 @@
 	conn     *net.UDPConn
 	ring     *mtring.Ring[inbound]
 	counters Counters
-	until    atomic.Int64
+	permit   atomic.Pointer[permit]
 	kick     chan struct{}
 
 	mu       sync.Mutex
@@ -190,7 +190,27 @@
 
 // Until returns the instant of Clock.Now up to which this daemon may serve;
 // zero if it may not. It is called for each request, and doesn't block.
-func (d *Duty) Until() mtclock.Instant { return mtclock.Instant(d.until.Load()) }
+func (d *Duty) Until() mtclock.Instant {
+	_, until := d.Permit()
+	return until
+}
+
+// Permit returns Until with the life that it is given to. The two are read
+// together: a new life must not serve by a promise to the former one. It is
+// called for each request, and doesn't block.
+func (d *Duty) Permit() (mtid.Holder, mtclock.Instant) {
+	p := d.permit.Load()
+	if p == nil {
+		return mtid.Holder{}, 0
+	}
+	return p.holder, p.until
+}
+
+// permit says which life may serve, and up to when.
+type permit struct {
+	holder mtid.Holder
+	until  mtclock.Instant
+}
 
 // Register gives the duty its incarnation and the set in its record. It is
 // called after each registration in the store.
@@ -314,7 +334,7 @@
 	if d.lease == nil {
 		return
 	}
-	d.until.Store(int64(d.lease.Until()))
+	d.permit.Store(&permit{holder: d.lease.Holder(), until: d.lease.Until()})
 }
 
 // read passes authentic datagrams to the duty until the socket is closed.
