--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -10,8 +10,8 @@
 
 	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtid"
-	coremember "magnoliaturn/core/mtmember"
 	"magnoliaturn/core/mtkernel"
+	coremember "magnoliaturn/core/mtmember"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -15,11 +15,13 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtretry"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
@@ -220,6 +222,7 @@
 		Owner: need[*mtowner.Owner](d, NameOwner),
 		Peers: need[*mtrelay.Client](d, NameRelay),
 		Clock: need[*mttime.Clock](d, NameClock),
+		Retry: mtretry.NewBudgeted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Hint:  need[*mtsync.Sync](d, NameSync).Hint,
 	})
 	return mtkernel.Register(d.kernel, NameRouter, router, nil)
--- a/io/mtrouter/mtrouter.go
+++ b/io/mtrouter/mtrouter.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"sync"
 	"time"
 
 	"magnoliaturn/core/mtbundle"
@@ -23,6 +24,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/core/mtretry"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtview"
@@ -48,22 +50,27 @@
 	Owner owner
 	Peers peers
 	Clock clock
+	Retry mtretry.Policy // used under the router's lock
 	// Hint is told of peers that know more of the live state.
 	Hint func(address string, frontier mtid.Revision)
 }
 
 // Router finds owners.
-type Router struct{ Config }
-
-// New returns a router.
-func New(config Config) *Router { return &Router{Config: config} }
+type Router struct {
+	Config
+	mu       sync.Mutex // guards Retry and declared
+	declared map[mtretry.Flow]*mtbundle.Class
+}
 
-// MaxTries bounds how often one request is sent, the first time included.
-const MaxTries = 4
+// declarer is a retry policy with a budget that the bundle sets.
+type declarer interface {
+	Declare(flow mtretry.Flow, retries float64)
+}
 
-// staleWait is the pause before asking again when neither side knows the owner
-// yet. It is about the time that a change takes to reach the next daemon.
-const staleWait = 50 * time.Millisecond
+// New returns a router.
+func New(config Config) *Router {
+	return &Router{Config: config, declared: make(map[mtretry.Flow]*mtbundle.Class)}
+}
 
 // Route runs a request and returns what came of it.
 func (r *Router) Route(ctx context.Context, q *mtrequest.Request) *mtrequest.Reply {
@@ -77,13 +84,14 @@
 		q.Deadline = limit
 	}
 	q.Ingress = r.Self()
+	pick := r.keyed
 	if service.Kind == mtbundle.Spread {
 		if !class.Idempotent && !q.Minted {
 			return mtrequest.FromError(undeduplicated)
 		}
-		return r.spread(ctx, q)
+		pick = r.spread
 	}
-	return r.keyed(ctx, q)
+	return r.tries(ctx, q, class, service.Kind, pick)
 }
 
 // undeduplicated refuses a resend that nobody could recognise: with no owner of
@@ -100,47 +108,89 @@
 	return mtid.Point(binary.BigEndian.Uint64(id[randomPart:]))
 }
 
-// keyed sends a request to the owner of its key, following corrections.
-func (r *Router) keyed(ctx context.Context, q *mtrequest.Request) *mtrequest.Reply {
-	var hint mtid.Holder
-	for try := 1; ; try++ {
-		target := r.target(q, hint)
+// staleWait is the pause before asking again a daemon that has yet to learn that
+// it is the owner: about the time of one pull.
+const staleWait = 20 * time.Millisecond
+
+// picker returns the holder to ask. corrected is the owner that the last reply
+// named, or zero.
+type picker func(q *mtrequest.Request, corrected mtid.Holder) mtid.Holder
+
+// tries sends a request until it is answered or the policy ends it.
+func (r *Router) tries(ctx context.Context, q *mtrequest.Request, class *mtbundle.Class, kind mtbundle.Kind, pick picker) *mtrequest.Reply {
+	flow := mtretry.Flow{Business: q.Service.Business, Class: class.Name}
+	r.first(flow, class)
+	attempt := mtretry.Attempt{
+		Flow: flow, Idempotent: class.Idempotent, Elsewhere: kind == mtbundle.Spread, Deadline: q.Deadline,
+	}
+	var corrected mtid.Holder
+	for {
+		target := pick(q, corrected)
 		reply := r.send(ctx, q, target)
-		if try == MaxTries || !again(reply) {
+		if reply.Outcome == mtreply.Answered {
 			return reply
 		}
-		if reply.Cause == mtreply.CauseStaleRoute && reply.Owner != target {
-			// The asked daemon knows another owner: go there at once.
-			hint = reply.Owner
-			continue
+		attempt.Tries++
+		attempt.Err = errorOf(reply)
+		wait, ok := r.next(attempt)
+		if ok && reply.Cause == mtreply.CauseStaleRoute && r.correction(reply, target).IsZero() {
+			wait = max(wait, staleWait)
 		}
-		hint = mtid.Holder{}
-		if !r.pause(ctx, q) {
+		if !ok || !r.pause(ctx, wait) {
 			return reply
 		}
+		corrected = mtid.Holder{}
+		if reply.Cause == mtreply.CauseStaleRoute {
+			attempt.Redirects++
+			corrected = r.correction(reply, target)
+		}
 	}
 }
 
-// again reports whether a reply proves that the request was not run for a
-// reason that another owner may cure.
-func again(reply *mtrequest.Reply) bool {
-	if reply.Outcome != mtreply.NotRun {
-		return false
+// correction returns the owner that the asked daemon names, or zero if that
+// daemon knows less than this one. The relayed request told it so, and it pulls
+// what it lacks.
+func (r *Router) correction(reply *mtrequest.Reply, asked mtid.Holder) mtid.Holder {
+	if reply.Owner == asked || reply.Frontier < r.View.Now().Frontier() {
+		return mtid.Holder{}
 	}
-	switch reply.Cause {
-	case mtreply.CauseStaleRoute, mtreply.CauseUnreachable, mtreply.CauseNoOwner,
-		mtreply.CauseNoLease, mtreply.CauseStopping, mtreply.CauseNoServer:
-		return true
+	return reply.Owner
+}
+
+// errorOf returns the error that a reply stands for.
+func errorOf(reply *mtrequest.Reply) error {
+	if reply.Outcome == mtreply.NotRun {
+		return &mtreply.RefusedError{Cause: reply.Cause, RetryAfter: reply.RetryAfter, Detail: reply.Detail}
 	}
-	return false
+	return &mtreply.UnknownError{Cause: reply.Cause}
 }
 
-// pause waits a moment, or returns false if the deadline comes first.
-func (r *Router) pause(ctx context.Context, q *mtrequest.Request) bool {
-	if q.Deadline.Sub(r.Clock.Now()) <= staleWait {
-		return false
+// first notes a request's first try, and the budget of its class when that is
+// new or changed.
+func (r *Router) first(flow mtretry.Flow, class *mtbundle.Class) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.declared[flow] != class {
+		r.declared[flow] = class
+		if d, ok := r.Retry.(declarer); ok {
+			d.Declare(flow, class.Retries)
+		}
+	}
+	r.Retry.First(flow)
+}
+
+func (r *Router) next(attempt mtretry.Attempt) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Retry.Next(r.Clock.Now(), attempt)
+}
+
+// pause waits, or returns false if the caller goes away first.
+func (r *Router) pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(staleWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -150,28 +200,24 @@
 	}
 }
 
-// target returns the holder to ask: the hint if there is one, else the owner in
-// this daemon's copy.
-func (r *Router) target(q *mtrequest.Request, hint mtid.Holder) mtid.Holder {
-	if !hint.IsZero() {
-		return hint
-	}
-	shard, ok := r.View.Now().Lookup(q.Service, q.Point())
-	if !ok {
-		return mtid.Holder{}
+// keyed picks the owner of the request's key.
+func (r *Router) keyed(q *mtrequest.Request, corrected mtid.Holder) mtid.Holder {
+	if !corrected.IsZero() {
+		return corrected
 	}
+	shard, _ := r.View.Now().Lookup(q.Service, q.Point())
 	return shard.Owner
 }
 
-// spread sends a request to any daemon that has a server of the service.
-func (r *Router) spread(ctx context.Context, q *mtrequest.Request) *mtrequest.Reply {
+// spread picks any daemon that has a server of the service.
+func (r *Router) spread(q *mtrequest.Request, _ mtid.Holder) mtid.Holder {
 	var among []mtid.Holder
 	for _, record := range r.View.Now().Roster() {
 		if _, ok := record.Offer(q.Service); ok && record.Live() && record.State == mtroster.Serving {
 			among = append(among, record.Holder)
 		}
 	}
-	return r.send(ctx, q, mtshard.Choose(spot(q.ID), among))
+	return mtshard.Choose(spot(q.ID), among)
 }
 
 // send asks one holder.
