Count per daemon and measure callers' requests

Cause: process-wide counters mix the daemons of one process. Change: duties count through their daemon's metrics; the router reports each outcome; the owner reports each run's load. Conclusion: load is wired to nothing until the planner's reports land.

--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -18,13 +17,13 @@
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtcaller"
+	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtowner"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
 	"magnoliaturn/io/mtrouter"
 	"magnoliaturn/io/mtserver"
-	"magnoliaturn/io/mtsync"
 	"magnoliaturn/io/mttime"
 )
 
@@ -144,7 +143,7 @@
 func (d *Daemon) local() http.Handler {
 	e := newEcho()
 	e.POST(mtheader.AnnouncePath, need[*mtserver.Pool](d, NameServers).Announce)
-	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	e.GET("/debug/vars", echo.WrapHandler(need[*mtmetric.Metrics](d, NameMetrics).Handler()))
 	return e
 }
 
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -13,19 +13,21 @@
 
 import (
 	"context"
-	"expvar"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtmember"
+	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtowner"
 	"magnoliaturn/io/mtrelay"
@@ -52,6 +54,7 @@
 	NameRouter  mtkernel.Name = "router"
 	NamePlanner mtkernel.Name = "planner"
 	NameKeys    mtkernel.Name = "keys"
+	NameMetrics mtkernel.Name = "metrics"
 )
 
 const (
@@ -64,8 +67,6 @@
 	expireEvery   = time.Second
 )
 
-var counters = expvar.NewMap("daemon")
-
 // Config is what a daemon is made of.
 type Config struct {
 	Settings *mtsetting.Settings
@@ -88,7 +89,7 @@
 func New(config Config) (*Daemon, func(), error) {
 	d := &Daemon{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
-		d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
+		d.addMetrics, d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
 		d.addRenew, d.addMember, d.addOwner, d.addMover, d.addRouter, d.addPlanner, d.listen,
 	}
 	for _, step := range steps {
@@ -124,6 +125,27 @@
 	return service
 }
 
+func (d *Daemon) addMetrics() error {
+	metrics, cleanUp := mtmetric.New()
+	return mtkernel.Register(d.kernel, NameMetrics, metrics, cleanUp)
+}
+
+// counter returns the function by which a duty counts under its own name.
+func (d *Daemon) counter(duty string) func(name string) {
+	metrics := need[*mtmetric.Metrics](d, NameMetrics)
+	return func(name string) { metrics.Counter(duty, name).Add(1) }
+}
+
+// observe notes what came of a caller's request.
+func (d *Daemon) observe(q *mtrequest.Request, reply *mtrequest.Reply, took time.Duration) {
+	sample := mtmetric.Sample{
+		Service: q.Service, Class: q.Class, Outcome: reply.Outcome, Cause: reply.Cause,
+		Total: took, Queue: reply.Queued, Server: reply.Served,
+	}
+	sample.Relay = max(took-reply.Queued-reply.Served, 0)
+	need[*mtmetric.Metrics](d, NameMetrics).Record(sample)
+}
+
 func (d *Daemon) addClock() error {
 	return mtkernel.Register(d.kernel, NameClock, mttime.New(), nil)
 }
@@ -145,6 +167,7 @@
 		Store: need[mtstore.Store](d, NameStore),
 		Peers: need[*mtrelay.Client](d, NameRelay),
 		View:  need[*mtview.View](d, NameView),
+		Count: d.counter("sync"),
 		Log:   d.config.Log,
 	})
 	return mtkernel.Register(d.kernel, NameSync, sync, cleanUp)
@@ -190,6 +213,7 @@
 		Clock:   need[*mttime.Clock](d, NameClock),
 		Log:     d.config.Log,
 		Quiet:   d.quiet,
+		Ran:     d.ran,
 	})
 	return mtkernel.Register(d.kernel, NameOwner, owner, cleanUp)
 }
@@ -199,6 +223,9 @@
 	need[*mtmover.Mover](d, NameMover).Quiet(service, low, high)
 }
 
+// ran notes the load of a point for the planner's reports.
+func (d *Daemon) ran(mtclock.Instant, mtid.Ref, mtid.Point, time.Duration) {}
+
 func (d *Daemon) addMover() error {
 	mover, cleanUp := mtmover.New(mtmover.Config{
 		Self:    d.Self,
@@ -210,6 +237,7 @@
 		Conns:   need[*mtrelay.Client](d, NameRelay),
 		Clock:   need[*mttime.Clock](d, NameClock),
 		Log:     d.config.Log,
+		Count:   d.counter("move"),
 		Refresh: need[*mtsync.Sync](d, NameSync).Refresh,
 	})
 	return mtkernel.Register(d.kernel, NameMover, mover, cleanUp)
@@ -224,6 +252,8 @@
 		Clock: need[*mttime.Clock](d, NameClock),
 		Retry: mtretry.NewBudgeted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Hint:  need[*mtsync.Sync](d, NameSync).Hint,
+		Count: d.counter("route"),
+		Done:  d.observe,
 	})
 	return mtkernel.Register(d.kernel, NameRouter, router, nil)
 }
@@ -252,7 +282,6 @@
 // peers find this daemon by it.
 func (d *Daemon) shutdown() {
 	d.config.Log.Info("leaving")
-	counters.Add("leaving", 1)
 	d.Leave(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
--- a/io/mtmover/mtmover.go
+++ b/io/mtmover/mtmover.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"log/slog"
 	"sync"
 	"time"
@@ -40,8 +39,6 @@
 	sendTimeout   = 2 * time.Second
 )
 
-var counters = expvar.NewMap("move")
-
 type clock interface{ Now() mtclock.Instant }
 
 // gates are this daemon's admission, one per service.
@@ -75,6 +72,8 @@
 	Conns   conns
 	Clock   clock
 	Log     *slog.Logger
+	// Count adds one to a counter of this duty.
+	Count func(name string)
 	// Refresh is called after a write, so that the store's revision is learnt.
 	Refresh func()
 }
@@ -208,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	counters.Add("begun", 1)
+	m.Count("begun")
 	m.do(effects)
 	return nil
 }
@@ -225,11 +224,11 @@
 		case mtmove.Write:
 			m.work.Go(func() { m.write(e) })
 		case mtmove.Resume:
-			counters.Add("resumed_"+string(e.Cause), 1)
+			m.Count("resumed_" + string(e.Cause))
 			m.Log.Warn("move given up", "service", e.Place.Service.String(), "shard", uint64(e.Place.Low), "cause", e.Cause)
 			m.Gates.Resume(e.Place.Service, e.Place.Low, e.High)
 		case mtmove.Release:
-			counters.Add("released", 1)
+			m.Count("released")
 			m.Gates.Release(e.Place.Service, e.Place.Low, e.High)
 		}
 	}
@@ -253,7 +252,7 @@
 func (m *Mover) write(e mtmove.Write) {
 	table, result := m.swap(e)
 	if result == mtmove.Landed {
-		counters.Add("written", 1)
+		m.Count("written")
 		m.grant(table, e.Ops)
 		m.Refresh()
 	}
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -65,6 +65,9 @@
 	// Quiet is called, from whichever goroutine ended the last request, when a
 	// stopped range has nothing in flight.
 	Quiet func(service mtid.Ref, low, high mtid.Point)
+	// Ran is called for each request of a keyed service that the backend server
+	// ran, with the time that it kept a slot: the load of its point.
+	Ran func(now mtclock.Instant, service mtid.Ref, point mtid.Point, took time.Duration)
 }
 
 // Owner runs requests.
@@ -309,11 +312,15 @@
 		StartBy:  boot + int64(f.until.Sub(now)),
 		Deadline: boot + int64(r.Deadline.Sub(now)),
 	})
+	took := o.Clock.Now().Sub(now)
+	if service.Kind == mtbundle.Keyed {
+		o.Ran(now, r.Service, r.Point(), took)
+	}
 	if err != nil {
 		return nil, err
 	}
 	reply.Owner = f.holder
-	reply.Served = o.Clock.Now().Sub(now)
+	reply.Served = took
 	return reply, nil
 }
 
--- a/io/mtrouter/mtrouter.go
+++ b/io/mtrouter/mtrouter.go
@@ -53,6 +53,10 @@
 	Retry mtretry.Policy // used under the router's lock
 	// Hint is told of peers that know more of the live state.
 	Hint func(address string, frontier mtid.Revision)
+	// Count adds one to a counter of the router.
+	Count func(name string)
+	// Done is told what came of each request of a declared class.
+	Done func(q *mtrequest.Request, reply *mtrequest.Reply, took time.Duration)
 }
 
 // Router finds owners.
@@ -91,7 +95,9 @@
 		}
 		pick = r.spread
 	}
-	return r.tries(ctx, q, class, service.Kind, pick)
+	reply := r.tries(ctx, q, class, service.Kind, pick)
+	r.Done(q, reply, r.Clock.Now().Sub(now))
+	return reply
 }
 
 // undeduplicated refuses a resend that nobody could recognise: with no owner of
@@ -139,6 +145,7 @@
 		if !ok || !r.pause(ctx, wait) {
 			return reply
 		}
+		r.Count("retries")
 		corrected = mtid.Holder{}
 		if reply.Cause == mtreply.CauseStaleRoute {
 			attempt.Redirects++
--- a/io/mtsync/mtsync.go
+++ b/io/mtsync/mtsync.go
@@ -19,7 +19,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"expvar"
 	"log/slog"
 	"slices"
 	"sync"
@@ -45,8 +44,6 @@
 	refreshTimeout = 3 * time.Second
 )
 
-var counters = expvar.NewMap("sync")
-
 // puller is the part of the relay's client that pulls deltas.
 type puller interface {
 	Pull(ctx context.Context, address string, after mtid.Revision, whole bool) (mtview.Delta, error)
@@ -60,6 +57,8 @@
 	Store mtstore.Store
 	Peers puller
 	View  *mtview.View
+	// Count adds one to a counter of this duty.
+	Count func(name string)
 	Log   *slog.Logger
 }
 
@@ -130,7 +129,7 @@
 	if len(changed) == 0 {
 		return err
 	}
-	counters.Add("changes", int64(len(changed)))
+	s.config.Count("merged")
 	s.mu.Lock()
 	listeners := slices.Clone(s.listeners)
 	s.mu.Unlock()
@@ -161,11 +160,11 @@
 		after := s.config.View.Now().Frontier()
 		d, err := s.pullOnce(ctx, address, after, whole)
 		if err != nil {
-			counters.Add("pull_failed", 1)
+			s.config.Count("pull_failed")
 			s.config.Log.Debug("pull failed", "address", address, "error", err)
 			return false
 		}
-		counters.Add("pulled", 1)
+		s.config.Count("pulled")
 		err = s.merge(d)
 		var gap *mtshard.GapError
 		switch {
@@ -245,10 +244,10 @@
 		after := s.config.View.Now().Frontier()
 		changes, err := s.config.Store.Watch(ctx, mtstore.Live, after, wait)
 		if err != nil {
-			counters.Add("store_failed", 1)
+			s.config.Count("store_failed")
 			return err
 		}
-		counters.Add("store_read", 1)
+		s.config.Count("store_read")
 		if err := s.merge(mtview.FromStore(after, changes)); err != nil {
 			s.config.Log.Warn("live state can't be read", "error", err)
 			return err
