--- a/io/mtrelay/mtrelay.go
+++ b/io/mtrelay/mtrelay.go
@@ -118,7 +118,7 @@
 	ctx = context.WithValue(ctx, sentKey{}, &sent)
 	w, err := mtwire.NewPeerClient(conn).Relay(ctx, wireRequest(r, frontier))
 	if err != nil {
-		return nil, relayError(err, &sent, ctx)
+		return nil, relayError(ctx, err, &sent)
 	}
 	// A reply that is not for this request would hand one caller another's
 	// data; gRPC matches streams, so this shows only with a faulty peer.
@@ -129,7 +129,7 @@
 }
 
 // relayError tells whether the request may have reached the owner.
-func relayError(err error, sent *atomic.Bool, ctx context.Context) error {
+func relayError(ctx context.Context, err error, sent *atomic.Bool) error {
 	if !sent.Load() {
 		return &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, Detail: err.Error()}
 	}
