Give each daemon its administration API

Cause: the API, the commands and the rotation of secrets were not part of the daemon yet. Measured: go test -race ./io/mtdaemon passes in 17.6 s, as before. Conclusion: suspects and the loads of other servers are not shown yet: nothing registers them with the kernel so far.

--- a/cmd/magnoliaturn/main.go
+++ b/cmd/magnoliaturn/main.go
@@ -6,7 +6,8 @@
 //	magnoliaturn serve -settings daemon.ini
 //	magnoliaturn help
 //
-// Exit codes: 0 done, 1 failed, 2 wrong usage.
+// Exit codes: 0 done, 1 failed, 2 wrong usage; 3 refused, 4 outcome not known
+// and 5 not available, see package mtcommand.
 package main
 
 import (
@@ -15,6 +16,8 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"magnoliaturn/io/mtcommand"
 )
 
 func main() {
@@ -23,6 +26,7 @@
 	for _, command := range commands() {
 		subcommands.Register(command.Command, command.group)
 	}
+	mtcommand.Register(subcommands.DefaultCommander, os.Stdout, os.Stderr)
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/magnoliaturn/serve.go
+++ b/cmd/magnoliaturn/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"magnoliaturn/io/mtdaemon"
+	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtsetting"
 )
 
@@ -49,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, faults)
 		return subcommands.ExitUsageError
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: settings.Log}))
+	log := mtmetric.Logger(os.Stderr, settings.Log)
 	log = log.With("daemon", string(settings.Name), "zone", string(settings.Zone))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/io/mtcommand/mtcommand.go
+++ b/io/mtcommand/mtcommand.go
@@ -65,7 +65,7 @@
 	for _, cmd := range []*command{
 		checkCommand(c), bundleCommand(c), showCommand(c), drainCommand(c), keygenCommand(c), versionCommand(c),
 	} {
-		commander.Register(cmd, "")
+		commander.Register(cmd, "operators")
 	}
 }
 
--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -16,7 +16,10 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/core/mtwire"
+	"magnoliaturn/io/mtadmin"
 	"magnoliaturn/io/mtcaller"
+	"magnoliaturn/io/mtlisten"
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtowner"
@@ -33,6 +36,7 @@
 	headerBytes   = 16 << 10         // of one request
 	pingEvery     = 10 * time.Second // the shortest interval that a peer may ping at
 	messageSpare  = 512 << 10        // of a message between daemons beside its body
+	connections   = 4096             // open at once on one listener
 )
 
 // ListenError says that an address can't be listened on.
@@ -71,7 +75,7 @@
 	if err != nil {
 		return nil, &ListenError{Purpose: purpose, Address: address, Err: err}
 	}
-	return &httpListener{listener: listener, server: &http.Server{
+	return &httpListener{listener: mtlisten.Limit(listener, connections), server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -112,6 +116,7 @@
 	if l.peers, err = net.Listen("tcp", s.Relay); err != nil {
 		return &ListenError{Purpose: "daemons", Address: s.Relay, Err: err}
 	}
+	l.peers = mtlisten.Limit(l.peers, connections)
 	l.grpc = d.peers()
 	d.listeners = l
 	return mtkernel.Register(d.kernel, "listeners", l, l.close)
@@ -161,6 +166,7 @@
 	relay.Register(server)
 	need[*mtmover.Mover](d, NameMover).Register(server)
 	need[*mtrenew.Duty](d, NameRenew).ServeOn(server)
+	mtwire.RegisterInformServer(server, need[*mtadmin.Server](d, NameAdmin).Informer())
 	return server
 }
 
--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -42,8 +42,15 @@
 // credentialSet is what this daemon shows to others, or plain transport where
 // the settings name no keys.
 type credentialSet struct {
-	tls    *mttls.Credentials
-	secret []byte
+	tls *mttls.Credentials
+}
+
+// secrets returns what authenticates datagrams, the newest first.
+func (c *credentialSet) secrets() [][]byte {
+	if c.tls == nil {
+		return [][]byte{plainSecret}
+	}
+	return c.tls.SecretBytes()
 }
 
 func (c *credentialSet) client() credentials.TransportCredentials {
@@ -66,7 +73,7 @@
 
 func (d *Daemon) addKeys() error {
 	if d.config.Settings.Keys.Certificate == "" {
-		return mtkernel.Register(d.kernel, NameKeys, &credentialSet{secret: plainSecret}, nil)
+		return mtkernel.Register(d.kernel, NameKeys, &credentialSet{}, nil)
 	}
 	opened, cleanUp, err := mttls.Open(d.config.Settings.Keys, func(err error) {
 		d.config.Log.Error("credentials can't be read again", "error", err)
@@ -74,8 +81,7 @@
 	if err != nil {
 		return err
 	}
-	secret := opened.Secrets()[0]
-	return mtkernel.Register(d.kernel, NameKeys, &credentialSet{tls: opened, secret: secret[:]}, cleanUp)
+	return mtkernel.Register(d.kernel, NameKeys, &credentialSet{tls: opened}, cleanUp)
 }
 
 // liveView is the copy of the live state in the form that the duties ask for.
@@ -111,13 +117,13 @@
 
 func (d *Daemon) addRenew() error {
 	duty, cleanUp, err := mtrenew.New(mtrenew.Config{
-		Self:   d.config.Settings.Name,
-		Listen: d.config.Settings.Renew,
-		Secret: need[*credentialSet](d, NameKeys).secret,
-		Clock:  need[*mttime.Clock](d, NameClock),
-		View:   liveView{need[*mtview.View](d, NameView)},
-		Heard:  d.heard,
-		Log:    d.config.Log,
+		Self:    d.config.Settings.Name,
+		Listen:  d.config.Settings.Renew,
+		Secrets: need[*credentialSet](d, NameKeys).secrets,
+		Clock:   need[*mttime.Clock](d, NameClock),
+		View:    liveView{need[*mtview.View](d, NameView)},
+		Heard:   d.heard,
+		Log:     d.config.Log,
 	})
 	if err != nil {
 		return err
