Move the keys of a backend server that is gone, and reconnect soon

Cause: a server process that ended left its keys refused until its announcement ran out (3 s) and the planner acted; gRPC's backoff to a daemon that was replaced grows to two minutes. Change: a refused connection ends the announcement; the owner moves shards whose service it has no server for; reconnects at most 1 s apart.

--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -29,6 +29,7 @@
 
 const (
 	headerTimeout = 5 * time.Second  // for a caller to send its headers
+	readTimeout   = 30 * time.Second // for a caller to send a whole request
 	idleTimeout   = 2 * time.Minute  // of a caller's connection
 	headerBytes   = 16 << 10         // of one request
 	pingEvery     = 10 * time.Second // the shortest interval that a peer may ping at
@@ -74,6 +75,7 @@
 	return &httpListener{listener: listener, server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}}, nil
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -235,6 +235,7 @@
 		Gates:   need[*mtowner.Owner](d, NameOwner),
 		Recents: need[*mtowner.Owner](d, NameOwner),
 		Conns:   need[*mtrelay.Client](d, NameRelay),
+		Offers:  need[*mtserver.Pool](d, NameServers).Offers,
 		Clock:   need[*mttime.Clock](d, NameClock),
 		Log:     d.config.Log,
 		Count:   d.counter("move"),
--- a/io/mtdaemon/mtdaemon_test.go
+++ b/io/mtdaemon/mtdaemon_test.go
@@ -86,6 +86,7 @@
 	caller  string
 	stop    func() // as SIGTERM does
 	kill    func() // ends it without a word to anyone
+	hush    func() // ends the backend server's announcements
 	done    chan error
 }
 
@@ -125,7 +126,8 @@
 		Slots: 8, Connections: 16, State: mtannounce.Ready,
 	}
 	stop := make(chan struct{})
-	t.Cleanup(func() { close(stop) })
+	m.hush = sync.OnceFunc(func() { close(stop) })
+	t.Cleanup(m.hush)
 	go func() {
 		ticker := time.NewTicker(200 * time.Millisecond)
 		defer ticker.Stop()
@@ -322,3 +324,18 @@
 		}
 	}
 }
+
+// A backend server's process ends while its daemon lives. The first request that
+// finds it gone makes the daemon hand its shards over; without that the keys
+// would be refused until the announcement ran out.
+func TestLostServersKeysMove(t *testing.T) {
+	_, members := fleet(t)
+	answers(t, members[1], "room-1")
+	holder := members[0].daemon.Self()
+	key, _ := owned(t, members[1], holder)
+	members[0].hush()
+	members[0].backend.Close()
+	answers(t, members[1], key)
+	shard, _ := members[1].view(t).Now().Lookup(dispatch, dispatch.Point(mtid.Key(key)))
+	assert.Assert(t, shard.Owner != holder)
+}
--- a/io/mtmover/mtmover.go
+++ b/io/mtmover/mtmover.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,8 +71,10 @@
 	Gates   gates
 	Recents recents
 	Conns   conns
-	Clock   clock
-	Log     *slog.Logger
+	// Offers returns the backend servers on this VM that want work.
+	Offers func() []mtroster.Offer
+	Clock  clock
+	Log    *slog.Logger
 	// Count adds one to a counter of this duty.
 	Count func(name string)
 	// Refresh is called after a write, so that the store's revision is learnt.
@@ -134,6 +137,7 @@
 		m.self = self
 		m.moves = mtmove.New(self, mtmove.DefaultLimit)
 	}
+	m.rehome(now)
 	if m.moves.Len() == 0 {
 		return
 	}
@@ -148,6 +152,39 @@
 	m.do(m.moves.Tick(now))
 }
 
+// rehome moves the shards of services whose backend server on this VM is gone or
+// wants no more work. The planner would do so too, once it hears of it; until
+// then callers would be refused.
+func (m *Mover) rehome(now mtclock.Instant) {
+	if m.self.IsZero() {
+		return
+	}
+	offers := m.Offers()
+	s := m.View.Now()
+	for _, ref := range s.Services() {
+		if slices.ContainsFunc(offers, func(o mtroster.Offer) bool { return o.Service == ref }) {
+			continue
+		}
+		others := Others(s, ref, m.self)
+		for _, shard := range owned(s, ref, m.self) {
+			// A wish that doesn't fit (on its way, too many at once, nobody to
+			// take it) is repeated at the next tick.
+			_ = m.begin(now, ref, shard.Low, mtshard.Choose(shard.Low, others))
+		}
+	}
+}
+
+// owned returns the shards of a service that self owns.
+func owned(s *mtview.Snapshot, ref mtid.Ref, self mtid.Holder) []mtshard.Shard {
+	var out []mtshard.Shard
+	for _, table := range s.Tables(ref) {
+		if table != nil {
+			out = append(out, table.Owned(self)...)
+		}
+	}
+	return out
+}
+
 // post gives the duty an event. A full ring drops it: a wish is repeated by the
 // planner, and a lost Quiet ends in a Resume once the move is overdue.
 func (m *Mover) post(event func(now mtclock.Instant)) bool { return m.events.Put(event) }
@@ -324,15 +361,15 @@
 // that the daemon is leaving, or the planner would give it new ones.
 func (m *Mover) Leave(ctx context.Context) error {
 	for {
-		owned := m.ask(ctx)
-		if owned == 0 {
+		left := m.ask(ctx)
+		if left == 0 {
 			return nil
 		}
 		timer := time.NewTimer(tickEvery)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return &LeaveError{Owned: owned}
+			return &LeaveError{Owned: left}
 		case <-timer.C:
 		}
 	}
@@ -350,22 +387,16 @@
 func (m *Mover) ask(ctx context.Context) int {
 	self := m.Self()
 	s := m.View.Now()
-	owned := 0
+	left := 0
 	for _, ref := range s.Services() {
 		others := Others(s, ref, self)
-		for _, table := range s.Tables(ref) {
-			if table == nil {
-				continue
-			}
-			for _, shard := range table.Owned(self) {
-				owned++
-				// A refused wish (on its way already, or too many at once) is
-				// repeated at the next round.
-				_ = m.want(ctx, ref, shard.Low, mtshard.Choose(shard.Low, others))
-			}
+		for _, shard := range owned(s, ref, self) {
+			left++
+			// A refused wish is repeated at the next round.
+			_ = m.want(ctx, ref, shard.Low, mtshard.Choose(shard.Low, others))
 		}
 	}
-	return owned
+	return left
 }
 
 // Others returns the holders that may be given shards of a service, without
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -17,12 +17,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"magnoliaturn/core/mtannounce"
 	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
@@ -49,6 +49,8 @@
 // servers finds the backend server of a service on this VM.
 type servers interface {
 	Server(ref mtid.Ref, now mtclock.Instant) (*mtserver.Server, bool)
+	// Lost forgets a server that refuses connections.
+	Lost(ref mtid.Ref, server *mtserver.Server)
 }
 
 // Margin is kept free at the end of a lease: a request must reach the backend
@@ -195,9 +197,6 @@
 	if !ok {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: time.Second}
 	}
-	if server.Announced().State == mtannounce.Draining {
-		return nil, &mtreply.RefusedError{Cause: mtreply.CauseDraining}
-	}
 	g := o.gate(r.Service)
 	g.fit(now, server.Announced(), r.Service.Business, service)
 	end, err := g.admit(ctx, o.Clock, mtgate.Ticket{
@@ -317,6 +316,7 @@
 		o.Ran(now, r.Service, r.Point(), took)
 	}
 	if err != nil {
+		o.noteLoss(ctx, r.Service, server, err)
 		return nil, err
 	}
 	reply.Owner = f.holder
@@ -324,6 +324,15 @@
 	return reply, nil
 }
 
+// noteLoss forgets the server if it could not be connected to, for another
+// reason than that the request's own time was up.
+func (o *Owner) noteLoss(ctx context.Context, ref mtid.Ref, server *mtserver.Server, err error) {
+	var refused *mtreply.RefusedError
+	if ctx.Err() == nil && errors.As(err, &refused) && refused.Cause == mtreply.CauseUnreachable {
+		o.Servers.Lost(ref, server)
+	}
+}
+
 // track lists a run until the returned function is called.
 func (o *Owner) track(r *run) func() {
 	o.mu.Lock()
--- a/io/mtrelay/mtrelay.go
+++ b/io/mtrelay/mtrelay.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
@@ -47,6 +48,17 @@
 	pingTimeout = 5 * time.Second
 )
 
+// A daemon that was replaced listens again within seconds. gRPC's own backoff
+// grows to two minutes, for which all of its keys would be refused here.
+var reconnect = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+	MinConnectTimeout: time.Second,
+}
+
+// unreachableRetry is when to ask again for keys of a daemon that can't be
+// reached: about the time of a takeover.
+const unreachableRetry = time.Second
+
 // Client sends to other daemons over one pooled connection each.
 type Client struct {
 	options []grpc.DialOption
@@ -63,6 +75,7 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithStatsHandler(sentHandler{}),
 		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(reconnect),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(size), grpc.MaxCallSendMsgSize(size)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 	}
@@ -131,7 +144,7 @@
 // relayError tells whether the request may have reached the owner.
 func relayError(ctx context.Context, err error, sent *atomic.Bool) error {
 	if !sent.Load() {
-		return &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, Detail: err.Error()}
+		return &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: unreachableRetry, Detail: err.Error()}
 	}
 	switch ctx.Err() {
 	case context.DeadlineExceeded:
--- a/io/mtserver/pool.go
+++ b/io/mtserver/pool.go
@@ -139,6 +139,23 @@
 	return gone
 }
 
+// Lost forgets a server that refused a connection: its process is gone, and
+// waiting for its silence would keep its keys unavailable for Lifetime. A server
+// that lives announces itself again within a second.
+func (p *Pool) Lost(ref mtid.Ref, server *Server) {
+	p.mu.Lock()
+	current, ok := p.servers[ref]
+	gone := ok && current.server.client == server.client
+	if gone {
+		delete(p.servers, ref)
+	}
+	p.mu.Unlock()
+	if gone {
+		p.log.Warn("backend server refuses connections", "service", ref.String(), "address", server.announced.Address)
+		p.onChange()
+	}
+}
+
 // Announcements returns what the servers said last, ordered by service.
 func (p *Pool) Announcements() []mtannounce.Announcement {
 	p.mu.Lock()
