--- /dev/null
+++ b/cmd/policies/choice.go
@@ -0,0 +1,370 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/subcommands"
+
+	"magnoliaturn/core/mtchoice"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+)
+
+func init() { reports = append(reports, &choice{}) }
+
+// choice compares the policies that choose a server of a spread service, and
+// the estimators of a server's availability.
+type choice struct {
+	seed    uint64
+	seconds int
+}
+
+// Name implements subcommands.Command.
+func (*choice) Name() string { return "choice" }
+
+// Synopsis implements subcommands.Command.
+func (*choice) Synopsis() string { return "compare choices among the servers of a spread service" }
+
+// Usage implements subcommands.Command.
+func (*choice) Usage() string { return "choice [-seed n] [-seconds n]\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *choice) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.seed, "seed", 1, "seed of arrivals, failures and choices")
+	f.IntVar(&c.seconds, "seconds", 60, "length of each run in virtual seconds")
+}
+
+// Execute implements subcommands.Command.
+func (c *choice) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
+	printPatterns(w, c.seed)
+	length := time.Duration(c.seconds) * time.Second
+	for _, l := range choiceLoads {
+		_, _ = fmt.Fprintf(w, "\n%s, seed %d, %v\n", l.name, c.seed, length)
+		_, _ = fmt.Fprintln(w, "policy\timbalance\tfar %\tanswered %\tfailed %\tleft out needlessly %\tp50 ms\tp99 ms\t")
+		for _, p := range choicePolicies {
+			printChoice(w, p.name, runChoice(p.make, l, c.seed, length))
+		}
+	}
+	_ = w.Flush()
+	return subcommands.ExitSuccess
+}
+
+// choiceLoad is one load of the trials.
+type choiceLoad struct {
+	name  string
+	load  float64 // of the capacity of all servers
+	skew  float64 // part of the requests that come from the first zone
+	fault fault
+}
+
+// fault is how servers fail in a trial.
+type fault uint8
+
+const (
+	noFault    fault = iota
+	slowServer       // the first one takes three times as long
+	brokenPair       // two fail everything from 10 to 25 s
+	flaky            // all fail single requests, one a third of them
+	restarting       // each is down for 3 s now and then
+)
+
+var choiceLoads = []choiceLoad{
+	{"mapsvc, even load", 0.7, 0.25, noFault},
+	{"mapsvc, most callers in one availability zone", 0.7, 0.7, noFault},
+	{"mapsvc, one server three times slower", 0.6, 0.25, slowServer},
+	{"mapsvc, two of six broken from 10 to 25 s", 0.5, 0.25, brokenPair},
+	{"mapsvc, single failures, one server failing a third", 0.5, 0.25, flaky},
+	{"mapsvc, servers restarting for 3 s", 0.5, 0.25, restarting},
+}
+
+// The service of the trials, after the map service of the hotels.
+const (
+	choiceServers = 6
+	choiceSlots   = 12
+	choiceQueue   = 64
+	choiceCallers = 12
+	choiceService = 10 * time.Millisecond
+	choiceNear    = 100 * time.Microsecond
+	choiceFar     = 500 * time.Microsecond
+)
+
+var choiceZones = []mtid.Zone{"old-town", "centrs", "kipsala", "airport"}
+
+// choicePolicies are what is compared.
+var choicePolicies = []struct {
+	name string
+	make func(zone mtid.Zone, random *rand.Rand) mtchoice.Policy
+}{
+	{"round robin", func(mtid.Zone, *rand.Rand) mtchoice.Policy { return mtchoice.NewRoundRobin() }},
+	{"random", func(_ mtid.Zone, r *rand.Rand) mtchoice.Policy { return mtchoice.NewRandom(r) }},
+	{"power, no zones", func(_ mtid.Zone, r *rand.Rand) mtchoice.Policy {
+		return mtchoice.NewPower(r, mtchoice.Options{Reports: true}, mtchoice.NewStreak)
+	}},
+	{"power, no reports", func(z mtid.Zone, r *rand.Rand) mtchoice.Policy {
+		return mtchoice.NewPower(r, mtchoice.Options{Zone: z}, mtchoice.NewStreak)
+	}},
+	{"power, streak", powerWith(mtchoice.NewStreak)},
+	{"power, last success", powerWith(mtchoice.NewLastSuccess)},
+	{"power, average", powerWith(mtchoice.NewAverage)},
+	{"power, status", powerWith(mtchoice.NewStatus)},
+}
+
+func powerWith[E mtchoice.Estimator](fresh func() E) func(mtid.Zone, *rand.Rand) mtchoice.Policy {
+	return func(z mtid.Zone, r *rand.Rand) mtchoice.Policy {
+		return mtchoice.NewPower(r, mtchoice.Options{Zone: z, Reports: true}, fresh)
+	}
+}
+
+// choiceTrial is a run of one policy in virtual time.
+type choiceTrial struct {
+	now     mtclock.Instant
+	length  time.Duration
+	events  eventHeap
+	random  *rand.Rand
+	load    choiceLoad
+	callers []*choiceCaller
+	servers []*choiceServer
+	sent    int
+	far     int
+	good    int
+	bad     int
+	wrongly int // samples in which a server that was up was left out
+	samples int
+	latency *hdrhistogram.Histogram // of what was answered, in microseconds
+}
+
+// choiceCaller is a daemon that chooses.
+type choiceCaller struct {
+	zone   mtid.Zone
+	policy mtchoice.Policy
+}
+
+// choiceServer is a server with a queue.
+type choiceServer struct {
+	index     int
+	candidate mtchoice.Candidate
+	busy      int
+	queue     []func()
+	served    time.Duration // time that its slots were taken
+	down      [][2]mtclock.Instant
+}
+
+// imbalance returns the largest load over the mean, of servers that were down
+// equally long: where some never were, those that were are left out.
+func (t *choiceTrial) imbalance() float64 {
+	var most, sum time.Duration
+	n := 0
+	for _, s := range t.servers {
+		if len(s.down) > 0 && t.load.fault == brokenPair {
+			continue
+		}
+		most = max(most, s.served)
+		sum += s.served
+		n++
+	}
+	return float64(most) * float64(n) / float64(max(sum, 1))
+}
+
+// runChoice offers requests for the length of time.
+func runChoice(policy func(mtid.Zone, *rand.Rand) mtchoice.Policy, l choiceLoad, seed uint64, length time.Duration) *choiceTrial {
+	t := &choiceTrial{
+		length:  length,
+		random:  rand.New(rand.NewPCG(seed, 3)),
+		load:    l,
+		latency: hdrhistogram.New(1, maxMicros, 3),
+	}
+	var candidates []mtchoice.Candidate
+	for i := range choiceServers {
+		c := mtchoice.Candidate{
+			Holder: mtid.Holder{Daemon: mtid.Daemon(fmt.Sprint("map", i)), Incarnation: 1},
+			Zone:   choiceZones[i%len(choiceZones)],
+			Slots:  choiceSlots,
+		}
+		candidates = append(candidates, c)
+		t.servers = append(t.servers, &choiceServer{index: i, candidate: c, down: t.outages(i)})
+	}
+	for i := range choiceCallers {
+		zone := choiceZones[i%len(choiceZones)]
+		p := policy(zone, rand.New(rand.NewPCG(seed, uint64(100+i))))
+		p.Update(candidates)
+		t.callers = append(t.callers, &choiceCaller{zone: zone, policy: p})
+	}
+	t.events.at(0, t.arrive)
+	t.events.at(0, t.sample)
+	for t.events.Len() > 0 {
+		e := t.events.next()
+		t.now = e.at
+		e.do()
+	}
+	return t
+}
+
+// outages returns when a server is down.
+func (t *choiceTrial) outages(server int) [][2]mtclock.Instant {
+	second := mtclock.Instant(time.Second)
+	switch {
+	case t.load.fault == brokenPair && server < 2:
+		return [][2]mtclock.Instant{{10 * second, 25 * second}}
+	case t.load.fault == restarting:
+		var out [][2]mtclock.Instant
+		for at := mtclock.Instant(server+1) * 4 * second; at.Sub(0) < t.length; at += 24 * second {
+			out = append(out, [2]mtclock.Instant{at, at + 3*second})
+		}
+		return out
+	}
+	return nil
+}
+
+// fails reports whether a request that reaches the server now fails.
+func (t *choiceTrial) fails(s *choiceServer) bool {
+	if t.load.fault == flaky {
+		chance := 0.005
+		if s.index == 0 {
+			chance = 0.33
+		}
+		return t.random.Float64() < chance
+	}
+	return s.isDown(t.now)
+}
+
+func (s *choiceServer) isDown(now mtclock.Instant) bool {
+	for _, d := range s.down {
+		if d[0] <= now && now < d[1] {
+			return true
+		}
+	}
+	return false
+}
+
+// arrive lets one caller send one request.
+func (t *choiceTrial) arrive() {
+	if t.now.Sub(0) >= t.length {
+		return
+	}
+	perSecond := t.load.load * choiceServers * choiceSlots / choiceService.Seconds()
+	t.events.at(t.now.Add(time.Duration(t.random.ExpFloat64()/perSecond*float64(time.Second))), t.arrive)
+	t.send(t.caller(), t.now)
+}
+
+// caller draws the daemon that the next request comes to.
+func (t *choiceTrial) caller() *choiceCaller {
+	zones := len(choiceZones)
+	zone := 0
+	if t.random.Float64() >= t.load.skew {
+		zone = 1 + t.random.IntN(zones-1)
+	}
+	return t.callers[zone+zones*t.random.IntN(choiceCallers/zones)]
+}
+
+func (t *choiceTrial) send(c *choiceCaller, start mtclock.Instant) {
+	holder, ok := c.policy.Pick(t.now)
+	if !ok {
+		return
+	}
+	c.policy.Started(t.now, holder)
+	server := t.servers[0]
+	for _, s := range t.servers {
+		if s.candidate.Holder == holder {
+			server = s
+		}
+	}
+	t.sent++
+	way := choiceNear
+	if server.candidate.Zone != c.zone {
+		t.far++
+		way = choiceFar
+	}
+	end := func(r mtchoice.Result) {
+		t.events.at(t.now.Add(way), func() { t.end(c, holder, start, r) })
+	}
+	t.events.at(t.now.Add(way), func() { t.reach(server, end) })
+}
+
+// reach lets a request reach its server.
+func (t *choiceTrial) reach(s *choiceServer, end func(mtchoice.Result)) {
+	if t.fails(s) {
+		end(mtchoice.Result{Kind: mtchoice.Bad})
+		return
+	}
+	if s.busy >= choiceSlots && len(s.queue) >= choiceQueue {
+		end(mtchoice.Result{Kind: mtchoice.Busy, RetryAfter: 50 * time.Millisecond})
+		return
+	}
+	arrived := t.now
+	run := func() { t.run(s, arrived, end) }
+	if s.busy >= choiceSlots {
+		s.queue = append(s.queue, run)
+		return
+	}
+	run()
+}
+
+// run takes a slot for the time that the request needs.
+func (t *choiceTrial) run(s *choiceServer, arrived mtclock.Instant, end func(mtchoice.Result)) {
+	s.busy++
+	waited := t.now.Sub(arrived)
+	service := time.Duration(t.random.ExpFloat64() * float64(choiceService))
+	if t.load.fault == slowServer && s.index == 0 {
+		service *= 3
+	}
+	s.served += service
+	t.events.at(t.now.Add(service), func() {
+		s.busy--
+		end(mtchoice.Result{Kind: mtchoice.Good, Queue: waited})
+		if len(s.queue) > 0 {
+			next := s.queue[0]
+			s.queue = s.queue[1:]
+			next()
+		}
+	})
+}
+
+func (t *choiceTrial) end(c *choiceCaller, holder mtid.Holder, start mtclock.Instant, r mtchoice.Result) {
+	c.policy.Ended(t.now, holder, r)
+	switch r.Kind {
+	case mtchoice.Good:
+		t.good++
+		_ = t.latency.RecordValue(max(t.now.Sub(start).Microseconds(), 1))
+	case mtchoice.Bad:
+		t.bad++
+	}
+}
+
+// sampleEvery is how often it is looked at who is left out.
+const sampleEvery = 100 * time.Millisecond
+
+// sample counts servers that are up and left out by a caller all the same.
+func (t *choiceTrial) sample() {
+	if t.now.Sub(0) >= t.length {
+		return
+	}
+	t.events.at(t.now.Add(sampleEvery), t.sample)
+	down := 0
+	for _, s := range t.servers {
+		if s.isDown(t.now) {
+			down++
+		}
+	}
+	for _, c := range t.callers {
+		t.samples += choiceServers
+		if p, ok := c.policy.(interface{ Ejected() int }); ok {
+			t.wrongly += max(p.Ejected()-down, 0)
+		}
+	}
+}
+
+// printChoice prints one line.
+func printChoice(w *tabwriter.Writer, name string, t *choiceTrial) {
+	part := func(n, of int) float64 { return 100 * float64(n) / float64(max(of, 1)) }
+	_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.1f\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t\n", name, t.imbalance(),
+		part(t.far, t.sent), part(t.good, t.sent), part(t.bad, t.sent), part(t.wrongly, t.samples),
+		float64(t.latency.ValueAtQuantile(50))/1000, float64(t.latency.ValueAtQuantile(99))/1000)
+}
