--- a/io/mtcommand/bundle.go
+++ b/io/mtcommand/bundle.go
@@ -188,6 +188,20 @@
 	return none, &RefusedError{Reason: fmt.Sprintf("%s has no open proposal of version %d %s%s", business, version, prefix, winner(inForce, err))}
 }
 
+// named is draft, but believes a whole digest without looking it up: the daemon
+// then says which bundle won, and a repeated command finds its own in force.
+func named(ctx context.Context, client *mtadmin.Client, args []string) (mtadmin.BundleDocument, error) {
+	if len(args) == 3 && len(args[2]) == digestLength {
+		if version, err := strconv.ParseUint(args[1], 10, 63); err == nil {
+			return mtadmin.BundleDocument{Business: mtid.Business(args[0]), Version: mtid.Version(version), Digest: args[2]}, nil
+		}
+	}
+	return draft(ctx, client, args)
+}
+
+// digestLength is the length of a whole digest in hex.
+const digestLength = 2 * len(mtbundle.Digest{})
+
 func digests(found []mtadmin.BundleDocument) string {
 	var lines []string
 	for _, d := range found {
@@ -280,7 +294,7 @@
 			if err != nil {
 				return err
 			}
-			d, err := draft(ctx, client, args)
+			d, err := named(ctx, client, args)
 			if err != nil {
 				return err
 			}
