--- /dev/null
+++ b/core/mtaudit/phase.go
@@ -0,0 +1,134 @@
+package mtaudit
+
+import (
+	"slices"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+)
+
+// Count is how many calls ended in one way.
+type Count struct {
+	Outcome mtreply.Outcome
+	Cause   mtreply.Cause
+	Calls   int
+}
+
+// Outage is a time in which no call for a key was answered. It reaches from
+// when the first of the failed calls was due to the first answer to a call that
+// was due later, and so is an upper bound: the key may have been available
+// before somebody asked.
+type Outage struct {
+	Service mtid.Ref
+	Key     mtid.Key
+	From    time.Time
+	Lasted  time.Duration
+	Failed  int  // calls that were not answered
+	Open    bool // no later call was answered
+}
+
+// Phase sums up the calls that were due in one phase, by how they ended.
+type Phase struct {
+	Name    string
+	Counts  []Count
+	Outages int
+	// Longest is the longest outage that began in the phase; it is zero if
+	// every call was answered.
+	Longest Outage
+	// Slowest is the longest that a call was waited for until its answer, from
+	// when it was due.
+	Slowest time.Duration
+}
+
+// firstPhase is the name of what comes before the first mark.
+const firstPhase = "start"
+
+// callersFault are the refusals that say nothing about whether a key is
+// available: the same request would be refused by any server at any time.
+var callersFault = []mtreply.Cause{
+	mtreply.CauseMalformed, mtreply.CauseTooLarge, mtreply.CauseSkew, mtreply.CauseQuarantined, mtreply.CauseLimited,
+}
+
+// phases sums up the calls, which are ordered by when they were due.
+func phases(calls []tries, marks []Mark) []Phase {
+	marks = slices.Clone(marks)
+	slices.SortStableFunc(marks, func(a, b Mark) int { return a.At.Compare(b.At) })
+	out := []Phase{{Name: firstPhase}}
+	for _, m := range marks {
+		out = append(out, Phase{Name: m.Name})
+	}
+	in := func(at time.Time) *Phase {
+		n := 0
+		for n < len(marks) && !marks[n].At.After(at) {
+			n++
+		}
+		return &out[n]
+	}
+	for _, t := range calls {
+		in(t[0].Planned).add(t)
+	}
+	for _, o := range outages(calls) {
+		phase := in(o.From)
+		phase.Outages++
+		if o.Lasted >= phase.Longest.Lasted {
+			phase.Longest = o
+		}
+	}
+	return out
+}
+
+func (p *Phase) add(t tries) {
+	last := t.last()
+	if last.Outcome == mtreply.Answered {
+		p.Slowest = max(p.Slowest, last.Ended.Sub(t[0].Planned))
+	}
+	i := slices.IndexFunc(p.Counts, func(c Count) bool { return c.Outcome == last.Outcome && c.Cause == last.Cause })
+	if i < 0 {
+		p.Counts = append(p.Counts, Count{Outcome: last.Outcome, Cause: last.Cause})
+		i = len(p.Counts) - 1
+	}
+	p.Counts[i].Calls++
+}
+
+// outages returns the times in which keys were not available.
+func outages(calls []tries) []Outage {
+	byPlace := make(map[place][]tries)
+	var order []place
+	for _, t := range calls {
+		if slices.Contains(callersFault, t.last().Cause) {
+			continue
+		}
+		at := t.place()
+		if byPlace[at] == nil {
+			order = append(order, at)
+		}
+		byPlace[at] = append(byPlace[at], t)
+	}
+	var found []Outage
+	for _, at := range order {
+		found = append(found, outagesOf(at, byPlace[at])...)
+	}
+	return found
+}
+
+func outagesOf(at place, calls []tries) []Outage {
+	var found []Outage
+	for i := 0; i < len(calls); {
+		if calls[i].last().Outcome == mtreply.Answered {
+			i++
+			continue
+		}
+		o := Outage{Service: at.service, Key: at.key, From: calls[i][0].Planned, Open: true}
+		for ; i < len(calls) && calls[i].last().Outcome != mtreply.Answered; i++ {
+			o.Failed++
+			o.Lasted = calls[i].last().Ended.Sub(o.From)
+		}
+		if i < len(calls) {
+			o.Open = false
+			o.Lasted = calls[i].last().Ended.Sub(o.From)
+		}
+		found = append(found, o)
+	}
+	return found
+}
