--- /dev/null
+++ b/io/mtstandin/announce.go
@@ -0,0 +1,101 @@
+package mtstandin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"magnoliaturn/core/mtannounce"
+	"magnoliaturn/core/mtheader"
+)
+
+// announcePeriod is how often a server announces itself.
+const announcePeriod = time.Second
+
+// StatusError says that the daemon did not take an announcement.
+type StatusError struct{ Status string }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "stand-in: the daemon answered " + e.Status }
+
+// announce starts the announcements and returns their end.
+func (s *Server) announce() func() {
+	if s.setting.Daemon == "" {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	client := &http.Client{Timeout: announcePeriod}
+	go func() {
+		defer close(done)
+		defer client.CloseIdleConnections()
+		tick := time.NewTicker(announcePeriod)
+		defer tick.Stop()
+		heard := true
+		for {
+			err := s.announceOnce(ctx, client)
+			if (err == nil) != heard && ctx.Err() == nil {
+				heard = err == nil
+				slog.Info("announcements", "server", s.setting.Name, "heard", heard, "error", err)
+			}
+			select {
+			case <-tick.C:
+			case <-s.changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// announceOnce tells the daemon of the server once.
+func (s *Server) announceOnce(ctx context.Context, client *http.Client) error {
+	a := s.setting.announcement()
+	a.State = s.state()
+	a.Load = s.load()
+	body, err := json.Marshal(a)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.setting.Daemon+mtheader.AnnouncePath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return &StatusError{Status: response.Status}
+	}
+	return nil
+}
+
+func (s *Server) state() mtannounce.State {
+	if s.drain.Load() {
+		return mtannounce.Draining
+	}
+	if s.cold() {
+		return mtannounce.Cold
+	}
+	return mtannounce.Ready
+}
+
+// load returns the share of slots in use, or what the server is set to claim.
+func (s *Server) load() float64 {
+	if s.setting.FixedLoad {
+		return s.setting.Load
+	}
+	return float64(len(s.slots)) / float64(cap(s.slots))
+}
