Publish every duty's counters, show rates on the status page

Cause: the counters of renewals, membership and the store were kept but not shown, and the page claimed a load of 0.00 where none is known. Change: mtmetric.Publish; lease, view and gates as gauges; the rate of ended requests per server; the page leaves out what it doesn't know. Conclusion: loads of other servers come with reports, not with the planner's book; LoadImbalance stays 0 until somebody feeds it.

--- a/io/mtadmin/page.go
+++ b/io/mtadmin/page.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -135,8 +136,12 @@
 	if !ok {
 		return ""
 	}
-	return fmt.Sprintf("keys at the largest owner %.2f× the mean, load %.2f×; %.1f %% of the keys moved, unavailable %s on average",
-		f.KeyImbalance, f.LoadImbalance, 100*f.Churn, f.Unavailable.Round(time.Millisecond))
+	load := ""
+	if f.LoadImbalance > 0 {
+		load = fmt.Sprintf(", the largest load %.2f×", f.LoadImbalance)
+	}
+	return fmt.Sprintf("the largest owner has %.2f× the mean of keys%s; since the start here %.1f %% of the keys moved, and a key was unavailable for %s on average",
+		f.KeyImbalance, load, 100*f.Churn, f.Unavailable.Round(time.Millisecond))
 }
 
 // pageOwners returns who owns how much of a service, the largest first.
@@ -226,11 +231,11 @@
 		}
 	}
 	slices.Sort(names)
-	text := ""
+	var words []string
 	for _, name := range names {
-		text += fmt.Sprintf("%s %d  ", name, report.GetBundles()[name])
+		words = append(words, fmt.Sprintf("%s %d", name, report.GetBundles()[name]))
 	}
-	return text
+	return strings.Join(words, ", ")
 }
 
 func describeLoad(load *mtwire.Load) pageLoad {
--- a/io/mtdaemon/admin.go
+++ b/io/mtdaemon/admin.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"expvar"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroster"
@@ -15,10 +17,12 @@
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtadmin"
 	"magnoliaturn/io/mtlisten"
+	"magnoliaturn/io/mtmember"
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtoperator"
 	"magnoliaturn/io/mtowner"
 	"magnoliaturn/io/mtrelay"
+	"magnoliaturn/io/mtrenew"
 	"magnoliaturn/io/mtrollout"
 	"magnoliaturn/io/mtserver"
 	"magnoliaturn/io/mttime"
@@ -33,10 +37,38 @@
 // figuresEvery is how often the figures of the services are brought up to date.
 const figuresEvery = time.Second
 
-// figures keeps a meter for each service that has an assignment.
+// figures keeps a meter for each service that has an assignment, and the rate
+// at which the backend server beside this daemon ends requests.
 type figures struct {
 	mu     sync.Mutex
 	meters map[mtid.Ref]*mtmetric.Meter
+	rates  map[mtid.Ref]rate
+}
+
+// rate is how fast a counter grew between the last two looks at it.
+type rate struct {
+	count     uint64
+	at        mtclock.Instant
+	perSecond float64
+}
+
+// see takes in a counter of a service.
+func (f *figures) see(ref mtid.Ref, now mtclock.Instant, count uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before, ok := f.rates[ref]
+	next := rate{count: count, at: now}
+	if passed := now.Sub(before.at); ok && passed > 0 && count >= before.count {
+		next.perSecond = float64(count-before.count) / passed.Seconds()
+	}
+	f.rates[ref] = next
+}
+
+// rate returns how many requests of a service end here in a second.
+func (f *figures) rate(ref mtid.Ref) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rates[ref].perSecond
 }
 
 // All returns the present figures of every service.
@@ -64,7 +96,7 @@
 // addFigures starts the duty that measures the services as this daemon sees
 // them.
 func (d *Daemon) addFigures() error {
-	f := &figures{meters: make(map[mtid.Ref]*mtmetric.Meter)}
+	f := &figures{meters: make(map[mtid.Ref]*mtmetric.Meter), rates: make(map[mtid.Ref]rate)}
 	need[*mtmetric.Metrics](d, NameMetrics).Gauge("figures", "services", func() any {
 		out := make(map[string]mtmetric.Figures)
 		for ref, figure := range f.All() {
@@ -93,6 +125,47 @@
 	})
 }
 
+// vars is a service that has counters of its own.
+type vars interface{ Vars() *expvar.Map }
+
+// publish shows the counters of the duties that keep their own. It is called
+// once all of them are registered.
+func (d *Daemon) publish() {
+	metrics := need[*mtmetric.Metrics](d, NameMetrics)
+	metrics.Publish("renew", need[*mtrenew.Duty](d, NameRenew).Vars())
+	metrics.Publish("member", need[*mtmember.Member](d, NameMember).Vars())
+	if store, ok := need[mtstore.Store](d, NameStore).(vars); ok {
+		metrics.Publish("store", store.Vars())
+	}
+	metrics.Gauge("lease", "leftNs", d.leaseLeft)
+	metrics.Gauge("view", "frontier", func() any { return need[*mtview.View](d, NameView).Now().Frontier() })
+	metrics.Gauge("owner", "gates", d.gates)
+}
+
+// leaseLeft returns for how long this daemon may still serve, negative if it
+// may not.
+func (d *Daemon) leaseLeft() any {
+	return need[*mtrenew.Duty](d, NameRenew).Until().Sub(need[*mttime.Clock](d, NameClock).Now())
+}
+
+// gateFigures are the counters of one service's gate.
+type gateFigures struct {
+	Slots   int `json:"slots"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+func (d *Daemon) gates() any {
+	out := make(map[string]gateFigures)
+	owner := need[*mtowner.Owner](d, NameOwner)
+	for _, a := range need[*mtserver.Pool](d, NameServers).Announcements() {
+		ref := mtid.Ref{Business: a.Business, Service: a.Service}
+		counts := owner.Counts(ref)
+		out[ref.String()] = gateFigures{Slots: a.Slots, Running: counts.Running, Waiting: counts.Waiting}
+	}
+	return out
+}
+
 // measure looks at every service once.
 func (d *Daemon) measure(f *figures) {
 	snapshot := need[*mtview.View](d, NameView).Now()
@@ -106,11 +179,21 @@
 	for _, ref := range snapshot.Services() {
 		f.meter(ref).Observe(now, snapshot.Tables(ref), live, unknown)
 	}
+	owner := need[*mtowner.Owner](d, NameOwner)
+	for _, a := range need[*mtserver.Pool](d, NameServers).Announcements() {
+		ref := mtid.Ref{Business: a.Business, Service: a.Service}
+		var ended uint64
+		for _, flow := range owner.Counts(ref).Flows {
+			ended += flow.Ended
+		}
+		f.see(ref, now, ended)
+	}
 }
 
 // addAdmin opens the listener for operators. It comes before the listener for
 // other daemons, which passes their questions on to it.
 func (d *Daemon) addAdmin() error {
+	d.publish()
 	operators, closeOperators, err := d.operators()
 	if err != nil {
 		return err
@@ -186,11 +269,12 @@
 // Loads implements mtadmin.Self.
 func (s *self) Loads() []mtadmin.Load {
 	owner := need[*mtowner.Owner](s.daemon, NameOwner)
+	rates := need[*figures](s.daemon, NameFigures)
 	var loads []mtadmin.Load
 	for _, a := range need[*mtserver.Pool](s.daemon, NameServers).Announcements() {
 		ref := mtid.Ref{Business: a.Business, Service: a.Service}
 		counts := owner.Counts(ref)
-		loads = append(loads, mtadmin.Load{Service: ref, Slots: a.Slots, Running: counts.Running, Queued: counts.Waiting})
+		loads = append(loads, mtadmin.Load{Service: ref, Slots: a.Slots, Running: counts.Running, Queued: counts.Waiting, Rate: rates.rate(ref)})
 	}
 	return loads
 }
--- a/io/mtmetric/mtmetric.go
+++ b/io/mtmetric/mtmetric.go
@@ -100,6 +100,13 @@
 	m.duty(duty).Set(name, expvar.Func(read))
 }
 
+// Publish shows a duty's own counters as a whole, under the duty's name.
+func (m *Metrics) Publish(duty string, counters expvar.Var) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.root.Set(duty, counters)
+}
+
 func (m *Metrics) duty(name string) *expvar.Map {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/mtmetric/mtmetric_test.go
+++ b/io/mtmetric/mtmetric_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"math"
@@ -99,6 +100,9 @@
 	}
 	wait.Wait()
 	m.Gauge("renew", "waiting", func() any { return 7 })
+	own := new(expvar.Map).Init()
+	own.Add("reads", 3)
+	m.Publish("store", own)
 	recorder := httptest.NewRecorder()
 	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/", nil))
 	var got struct {
@@ -107,12 +111,14 @@
 			Refused map[string]int
 		}
 		Renew    struct{ Waiting int }
+		Store    struct{ Reads int }
 		Requests mtmetric.Summaries
 	}
 	assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &got))
 	assert.Equal(t, got.Caller.Retries, 4)
 	assert.Equal(t, got.Caller.Refused["shed"], 4)
 	assert.Equal(t, got.Renew.Waiting, 7)
+	assert.Equal(t, got.Store.Reads, 3)
 	assert.Equal(t, got.Requests.Classes[0].Count, int64(4))
 }
 
