Quarantine what crashes servers, on the path

Cause: evidence of crashes had a table but no path: a request could still take down one server after another.

Change: io/mtpoison feeds the table at the ingress and at the owner, tells the service's daemons before a caller is answered, and gossips the rest. RelayRequest says what the ingress suspects; the owner sends a header when it begins to run a suspect. A sentence that hangs on the loss of a daemon travels with that condition.

--- a/core/mtpoison/evidence.go
+++ b/core/mtpoison/evidence.go
@@ -84,6 +84,8 @@
 type Sentence struct {
 	Print Print
 	Asked mtclock.Instant // last time
+	// IfLost, if not zero, is the holder that has to be lost for it to hold.
+	IfLost mtid.Holder
 }
 
 // Digest is evidence as it is exchanged. Times in it are the exchanging
@@ -103,6 +105,9 @@
 	for p, asked := range t.sentences {
 		d.Sentences = append(d.Sentences, Sentence{Print: p, Asked: asked})
 	}
+	for p, c := range t.pending {
+		d.Sentences = append(d.Sentences, Sentence{Print: p, Asked: c.at, IfLost: c.holder})
+	}
 	slices.SortFunc(d.Sentences, func(a, b Sentence) int {
 		return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Print, b.Print))
 	})
@@ -139,11 +144,7 @@
 // this one is all there is to know.
 func (t *Table[R]) Merge(now mtclock.Instant, d Digest) {
 	for _, s := range d.Sentences {
-		if known, ok := t.sentences[s.Print]; !ok {
-			t.sentence(s.Asked, s.Print)
-		} else {
-			t.sentences[s.Print] = max(known, s.Asked)
-		}
+		t.take(s)
 	}
 	for i := range d.Crashes {
 		if d.Crashes[i].Loss.Holder != t.self {
@@ -153,6 +154,24 @@
 	t.Expire(now)
 }
 
+// take takes in a sentence of another daemon.
+func (t *Table[R]) take(s Sentence) {
+	if known, ok := t.sentences[s.Print]; ok {
+		if s.IfLost.IsZero() {
+			t.sentences[s.Print] = max(known, s.Asked)
+		}
+		return
+	}
+	if s.IfLost.IsZero() {
+		t.sentence(s.Asked, s.Print)
+		return
+	}
+	if cleared, ok := t.acquitted[s.Print]; (ok && !s.Asked.After(cleared)) || len(t.pending) >= t.limits.Sentences {
+		return
+	}
+	t.pending[s.Print] = condition{holder: s.IfLost, at: s.Asked}
+}
+
 // DecodeError says that evidence can't be read.
 type DecodeError struct {
 	Reason string
@@ -170,8 +189,13 @@
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
-// Encode returns the form of d that daemons exchange.
+// Encode returns the bytes of Wire.
 func Encode(now mtclock.Instant, d Digest) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(Wire(now, d))
+}
+
+// Wire returns the form of d that daemons exchange.
+func Wire(now mtclock.Instant, d Digest) *mtwire.Evidence {
 	w := &mtwire.Evidence{}
 	for _, c := range d.Crashes {
 		wc := &mtwire.Crash{
@@ -186,17 +210,30 @@
 		w.Crashes = append(w.Crashes, wc)
 	}
 	for _, s := range d.Sentences {
-		w.Sentences = append(w.Sentences, &mtwire.Sentence{Print: uint64(s.Print), AgeMs: age(now, s.Asked)})
+		w.Sentences = append(w.Sentences, wireSentence(now, s))
+	}
+	return w
+}
+
+func wireSentence(now mtclock.Instant, s Sentence) *mtwire.Sentence {
+	w := &mtwire.Sentence{Print: uint64(s.Print), AgeMs: age(now, s.Asked)}
+	if !s.IfLost.IsZero() {
+		w.IfLost = mtroster.WireHolder(s.IfLost)
 	}
-	return proto.MarshalOptions{Deterministic: true}.Marshal(w)
+	return w
 }
 
-// Decode reads evidence. It fails with a *DecodeError.
+// Decode reads the bytes of Encode. It fails with a *DecodeError.
 func Decode(now mtclock.Instant, value []byte) (Digest, error) {
 	w := &mtwire.Evidence{}
 	if err := proto.Unmarshal(value, w); err != nil {
 		return Digest{}, &DecodeError{Reason: "not evidence", Err: err}
 	}
+	return Read(now, w)
+}
+
+// Read reads evidence. It fails with a *DecodeError.
+func Read(now mtclock.Instant, w *mtwire.Evidence) (Digest, error) {
 	var d Digest
 	for _, wc := range w.GetCrashes() {
 		c := Crash{
@@ -213,7 +250,11 @@
 		d.Crashes = append(d.Crashes, c)
 	}
 	for _, s := range w.GetSentences() {
-		d.Sentences = append(d.Sentences, Sentence{Print: Print(s.GetPrint()), Asked: since(now, s.GetAgeMs())})
+		d.Sentences = append(d.Sentences, Sentence{
+			Print:  Print(s.GetPrint()),
+			Asked:  since(now, s.GetAgeMs()),
+			IfLost: mtroster.ReadHolder(s.GetIfLost()),
+		})
 	}
 	return d, nil
 }
--- a/core/mtpoison/mtpoison.go
+++ b/core/mtpoison/mtpoison.go
@@ -42,6 +42,7 @@
 package mtpoison
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -166,12 +167,23 @@
 // as in flight.
 const together = 2 * time.Second
 
+// givenUpFor is how long a request that nobody waits for counts as in flight at
+// its owner: longer than it takes to find a daemon lost.
+const givenUpFor = 30 * time.Second
+
 // flight is a request in flight, here or at another daemon.
 type flight struct {
 	print  Print
 	alone  bool
 	holder mtid.Holder     // where it was relayed to; zero if it runs here
-	broken mtclock.Instant // when its connection broke; zero if it has not
+	broken mtclock.Instant // when its connection broke or it was given up; zero if neither
+}
+
+// condition is the holder that has to be lost for a sentence to hold, and when
+// the connection to it broke.
+type condition struct {
+	holder mtid.Holder
+	at     mtclock.Instant
 }
 
 // Table is what one daemon knows. See the package comment.
@@ -186,7 +198,7 @@
 	suspects  map[Print]mtclock.Instant // the last crash that each was part of
 	acquitted map[Print]mtclock.Instant
 	sentences map[Print]mtclock.Instant // when each was last asked for
-	pending   map[Print]mtid.Holder     // sentences that HolderLost would confirm
+	pending   map[Print]condition       // sentences that HolderLost would confirm
 }
 
 // New returns an empty Table of the daemon self.
@@ -201,7 +213,7 @@
 		suspects:  make(map[Print]mtclock.Instant),
 		acquitted: make(map[Print]mtclock.Instant),
 		sentences: make(map[Print]mtclock.Instant),
-		pending:   make(map[Print]mtid.Holder),
+		pending:   make(map[Print]condition),
 	}
 }
 
@@ -255,22 +267,36 @@
 	t.here[n] = &flight{print: p, alone: alone}
 }
 
-// Ended says how a started request has ended.
-func (t *Table[R]) Ended(now mtclock.Instant, n Number, how End) {
+// Ended says how a started request has ended. With Broken it returns true if
+// that may be a crash which isn't known yet: then the caller finds out whether
+// the server is up, and calls ServerLost if it is not.
+func (t *Table[R]) Ended(now mtclock.Instant, n Number, how End) bool {
 	f, ok := t.here[n]
 	if !ok {
-		return
+		return false
 	}
 	if how == Broken {
 		f.broken = now
-		return
+		return true
 	}
 	delete(t.here, n)
 	if how == Whole && f.alone {
 		t.acquit(now, f.print)
 	}
+	return false
+}
+
+// Open reports whether a request that broke belongs to no known crash yet. It
+// is asked once more right before ServerLost: all the requests that one crash
+// broke look for the server at the same time, and only the first may report it.
+func (t *Table[R]) Open(n Number) bool {
+	_, ok := t.here[n]
+	return ok
 }
 
+// Live sets the present life of this daemon, under which its crashes are named.
+func (t *Table[R]) Live(self mtid.Holder) { t.self = self }
+
 // ServerLost says that the server beside this daemon has crashed. It is called
 // once per crash, and never for a single connection that broke.
 func (t *Table[R]) ServerLost(now mtclock.Instant) {
@@ -323,6 +349,15 @@
 	}
 }
 
+// GivenUp says that the caller's time was over or the caller gone before the
+// reply came. The request may run still: if its owner's daemon is found lost
+// soon, it was in flight there.
+func (t *Table[R]) GivenUp(now mtclock.Instant, n Number) {
+	if f, ok := t.relays[n]; ok {
+		f.broken = now
+	}
+}
+
 // RelayLost says that the connection to the owner's daemon broke before the
 // reply. The request is suspected from now on; whether it is quarantined is
 // decided once the daemon is known to be lost.
@@ -334,10 +369,10 @@
 	delete(t.relays, n)
 	loss := Loss{Holder: f.holder, Count: WholeVM}
 	c := &Crash{Loss: loss, At: now, Prints: []Print{f.print}}
+	t.note(now, c)
 	if f.alone {
-		t.pending[f.print] = f.holder
+		t.pending[f.print] = condition{holder: f.holder, at: now}
 	}
-	t.note(now, c)
 }
 
 // HolderLost says that a daemon's life is over: its incarnation was revoked.
@@ -348,14 +383,27 @@
 			t.RelayLost(now, n)
 		}
 	}
-	for p, at := range t.pending {
-		if at == holder {
+	for p, c := range t.pending {
+		if c.holder == holder {
 			delete(t.pending, p)
 			t.hear(now, p, Coincidence{Crashes: t.crashesOf(p), Alone: true})
 		}
 	}
 }
 
+// Conditions returns the holders whose loss would put a request in quarantine.
+// The owner of a request looks whether they are lost before it runs anything:
+// its shard may have come from one of them a moment ago.
+func (t *Table[R]) Conditions() []mtid.Holder {
+	var holders []mtid.Holder
+	for _, c := range t.pending {
+		if !slices.Contains(holders, c.holder) {
+			holders = append(holders, c.holder)
+		}
+	}
+	return holders
+}
+
 // acquit clears a fingerprint that ran alone and was answered.
 func (t *Table[R]) acquit(now mtclock.Instant, p Print) {
 	delete(t.suspects, p)
@@ -458,6 +506,11 @@
 			delete(t.crashes, loss)
 		}
 	}
+	for p, c := range t.pending {
+		if now.Sub(c.at) >= t.limits.Suspicion {
+			delete(t.pending, p)
+		}
+	}
 	drop(t.suspects, now, t.limits.Suspicion)
 	drop(t.acquitted, now, t.limits.Suspicion)
 	for n, f := range t.here {
@@ -465,6 +518,11 @@
 			delete(t.here, n)
 		}
 	}
+	for n, f := range t.relays {
+		if f.broken != 0 && now.Sub(f.broken) > givenUpFor {
+			delete(t.relays, n)
+		}
+	}
 	for p, asked := range t.sentences {
 		if now.Sub(asked) >= t.limits.Quarantine {
 			delete(t.sentences, p)
--- a/core/mtpoison/mtpoison_test.go
+++ b/core/mtpoison/mtpoison_test.go
@@ -172,6 +172,22 @@
 	assert.Equal(t, tb.Judge(3, poison, true), mtpoison.Clear)
 }
 
+// The ingress of a suspect hears that it ran alone, then the connection breaks.
+// The daemons that it tells quarantine the request once they know of the loss,
+// each for itself: the new owner may know before the ingress does.
+func TestConditionTravels(t *testing.T) {
+	ingress, owner := newTable("a"), newTable("c")
+	ingress.Relayed(1, holder("b"), poison)
+	ingress.Begun(1)
+	ingress.RelayLost(1, 1)
+	send(t, 2, ingress, owner)
+	assert.Equal(t, owner.Judge(3, poison, false), mtpoison.Suspect)
+	assert.DeepEqual(t, owner.Conditions(), []mtid.Holder{holder("b")})
+	owner.HolderLost(4, holder("b"))
+	assert.Equal(t, owner.Judge(5, poison, false), mtpoison.Quarantined)
+	assert.Equal(t, len(owner.Conditions()), 0)
+}
+
 func TestBounds(t *testing.T) {
 	tb := mtpoison.New(mtpoison.Narrow{}, holder("a"), mtpoison.Limits{Crashes: 3, Prints: 2, Sentences: 4})
 	for i := range 20 {
--- a/core/mtrequest/mtrequest.go
+++ b/core/mtrequest/mtrequest.go
@@ -90,6 +90,13 @@
 	Body        []byte
 	Deadline    mtclock.Instant // on this VM's clock
 	Ingress     mtid.Holder
+	// Suspect says that the request is suspected of crashing backend servers:
+	// the ingress sets it as a hint, the owner as its verdict. A suspect runs
+	// alone.
+	Suspect bool
+	// Begun, if not nil, is called when the owner begins to run a suspect: at the
+	// owner to tell the ingress, and at the ingress once it has heard.
+	Begun func()
 }
 
 // Fingerprint returns a hash of everything that the backend server sees but the
--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -20,6 +20,7 @@
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtowner"
+	"magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
 	"magnoliaturn/io/mtrouter"
@@ -162,6 +163,7 @@
 	relay := mtrelay.NewServer(need[*mtowner.Owner](d, NameOwner), view, need[*mttime.Clock](d, NameClock), hint)
 	relay.Register(server)
 	need[*mtmover.Mover](d, NameMover).Register(server)
+	need[*mtpoison.Watch](d, NamePoison).Register(server)
 	need[*mtrenew.Duty](d, NameRenew).ServeOn(server)
 	return server
 }
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -30,6 +30,7 @@
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtowner"
+	"magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
 	"magnoliaturn/io/mtrouter"
@@ -49,6 +50,7 @@
 	NameServers mtkernel.Name = "servers"
 	NameRenew   mtkernel.Name = "renew"
 	NameMember  mtkernel.Name = "member"
+	NamePoison  mtkernel.Name = "poison"
 	NameOwner   mtkernel.Name = "owner"
 	NameMover   mtkernel.Name = "mover"
 	NameRouter  mtkernel.Name = "router"
@@ -90,7 +92,7 @@
 	d := &Daemon{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
 		d.addMetrics, d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
-		d.addRenew, d.addMember, d.addOwner, d.addMover, d.addRouter, d.addPlanner, d.listen,
+		d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addPlanner, d.listen,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -205,6 +207,18 @@
 	}
 }
 
+func (d *Daemon) addPoison() error {
+	watch, cleanUp := mtpoison.New(mtpoison.Config{
+		Self:  d.Self,
+		View:  need[*mtview.View](d, NameView),
+		Conns: need[*mtrelay.Client](d, NameRelay),
+		Clock: need[*mttime.Clock](d, NameClock),
+		Log:   d.config.Log,
+		Count: d.counter("poison"),
+	})
+	return mtkernel.Register(d.kernel, NamePoison, watch, cleanUp)
+}
+
 func (d *Daemon) addOwner() error {
 	owner, cleanUp := mtowner.New(mtowner.Config{
 		View:    need[*mtview.View](d, NameView),
@@ -212,6 +226,7 @@
 		Servers: need[*mtserver.Pool](d, NameServers),
 		Clock:   need[*mttime.Clock](d, NameClock),
 		Log:     d.config.Log,
+		Poison:  need[*mtpoison.Watch](d, NamePoison),
 		Quiet:   d.quiet,
 		Ran:     d.ran,
 	})
@@ -246,15 +261,16 @@
 
 func (d *Daemon) addRouter() error {
 	router := mtrouter.New(mtrouter.Config{
-		Self:  d.Self,
-		View:  need[*mtview.View](d, NameView),
-		Owner: need[*mtowner.Owner](d, NameOwner),
-		Peers: need[*mtrelay.Client](d, NameRelay),
-		Clock: need[*mttime.Clock](d, NameClock),
-		Retry: mtretry.NewBudgeted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		Hint:  need[*mtsync.Sync](d, NameSync).Hint,
-		Count: d.counter("route"),
-		Done:  d.observe,
+		Self:   d.Self,
+		View:   need[*mtview.View](d, NameView),
+		Owner:  need[*mtowner.Owner](d, NameOwner),
+		Peers:  need[*mtrelay.Client](d, NameRelay),
+		Clock:  need[*mttime.Clock](d, NameClock),
+		Retry:  mtretry.NewBudgeted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Poison: need[*mtpoison.Watch](d, NamePoison),
+		Hint:   need[*mtsync.Sync](d, NameSync).Hint,
+		Count:  d.counter("route"),
+		Done:   d.observe,
 	})
 	return mtkernel.Register(d.kernel, NameRouter, router, nil)
 }
--- a/io/mtdaemon/mtdaemon_test.go
+++ b/io/mtdaemon/mtdaemon_test.go
@@ -99,6 +99,15 @@
 }
 
 func start(t *testing.T, store mtstore.Store, name string, zone mtid.Zone) *member {
+	t.Helper()
+	m := startDaemon(t, store, name, zone)
+	m.backend = newBackend(t)
+	m.announce(t, func() string { return m.backend.Listener.Addr().String() })
+	return m
+}
+
+// startDaemon starts a daemon without a backend server.
+func startDaemon(t *testing.T, store mtstore.Store, name string, zone mtid.Zone) *member {
 	t.Helper()
 	settings := &mtsetting.Settings{
 		Name: mtid.Daemon(name), Zone: zone, Region: "riga", Caller: address(t), Relay: address(t),
@@ -109,20 +118,19 @@
 	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{daemon: daemon, backend: newBackend(t), caller: settings.Caller, stop: cancel, kill: cleanUp, done: make(chan error, 1)}
+	m := &member{daemon: daemon, caller: settings.Caller, stop: cancel, kill: cleanUp, done: make(chan error, 1)}
 	go func() { m.done <- daemon.Run(ctx) }()
 	t.Cleanup(cleanUp)
 	t.Cleanup(cancel)
-	m.announce(t)
 	return m
 }
 
-// announce keeps the backend server announced until the test ends.
-func (m *member) announce(t *testing.T) {
+// announce keeps a backend server announced until the test ends.
+func (m *member) announce(t *testing.T, address func() string) {
 	pool, err := mtkernel.Lookup[*mtserver.Pool](m.daemon.Kernel(), mtdaemon.NameServers)
 	assert.NilError(t, err)
 	a := mtannounce.Announcement{
-		Business: "ratins", Service: "dispatch", Address: m.backend.Listener.Addr().String(),
+		Business: "ratins", Service: "dispatch", Address: address(),
 		Slots: 8, Connections: 16, State: mtannounce.Ready,
 	}
 	stop := make(chan struct{})
@@ -132,6 +140,7 @@
 		ticker := time.NewTicker(200 * time.Millisecond)
 		defer ticker.Stop()
 		for {
+			a.Address = address()
 			pool.Put(a)
 			select {
 			case <-stop:
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -27,10 +27,12 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtview"
+	iopoison "magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtserver"
 )
 
@@ -64,6 +66,8 @@
 	Servers servers
 	Clock   clock
 	Log     *slog.Logger
+	// Poison knows the requests that crash backend servers.
+	Poison *iopoison.Watch
 	// Quiet is called, from whichever goroutine ended the last request, when a
 	// stopped range has nothing in flight.
 	Quiet func(service mtid.Ref, low, high mtid.Point)
@@ -193,6 +197,14 @@
 	if _, err := o.fence(now, r, service); err != nil {
 		return nil, err
 	}
+	switch o.Poison.Judge(r) {
+	case mtpoison.Quarantined:
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseQuarantined, RetryAfter: -1}
+	case mtpoison.Suspect:
+		r.Suspect = true
+	default:
+		r.Suspect = false
+	}
 	server, ok := o.Servers.Server(r.Service, now)
 	if !ok {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: time.Second}
@@ -200,7 +212,7 @@
 	g := o.gate(r.Service)
 	g.fit(now, server.Announced(), r.Service.Business, service)
 	end, err := g.admit(ctx, o.Clock, mtgate.Ticket{
-		Business: r.Service.Business, Class: class.Name, Point: r.Point(), Deadline: r.Deadline,
+		Business: r.Service.Business, Class: class.Name, Point: r.Point(), Deadline: r.Deadline, Alone: r.Suspect,
 	})
 	if err != nil {
 		return nil, err
@@ -305,6 +317,7 @@
 		defer o.track(&run{holder: f.holder, cancel: cancel})()
 	}
 	boot := o.Clock.Boot()
+	ended := o.Poison.Start(r, server.Announced().Address)
 	reply, err := server.Do(ctx, mtserver.Call{
 		Request:  r,
 		Epoch:    f.epoch,
@@ -312,6 +325,7 @@
 		Deadline: boot + int64(r.Deadline.Sub(now)),
 	})
 	took := o.Clock.Now().Sub(now)
+	ended(err)
 	if service.Kind == mtbundle.Keyed {
 		o.Ran(now, r.Service, r.Point(), took)
 	}
--- a/io/mtrelay/mtrelay.go
+++ b/io/mtrelay/mtrelay.go
@@ -26,6 +26,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/stats"
 
 	"magnoliaturn/core/mtid"
@@ -129,7 +130,11 @@
 	defer cancel()
 	var sent atomic.Bool
 	ctx = context.WithValue(ctx, sentKey{}, &sent)
-	w, err := mtwire.NewPeerClient(conn).Relay(ctx, wireRequest(r, frontier))
+	var header metadata.MD
+	w, err := mtwire.NewPeerClient(conn).Relay(ctx, wireRequest(r, frontier), grpc.Header(&header))
+	if len(header.Get(begunHeader)) > 0 && r.Begun != nil {
+		r.Begun()
+	}
 	if err != nil {
 		return nil, relayError(ctx, err, &sent)
 	}
--- a/io/mtrelay/server.go
+++ b/io/mtrelay/server.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"magnoliaturn/core/mtclock"
@@ -55,11 +56,17 @@
 	}
 	r := readRequest(id, w)
 	r.Deadline = s.clock.Now().Add(time.Until(deadline))
+	r.Begun = func() { _ = grpc.SendHeader(ctx, metadata.Pairs(begunHeader, "1")) }
 	s.hint(mtid.Revision(w.GetFrontier()), r.Ingress)
 	reply := s.owner.Serve(ctx, r)
 	return wireReply(id, reply, s.view.Now().Frontier()), nil
 }
 
+// begunHeader is sent ahead of the reply when the owner begins to run a request
+// that is suspected of crashing servers. If the whole VM is lost with it, the
+// ingress knows by this header that the request ran, and did not only wait.
+const begunHeader = "begun"
+
 // Pull implements mtwire.PeerServer.
 func (s *Server) Pull(_ context.Context, w *mtwire.PullRequest) (*mtwire.PullReply, error) {
 	return wireDelta(s.view.Delta(mtid.Revision(w.GetAfter()), DeltaLimit, w.GetWhole())), nil
@@ -80,6 +87,7 @@
 		Body:        r.Body,
 		Frontier:    uint64(frontier),
 		Ingress:     mtroster.WireHolder(r.Ingress),
+		Suspect:     r.Suspect,
 	}
 }
 
@@ -96,6 +104,7 @@
 		ContentType: w.GetContentType(),
 		Body:        w.GetBody(),
 		Ingress:     mtroster.ReadHolder(w.GetIngress()),
+		Suspect:     w.GetSuspect(),
 	}
 }
 
--- a/io/mtrouter/mtrouter.go
+++ b/io/mtrouter/mtrouter.go
@@ -22,6 +22,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
@@ -29,6 +30,7 @@
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtowner"
+	iopoison "magnoliaturn/io/mtpoison"
 )
 
 // owner runs requests on this VM.
@@ -51,6 +53,8 @@
 	Peers peers
 	Clock clock
 	Retry mtretry.Policy // used under the router's lock
+	// Poison knows the requests that crash backend servers.
+	Poison *iopoison.Watch
 	// Hint is told of peers that know more of the live state.
 	Hint func(address string, frontier mtid.Revision)
 	// Count adds one to a counter of the router.
@@ -100,6 +104,11 @@
 	return reply
 }
 
+// quarantined refuses a request that crashes backend servers.
+var quarantined = &mtreply.RefusedError{
+	Cause: mtreply.CauseQuarantined, RetryAfter: -1, Detail: "this request has crashed backend servers",
+}
+
 // undeduplicated refuses a resend that nobody could recognise: with no owner of
 // the key, two servers may each see the identifier for the first time, and the
 // request would run twice.
@@ -232,6 +241,13 @@
 	if target.IsZero() {
 		return &mtrequest.Reply{Outcome: mtreply.NotRun, Cause: mtreply.CauseNoOwner, RetryAfter: time.Second}
 	}
+	q.Suspect, q.Begun = false, nil
+	switch r.Poison.Judge(q) {
+	case mtpoison.Quarantined:
+		return mtrequest.FromError(quarantined)
+	case mtpoison.Suspect:
+		q.Suspect = true
+	}
 	if target == r.Self() {
 		return r.Owner.Serve(ctx, q)
 	}
@@ -243,7 +259,10 @@
 	if left <= 0 {
 		return &mtrequest.Reply{Outcome: mtreply.NotRun, Cause: mtreply.CauseExpired, RetryAfter: -1}
 	}
+	relayed := r.Poison.Relay(q, target)
+	q.Begun = relayed.Begun
 	reply, err := r.Peers.Relay(ctx, record.Relay, q, r.View.Now().Frontier(), left)
+	relayed.End(err, err == nil && reply.Outcome == mtreply.Answered)
 	if err != nil {
 		return mtrequest.FromError(err)
 	}
