--- a/io/mtdaemon/poison_test.go
+++ b/io/mtdaemon/poison_test.go
@@ -94,7 +94,9 @@
 		m := startDaemon(t, store, fmt.Sprintf("d%d", i), zones[i%len(zones)])
 		f := newFragile(t)
 		if vm {
-			f.crashed = func() { go m.kill() }
+			var killing sync.WaitGroup
+			f.crashed = func() { killing.Go(m.kill) }
+			t.Cleanup(killing.Wait)
 		}
 		m.announce(t, f.at)
 		members = append(members, m)
--- a/io/mtrelay/mtrelay_test.go
+++ b/io/mtrelay/mtrelay_test.go
@@ -31,7 +31,9 @@
 // ownerFunc is an owner made of a function.
 type ownerFunc func(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply
 
-func (f ownerFunc) Serve(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply { return f(ctx, r) }
+func (f ownerFunc) Serve(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply {
+	return f(ctx, r)
+}
 
 // serve starts a daemon's peer side and returns its address and how to end it.
 func serve(t *testing.T, o ownerFunc, hint func(mtid.Revision, mtid.Holder)) (string, *grpc.Server) {
@@ -58,6 +60,7 @@
 		Service: mtid.Ref{Business: "bundesamt", Service: "loan-desk"}, Key: "account-1", Class: "payment",
 		Method: "POST", Path: "/instalments", Query: "a=b", ContentType: "text/plain", Body: []byte("10 CHF"),
 		Ingress: mtid.Holder{Daemon: "bern-a-1", Incarnation: 3},
+		Suspect: true,
 	}
 }
 
@@ -79,11 +82,32 @@
 	assert.NilError(t, err)
 	assert.Assert(t, got.Deadline.After(0))
 	got.Deadline = 0
+	// A function can't be compared; TestBegunIsHeard says what it does.
+	assert.Assert(t, got.Begun != nil)
+	got.Begun = nil
 	assert.DeepEqual(t, got, want)
 	assert.DeepEqual(t, back, reply)
 	assert.Equal(t, frontier, mtid.Revision(44))
 }
 
+// An ingress has to tell a suspect that ran from one that only waited.
+func TestBegunIsHeard(t *testing.T) {
+	for _, begin := range []bool{false, true} {
+		address, _ := serve(t, func(_ context.Context, r *mtrequest.Request) *mtrequest.Reply {
+			if begin {
+				r.Begun()
+			}
+			return &mtrequest.Reply{Outcome: mtreply.Unknown, Cause: mtreply.CauseLost}
+		}, noHint)
+		heard := false
+		r := request()
+		r.Begun = func() { heard = true }
+		_, err := client(t).Relay(context.Background(), address, r, 0, plenty)
+		assert.NilError(t, err)
+		assert.Equal(t, heard, begin)
+	}
+}
+
 // The owner's daemon is gone. Nothing listens, so nothing left this process: the
 // farmer is told that the payment was not run, and may send it again.
 func TestNobodyListens(t *testing.T) {
