--- a/cmd/standin/audit.go
+++ b/cmd/standin/audit.go
@@ -131,7 +131,7 @@
 func (c *auditCommand) print(r mtaudit.Report) {
 	fmt.Printf("%d calls in %d tries, %d runs of which %d were cut off\n", r.Calls, r.Tries, r.Runs, r.Cut)
 	for _, p := range r.Phases {
-		fmt.Printf("phase %s: slowest answer %s\n", p.Name, p.Slowest.Round(time.Millisecond))
+		fmt.Printf("phase %s: answers p50 %s, p99 %s, slowest %s\n", p.Name, round(p.P50), round(p.P99), round(p.Slowest))
 		for _, count := range p.Counts {
 			fmt.Printf("  %-9s %-12s %d\n", count.Outcome, count.Cause, count.Calls)
 		}
@@ -139,8 +139,8 @@
 			continue
 		}
 		o := p.Longest
-		fmt.Printf("  %d outages of single keys, the longest %s: %s %q from %s, %d calls failed, ended: %t\n",
-			p.Outages, o.Lasted.Round(time.Millisecond), o.Service, o.Key, o.From.Format(time.RFC3339Nano), o.Failed, !o.Open)
+		fmt.Printf("  %d outages of single keys, the longest from %s to %s: %s %q from %s, %d calls failed, ended: %t\n",
+			p.Outages, round(o.AtLeast), round(o.AtMost), o.Service, o.Key, o.From.Format(time.RFC3339Nano), o.Failed, !o.Open)
 	}
 	fmt.Printf("findings: %d\n", len(r.Findings))
 	for i, f := range r.Findings {
@@ -151,3 +151,6 @@
 		fmt.Println("  " + f.String())
 	}
 }
+
+// round leaves what matters of a duration.
+func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,7 @@
 	subcommands.Register(&serverCommand{}, "")
 	subcommands.Register(&loadCommand{}, "")
 	subcommands.Register(&auditCommand{}, "")
+	subcommands.Register(&bundleCommand{}, "")
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
--- a/core/mtaudit/mtaudit_test.go
+++ b/core/mtaudit/mtaudit_test.go
@@ -182,19 +182,19 @@
 	})
 	ref := mtid.Ref{Business: "ratins", Service: "dispatch"}
 	assert.DeepEqual(t, report.Phases, []mtaudit.Phase{
-		{Name: "start", Counts: []mtaudit.Count{{Outcome: mtreply.Answered, Calls: 1}, {Outcome: mtreply.NotRun, Cause: mtreply.CauseLimited, Calls: 1}}, Slowest: 40 * time.Millisecond},
+		{Name: "start", Counts: []mtaudit.Count{{Outcome: mtreply.Answered, Calls: 1}, {Outcome: mtreply.NotRun, Cause: mtreply.CauseLimited, Calls: 1}}, P50: 40 * time.Millisecond, P99: 40 * time.Millisecond, Slowest: 40 * time.Millisecond},
 		{
 			Name:    "kill",
 			Counts:  []mtaudit.Count{{Outcome: mtreply.NotRun, Calls: 1}, {Outcome: mtreply.Unknown, Calls: 1}},
 			Outages: 1,
-			Longest: mtaudit.Outage{Service: ref, Key: "hotel-7", From: at(110), Lasted: 240 * time.Millisecond, Failed: 2},
+			Longest: mtaudit.Outage{Service: ref, Key: "hotel-7", From: at(110), AtLeast: 40 * time.Millisecond, AtMost: 240 * time.Millisecond, Failed: 2},
 		},
-		{Name: "stop", Counts: []mtaudit.Count{{Outcome: mtreply.Answered, Calls: 2}}, Slowest: 100 * time.Millisecond},
+		{Name: "stop", Counts: []mtaudit.Count{{Outcome: mtreply.Answered, Calls: 2}}, P50: 40 * time.Millisecond, P99: 40 * time.Millisecond, Slowest: 100 * time.Millisecond},
 		{
 			Name:    "rest",
 			Counts:  []mtaudit.Count{{Outcome: mtreply.NotRun, Calls: 1}},
 			Outages: 1,
-			Longest: mtaudit.Outage{Service: ref, Key: "hotel-7", From: at(700), Lasted: 50 * time.Millisecond, Failed: 1, Open: true},
+			Longest: mtaudit.Outage{Service: ref, Key: "hotel-7", From: at(700), AtMost: 50 * time.Millisecond, Failed: 1, Open: true},
 		},
 	})
 }
--- a/core/mtaudit/phase.go
+++ b/core/mtaudit/phase.go
@@ -15,17 +15,18 @@
 	Calls   int
 }
 
-// Outage is a time in which no call for a key was answered. It reaches from
-// when the first of the failed calls was due to the first answer to a call that
-// was due later, and so is an upper bound: the key may have been available
-// before somebody asked.
+// Outage is a time in which no call for a key was answered. It is known as well
+// as the key was asked for often: AtLeast reaches from when the first of the
+// failed calls was due to when the last one was, AtMost to the first answer to a
+// call that was due later.
 type Outage struct {
 	Service mtid.Ref
 	Key     mtid.Key
 	From    time.Time
-	Lasted  time.Duration
+	AtLeast time.Duration
+	AtMost  time.Duration
 	Failed  int  // calls that were not answered
-	Open    bool // no later call was answered
+	Open    bool // no later call was answered; AtMost ends with the last failed one
 }
 
 // Phase sums up the calls that were due in one phase, by how they ended.
@@ -33,11 +34,13 @@
 	Name    string
 	Counts  []Count
 	Outages int
-	// Longest is the longest outage that began in the phase; it is zero if
-	// every call was answered.
+	// Longest is the outage that began in the phase and has the largest
+	// AtLeast; it is zero if every call was answered.
 	Longest Outage
-	// Slowest is the longest that a call was waited for until its answer, from
-	// when it was due.
+	// P50, P99 and Slowest are how long calls were waited for until their
+	// answer, from when they were due.
+	P50     time.Duration
+	P99     time.Duration
 	Slowest time.Duration
 }
 
@@ -58,31 +61,35 @@
 	for _, m := range marks {
 		out = append(out, Phase{Name: m.Name})
 	}
-	in := func(at time.Time) *Phase {
+	in := func(at time.Time) int {
 		n := 0
 		for n < len(marks) && !marks[n].At.After(at) {
 			n++
 		}
-		return &out[n]
+		return n
 	}
+	waits := make([][]time.Duration, len(out))
 	for _, t := range calls {
-		in(t[0].Planned).add(t)
+		n := in(t[0].Planned)
+		out[n].add(t.last())
+		if t.last().Outcome == mtreply.Answered {
+			waits[n] = append(waits[n], t.last().Ended.Sub(t[0].Planned))
+		}
+	}
+	for n := range out {
+		out[n].rank(waits[n])
 	}
 	for _, o := range outages(calls) {
-		phase := in(o.From)
+		phase := &out[in(o.From)]
 		phase.Outages++
-		if o.Lasted >= phase.Longest.Lasted {
+		if phase.Longest.Failed == 0 || o.AtLeast > phase.Longest.AtLeast {
 			phase.Longest = o
 		}
 	}
 	return out
 }
 
-func (p *Phase) add(t tries) {
-	last := t.last()
-	if last.Outcome == mtreply.Answered {
-		p.Slowest = max(p.Slowest, last.Ended.Sub(t[0].Planned))
-	}
+func (p *Phase) add(last *Call) {
 	i := slices.IndexFunc(p.Counts, func(c Count) bool { return c.Outcome == last.Outcome && c.Cause == last.Cause })
 	if i < 0 {
 		p.Counts = append(p.Counts, Count{Outcome: last.Outcome, Cause: last.Cause})
@@ -91,6 +98,17 @@
 	p.Counts[i].Calls++
 }
 
+// rank works the quantiles of the waits out.
+func (p *Phase) rank(waits []time.Duration) {
+	const percent = 100
+	if len(waits) == 0 {
+		return
+	}
+	slices.Sort(waits)
+	last := len(waits) - 1
+	p.P50, p.P99, p.Slowest = waits[last*50/percent], waits[last*99/percent], waits[last]
+}
+
 // outages returns the times in which keys were not available.
 func outages(calls []tries) []Outage {
 	byPlace := make(map[place][]tries)
@@ -122,11 +140,12 @@
 		o := Outage{Service: at.service, Key: at.key, From: calls[i][0].Planned, Open: true}
 		for ; i < len(calls) && calls[i].last().Outcome != mtreply.Answered; i++ {
 			o.Failed++
-			o.Lasted = calls[i].last().Ended.Sub(o.From)
+			o.AtLeast = calls[i][0].Planned.Sub(o.From)
+			o.AtMost = calls[i].last().Ended.Sub(o.From)
 		}
 		if i < len(calls) {
 			o.Open = false
-			o.Lasted = calls[i].last().Ended.Sub(o.From)
+			o.AtMost = calls[i].last().Ended.Sub(o.From)
 		}
 		found = append(found, o)
 	}
--- a/io/mtstandin/load.go
+++ b/io/mtstandin/load.go
@@ -32,7 +32,7 @@
 const (
 	slack    = 500 * time.Millisecond // that a caller waits past its timeout
 	idle     = 1024                   // connections kept open to each target
-	resend   = 50 * time.Millisecond  // between two tries, unless the reply says more
+	resend   = 50 * time.Millisecond  // between two tries, unless the reply says more or nobody listened
 	maxWait  = 2 * time.Second        // between two tries, whatever the reply says
 	maxReply = MaxBody
 )
@@ -266,6 +266,9 @@
 	if err != nil {
 		c.Ended = time.Now()
 		c.Outcome, c.Cause = lost(err, connected.Load())
+		if c.Cause == mtreply.CauseUnreachable {
+			return 0 // the next target is another daemon
+		}
 		return resend
 	}
 	defer func() { _ = response.Body.Close() }()
