List quarantined requests for operators

Cause: show quarantine answered nothing. Change: mtpoison.Watch keeps what it refused, with service and count (small addition); mtdaemon passes it to the administration API. Conclusion: a fingerprint that a daemon knows of but never refused is not listed, since it doesn't tell its service.

--- a/io/mtadmin/document.go
+++ b/io/mtadmin/document.go
@@ -124,7 +124,7 @@
 	Business    mtid.Business `json:"business"`
 	Service     mtid.Service  `json:"service"`
 	Fingerprint string        `json:"fingerprint"` // hex
-	Crashes     int           `json:"crashes"`
+	Refused     int           `json:"refused"`     // times, by that daemon
 	Until       time.Time     `json:"until"`
 }
 
--- a/io/mtadmin/mtadmin.go
+++ b/io/mtadmin/mtadmin.go
@@ -72,7 +72,7 @@
 type Suspect struct {
 	Service     mtid.Ref
 	Fingerprint uint64
-	Crashes     int
+	Refused     int // times, by this daemon
 	Until       time.Time
 }
 
--- a/io/mtadmin/mtadmin_test.go
+++ b/io/mtadmin/mtadmin_test.go
@@ -95,8 +95,8 @@
 
 func (d *daemon) Suspects() []mtadmin.Suspect {
 	return []mtadmin.Suspect{
-		{Service: dispatch, Fingerprint: 0xabc, Crashes: 2, Until: time.UnixMilli(5000)},
-		{Service: mtid.Ref{Business: "bundesamt", Service: "loan-desk"}, Fingerprint: 0xdef, Crashes: 2},
+		{Service: dispatch, Fingerprint: 0xabc, Refused: 2, Until: time.UnixMilli(5000)},
+		{Service: mtid.Ref{Business: "bundesamt", Service: "loan-desk"}, Fingerprint: 0xdef, Refused: 2},
 	}
 }
 
--- a/io/mtadmin/report.go
+++ b/io/mtadmin/report.go
@@ -70,7 +70,7 @@
 			Business:    string(suspect.Service.Business),
 			Service:     string(suspect.Service.Service),
 			Fingerprint: suspect.Fingerprint,
-			Crashes:     uint32(max(suspect.Crashes, 0)),
+			Refused:     uint32(max(suspect.Refused, 0)),
 			UntilMs:     suspect.Until.UnixMilli(),
 		})
 	}
@@ -210,7 +210,7 @@
 				Business:    businessOf(c),
 				Service:     mtid.Service(suspect.GetService()),
 				Fingerprint: hex(suspect.GetFingerprint()),
-				Crashes:     int(suspect.GetCrashes()),
+				Refused:     int(suspect.GetRefused()),
 				Until:       time.UnixMilli(suspect.GetUntilMs()).UTC(),
 			})
 		}
--- a/io/mtcommand/show.go
+++ b/io/mtcommand/show.go
@@ -145,7 +145,7 @@
 	at := &connection{}
 	return &command{
 		console: c, name: "quarantine", synopsis: "list requests that are kept from running", usage: "BUSINESS",
-		help:    "Lists the fingerprints of requests that are suspected of crashing backend\nservers. Daemons that gave no answer are named on standard error.",
+		help:    "Lists the fingerprints of requests in quarantine since they crashed backend\nservers, as far as daemons have refused them. Daemons that gave no answer are\nnamed on standard error.",
 		example: "magnoliaturn show quarantine ratins",
 		flags:   at.flags,
 		run: func(ctx context.Context, args []string) error {
@@ -165,9 +165,9 @@
 			}
 			var rows [][]string
 			for _, d := range page.Items {
-				rows = append(rows, []string{d.Fingerprint, string(d.Service), strconv.Itoa(d.Crashes), d.Until.Format(time.RFC3339), string(d.Daemon)})
+				rows = append(rows, []string{d.Fingerprint, string(d.Service), strconv.Itoa(d.Refused), d.Until.Format(time.RFC3339), string(d.Daemon)})
 			}
-			c.show(page.Items, []string{"FINGERPRINT", "SERVICE", "CRASHES", "UNTIL", "DAEMON"}, rows)
+			c.show(page.Items, []string{"FINGERPRINT", "SERVICE", "REFUSED", "UNTIL", "DAEMON"}, rows)
 			return nil
 		},
 	}
--- a/io/mtdaemon/admin.go
+++ b/io/mtdaemon/admin.go
@@ -21,6 +21,7 @@
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtoperator"
 	"magnoliaturn/io/mtowner"
+	"magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
 	"magnoliaturn/io/mtrollout"
@@ -264,7 +265,18 @@
 func (s *self) Holder() mtid.Holder { return s.daemon.Self() }
 
 // Suspects implements mtadmin.Self.
-func (s *self) Suspects() []mtadmin.Suspect { return nil }
+func (s *self) Suspects() []mtadmin.Suspect {
+	clock := need[*mttime.Clock](s.daemon, NameClock)
+	now, wall := clock.Now(), clock.Wall()
+	var out []mtadmin.Suspect
+	for _, refused := range need[*mtpoison.Watch](s.daemon, NamePoison).Refused() {
+		out = append(out, mtadmin.Suspect{
+			Service: refused.Service, Fingerprint: uint64(refused.Print), Refused: refused.Times,
+			Until: wall.Add(refused.Until.Sub(now)),
+		})
+	}
+	return out
+}
 
 // Loads implements mtadmin.Self.
 func (s *self) Loads() []mtadmin.Load {
--- a/io/mtdaemon/admin_test.go
+++ b/io/mtdaemon/admin_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"magnoliaturn/io/mtadmin"
+	iostore "magnoliaturn/io/mtstore"
 )
 
 // admin returns the base URL of a daemon's administration API.
@@ -104,3 +105,25 @@
 		}
 	}
 }
+
+// A request that crashes servers is quarantined, and its senders are refused.
+// The operator asks any daemon which one it is.
+func TestOperatorsSeeTheQuarantine(t *testing.T) {
+	store := iostore.NewMemory(time.Now)
+	accept(t, store)
+	members, _ := fragileFleet(t, store, 4, false)
+	answers(t, members[0], "room-1")
+	quarantined(t, members)
+	client := mtadmin.NewClient(members[1].admin(t), "", nil)
+	page, err := client.Quarantine(t.Context(), "ratins")
+	assert.NilError(t, err)
+	assert.Assert(t, len(page.Items) > 0)
+	for _, d := range page.Items {
+		assert.Equal(t, d.Service, dispatch.Service)
+		assert.Equal(t, d.Fingerprint, page.Items[0].Fingerprint)
+		assert.Assert(t, d.Refused > 0 && d.Until.After(time.Now()))
+	}
+	other, err := client.Quarantine(t.Context(), "bundesamt")
+	assert.NilError(t, err)
+	assert.Equal(t, len(other.Items), 0)
+}
--- a/io/mtpoison/mtpoison.go
+++ b/io/mtpoison/mtpoison.go
@@ -77,19 +77,21 @@
 // Watch is the duty. See the package comment.
 type Watch struct {
 	Config
-	mu    sync.Mutex // guards table, next
-	table *mtpoison.Table[mtpoison.Narrow]
-	next  mtpoison.Number
-	lives map[mtid.Daemon]mtid.Holder // seen alive; used by the duty alone
+	mu      sync.Mutex // guards table, next, refused
+	table   *mtpoison.Table[mtpoison.Narrow]
+	next    mtpoison.Number
+	refused refusals
+	lives   map[mtid.Daemon]mtid.Holder // seen alive; used by the duty alone
 }
 
 // New starts the duty that looks for lost daemons and gossips, and returns the
 // Watch with its clean-up function.
 func New(config Config) (*Watch, func()) {
 	w := &Watch{
-		Config: config,
-		table:  mtpoison.New(mtpoison.Narrow{}, mtid.Holder{}, mtpoison.Limits{}),
-		lives:  make(map[mtid.Daemon]mtid.Holder),
+		Config:  config,
+		table:   mtpoison.New(mtpoison.Narrow{}, mtid.Holder{}, mtpoison.Limits{}),
+		refused: make(refusals),
+		lives:   make(map[mtid.Daemon]mtid.Holder),
 	}
 	stop, cancel := context.WithCancel(context.Background())
 	var duty sync.WaitGroup
@@ -159,7 +161,11 @@
 			w.table.HolderLost(w.Clock.Now(), holder)
 		}
 	}
-	return w.table.Judge(w.Clock.Now(), mtpoison.Print(r.Fingerprint()), r.Suspect)
+	verdict := w.table.Judge(w.Clock.Now(), mtpoison.Print(r.Fingerprint()), r.Suspect)
+	if verdict == mtpoison.Quarantined {
+		w.refused.note(w.Clock.Now(), r.Service, mtpoison.Print(r.Fingerprint()))
+	}
+	return verdict
 }
 
 // live reports whether a holder may own anything.
