Report only what changed, and let the planner ask for more

Cause: 480 daemons that repeated themselves while out of the band filled the planner's budget, and the ones with news waited. Change: silence means unchanged; a jump passes over the pause; the planner asks for another report when one can't settle what it knows; the mean is taken from last words rather than from falling estimates.

--- a/cmd/policies/placement.go
+++ b/cmd/policies/placement.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		results := compare(scene)
-		print(os.Stdout, results)
+		write(os.Stdout, results)
 		if err := c.draw(results); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return subcommands.ExitFailure
@@ -70,8 +70,8 @@
 	}
 }
 
-// print writes the table of one scene.
-func print(out io.Writer, results []mtscene.Result) {
+// write prints the table of one scene.
+func write(out io.Writer, results []mtscene.Result) {
 	fmt.Fprintf(out, "\n%s (hottest key alone: %.2f of a server's mean)\n", results[0].Scene, results[0].Floor)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "policy\timbalance\tp99\tover 1.15\tlongest\tchurn/min\tmoves\treturns\tunavailable/min\tshed\tsplits\tmerges\tshards\treports B/s\tpeak\t")
@@ -105,7 +105,7 @@
 func printLarge(out io.Writer, seed uint64) {
 	policy := &timed{Policy: mtplan.NewPlanner()}
 	r := mtscene.Run(mtscene.Fleet480(seed), policy)
-	print(out, []mtscene.Result{r})
+	write(out, []mtscene.Result{r})
 	mean := policy.sum / time.Duration(policy.rounds)
 	minutes := time.Duration(len(r.Series))*time.Second - mtscene.WarmUp
 	fmt.Fprintf(out, "rounds: %d, mean %v, longest %v; chunk writes: %.1f a minute\n",
--- a/core/mtload/book.go
+++ b/core/mtload/book.go
@@ -12,12 +12,10 @@
 
 // Times and bounds of a book.
 const (
-	// fallTime is the half-life with which an estimate follows a lower report.
+	// fallTime is the half-life with which an estimate falls to a lower report.
 	// A higher one counts at once. So a report that wrongly says "idle" can't
 	// draw shards within a round, and a load that swings is seen at its height.
-	fallTime = 6 * time.Second
-	// pointLife is how long a reported key counts as hot.
-	pointLife = 30 * time.Second
+	fallTime = 4 * time.Second
 	// arriveTime is how long a report may still come from before a shard's
 	// arrival at its sender, and leave it out.
 	arriveTime = 20 * time.Second
@@ -41,8 +39,10 @@
 }
 
 type entry struct {
-	low  mtid.Point
+	low mtid.Point
+	// The estimate falls from peak at the time at towards load, the last word.
 	load float64
+	peak float64
 	at   mtclock.Instant
 	// by is who reported last, and listed whether with a figure of its own.
 	by     mtid.Holder
@@ -54,6 +54,11 @@
 	test claim
 }
 
+// value returns the estimate now.
+func (e *entry) value(now mtclock.Instant) float64 {
+	return e.load + (e.peak-e.load)*fade(now.Sub(e.at), fallTime)
+}
+
 // claim is what an owner said of a shard that has moved on.
 type claim struct {
 	by   mtid.Holder
@@ -64,6 +69,7 @@
 type pointEntry struct {
 	point mtid.Point
 	load  float64
+	by    mtid.Holder
 	at    mtclock.Instant
 }
 
@@ -111,7 +117,9 @@
 		if old[i].low == low && oldHigh == high {
 			return old[i]
 		}
-		e.load += b.part(old[i], oldHigh, max(low, old[i].low), min(high, oldHigh))
+		from, to := max(low, old[i].low), min(high, oldHigh)
+		e.load += b.part(&old[i], oldHigh, from, to, old[i].load)
+		e.peak += b.part(&old[i], oldHigh, from, to, old[i].peak)
 		e.at = max(e.at, old[i].at)
 		e.by = old[i].by
 		if old[i].low == low && oldHigh > high {
@@ -122,9 +130,9 @@
 }
 
 // part returns what of an entry's load lies in [low, high].
-func (b *Book) part(e entry, eHigh, low, high mtid.Point) float64 {
+func (b *Book) part(e *entry, eHigh, low, high mtid.Point, load float64) float64 {
 	if low == e.low && high == eHigh {
-		return e.load
+		return load
 	}
 	var all, inside float64
 	first, _ := b.findPoint(e.low)
@@ -137,22 +145,24 @@
 			inside += p.load
 		}
 	}
-	if all > e.load {
-		return e.load * inside / all
+	if all > load {
+		return load * inside / all
 	}
 	width := (float64(high-low) + 1) / (float64(eHigh-e.low) + 1)
-	return inside + (e.load-all)*width
+	return inside + (load-all)*width
 }
 
-// Take notes a report. owned are the shards that the table gives its sender.
+// Take notes a report, and reports whether another one is wanted soon although
+// nothing may change: one that knows of what has happened to the shards since.
+// owned are the shards that the table gives its sender.
 // What the report does not list is spread evenly over the sender's other
 // shards.
-func (b *Book) Take(now mtclock.Instant, r *Report, owned []mtshard.Shard) {
+func (b *Book) Take(now mtclock.Instant, r *Report, owned []mtshard.Shard) (again bool) {
 	h, ok := b.heard[r.From]
 	if ok && r.Sequence <= h.sequence {
 		h.repeated = true
 		b.heard[r.From] = h
-		return
+		return true
 	}
 	b.heard[r.From] = hearing{sequence: r.Sequence, at: now}
 	factor := b.audit.factor(r.From)
@@ -170,21 +180,23 @@
 		load, ok := listed[s.Low]
 		if ok {
 			rest -= load
-			b.set(now, e, r.From, load, true)
+			again = b.set(now, e, r.From, load, true) || again
 			continue
 		}
 		// The shard has just arrived, and the report may be from before: the
 		// former owner's word stands, else the new one looks emptier than it
 		// is and is given more.
 		if e.by != r.From && !e.by.IsZero() && now.Sub(e.at) < arriveTime {
+			again = true
 			continue
 		}
 		others = append(others, e)
 	}
 	for _, e := range others {
-		b.set(now, e, r.From, max(0, rest)/float64(len(others)), false)
+		again = b.set(now, e, r.From, max(0, rest)/float64(len(others)), false) || again
 	}
-	b.takePoints(now, r.Points, factor)
+	b.takePoints(now, r.From, r.Points, factor)
+	return again
 }
 
 // find returns the entry of the shard that begins at low, or nil.
@@ -198,17 +210,18 @@
 	return &b.entries[i]
 }
 
-func (b *Book) set(now mtclock.Instant, e *entry, from mtid.Holder, load float64, listed bool) {
+// set notes a figure, and reports whether the next one will be a better one.
+func (b *Book) set(now mtclock.Instant, e *entry, from mtid.Holder, load float64, listed bool) bool {
 	b.compare(now, e, from, load, listed)
-	switch {
-	case load < e.load:
-		load += (e.load - load) * fade(now.Sub(e.at), fallTime)
-	case e.fresh > 0:
-		// The owner still counts what has been split off, under the old low.
-		load = e.load
+	before := e.value(now)
+	if e.fresh > 0 {
+		// The owner may still count what has been split off, under the low
+		// that both had.
+		e.fresh--
+		load = min(load, before)
 	}
-	e.fresh = max(0, e.fresh-1)
-	e.load, e.at = load, now
+	e.load, e.peak, e.at = load, max(load, before), now
+	return e.fresh > 0 || e.test.load > 0
 }
 
 // compare holds the claims of two successive owners of a shard against each
@@ -223,10 +236,10 @@
 		return
 	}
 	e.listed = listed
-	if e.test.load == 0 || !listed || now.Sub(e.test.at) < testWait {
+	if e.test.load == 0 || now.Sub(e.test.at) < testWait {
 		return
 	}
-	if now.Sub(e.test.at) <= testAge {
+	if listed && now.Sub(e.test.at) <= testAge {
 		b.audit.add(e.test.by, from, e.test.load, load)
 	}
 	e.test = claim{}
@@ -239,7 +252,12 @@
 	})
 }
 
-func (b *Book) takePoints(now mtclock.Instant, points []PointLoad, factor float64) {
+// takePoints puts a reporter's hot keys in the place of those that it reported
+// before.
+func (b *Book) takePoints(now mtclock.Instant, from mtid.Holder, points []PointLoad, factor float64) {
+	b.points = slices.DeleteFunc(b.points, func(p pointEntry) bool {
+		return p.by == from || now.Sub(p.at) > 2*Refresh
+	})
 	for _, p := range points {
 		if p.Load <= 0 {
 			continue
@@ -248,10 +266,7 @@
 		if !ok {
 			b.points = slices.Insert(b.points, i, pointEntry{})
 		}
-		b.points[i] = pointEntry{point: p.Point, load: p.Load * factor, at: now}
-	}
-	if len(b.points) > maxPoints {
-		b.forget(now)
+		b.points[i] = pointEntry{point: p.Point, load: p.Load * factor, by: from, at: now}
 	}
 	for len(b.points) > maxPoints {
 		i := b.lightest()
@@ -270,24 +285,27 @@
 	return least
 }
 
-// forget drops keys that were not reported lately.
-func (b *Book) forget(now mtclock.Instant) {
-	b.points = slices.DeleteFunc(b.points, func(p pointEntry) bool { return now.Sub(p.at) > pointLife })
+// Loads appends the estimate of each shard now, in the order of the last Sync.
+func (b *Book) Loads(now mtclock.Instant, into []float64) []float64 {
+	for i := range b.entries {
+		into = append(into, b.entries[i].value(now))
+	}
+	return into
 }
 
-// Loads returns the estimate of each shard, in the order of the last Sync. It
-// is valid until the next call of a method.
-func (b *Book) Loads(into []float64) []float64 {
-	into = into[:0]
-	for _, e := range b.entries {
-		into = append(into, e.load)
+// Total returns the load of all shards as last reported. Loads may add up to
+// more, while estimates fall: a key that has moved on to another shard would
+// else count twice in the mean, and hide who is above it.
+func (b *Book) Total() float64 {
+	sum := 0.0
+	for i := range b.entries {
+		sum += b.entries[i].load
 	}
-	return into
+	return sum
 }
 
-// Points returns the hot keys that were reported lately, by point.
-func (b *Book) Points(now mtclock.Instant) []PointLoad {
-	b.forget(now)
+// Points returns the hot keys that each reporter named last, by point.
+func (b *Book) Points() []PointLoad {
 	hot := make([]PointLoad, 0, len(b.points))
 	for _, p := range b.points {
 		hot = append(hot, PointLoad{Point: p.point, Load: p.load})
--- a/core/mtload/pace.go
+++ b/core/mtload/pace.go
@@ -16,23 +16,28 @@
 	MaxPause = 2 * time.Minute
 	// Refresh is the time after which a daemon reports though nothing changed.
 	Refresh = 10 * time.Minute
-	// Band is how far the load per slot may lie from the fleet's mean before a
-	// daemon reports it, as a share of the mean.
+	// Band is how far above the fleet's mean the load per slot may lie, as a
+	// share of it, before the daemon's reports go ahead of others'.
 	Band = 0.08
-	// Change is how far it may move from what was last reported.
+	// Change is how far it may move from what was last reported before it is
+	// reported again, and Jump how far before the planner's pause is passed
+	// over, both in shares of the mean.
 	Change = 0.05
+	Jump   = 0.2
 )
 
 // Pace decides when a daemon reports to the planner of one service. The zero
 // value is ready.
 type Pace struct {
-	leader mtid.Holder
-	until  mtclock.Instant // no report before
-	sent   mtclock.Instant
-	said   float64 // load per slot last reported
-	mean   float64 // load per slot of the fleet, as last told
-	known  bool    // whether the present leader has had a report
-	told   bool    // whether any planner has told the mean
+	leader   mtid.Holder
+	until    mtclock.Instant // no report before, as the planner asked
+	sent     mtclock.Instant
+	said     float64 // load per slot last reported
+	mean     float64 // load per slot of the fleet, as last told
+	reported bool    // whether anything was ever sent
+	answered bool    // whether the last report was, and no other is wanted
+	known    bool    // whether the present leader has had a report
+	told     bool    // whether any planner has told the mean
 }
 
 // Due reports whether to send now, given the load per slot. It is called once a
@@ -47,20 +52,20 @@
 		p.known = false
 		p.until = now.Add(spreadOf(self, leader, spread))
 	}
-	above := p.told && load > p.mean*(1+Band)
-	if !p.known && above && now.Sub(p.sent) >= MinPause {
-		return true
-	}
-	if now.Before(p.until) {
+	if p.reported && now.Sub(p.sent) < MinPause {
 		return false
 	}
-	if !p.known || now.Sub(p.sent) >= Refresh {
+	change := math.Abs(load - p.said)
+	if p.known && change > Jump*p.mean {
 		return true
 	}
-	if above || load < p.mean*(1-Band) {
+	if !p.known && p.told && load > p.mean*(1+Band) {
 		return true
 	}
-	return math.Abs(load-p.said) > Change*max(p.said, p.mean)
+	if now.Before(p.until) {
+		return false
+	}
+	return !p.known || !p.answered || now.Sub(p.sent) >= Refresh || change > Change*p.mean
 }
 
 // Sent notes that a report with that load per slot went out, whether or not it
@@ -68,13 +73,17 @@
 func (p *Pace) Sent(now mtclock.Instant, load float64) {
 	p.sent = now
 	p.said = load
+	p.reported = true
+	p.answered = false
 	p.until = now.Add(MinPause)
 }
 
-// Heard notes the planner's reply.
-func (p *Pace) Heard(mean float64, pause time.Duration) {
+// Heard notes the planner's reply; again says that it wants another report after
+// the pause in any case.
+func (p *Pace) Heard(mean float64, pause time.Duration, again bool) {
 	p.known = true
 	p.told = true
+	p.answered = !again
 	p.mean = mean
 	p.until = p.sent.Add(min(max(pause, MinPause), MaxPause))
 }
@@ -91,22 +100,28 @@
 	return time.Duration(mtid.Rank(self.Daemon, seed) % uint64(spread))
 }
 
-// Throttle is the planner's side: it asks reporters for pauses that keep the
-// reports it gets under a rate. Each report books its sender's next one on a
-// timetable, so that a few hundred that arrive at once come back spread out.
-// The zero value is ready.
+// Throttle is the planner's side: it asks reporters for longer pauses as long as
+// more reports come in than it bears. The zero value is ready.
 type Throttle struct {
-	above mtclock.Instant // last place booked for an overloaded reporter
-	other mtclock.Instant // last place booked for another
+	above backlog // of overloaded reporters
+	other backlog
+}
+
+// backlog is how many reports came in above a rate.
+type backlog struct {
+	count float64
+	last  mtclock.Instant
 }
 
 // Rates of reports that a planner bears, a second. Together with ReportCost
 // they are the planner's share of the control budget. The overloaded have a
-// timetable of their own, so that the many that changed a little don't keep
-// the few that need relief waiting.
+// rate of their own, so that the many that changed a little don't keep the few
+// that need relief waiting.
 const (
 	AboveRate = 1.25
 	OtherRate = 1.0
+	// burst is the backlog that is let pass.
+	burst = 16
 	// ReportCost is what a report costs its receiver in bytes, both directions
 	// with headers: see docs/PLACEMENT.md.
 	ReportCost = 760
@@ -118,11 +133,18 @@
 // says that the sender lies above the band. No pause is longer than MaxPause,
 // so past MaxPause times the rate reporters the rate can't be kept.
 func (t *Throttle) Arrived(now mtclock.Instant, above bool) time.Duration {
-	lane, rate := &t.other, OtherRate
 	if above {
-		lane, rate = &t.above, AboveRate
+		return t.above.add(now, AboveRate)
 	}
-	step := time.Duration(float64(time.Second) / rate)
-	*lane = max(lane.Add(step), now.Add(MinPause))
-	return min(lane.Sub(now), MaxPause)
+	return t.other.add(now, OtherRate)
+}
+
+// add counts a report. The backlog grows until the pauses that follow from it
+// bring the reports down to the rate.
+func (b *backlog) add(now mtclock.Instant, rate float64) time.Duration {
+	b.count = max(0, b.count-rate*now.Sub(b.last).Seconds()) + 1
+	b.count = min(b.count, burst+rate*MaxPause.Seconds())
+	b.last = now
+	wait := max(0, b.count-burst) / rate
+	return min(MinPause+time.Duration(wait*float64(time.Second)), MaxPause)
 }
--- a/core/mtplan/planner.go
+++ b/core/mtplan/planner.go
@@ -40,6 +40,9 @@
 	// a share of its fair load: one that wrongly reports itself idle gets a
 	// little, and then shows whether its load rises.
 	intakeShare = 0.6
+	// intakeTime is how long a server that stays silent counts as not having
+	// reported what it was given. Silence for longer means that little changed.
+	intakeTime = 15 * time.Second
 	// hotShare is the share of a server's fair load from which a key gets a
 	// shard to itself when its server is above the band.
 	hotShare = 0.08
@@ -79,6 +82,7 @@
 // intake is what a server was given since its last report.
 type intake struct {
 	heard mtclock.Instant
+	since mtclock.Instant
 	load  float64
 }
 
@@ -230,8 +234,9 @@
 			r.room[i] = server.Slots * server.Warm
 			r.zones[zone].room += r.room[i]
 		}
-		if r.p.given[server.Holder].heard != server.HeardAt {
-			r.p.given[server.Holder] = intake{heard: server.HeardAt}
+		given := r.p.given[server.Holder]
+		if given.heard != server.HeardAt || r.now.Sub(given.since) > intakeTime {
+			r.p.given[server.Holder] = intake{heard: server.HeardAt, since: r.now}
 		}
 	}
 }
--- a/core/mtplan/state.go
+++ b/core/mtplan/state.go
@@ -68,6 +68,9 @@
 	Servers []Server // by holder
 	Shards  []Shard  // by low, covering the ring
 	Points  []mtload.PointLoad
+	// Total is the load of all shards as last reported. It may be less than
+	// the sum of their estimates, which fall slowly.
+	Total   float64
 	Weights mtbundle.Weights
 	Target  int // shards that the service is meant to have at rest
 }
@@ -143,7 +146,7 @@
 // Survey lays out the shards of tables, which must be all chunks in order, with
 // their owners' places among servers and the loads from book. The book is
 // brought in line with the tables.
-func Survey(tables []*mtshard.Table, servers []Server, book *mtload.Book) []Shard {
+func Survey(now mtclock.Instant, tables []*mtshard.Table, servers []Server, book *mtload.Book) []Shard {
 	places := make(map[mtid.Holder]int, len(servers))
 	for i := range servers {
 		places[servers[i].Holder] = i
@@ -168,7 +171,7 @@
 		}
 	}
 	book.Sync(lows)
-	for i, load := range book.Loads(nil) {
+	for i, load := range book.Loads(now, make([]float64, 0, count)) {
 		shards[i].Load = load
 	}
 	return shards
@@ -176,10 +179,7 @@
 
 // Mean returns the load per usable slot over the servers that stay.
 func (s *State) Mean() float64 {
-	var load, slots float64
-	for i := range s.Shards {
-		load += s.Shards[i].Load
-	}
+	slots := 0.0
 	for i := range s.Servers {
 		if !s.Servers[i].Leaving {
 			slots += s.Servers[i].Slots * s.Servers[i].Warm
@@ -188,5 +188,5 @@
 	if slots == 0 {
 		return 0
 	}
-	return load / slots
+	return s.Total / slots
 }
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -317,11 +317,11 @@
 	for len(r.reports) > 0 && r.reports[0].at <= r.at {
 		report := r.reports[0].report
 		r.reports = r.reports[1:]
-		r.book.Take(r.now(), report, r.owned(report.From))
+		again := r.book.Take(r.now(), report, r.owned(report.From))
 		server := r.places[report.From]
 		load := report.Load / r.slots(server)
 		pause := r.throttle.Arrived(r.now(), load > r.mean*(1+mtload.Band))
-		r.paces[server].Heard(r.mean, pause)
+		r.paces[server].Heard(r.mean, pause, again)
 	}
 }
 
@@ -484,8 +484,9 @@
 		}
 		return 1
 	})
-	state.Shards = mtplan.Survey(r.tables, state.Servers, r.book)
-	state.Points = r.book.Points(r.now())
+	state.Shards = mtplan.Survey(r.now(), r.tables, state.Servers, r.book)
+	state.Points = r.book.Points()
+	state.Total = r.book.Total()
 	r.losses.Pin(r.now(), state.Shards)
 	return state
 }
