Let larger changes of load pass over the planner's pause

Cause: a key that grew by a tenth of a mean waited for half a minute in line. Change: the jump is a tenth; wanted reports wait twelve seconds; a server that can yield small shards takes a large one whatever it took before.

--- a/core/mtload/pace.go
+++ b/core/mtload/pace.go
@@ -16,6 +16,9 @@
 	MaxPause = 2 * time.Minute
 	// Refresh is the time after which a daemon reports though nothing changed.
 	Refresh = 10 * time.Minute
+	// AgainPause is the least pause before a report that the planner asked for
+	// although nothing may have changed.
+	AgainPause = 12 * time.Second
 	// Band is how far above the fleet's mean the load per slot may lie, as a
 	// share of it, before the daemon's reports go ahead of others'.
 	Band = 0.08
@@ -23,7 +26,7 @@
 	// reported again, and Jump how far before the planner's pause is passed
 	// over, both in shares of the mean.
 	Change = 0.05
-	Jump   = 0.2
+	Jump   = 0.1
 )
 
 // Pace decides when a daemon reports to the planner of one service. The zero
@@ -85,6 +88,9 @@
 	p.told = true
 	p.answered = !again
 	p.mean = mean
+	if again {
+		pause = max(pause, AgainPause)
+	}
 	p.until = p.sent.Add(min(max(pause, MinPause), MaxPause))
 }
 
--- a/core/mtplan/balance.go
+++ b/core/mtplan/balance.go
@@ -187,7 +187,7 @@
 func (r *round) yielding(donor int, load float64) int {
 	best := -1
 	for i := range r.state.Servers {
-		if i == donor || r.room[i] == 0 || !r.open(i, load) {
+		if i == donor || r.room[i] == 0 || !r.state.Servers[i].Heard {
 			continue
 		}
 		after := (r.load[i] + load) / r.room[i]
--- a/core/mtplan/planner.go
+++ b/core/mtplan/planner.go
@@ -27,8 +27,9 @@
 	// relieved, so that a short swing moves nothing.
 	patience = 4 * time.Second
 	// urgent is the load per slot, in means, from which there is no waiting
-	// and no budget. It lies below the 1.15 that the policy is held to.
-	urgent = 1.12
+	// and no budget. With the change that reports may leave out it lies below
+	// the 1.15 that the policy is held to.
+	urgent = 1.10
 	// idle is the share of the mean below which a server counts as one that
 	// has just joined, to be filled without waiting.
 	idle = 0.5
