Anchor the comparison of reports, and make way for hot keys

Cause: corrections drifted upwards together, since comparisons fix no scale; three hot keys on one server found no recipient that ended below it. Change: corrections are taken from the middle one of all servers, from shards that hold no hot key; a server with small shards to give away may end above the donor for a round or two.

--- a/core/mtload/book.go
+++ b/core/mtload/book.go
@@ -47,6 +47,7 @@
 	// by is who reported last, and listed whether with a figure of its own.
 	by     mtid.Holder
 	listed bool
+	single bool // holds one point only
 	// fresh is how many reports may still count what was split off.
 	fresh int
 	// test is what the owner before by claimed, until by's claim is compared
@@ -82,7 +83,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{heard: make(map[mtid.Holder]hearing), audit: make(audit)}
+	return &Book{heard: make(map[mtid.Holder]hearing), audit: newAudit()}
 }
 
 // Sync brings the book's shards in line with lows, the lows of all shards in
@@ -108,7 +109,7 @@
 // inherit returns the entry for [low, high] from the old ones, the first of
 // which that overlaps is old[i].
 func (b *Book) inherit(old []entry, i int, low, high mtid.Point) entry {
-	e := entry{low: low}
+	e := entry{low: low, single: low == high}
 	for ; i < len(old) && old[i].low <= high; i++ {
 		oldHigh := ^mtid.Point(0)
 		if i+1 < len(old) {
@@ -229,7 +230,7 @@
 func (b *Book) compare(now mtclock.Instant, e *entry, from mtid.Holder, load float64, listed bool) {
 	if e.by != from {
 		e.test = claim{}
-		if e.listed && e.load >= testLoad && now.Sub(e.at) <= testAge {
+		if e.listed && !e.single && e.load >= testLoad && e.load <= testLimit && now.Sub(e.at) <= testAge {
 			e.test = claim{by: e.by, load: e.load, at: now}
 		}
 		e.by, e.listed = from, listed
@@ -333,7 +334,7 @@
 	for holder := range b.heard {
 		if !live(holder) {
 			delete(b.heard, holder)
-			delete(b.audit, holder)
+			b.audit.forget(holder)
 		}
 	}
 }
--- a/core/mtplan/balance.go
+++ b/core/mtplan/balance.go
@@ -159,10 +159,10 @@
 const pickTries = 12
 
 // displace returns a shard to move off an overloaded server although no server
-// has room for it, and the server that can best make room: one that ends well
-// below where the donor is now, and that has enough small shards to give away
-// in the next rounds. Without it a server on which several hot keys met would
-// stay overloaded while no other has a hole of the size of one key.
+// has room for it, and the server that can best make room: one that has enough
+// small shards to give away in the next rounds. Without it a server on which
+// several hot keys met would stay overloaded while no other has a hole of the
+// size of one key.
 func (r *round) displace(candidates []int, donor int, excess float64) (int, int) {
 	if r.util(donor) <= r.mean*urgent {
 		return -1, -1
@@ -179,8 +179,9 @@
 	return -1, -1
 }
 
-// displaceGain is how far below the donor the new owner must end, in means.
-const displaceGain = 0.08
+// displaceLoss is how far above the donor the new owner may be for the round or
+// two that it takes to give its small shards away, in means.
+const displaceLoss = 0.1
 
 // yielding returns the least loaded server that could give away in small shards
 // what a new one of that load would be too much, or -1.
@@ -191,11 +192,8 @@
 			continue
 		}
 		after := (r.load[i] + load) / r.room[i]
-		if after > r.util(donor)-displaceGain*r.mean {
-			continue
-		}
 		over := r.load[i] + load - r.fair(i)
-		if r.small(i) < over {
+		if after > r.util(donor)+displaceLoss*r.mean || over > r.small(i) || over > r.spare(donor, i) {
 			continue
 		}
 		if best < 0 || r.util(i) < r.util(best) {
@@ -205,6 +203,18 @@
 	return best
 }
 
+// spare returns the load that servers other than two could take inside the
+// band.
+func (r *round) spare(donor, taker int) float64 {
+	sum := 0.0
+	for i := range r.state.Servers {
+		if i != donor && i != taker && r.room[i] > 0 {
+			sum += max(0, r.fair(i)*(1+r.band.enter)-r.load[i])
+		}
+	}
+	return sum
+}
+
 // small returns the load of a server's shards that fit into any other's gap.
 func (r *round) small(server int) float64 {
 	sum := 0.0
