Plan, ask owners and report load as duties

Cause: the policy had no duty that feeds it. Change: the planner's duty takes reports, plans every five seconds, writes splits and merges and asks owners for moves; a reporter on each daemon.

--- a/core/mtload/mtload.go
+++ b/core/mtload/mtload.go
@@ -25,6 +25,7 @@
 
 import (
 	"math"
+	"time"
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtroster"
@@ -43,6 +44,12 @@
 // are stated as this.
 const MaxLoad = 1e6
 
+// MaxMean is the largest mean that a reply can state.
+const MaxMean = 1000
+
+// meanUnits is the resolution of the mean on the wire.
+const meanUnits = 1e6
+
 // unitsPerSlot is the resolution of loads on the wire.
 const unitsPerSlot = 1000
 
@@ -130,3 +137,33 @@
 }
 
 func slots(units uint32) float64 { return float64(units) / unitsPerSlot }
+
+// Reply is a planner's answer to a report.
+type Reply struct {
+	Mean  float64       // load per slot over all servers
+	Pause time.Duration // least time until the next report
+	Again bool          // whether another report is wanted after the pause
+}
+
+// Wire returns the form of r that is sent.
+func (r Reply) Wire() *mtwire.LoadReply {
+	return &mtwire.LoadReply{
+		Mean:    uint32(math.Round(min(max(r.Mean, 0), MaxMean) * meanUnits)),
+		PauseMs: uint32(r.Pause.Milliseconds()),
+		Again:   r.Again,
+		Leader:  true,
+	}
+}
+
+// ReadReply returns the reply that w stands for, or false if its sender does
+// not plan for the service.
+func ReadReply(w *mtwire.LoadReply) (Reply, bool) {
+	if !w.GetLeader() {
+		return Reply{}, false
+	}
+	return Reply{
+		Mean:  float64(w.GetMean()) / meanUnits,
+		Pause: time.Duration(w.GetPauseMs()) * time.Millisecond,
+		Again: w.GetAgain(),
+	}, true
+}
--- a/core/mtplan/state.go
+++ b/core/mtplan/state.go
@@ -143,6 +143,11 @@
 	return coldShare + (1-coldShare)*max(0, float64(age))/float64(WarmTime)
 }
 
+// SortServers puts servers in the order that a State has them in.
+func SortServers(servers []Server) {
+	slices.SortFunc(servers, func(a, b Server) int { return compareHolders(a.Holder, b.Holder) })
+}
+
 // Survey lays out the shards of tables, which must be all chunks in order, with
 // their owners' places among servers and the loads from book. The book is
 // brought in line with the tables.
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -478,12 +478,7 @@
 			HeardAt: heardAt,
 		})
 	}
-	slices.SortFunc(state.Servers, func(a, b mtplan.Server) int {
-		if a.Holder.Daemon < b.Holder.Daemon {
-			return -1
-		}
-		return 1
-	})
+	mtplan.SortServers(state.Servers)
 	state.Shards = mtplan.Survey(r.now(), r.tables, state.Servers, r.book)
 	state.Points = r.book.Points()
 	state.Total = r.book.Total()
--- a/io/mtplanner/mtplanner.go
+++ b/io/mtplanner/mtplanner.go
@@ -7,12 +7,17 @@
 // daemons that both take themselves for the leader do no harm: each write is a
 // compare-and-swap on the version that was planned from.
 //
+// A Reporter on every daemon tells the leader the load of the daemon's shards.
+//
 // # Usage
 //
 //	planner, cleanUp, err := mtplanner.New(config, view, store, mover)
 //	defer cleanUp()
+//	mtwire.RegisterPlannerServer(grpcServer, planner)
+//	cleanUp, err = mtplanner.NewReporter(config, view, meters, link, planner)
+//	defer cleanUp()
 //
-// The clean-up stops the duty and waits for it. All methods are safe for
+// The clean-ups stop the duties and wait for them. All methods are safe for
 // concurrent use.
 package mtplanner
 
@@ -26,10 +31,13 @@
 	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtload"
 	"magnoliaturn/core/mtplan"
+	"magnoliaturn/core/mtring"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtwire"
 )
 
 // View is the live state as this daemon knows it. Its methods must be safe for
@@ -78,19 +86,48 @@
 // Error implements error.
 func (e *ConfigError) Error() string { return "planner: " + e.Field + " is missing" }
 
-// Planner is the duty.
+// Sizes and times of the duty.
+const (
+	// RoundTime is the time between two rounds of planning for a service, and
+	// SoonTime the time to the next one after a round that wrote splits, which
+	// usually are to be followed by moves.
+	RoundTime = 5 * time.Second
+	SoonTime  = time.Second
+	// maxReports is how many load reports may wait.
+	maxReports = 256
+	// maxWishes is how many moves may wait to be asked for, and askers how
+	// many are asked for at once.
+	maxWishes = 512
+	askers    = 8
+	// askTimeout bounds one call to an owner.
+	askTimeout = 2 * time.Second
+)
+
+// Planner is the duty. It is the server of mtwire.Planner as well.
 type Planner struct {
-	config Config
-	view   View
-	writer *writer
-	mover  Mover
+	mtwire.UnimplementedPlannerServer
+
+	config  Config
+	view    View
+	writer  *writer
+	mover   Mover
+	reports *mtring.Ring[delivery]
+	wishes  *mtring.Ring[wish]
+	refused *mtring.Ring[wish]
 
 	services map[mtid.Ref]*serviceState // of the duty's goroutine alone
 }
 
-// serviceState is what the duty keeps of one service between ticks.
-type serviceState struct {
-	creation mtplan.Creation
+// delivery is a report that waits for the duty, and where its answer goes.
+type delivery struct {
+	report *mtload.Report
+	answer chan *mtwire.LoadReply // of size one, so that the duty never waits
+}
+
+// wish is a move to be asked for.
+type wish struct {
+	service mtid.Ref
+	move    mtplan.Move
 }
 
 // New starts the duty. It fails with a *ConfigError.
@@ -106,11 +143,14 @@
 		view:     view,
 		writer:   &writer{store: store, stamp: config.Stamp, log: config.Log},
 		mover:    mover,
+		reports:  mtring.New[delivery](maxReports),
+		wishes:   mtring.New[wish](maxWishes),
+		refused:  mtring.New[wish](maxWishes),
 		services: make(map[mtid.Ref]*serviceState),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var duty sync.WaitGroup
-	duty.Go(func() {
+	var duties sync.WaitGroup
+	duties.Go(func() {
 		ticker := time.NewTicker(config.Tick)
 		defer ticker.Stop()
 		for {
@@ -119,10 +159,25 @@
 				return
 			case <-ticker.C:
 				p.tick(ctx)
+			case d := <-p.reports.Items():
+				d.answer <- p.take(d.report)
+			case w := <-p.refused.Items():
+				p.forget(w)
 			}
 		}
 	})
-	return p, func() { cancel(); duty.Wait() }, nil
+	for range askers {
+		duties.Go(func() {
+			for {
+				w, ok := p.wishes.Take(ctx.Done())
+				if !ok {
+					return
+				}
+				p.ask(ctx, w)
+			}
+		})
+	}
+	return p, func() { cancel(); duties.Wait() }, nil
 }
 
 func check(config Config) error {
@@ -166,10 +221,13 @@
 	}
 	state, ok := p.services[ref]
 	if !ok {
-		state = &serviceState{}
+		state = newServiceState()
 		p.services[ref] = state
 	}
 	p.create(ctx, state, ref, service, serving(servers))
+	if now := p.config.Now(); !now.Before(state.next) {
+		p.round(ctx, now, state, ref, service, servers)
+	}
 }
 
 // create lays the chunks that don't exist yet. The first chunk comes alone, and
