Test the planner's duty from the gate's counts to the split

Cause: the duty was untested beyond creation. Change: tests with stories for a hot key, a leaving server, refusals, and reports to a daemon that does not lead.

--- a/io/mtplanner/mtplanner_test.go
+++ b/io/mtplanner/mtplanner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,9 +14,13 @@
 	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtload"
+	"magnoliaturn/core/mtplan"
+	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtwire"
 	"magnoliaturn/io/mtplanner"
 )
 
@@ -30,6 +35,9 @@
 	entries map[string]mtstore.Entry
 	lose    int // answers to lose after the write took effect
 	swaps   int
+	asked   int
+	refuse  bool
+	left    mtid.Daemon
 }
 
 func (f *fakeStore) Swap(_ context.Context, name string, expected mtid.Version, value []byte, _ mtstore.LeaseID) (mtid.Version, error) {
@@ -58,7 +66,28 @@
 	return entry, nil
 }
 
-func (f *fakeStore) Roster() []*mtroster.Record  { return f.roster }
+func (f *fakeStore) Roster() []*mtroster.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.roster)
+}
+
+// leave lets the first daemon but the leader leave.
+func (f *fakeStore) leave(leader mtid.Daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, r := range f.roster {
+		if r.Holder.Daemon == leader {
+			continue
+		}
+		next := *r
+		next.State = mtroster.Leaving
+		f.roster[i] = &next
+		f.left = r.Holder.Daemon
+		return
+	}
+}
+
 func (f *fakeStore) Bundles() []*mtbundle.Bundle { return f.bundles }
 
 func (f *fakeStore) Table(ref mtid.Ref, chunk int) (*mtshard.Table, bool) {
@@ -102,11 +131,11 @@
 	return c.now
 }
 
-func start(t *testing.T, f *fakeStore, name mtid.Daemon) {
+func start(t *testing.T, f *fakeStore, name mtid.Daemon) *mtplanner.Planner {
 	t.Helper()
 	self := mtid.Holder{Daemon: name, Incarnation: 1}
 	var sequence uint64
-	_, cleanUp, err := mtplanner.New(mtplanner.Config{
+	p, cleanUp, err := mtplanner.New(mtplanner.Config{
 		Self: func() mtid.Holder { return self },
 		Stamp: func() mtroster.Stamp {
 			sequence++
@@ -115,9 +144,10 @@
 		Now:  (&clock{}).Now,
 		Log:  slog.New(slog.DiscardHandler),
 		Tick: time.Millisecond,
-	}, f, f, nil)
+	}, f, f, f)
 	assert.NilError(t, err)
 	t.Cleanup(cleanUp)
+	return p
 }
 
 func waitForTables(t *testing.T, f *fakeStore, chunks int) {
@@ -174,3 +204,228 @@
 	assert.Assert(t, ok, "got %v, want a ConfigError", err)
 	assert.Equal(t, got.Field, "Self")
 }
+
+// Move carries out a wish at once, as an owner would.
+func (f *fakeStore) Move(_ context.Context, owner mtid.Holder, service mtid.Ref, low mtid.Point, to mtid.Holder) error {
+	f.mu.Lock()
+	f.asked++
+	refuse := f.refuse
+	f.mu.Unlock()
+	if refuse {
+		return &mtreply.RefusedError{Cause: mtreply.CauseStopping}
+	}
+	for {
+		first, _ := f.Table(service, 0)
+		table, _ := f.Table(service, mtshard.ChunkOf(low, first.Chunks))
+		shard, _ := table.Lookup(low)
+		if shard.Low != low || shard.Owner != owner {
+			return &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute}
+		}
+		next, err := table.Apply(mtroster.Stamp{}, mtshard.Move{Low: low, To: to})
+		if err != nil {
+			return err
+		}
+		value, err := next.Encode()
+		if err != nil {
+			return err
+		}
+		_, err = f.Swap(context.Background(), mtstore.ShardName(service, table.Chunk), table.Version, value, "")
+		if _, conflict := err.(*mtstore.ConflictError); !conflict {
+			return err
+		}
+	}
+}
+
+// owned returns how many shards each daemon owns.
+func (f *fakeStore) owned() map[mtid.Daemon]int {
+	counts := make(map[mtid.Daemon]int)
+	for chunk := range 3 {
+		table, ok := f.Table(ref, chunk)
+		if !ok {
+			continue
+		}
+		for _, shard := range table.Shards {
+			counts[shard.Owner.Daemon]++
+		}
+	}
+	return counts
+}
+
+// shardOf returns the shard of a key.
+func (f *fakeStore) shardOf(p mtid.Point) (shard mtshard.Shard, high mtid.Point) {
+	table, ok := f.Table(ref, mtshard.ChunkOf(p, 3))
+	if !ok {
+		return mtshard.Shard{}, 0
+	}
+	shard, _ = table.Lookup(p)
+	high, _ = table.High(shard.Low)
+	return shard, high
+}
+
+func leaderOf(f *fakeStore) mtid.Daemon {
+	var live []mtid.Holder
+	for _, r := range f.Roster() {
+		live = append(live, r.Holder)
+	}
+	return mtplan.Leader(ref, live).Daemon
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// report tells the planner the load of every daemon as the table stands: equal
+// on all shards, but for one hot key.
+func reportAll(t *testing.T, f *fakeStore, p *mtplanner.Planner, sequence uint64, hot mtid.Point) {
+	t.Helper()
+	for _, record := range f.Roster() {
+		r := &mtload.Report{From: record.Holder, Service: ref, Sequence: sequence}
+		for chunk := range 3 {
+			table, _ := f.Table(ref, chunk)
+			for _, shard := range table.Owned(record.Holder) {
+				load := 0.1
+				if covering, _ := table.Lookup(hot); mtshard.ChunkOf(hot, 3) == chunk && covering.Low == shard.Low {
+					load = 4
+					r.Points = []mtload.PointLoad{{Point: hot, Load: 3.9}}
+				}
+				r.Load += load
+				r.Shards = append(r.Shards, mtload.ShardLoad{Low: shard.Low, Load: load})
+			}
+		}
+		r.Shards, r.Points = mtload.Cut(r.Shards, r.Points)
+		_, err := p.Report(t.Context(), r.Wire())
+		assert.NilError(t, err)
+	}
+}
+
+// A hotel wing orders breakfast, and its key outweighs all else on its server.
+// The key must get a shard to itself, and the neighbours that shared its server
+// must be moved off it through their owner.
+func TestHotKeyIsIsolatedAndRelieved(t *testing.T) {
+	f := newStore("a", "b", "c", "d")
+	p := start(t, f, leaderOf(f))
+	waitForTables(t, f, 3)
+	hot := ref.Point("hotel-7/wing-2")
+	sequence := uint64(0)
+	waitFor(t, "the hot key's server keeps other shards", func() bool {
+		sequence++
+		reportAll(t, f, p, sequence, hot)
+		shard, high := f.shardOf(hot)
+		return shard.Low == hot && high == hot && f.owned()[shard.Owner.Daemon] < 10
+	})
+}
+
+// A server leaves. Every shard that it owns must be asked away, whatever its
+// load and though nobody has ever reported any.
+func TestLeavingServerIsEmptied(t *testing.T) {
+	f := newStore("a", "b", "c", "d")
+	leader := leaderOf(f)
+	start(t, f, leader)
+	waitForTables(t, f, 3)
+	f.leave(leader)
+	waitFor(t, "the leaving server owns shards", func() bool {
+		counts := f.owned()
+		return counts[f.left] == 0 && counts["a"]+counts["b"]+counts["c"]+counts["d"] == 60
+	})
+}
+
+// Owners refuse, since they are about to stop. The planner must ask again later
+// rather than take the shards for moved.
+func TestRefusedMovesAreAskedAgain(t *testing.T) {
+	f := newStore("a", "b", "c", "d")
+	leader := leaderOf(f)
+	start(t, f, leader)
+	waitForTables(t, f, 3)
+	f.mu.Lock()
+	f.refuse = true
+	f.mu.Unlock()
+	f.leave(leader)
+	waitFor(t, "no refused move is asked for again", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.asked > 60
+	})
+}
+
+// A daemon has an old view and reports to one that does not lead. The answer
+// must say so, or the report counts as heard and the leader never gets it.
+func TestOnlyTheLeaderTakesReports(t *testing.T) {
+	f := newStore("a", "b")
+	leader := leaderOf(f)
+	other := mtid.Daemon("a")
+	if leader == "a" {
+		other = "b"
+	}
+	first, second := start(t, f, leader), start(t, f, other)
+	waitForTables(t, f, 3)
+	r := &mtload.Report{From: mtid.Holder{Daemon: "a", Incarnation: 1}, Service: ref, Sequence: 1}
+	got, err := second.Report(t.Context(), r.Wire())
+	assert.NilError(t, err)
+	assert.Assert(t, !got.GetLeader())
+	waitFor(t, "the leader takes no reports", func() bool {
+		got, err := first.Report(t.Context(), r.Wire())
+		return err == nil && got.GetLeader()
+	})
+}
+
+// meters has one meter, for the service of the tests.
+type meters struct{ meter *mtload.Meter }
+
+func (m meters) Meter(mtid.Ref) *mtload.Meter { return m.meter }
+
+// link hands reports to planners in the same process.
+type link map[mtid.Daemon]*mtplanner.Planner
+
+func (l link) Report(ctx context.Context, to mtid.Holder, report *mtwire.LoadReport) (*mtwire.LoadReply, error) {
+	return l[to.Daemon].Report(ctx, report)
+}
+
+// Gates count, reporters report, and the leader splits: the whole way of a hot
+// key from its first requests to a shard of its own.
+func TestReporterTellsTheLeader(t *testing.T) {
+	f := newStore("a", "b", "c")
+	hot := ref.Point("hotel-7/wing-2")
+	planners := make(link)
+	for _, record := range f.Roster() {
+		planners[record.Holder.Daemon] = start(t, f, record.Holder.Daemon)
+	}
+	waitForTables(t, f, 3)
+	shard, _ := f.shardOf(hot)
+	for _, record := range f.Roster() {
+		self := record.Holder
+		meter := mtload.NewMeter()
+		c := &clock{}
+		meter.Finish(100 * time.Millisecond)
+		for i := range 400 {
+			at := mtclock.Instant(0).Add(time.Duration(i) * 10 * time.Millisecond)
+			if shard.Owner == self {
+				meter.Arrive(at, shard.Low, hot)
+			}
+			if i%20 == 0 {
+				table, _ := f.Table(ref, 0)
+				if owned := table.Owned(self); len(owned) > 0 {
+					meter.Arrive(at, owned[0].Low, owned[0].Low)
+				}
+			}
+		}
+		cleanUp, err := mtplanner.NewReporter(mtplanner.Config{
+			Self:  func() mtid.Holder { return self },
+			Stamp: func() mtroster.Stamp { return mtroster.Stamp{} },
+			Now:   c.Now,
+			Log:   slog.New(slog.DiscardHandler),
+			Tick:  time.Millisecond,
+		}, f, meters{meter}, planners, planners[self.Daemon])
+		assert.NilError(t, err)
+		t.Cleanup(cleanUp)
+	}
+	waitFor(t, "the hot key has no shard to itself", func() bool {
+		s, high := f.shardOf(hot)
+		return s.Low == hot && high == hot
+	})
+}
