--- a/examples/operator/run.go
+++ b/examples/operator/run.go
@@ -315,7 +315,7 @@
 	err := t.steps(ctx,
 		t.as("ilze", 2, "bundle", "propose", "-rollback", "1", "ratins"),
 		t.as("janis", 2, "bundle", "sign", "-signer", "janis", "-key", t.file("janis.key"), "ratins", "3"),
-		t.as("ilze", 2, "bundle", "accept", "ratins", "3"),
+		t.as("ilze", 2, "bundle", "accept", "-wait", "10s", "ratins", "3"),
 		t.as("ilze", 2, "bundle", "history", "ratins"),
 	)
 	if err != nil {
--- a/io/mtadmin/mtadmin.go
+++ b/io/mtadmin/mtadmin.go
@@ -230,7 +230,7 @@
 			defer cancel()
 			c.SetRequest(c.Request().WithContext(ctx))
 			if !basic {
-				s.config.Logger.Info("operator acts", "operator", operator.Name, "role", role, "path", c.Request().URL.Path)
+				s.config.Logger.Log(ctx, mtmetric.Audit, "operator acts", "operator", operator.Name, "role", role, "path", c.Request().URL.Path)
 			}
 			return handle(c, operator)
 		}
--- a/io/mtcommand/mtcommand.go
+++ b/io/mtcommand/mtcommand.go
@@ -19,7 +19,8 @@
 //	2  wrong usage: flags or arguments
 //	3  refused: faults, a conflict, a missing role or signature; nothing was done
 //	4  outcome not known: repeat the same command to find out
-//	5  not available now: nothing was done, try again later
+//	5  not available now: nothing was done, try again later; or accepted and not
+//	   in force everywhere within -wait
 package mtcommand
 
 import (
@@ -148,8 +149,11 @@
 		faults  mtini.Faults
 		lost    *mtadmin.LostError
 		problem *mtadmin.Problem
+		slow    *SlowError
 	)
 	switch {
+	case errors.As(err, &slow):
+		return ExitUnavailable
 	case errors.As(err, &usage):
 		return subcommands.ExitUsageError
 	case errors.As(err, &refused), errors.As(err, &faults):
--- a/io/mtmetric/log.go
+++ b/io/mtmetric/log.go
@@ -15,6 +15,10 @@
 	Quiet   = 10 * time.Second
 )
 
+// Audit is the level of what operators did. No line of it is left out, however
+// many there are; the listener for operators limits how many there can be.
+const Audit = slog.LevelInfo + 2
+
 // maxMessages bounds the messages that are told apart. Messages are constants
 // of the program; the bound holds even where one is not.
 const maxMessages = 1024
@@ -61,6 +65,9 @@
 
 // Handle implements slog.Handler.
 func (l *limited) Handle(ctx context.Context, r slog.Record) error {
+	if r.Level == Audit {
+		return l.next.Handle(ctx, r)
+	}
 	write, left := l.seen.admit(r.Time, message{level: r.Level, text: r.Message})
 	if !write {
 		return nil
--- a/io/mtmetric/mtmetric_test.go
+++ b/io/mtmetric/mtmetric_test.go
@@ -135,6 +135,10 @@
 	log(time.Second, "another")
 	assert.Equal(t, strings.Count(out.String(), "store down"), mtmetric.Repeats)
 	assert.Equal(t, strings.Count(out.String(), "another"), 1)
+	for range 50 {
+		assert.NilError(t, handler.Handle(t.Context(), slog.NewRecord(at, mtmetric.Audit, "operator acts", 0)))
+	}
+	assert.Equal(t, strings.Count(out.String(), "operator acts"), 50)
 	log(mtmetric.Quiet, "store down")
 	assert.Assert(t, strings.Contains(out.String(), `"repeats":45`), out.String())
 }
