Choose servers of spread services by load, zone and failures

Cause: The router spread requests by their identifier alone, over all zones and onto failing servers.

Change: mtrouter asks mtchoice.Power for the server and tells it the end of each try.

--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -262,6 +262,7 @@
 
 func (d *Daemon) addRouter() error {
 	router := mtrouter.New(mtrouter.Config{
+		Zone:   d.config.Settings.Zone,
 		Self:   d.Self,
 		View:   need[*mtview.View](d, NameView),
 		Owner:  need[*mtowner.Owner](d, NameOwner),
--- a/io/mtrouter/mtrouter.go
+++ b/io/mtrouter/mtrouter.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"sync"
 	"time"
 
@@ -26,8 +25,6 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
-	"magnoliaturn/core/mtroster"
-	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtowner"
 	iopoison "magnoliaturn/io/mtpoison"
@@ -48,6 +45,7 @@
 // Config is what a Router works with.
 type Config struct {
 	Self  func() mtid.Holder
+	Zone  mtid.Zone // of this daemon
 	View  *mtview.View
 	Owner owner
 	Peers peers
@@ -68,6 +66,7 @@
 	Config
 	mu       sync.Mutex // guards Retry and declared
 	declared map[mtretry.Flow]*mtbundle.Class
+	spreader *spreader
 }
 
 // declarer is a retry policy with a budget that the bundle sets.
@@ -77,7 +76,11 @@
 
 // New returns a router.
 func New(config Config) *Router {
-	return &Router{Config: config, declared: make(map[mtretry.Flow]*mtbundle.Class)}
+	return &Router{
+		Config:   config,
+		declared: make(map[mtretry.Flow]*mtbundle.Class),
+		spreader: newSpreader(config.Zone),
+	}
 }
 
 // Route runs a request and returns what came of it.
@@ -92,14 +95,14 @@
 		q.Deadline = limit
 	}
 	q.Ingress = r.Self()
-	pick := r.keyed
+	ask := r.sendKeyed
 	if service.Kind == mtbundle.Spread {
 		if !class.Idempotent && !q.Minted {
 			return mtrequest.FromError(undeduplicated)
 		}
-		pick = r.spread
+		ask = r.sendSpread
 	}
-	reply := r.tries(ctx, q, class, service.Kind, pick)
+	reply := r.tries(ctx, q, class, service.Kind, ask)
 	r.Done(q, reply, r.Clock.Now().Sub(now))
 	return reply
 }
@@ -117,22 +120,16 @@
 	Detail: mtheader.Key + ": accepted only without, for a non-idempotent class of a spread service",
 }
 
-// spot spreads requests evenly: the last bytes of an identifier are random.
-func spot(id mtrequest.ID) mtid.Point {
-	const randomPart = 8
-	return mtid.Point(binary.BigEndian.Uint64(id[randomPart:]))
-}
-
 // staleWait is the pause before asking again a daemon that has yet to learn that
 // it is the owner: about the time of one pull.
 const staleWait = 20 * time.Millisecond
 
-// picker returns the holder to ask. corrected is the owner that the last reply
-// named, or zero.
-type picker func(q *mtrequest.Request, corrected mtid.Holder) mtid.Holder
+// asker makes one try and returns whom it asked. corrected is the owner that the
+// last reply named, or zero.
+type asker func(ctx context.Context, q *mtrequest.Request, corrected mtid.Holder) (*mtrequest.Reply, mtid.Holder)
 
 // tries sends a request until it is answered or the policy ends it.
-func (r *Router) tries(ctx context.Context, q *mtrequest.Request, class *mtbundle.Class, kind mtbundle.Kind, pick picker) *mtrequest.Reply {
+func (r *Router) tries(ctx context.Context, q *mtrequest.Request, class *mtbundle.Class, kind mtbundle.Kind, ask asker) *mtrequest.Reply {
 	flow := mtretry.Flow{Business: q.Service.Business, Class: class.Name}
 	r.first(flow, class)
 	attempt := mtretry.Attempt{
@@ -140,8 +137,7 @@
 	}
 	var corrected mtid.Holder
 	for {
-		target := pick(q, corrected)
-		reply := r.send(ctx, q, target)
+		reply, target := ask(ctx, q, corrected)
 		if reply.Outcome == mtreply.Answered {
 			return reply
 		}
@@ -225,15 +221,10 @@
 	return shard.Owner
 }
 
-// spread picks any daemon that has a server of the service.
-func (r *Router) spread(q *mtrequest.Request, _ mtid.Holder) mtid.Holder {
-	var among []mtid.Holder
-	for _, record := range r.View.Now().Roster() {
-		if _, ok := record.Offer(q.Service); ok && record.Live() && record.State == mtroster.Serving {
-			among = append(among, record.Holder)
-		}
-	}
-	return mtshard.Choose(spot(q.ID), among)
+// sendKeyed asks the owner of the request's key.
+func (r *Router) sendKeyed(ctx context.Context, q *mtrequest.Request, corrected mtid.Holder) (*mtrequest.Reply, mtid.Holder) {
+	target := r.keyed(q, corrected)
+	return r.send(ctx, q, target), target
 }
 
 // send asks one holder.
