--- a/core/mtplan/planner.go
+++ b/core/mtplan/planner.go
@@ -27,8 +27,9 @@
 	// relieved, so that a short swing moves nothing.
 	patience = 4 * time.Second
 	// urgent is the load per slot, in means, from which there is no waiting
-	// and no budget. It lies below the 1.15 that the policy is held to.
-	urgent = 1.12
+	// and no budget. With the change that reports may leave out it lies below
+	// the 1.15 that the policy is held to.
+	urgent = 1.10
 	// idle is the share of the mean below which a server counts as one that
 	// has just joined, to be filled without waiting.
 	idle = 0.5
@@ -40,6 +41,9 @@
 	// a share of its fair load: one that wrongly reports itself idle gets a
 	// little, and then shows whether its load rises.
 	intakeShare = 0.6
+	// intakeTime is how long a server that stays silent counts as not having
+	// reported what it was given. Silence for longer means that little changed.
+	intakeTime = 15 * time.Second
 	// hotShare is the share of a server's fair load from which a key gets a
 	// shard to itself when its server is above the band.
 	hotShare = 0.08
@@ -79,6 +83,7 @@
 // intake is what a server was given since its last report.
 type intake struct {
 	heard mtclock.Instant
+	since mtclock.Instant
 	load  float64
 }
 
@@ -230,8 +235,9 @@
 			r.room[i] = server.Slots * server.Warm
 			r.zones[zone].room += r.room[i]
 		}
-		if r.p.given[server.Holder].heard != server.HeardAt {
-			r.p.given[server.Holder] = intake{heard: server.HeardAt}
+		given := r.p.given[server.Holder]
+		if given.heard != server.HeardAt || r.now.Sub(given.since) > intakeTime {
+			r.p.given[server.Holder] = intake{heard: server.HeardAt, since: r.now}
 		}
 	}
 }
