--- a/io/mtplanner/mtplanner.go
+++ b/io/mtplanner/mtplanner.go
@@ -7,28 +7,37 @@
 // daemons that both take themselves for the leader do no harm: each write is a
 // compare-and-swap on the version that was planned from.
 //
+// A Reporter on every daemon tells the leader the load of the daemon's shards.
+//
 // # Usage
 //
 //	planner, cleanUp, err := mtplanner.New(config, view, store, mover)
 //	defer cleanUp()
+//	mtwire.RegisterPlannerServer(grpcServer, planner)
+//	cleanUp, err = mtplanner.NewReporter(config, view, meters, link, planner)
+//	defer cleanUp()
 //
-// The clean-up stops the duty and waits for it. All methods are safe for
+// The clean-ups stop the duties and wait for them. All methods are safe for
 // concurrent use.
 package mtplanner
 
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtload"
 	"magnoliaturn/core/mtplan"
+	"magnoliaturn/core/mtring"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtwire"
 )
 
 // View is the live state as this daemon knows it. Its methods must be safe for
@@ -77,19 +86,48 @@
 // Error implements error.
 func (e *ConfigError) Error() string { return "planner: " + e.Field + " is missing" }
 
-// Planner is the duty.
+// Sizes and times of the duty.
+const (
+	// RoundTime is the time between two rounds of planning for a service, and
+	// SoonTime the time to the next one after a round that wrote splits, which
+	// usually are to be followed by moves.
+	RoundTime = 5 * time.Second
+	SoonTime  = time.Second
+	// maxReports is how many load reports may wait.
+	maxReports = 256
+	// maxWishes is how many moves may wait to be asked for, and askers how
+	// many are asked for at once.
+	maxWishes = 512
+	askers    = 8
+	// askTimeout bounds one call to an owner.
+	askTimeout = 2 * time.Second
+)
+
+// Planner is the duty. It is the server of mtwire.Planner as well.
 type Planner struct {
-	config Config
-	view   View
-	writer *writer
-	mover  Mover
+	mtwire.UnimplementedPlannerServer
+
+	config  Config
+	view    View
+	writer  *writer
+	mover   Mover
+	reports *mtring.Ring[delivery]
+	wishes  *mtring.Ring[wish]
+	refused *mtring.Ring[wish]
 
 	services map[mtid.Ref]*serviceState // of the duty's goroutine alone
 }
 
-// serviceState is what the duty keeps of one service between ticks.
-type serviceState struct {
-	creation mtplan.Creation
+// delivery is a report that waits for the duty, and where its answer goes.
+type delivery struct {
+	report *mtload.Report
+	answer chan *mtwire.LoadReply // of size one, so that the duty never waits
+}
+
+// wish is a move to be asked for.
+type wish struct {
+	service mtid.Ref
+	move    mtplan.Move
 }
 
 // New starts the duty. It fails with a *ConfigError.
@@ -105,11 +143,14 @@
 		view:     view,
 		writer:   &writer{store: store, stamp: config.Stamp, log: config.Log},
 		mover:    mover,
+		reports:  mtring.New[delivery](maxReports),
+		wishes:   mtring.New[wish](maxWishes),
+		refused:  mtring.New[wish](maxWishes),
 		services: make(map[mtid.Ref]*serviceState),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var duty sync.WaitGroup
-	duty.Go(func() {
+	var duties sync.WaitGroup
+	duties.Go(func() {
 		ticker := time.NewTicker(config.Tick)
 		defer ticker.Stop()
 		for {
@@ -118,10 +159,25 @@
 				return
 			case <-ticker.C:
 				p.tick(ctx)
+			case d := <-p.reports.Items():
+				d.answer <- p.take(d.report)
+			case w := <-p.refused.Items():
+				p.forget(w)
 			}
 		}
 	})
-	return p, func() { cancel(); duty.Wait() }, nil
+	for range askers {
+		duties.Go(func() {
+			for {
+				w, ok := p.wishes.Take(ctx.Done())
+				if !ok {
+					return
+				}
+				p.ask(ctx, w)
+			}
+		})
+	}
+	return p, func() { cancel(); duties.Wait() }, nil
 }
 
 func check(config Config) error {
@@ -165,37 +221,47 @@
 	}
 	state, ok := p.services[ref]
 	if !ok {
-		state = &serviceState{}
+		state = newServiceState()
 		p.services[ref] = state
 	}
-	p.create(ctx, state, ref, service, holders(servers, mtroster.Serving))
+	p.create(ctx, state, ref, service, serving(servers))
+	if now := p.config.Now(); !now.Before(state.next) {
+		p.round(ctx, now, state, ref, service, servers)
+	}
 }
 
 // create lays the chunks that don't exist yet. The first chunk comes alone, and
 // the others follow once it is seen: it fixes the number of chunks, and two
 // planners that read different bundles would otherwise lay chunks of
 // differently divided rings.
-func (p *Planner) create(ctx context.Context, state *serviceState, ref mtid.Ref, service *mtbundle.Service, serving []mtid.Holder) {
+func (p *Planner) create(ctx context.Context, state *serviceState, ref mtid.Ref, service *mtbundle.Service, serving []*mtroster.Record) {
 	first, ok := p.view.Table(ref, 0)
 	if !ok {
-		if !state.creation.Ready(p.config.Now(), serving) {
-			return
+		if state.creation.Ready(p.config.Now(), holders(serving)) {
+			laid := mtplan.Lay(service.Shards, max(1, service.Chunks), layout(serving, ref))
+			p.writer.write(ctx, mtshard.New(ref, 0, len(laid)), laid[0]...)
 		}
-		p.lay(ctx, ref, 0, max(1, service.Chunks), service.Shards, serving)
 		return
 	}
-	if len(serving) == 0 {
+	missing := p.missing(ref, first.Chunks)
+	if len(missing) == 0 || len(serving) == 0 {
 		return
 	}
-	for chunk := 1; chunk < first.Chunks; chunk++ {
-		if _, ok := p.view.Table(ref, chunk); !ok {
-			p.lay(ctx, ref, chunk, first.Chunks, service.Shards, serving)
-		}
+	laid := mtplan.Lay(service.Shards, first.Chunks, layout(serving, ref))
+	for _, chunk := range missing {
+		p.writer.write(ctx, mtshard.New(ref, chunk, len(laid)), laid[chunk]...)
 	}
 }
 
-func (p *Planner) lay(ctx context.Context, ref mtid.Ref, chunk, chunks, shards int, serving []mtid.Holder) {
-	p.writer.write(ctx, mtshard.New(ref, chunk, chunks), mtplan.Lay(shards, chunks, serving))
+// missing returns the chunks that don't exist yet.
+func (p *Planner) missing(ref mtid.Ref, chunks int) []int {
+	var found []int
+	for chunk := range chunks {
+		if _, ok := p.view.Table(ref, chunk); !ok {
+			found = append(found, chunk)
+		}
+	}
+	return found
 }
 
 // members returns the live records that offer a service.
@@ -212,13 +278,25 @@
 	return found
 }
 
-// holders returns the holders of the records in that state.
-func holders(records []*mtroster.Record, state mtroster.State) []mtid.Holder {
+// serving returns the records of the servers that stay.
+func serving(records []*mtroster.Record) []*mtroster.Record {
+	return slices.DeleteFunc(slices.Clone(records), func(r *mtroster.Record) bool { return r.State != mtroster.Serving })
+}
+
+func holders(records []*mtroster.Record) []mtid.Holder {
 	var found []mtid.Holder
 	for _, record := range records {
-		if record.State == state {
-			found = append(found, record.Holder)
-		}
+		found = append(found, record.Holder)
+	}
+	return found
+}
+
+// layout returns what a new table is laid over.
+func layout(records []*mtroster.Record, ref mtid.Ref) []mtplan.Member {
+	var found []mtplan.Member
+	for _, record := range records {
+		offer, _ := record.Offer(ref)
+		found = append(found, mtplan.Member{Holder: record.Holder, Slots: float64(max(1, offer.Slots))})
 	}
 	return found
 }
@@ -226,8 +304,8 @@
 // leaders returns the holders among which the planner is chosen: the serving
 // ones, or the leaving ones if no other is left.
 func leaders(records []*mtroster.Record) []mtid.Holder {
-	if serving := holders(records, mtroster.Serving); len(serving) > 0 {
-		return serving
+	if staying := serving(records); len(staying) > 0 {
+		return holders(staying)
 	}
-	return holders(records, mtroster.Leaving)
+	return holders(records)
 }
