--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -151,6 +152,11 @@
 	e := newEcho()
 	e.POST(mtheader.AnnouncePath, need[*mtserver.Pool](d, NameServers).Announce)
 	e.GET("/debug/vars", echo.WrapHandler(need[*mtmetric.Metrics](d, NameMetrics).Handler()))
+	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET("/debug/pprof/:name", func(c echo.Context) error {
+		pprof.Handler(c.Param("name")).ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
 	return e
 }
 
--- a/io/mtmetric/mtmetric.go
+++ b/io/mtmetric/mtmetric.go
@@ -138,7 +138,8 @@
 		HeapBytes  uint64 `json:"heapBytes"`
 		SysBytes   uint64 `json:"sysBytes"`
 		Objects    uint64 `json:"objects"`
+		Allocated  uint64 `json:"allocated"` // objects since the start
 		GCPauses   uint64 `json:"gcPausesNs"`
 		Collection uint32 `json:"collections"`
-	}{s.HeapAlloc, s.Sys, s.HeapObjects, s.PauseTotalNs, s.NumGC}
+	}{s.HeapAlloc, s.Sys, s.HeapObjects, s.Mallocs, s.PauseTotalNs, s.NumGC}
 }
