--- a/io/mtoperator/mtoperator.go
+++ b/io/mtoperator/mtoperator.go
@@ -154,10 +154,11 @@
 		o := &Operator{Name: s.Word(1), grants: make(map[mtid.Business][]Role)}
 		hash := s.Required("token-sha256", acceptHash)
 		if sum, err := hex.DecodeString(hash); hash != "" && (err != nil || len(sum) != hashSize || strings.ToLower(hash) != hash) {
-			s.Fault("token-sha256", hash, acceptHash)
+			// It may be a token that was put here in place of its hash.
+			s.Fault("token-sha256", "(not shown)", acceptHash)
 		}
 		if other, ok := operators[hash]; ok && hash != "" {
-			s.Fault("token-sha256", hash, "a token of its own; operator "+other.Name+" has this one")
+			s.Fault("token-sha256", "(not shown)", "a token of its own; operator "+other.Name+" has this one")
 		}
 		operators[hash] = o
 		names[o.Name] = o
--- a/io/mtoperator/mtoperator_test.go
+++ b/io/mtoperator/mtoperator_test.go
@@ -69,6 +69,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			_, faults := mtoperator.Parse("o.ini", []byte(strings.Replace(file(hashes), test.old, test.new, 1)))
 			assert.Assert(t, strings.Contains(faults.Error(), test.field+":"), "%v", faults)
+			assert.Assert(t, !strings.Contains(faults.Error(), "secret"), "a token reaches the log")
 		})
 	}
 }
