--- a/io/mtdaemon/mtdaemon_test.go
+++ b/io/mtdaemon/mtdaemon_test.go
@@ -90,15 +90,32 @@
 	done    chan error
 }
 
+// address returns one that is free for TCP and for UDP.
 func address(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		found := l.Addr().String()
+		p, err := net.ListenPacket("udp", found)
+		_ = l.Close()
+		if err == nil {
+			_ = p.Close()
+			return found
+		}
+	}
 }
 
 func start(t *testing.T, store mtstore.Store, name string, zone mtid.Zone) *member {
+	t.Helper()
+	m := startDaemon(t, store, name, zone)
+	m.backend = newBackend(t)
+	m.announce(t, func() string { return m.backend.Listener.Addr().String() })
+	return m
+}
+
+// startDaemon starts a daemon without a backend server.
+func startDaemon(t *testing.T, store mtstore.Store, name string, zone mtid.Zone) *member {
 	t.Helper()
 	settings := &mtsetting.Settings{
 		Name: mtid.Daemon(name), Zone: zone, Region: "riga", Caller: address(t), Relay: address(t),
@@ -109,29 +126,43 @@
 	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{daemon: daemon, backend: newBackend(t), caller: settings.Caller, stop: cancel, kill: cleanUp, done: make(chan error, 1)}
-	go func() { m.done <- daemon.Run(ctx) }()
-	t.Cleanup(cleanUp)
-	t.Cleanup(cancel)
-	m.announce(t)
+	m := &member{daemon: daemon, caller: settings.Caller, stop: cancel, kill: cleanUp, done: make(chan error, 1)}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		m.done <- daemon.Run(ctx)
+	}()
+	// Clean-up before cancel: a graceful shutdown would go on after the test,
+	// and log to it.
+	t.Cleanup(func() {
+		cleanUp()
+		<-ended
+		cancel()
+	})
 	return m
 }
 
-// announce keeps the backend server announced until the test ends.
-func (m *member) announce(t *testing.T) {
+// announce keeps a backend server announced until the test ends.
+func (m *member) announce(t *testing.T, address func() string) {
 	pool, err := mtkernel.Lookup[*mtserver.Pool](m.daemon.Kernel(), mtdaemon.NameServers)
 	assert.NilError(t, err)
 	a := mtannounce.Announcement{
-		Business: "ratins", Service: "dispatch", Address: m.backend.Listener.Addr().String(),
+		Business: "ratins", Service: "dispatch", Address: address(),
 		Slots: 8, Connections: 16, State: mtannounce.Ready,
 	}
 	stop := make(chan struct{})
-	m.hush = sync.OnceFunc(func() { close(stop) })
+	done := make(chan struct{})
+	m.hush = sync.OnceFunc(func() {
+		close(stop)
+		<-done
+	})
 	t.Cleanup(m.hush)
 	go func() {
+		defer close(done)
 		ticker := time.NewTicker(200 * time.Millisecond)
 		defer ticker.Stop()
 		for {
+			a.Address = address()
 			pool.Put(a)
 			select {
 			case <-stop:
