Test that a daemon which left in order owns nothing

Cause: the script of planted faults found no test for it. Change: a case in the failover's table; the fault of unchecked tags compiles.

--- a/core/mttakeover/mttakeover_test.go
+++ b/core/mttakeover/mttakeover_test.go
@@ -136,6 +136,12 @@
 	op, due := mttakeover.Failover(table, roster)
 	assert.Assert(t, due)
 	assert.DeepEqual(t, op, mtshard.Failover{Lost: []mtid.Holder{lost}, Among: []mtid.Holder{w1}})
+	gone := lostRecord()
+	gone.State = mtroster.Gone
+	roster["lost"] = gone
+	op, due = mttakeover.Failover(table, roster)
+	assert.Assert(t, due, "one that left in order owns nothing")
+	assert.DeepEqual(t, op.Lost, []mtid.Holder{lost})
 	delete(roster, "w1")
 	_, due = mttakeover.Failover(table, roster)
 	assert.Assert(t, !due, "nobody can take over yet")
--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -93,7 +93,7 @@
 plant "an older read replaces a newer one" $member 's/if version < m.version/if version < m.version \&\& m.revoked/'
 plant "an answer to a former life counts" $renew 's|!= d.lease.Holder\(\).Incarnation|== 99|'
 plant "no replay window" $packet 's|return false$|return true|'
-plant "tags are not checked" $packet 's|!hmac.Equal\(tag, s.tag\(self, body\)\)|len(s.tag(self, body)) == 0|'
+plant "tags are not checked" $packet 's|hmac.Equal\(tag, s.tag\(self, body\)\)|hmac.Equal(tag, tag)|'
 plant "tags don't name the receiver" $packet 's|\[\]byte\(to\)|[]byte(nil)|'
 plant "only the monotonic clock counts" $fusion 's|max\(r.Monotonic-f.anchor.Monotonic.*|max(r.Monotonic-f.anchor.Monotonic, 0)|'
 plant "a wall clock set back hides a freeze" $fusion 's/ \|\| r.Wall < f.anchor.Wall//'
