Take the load imbalance from the planner

Change: the planner says what a round was decided from (Config.Seen, small addition); the daemon that plans for a service shows its load imbalance. Measured: go test -race ./io/mtplanner ./io/mtdaemon passes (46 s). Conclusion: the figure needs load reports between daemons, which the assembly does not pass yet; until then the planner sees no load.

--- a/io/mtdaemon/admin.go
+++ b/io/mtdaemon/admin.go
@@ -12,6 +12,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtplan"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
@@ -21,6 +22,7 @@
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtoperator"
 	"magnoliaturn/io/mtowner"
+	"magnoliaturn/io/mtplanner"
 	"magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
@@ -44,6 +46,47 @@
 	mu     sync.Mutex
 	meters map[mtid.Ref]*mtmetric.Meter
 	rates  map[mtid.Ref]rate
+	loads  map[mtid.Ref]seenLoads
+}
+
+// seenLoads are the loads of a service's holders, in shares of their slots, as
+// the planner saw them. Only the daemon that plans for the service has them.
+type seenLoads struct {
+	at    mtclock.Instant
+	loads map[mtid.Holder]float64
+}
+
+// seenLife is how long such loads are shown: a few rounds of planning. After
+// it another daemon plans for the service.
+const seenLife = 4 * mtplanner.RoundTime
+
+// planned takes in what a round of planning was decided from.
+func (f *figures) planned(now mtclock.Instant, ref mtid.Ref, state *mtplan.State) {
+	loads := make(map[mtid.Holder]float64, len(state.Servers))
+	for _, shard := range state.Shards {
+		if shard.Owner < 0 {
+			continue
+		}
+		server := &state.Servers[shard.Owner]
+		loads[server.Holder] += shard.Load / max(1, server.Slots)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads[ref] = seenLoads{at: now, loads: loads}
+}
+
+// load returns what is known of the holders' loads.
+func (f *figures) load(now mtclock.Instant, ref mtid.Ref) func(mtid.Holder) (float64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen, ok := f.loads[ref]
+	if !ok || now.Sub(seen.at) > seenLife {
+		return func(mtid.Holder) (float64, bool) { return 0, false }
+	}
+	return func(h mtid.Holder) (float64, bool) {
+		v, known := seen.loads[h]
+		return v, known
+	}
 }
 
 // rate is how fast a counter grew between the last two looks at it.
@@ -97,7 +140,11 @@
 // addFigures starts the duty that measures the services as this daemon sees
 // them.
 func (d *Daemon) addFigures() error {
-	f := &figures{meters: make(map[mtid.Ref]*mtmetric.Meter), rates: make(map[mtid.Ref]rate)}
+	f := &figures{
+		meters: make(map[mtid.Ref]*mtmetric.Meter),
+		rates:  make(map[mtid.Ref]rate),
+		loads:  make(map[mtid.Ref]seenLoads),
+	}
 	need[*mtmetric.Metrics](d, NameMetrics).Gauge("figures", "services", func() any {
 		out := make(map[string]mtmetric.Figures)
 		for ref, figure := range f.All() {
@@ -175,10 +222,8 @@
 		record, _, ok := snapshot.Record(h.Daemon)
 		return ok && record.Holder == h && record.Live()
 	}
-	// A daemon knows its own load only; the planner's book has the others'.
-	unknown := func(mtid.Holder) (float64, bool) { return 0, false }
 	for _, ref := range snapshot.Services() {
-		f.meter(ref).Observe(now, snapshot.Tables(ref), live, unknown)
+		f.meter(ref).Observe(now, snapshot.Tables(ref), live, f.load(now, ref))
 	}
 	owner := need[*mtowner.Owner](d, NameOwner)
 	for _, a := range need[*mtserver.Pool](d, NameServers).Announcements() {
--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -12,6 +12,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	coremember "magnoliaturn/core/mtmember"
+	"magnoliaturn/core/mtplan"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
@@ -196,6 +197,9 @@
 		Stamp: d.Stamp,
 		Now:   clock.Now,
 		Log:   d.config.Log,
+		Seen: func(ref mtid.Ref, state *mtplan.State) {
+			need[*figures](d, NameFigures).planned(clock.Now(), ref, state)
+		},
 	}, liveView{need[*mtview.View](d, NameView)}, need[mtstore.Store](d, NameStore), need[*mtmover.Mover](d, NameMover))
 	if err != nil {
 		return err
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -92,8 +92,8 @@
 	d := &Daemon{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
 		d.addMetrics, d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
-		d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addPlanner,
-		d.addFigures, d.addAdmin, d.listen,
+		d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addFigures,
+		d.addPlanner, d.addAdmin, d.listen,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/io/mtplanner/mtplanner.go
+++ b/io/mtplanner/mtplanner.go
@@ -69,6 +69,9 @@
 	// Now returns the present time.
 	Now func() mtclock.Instant
 	Log *slog.Logger
+	// Seen is called with what each round of planning was decided from, by the
+	// duty's goroutine, for figures; it must not keep the state. It may be nil.
+	Seen func(service mtid.Ref, state *mtplan.State)
 	// Tick is the time between two looks at the live state; zero means
 	// DefaultTick.
 	Tick time.Duration
--- a/io/mtplanner/round.go
+++ b/io/mtplanner/round.go
@@ -48,6 +48,9 @@
 	seen := state.survey(now, ref, service, servers, tables)
 	plan := state.policy.Plan(now, seen)
 	state.mean = seen.Mean()
+	if p.config.Seen != nil {
+		p.config.Seen(ref, seen)
+	}
 	for _, table := range tables {
 		if ops := plan.Ops[table.Chunk]; len(ops) > 0 {
 			p.writer.write(ctx, table, ops...)
