Fence daemons that are lost together with their witnesses

Cause: when half of a fleet was lost at once and not replaced, half of the lost daemons kept their shards for good, since most of their witnesses were lost too and nobody could agree in their place. Change: a witness promises only while its own life was known to stand within mtlease.Vouch, by its lease or by its record. A taker counts a witness that it has seen fenced for mtlease.Silence as having agreed.

--- a/core/mtlease/mtlease.go
+++ b/core/mtlease/mtlease.go
@@ -46,6 +46,12 @@
 	DriftShare = 20
 	// Guard is how long a promise lasts, counted by the witness.
 	Guard = Length + Length/DriftShare
+	// Vouch is how long a witness goes on promising after it last knew that
+	// its own life stands: its lease was valid, or it read its own record.
+	Vouch = 3 * time.Second
+	// Silence is how long after a witness was seen to be fenced no promise of
+	// it can be left, counted by whoever saw it.
+	Silence = (Vouch + Length) + (Vouch+Length)/DriftShare
 	// LateWake is how late a duty may wake before its promises are dropped.
 	LateWake = Length / 4
 )
@@ -80,6 +86,7 @@
 	Granted     Refusal = iota
 	Revoked             // the set, or the holder's life, was revoked
 	Incarnation         // the set names another life of the witness
+	Unvouched           // the witness doesn't know whether its own life stands
 )
 
 // Answer is a witness's reply to an Ask.
@@ -270,8 +277,8 @@
 
 // Want says what is wrong with the set that stands in the record.
 type Want struct {
-	// Lost are witnesses that refuse since they are another life, or were
-	// silent for longer than Length.
+	// Lost are witnesses that refuse for a reason of their own, or were silent
+	// for longer than Length.
 	Lost []mtid.Holder
 	// Revoked says that a witness revoked this set: a new version is needed,
 	// even of the same witnesses.
@@ -285,7 +292,7 @@
 		p, ok := l.promises[w]
 		switch {
 		case !ok:
-		case p.refusal == Incarnation || p.silent(now):
+		case p.unfit() || p.silent(now):
 			want.Lost = append(want.Lost, w)
 		case p.refusal == Revoked || p.floor >= l.current.Version:
 			want.Revoked = true
@@ -300,13 +307,16 @@
 	var doubtful []mtid.Holder
 	for _, w := range l.pending.Witnesses {
 		p, ok := l.promises[w]
-		if ok && (p.refusal == Incarnation || p.silent(now)) {
+		if ok && (p.unfit() || p.silent(now)) {
 			doubtful = append(doubtful, w)
 		}
 	}
 	return doubtful
 }
 
+// unfit reports whether the witness can promise to nobody under this set.
+func (p *promise) unfit() bool { return p.refusal == Incarnation || p.refusal == Unvouched }
+
 // silent reports whether the witness let asks go unanswered for Length.
 func (p *promise) silent(now mtclock.Instant) bool {
 	since := p.firstAsk
--- a/core/mttakeover/mttakeover.go
+++ b/core/mttakeover/mttakeover.go
@@ -68,6 +68,7 @@
 	version mtid.Version
 	target  mtid.Holder
 	agreed  map[mtid.Holder]bool
+	silent  map[mtid.Holder]bool
 	asking  map[mtid.Holder]bool
 	after   map[mtid.Holder]mtclock.Instant
 }
@@ -75,7 +76,7 @@
 // New begins to fence the life that the record names. The record may be out of
 // date: the write will show it.
 func New(record *mtroster.Record, version mtid.Version) *Takeover {
-	t := &Takeover{target: record.Holder}
+	t := &Takeover{target: record.Holder, silent: make(map[mtid.Holder]bool)}
 	t.begin(record, version)
 	return t
 }
@@ -109,7 +110,7 @@
 	wait := longest
 	for _, w := range t.record.Witnesses {
 		switch {
-		case t.agreed[w] || t.asking[w]:
+		case t.agreed[w] || t.silent[w] || t.asking[w]:
 		case now.Before(t.after[w]):
 			wait = min(wait, t.after[w].Sub(now))
 		default:
@@ -129,9 +130,21 @@
 // witness never had a lease.
 func (t *Takeover) fenced() bool {
 	set := t.record.Witnesses
-	return len(set) == 0 || len(t.agreed) >= mtlease.Majority(len(set))
+	count := 0
+	for _, w := range set {
+		if t.agreed[w] || t.silent[w] {
+			count++
+		}
+	}
+	return len(set) == 0 || count >= mtlease.Majority(len(set))
 }
 
+// Silent says that w has been fenced for so long that no promise of it is left,
+// and that it gives no more (see Fences). It counts as having agreed, under any
+// version. Without that, a daemon lost together with most of its witnesses could
+// not be taken over until one of them came back.
+func (t *Takeover) Silent(w mtid.Holder) { t.silent[w] = true }
+
 // Request returns what to ask witness w.
 func (t *Takeover) Request(w mtid.Holder) mtwitness.Request {
 	return mtwitness.Request{Target: t.target, Version: t.version, Witness: w}
--- a/core/mttakeover/mttakeover_test.go
+++ b/core/mttakeover/mttakeover_test.go
@@ -9,6 +9,7 @@
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtlease"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mttakeover"
@@ -82,6 +83,34 @@
 	assert.Equal(t, tk.Next(start).Kind, mttakeover.Done)
 }
 
+// A daemon is lost together with two of its witnesses, and none comes back. Both
+// are fenced in time, and then count as having agreed; the third is asked.
+func TestSilentWitnessesCountAsAgreed(t *testing.T) {
+	tk := mttakeover.New(lostRecord(), 7)
+	tk.Silent(w1)
+	step := tk.Next(start)
+	assert.DeepEqual(t, step.Witnesses, []mtid.Holder{w2, w3})
+	tk.Seen(lostRecord(), 8)
+	tk.Silent(w2)
+	assert.Equal(t, tk.Next(start).Kind, mttakeover.Write, "under any version")
+}
+
+// A witness is fenced and lives on, cut off together with the holder. It gives
+// its last promise when its Vouch ends. The holder counts that with a slow
+// clock, the taker waits with a fast one, and must still be the later of both.
+func TestSilenceOutlastsTheLastPromise(t *testing.T) {
+	fast := int64(mtlease.Silence) * mtlease.DriftShare / (mtlease.DriftShare + 1)
+	assert.Assert(t, fast >= int64(mtlease.Vouch+mtlease.Length))
+	var f mttakeover.Fences
+	f.Note(start, &mtroster.Record{Holder: w1, Revoked: 2})
+	f.Note(start.Add(time.Second), &mtroster.Record{Holder: w1, Revoked: 2})
+	next := mtid.Holder{Daemon: "w1", Incarnation: 2}
+	assert.Assert(t, !f.Silent(start.Add(mtlease.Silence-1), w1))
+	assert.Assert(t, f.Silent(start.Add(mtlease.Silence), w1))
+	assert.Assert(t, !f.Silent(start.Add(mtlease.Silence), next), "the next life stands")
+	assert.Assert(t, !f.Silent(start.Add(mtlease.Silence), w2), "nothing is known of another")
+}
+
 func TestNewerLifeNeedsNoTakeover(t *testing.T) {
 	tk := mttakeover.New(lostRecord(), 7)
 	next := lostRecord()
--- a/core/mtwitness/mtwitness.go
+++ b/core/mtwitness/mtwitness.go
@@ -11,7 +11,7 @@
 //
 //	w := mtwitness.New("old-town-3", clock.Steady())
 //	w.Register(incarnation)
-//	answer := w.Renew(clock.Steady(), from, ask)
+//	answer := w.Renew(clock.Steady(), from, ask, vouched)
 //	reply := w.Revoke(clock.Steady(), mtwitness.Request{...})
 //
 // All instants given to a Witness must come from a clock that never runs ahead
@@ -72,8 +72,9 @@
 // Register gives the witness its incarnation, once the store has accepted it.
 func (w *Witness) Register(incarnation mtid.Incarnation) { w.self.Incarnation = incarnation }
 
-// Renew answers a holder that asks for a promise.
-func (w *Witness) Renew(now mtclock.Instant, from mtid.Holder, ask mtlease.Ask) mtlease.Answer {
+// Renew answers a holder that asks for a promise. Vouched says that this life
+// of the witness was known to stand within mtlease.Vouch.
+func (w *Witness) Renew(now mtclock.Instant, from mtid.Holder, ask mtlease.Ask, vouched bool) mtlease.Answer {
 	answer := mtlease.Answer{Sequence: ask.Sequence}
 	if ask.Witness != w.self {
 		// The set names another life of this daemon. That life may have
@@ -82,6 +83,13 @@
 		answer.Refusal = mtlease.Incarnation
 		return answer
 	}
+	if !vouched {
+		// Where most witnesses of a lost daemon are lost as well, a taker counts
+		// those that were fenced long ago as having agreed. A fenced witness
+		// that lives on, cut off with the holder, must have stopped by then.
+		answer.Refusal = mtlease.Unvouched
+		return answer
+	}
 	d := w.ward(from)
 	if from.Incarnation < d.incarnation || ask.Version <= d.floor {
 		answer.Refusal = mtlease.Revoked
--- a/io/mtmember/keeper.go
+++ b/io/mtmember/keeper.go
@@ -47,6 +47,8 @@
 	standing   mtid.Version // of the set that the lease goes by
 	suspects   map[mtid.Holder]mtclock.Instant
 	pairAt     mtclock.Instant // when a mutual witness is looked for again
+	called     mtclock.Instant // when the last call to the store was sent
+	shown      bool            // it showed or took the own record
 }
 
 func newKeeper(m *Member) *keeper {
@@ -63,6 +65,7 @@
 	for {
 		wait := k.step()
 		k.settle()
+		k.vouch()
 		if !k.sleep(wait) {
 			return
 		}
@@ -99,6 +102,7 @@
 }
 
 func (k *keeper) read() time.Duration {
+	k.called = k.config.Clock.Now()
 	entry, err := k.store.get(k.stop, k.name())
 	if missing(err) {
 		k.own.Missing()
@@ -118,6 +122,7 @@
 	}
 	k.pause = shortestPause
 	k.own.Seen(record, entry.Version)
+	k.shown = true
 	k.wrote(entry.Name, entry.Version, entry.Value)
 	return 0
 }
@@ -132,11 +137,13 @@
 		k.config.Lease.Close()
 	}
 	k.config.Lease.Attempt()
+	k.called = k.config.Clock.Now()
 	version, err := k.store.swap(k.stop, k.name(), next.Expected, value)
 	switch outcomeOf(err) {
 	case landed:
 		k.pause = shortestPause
 		k.own.Landed(version)
+		k.shown = true
 		k.wrote(k.name(), version, value)
 		return 0
 	case lost:
@@ -194,6 +201,23 @@
 	}
 }
 
+// vouch lets this daemon go on promising to others after the store showed that
+// its life stands. While it has no lease that would say the same, it reads its
+// record time and again; at rest that costs nothing.
+func (k *keeper) vouch() {
+	if k.holder.IsZero() {
+		return
+	}
+	if k.shown {
+		k.shown = false
+		k.config.Lease.Vouch(k.called)
+	}
+	if k.config.Lease.Vouched().Sub(k.config.Clock.Now()) < mtlease.Vouch/2 && !k.own.Writing() {
+		_, version := k.own.Record()
+		k.own.Stale(version + 1)
+	}
+}
+
 // enter begins or ends a life.
 func (k *keeper) enter(holder mtid.Holder) {
 	former := k.holder
--- a/io/mtmember/mtmember.go
+++ b/io/mtmember/mtmember.go
@@ -51,13 +51,17 @@
 	Settle(mtlease.Set)
 	Withdraw()
 	Close()
+	Vouch(since mtclock.Instant)
+	Vouched() mtclock.Instant
 	Wants() (mtlease.Want, []mtid.Holder)
 	Lapsed(mtid.Holder) bool
 	Revoke(mtwitness.Request) mtwitness.Reply
 }
 
-// Clock is the time that the duties need; Steady never runs ahead.
+// Clock is the time that the duties need: Now never runs slow, and Steady never
+// runs ahead.
 type Clock interface {
+	Now() mtclock.Instant
 	Steady() mtclock.Instant
 	Wall() time.Time
 }
--- a/io/mtmember/taker.go
+++ b/io/mtmember/taker.go
@@ -30,6 +30,8 @@
 type job struct {
 	record  *mtroster.Record
 	version mtid.Version
+	// silent are the witnesses that were fenced long ago.
+	silent []mtid.Holder
 }
 
 // takeOver runs jobs until the member stops.
@@ -56,6 +58,9 @@
 func (m *Member) fenceLost(j job) bool {
 	m.counters.Suspicions.Add(1)
 	t := mttakeover.New(j.record, j.version)
+	for _, w := range j.silent {
+		t.Silent(w)
+	}
 	end := m.config.Clock.Steady().Add(patience)
 	for !m.config.Clock.Steady().After(end) {
 		switch step := t.Next(m.config.Clock.Steady()); step.Kind {
--- a/io/mtmember/watcher.go
+++ b/io/mtmember/watcher.go
@@ -14,7 +14,7 @@
 const (
 	// orphanTime is how long a daemon whose witnesses are all gone, or that
 	// never had any, is waited for: it may be registering.
-	orphanTime = 10 * time.Second
+	orphanTime = 5 * time.Second
 	// chunkTime is how often the tables are searched for fenced owners that
 	// no taker has replaced, for example since it was lost itself.
 	chunkTime = 500 * time.Millisecond
@@ -40,6 +40,7 @@
 	*Member
 	queue    mttakeover.Queue
 	suspects map[mtid.Holder]*suspicion
+	fences   mttakeover.Fences
 	orphans  map[mtid.Holder]mtclock.Instant
 	quiet    mtclock.Instant // until when nobody is suspected
 	chunks   mtclock.Instant // when the tables were last searched
@@ -81,6 +82,7 @@
 	var roster mttakeover.Roster
 	seen := make(map[mtid.Holder]bool)
 	for _, record := range w.config.View.Roster() {
+		w.fences.Note(now, record)
 		if !record.Live() || record.Holder.Daemon == w.config.Profile.Daemon || !w.lapsed(now, record) {
 			continue
 		}
@@ -160,12 +162,23 @@
 		if _, running := w.busy.LoadOrStore(h, struct{}{}); running {
 			continue
 		}
-		if !w.running.Put(job{record: record, version: version}) {
+		if !w.running.Put(job{record: record, version: version, silent: w.silent(now, record)}) {
 			w.busy.Delete(h)
 		}
 	}
 }
 
+// silent returns the witnesses of record that were fenced long ago.
+func (w *watcher) silent(now mtclock.Instant, record *mtroster.Record) []mtid.Holder {
+	var silent []mtid.Holder
+	for _, o := range record.Witnesses {
+		if w.fences.Silent(now, o) {
+			silent = append(silent, o)
+		}
+	}
+	return silent
+}
+
 // searchTables has chunks failed over whose owner was fenced and not replaced.
 // Whoever fenced it does that at once; only if it is still due at the next
 // search do others step in, one after another.
--- a/io/mtrenew/mtrenew.go
+++ b/io/mtrenew/mtrenew.go
@@ -125,6 +125,7 @@
 	witness  *mtwitness.Witness
 	sequence uint64
 	due      mtclock.Instant
+	vouched  mtclock.Instant // until when this life is known to stand
 	asked    map[mtid.Holder]mtclock.Instant
 	owed     map[mtid.Daemon]owed
 	windows  map[mtid.Daemon]*window
@@ -223,9 +224,24 @@
 		d.lease = mtlease.New(holder)
 		d.lease.Adopt(set)
 		d.witness.Register(holder.Incarnation)
+		d.vouched = 0
 	})
 }
 
+// Vouch says that the store showed or took the record of this life in a call
+// that was sent at since: the life stood then. A witness without a valid lease
+// of its own promises only for a while after that.
+func (d *Duty) Vouch(since mtclock.Instant) {
+	d.change(func() { d.vouched = max(d.vouched, since.Add(mtlease.Vouch)) })
+}
+
+// Vouched returns until when this life is known to stand.
+func (d *Duty) Vouched() mtclock.Instant {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.vouched
+}
+
 // Propose begins to ask the witnesses of a set that is not written yet. It
 // returns false while the outcome of an attempt is unknown.
 func (d *Duty) Propose(set mtlease.Set) (ok bool) {
@@ -269,6 +285,7 @@
 	d.change(func() {
 		if d.lease != nil {
 			d.lease.Close()
+			d.vouched = 0
 		}
 	})
 }
@@ -338,7 +355,11 @@
 	if d.lease == nil {
 		return
 	}
-	d.permit.Store(&permit{holder: d.lease.Holder(), until: d.lease.Until()})
+	until := d.lease.Until()
+	d.permit.Store(&permit{holder: d.lease.Holder(), until: until})
+	if until > 0 {
+		d.vouched = max(d.vouched, until.Add(mtlease.Vouch))
+	}
 }
 
 // read passes authentic datagrams to the duty until the socket is closed.
@@ -483,7 +504,7 @@
 		Sequence: m.GetSequence(),
 		Witness:  mtid.Holder{Daemon: d.config.Self, Incarnation: mtid.Incarnation(m.GetToIncarnation())},
 		Version:  mtid.Version(m.GetAsk()),
-	})
+	}, d.config.Clock.Now().Before(d.vouched))
 	due, mutual := d.nextAsk(from)
 	switch {
 	case !mutual || answer.Refusal != mtlease.Granted:
--- a/io/mtrenew/mtrenew_test.go
+++ b/io/mtrenew/mtrenew_test.go
@@ -69,6 +69,7 @@
 	}
 	for i, d := range f.duties {
 		d.Register(f.holders[i], mtlease.Set{Version: 1, Witnesses: f.set(i)})
+		d.Vouch(f.clock.Now())
 	}
 	return f
 }
