--- a/core/mtscene/scenes.go
+++ b/core/mtscene/scenes.go
@@ -52,6 +52,9 @@
 	group  []int // hotel or canton of each key
 	phase  []float64
 	period []float64
+	// swayed is the load of the present step, which is counted from one.
+	swayed []float64
+	step   int
 }
 
 // newPopulation returns keys named group/number, with a base load that the
@@ -87,13 +90,28 @@
 	return p
 }
 
-// sway is how far a key's load swings around its base.
-const sway = 0.2
+// sway is how far a key's load swings around its base, and swayStep how often
+// it changes.
+const (
+	sway     = 0.2
+	swayStep = 5 * time.Second
+)
 
 // at fills in the swaying base load.
 func (p *population) at(at time.Duration, load []float64) {
-	for i := range load {
-		load[i] = p.base[i] * (1 + sway*math.Sin(2*math.Pi*at.Seconds()/p.period[i]+p.phase[i]))
+	if step := int(at/swayStep) + 1; step != p.step {
+		p.step = step
+		p.swing(at.Truncate(swayStep))
+	}
+	copy(load, p.swayed)
+}
+
+func (p *population) swing(at time.Duration) {
+	if p.swayed == nil {
+		p.swayed = make([]float64, len(p.base))
+	}
+	for i := range p.swayed {
+		p.swayed[i] = p.base[i] * (1 + sway*math.Sin(2*math.Pi*at.Seconds()/p.period[i]+p.phase[i]))
 	}
 }
 
