--- a/io/mtmetric/mtmetric.go
+++ b/io/mtmetric/mtmetric.go
@@ -100,6 +100,13 @@
 	m.duty(duty).Set(name, expvar.Func(read))
 }
 
+// Publish shows a duty's own counters as a whole, under the duty's name.
+func (m *Metrics) Publish(duty string, counters expvar.Var) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.root.Set(duty, counters)
+}
+
 func (m *Metrics) duty(name string) *expvar.Map {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -138,7 +145,8 @@
 		HeapBytes  uint64 `json:"heapBytes"`
 		SysBytes   uint64 `json:"sysBytes"`
 		Objects    uint64 `json:"objects"`
+		Allocated  uint64 `json:"allocated"` // objects since the start
 		GCPauses   uint64 `json:"gcPausesNs"`
 		Collection uint32 `json:"collections"`
-	}{s.HeapAlloc, s.Sys, s.HeapObjects, s.PauseTotalNs, s.NumGC}
+	}{s.HeapAlloc, s.Sys, s.HeapObjects, s.Mallocs, s.PauseTotalNs, s.NumGC}
 }
