--- a/io/mtrelay/mtrelay_test.go
+++ b/io/mtrelay/mtrelay_test.go
@@ -31,7 +31,9 @@
 // ownerFunc is an owner made of a function.
 type ownerFunc func(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply
 
-func (f ownerFunc) Serve(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply { return f(ctx, r) }
+func (f ownerFunc) Serve(ctx context.Context, r *mtrequest.Request) *mtrequest.Reply {
+	return f(ctx, r)
+}
 
 // serve starts a daemon's peer side and returns its address and how to end it.
 func serve(t *testing.T, o ownerFunc, hint func(mtid.Revision, mtid.Holder)) (string, *grpc.Server) {
