Run both deployments as examples

Cause: a newcomer has two set-up commands. Change: hotel and loans bring up the whole path in one process, move a shard, lose a VM, shut down and audit.

--- /dev/null
+++ b/examples/hotel/main.go
@@ -0,0 +1,53 @@
+// Command hotel runs the hotel robots of Riga in one process: four availability
+// zones, five dispatch servers and six of mapsvc. Callers send status checks,
+// send orders and floor-plan reads through every daemon while a shard moves and
+// a VM is lost. It ends with 0 only if its own audit finds no broken promise.
+//
+// # Usage
+//
+//	go run ./examples/hotel
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/examples/bundles"
+	"magnoliaturn/examples/internal/fleet"
+	"magnoliaturn/io/mtstandin"
+)
+
+func main() {
+	err := fleet.Run(context.Background(), fleet.Deployment{
+		Business: "ratins",
+		Bundle:   bundles.Ratins,
+		Region:   "riga",
+		Zones:    []mtid.Zone{"old-town", "centrs", "kipsala", "airport"},
+		Length:   9 * time.Second,
+		Services: []fleet.Service{
+			{
+				Name: "dispatch", Instances: 5, Slots: 12, Connections: 130, Rate: 300, Keys: 40,
+				Time: mtstandin.ServiceTime{Shape: mtstandin.Exponential, Mean: 4 * time.Millisecond},
+				Classes: []mtstandin.LoadClass{
+					{Name: "status", Idempotent: true, Weight: 4, Timeout: 400 * time.Millisecond},
+					{Name: "send", Weight: 1, Timeout: 3 * time.Second, Body: 32},
+				},
+			},
+			{
+				Name: "mapsvc", Instances: 6, Slots: 12, Connections: 130, Rate: 300, Keys: 40,
+				Time: mtstandin.ServiceTime{Shape: mtstandin.Exponential, Mean: 3 * time.Millisecond},
+				Classes: []mtstandin.LoadClass{
+					{Name: "floorplan", Idempotent: true, Weight: 3, Timeout: 800 * time.Millisecond},
+					{Name: "lift", Idempotent: true, Weight: 1, Timeout: 500 * time.Millisecond},
+				},
+			},
+		},
+	}, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hotel:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/examples/loans/main.go
@@ -0,0 +1,55 @@
+// Command loans runs the machinery loans of Bern in one process: three
+// availability zones, four loan-desk servers and five of machinery-registry.
+// Callers send balance lookups, payments, valuations, collateral checks and
+// archive lookups through every daemon while a shard moves and a VM is lost. It
+// ends with 0 only if its own audit finds no broken promise.
+//
+// # Usage
+//
+//	go run ./examples/loans
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/examples/bundles"
+	"magnoliaturn/examples/internal/fleet"
+	"magnoliaturn/io/mtstandin"
+)
+
+func main() {
+	err := fleet.Run(context.Background(), fleet.Deployment{
+		Business: "bundesamt",
+		Bundle:   bundles.Bundesamt,
+		Region:   "bern",
+		Zones:    []mtid.Zone{"bern-a", "bern-b", "bern-c"},
+		Length:   9 * time.Second,
+		Services: []fleet.Service{
+			{
+				Name: "loan-desk", Instances: 4, Slots: 9, Connections: 110, Rate: 250, Keys: 60,
+				Time: mtstandin.ServiceTime{Shape: mtstandin.Exponential, Mean: 4 * time.Millisecond},
+				Classes: []mtstandin.LoadClass{
+					{Name: "balance", Idempotent: true, Weight: 3, Timeout: 800 * time.Millisecond},
+					{Name: "payment", Weight: 1, Timeout: 5 * time.Second, Body: 48},
+				},
+			},
+			{
+				Name: "machinery-registry", Instances: 5, Slots: 9, Connections: 110, Rate: 250, Keys: 60,
+				Time: mtstandin.ServiceTime{Shape: mtstandin.Exponential, Mean: 4 * time.Millisecond},
+				Classes: []mtstandin.LoadClass{
+					{Name: "valuation", Idempotent: true, Weight: 2, Timeout: time.Second},
+					{Name: "collateral", Idempotent: true, Weight: 2, Timeout: 600 * time.Millisecond},
+					{Name: "archive", Idempotent: true, Weight: 1, Timeout: 5 * time.Second},
+				},
+			},
+		},
+	}, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "loans:", err)
+		os.Exit(1)
+	}
+}
