Trust memory from the first owner on, and leave at once when nobody can take over

Cause: the examples' audit showed keys unavailable for 0.2 to 0.5 s at the very start: payments were answered unknown. A shard that the planner moved in the step that created it, or that no request had come for before it was handed over, was granted anew although nobody had ever run anything. And the last daemon of a service waited 20 s for a taker that can't come. Ruled out: a missing lease (no refusal had that cause). Change: mtshard says whether a shard had an earlier owner; memories are adopted when an assignment changes and before an export; a leave ends when no shard can be taken by anyone.

--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,26 @@
+// Command capacity measures the slopes that docs/CAPACITY.md is worked out from.
+//
+// # Usage
+//
+//	go run ./cmd/capacity state   sizes, memory and time of the copied state
+//	go run ./cmd/capacity fleet   daemons at rest, and the spread of a change
+//
+// Everything runs in this process and on loopback. Figures of time depend on
+// the machine; compare only within one run.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&stateCommand{}, "")
+	subcommands.Register(&fleetCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- a/core/mtshard/mtshard_test.go
+++ b/core/mtshard/mtshard_test.go
@@ -112,6 +112,46 @@
 	})
 }
 
+// The new owner of a shard must know whether it may trust a memory that was
+// handed over. If it trusted one of a move that was given up, a payment that ran
+// at the old owner meanwhile would run again.
+func TestOriginOfShard(t *testing.T) {
+	by := func(h mtid.Holder) mtroster.Stamp { return mtroster.Stamp{Writer: h} }
+	create := mtshard.Create{Shards: 2, Among: []mtid.Holder{a}}
+	type step struct {
+		by  mtid.Holder
+		ops []mtshard.Op
+	}
+	tests := []struct {
+		name          string
+		steps         []step
+		first, handed bool
+	}{
+		{"created", []step{{c, []mtshard.Op{create}}}, true, false},
+		{"created and placed in one", []step{{c, []mtshard.Op{create, mtshard.Move{Low: 0, To: b}}}}, true, false},
+		{"moved by its owner", []step{{c, []mtshard.Op{create}}, {a, []mtshard.Op{mtshard.Move{Low: 0, To: b}}}}, false, true},
+		{"moved by another", []step{{c, []mtshard.Op{create}}, {c, []mtshard.Op{mtshard.Move{Low: 0, To: b}}}}, false, false},
+		{"lost", []step{{c, []mtshard.Op{create}}, {a, []mtshard.Op{mtshard.Failover{Lost: []mtid.Holder{a}, Among: []mtid.Holder{b}}}}}, false, false},
+		{"moved, then others lost", []step{
+			{c, []mtshard.Op{create}},
+			{a, []mtshard.Op{mtshard.Move{Low: 0, To: b}}},
+			{c, []mtshard.Op{mtshard.Failover{Lost: []mtid.Holder{a}, Among: []mtid.Holder{b}}}},
+		}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := mtshard.New(ref, 0, 1)
+			for _, s := range tt.steps {
+				next, err := table.Apply(by(s.by), s.ops...)
+				assert.NilError(t, err)
+				table = next
+			}
+			assert.Equal(t, table.First(table.Shards[0]), tt.first)
+			assert.Equal(t, table.Handed(0, a, b), tt.handed)
+		})
+	}
+}
+
 func TestChunksCoverTheRing(t *testing.T) {
 	for _, chunks := range []int{1, 2, 3, 7, 64} {
 		for chunk := range chunks {
--- a/examples/hotel/main.go
+++ b/examples/hotel/main.go
@@ -11,23 +11,26 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"time"
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/examples/bundles"
-	"magnoliaturn/examples/internal/fleet"
+	"magnoliaturn/io/mtfleet"
 	"magnoliaturn/io/mtstandin"
 )
 
 func main() {
-	err := fleet.Run(context.Background(), fleet.Deployment{
+	// The stand-ins say when a daemon does not listen yet, which is no news here.
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	err := mtfleet.Run(context.Background(), mtfleet.Deployment{
 		Business: "ratins",
 		Bundle:   bundles.Ratins,
 		Region:   "riga",
 		Zones:    []mtid.Zone{"old-town", "centrs", "kipsala", "airport"},
 		Length:   9 * time.Second,
-		Services: []fleet.Service{
+		Services: []mtfleet.Service{
 			{
 				Name: "dispatch", Instances: 5, Slots: 12, Connections: 130, Rate: 300, Keys: 40,
 				Time: mtstandin.ServiceTime{Shape: mtstandin.Exponential, Mean: 4 * time.Millisecond},
--- a/examples/loans/main.go
+++ b/examples/loans/main.go
@@ -12,23 +12,26 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"time"
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/examples/bundles"
-	"magnoliaturn/examples/internal/fleet"
+	"magnoliaturn/io/mtfleet"
 	"magnoliaturn/io/mtstandin"
 )
 
 func main() {
-	err := fleet.Run(context.Background(), fleet.Deployment{
+	// The stand-ins say when a daemon does not listen yet, which is no news here.
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	err := mtfleet.Run(context.Background(), mtfleet.Deployment{
 		Business: "bundesamt",
 		Bundle:   bundles.Bundesamt,
 		Region:   "bern",
 		Zones:    []mtid.Zone{"bern-a", "bern-b", "bern-c"},
 		Length:   9 * time.Second,
-		Services: []fleet.Service{
+		Services: []mtfleet.Service{
 			{
 				Name: "loan-desk", Instances: 4, Slots: 9, Connections: 110, Rate: 250, Keys: 60,
 				Time: mtstandin.ServiceTime{Shape: mtstandin.Exponential, Mean: 4 * time.Millisecond},
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -15,6 +15,8 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -216,6 +218,11 @@
 		Quiet:   d.quiet,
 		Ran:     d.ran,
 	})
+	need[*mtsync.Sync](d, NameSync).OnChange(func(names []string) {
+		if slices.ContainsFunc(names, func(name string) bool { return strings.HasPrefix(name, mtstore.Shard) }) {
+			owner.Adopt()
+		}
+	})
 	return mtkernel.Register(d.kernel, NameOwner, owner, cleanUp)
 }
 
--- a/examples/internal/fleet/fleet.go
+++ b/io/mtfleet/mtfleet.go
@@ -1,13 +1,13 @@
-// Package fleet runs a whole deployment in one process for the examples: a
+// Package mtfleet runs a whole deployment in one process for the examples: a
 // store stand-in, daemons with their backend-server stand-ins, callers, and the
 // audit that joins what all of them wrote down.
 //
 // # Usage
 //
-//	err := fleet.Run(ctx, fleet.Deployment{...}, os.Stdout)
+//	err := mtfleet.Run(ctx, mtfleet.Deployment{...}, os.Stdout)
 //
 // Run fails with an *AuditError if a promise was broken.
-package fleet
+package mtfleet
 
 import (
 	"bytes"
@@ -17,6 +17,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"magnoliaturn/core/mtaudit"
@@ -67,13 +68,17 @@
 type AuditError struct{ Findings int }
 
 // Error implements error.
-func (e *AuditError) Error() string { return fmt.Sprintf("the audit found %d broken promises", e.Findings) }
+func (e *AuditError) Error() string {
+	return fmt.Sprintf("the audit found %d broken promises", e.Findings)
+}
 
 // ReadyError says that a deployment did not come up.
 type ReadyError struct{ Service mtid.Ref }
 
 // Error implements error.
-func (e *ReadyError) Error() string { return "no shards of " + e.Service.String() + " were assigned in time" }
+func (e *ReadyError) Error() string {
+	return "no shards of " + e.Service.String() + " were assigned in time"
+}
 
 // node is a VM: a daemon with the backend server beside it.
 type node struct {
@@ -357,7 +362,8 @@
 	report := mtaudit.Audit(mtaudit.Input{Events: events, Calls: calls, Marks: r.marks})
 	_, _ = fmt.Fprintf(out, "\naudit: %d runs, %d calls, %d findings\n", report.Runs, report.Calls, len(report.Findings))
 	for _, p := range report.Phases {
-		_, _ = fmt.Fprintf(out, "  %-14s longest time that a key was unavailable: %s\n", p.Name, p.Longest.Lasted.Round(time.Millisecond))
+		_, _ = fmt.Fprintf(out, "  %-14s longest time that a key was unavailable: %s (%s)\n",
+			p.Name, p.Longest.Lasted.Round(time.Millisecond), counts(p))
 	}
 	for _, f := range report.Findings {
 		_, _ = fmt.Fprintln(out, " ", f)
@@ -367,3 +373,12 @@
 	}
 	return nil
 }
+
+// counts lists how the calls of a phase ended.
+func counts(p mtaudit.Phase) string {
+	var parts []string
+	for _, c := range p.Counts {
+		parts = append(parts, strings.TrimSpace(fmt.Sprintf("%d %s %s", c.Calls, c.Outcome, c.Cause)))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/io/mtmover/mtmover.go
+++ b/io/mtmover/mtmover.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -357,41 +358,60 @@
 }
 
 // Leave hands all shards of this daemon to the rendezvous choice among the
-// others, and returns once it owns none or ctx is done. The roster must say
-// that the daemon is leaving, or the planner would give it new ones.
+// others, and returns once it owns none that another could take, or ctx is done.
+// The roster must say that the daemon is leaving, or the planner would give it
+// new ones. It fails with a *LeaveError.
 func (m *Mover) Leave(ctx context.Context) error {
 	for {
 		left := m.ask(ctx)
-		if left == 0 {
-			return nil
+		if left.takeable == 0 {
+			return left.err()
 		}
 		timer := time.NewTimer(tickEvery)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return &LeaveError{Owned: left}
+			return left.err()
 		case <-timer.C:
 		}
 	}
 }
 
-// LeaveError says that shards could not be handed over in time; they will be
-// taken over once this daemon's lease has ended.
+// LeaveError says that shards were not handed over: in time, or at all, since no
+// other daemon has a server of their service. They will be taken over once this
+// daemon's lease has ended and there is one.
 type LeaveError struct{ Owned int }
 
 // Error implements error.
-func (e *LeaveError) Error() string { return "move: shards were still owned when the time was up" }
+func (e *LeaveError) Error() string { return fmt.Sprintf("move: %d shards are still owned", e.Owned) }
 
-// ask wishes for the move of every shard that isn't on its way, and returns how
-// many are owned.
-func (m *Mover) ask(ctx context.Context) int {
+// remaining is what a leaving daemon still owns.
+type remaining struct {
+	owned    int
+	takeable int // of these, the ones that another daemon could take
+}
+
+func (r remaining) err() error {
+	if r.owned == 0 {
+		return nil
+	}
+	return &LeaveError{Owned: r.owned}
+}
+
+// ask wishes for the move of every shard that isn't on its way.
+func (m *Mover) ask(ctx context.Context) remaining {
 	self := m.Self()
 	s := m.View.Now()
-	left := 0
+	var left remaining
 	for _, ref := range s.Services() {
 		others := Others(s, ref, self)
-		for _, shard := range owned(s, ref, self) {
-			left++
+		shards := owned(s, ref, self)
+		left.owned += len(shards)
+		if len(others) == 0 {
+			continue
+		}
+		left.takeable += len(shards)
+		for _, shard := range shards {
 			// A refused wish is repeated at the next round.
 			_ = m.want(ctx, ref, shard.Low, mtshard.Choose(shard.Low, others))
 		}
--- a/io/mtowner/recent.go
+++ b/io/mtowner/recent.go
@@ -75,9 +75,9 @@
 	offer, ok := r.imports[shard.Low]
 	delete(r.imports, shard.Low)
 	switch {
-	case ok && movedBy(table, shard.Low, self, offer.from) && r.table.Owns(shard.Low):
+	case ok && table.Handed(shard.Low, offer.from, self) && r.table.Owns(shard.Low):
 		return
-	case firstOwner(table, shard):
+	case table.First(shard):
 		_ = r.table.Grant(shard.Low, high, time.Time{})
 	default:
 		// An import of a move that was given up must not answer for any part.
@@ -98,39 +98,6 @@
 	return false
 }
 
-// movedBy reports whether the newest change of owner of the shard at low is a
-// planned move to self that from wrote. An owner writes such a move only right
-// after a handover, and takes nothing in between, so the imported memory is
-// whole. After a handover whose move was given up, the owner went on running
-// requests; if it is lost then, its shard comes by failover, and the imported
-// memory must not be trusted.
-func movedBy(table *mtshard.Table, low mtid.Point, self, from mtid.Holder) bool {
-	for i := len(table.Steps) - 1; i >= 0; i-- {
-		step := table.Steps[i]
-		for _, op := range step.Ops {
-			switch o := op.(type) {
-			case mtshard.Move:
-				if o.Low == low {
-					return o.To == self && step.Stamp.Writer == from
-				}
-			case mtshard.Failover, mtshard.Create:
-				return false
-			}
-		}
-	}
-	return false
-}
-
-// firstOwner reports whether a shard has had no other owner: the first epochs
-// of a chunk are those of its creation.
-func firstOwner(table *mtshard.Table, shard mtshard.Shard) bool {
-	if len(table.Steps) == 0 || len(table.Steps[0].Ops) == 0 {
-		return false
-	}
-	create, ok := table.Steps[0].Ops[0].(mtshard.Create)
-	return ok && shard.Epoch <= mtid.Epoch(create.Shards)
-}
-
 // begin asks whether an admitted request may run. With a nil error exactly one
 // of the results is set: run, a reply to send, or a channel to wait on.
 func (r *recent) begin(clock clock, q *mtrequest.Request) (verdict, error) {
@@ -200,9 +167,28 @@
 	return mtrecent.Name{Point: q.Point(), ID: uuid.UUID(q.ID)}
 }
 
+// Adopt makes the memories answer for all shards that this daemon owns. It is
+// called when an assignment changed, so that a range which came by failover is
+// granted as of then, not as of its first request.
+func (o *Owner) Adopt() {
+	holder, _ := o.Lease.Permit()
+	s := o.View.Now()
+	for _, ref := range s.Services() {
+		for _, table := range s.Tables(ref) {
+			if table != nil && len(table.Owned(holder)) > 0 {
+				o.recent(ref).adopt(o.Clock, holder, table)
+			}
+		}
+	}
+}
+
 // Export returns the recent identifiers of a range for its new owner. It is
 // called when nothing of the range is in flight.
 func (o *Owner) Export(ref mtid.Ref, low, high mtid.Point) ([]byte, error) {
+	// A range that no request has come for yet isn't adopted: without this its
+	// new owner would get no memory at all, and answer "unknown" to callers
+	// whose requests nobody has ever run.
+	o.Adopt()
 	r := o.recent(ref)
 	r.mu.Lock()
 	defer r.mu.Unlock()
