--- a/io/mtadmin/mtadmin.go
+++ b/io/mtadmin/mtadmin.go
@@ -72,7 +72,7 @@
 type Suspect struct {
 	Service     mtid.Ref
 	Fingerprint uint64
-	Crashes     int
+	Refused     int // times, by this daemon
 	Until       time.Time
 }
 
@@ -230,7 +230,7 @@
 			defer cancel()
 			c.SetRequest(c.Request().WithContext(ctx))
 			if !basic {
-				s.config.Logger.Info("operator acts", "operator", operator.Name, "role", role, "path", c.Request().URL.Path)
+				s.config.Logger.Log(ctx, mtmetric.Audit, "operator acts", "operator", operator.Name, "role", role, "path", c.Request().URL.Path)
 			}
 			return handle(c, operator)
 		}
--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtowner"
+	"magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
 	"magnoliaturn/io/mtrouter"
@@ -151,6 +153,11 @@
 	e := newEcho()
 	e.POST(mtheader.AnnouncePath, need[*mtserver.Pool](d, NameServers).Announce)
 	e.GET("/debug/vars", echo.WrapHandler(need[*mtmetric.Metrics](d, NameMetrics).Handler()))
+	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET("/debug/pprof/:name", func(c echo.Context) error {
+		pprof.Handler(c.Param("name")).ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
 	return e
 }
 
@@ -167,6 +174,7 @@
 	relay := mtrelay.NewServer(need[*mtowner.Owner](d, NameOwner), view, need[*mttime.Clock](d, NameClock), hint)
 	relay.Register(server)
 	need[*mtmover.Mover](d, NameMover).Register(server)
+	need[*mtpoison.Watch](d, NamePoison).Register(server)
 	need[*mtrenew.Duty](d, NameRenew).ServeOn(server)
 	mtwire.RegisterInformServer(server, need[*mtadmin.Server](d, NameAdmin).Informer())
 	return server
