--- a/io/mtfleet/mtfleet.go
+++ b/io/mtfleet/mtfleet.go
@@ -362,8 +362,8 @@
 	report := mtaudit.Audit(mtaudit.Input{Events: events, Calls: calls, Marks: r.marks})
 	_, _ = fmt.Fprintf(out, "\naudit: %d runs, %d calls, %d findings\n", report.Runs, report.Calls, len(report.Findings))
 	for _, p := range report.Phases {
-		_, _ = fmt.Fprintf(out, "  %-14s longest time that a key was unavailable: %s (%s)\n",
-			p.Name, p.Longest.Lasted.Round(time.Millisecond), counts(p))
+		_, _ = fmt.Fprintf(out, "  %-14s a key was unavailable for at least %s, at most %s (%s)\n",
+			p.Name, p.Longest.AtLeast.Round(time.Millisecond), p.Longest.AtMost.Round(time.Millisecond), counts(p))
 	}
 	for _, f := range report.Findings {
 		_, _ = fmt.Fprintln(out, " ", f)
