Tell of a zone's loss in a kilobyte

Cause: a failover op named all lost and all surviving holders: 44,028 bytes a daemon for a zone of 96 among 480 in 4 chunks (go run ./cmd/capacity state), 11 s of a daemon's 4 KB/s. Change: where the survivors are just the chunk's other owners, the op names the places of the lost among its owners. Conclusion: grows with the number of lost daemons only.

--- a/cmd/capacity/state.go
+++ b/cmd/capacity/state.go
@@ -214,7 +214,8 @@
 	lost := w.holders[:len(w.holders)/zones]
 	size := 0
 	for i, t := range w.tables {
-		next, err := t.Apply(mtroster.Stamp{Writer: w.holders[len(w.holders)-1]}, mtshard.Failover{Lost: lost, Among: w.holders[len(lost):]})
+		next, err := t.Apply(mtroster.Stamp{Writer: w.holders[len(w.holders)-1]},
+			t.Short(mtshard.Failover{Lost: lost, Among: w.holders[len(lost):]}))
 		must(err)
 		w.tables[i] = next
 		size += w.merge(view, next)
--- a/core/mtshard/codec.go
+++ b/core/mtshard/codec.go
@@ -139,10 +139,28 @@
 		return &mtwire.Op{Kind: &mtwire.Op_Move{Move: &mtwire.Move{Low: uint64(o.Low), To: mtroster.WireHolder(o.To)}}}
 	case Failover:
 		return &mtwire.Op{Kind: &mtwire.Op_Failover{Failover: &mtwire.Failover{Lost: wireHolders(o.Lost), Among: wireHolders(o.Among)}}}
+	case Evict:
+		return &mtwire.Op{Kind: &mtwire.Op_Evict{Evict: &mtwire.Evict{Places: wirePlaces(o.Places)}}}
 	}
 	return &mtwire.Op{}
 }
 
+func wirePlaces(places []int) []uint32 {
+	var out []uint32
+	for _, p := range places {
+		out = append(out, uint32(p))
+	}
+	return out
+}
+
+func readPlaces(places []uint32) []int {
+	var out []int
+	for _, p := range places {
+		out = append(out, int(p))
+	}
+	return out
+}
+
 func readOp(w *mtwire.Op) Op {
 	switch k := w.GetKind().(type) {
 	case *mtwire.Op_Create:
@@ -155,6 +173,8 @@
 		return Move{Low: mtid.Point(k.Move.GetLow()), To: mtroster.ReadHolder(k.Move.GetTo())}
 	case *mtwire.Op_Failover:
 		return Failover{Lost: readHolders(k.Failover.GetLost()), Among: readHolders(k.Failover.GetAmong())}
+	case *mtwire.Op_Evict:
+		return Evict{Places: readPlaces(k.Evict.GetPlaces())}
 	}
 	return unknown{}
 }
--- a/core/mtshard/mtshard.go
+++ b/core/mtshard/mtshard.go
@@ -21,6 +21,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/bits"
 	"slices"
 
@@ -89,6 +90,14 @@
 	Among []mtid.Holder
 }
 
+// Evict gives all shards of some owners to the other owners of the chunk. It is
+// the short form of a Failover whose survivors are just these: the loss of an
+// availability zone then costs two bytes a daemon lost instead of the names of
+// the whole fleet.
+type Evict struct {
+	Places []int // of the lost, among Owners
+}
+
 // OpError says that an op does not fit the table that it met.
 type OpError struct {
 	Op     Op
@@ -228,6 +237,41 @@
 	return owned
 }
 
+// Owners returns the holders that own shards of the chunk, ordered by name and
+// incarnation.
+func (t *Table) Owners() []mtid.Holder {
+	seen := make(map[mtid.Holder]bool)
+	for _, s := range t.Shards {
+		seen[s.Owner] = true
+	}
+	owners := slices.Collect(maps.Keys(seen))
+	slices.SortFunc(owners, func(a, b mtid.Holder) int {
+		return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return owners
+}
+
+// Short returns the op that changes t as f does and is the shortest to send: an
+// Evict where the survivors are the other owners of the chunk, else f itself.
+func (t *Table) Short(f Failover) Op {
+	var places []int
+	rest := 0
+	for i, owner := range t.Owners() {
+		switch {
+		case slices.Contains(f.Lost, owner):
+			places = append(places, i)
+		case slices.Contains(f.Among, owner):
+			rest++
+		default:
+			return f
+		}
+	}
+	if len(places) == 0 || rest != len(f.Among) {
+		return f
+	}
+	return Evict{Places: places}
+}
+
 // index returns the place of the shard that covers p, or -1.
 func (t *Table) index(p mtid.Point) int {
 	i, found := slices.BinarySearchFunc(t.Shards, p, func(s Shard, p mtid.Point) int {
@@ -330,6 +374,22 @@
 	return nil
 }
 
+func (o Evict) apply(t *Table) error {
+	owners := t.Owners()
+	var f Failover
+	for i, owner := range owners {
+		if slices.Contains(o.Places, i) {
+			f.Lost = append(f.Lost, owner)
+			continue
+		}
+		f.Among = append(f.Among, owner)
+	}
+	if len(f.Lost) != len(o.Places) {
+		return &OpError{Op: o, Reason: "names a place that no owner has"}
+	}
+	return f.apply(t)
+}
+
 func (o Failover) apply(t *Table) error {
 	if len(o.Among) == 0 {
 		return &OpError{Op: o, Reason: "names no survivor"}
--- a/core/mtshard/mtshard_test.go
+++ b/core/mtshard/mtshard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -73,9 +74,43 @@
 		mtshard.Merge{Low: pick.Low},
 		mtshard.Move{Low: pick.Low, To: to},
 		mtshard.Failover{Lost: []mtid.Holder{to}, Among: []mtid.Holder{{Daemon: to.Daemon, Incarnation: to.Incarnation + 1}}},
+		table.Short(mtshard.Failover{Lost: []mtid.Holder{to}, Among: without(table.Owners(), to)}),
 	}).Draw(t, "op")
 }
 
+func without(holders []mtid.Holder, h mtid.Holder) []mtid.Holder {
+	return slices.DeleteFunc(slices.Clone(holders), func(other mtid.Holder) bool { return other == h })
+}
+
+// The short form of a failover must give every shard to the same owner as the
+// long one, else daemons of two releases would route to two owners.
+func TestShortFailoverIsTheSame(t *testing.T) {
+	table, err := mtshard.New(ref, 0, 1).Apply(none, mtshard.Create{Shards: 64, Among: []mtid.Holder{a, b, c}})
+	assert.NilError(t, err)
+	tests := []struct {
+		name  string
+		op    mtshard.Failover
+		short bool
+	}{
+		{"all others survive", mtshard.Failover{Lost: []mtid.Holder{b}, Among: []mtid.Holder{c, a}}, true},
+		{"a newcomer takes part", mtshard.Failover{Lost: []mtid.Holder{b}, Among: []mtid.Holder{a, c, {Daemon: "d", Incarnation: 1}}}, false},
+		{"an owner leaves and takes no part", mtshard.Failover{Lost: []mtid.Holder{b}, Among: []mtid.Holder{a}}, false},
+		{"the lost own nothing", mtshard.Failover{Lost: []mtid.Holder{{Daemon: "d", Incarnation: 1}}, Among: []mtid.Holder{a, b, c}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			op := table.Short(tt.op)
+			_, got := op.(mtshard.Evict)
+			assert.Equal(t, got, tt.short)
+			want, err := table.Apply(none, tt.op)
+			assert.NilError(t, err)
+			after, err := table.Apply(none, op)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, after.Shards, want.Shards)
+		})
+	}
+}
+
 // A daemon that learns a table by steps and one that reads it from the store
 // must agree on every owner; else a request would be relayed to a daemon that
 // never owned its key. An epoch must grow with each change of a point's owner.
--- a/core/mtshard/origin.go
+++ b/core/mtshard/origin.go
@@ -17,7 +17,7 @@
 			given += mtid.Epoch(o.Shards)
 		case Move:
 			given++
-		case Failover:
+		case Failover, Evict:
 			return false
 		}
 	}
@@ -39,7 +39,7 @@
 				if o.Low == low {
 					return o.To == to && step.Stamp.Writer == from
 				}
-			case Failover, Create:
+			case Failover, Evict, Create:
 				return false
 			}
 		}
--- a/io/mtmember/taker.go
+++ b/io/mtmember/taker.go
@@ -224,7 +224,7 @@
 			return
 		}
 		stamp := m.stamp()
-		next, err := table.Apply(stamp, op)
+		next, err := table.Apply(stamp, table.Short(op))
 		if err != nil {
 			m.config.Log.Error("member: failover does not fit", "service", table.Service, "err", err)
 			return
