Write a new set of witnesses once all of them have promised

Cause: after the loss of half a fleet the survivors chose lost daemons as witnesses, two of three promised, and the set was written only to be changed again. Change: with a valid lease a keeper waits until the whole set has promised, and else leaves out those that have not; without one a majority is enough.

--- a/core/mtlease/mtlease.go
+++ b/core/mtlease/mtlease.go
@@ -301,13 +301,12 @@
 	return want
 }
 
-// Doubtful returns the witnesses of the proposal that gave no promise in time,
-// so that another proposal may leave them out.
+// Doubtful returns the witnesses of the proposal that hold no promise to this
+// daemon yet, so that another proposal may leave them out.
 func (l *Lease) Doubtful(now mtclock.Instant) []mtid.Holder {
 	var doubtful []mtid.Holder
 	for _, w := range l.pending.Witnesses {
-		p, ok := l.promises[w]
-		if ok && (p.unfit() || p.silent(now)) {
+		if !now.Before(l.counted(l.pending, w)) {
 			doubtful = append(doubtful, w)
 		}
 	}
@@ -334,17 +333,21 @@
 	}
 	ends := make([]mtclock.Instant, 0, len(set.Witnesses))
 	for _, w := range set.Witnesses {
-		p, ok := l.promises[w]
-		if !ok || p.floor >= set.Version {
-			ends = append(ends, 0)
-			continue
-		}
-		ends = append(ends, p.end)
+		ends = append(ends, l.counted(set, w))
 	}
 	slices.Sort(ends)
 	return ends[len(ends)-Majority(len(ends))]
 }
 
+// counted returns until when w's promise counts under set.
+func (l *Lease) counted(set Set, w mtid.Holder) mtclock.Instant {
+	p, ok := l.promises[w]
+	if !ok || p.floor >= set.Version {
+		return 0
+	}
+	return p.end
+}
+
 // versionFor returns the highest version of a set that names w, or zero.
 func (l *Lease) versionFor(w mtid.Holder) mtid.Version {
 	if slices.Contains(l.pending.Witnesses, w) {
--- a/io/mtmember/bench_test.go
+++ b/io/mtmember/bench_test.go
@@ -186,7 +186,7 @@
 	f.waitSettled()
 	f.store.create(b, 8*n)
 	var holders []mtid.Holder
-	reads0, writes0 := f.store.calls()
+	before := tally(f)
 	begin := time.Now()
 	var stops sync.WaitGroup
 	for i, node := range f.nodes {
@@ -210,10 +210,27 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	took := time.Since(begin)
-	reads, writes := f.store.calls()
+	after := tally(f)
+	for what := range after {
+		b.ReportMetric(float64(after[what]-before[what])/float64(len(holders)), what+"/loss")
+	}
 	b.ReportMetric(took.Seconds(), "s")
 	b.ReportMetric(float64(len(holders)), "lost")
 	b.ReportMetric(float64(stuck()), "lost-still-owning")
-	b.ReportMetric(float64(reads-reads0+writes-writes0)/float64(len(holders)), "store-calls/loss")
 	b.ReportMetric(0, "ns/op")
 }
+
+// tally sums what the members of a fleet did.
+func tally(f *fleet) map[string]int64 {
+	sum := make(map[string]int64)
+	for _, n := range f.nodes {
+		c := n.member.Counters()
+		sum["reads"] += c.StoreReads.Value()
+		sum["writes"] += c.StoreWrites.Value()
+		sum["conflicts"] += c.StoreConflicts.Value()
+		sum["set-changes"] += c.SetChanges.Value()
+		sum["revoked"] += c.Takeovers.Value()
+		sum["chunks"] += c.Failovers.Value()
+	}
+	return sum
+}
--- a/io/mtmember/keeper.go
+++ b/io/mtmember/keeper.go
@@ -253,13 +253,18 @@
 	current, _ := k.own.Record()
 	sameSet := slices.Equal(k.proposed.Witnesses, current.Witnesses)
 	late := now.Sub(k.proposedAt) > proposalTime
+	_, doubtful := k.config.Lease.Wants()
+	urgent := !k.config.Clock.Now().Before(k.config.Lease.Until())
 	switch {
-	case k.config.Lease.Ready(), sameSet && late:
+	case k.config.Lease.Ready() && (urgent || len(doubtful) == 0), sameSet && late:
+		// Without a lease a majority is enough. With one, a witness that did
+		// not answer would only have to be replaced by another write.
+		//
 		// Offers and state must get through even while there is no lease. That
 		// is safe, only not seamless: both sets count until the write settles.
 		k.own.Change(k.proposed)
 	case late:
-		k.suspect(now)
+		k.suspect(now, doubtful)
 		k.proposed = nil
 		k.config.Lease.Withdraw()
 	}
@@ -284,11 +289,7 @@
 }
 
 // suspect leaves witnesses that gave no promise out of the next proposals.
-func (k *keeper) suspect(now mtclock.Instant) {
-	_, doubtful := k.config.Lease.Wants()
-	if len(doubtful) == 0 {
-		doubtful = k.proposed.Witnesses
-	}
+func (k *keeper) suspect(now mtclock.Instant, doubtful []mtid.Holder) {
 	for _, w := range doubtful {
 		k.suspects[w] = now.Add(suspectTime)
 	}
--- a/io/mtmember/mtmember.go
+++ b/io/mtmember/mtmember.go
@@ -47,6 +47,7 @@
 	Register(mtid.Holder, mtlease.Set)
 	Propose(mtlease.Set) bool
 	Ready() bool
+	Until() mtclock.Instant
 	Attempt() bool
 	Settle(mtlease.Set)
 	Withdraw()
