--- /dev/null
+++ b/io/mtcommand/accept.go
@@ -0,0 +1,103 @@
+package mtcommand
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/io/mtadmin"
+)
+
+func bundleAccept(c *console) *command {
+	at := &connection{}
+	var wait time.Duration
+	return &command{
+		console: c, name: "accept", synopsis: "put a signed proposal in force", usage: "BUSINESS VERSION [DIGEST]",
+		help:    "Puts a proposal in force everywhere. If another bundle took the version first,\nnothing is done and the winner is named. May be repeated after exit code 4.\nWith -wait it goes on until every live daemon goes by the bundle, and exits with\n5 if that takes longer.",
+		example: "magnoliaturn bundle accept -wait 10s ratins 2 5f0c",
+		flags: func(f *flag.FlagSet) {
+			at.flags(f)
+			f.DurationVar(&wait, "wait", 0, "wait that long for the bundle to be in force everywhere")
+		},
+		run: func(ctx context.Context, args []string) error {
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			d, err := named(ctx, client, args)
+			if err != nil {
+				return err
+			}
+			began := time.Now()
+			accepted, err := client.Accept(ctx, d.Business, d.Version, d.Digest)
+			if err != nil {
+				return err
+			}
+			c.showBundle(accepted)
+			if wait == 0 {
+				return nil
+			}
+			return c.awaitForce(ctx, client, accepted, began, wait)
+		},
+	}
+}
+
+// forcePoll is the pause between two looks at where a bundle is in force.
+const forcePoll = 25 * time.Millisecond
+
+// SlowError says that a bundle is accepted, but not in force everywhere yet.
+type SlowError struct {
+	Behind []mtid.Daemon
+	Wait   time.Duration
+}
+
+// Error implements error.
+func (e *SlowError) Error() string {
+	return fmt.Sprintf("accepted, but not in force after %s at: %v", e.Wait, e.Behind)
+}
+
+// awaitForce waits until every live daemon goes by the bundle or a newer one,
+// and prints how long that took from when the acceptance was asked for.
+func (c *console) awaitForce(ctx context.Context, client *mtadmin.Client, d mtadmin.BundleDocument, began time.Time, wait time.Duration) error {
+	for {
+		page, err := client.Force(ctx, d.Business)
+		if err != nil && !passing(err) {
+			return err
+		}
+		behind := behindOf(page.Items, d.Version)
+		took := time.Since(began)
+		if err == nil && len(behind) == 0 {
+			fmt.Fprintf(c.errs, "in force at %d daemons after %s\n", len(page.Items), took.Round(time.Millisecond))
+			return nil
+		}
+		if took > wait {
+			return &SlowError{Behind: behind, Wait: wait}
+		}
+		select {
+		case <-ctx.Done():
+			return &SlowError{Behind: behind, Wait: took}
+		case <-time.After(forcePoll):
+		}
+	}
+}
+
+// passing reports whether an error is over soon: the daemon limits its clients,
+// or is busy.
+func passing(err error) bool {
+	var p *mtadmin.Problem
+	return errors.As(err, &p) && exitOf(p) == ExitUnavailable
+}
+
+// behindOf returns the daemons that go by an older version, or gave no answer.
+func behindOf(documents []mtadmin.ForceDocument, version mtid.Version) []mtid.Daemon {
+	var behind []mtid.Daemon
+	for _, d := range documents {
+		if d.Version < version {
+			behind = append(behind, d.Daemon)
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/io/mtcommand/force.go
@@ -0,0 +1,186 @@
+package mtcommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/io/mtadmin"
+)
+
+// showBundle prints one bundle without its text.
+func (c *console) showBundle(d mtadmin.BundleDocument) {
+	d.Text = ""
+	c.show(d, bundleHeading, bundleRows([]mtadmin.BundleDocument{d}))
+}
+
+var bundleHeading = []string{"BUSINESS", "VERSION", "DIGEST", "PROPOSER", "SIGNED", "ACCEPTER", "ACCEPTED"}
+
+func bundleRows(documents []mtadmin.BundleDocument) [][]string {
+	var rows [][]string
+	for _, d := range documents {
+		accepted := "-"
+		if d.Accepted != nil {
+			accepted = d.Accepted.Format(time.RFC3339)
+		}
+		signed := strings.Join(d.Signed, ",")
+		if d.Needed > 0 {
+			signed = fmt.Sprintf("%d of %d %s", len(d.Signed), d.Needed, signed)
+		}
+		rows = append(rows, []string{
+			string(d.Business), version(d.Version), d.Digest, d.Proposer, dash(signed), dash(d.Accepter), accepted,
+		})
+	}
+	return rows
+}
+
+func version(v mtid.Version) string { return strconv.FormatUint(uint64(v), 10) }
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// shownBundle is the JSON form of "bundle show".
+type shownBundle struct {
+	InForce *mtadmin.BundleDocument  `json:"inForce"`
+	Drafts  []mtadmin.BundleDocument `json:"drafts"`
+	Daemons []mtadmin.ForceDocument  `json:"daemons"`
+}
+
+func bundleShow(c *console) *command {
+	at := &connection{}
+	var text bool
+	var former uint64
+	return &command{
+		console: c, name: "show", synopsis: "show the bundle in force, and where it is", usage: "BUSINESS",
+		help:    "Shows the bundle in force, the open proposals, and which version each daemon\ngoes by. With -text only the text is printed, with -version a former one.",
+		example: "magnoliaturn bundle show ratins\nmagnoliaturn bundle show -text -version 6 ratins",
+		flags: func(f *flag.FlagSet) {
+			at.flags(f)
+			f.BoolVar(&text, "text", false, "print the text only")
+			f.Uint64Var(&former, "version", 0, "a former version; the one in force if absent")
+		},
+		run: func(ctx context.Context, args []string) error {
+			if err := need(args, 1, 1, "BUSINESS"); err != nil {
+				return err
+			}
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			business := mtid.Business(args[0])
+			if text || former > 0 {
+				return c.showText(ctx, client, business, mtid.Version(former), text)
+			}
+			return c.showForce(ctx, client, business)
+		},
+	}
+}
+
+func (c *console) showText(ctx context.Context, client *mtadmin.Client, business mtid.Business, former mtid.Version, text bool) error {
+	var d mtadmin.BundleDocument
+	var err error
+	if former == 0 {
+		d, err = client.Bundle(ctx, business)
+	} else {
+		d, err = client.Version(ctx, business, former)
+	}
+	if err != nil {
+		return err
+	}
+	if text && !c.json {
+		fmt.Fprint(c.out, d.Text)
+		return nil
+	}
+	c.show(d, bundleHeading, bundleRows([]mtadmin.BundleDocument{d}))
+	return nil
+}
+
+// showForce shows what the store holds and what the daemons go by. In an outage
+// of the store the second is all that there is, and what operators look for.
+func (c *console) showForce(ctx context.Context, client *mtadmin.Client, business mtid.Business) error {
+	var shown shownBundle
+	inForce, err := client.Bundle(ctx, business)
+	switch {
+	case err == nil:
+		inForce.Text = ""
+		shown.InForce = &inForce
+	case passing(err):
+		fmt.Fprintln(c.errs, err.Error())
+	case !isMissing(err):
+		return err
+	}
+	drafts, err := client.Drafts(ctx, business)
+	if err != nil && !passing(err) {
+		return err
+	}
+	force, err := client.Force(ctx, business)
+	if err != nil {
+		return err
+	}
+	shown.Drafts, shown.Daemons = drafts.Items, force.Items
+	var bundles []mtadmin.BundleDocument
+	if shown.InForce != nil {
+		bundles = append(bundles, inForce)
+	}
+	c.showParts(shown, bundleRows(append(bundles, drafts.Items...)), force.Items)
+	return nil
+}
+
+func (c *console) showParts(shown shownBundle, bundles [][]string, force []mtadmin.ForceDocument) {
+	if c.json {
+		c.show(shown, nil, nil)
+		return
+	}
+	c.show(nil, bundleHeading, bundles)
+	var rows [][]string
+	current := 0
+	for _, d := range force {
+		if shown.InForce != nil && d.Version == shown.InForce.Version {
+			current++
+		}
+		rows = append(rows, []string{string(d.Daemon), string(d.Zone), version(d.Version), dash(d.Error)})
+	}
+	fmt.Fprintln(c.out)
+	c.show(nil, []string{"DAEMON", "ZONE", "VERSION", "ERROR"}, rows)
+	if shown.InForce != nil {
+		fmt.Fprintf(c.out, "\nin force at %d of %d daemons\n", current, len(force))
+	}
+}
+
+func isMissing(err error) bool {
+	p, ok := err.(*mtadmin.Problem)
+	return ok && p.Reason() == mtadmin.ReasonMissing
+}
+
+func bundleHistory(c *console) *command {
+	at := &connection{}
+	return &command{
+		console: c, name: "history", synopsis: "list the versions that are kept", usage: "BUSINESS",
+		help:    "Lists the bundle in force and the former ones that the store keeps, the newest\nfirst.",
+		example: "magnoliaturn bundle history ratins",
+		flags:   at.flags,
+		run: func(ctx context.Context, args []string) error {
+			if err := need(args, 1, 1, "BUSINESS"); err != nil {
+				return err
+			}
+			client, err := at.client()
+			if err != nil {
+				return err
+			}
+			page, err := client.History(ctx, mtid.Business(args[0]))
+			if err != nil {
+				return err
+			}
+			c.show(page.Items, bundleHeading, bundleRows(page.Items))
+			return nil
+		},
+	}
+}
