--- a/core/mtpoison/evidence.go
+++ b/core/mtpoison/evidence.go
@@ -30,7 +30,10 @@
 	At       mtclock.Instant
 	Complete bool    // all that was in flight is listed
 	Prints   []Print // in order, each once
-	alone    bool    // the one that was in flight was kept alone
+	// Cleared are those of Prints that had been answered while alone since an
+	// earlier crash. That they were in flight at both tells nothing.
+	Cleared []Print
+	alone   bool // the one that was in flight was kept alone
 }
 
 // lists reports whether the fingerprint was in flight.
@@ -60,7 +63,7 @@
 	var common Print
 	count := 0
 	for _, p := range c.Prints {
-		if other.lists(p) {
+		if other.lists(p) && !slices.Contains(c.Cleared, p) && !slices.Contains(other.Cleared, p) {
 			common = p
 			count++
 		}
@@ -136,6 +139,7 @@
 		out.Complete = false
 	}
 	out.Prints = slices.Clone(c.Prints[:min(limit, len(c.Prints))])
+	out.Cleared = slices.Clone(c.Cleared)
 	return out
 }
 
@@ -207,6 +211,9 @@
 		for _, p := range c.Prints {
 			wc.Prints = append(wc.Prints, uint64(p))
 		}
+		for _, p := range c.Cleared {
+			wc.Cleared = append(wc.Cleared, uint64(p))
+		}
 		w.Crashes = append(w.Crashes, wc)
 	}
 	for _, s := range d.Sentences {
@@ -247,6 +254,9 @@
 		for _, p := range wc.GetPrints() {
 			c.Prints = append(c.Prints, Print(p))
 		}
+		for _, p := range wc.GetCleared() {
+			c.Cleared = append(c.Cleared, Print(p))
+		}
 		d.Crashes = append(d.Crashes, c)
 	}
 	for _, s := range w.GetSentences() {
--- a/core/mtpoison/mtpoison.go
+++ b/core/mtpoison/mtpoison.go
@@ -308,6 +308,9 @@
 			continue
 		}
 		c.Prints = append(c.Prints, f.print)
+		if _, ok := t.acquitted[f.print]; ok {
+			c.Cleared = append(c.Cleared, f.print)
+		}
 		c.alone = c.alone || f.alone
 	}
 	// A lone request with company was sent to a server that another one had
@@ -429,6 +432,9 @@
 		t.crashes[c.Loss] = known
 	}
 	known.Complete = known.Complete || c.Complete
+	if len(known.Cleared) == 0 {
+		known.Cleared = c.Cleared[:min(len(c.Cleared), t.limits.Prints)]
+	}
 	for _, p := range c.Prints {
 		if known.add(p, t.limits.Prints) {
 			t.suspect(p, c.At)
--- a/core/mtpoison/mtpoison_test.go
+++ b/core/mtpoison/mtpoison_test.go
@@ -102,6 +102,12 @@
 			crash(tb, 1, false, poison, innocent)
 			crash(tb, 2, false, poison, other)
 		}, poison, mtpoison.Quarantined},
+		{"the only one common to two crashes, cleared in between", func(tb *table) {
+			crash(tb, 1, false, poison, innocent)
+			tb.Started(9, innocent, true)
+			tb.Ended(2, 9, mtpoison.Whole)
+			crash(tb, 3, false, other, innocent)
+		}, innocent, mtpoison.Suspect},
 		{"one of two common to two crashes", func(tb *table) {
 			crash(tb, 1, false, poison, innocent)
 			crash(tb, 2, false, poison, innocent, other)
@@ -188,6 +194,19 @@
 	assert.Equal(t, len(owner.Conditions()), 0)
 }
 
+// Two poison requests crash a server each, and one innocent request was in
+// flight both times, cleared in between at its owner. A daemon that only hears
+// of the crashes must not hold that against it.
+func TestClearingTravels(t *testing.T) {
+	owner, hearer := newTable("a"), newTable("b")
+	crash(owner, 1, false, poison, innocent)
+	owner.Started(9, innocent, true)
+	owner.Ended(2, 9, mtpoison.Whole)
+	crash(owner, 3, false, other, innocent)
+	send(t, 4, owner, hearer)
+	assert.Equal(t, hearer.Judge(5, innocent, false), mtpoison.Suspect)
+}
+
 func TestBounds(t *testing.T) {
 	tb := mtpoison.New(mtpoison.Narrow{}, holder("a"), mtpoison.Limits{Crashes: 3, Prints: 2, Sentences: 4})
 	for i := range 20 {
