Test that agreements end with the version of the record

Cause: the script of planted faults found that only chance in the model's walk had caught it. Change: a case in the table of replies; a benchmark of what a fleet of 480 costs a daemon's look at the roster.

--- a/core/mttakeover/mttakeover_test.go
+++ b/core/mttakeover/mttakeover_test.go
@@ -68,6 +68,10 @@
 	tk.Replied(start, second, granted)
 	tk.Replied(start, first, granted)
 	assert.Equal(t, tk.Next(start).Kind, mttakeover.Ask)
+	tk.Replied(start, tk.Request(w2), granted)
+	assert.Equal(t, tk.Next(start).Kind, mttakeover.Wait, "the first agreed for the earlier version")
+	tk.Replied(start, tk.Request(w3), granted)
+	assert.Equal(t, tk.Next(start).Kind, mttakeover.Write)
 }
 
 // The answer of the write was lost, and the record still shows the version that
@@ -201,3 +205,19 @@
 	assert.Equal(t, order[1].Daemon, mtid.Daemon("299"))
 	assert.Equal(t, order[299].Daemon, mtid.Daemon("1"))
 }
+
+// BenchmarkNoteFleet is what a daemon of a fleet of 480 does 20 times a second
+// to know since when others are fenced.
+func BenchmarkNoteFleet(b *testing.B) {
+	var records []*mtroster.Record
+	for i := range 480 {
+		h := mtid.Holder{Daemon: mtid.Daemon(fmt.Sprintf("old-town-%d", i)), Incarnation: 1}
+		records = append(records, &mtroster.Record{Holder: h, Revoked: 1})
+	}
+	var f mttakeover.Fences
+	for b.Loop() {
+		for _, r := range records {
+			f.Note(start, r)
+		}
+	}
+}
