--- a/core/mtchoice/mtchoice_test.go
+++ b/core/mtchoice/mtchoice_test.go
@@ -196,3 +196,20 @@
 		})
 	}
 }
+
+// BenchmarkPick is one choice among the servers of a large service.
+func BenchmarkPick(b *testing.B) {
+	var many []mtchoice.Candidate
+	for i := range 100 {
+		many = append(many, mtchoice.Candidate{Holder: mtid.Holder{Daemon: mtid.Daemon(rune('a' + i)), Incarnation: 1}, Slots: 12})
+	}
+	p := mtchoice.NewPower(rand.New(rand.NewPCG(1, 2)), mtchoice.Options{Reports: true}, mtchoice.NewAverage)
+	p.Update(many)
+	now := mtclock.Instant(0)
+	for b.Loop() {
+		now++
+		h, _ := p.Pick(now)
+		p.Started(now, h)
+		p.Ended(now, h, mtchoice.Result{Kind: mtchoice.Good})
+	}
+}
--- a/core/mtpoison/mtpoison_test.go
+++ b/core/mtpoison/mtpoison_test.go
@@ -411,3 +411,16 @@
 		assert.Assert(t, counts.Sentences <= mtpoison.DefaultSentences)
 	})
 }
+
+// BenchmarkRequest is one request at an owner that suspects nothing.
+func BenchmarkRequest(b *testing.B) {
+	tb := newTable("a")
+	n := mtpoison.Number(0)
+	for b.Loop() {
+		n++
+		now := mtclock.Instant(n)
+		tb.Judge(now, mtpoison.Print(n), false)
+		tb.Started(n, mtpoison.Print(n), false)
+		tb.Ended(now, n, mtpoison.Whole)
+	}
+}
--- a/core/mtrecent/mtrecent_test.go
+++ b/core/mtrecent/mtrecent_test.go
@@ -214,3 +214,20 @@
 		runtime.KeepAlive(table)
 	}
 }
+
+// BenchmarkRequest is one non-idempotent request at an owner that remembers
+// many.
+func BenchmarkRequest(b *testing.B) {
+	table := mtrecent.New(mtrecent.Limits{})
+	_ = table.Grant(0, last, time.Time{})
+	n := 0
+	for b.Loop() {
+		n++
+		// Two thousand a second: the table stays about full.
+		now := mtclock.Instant(n) * mtclock.Instant(500*time.Microsecond)
+		wall := epoch.Add(now.Sub(0))
+		r := request(wall, n)
+		table.Begin(now, wall, r, 1)
+		table.End(now, r.Name, mtrecent.Outcome{What: mtreply.Unknown})
+	}
+}
