Measure whole daemons at rest and the spread of a change

Change: cmd/capacity fleet runs daemons in one process at several sizes; mtfleet is split into what brings a deployment up and what the examples do with it. Conclusion: a start moves shards for more than 5 s, so rest is measured after 40.

--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -1,18 +1,219 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"expvar"
 	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
+
+	"magnoliaturn/core/mtbundle"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtview"
+	"magnoliaturn/examples/bundles"
+	"magnoliaturn/io/mtdaemon"
+	"magnoliaturn/io/mtfleet"
+	"magnoliaturn/io/mtrenew"
+	"magnoliaturn/io/mtstandin"
+)
+
+const (
+	business     = "ratins"
+	forceTimeout = 30 * time.Second
+	forcePoll    = time.Millisecond
 )
 
-type fleetCommand struct{}
+// fleetCommand measures whole daemons, all in this process.
+type fleetCommand struct {
+	sizes   string
+	settle  time.Duration
+	rest    time.Duration
+	changes int
+}
 
+// Name implements subcommands.Command.
 func (*fleetCommand) Name() string { return "fleet" }
 
-func (*fleetCommand) Synopsis() string { return "" }
+// Synopsis implements subcommands.Command.
+func (*fleetCommand) Synopsis() string { return "measure daemons at rest, and the spread of a change" }
+
+// Usage implements subcommands.Command.
+func (*fleetCommand) Usage() string {
+	return "fleet [-sizes 6,12,24] [-settle 40s] [-rest 20s] [-changes 20]\n  Example: go run ./cmd/capacity fleet -sizes 6,12,24\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *fleetCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.sizes, "sizes", "6,12,24", "`numbers` of daemons")
+	f.DurationVar(&c.settle, "settle", 40*time.Second, "how long to wait after the start, until shards have stopped moving")
+	f.DurationVar(&c.rest, "rest", 20*time.Second, "how long to measure at rest")
+	f.IntVar(&c.changes, "changes", 20, "how many bundles to bring into force at each size")
+}
+
+// Execute implements subcommands.Command.
+func (c *fleetCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	const padding = 2
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "daemons\tUDP B/s\tUDP msg/s\tCPU %\theap MB\tgoroutines\tstore calls/h\twatching\tin force p50 ms\tmax ms\tpulls/change\t")
+	for _, text := range strings.Split(c.sizes, ",") {
+		size, err := strconv.Atoi(text)
+		if err != nil || size < 2 {
+			fmt.Fprintf(os.Stderr, "sizes: %q: accepted are whole numbers from 2\n", text)
+			return subcommands.ExitUsageError
+		}
+		if err := c.measure(w, size); err != nil {
+			fmt.Fprintln(os.Stderr, "fleet:", err)
+			return subcommands.ExitFailure
+		}
+	}
+	_ = w.Flush()
+	return subcommands.ExitSuccess
+}
+
+// deployment returns a fleet of that size over the zones of Riga.
+func deployment(size int) mtfleet.Deployment {
+	return mtfleet.Deployment{
+		Business: business, Bundle: bundles.Ratins, Region: "riga",
+		Zones: []mtid.Zone{"old-town", "centrs", "kipsala", "airport"},
+		Services: []mtfleet.Service{{
+			Name: "dispatch", Instances: size, Slots: 12, Connections: 130,
+			Time: mtstandin.ServiceTime{Shape: mtstandin.Fixed, Mean: time.Millisecond},
+		}},
+	}
+}
+
+func (c *fleetCommand) measure(w *tabwriter.Writer, size int) error {
+	before := heap()
+	f, cleanUp, err := mtfleet.New(deployment(size))
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	time.Sleep(c.settle)
+	memory := heap() - before
+	first := read(f)
+	time.Sleep(c.rest)
+	last := read(f)
+	spread, err := c.force(f)
+	if err != nil {
+		return err
+	}
+	pulled := read(f).pulls - last.pulls
+	seconds := c.rest.Seconds()
+	each := func(v float64) float64 { return v / float64(size) }
+	const mega = 1 << 20
+	_, err = fmt.Fprintf(w, "%d\t%.0f\t%.1f\t%.2f\t%.1f\t%d\t%.0f\t%d\t%.0f\t%.0f\t%.1f\t\n", size,
+		each(float64(last.bytes-first.bytes))/seconds, each(float64(last.messages-first.messages))/seconds,
+		each((last.cpu-first.cpu).Seconds())/seconds*100, each(float64(memory))/mega, runtime.NumGoroutine()/size,
+		float64(last.calls-first.calls)/seconds*3600, last.watching,
+		float64(spread[len(spread)/2].Milliseconds()), float64(spread[len(spread)-1].Milliseconds()),
+		float64(pulled)/float64(c.changes))
+	return err
+}
+
+// reading is what the counters of a whole fleet say at one moment.
+type reading struct {
+	bytes, messages int64
+	pulls           int64
+	cpu             time.Duration
+	calls           int64
+	watching        int64
+}
+
+func read(f *mtfleet.Fleet) reading {
+	var r reading
+	for _, d := range f.Daemons() {
+		duty, err := mtkernel.Lookup[*mtrenew.Duty](d.Kernel(), mtdaemon.NameRenew)
+		must(err)
+		counters := duty.Counters()
+		r.bytes += counters.SentBytes.Value() + counters.ReceivedBytes.Value()
+		r.messages += counters.SentMessages.Value() + counters.ReceivedMessages.Value()
+		r.pulls += d.Counter("sync", "pulled")
+	}
+	f.Store().Vars().Do(func(kv expvar.KeyValue) {
+		value, ok := kv.Value.(*expvar.Int)
+		switch {
+		case !ok:
+		case kv.Key == "watching":
+			r.watching = value.Value()
+		case kv.Key == "get" || kv.Key == "swap" || kv.Key == "watch" || kv.Key == "grant" || kv.Key == "renew":
+			r.calls += value.Value()
+		}
+	})
+	r.cpu = cpuTime()
+	return r
+}
+
+// cpuTime returns what this process has used of the processors.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	must(syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// force brings bundles into force one after another and returns, in order, how
+// long each took until every daemon had it.
+func (c *fleetCommand) force(f *mtfleet.Fleet) ([]time.Duration, error) {
+	var took []time.Duration
+	for i := range c.changes {
+		version := mtid.Version(i + 2)
+		d, err := forceOne(f, version)
+		if err != nil {
+			return nil, err
+		}
+		took = append(took, d)
+	}
+	slices.Sort(took)
+	return took, nil
+}
+
+// NotForcedError says that a bundle did not come into force everywhere in time.
+type NotForcedError struct{ Version mtid.Version }
+
+// Error implements error.
+func (e *NotForcedError) Error() string {
+	return fmt.Sprintf("bundle %d was not in force everywhere after %s", e.Version, forceTimeout)
+}
+
+func forceOne(f *mtfleet.Fleet, version mtid.Version) (time.Duration, error) {
+	text := bytes.Replace(bundles.Ratins, []byte("version    = 1"), fmt.Appendf(nil, "version    = %d", version), 1)
+	stored := mtbundle.Stored{Business: business, Version: version, Text: text, Accepted: time.Now()}
+	value, err := stored.Encode()
+	if err != nil {
+		return 0, err
+	}
+	begin := time.Now()
+	if _, err := f.Store().Swap(context.Background(), mtstore.BundleName(business), version-1, value, ""); err != nil {
+		return 0, err
+	}
+	for _, d := range f.Daemons() {
+		view, err := mtkernel.Lookup[*mtview.View](d.Kernel(), mtdaemon.NameView)
+		must(err)
+		for !inForce(view, version) {
+			if time.Since(begin) > forceTimeout {
+				return 0, &NotForcedError{Version: version}
+			}
+			time.Sleep(forcePoll)
+		}
+	}
+	return time.Since(begin), nil
+}
 
-func (*fleetCommand) Usage() string                                                         { return "" }
-func (*fleetCommand) SetFlags(*flag.FlagSet)                                                {}
-func (*fleetCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus { return 0 }
+func inForce(view *mtview.View, version mtid.Version) bool {
+	bundle, ok := view.Now().Bundle(business)
+	return ok && bundle.Version >= version
+}
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -141,6 +141,11 @@
 	return func(name string) { metrics.Counter(duty, name).Add(1) }
 }
 
+// Counter returns the value of a duty's counter.
+func (d *Daemon) Counter(duty, name string) int64 {
+	return need[*mtmetric.Metrics](d, NameMetrics).Counter(duty, name).Value()
+}
+
 // observe notes what came of a caller's request.
 func (d *Daemon) observe(q *mtrequest.Request, reply *mtrequest.Reply, took time.Duration) {
 	sample := mtmetric.Sample{
--- a/io/mtfleet/mtfleet.go
+++ b/io/mtfleet/mtfleet.go
@@ -13,11 +13,9 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"magnoliaturn/core/mtaudit"
@@ -27,7 +25,6 @@
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtdaemon"
-	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtsetting"
 	"magnoliaturn/io/mtstandin"
 	iostore "magnoliaturn/io/mtstore"
@@ -91,8 +88,8 @@
 	lose    func() // daemon and server end without a word
 }
 
-// run is one run of a deployment.
-type run struct {
+// Fleet is a deployment that is up. Its methods are called from one goroutine.
+type Fleet struct {
 	Deployment
 	store  *iostore.Memory
 	nodes  []*node
@@ -104,53 +101,56 @@
 	clean  []func()
 }
 
-// Run brings a deployment up, sends load through every daemon, moves a shard,
-// loses a VM, shuts everything down and prints what became of all requests.
-func Run(ctx context.Context, d Deployment, out io.Writer) error {
-	r := &run{Deployment: d, store: iostore.NewMemory(time.Now)}
-	r.server = mtstandin.NewJournal[mtaudit.Event](&r.events)
-	r.caller = mtstandin.NewJournal[mtaudit.Call](&r.calls)
-	defer r.close()
-	if err := r.up(); err != nil {
-		return err
-	}
-	_, _ = fmt.Fprintf(out, "%s: %d daemons in %d availability zones of %s\n", d.Business, len(r.nodes), len(d.Zones), d.Region)
-	summaries, err := r.load(ctx, out)
-	if err != nil {
-		return err
-	}
-	r.shutdown()
-	for i, s := range summaries {
-		_, _ = fmt.Fprintf(out, "\n%s/%s: ", d.Business, d.Services[i].Name)
-		if err := s.Print(out); err != nil {
-			return err
-		}
+// New brings a deployment up and returns it with its clean-up function, once
+// every daemon knows the owner of every key. It fails with a *ReadyError, or
+// with the error of what could not be started.
+func New(d Deployment) (*Fleet, func(), error) {
+	f := &Fleet{Deployment: d, store: iostore.NewMemory(time.Now)}
+	f.server = mtstandin.NewJournal[mtaudit.Event](&f.events)
+	f.caller = mtstandin.NewJournal[mtaudit.Call](&f.calls)
+	if err := f.up(); err != nil {
+		f.close()
+		return nil, nil, err
+	}
+	return f, f.close, nil
+}
+
+// Daemons returns the daemons in the order of their start.
+func (f *Fleet) Daemons() []*mtdaemon.Daemon {
+	var out []*mtdaemon.Daemon
+	for _, n := range f.nodes {
+		out = append(out, n.daemon)
 	}
-	return r.audit(out)
+	return out
 }
 
-func (r *run) close() {
-	for i := len(r.clean) - 1; i >= 0; i-- {
-		r.clean[i]()
+// Store returns the store stand-in.
+func (f *Fleet) Store() *iostore.Memory { return f.store }
+
+func (f *Fleet) close() {
+	for i := len(f.clean) - 1; i >= 0; i-- {
+		f.clean[i]()
 	}
 }
 
-func (r *run) mark(name string) { r.marks = append(r.marks, mtaudit.Mark{Name: name, At: time.Now()}) }
+func (f *Fleet) mark(name string) {
+	f.marks = append(f.marks, mtaudit.Mark{Name: name, At: time.Now()})
+}
 
 // up starts everything and waits until each service has its shards.
-func (r *run) up() error {
-	if err := r.accept(); err != nil {
+func (f *Fleet) up() error {
+	if err := f.accept(); err != nil {
 		return err
 	}
-	for _, s := range r.Services {
+	for _, s := range f.Services {
 		for i := range s.Instances {
-			if err := r.add(s, i); err != nil {
+			if err := f.add(s, i); err != nil {
 				return err
 			}
 		}
 	}
-	for _, s := range r.Services {
-		if err := r.ready(s); err != nil {
+	for _, s := range f.Services {
+		if err := f.ready(s); err != nil {
 			return err
 		}
 	}
@@ -158,13 +158,13 @@
 }
 
 // accept puts the bundle in force.
-func (r *run) accept() error {
-	stored := mtbundle.Stored{Business: r.Business, Version: 1, Text: r.Bundle, Accepted: time.Now()}
+func (f *Fleet) accept() error {
+	stored := mtbundle.Stored{Business: f.Business, Version: 1, Text: f.Bundle, Accepted: time.Now()}
 	value, err := stored.Encode()
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Swap(context.Background(), mtstore.BundleName(r.Business), 0, value, "")
+	_, err = f.store.Swap(context.Background(), mtstore.BundleName(f.Business), 0, value, "")
 	return err
 }
 
@@ -177,8 +177,8 @@
 	return l.Addr().String(), l.Close()
 }
 
-func (r *run) settings(name mtid.Daemon, zone mtid.Zone) (*mtsetting.Settings, error) {
-	s := &mtsetting.Settings{Name: name, Zone: zone, Region: r.Region, Body: bodyLimit, Log: slog.LevelWarn}
+func (f *Fleet) settings(name mtid.Daemon, zone mtid.Zone) (*mtsetting.Settings, error) {
+	s := &mtsetting.Settings{Name: name, Zone: zone, Region: f.Region, Body: bodyLimit, Log: slog.LevelWarn}
 	for _, field := range []*string{&s.Caller, &s.Relay, &s.Renew, &s.Local, &s.Admin} {
 		address, err := freeAddress()
 		if err != nil {
@@ -190,14 +190,14 @@
 }
 
 // add starts one VM's daemon and server. Instances go round the zones.
-func (r *run) add(s Service, i int) error {
+func (f *Fleet) add(s Service, i int) error {
 	n := &node{name: mtid.Daemon(fmt.Sprintf("%s-%d", s.Name, i+1)), service: s, done: make(chan error, 1)}
-	settings, err := r.settings(n.name, r.Zones[i%len(r.Zones)])
+	settings, err := f.settings(n.name, f.Zones[i%len(f.Zones)])
 	if err != nil {
 		return err
 	}
 	daemon, cleanUp, err := mtdaemon.New(mtdaemon.Config{
-		Settings: settings, Store: r.store, Log: slog.New(slog.DiscardHandler),
+		Settings: settings, Store: f.store, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		return err
@@ -206,7 +206,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() { n.done <- daemon.Run(ctx) }()
-	loseServer, err := r.serve(n, settings.Local)
+	loseServer, err := f.serve(n, settings.Local)
 	if err != nil {
 		cancel()
 		return err
@@ -215,23 +215,23 @@
 		loseServer()
 		cleanUp()
 	}
-	r.nodes = append(r.nodes, n)
-	r.clean = append(r.clean, cancel, n.lose)
+	f.nodes = append(f.nodes, n)
+	f.clean = append(f.clean, cancel, n.lose)
 	return nil
 }
 
 // serve starts the backend server of a node and returns what ends it at once.
-func (r *run) serve(n *node, local string) (func(), error) {
+func (f *Fleet) serve(n *node, local string) (func(), error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	server, cleanUp, err := mtstandin.NewServer(mtstandin.ServerSetting{
-		Name: string(n.name), Service: mtid.Ref{Business: r.Business, Service: n.service.Name},
+		Name: string(n.name), Service: mtid.Ref{Business: f.Business, Service: n.service.Name},
 		Address: listener.Addr().String(), Daemon: "http://" + local,
 		Slots: n.service.Slots, Connections: n.service.Connections, Epochs: true, Deadlines: true,
-		Time: n.service.Time, ColdFactor: 1, Reply: 64, Seed: uint64(len(r.nodes) + 1),
-	}, r.server, func() {})
+		Time: n.service.Time, ColdFactor: 1, Reply: 64, Seed: uint64(len(f.nodes) + 1),
+	}, f.server, func() {})
 	if err != nil {
 		return nil, err
 	}
@@ -244,10 +244,10 @@
 }
 
 // ready waits until every daemon knows all shards of a service.
-func (r *run) ready(s Service) error {
-	ref := mtid.Ref{Business: r.Business, Service: s.Name}
+func (f *Fleet) ready(s Service) error {
+	ref := mtid.Ref{Business: f.Business, Service: s.Name}
 	deadline := time.Now().Add(readyWithin)
-	for _, n := range r.nodes {
+	for _, n := range f.nodes {
 		for !known(n, ref) {
 			if time.Now().After(deadline) {
 				return &ReadyError{Service: ref}
@@ -271,114 +271,3 @@
 	}
 	return len(tables) > 0
 }
-
-// load sends through every daemon while a shard moves and a VM is lost.
-func (r *run) load(ctx context.Context, out io.Writer) ([]mtstandin.Summary, error) {
-	var targets []string
-	for _, n := range r.nodes {
-		targets = append(targets, "http://"+n.caller)
-	}
-	loads := make([]*mtstandin.Load, len(r.Services))
-	for i, s := range r.Services {
-		load, cleanUp, err := mtstandin.NewLoad(mtstandin.LoadSetting{
-			Service: mtid.Ref{Business: r.Business, Service: s.Name}, Targets: targets,
-			Rate: s.Rate, Duration: r.Length, Keys: s.Keys, Classes: s.Classes, Tries: 1, Open: openCalls, Seed: loadSeed,
-		}, r.caller, nil)
-		if err != nil {
-			return nil, err
-		}
-		r.clean = append(r.clean, cleanUp)
-		loads[i] = load
-	}
-	results := make(chan struct{}, len(loads))
-	summaries := make([]mtstandin.Summary, len(loads))
-	for i, load := range loads {
-		go func() {
-			summaries[i] = load.Run(ctx)
-			results <- struct{}{}
-		}()
-	}
-	r.disturb(ctx, out)
-	for range loads {
-		<-results
-	}
-	return summaries, nil
-}
-
-// disturb moves a shard after a third of the run and loses a VM after two.
-func (r *run) disturb(ctx context.Context, out io.Writer) {
-	const parts = 3
-	time.Sleep(r.Length / parts)
-	r.mark("move")
-	if err := r.move(ctx); err != nil {
-		_, _ = fmt.Fprintln(out, "the shard was not moved:", err)
-	}
-	time.Sleep(r.Length / parts)
-	r.mark("loss of a VM")
-	r.nodes[0].lose()
-}
-
-// move moves one shard of the first service from its first instance to the
-// second, as a planner would.
-func (r *run) move(ctx context.Context) error {
-	ref := mtid.Ref{Business: r.Business, Service: r.Services[0].Name}
-	from, to := r.nodes[0].daemon.Self(), r.nodes[1].daemon.Self()
-	view, err := mtkernel.Lookup[*mtview.View](r.nodes[0].daemon.Kernel(), mtdaemon.NameView)
-	if err != nil {
-		return err
-	}
-	mover, err := mtkernel.Lookup[*mtmover.Mover](r.nodes[1].daemon.Kernel(), mtdaemon.NameMover)
-	if err != nil {
-		return err
-	}
-	for _, table := range view.Now().Tables(ref) {
-		for _, shard := range table.Owned(from) {
-			return mover.Move(ctx, from, ref, shard.Low, to)
-		}
-	}
-	return nil
-}
-
-// shutdown stops every daemon that is left, gracefully and one at a time, the
-// way an upgrade does.
-func (r *run) shutdown() {
-	r.mark("shutdown")
-	for _, n := range r.nodes[1:] {
-		n.stop()
-		<-n.done
-	}
-}
-
-// audit joins the journals and prints the report.
-func (r *run) audit(out io.Writer) error {
-	events, err := mtstandin.ReadJournal[mtaudit.Event](&r.events)
-	if err != nil {
-		return err
-	}
-	calls, err := mtstandin.ReadJournal[mtaudit.Call](&r.calls)
-	if err != nil {
-		return err
-	}
-	report := mtaudit.Audit(mtaudit.Input{Events: events, Calls: calls, Marks: r.marks})
-	_, _ = fmt.Fprintf(out, "\naudit: %d runs, %d calls, %d findings\n", report.Runs, report.Calls, len(report.Findings))
-	for _, p := range report.Phases {
-		_, _ = fmt.Fprintf(out, "  %-14s a key was unavailable for at least %s, at most %s (%s)\n",
-			p.Name, p.Longest.AtLeast.Round(time.Millisecond), p.Longest.AtMost.Round(time.Millisecond), counts(p))
-	}
-	for _, f := range report.Findings {
-		_, _ = fmt.Fprintln(out, " ", f)
-	}
-	if len(report.Findings) > 0 {
-		return &AuditError{Findings: len(report.Findings)}
-	}
-	return nil
-}
-
-// counts lists how the calls of a phase ended.
-func counts(p mtaudit.Phase) string {
-	var parts []string
-	for _, c := range p.Counts {
-		parts = append(parts, strings.TrimSpace(fmt.Sprintf("%d %s %s", c.Calls, c.Outcome, c.Cause)))
-	}
-	return strings.Join(parts, ", ")
-}
--- /dev/null
+++ b/io/mtfleet/run.go
@@ -0,0 +1,152 @@
+package mtfleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"magnoliaturn/core/mtaudit"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtdaemon"
+	"magnoliaturn/io/mtmover"
+	"magnoliaturn/io/mtstandin"
+)
+
+// Run brings a deployment up, sends load through every daemon, moves a shard,
+// loses a VM, shuts everything down and prints what became of all requests. It
+// fails with an *AuditError if a promise was broken.
+func Run(ctx context.Context, d Deployment, out io.Writer) error {
+	f, cleanUp, err := New(d)
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	_, _ = fmt.Fprintf(out, "%s: %d daemons in %d availability zones of %s\n", d.Business, len(f.nodes), len(d.Zones), d.Region)
+	summaries, err := f.load(ctx, out)
+	if err != nil {
+		return err
+	}
+	f.shutdown()
+	for i, s := range summaries {
+		_, _ = fmt.Fprintf(out, "\n%s/%s: ", d.Business, d.Services[i].Name)
+		if err := s.Print(out); err != nil {
+			return err
+		}
+	}
+	return f.audit(out)
+}
+
+// load sends through every daemon while a shard moves and a VM is lost.
+func (f *Fleet) load(ctx context.Context, out io.Writer) ([]mtstandin.Summary, error) {
+	var targets []string
+	for _, n := range f.nodes {
+		targets = append(targets, "http://"+n.caller)
+	}
+	loads := make([]*mtstandin.Load, len(f.Services))
+	for i, s := range f.Services {
+		load, cleanUp, err := mtstandin.NewLoad(mtstandin.LoadSetting{
+			Service: mtid.Ref{Business: f.Business, Service: s.Name}, Targets: targets,
+			Rate: s.Rate, Duration: f.Length, Keys: s.Keys, Classes: s.Classes, Tries: 1, Open: openCalls, Seed: loadSeed,
+		}, f.caller, nil)
+		if err != nil {
+			return nil, err
+		}
+		f.clean = append(f.clean, cleanUp)
+		loads[i] = load
+	}
+	results := make(chan struct{}, len(loads))
+	summaries := make([]mtstandin.Summary, len(loads))
+	for i, load := range loads {
+		go func() {
+			summaries[i] = load.Run(ctx)
+			results <- struct{}{}
+		}()
+	}
+	f.disturb(ctx, out)
+	for range loads {
+		<-results
+	}
+	return summaries, nil
+}
+
+// disturb moves a shard after a third of the run and loses a VM after two.
+func (f *Fleet) disturb(ctx context.Context, out io.Writer) {
+	const parts = 3
+	time.Sleep(f.Length / parts)
+	f.mark("move")
+	if err := f.move(ctx); err != nil {
+		_, _ = fmt.Fprintln(out, "the shard was not moved:", err)
+	}
+	time.Sleep(f.Length / parts)
+	f.mark("loss of a VM")
+	f.nodes[0].lose()
+}
+
+// move moves one shard of the first service from its first instance to the
+// second, as a planner would.
+func (f *Fleet) move(ctx context.Context) error {
+	ref := mtid.Ref{Business: f.Business, Service: f.Services[0].Name}
+	from, to := f.nodes[0].daemon.Self(), f.nodes[1].daemon.Self()
+	view, err := mtkernel.Lookup[*mtview.View](f.nodes[0].daemon.Kernel(), mtdaemon.NameView)
+	if err != nil {
+		return err
+	}
+	mover, err := mtkernel.Lookup[*mtmover.Mover](f.nodes[1].daemon.Kernel(), mtdaemon.NameMover)
+	if err != nil {
+		return err
+	}
+	for _, table := range view.Now().Tables(ref) {
+		for _, shard := range table.Owned(from) {
+			return mover.Move(ctx, from, ref, shard.Low, to)
+		}
+	}
+	return nil
+}
+
+// shutdown stops every daemon that is left, gracefully and one at a time, the
+// way an upgrade does.
+func (f *Fleet) shutdown() {
+	f.mark("shutdown")
+	for _, n := range f.nodes[1:] {
+		n.stop()
+		<-n.done
+	}
+}
+
+// audit joins the journals and prints the report.
+func (f *Fleet) audit(out io.Writer) error {
+	events, err := mtstandin.ReadJournal[mtaudit.Event](&f.events)
+	if err != nil {
+		return err
+	}
+	calls, err := mtstandin.ReadJournal[mtaudit.Call](&f.calls)
+	if err != nil {
+		return err
+	}
+	report := mtaudit.Audit(mtaudit.Input{Events: events, Calls: calls, Marks: f.marks})
+	_, _ = fmt.Fprintf(out, "\naudit: %d runs, %d calls, %d findings\n", report.Runs, report.Calls, len(report.Findings))
+	for _, p := range report.Phases {
+		_, _ = fmt.Fprintf(out, "  %-14s a key was unavailable for at least %s, at most %s (%s)\n",
+			p.Name, p.Longest.AtLeast.Round(time.Millisecond), p.Longest.AtMost.Round(time.Millisecond), counts(p))
+	}
+	for _, f := range report.Findings {
+		_, _ = fmt.Fprintln(out, " ", f)
+	}
+	if len(report.Findings) > 0 {
+		return &AuditError{Findings: len(report.Findings)}
+	}
+	return nil
+}
+
+// counts lists how the calls of a phase ended.
+func counts(p mtaudit.Phase) string {
+	var parts []string
+	for _, c := range p.Counts {
+		parts = append(parts, strings.TrimSpace(fmt.Sprintf("%d %s %s", c.Calls, c.Outcome, c.Cause)))
+	}
+	return strings.Join(parts, ", ")
+}
