Report the gates' load to whoever plans

Cause: the planner planned without load: the owner counted nothing for it. Change: the owner's meters count arrivals and slot time, and a duty reports them.

--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -24,6 +24,7 @@
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
 	"magnoliaturn/io/mtowner"
+	"magnoliaturn/io/mtplanner"
 	"magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
@@ -176,6 +177,7 @@
 	need[*mtmover.Mover](d, NameMover).Register(server)
 	need[*mtpoison.Watch](d, NamePoison).Register(server)
 	need[*mtrenew.Duty](d, NameRenew).ServeOn(server)
+	mtwire.RegisterPlannerServer(server, need[*mtplanner.Planner](d, NamePlanner))
 	mtwire.RegisterInformServer(server, need[*mtadmin.Server](d, NameAdmin).Informer())
 	return server
 }
--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -13,12 +13,15 @@
 	"magnoliaturn/core/mtkernel"
 	coremember "magnoliaturn/core/mtmember"
 	"magnoliaturn/core/mtplan"
+	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/core/mtwire"
 	"magnoliaturn/io/mtmember"
 	"magnoliaturn/io/mtmover"
+	"magnoliaturn/io/mtowner"
 	"magnoliaturn/io/mtplanner"
 	"magnoliaturn/io/mtrelay"
 	"magnoliaturn/io/mtrenew"
@@ -190,9 +193,11 @@
 // enterPoll is how often a shutdown looks whether its record was written.
 const enterPoll = 20 * time.Millisecond
 
+// addPlanner starts the duty that plans, and the one that reports to whoever
+// does.
 func (d *Daemon) addPlanner() error {
 	clock := need[*mttime.Clock](d, NameClock)
-	planner, cleanUp, err := mtplanner.New(mtplanner.Config{
+	config := mtplanner.Config{
 		Self:  d.Self,
 		Stamp: d.Stamp,
 		Now:   clock.Now,
@@ -200,9 +205,39 @@
 		Seen: func(ref mtid.Ref, state *mtplan.State) {
 			need[*figures](d, NameFigures).planned(clock.Now(), ref, state)
 		},
-	}, liveView{need[*mtview.View](d, NameView)}, need[mtstore.Store](d, NameStore), need[*mtmover.Mover](d, NameMover))
+	}
+	view := liveView{need[*mtview.View](d, NameView)}
+	planner, stopPlanner, err := mtplanner.New(config, view, need[mtstore.Store](d, NameStore), need[*mtmover.Mover](d, NameMover))
+	if err != nil {
+		return err
+	}
+	link := loadLink{view: view, relay: need[*mtrelay.Client](d, NameRelay)}
+	stopReporter, err := mtplanner.NewReporter(config, view, need[*mtowner.Owner](d, NameOwner), link, planner)
 	if err != nil {
+		stopPlanner()
 		return err
 	}
-	return mtkernel.Register(d.kernel, NamePlanner, planner, cleanUp)
+	return mtkernel.Register(d.kernel, NamePlanner, planner, func() {
+		stopReporter()
+		stopPlanner()
+	})
+}
+
+// loadLink carries reports of load to the daemon that plans.
+type loadLink struct {
+	view  liveView
+	relay *mtrelay.Client
+}
+
+// Report implements mtplanner.Link.
+func (l loadLink) Report(ctx context.Context, to mtid.Holder, report *mtwire.LoadReport) (*mtwire.LoadReply, error) {
+	record, _, ok := l.view.Record(to.Daemon)
+	if !ok || record.Holder != to {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, Detail: to.String() + " is not in the roster"}
+	}
+	conn, err := l.relay.Conn(record.Relay)
+	if err != nil {
+		return nil, err
+	}
+	return mtwire.NewPlannerClient(conn).Report(ctx, report)
 }
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -20,7 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtrequest"
@@ -236,7 +235,6 @@
 		Log:     d.config.Log,
 		Poison:  need[*mtpoison.Watch](d, NamePoison),
 		Quiet:   d.quiet,
-		Ran:     d.ran,
 	})
 	need[*mtsync.Sync](d, NameSync).OnChange(func(names []string) {
 		if slices.ContainsFunc(names, func(name string) bool { return strings.HasPrefix(name, mtstore.Shard) }) {
@@ -251,9 +249,6 @@
 	need[*mtmover.Mover](d, NameMover).Quiet(service, low, high)
 }
 
-// ran notes the load of a point for the planner's reports.
-func (d *Daemon) ran(mtclock.Instant, mtid.Ref, mtid.Point, time.Duration) {}
-
 func (d *Daemon) addMover() error {
 	mover, cleanUp := mtmover.New(mtmover.Config{
 		Self:    d.Self,
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -27,6 +27,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtload"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
@@ -71,9 +72,6 @@
 	// Quiet is called, from whichever goroutine ended the last request, when a
 	// stopped range has nothing in flight.
 	Quiet func(service mtid.Ref, low, high mtid.Point)
-	// Ran is called for each request of a keyed service that the backend server
-	// ran, with the time that it kept a slot: the load of its point.
-	Ran func(now mtclock.Instant, service mtid.Ref, point mtid.Point, took time.Duration)
 }
 
 // Owner runs requests.
@@ -82,6 +80,7 @@
 	mu       sync.Mutex
 	gates    map[mtid.Ref]*gate
 	recents  map[mtid.Ref]*recent
+	meters   map[mtid.Ref]*mtload.Meter
 	runs     map[*run]struct{} // requests of keyed services at the backend server
 	stopping atomic.Bool
 }
@@ -95,7 +94,7 @@
 // New starts the duty that expires waiting requests and cancels running ones
 // whose lease was lost, and returns the Owner with its clean-up function.
 func New(config Config) (*Owner, func()) {
-	o := &Owner{Config: config, gates: make(map[mtid.Ref]*gate), recents: make(map[mtid.Ref]*recent), runs: make(map[*run]struct{})}
+	o := &Owner{Config: config, gates: make(map[mtid.Ref]*gate), recents: make(map[mtid.Ref]*recent), meters: make(map[mtid.Ref]*mtload.Meter), runs: make(map[*run]struct{})}
 	stop := make(chan struct{})
 	var duty sync.WaitGroup
 	duty.Go(func() {
@@ -194,9 +193,13 @@
 		return nil, err
 	}
 	now := o.Clock.Now()
-	if _, err := o.fence(now, r, service); err != nil {
+	f, err := o.fence(now, r, service)
+	if err != nil {
 		return nil, err
 	}
+	if service.Kind == mtbundle.Keyed {
+		o.Meter(r.Service).Arrive(now, f.low, r.Point())
+	}
 	switch o.Poison.Judge(r) {
 	case mtpoison.Quarantined:
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseQuarantined, RetryAfter: -1}
@@ -277,6 +280,7 @@
 // fence is under which epoch and until when a request may be begun.
 type fence struct {
 	holder mtid.Holder
+	low    mtid.Point // where the shard begins
 	epoch  mtid.Epoch
 	until  mtclock.Instant
 }
@@ -298,7 +302,7 @@
 	if !now.Before(until) {
 		return fence{}, &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: time.Second}
 	}
-	return fence{holder: holder, epoch: shard.Epoch, until: until}, nil
+	return fence{holder: holder, low: shard.Low, epoch: shard.Epoch, until: until}, nil
 }
 
 // run sends an admitted request to the backend server.
@@ -327,7 +331,7 @@
 	took := o.Clock.Now().Sub(now)
 	ended(err)
 	if service.Kind == mtbundle.Keyed {
-		o.Ran(now, r.Service, r.Point(), took)
+		o.Meter(r.Service).Finish(took)
 	}
 	if err != nil {
 		o.noteLoss(ctx, r.Service, server, err)
@@ -381,6 +385,19 @@
 	return r
 }
 
+// Meter returns the load meter of a service, for its requests and for the
+// reports to its planner.
+func (o *Owner) Meter(ref mtid.Ref) *mtload.Meter {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m := o.meters[ref]
+	if m == nil {
+		m = mtload.NewMeter()
+		o.meters[ref] = m
+	}
+	return m
+}
+
 // Stop holds new work for a range of a service; Config.Quiet is called once
 // none is in flight.
 func (o *Owner) Stop(ref mtid.Ref, low, high mtid.Point) {
