Bound handshakes and streams between daemons

Cause: a silent client held a connection for two minutes, and the number of requests of one connection was not bounded.

--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -41,6 +41,7 @@
 	pingEvery     = 10 * time.Second // the shortest interval that a peer may ping at
 	messageSpare  = 512 << 10        // of a message between daemons beside its body
 	connections   = 4096             // open at once on one listener
+	streams       = 1024             // requests of one other daemon at once
 )
 
 // ListenError says that an address can't be listened on.
@@ -168,6 +169,11 @@
 		grpc.Creds(need[*credentialSet](d, NameKeys).server()),
 		grpc.MaxRecvMsgSize(size),
 		grpc.MaxSendMsgSize(size),
+		grpc.MaxHeaderListSize(headerBytes),
+		grpc.MaxConcurrentStreams(streams),
+		// A client that connects and says nothing would else hold its place for
+		// two minutes, and enough of them would shut the other daemons out.
+		grpc.ConnectionTimeout(headerTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingEvery, PermitWithoutStream: true}),
 	)
 	view := need[*mtview.View](d, NameView)
