Let the model's fleet be well for longer

Cause: its leases were valid in one of twenty steps only, and a planted fault's place had moved. Change: some steps renew all leases at once; the script finds its place again. Conclusion: more of the walk tests what it is for.

--- a/core/mttakeover/model_test.go
+++ b/core/mttakeover/model_test.go
@@ -221,8 +221,14 @@
 		m.now += time.Duration(300+m.pick(1500)) * time.Millisecond
 	case n < 30:
 		m.jump(p)
-	case n < 48:
+	case n < 40:
 		m.round(p)
+	case n < 48:
+		// Mostly the fleet is well; else its leases would hardly ever meet the
+		// faults.
+		for _, q := range m.procs {
+			m.round(q)
+		}
 	case n < 56:
 		m.deliverOne()
 	case n < 57:
--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -75,7 +75,7 @@
 plant "a witness promises to an earlier life" $witness 's/from.Incarnation < d.incarnation \|\| //'
 plant "a promise to an earlier life isn't waited out" $witness 's|until = d.earlier$|until = 0|'
 plant "a witness suspects peers before it can have heard them" $witness '/^func \(w \*Witness\) Until/,/^}/s|until := .*|until := mtclock.Instant(0)|'
-plant "a taker is content with one witness" $takeover 's|len\(t.agreed\) >= mtlease.Majority\(len\(set\)\)|len(t.agreed) >= 1|'
+plant "a taker is content with one witness" $takeover 's/count >= mtlease.Majority\(len\(set\)\)/count >= 1/'
 plant "agreements outlive the version of the record" $takeover 's|^\tt.agreed = make.*|\tif t.agreed == nil { t.agreed = make(map[mtid.Holder]bool) }|'
 plant "replies for an earlier version count" $takeover 's/r.Version != t.version \|\| //'
 plant "a takeover ends only by revocation of the newest life" $takeover 's/t.record.Holder != t.target \|\| //'
