--- a/core/mtlease/mtlease_test.go
+++ b/core/mtlease/mtlease_test.go
@@ -89,6 +89,17 @@
 	}
 }
 
+// A witness that revoked the set refuses. Its answer names the ask as a grant
+// would, and must not be taken for one.
+func TestRefusedAnswerGivesNothing(t *testing.T) {
+	for _, refusal := range []mtlease.Refusal{mtlease.Revoked, mtlease.Incarnation, mtlease.Unvouched} {
+		l := adopted(w1)
+		l.Ask(at(0), w1, 1)
+		l.Answer(at(0), w1, mtlease.Answer{Sequence: 1, Refusal: refusal})
+		assert.Equal(t, l.Until(), mtclock.Instant(0), "refusal %d", refusal)
+	}
+}
+
 // A daemon writes a new set and the store's answer is lost. A taker may read
 // either record, so a majority of only one of the sets is no proof that nobody
 // else serves.
