--- a/io/mtdaemon/figures.go
+++ b/io/mtdaemon/figures.go
@@ -171,6 +171,10 @@
 	metrics.Gauge("lease", "leftNs", d.leaseLeft)
 	metrics.Gauge("view", "frontier", func() any { return need[*mtview.View](d, NameView).Now().Frontier() })
 	metrics.Gauge("owner", "gates", d.gates)
+	if keys := need[*credentialSet](d, NameKeys).tls; keys != nil {
+		wall := need[*mttime.Clock](d, NameClock).Wall
+		metrics.Gauge("keys", "secondsLeft", func() any { return int64(keys.Expires().Sub(wall()).Seconds()) })
+	}
 }
 
 // leaseLeft returns for how long this daemon may still serve, negative if it
--- a/io/mttls/mttls.go
+++ b/io/mttls/mttls.go
@@ -156,6 +156,16 @@
 // moment at which all daemons change at once.
 func (c *Credentials) Secrets() []Secret { return c.now.Load().secrets }
 
+// Expires returns when the present certificate ends. After it no other daemon
+// takes a new connection from this one, so somebody must be told in time.
+func (c *Credentials) Expires() time.Time {
+	leaf := c.now.Load().certificate.Leaf
+	if leaf == nil {
+		return time.Time{}
+	}
+	return leaf.NotAfter
+}
+
 // SecretBytes returns what Secrets does, for packages that take bytes.
 func (c *Credentials) SecretBytes() [][]byte {
 	secrets := c.now.Load().secrets
--- a/io/mttls/mttls_test.go
+++ b/io/mttls/mttls_test.go
@@ -153,6 +153,13 @@
 	assert.NilError(t, serverErr)
 }
 
+func TestExpires(t *testing.T) {
+	file, pair := authority(t)
+	c := open(t, keys(t, file, pair, "127.0.0.1"))
+	left := time.Until(c.Expires())
+	assert.Assert(t, left > mttls.CertificateLife-time.Hour && left <= mttls.CertificateLife, left)
+}
+
 func TestSecretsRotate(t *testing.T) {
 	file, pair := authority(t)
 	k := keys(t, file, pair, "127.0.0.1")
