--- a/io/mtcommand/show.go
+++ b/io/mtcommand/show.go
@@ -177,7 +177,7 @@
 	at := &connection{}
 	return &command{
 		console: c, name: "drain", synopsis: "take a daemon and its server out of service", usage: "DAEMON",
-		help:    "The daemon hands its keys over, takes no new work within seconds and cuts off\nno request in flight. Watch its shards go with \"show assignment\".",
+		help:    "The daemon moves its shards to others, finishes the requests that it has, and\ngoes on as an ingress. Watch its shards go with \"show assignment\".",
 		example: "magnoliaturn drain riga-old-town-1",
 		flags:   at.flags,
 		run: func(ctx context.Context, args []string) error {
