Lay a server's shards in few chunks

Cause: daemons that watch the store read a whole chunk for each move, and a server's shards lay in as many chunks as it has shards. Change: chunks are laid over servers that stand next to each other in a row in which zones take turns; the report counts bytes of chunks and steps.

--- a/cmd/policies/placement.go
+++ b/cmd/policies/placement.go
@@ -56,7 +56,7 @@
 		}
 	}
 	if c.large {
-		printLarge(os.Stdout, c.seed)
+		writeLarge(os.Stdout, c.seed)
 	}
 	return subcommands.ExitSuccess
 }
@@ -101,13 +101,24 @@
 	return plan
 }
 
-// printLarge writes the figures of the largest fleet.
-func printLarge(out io.Writer, seed uint64) {
-	policy := &timed{Policy: mtplan.NewPlanner()}
-	r := mtscene.Run(mtscene.Fleet480(seed), policy)
-	write(out, []mtscene.Result{r})
-	mean := policy.sum / time.Duration(policy.rounds)
-	minutes := time.Duration(len(r.Series))*time.Second - mtscene.WarmUp
-	fmt.Fprintf(out, "rounds: %d, mean %v, longest %v; chunk writes: %.1f a minute\n",
-		policy.rounds, mean.Round(time.Microsecond), policy.max.Round(time.Microsecond), float64(r.Writes)/minutes.Minutes())
+// largeChunks are the numbers of chunks that the largest fleet is run with.
+var largeChunks = []int{4, 64, 256}
+
+// writeLarge prints the figures of the largest fleet.
+func writeLarge(out io.Writer, seed uint64) {
+	for _, chunks := range largeChunks {
+		policy := &timed{Policy: mtplan.NewPlanner()}
+		r := mtscene.Run(mtscene.Fleet480(seed, chunks), policy)
+		write(out, []mtscene.Result{r})
+		mean := policy.sum / time.Duration(policy.rounds)
+		measured := time.Duration(len(r.Series))*time.Second - mtscene.WarmUp
+		writes := float64(r.Writes) / measured.Seconds()
+		fmt.Fprintf(out, "planning: %d rounds, mean %v, longest %v of wall time\n",
+			policy.rounds, mean.Round(time.Microsecond), policy.max.Round(time.Microsecond))
+		batches := float64(r.Batches) / measured.Seconds()
+		fmt.Fprintf(out, "tables: %.0f bytes a chunk, %.0f a step; %.2f writes/s: a watching daemon reads %.0f B/s, any other %.0f B/s of steps\n",
+			r.ChunkBytes, r.StepBytes, writes, writes*r.ChunkBytes, writes*r.StepBytes)
+		fmt.Fprintf(out, "with an owner's moves of a second in one write per chunk: %.2f writes/s, a watching daemon reads %.0f B/s\n",
+			batches, batches*r.ChunkBytes)
+	}
 }
--- a/core/mtplan/create.go
+++ b/core/mtplan/create.go
@@ -1,6 +1,7 @@
 package mtplan
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -57,6 +58,7 @@
 // Member is a server that a new table is laid over.
 type Member struct {
 	Holder mtid.Holder
+	Zone   mtid.Zone
 	Slots  float64
 }
 
@@ -64,21 +66,27 @@
 // many shards in all chunks together. Each chunk gets at least one shard, and
 // each server shards in proportion to its slots.
 //
-// Create alone spreads shards by rendezvous rank, which leaves some of several
-// hundred servers with half as many again as others. The moves that even this
-// out are part of the step that lays the chunk: nobody has served a key of it
-// yet, so there is no owner to ask.
+// A server's shards lie in as few chunks as can be: the servers stand in a row,
+// the zones taking turns, each as wide as its slots, and a chunk is laid over
+// those that stand in its part of the row. The loss of a server or a hot key on
+// it then touches one or two chunks of a large table, not as many as the server
+// has shards.
+//
+// Create spreads a chunk by rendezvous rank, which is uneven. The moves that
+// even it out are part of the step that lays the chunk: nobody has served a key
+// of it yet, so there is no owner to ask.
 func Lay(shards, chunks int, members []Member) [][]mtshard.Op {
-	set := slices.Clone(members)
-	slices.SortFunc(set, func(a, b Member) int { return compareHolders(a.Holder, b.Holder) })
-	among := make([]mtid.Holder, len(set))
-	for i := range set {
-		among[i] = set[i].Holder
+	row := lineUp(members)
+	total := 0.0
+	for _, m := range row {
+		total += m.Slots
 	}
 	each := max(1, (shards+chunks-1)/chunks)
-	quota := quotas(set, each*chunks)
 	laid := make([][]mtshard.Op, chunks)
 	for chunk := range laid {
+		from := total * float64(chunk) / float64(chunks)
+		to := total * float64(chunk+1) / float64(chunks)
+		among, quota := share(row, from, to, each)
 		create := mtshard.Create{Shards: each, Among: among}
 		table, err := mtshard.New(mtid.Ref{}, chunk, chunks).Apply(mtroster.Stamp{}, create)
 		if err != nil {
@@ -89,40 +97,63 @@
 	return laid
 }
 
-// quotas returns how many of count shards each member takes at most.
-func quotas(set []Member, count int) map[mtid.Holder]int {
-	total := 0.0
+// lineUp returns the members with the zones taking turns.
+func lineUp(members []Member) []Member {
+	set := slices.Clone(members)
+	slices.SortFunc(set, func(a, b Member) int { return compareHolders(a.Holder, b.Holder) })
+	turns := make(map[mtid.Zone]int)
+	turn := make(map[mtid.Holder]int, len(set))
 	for _, m := range set {
-		total += m.Slots
+		turn[m.Holder] = turns[m.Zone]
+		turns[m.Zone]++
 	}
-	quota := make(map[mtid.Holder]int, len(set))
-	for _, m := range set {
-		quota[m.Holder] = int(math.Ceil(float64(count) * m.Slots / total))
+	slices.SortStableFunc(set, func(a, b Member) int { return cmp.Compare(turn[a.Holder], turn[b.Holder]) })
+	return set
+}
+
+// share returns the members that stand between from and to in the row, and how
+// many of count shards each of them takes. Shares are rounded along the row, so
+// that they add up to count.
+func share(row []Member, from, to float64, count int) ([]mtid.Holder, map[mtid.Holder]int) {
+	var among []mtid.Holder
+	quota := make(map[mtid.Holder]int)
+	perSlot := float64(count) / (to - from)
+	at, given := 0.0, 0
+	for i, m := range row {
+		end := at + m.Slots
+		if low, high := max(at, from), min(end, to); high > low || (i+1 == len(row) && len(among) == 0) {
+			until := int(math.Round((high - from) * perSlot))
+			if until > given {
+				among = append(among, m.Holder)
+				quota[m.Holder] = until - given
+				given = until
+			}
+		}
+		at = end
 	}
-	return quota
+	return among, quota
 }
 
-// even returns moves of the shards that would exceed their owner's quota, each
-// to the next in rank that has room, and takes all shards off the quotas.
+// even returns moves of the shards that exceed their owner's quota, each to the
+// first in rank that has room.
 func even(table *mtshard.Table, among []mtid.Holder, quota map[mtid.Holder]int) []mtshard.Op {
 	var ops []mtshard.Op
+	var over []mtid.Point
 	for _, s := range table.Shards {
-		if quota[s.Owner] > 0 {
-			quota[s.Owner]--
+		if quota[s.Owner] == 0 {
+			over = append(over, s.Low)
 			continue
 		}
-		var open []mtid.Holder
-		for _, h := range among {
-			if quota[h] > 0 {
-				open = append(open, h)
-			}
-		}
-		to := mtshard.Choose(s.Low, open)
+		quota[s.Owner]--
+	}
+	for _, low := range over {
+		open := slices.DeleteFunc(slices.Clone(among), func(h mtid.Holder) bool { return quota[h] == 0 })
+		to := mtshard.Choose(low, open)
 		if to.IsZero() {
 			continue
 		}
 		quota[to]--
-		ops = append(ops, mtshard.Move{Low: s.Low, To: to})
+		ops = append(ops, mtshard.Move{Low: low, To: to})
 	}
 	return ops
 }
--- a/core/mtscene/mtscene.go
+++ b/core/mtscene/mtscene.go
@@ -107,9 +107,15 @@
 	// the last two minutes: the sign of oscillation.
 	Returns int
 	// Splits and Merges count the changes of the table that move nothing, and
-	// Writes all writes of chunks.
+	// Writes all writes of chunks, one for each move.
 	Splits, Merges, Writes int
-	Shards                 int // at the end
+	// Batches is what Writes would be if each owner wrote the moves of a
+	// second that lie in one chunk at once.
+	Batches int
+	Shards  int // at the end
+	// ChunkBytes is the mean size of a stored chunk at the end, and StepBytes
+	// that of a step, which is what daemons pass on.
+	ChunkBytes, StepBytes float64
 	// ReportRate is the bytes a second that reports cost the planner's daemon,
 	// and ReportPeak the most in any minute.
 	ReportRate, ReportPeak float64
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -49,6 +49,7 @@
 	next     time.Duration
 	wishes   []wish
 	left     map[departure]time.Duration
+	stamps   uint64
 
 	totals totals
 	result Result
@@ -73,6 +74,12 @@
 	move mtplan.Move
 }
 
+// batch is the moves that an owner could write at once.
+type batch struct {
+	owner mtid.Holder
+	chunk int
+}
+
 // departure is a shard that left an owner.
 type departure struct {
 	low   mtid.Point
@@ -220,7 +227,11 @@
 	var members []mtplan.Member
 	for i := range r.scene.Servers {
 		if r.lives[i] == serving {
-			members = append(members, mtplan.Member{Holder: r.holder(i), Slots: r.scene.Servers[i].Slots})
+			members = append(members, mtplan.Member{
+				Holder: r.holder(i),
+				Zone:   r.scene.Servers[i].Zone,
+				Slots:  r.scene.Servers[i].Slots,
+			})
 		}
 	}
 	for chunk, ops := range mtplan.Lay(r.scene.Shards, r.scene.Chunks, members) {
@@ -232,14 +243,13 @@
 // apply changes a chunk. Ops that don't fit are left out one by one, as a
 // compare-and-swap that lost would be planned anew.
 func (r *run[P]) apply(chunk int, ops ...mtshard.Op) bool {
-	next, err := r.tables[chunk].Apply(mtroster.Stamp{}, ops...)
+	r.stamps++
+	stamp := mtroster.Stamp{Writer: r.holder(0), Sequence: r.stamps}
+	next, err := r.tables[chunk].Apply(stamp, ops...)
 	if err != nil {
 		return false
 	}
 	r.tables[chunk] = next
-	if r.warm() {
-		r.result.Writes++
-	}
 	return true
 }
 
@@ -449,6 +459,8 @@
 	if !r.apply(chunk, ops...) || !r.warm() {
 		return
 	}
+	r.result.Writes++
+	r.result.Batches++
 	for _, op := range ops {
 		switch op.(type) {
 		case mtshard.Split:
@@ -491,6 +503,7 @@
 	done := make(map[mtid.Holder]int)
 	var later []wish
 	byChunk := make([][]mtshard.Op, len(r.tables))
+	batches := make(map[batch]bool)
 	for _, w := range r.wishes {
 		if w.at > r.at {
 			later = append(later, w)
@@ -502,10 +515,14 @@
 		}
 		if op, chunk, ok := r.accept(w.move); ok {
 			done[w.move.From]++
+			batches[batch{owner: w.move.From, chunk: chunk}] = true
 			byChunk[chunk] = append(byChunk[chunk], op)
 		}
 	}
 	r.wishes = later
+	if r.warm() {
+		r.result.Batches += len(batches)
+	}
 	for chunk, ops := range byChunk {
 		if len(ops) > 0 {
 			r.apply(chunk, ops...)
@@ -544,6 +561,7 @@
 		r.unavailable(r.table[i].load, MovePause)
 	}
 	r.result.Moves++
+	r.result.Writes++
 	if at, ok := r.left[departure{low: m.Low, owner: m.To}]; ok && r.at-at <= backWithin {
 		r.result.Returns++
 	}
@@ -567,6 +585,7 @@
 	for _, t := range r.tables {
 		result.Shards += len(t.Shards)
 	}
+	result.ChunkBytes, result.StepBytes = sizes(r.tables)
 	counted := r.totals.perMinute[int(WarmUp/time.Minute):]
 	for _, bytes := range counted {
 		result.ReportRate += bytes / seconds
@@ -575,6 +594,25 @@
 	return *result
 }
 
+// sizes returns the mean size of a stored chunk and of a step.
+func sizes(tables []*mtshard.Table) (chunk, step float64) {
+	steps := 0
+	for _, t := range tables {
+		value, err := t.Encode()
+		if err != nil {
+			continue
+		}
+		chunk += float64(len(value)) / float64(len(tables))
+		for _, w := range mtshard.WireSteps(t.Steps) {
+			if w.GetVersion() > 1 {
+				step += float64(proto.Size(w))
+				steps++
+			}
+		}
+	}
+	return chunk, step / float64(max(1, steps))
+}
+
 func average(values []float64) float64 {
 	sum := 0.0
 	for _, v := range values {
--- a/core/mtscene/scenes.go
+++ b/core/mtscene/scenes.go
@@ -339,9 +339,10 @@
 	}
 }
 
-// Fleet480 is the largest fleet that is planned for.
-func Fleet480(seed uint64) Scene {
-	s := HotKeys(seed, 480, 100000, 25000, 64, 10*time.Minute)
-	s.Name = "480 servers"
+// Fleet480 is the largest fleet that is planned for, its tables in that many
+// chunks.
+func Fleet480(seed uint64, chunks int) Scene {
+	s := HotKeys(seed, 480, 100000, 25000, chunks, 10*time.Minute)
+	s.Name = fmt.Sprintf("480 servers, %d chunks", chunks)
 	return s
 }
--- a/io/mtplanner/mtplanner.go
+++ b/io/mtplanner/mtplanner.go
@@ -299,7 +299,7 @@
 	var found []mtplan.Member
 	for _, record := range records {
 		offer, _ := record.Offer(ref)
-		found = append(found, mtplan.Member{Holder: record.Holder, Slots: float64(max(1, offer.Slots))})
+		found = append(found, mtplan.Member{Holder: record.Holder, Zone: record.Zone, Slots: float64(max(1, offer.Slots))})
 	}
 	return found
 }
