Tell chance from change in the measured load

Cause: a service of some twenty slow requests a second seems to swing by a tenth, and shards were moved after noise. Change: meters keep a short and a long memory and state the long one unless the two differ by more than chance; scenes draw the chance of counted requests.

--- a/cmd/policies/placement.go
+++ b/cmd/policies/placement.go
@@ -107,18 +107,23 @@
 // writeLarge prints the figures of the largest fleet.
 func writeLarge(out io.Writer, seed uint64) {
 	for _, chunks := range largeChunks {
-		policy := &timed{Policy: mtplan.NewPlanner()}
-		r := mtscene.Run(mtscene.Fleet480(seed, chunks), policy)
-		write(out, []mtscene.Result{r})
-		mean := policy.sum / time.Duration(policy.rounds)
-		measured := time.Duration(len(r.Series))*time.Second - mtscene.WarmUp
-		writes := float64(r.Writes) / measured.Seconds()
-		fmt.Fprintf(out, "planning: %d rounds, mean %v, longest %v of wall time\n",
-			policy.rounds, mean.Round(time.Microsecond), policy.max.Round(time.Microsecond))
-		batches := float64(r.Batches) / measured.Seconds()
-		fmt.Fprintf(out, "tables: %.0f bytes a chunk, %.0f a step; %.2f writes/s: a watching daemon reads %.0f B/s, any other %.0f B/s of steps\n",
-			r.ChunkBytes, r.StepBytes, writes, writes*r.ChunkBytes, writes*r.StepBytes)
-		fmt.Fprintf(out, "with an owner's moves of a second in one write per chunk: %.2f writes/s, a watching daemon reads %.0f B/s\n",
-			batches, batches*r.ChunkBytes)
+		writeFleet(out, mtscene.Fleet480(seed, chunks))
 	}
+	writeFleet(out, mtscene.Rest480(seed, largeChunks[len(largeChunks)-1]))
+}
+
+func writeFleet(out io.Writer, scene mtscene.Scene) {
+	policy := &timed{Policy: mtplan.NewPlanner()}
+	r := mtscene.Run(scene, policy)
+	write(out, []mtscene.Result{r})
+	mean := policy.sum / time.Duration(policy.rounds)
+	measured := time.Duration(len(r.Series))*time.Second - mtscene.WarmUp
+	writes := float64(r.Writes) / measured.Seconds()
+	batches := float64(r.Batches) / measured.Seconds()
+	fmt.Fprintf(out, "planning: %d rounds, mean %v, longest %v of wall time\n",
+		policy.rounds, mean.Round(time.Microsecond), policy.max.Round(time.Microsecond))
+	fmt.Fprintf(out, "tables: %.0f bytes a chunk, %.0f a step; %.2f writes/s: a watching daemon reads %.0f B/s, any other %.0f B/s of steps\n",
+		r.ChunkBytes, r.StepBytes, writes, writes*r.ChunkBytes, writes*r.StepBytes)
+	fmt.Fprintf(out, "with an owner's moves of a second in one write per chunk: %.2f writes/s, a watching daemon reads %.0f B/s\n",
+		batches, batches*r.ChunkBytes)
 }
--- a/core/mtload/meter.go
+++ b/core/mtload/meter.go
@@ -12,9 +12,31 @@
 	"magnoliaturn/core/mtsketch"
 )
 
-// HalfLife is how fast a meter forgets: short enough that a new hot key shows
-// within seconds, long enough that single requests don't.
-const HalfLife = 3 * time.Second
+// A meter counts with two memories: a short one, in which a new hot key shows
+// within seconds, and a long one, in which the chance arrivals of slow requests
+// even out. Steady chooses between them.
+const (
+	HalfLife     = 3 * time.Second
+	SlowHalfLife = 40 * time.Second
+)
+
+// window is the length of a plain average that varies as much by chance as one
+// with HalfLife.
+var window = 2 * HalfLife.Seconds() / math.Ln2
+
+// chance is how many standard deviations two averages may differ by chance.
+const chance = 3.5
+
+// Steady returns the long-memory rate, a second, unless the short-memory one
+// differs from it by more than chance allows. A service with twenty requests a
+// second would else seem to swing by a tenth, and shards be moved after noise.
+func Steady(fast, slow float64) float64 {
+	deviation := math.Sqrt(max(fast, slow) / window)
+	if math.Abs(fast-slow) > chance*deviation {
+		return fast
+	}
+	return slow
+}
 
 // Sizes of a meter's counters. The memory that a meter takes is Bytes.
 const (
@@ -26,6 +48,7 @@
 type Meter struct {
 	mu       sync.Mutex
 	shards   *mtsketch.Sketch[mtid.Point]
+	slow     *mtsketch.Sketch[mtid.Point] // shards, with the long memory
 	points   *mtsketch.Sketch[mtid.Point]
 	busy     mean
 	sequence uint64
@@ -52,6 +75,7 @@
 func NewMeter() *Meter {
 	return &Meter{
 		shards: mtsketch.New[mtid.Point](meterShards, HalfLife),
+		slow:   mtsketch.New[mtid.Point](meterShards, SlowHalfLife),
 		points: mtsketch.New[mtid.Point](meterPoints, HalfLife),
 	}
 }
@@ -63,6 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.shards.Add(now, low, 1)
+	m.slow.Add(now, low, 1)
 	m.points.Add(now, point, 1)
 }
 
@@ -82,17 +107,19 @@
 	defer m.mu.Unlock()
 	m.sequence++
 	each := m.busy.value.Seconds()
-	r := &Report{From: from, Service: service, Sequence: m.sequence, Load: m.shards.Total(now) * each}
-	for _, c := range m.shards.Top(now, meterShards) {
-		if !owns(c.Key) {
-			r.Load -= c.Rate * each
-			continue
-		}
-		if len(r.Shards) < MaxShards {
-			r.Shards = append(r.Shards, ShardLoad{Low: c.Key, Load: c.Rate * each})
-		}
+	r := &Report{From: from, Service: service, Sequence: m.sequence}
+	fast, fastSum := owned(m.shards.Top(now, meterShards), owns)
+	slow, slowSum := owned(m.slow.Top(now, meterShards), owns)
+	sum := 0.0
+	for low := range fast {
+		// Every shard of the long memory that matters is in the short one too.
+		rate := Steady(fast[low], slow[low])
+		sum += rate
+		r.Shards = append(r.Shards, ShardLoad{Low: low, Load: rate * each})
 	}
-	r.Load = max(0, r.Load)
+	r.Load = Steady(fastSum, slowSum) * each
+	r.Shards = Fit(r.Shards, r.Load, sum*each)
+	r.Shards, _ = Cut(r.Shards, nil)
 	for _, c := range m.points.Top(now, MaxPoints) {
 		// The lower bound is stated: a key that has just taken over a counter
 		// carries its predecessor's count, and would be split off for nothing.
@@ -101,8 +128,33 @@
 	return r
 }
 
+// owned returns the rates of the shards that are the daemon's, and their sum.
+func owned(counts []mtsketch.Count[mtid.Point], owns func(low mtid.Point) bool) (map[mtid.Point]float64, float64) {
+	rates := make(map[mtid.Point]float64, len(counts))
+	sum := 0.0
+	for _, c := range counts {
+		if owns(c.Key) {
+			rates[c.Key] = c.Rate
+			sum += c.Rate
+		}
+	}
+	return rates, sum
+}
+
+// Fit scales loads that add up to sum so that they add up to total. What all
+// shards together have gained may be plain while no single one tells.
+func Fit(shards []ShardLoad, total, sum float64) []ShardLoad {
+	if sum <= 0 {
+		return shards
+	}
+	for i := range shards {
+		shards[i].Load *= total / sum
+	}
+	return shards
+}
+
 // Bytes returns the most memory that the meter takes.
-func (m *Meter) Bytes() int { return m.shards.Bytes() + m.points.Bytes() }
+func (m *Meter) Bytes() int { return m.shards.Bytes() + m.slow.Bytes() + m.points.Bytes() }
 
 // Cut sorts loads and cuts them to what a report may hold.
 func Cut(shards []ShardLoad, points []PointLoad) ([]ShardLoad, []PointLoad) {
--- a/core/mtload/mtload_test.go
+++ b/core/mtload/mtload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -376,3 +377,29 @@
 	assert.Assert(t, math.Abs(got[18]-3) < 0.5, "got %v for the liar's shard, want 3", got[18])
 	assert.Assert(t, math.Abs(got[19]-1) < 0.01, "got %v for the truthful one's, want 1", got[19])
 }
+
+// A service has twenty slow requests a second, and their chance arrivals swing
+// its short average by a tenth. What is reported must hardly swing, or shards
+// move after noise; but a load that doubles must show within seconds.
+func TestMeterIsSteadyUnderSlowRequests(t *testing.T) {
+	source := rand.New(rand.NewPCG(1, 1))
+	m := mtload.NewMeter()
+	m.Finish(200 * time.Millisecond)
+	all := func(mtid.Point) bool { return true }
+	now := at(0)
+	arrive := func(rate float64, d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			m.Arrive(now, 0, 0)
+			now = now.Add(time.Duration(source.ExpFloat64() / rate * float64(time.Second)))
+		}
+	}
+	arrive(20, 5*time.Minute)
+	for range 60 {
+		arrive(20, time.Second)
+		got := m.Report(now, a, ref, all).Load
+		assert.Assert(t, got > 4*0.88 && got < 4*1.12, "got %v at rest, want about 4", got)
+	}
+	arrive(40, 8*time.Second)
+	got := m.Report(now, a, ref, all).Load
+	assert.Assert(t, got > 6, "got %v eight seconds after the load doubled to 8", got)
+}
--- a/core/mtscene/mtscene.go
+++ b/core/mtscene/mtscene.go
@@ -58,6 +58,12 @@
 	Chunks  int
 	Weights mtbundle.Weights
 	Faults  Faults
+	// Busy is how long a request keeps a slot. Meters count requests, so the
+	// longer it is the fewer there are of the same load, and the more the
+	// measured load is off by chance.
+	Busy time.Duration
+	// Seed is that of this chance.
+	Seed uint64
 }
 
 // Constants of the model.
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -1,6 +1,8 @@
 package mtscene
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,7 +35,9 @@
 
 	lives  []life
 	load   []float64 // of each key, offered
-	seen   []float64 // of each key, as the meters see it
+	short  *memory
+	long   *memory
+	dice   *dice
 	tables []*mtshard.Table
 	table  []ownedLoad // shards in order, with true and measured load
 	places map[mtid.Holder]int
@@ -59,7 +63,8 @@
 type ownedLoad struct {
 	shard      mtshard.Shard
 	chunk      int
-	load, seen float64
+	load       float64
+	seen, slow float64 // in the short and the long memory of the meters
 }
 
 // delivery is a report on its way.
@@ -108,7 +113,9 @@
 		scene: scene, policy: policy,
 		lives:    make([]life, n),
 		load:     make([]float64, len(scene.Keys)),
-		seen:     make([]float64, len(scene.Keys)),
+		short:    newMemory(mtload.HalfLife, scene.Busy, len(scene.Keys)),
+		long:     newMemory(mtload.SlowHalfLife, scene.Busy, len(scene.Keys)),
+		dice:     newDice(scene.Seed),
 		places:   make(map[mtid.Holder]int, n),
 		book:     mtload.NewBook(),
 		paces:    make([]mtload.Pace, n),
@@ -146,18 +153,78 @@
 	r.carryOut()
 }
 
-// measure lets the meters follow the load with their half-life.
+// measure lets the meters follow the load.
 func (r *run[P]) measure() {
-	if r.at == 0 {
-		copy(r.seen, r.load)
-		return
+	r.short.follow(r.load, r.dice)
+	r.long.follow(r.load, r.dice)
+}
+
+// dice is a supply of normally distributed numbers, drawn once and walked
+// through by chance strides, since a run needs hundreds of millions.
+type dice struct {
+	source *rand.Rand
+	drawn  []float64 // a power of two of them
+}
+
+func newDice(seed uint64) *dice {
+	const count = 1 << 14
+	d := &dice{source: rand.New(rand.NewPCG(seed, 1)), drawn: make([]float64, count)}
+	for i := range d.drawn {
+		d.drawn[i] = d.source.NormFloat64()
 	}
-	const keep = 0.7937 // 2^(-1 s / mtload.HalfLife)
-	for i, load := range r.load {
-		r.seen[i] = load + (r.seen[i]-load)*keep
+	return d
+}
+
+// walk returns where to begin and how far to go each time.
+func (d *dice) walk() (at, stride int) {
+	return d.source.IntN(len(d.drawn)), 2*d.source.IntN(len(d.drawn)) + 1
+}
+
+// memory is an average that the meters keep of each key.
+type memory struct {
+	keep   float64   // what is left of it after a second
+	spread float64   // standard deviation by chance of a load of one slot
+	smooth []float64 // what it would be without chance
+	chance []float64 // in standard deviations
+	seen   []float64
+}
+
+func newMemory(halfLife, busy time.Duration, keys int) *memory {
+	window := 2 * halfLife.Seconds() / math.Ln2
+	return &memory{
+		keep:   math.Exp2(-time.Second.Seconds() / halfLife.Seconds()),
+		spread: math.Sqrt(busy.Seconds() / window),
+		smooth: make([]float64, keys),
+		chance: make([]float64, keys),
+		seen:   make([]float64, keys),
+	}
+}
+
+// follow lets the average follow the load for a second. It is off by chance as
+// counts of requests are: the arrivals of a key are Poisson. A key's own average
+// may fall below zero by that; only sums over many are looked at.
+func (m *memory) follow(load []float64, d *dice) {
+	fresh := math.Sqrt(1 - m.keep*m.keep)
+	at, stride := d.walk()
+	for i := range load {
+		smooth := m.smooth[i]
+		if smooth == 0 {
+			smooth = load[i]
+		}
+		smooth = load[i] + (smooth-load[i])*m.keep
+		at = (at + stride) & (len(d.drawn) - 1)
+		chance := m.chance[i]*m.keep + d.drawn[at]*fresh
+		m.seen[i] = smooth + chance*m.spread*math.Sqrt(smooth)
+		m.smooth[i], m.chance[i] = smooth, chance
 	}
 }
 
+// steady returns the load that a meter states, given its two averages of it.
+func (r *run[P]) steady(short, long float64) float64 {
+	busy := r.scene.Busy.Seconds()
+	return mtload.Steady(max(0, short)/busy, max(0, long)/busy) * busy
+}
+
 // comeAndGo changes the servers' lives.
 func (r *run[P]) comeAndGo() {
 	for i := range r.scene.Servers {
@@ -264,7 +331,8 @@
 			o := ownedLoad{shard: s, chunk: chunk}
 			for key < len(r.scene.Keys) && (last || r.scene.Keys[key] <= high) {
 				o.load += r.load[key]
-				o.seen += r.seen[key]
+				o.seen += r.short.seen[key]
+				o.slow += r.long.seen[key]
 				key++
 			}
 			r.table = append(r.table, o)
@@ -392,11 +460,12 @@
 	if r.isFrozen(server) {
 		return r.frozen[server].Load
 	}
-	sum := 0.0
+	short, long := 0.0, 0.0
 	for _, s := range shards {
-		sum += s.seen
+		short += s.seen
+		long += s.slow
 	}
-	return sum * r.factor(server)
+	return r.steady(short, long) * r.factor(server)
 }
 
 // measured returns a server's report, with the faults of the scene.
@@ -407,11 +476,15 @@
 	factor := r.factor(server)
 	r.sequence[server]++
 	report := &mtload.Report{From: r.holder(server), Service: r.scene.Ref, Sequence: r.sequence[server]}
+	sum := 0.0
 	for _, s := range shards {
-		report.Load += s.seen * factor
-		report.Shards = append(report.Shards, mtload.ShardLoad{Low: s.shard.Low, Load: s.seen * factor})
+		load := r.steady(s.seen, s.slow) * factor
+		sum += load
+		report.Shards = append(report.Shards, mtload.ShardLoad{Low: s.shard.Low, Load: load})
 		report.Points = r.hottest(report.Points, s, factor)
 	}
+	report.Load = r.claimed(server, shards)
+	report.Shards = mtload.Fit(report.Shards, report.Load, sum)
 	report.Shards, report.Points = mtload.Cut(report.Shards, report.Points)
 	r.frozen[server] = report
 	return report
@@ -426,8 +499,8 @@
 	high, _ := r.tables[s.chunk].High(s.shard.Low)
 	first, _ := slices.BinarySearch(r.scene.Keys, s.shard.Low)
 	for k := first; k < len(r.scene.Keys) && r.scene.Keys[k] <= high; k++ {
-		if r.seen[k] >= visible {
-			points = append(points, mtload.PointLoad{Point: r.scene.Keys[k], Load: r.seen[k] * factor})
+		if r.short.seen[k] >= visible {
+			points = append(points, mtload.PointLoad{Point: r.scene.Keys[k], Load: r.short.seen[k] * factor})
 		}
 	}
 	return points
--- a/core/mtscene/scenes.go
+++ b/core/mtscene/scenes.go
@@ -28,6 +28,9 @@
 const (
 	hotelSlots = 12
 	loanSlots  = 9
+	hotelBusy  = 5 * time.Millisecond
+	loanBusy   = 5 * time.Millisecond
+	slowBusy   = 200 * time.Millisecond
 	// usual is the load per slot of a quiet fleet.
 	usual = 0.4
 )
@@ -136,7 +139,7 @@
 	p := newPopulation(hotels, count, 50, 6*hotelSlots*usual, even, source(seed))
 	return Scene{
 		Name: "breakfast", Ref: hotels, Length: 40 * time.Minute, Servers: fleet, Keys: p.points,
-		Shards: 240, Chunks: 4, Weights: hotelWeights,
+		Shards: 240, Chunks: 4, Weights: hotelWeights, Busy: hotelBusy, Seed: seed,
 		Load: func(at time.Duration, load []float64) {
 			p.at(at, load)
 			for i := range load {
@@ -156,7 +159,7 @@
 	p := newPopulation(loans, cantons, 100, 5*loanSlots*usual*0.7, even, source(seed))
 	return Scene{
 		Name: "harvest", Ref: loans, Length: 40 * time.Minute, Servers: fleet, Keys: p.points,
-		Shards: 200, Chunks: 4, Weights: loanWeights,
+		Shards: 200, Chunks: 4, Weights: loanWeights, Busy: loanBusy, Seed: seed,
 		Load: func(at time.Duration, load []float64) {
 			p.at(at, load)
 			for i := range load {
@@ -177,7 +180,7 @@
 	p := newPopulation(hotels, 200, 100, n*hotelSlots*usual, zipf(s), source(seed))
 	return Scene{
 		Name: fmt.Sprintf("zipf %.1f", s), Ref: hotels, Length: 15 * time.Minute, Servers: servers(n, riga, hotelSlots), Keys: p.points,
-		Shards: 480, Chunks: 8, Weights: hotelWeights, Load: p.at,
+		Shards: 480, Chunks: 8, Weights: hotelWeights, Busy: hotelBusy, Seed: seed, Load: p.at,
 	}
 }
 
@@ -192,7 +195,7 @@
 	p := newPopulation(hotels, keys/100, 100, float64(n)*hotelSlots*usual*0.85, even, source(seed))
 	return Scene{
 		Name: "hot keys", Ref: hotels, Length: length, Servers: servers(n, riga, hotelSlots), Keys: p.points,
-		Shards: shards, Chunks: chunks, Weights: hotelWeights,
+		Shards: shards, Chunks: chunks, Weights: hotelWeights, Busy: hotelBusy, Seed: seed,
 		Load: func(at time.Duration, load []float64) {
 			p.at(at, load)
 			picks := source(seed + uint64(at/hotTime) + 1)
@@ -214,7 +217,7 @@
 	p := newPopulation(hotels, 40, 50, 6*hotelSlots*usual, even, source(seed))
 	return Scene{
 		Name: "flash", Ref: hotels, Length: 15 * time.Minute, Servers: servers(6, riga, hotelSlots), Keys: p.points,
-		Shards: 240, Chunks: 4, Weights: hotelWeights,
+		Shards: 240, Chunks: 4, Weights: hotelWeights, Busy: hotelBusy, Seed: seed,
 		Load: func(at time.Duration, load []float64) {
 			p.at(at, load)
 			load[len(load)/3] += 1.5 * hotelSlots * bump(at, 5*time.Minute, 5*time.Minute)
@@ -237,7 +240,7 @@
 	p := newPopulation(hotels, 200, 100, n*hotelSlots*usual, zipf(0.7), source(seed))
 	return Scene{
 		Name: "join, leave, loss", Ref: hotels, Length: 20 * time.Minute, Servers: fleet, Keys: p.points,
-		Shards: 480, Chunks: 8, Weights: hotelWeights, Load: p.at,
+		Shards: 480, Chunks: 8, Weights: hotelWeights, Busy: hotelBusy, Seed: seed, Load: p.at,
 	}
 }
 
@@ -253,7 +256,7 @@
 	p := newPopulation(hotels, 200, 100, n*hotelSlots*usual, zipf(0.7), source(seed))
 	return Scene{
 		Name: "zone loss", Ref: hotels, Length: 12 * time.Minute, Servers: fleet, Keys: p.points,
-		Shards: 960, Chunks: 8, Weights: hotelWeights, Load: p.at,
+		Shards: 960, Chunks: 8, Weights: hotelWeights, Busy: hotelBusy, Seed: seed, Load: p.at,
 	}
 }
 
@@ -263,7 +266,7 @@
 	p := newPopulation(loans, 200, 100, n*loanSlots*usual, zipf(0.7), source(seed))
 	return Scene{
 		Name: "rest", Ref: loans, Length: 60 * time.Minute, Servers: servers(n, bern, loanSlots), Keys: p.points,
-		Shards: 480, Chunks: 8, Weights: loanWeights, Load: p.at,
+		Shards: 480, Chunks: 8, Weights: loanWeights, Busy: loanBusy, Seed: seed, Load: p.at,
 	}
 }
 
@@ -277,7 +280,7 @@
 	p := newPopulation(hotels, 200, 100, n*hotelSlots*usual, zipf(0.7), source(seed))
 	return Scene{
 		Name: "capacities", Ref: hotels, Length: 15 * time.Minute, Servers: list, Keys: p.points,
-		Shards: 480, Chunks: 8, Weights: hotelWeights, Load: p.at,
+		Shards: 480, Chunks: 8, Weights: hotelWeights, Busy: hotelBusy, Seed: seed, Load: p.at,
 	}
 }
 
@@ -300,6 +303,15 @@
 	return s
 }
 
+// SlowRest is a quiet load of slow requests: a server of nine slots sees some
+// twenty a second, and its measured load is off by a tenth now and then.
+func SlowRest(seed uint64) Scene {
+	s := Rest(seed)
+	s.Name = "rest, slow requests"
+	s.Busy = slowBusy
+	return s
+}
+
 // LateFleet is the usual fleet under hot keys, with reports that come late.
 func LateFleet(seed uint64) Scene {
 	return withFaults(seed, "hot keys, late", Faults{Late: lateness})
@@ -322,6 +334,7 @@
 	return []Scene{
 		Rest(seed),
 		LateRest(seed),
+		SlowRest(seed),
 		Breakfast(seed),
 		Harvest(seed),
 		Zipf(seed, 0.9),
@@ -346,3 +359,14 @@
 	s.Name = fmt.Sprintf("480 servers, %d chunks", chunks)
 	return s
 }
+
+// Rest480 is the largest fleet under a quiet load.
+func Rest480(seed uint64, chunks int) Scene {
+	const n, keys = 480, 100000
+	p := newPopulation(hotels, keys/100, 100, n*hotelSlots*usual, even, source(seed))
+	return Scene{
+		Name: fmt.Sprintf("480 servers at rest, %d chunks", chunks), Ref: hotels, Length: 12 * time.Minute,
+		Servers: servers(n, riga, hotelSlots), Keys: p.points,
+		Shards: 25000, Chunks: chunks, Weights: hotelWeights, Busy: hotelBusy, Seed: seed, Load: p.at,
+	}
+}
