--- a/io/mtdaemon/admin.go
+++ b/io/mtdaemon/admin.go
@@ -52,13 +52,11 @@
 		Logger:    d.config.Log,
 	})
 	options := mtadmin.Options(need[*credentialSet](d, NameKeys).admin())
-	_, closeListener, err := mtlisten.Serve(d.config.Settings.Admin, server.Handler(), options)
-	if err != nil {
-		closeOperators()
-		return err
-	}
+	listener := mtlisten.Start(need[*sockets](d, NameSockets).admin, server.Handler(), options)
 	return mtkernel.Register(d.kernel, NameAdmin, server, func() {
-		closeListener()
+		ctx, cancel := context.WithTimeout(context.Background(), mtlisten.Grace)
+		defer cancel()
+		listener.Shutdown(ctx)
 		self.close()
 		closeOperators()
 	})
--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -34,13 +33,10 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second  // for a caller to send its headers
-	readTimeout   = 30 * time.Second // for a caller to send a whole request
-	idleTimeout   = 2 * time.Minute  // of a caller's connection
-	headerBytes   = 16 << 10         // of one request
-	pingEvery     = 10 * time.Second // the shortest interval that a peer may ping at
-	messageSpare  = 512 << 10        // of a message between daemons beside its body
-	connections   = 4096             // open at once on one listener
+	readTimeout  = 30 * time.Second // for a caller to send a whole request
+	pingEvery    = 10 * time.Second // the shortest interval that a peer may ping at
+	messageSpare = 512 << 10        // of a message between daemons beside its body
+	connections  = 4096             // open at once on one listener
 )
 
 // ListenError says that an address can't be listened on.
@@ -58,45 +54,67 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
 
-// listeners are the ways into a daemon.
-type listeners struct {
-	callers *httpListener
-	local   *httpListener
-	peers   net.Listener
-	grpc    *grpc.Server
-	once    sync.Once
-	stop    chan struct{}
+// sockets are a daemon's open TCP addresses. They are opened before anything is
+// told of them, so that a setting may name port 0, and a wrong address shows at
+// the start.
+type sockets struct {
+	callers, peers, local, admin net.Listener
 }
 
-// httpListener is a listener with the server behind it.
-type httpListener struct {
-	listener net.Listener
-	server   *http.Server
+func (d *Daemon) open() error {
+	s := d.config.Settings
+	opened := &sockets{}
+	for _, one := range []struct {
+		purpose, address string
+		into             *net.Listener
+	}{
+		{"callers", s.Caller, &opened.callers},
+		{"daemons", s.Relay, &opened.peers},
+		{"the backend server", s.Local, &opened.local},
+		{"operators", s.Admin, &opened.admin},
+	} {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			opened.close()
+			return &ListenError{Purpose: one.purpose, Address: one.address, Err: err}
+		}
+		*one.into = listener
+	}
+	return mtkernel.Register(d.kernel, NameSockets, opened, opened.close)
 }
 
-func newHTTP(purpose, address string, handler http.Handler) (*httpListener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &ListenError{Purpose: purpose, Address: address, Err: err}
+func (s *sockets) close() {
+	for _, l := range []net.Listener{s.callers, s.peers, s.local, s.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
 	}
-	return &httpListener{listener: mtlisten.Limit(listener, connections), server: &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-	}}, nil
-}
-
-// serve serves until stop is closed. After a graceful shutdown of this listener
-// it goes on waiting: a duty that ends would end all others with it, and cut
-// off what they have in flight.
-func (l *httpListener) serve(stop <-chan struct{}) error {
-	if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+}
+
+// Addresses are where a daemon listens.
+type Addresses struct{ Caller, Relay, Renew, Local, Admin string }
+
+// Addresses returns where this daemon listens, with the ports that were chosen
+// where the settings name port 0.
+func (d *Daemon) Addresses() Addresses {
+	s := need[*sockets](d, NameSockets)
+	return Addresses{
+		Caller: s.callers.Addr().String(),
+		Relay:  s.peers.Addr().String(),
+		Renew:  need[*mtrenew.Duty](d, NameRenew).Address(),
+		Local:  s.local.Addr().String(),
+		Admin:  s.admin.Addr().String(),
 	}
-	<-stop
-	return nil
+}
+
+// listeners are the ways into a daemon.
+type listeners struct {
+	callers *mtlisten.Server
+	local   *mtlisten.Server
+	peers   net.Listener
+	grpc    *grpc.Server
+	once    sync.Once
+	stop    chan struct{}
 }
 
 // newEcho returns an echo without its banner, which would go to the output.
@@ -107,24 +125,19 @@
 	return e
 }
 
-// listen opens all listeners, so that a wrong address shows at the start.
+// listen serves the sockets of callers, daemons and the backend server.
 func (d *Daemon) listen() error {
-	l := &listeners{stop: make(chan struct{})}
-	s := d.config.Settings
-	var err error
-	if l.callers, err = newHTTP("callers", s.Caller, d.callers()); err != nil {
-		return err
-	}
-	if l.local, err = newHTTP("the backend server", s.Local, d.local()); err != nil {
-		return err
-	}
-	if l.peers, err = net.Listen("tcp", s.Relay); err != nil {
-		return &ListenError{Purpose: "daemons", Address: s.Relay, Err: err}
+	s := need[*sockets](d, NameSockets)
+	options := mtlisten.Options{Connections: connections, Read: readTimeout}
+	l := &listeners{
+		callers: mtlisten.Start(s.callers, d.callers(), options),
+		local:   mtlisten.Start(s.local, d.local(), options),
+		peers:   mtlisten.Limit(s.peers, connections),
+		grpc:    d.peers(),
+		stop:    make(chan struct{}),
 	}
-	l.peers = mtlisten.Limit(l.peers, connections)
-	l.grpc = d.peers()
 	d.listeners = l
-	return mtkernel.Register(d.kernel, "listeners", l, l.close)
+	return mtkernel.Register(d.kernel, NameListeners, l, l.close)
 }
 
 func (d *Daemon) callers() http.Handler {
@@ -185,11 +198,23 @@
 // duties runs the listeners under the kernel.
 func (l *listeners) duties(k *mtkernel.Kernel) {
 	interrupt := func(error) { l.close() }
-	k.Duty(func() error { return l.callers.serve(l.stop) }, interrupt)
-	k.Duty(func() error { return l.local.serve(l.stop) }, interrupt)
+	k.Duty(func() error { return l.untilStop(l.callers) }, interrupt)
+	k.Duty(func() error { return l.untilStop(l.local) }, interrupt)
 	k.Duty(l.servePeers, interrupt)
 }
 
+// untilStop waits for a server to fail or for the stop. After a graceful
+// shutdown of one listener it goes on waiting: a duty that ends would end all
+// others with it, and cut off what they have in flight.
+func (l *listeners) untilStop(server *mtlisten.Server) error {
+	select {
+	case err := <-server.Failed():
+		return err
+	case <-l.stop:
+		return nil
+	}
+}
+
 func (l *listeners) servePeers() error {
 	if err := l.grpc.Serve(l.peers); err != nil {
 		return err
@@ -198,7 +223,7 @@
 	return nil
 }
 
-func (l *listeners) closeCallers(ctx context.Context) { _ = l.callers.server.Shutdown(ctx) }
+func (l *listeners) closeCallers(ctx context.Context) { l.callers.Shutdown(ctx) }
 
 // closePeers lets relayed requests finish, and cuts off at the end of ctx.
 func (l *listeners) closePeers(ctx context.Context) {
@@ -217,8 +242,8 @@
 func (l *listeners) close() {
 	l.once.Do(func() {
 		close(l.stop)
-		_ = l.callers.server.Close()
-		_ = l.local.server.Close()
+		l.callers.Close()
+		l.local.Close()
 		l.grpc.Stop()
 	})
 }
--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -136,12 +136,12 @@
 }
 
 func (d *Daemon) addMember() error {
-	s := d.config.Settings
+	s, at := d.config.Settings, d.Addresses()
 	relay := need[*mtrelay.Client](d, NameRelay)
 	member, cleanUp := mtmember.New(mtmember.Config{
 		Profile: coremember.Profile{
 			Daemon: s.Name, Zone: s.Zone, Region: s.Region,
-			Relay: s.Relay, Renew: s.Renew, Caller: s.Caller, Admin: s.Admin,
+			Relay: at.Relay, Renew: at.Renew, Caller: at.Caller, Admin: at.Admin,
 		},
 		Store: need[mtstore.Store](d, NameStore),
 		View:  liveView{need[*mtview.View](d, NameView)},
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtrequest"
@@ -58,6 +59,9 @@
 	NamePlanner mtkernel.Name = "planner"
 	NameKeys    mtkernel.Name = "keys"
 	NameMetrics mtkernel.Name = "metrics"
+	NameSockets mtkernel.Name = "sockets"
+
+	NameListeners mtkernel.Name = "listeners"
 )
 
 const (
@@ -93,7 +97,7 @@
 	d := &Daemon{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
 		d.addMetrics, d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
-		d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addFigures,
+		d.open, d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addFigures,
 		d.addPlanner, d.addAdmin, d.listen,
 	}
 	for _, step := range steps {
@@ -113,6 +117,9 @@
 	return need[*mtmember.Member](d, NameMember).Holder()
 }
 
+// Now returns the present instant of this daemon's clock.
+func (d *Daemon) Now() mtclock.Instant { return need[*mttime.Clock](d, NameClock).Now() }
+
 // Stamp returns a stamp that no other write carries.
 func (d *Daemon) Stamp() mtroster.Stamp {
 	return mtroster.Stamp{Writer: d.Self(), Sequence: d.sequence.Add(1)}
--- a/io/mtdaemon/mtdaemon_test.go
+++ b/io/mtdaemon/mtdaemon_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -90,21 +89,8 @@
 	done    chan error
 }
 
-// address returns one that is free for TCP and for UDP.
-func address(t *testing.T) string {
-	t.Helper()
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		found := l.Addr().String()
-		p, err := net.ListenPacket("udp", found)
-		_ = l.Close()
-		if err == nil {
-			_ = p.Close()
-			return found
-		}
-	}
-}
+// anywhere is an address whose port the kernel chooses.
+const anywhere = "127.0.0.1:0"
 
 func start(t *testing.T, store mtstore.Store, name string, zone mtid.Zone) *member {
 	t.Helper()
@@ -118,15 +104,15 @@
 func startDaemon(t *testing.T, store mtstore.Store, name string, zone mtid.Zone) *member {
 	t.Helper()
 	settings := &mtsetting.Settings{
-		Name: mtid.Daemon(name), Zone: zone, Region: "riga", Caller: address(t), Relay: address(t),
-		Renew: address(t), Local: address(t), Admin: address(t), Body: 1 << 16,
+		Name: mtid.Daemon(name), Zone: zone, Region: "riga", Caller: anywhere, Relay: anywhere,
+		Renew: anywhere, Local: anywhere, Admin: anywhere, Body: 1 << 16,
 	}
 	daemon, cleanUp, err := mtdaemon.New(mtdaemon.Config{
 		Settings: settings, Store: store, Log: slog.New(slog.NewTextHandler(t.Output(), nil)).With("daemon", name),
 	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{daemon: daemon, caller: settings.Caller, stop: cancel, kill: cleanUp, done: make(chan error, 1)}
+	m := &member{daemon: daemon, caller: daemon.Addresses().Caller, stop: cancel, kill: cleanUp, done: make(chan error, 1)}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/io/mtfleet/mtfleet.go
+++ b/io/mtfleet/mtfleet.go
@@ -168,45 +168,31 @@
 	return err
 }
 
-// freeAddress returns an address of the loopback that nothing listens on now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
+// anywhere is an address of the loopback whose port the kernel chooses.
+const anywhere = "127.0.0.1:0"
 
-func (f *Fleet) settings(name mtid.Daemon, zone mtid.Zone) (*mtsetting.Settings, error) {
-	s := &mtsetting.Settings{Name: name, Zone: zone, Region: f.Region, Body: bodyLimit, Log: slog.LevelWarn}
-	for _, field := range []*string{&s.Caller, &s.Relay, &s.Renew, &s.Local, &s.Admin} {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		*field = address
+func (f *Fleet) settings(name mtid.Daemon, zone mtid.Zone) *mtsetting.Settings {
+	return &mtsetting.Settings{
+		Name: name, Zone: zone, Region: f.Region, Body: bodyLimit, Log: slog.LevelWarn,
+		Caller: anywhere, Relay: anywhere, Renew: anywhere, Local: anywhere, Admin: anywhere,
 	}
-	return s, nil
 }
 
 // add starts one VM's daemon and server. Instances go round the zones.
 func (f *Fleet) add(s Service, i int) error {
 	n := &node{name: mtid.Daemon(fmt.Sprintf("%s-%d", s.Name, i+1)), service: s, done: make(chan error, 1)}
-	settings, err := f.settings(n.name, f.Zones[i%len(f.Zones)])
-	if err != nil {
-		return err
-	}
+	settings := f.settings(n.name, f.Zones[i%len(f.Zones)])
 	daemon, cleanUp, err := mtdaemon.New(mtdaemon.Config{
 		Settings: settings, Store: f.store, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		return err
 	}
-	n.daemon, n.caller = daemon, settings.Caller
+	n.daemon, n.caller = daemon, daemon.Addresses().Caller
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() { n.done <- daemon.Run(ctx) }()
-	loseServer, err := f.serve(n, settings.Local)
+	loseServer, err := f.serve(n, daemon.Addresses().Local)
 	if err != nil {
 		cancel()
 		return err
@@ -222,7 +208,7 @@
 
 // serve starts the backend server of a node and returns what ends it at once.
 func (f *Fleet) serve(n *node, local string) (func(), error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anywhere)
 	if err != nil {
 		return nil, err
 	}
--- a/io/mtfleet/run.go
+++ b/io/mtfleet/run.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"magnoliaturn/core/mtaudit"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
@@ -37,40 +39,40 @@
 			return err
 		}
 	}
-	return f.audit(out)
+	return f.Audit(out)
 }
 
-// load sends through every daemon while a shard moves and a VM is lost.
-func (f *Fleet) load(ctx context.Context, out io.Writer) ([]mtstandin.Summary, error) {
+// Send sends one service's load through every daemon for a time, keys by a Zipf
+// law if zipf is above 1, and returns what became of it.
+func (f *Fleet) Send(ctx context.Context, s Service, length time.Duration, zipf float64) (mtstandin.Summary, error) {
 	var targets []string
 	for _, n := range f.nodes {
 		targets = append(targets, "http://"+n.caller)
 	}
-	loads := make([]*mtstandin.Load, len(f.Services))
-	for i, s := range f.Services {
-		load, cleanUp, err := mtstandin.NewLoad(mtstandin.LoadSetting{
-			Service: mtid.Ref{Business: f.Business, Service: s.Name}, Targets: targets,
-			Rate: s.Rate, Duration: f.Length, Keys: s.Keys, Classes: s.Classes, Tries: 1, Open: openCalls, Seed: loadSeed,
-		}, f.caller, nil)
-		if err != nil {
-			return nil, err
-		}
-		f.clean = append(f.clean, cleanUp)
-		loads[i] = load
+	load, cleanUp, err := mtstandin.NewLoad(mtstandin.LoadSetting{
+		Service: mtid.Ref{Business: f.Business, Service: s.Name}, Targets: targets,
+		Rate: s.Rate, Duration: length, Keys: s.Keys, Zipf: zipf, Classes: s.Classes, Tries: 1, Open: openCalls, Seed: loadSeed,
+	}, f.caller, nil)
+	if err != nil {
+		return mtstandin.Summary{}, err
 	}
-	results := make(chan struct{}, len(loads))
-	summaries := make([]mtstandin.Summary, len(loads))
-	for i, load := range loads {
-		go func() {
-			summaries[i] = load.Run(ctx)
-			results <- struct{}{}
-		}()
+	defer cleanUp()
+	return load.Run(ctx), nil
+}
+
+// load sends all services' loads while a shard moves and a VM is lost.
+func (f *Fleet) load(ctx context.Context, out io.Writer) ([]mtstandin.Summary, error) {
+	summaries := make([]mtstandin.Summary, len(f.Services))
+	var sending errgroup.Group
+	for i, s := range f.Services {
+		sending.Go(func() error {
+			var err error
+			summaries[i], err = f.Send(ctx, s, f.Length, 0)
+			return err
+		})
 	}
 	f.disturb(ctx, out)
-	for range loads {
-		<-results
-	}
-	return summaries, nil
+	return summaries, sending.Wait()
 }
 
 // disturb moves a shard after a third of the run and loses a VM after two.
@@ -117,8 +119,9 @@
 	}
 }
 
-// audit joins the journals and prints the report.
-func (f *Fleet) audit(out io.Writer) error {
+// Audit joins the journals and prints the report. It is called once, at the end.
+// It fails with an *AuditError if a promise was broken.
+func (f *Fleet) Audit(out io.Writer) error {
 	events, err := mtstandin.ReadJournal[mtaudit.Event](&f.events)
 	if err != nil {
 		return err
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -57,7 +57,9 @@
 // Server is an open listener.
 type Server struct {
 	listener net.Listener
+	http     *http.Server
 	failed   chan error
+	done     chan struct{}
 }
 
 // Address returns where the server listens, with the port that was chosen if
@@ -68,49 +70,65 @@
 // before the clean-up.
 func (s *Server) Failed() <-chan error { return s.failed }
 
-// Serve listens on address and serves handler until the clean-up. It fails
-// with a *ListenError.
+// Shutdown takes no new connections, lets the requests that are being served
+// end, and cuts off what is left when ctx is done. It is called once.
+func (s *Server) Shutdown(ctx context.Context) {
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+	<-s.done
+}
+
+// Close cuts everything off. It may be called at any time, also after Shutdown.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// Serve listens on address and serves handler until the clean-up, which is
+// graceful. It fails with a *ListenError.
 func Serve(address string, handler http.Handler, options Options) (*Server, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, &ListenError{Address: address, Err: err}
 	}
-	if options.Connections == 0 {
-		options.Connections = defaultConnections
-	}
 	if options.Grace == 0 {
 		options.Grace = Grace
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: HeaderTime,
-		ReadTimeout:       options.Read,
-		WriteTimeout:      options.Write,
-		IdleTimeout:       IdleTime,
-		MaxHeaderBytes:    HeaderBytes,
-		TLSConfig:         options.TLS,
+	s := Start(listener, handler, options)
+	return s, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), options.Grace)
+		defer cancel()
+		s.Shutdown(ctx)
+	}, nil
+}
+
+// Start serves handler on a listener until Shutdown or Close.
+func Start(listener net.Listener, handler http.Handler, options Options) *Server {
+	if options.Connections == 0 {
+		options.Connections = defaultConnections
+	}
+	s := &Server{
+		listener: listener, failed: make(chan error, 1), done: make(chan struct{}),
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: HeaderTime,
+			ReadTimeout:       options.Read,
+			WriteTimeout:      options.Write,
+			IdleTimeout:       IdleTime,
+			MaxHeaderBytes:    HeaderBytes,
+			TLSConfig:         options.TLS,
+		},
 	}
-	s := &Server{listener: listener, failed: make(chan error, 1)}
-	done := make(chan struct{})
 	bounded := Limit(listener, options.Connections)
 	go func() {
-		defer close(done)
-		serve := server.Serve
+		defer close(s.done)
+		serve := s.http.Serve
 		if options.TLS != nil {
-			serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+			serve = func(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
 		}
 		if err := serve(bounded); err != http.ErrServerClosed {
-			s.failed <- &ListenError{Address: address, Err: err}
+			s.failed <- &ListenError{Address: s.Address(), Err: err}
 		}
 	}()
-	return s, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), options.Grace)
-		defer cancel()
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close() // what outlived the grace is cut off
-		}
-		<-done
-	}, nil
+	return s
 }
 
 // Limit returns a listener that closes connections past most at once. A
