Try another server without the first one's wait

Cause: A refusal for load names when to ask that server again; a retry elsewhere waited for it, and mostly was given up for its deadline.

Change: mtretry passes over RetryAfter where the next try goes to another server.

Measured: TestWhatIsSentAgain: a request shed with 1 s to wait and 1 s left: not tried before, tried now.

--- a/core/mtretry/mtretry.go
+++ b/core/mtretry/mtretry.go
@@ -159,7 +159,7 @@
 	if a.Tries-a.Redirects >= MaxTries {
 		return 0, false
 	}
-	wait := max(backoff(p.random, a.Tries-a.Redirects), asked(a.Err))
+	wait := max(backoff(p.random, a.Tries-a.Redirects), asked(a))
 	if !now.Add(wait + minTry).Before(a.Deadline) {
 		return 0, false
 	}
@@ -200,10 +200,11 @@
 	return errors.As(err, &refused) && refused.Cause == mtreply.CauseStaleRoute
 }
 
-// asked returns how long the refusal asks to wait.
-func asked(err error) time.Duration {
+// asked returns how long the refusal asks to wait. It speaks of the server that
+// refused: another one is asked without that wait.
+func asked(a Attempt) time.Duration {
 	var refused *mtreply.RefusedError
-	if !errors.As(err, &refused) {
+	if a.Elsewhere || !errors.As(a.Err, &refused) {
 		return 0
 	}
 	return max(refused.RetryAfter, 0)
--- a/core/mtretry/mtretry_test.go
+++ b/core/mtretry/mtretry_test.go
@@ -44,6 +44,7 @@
 		{"taken over", mtretry.Attempt{Idempotent: true, Err: unknown(mtreply.CauseTakenOver), Deadline: second}, false},
 		{"told never", mtretry.Attempt{Idempotent: true, Err: refused(mtreply.CauseNoOwner, -1), Deadline: second}, false},
 		{"told to wait past the deadline", mtretry.Attempt{Err: refused(mtreply.CauseNoOwner, time.Second), Deadline: second}, false},
+		{"another server needn't be waited for", mtretry.Attempt{Elsewhere: true, Err: refused(mtreply.CauseShed, time.Second), Deadline: second}, true},
 		{"no time left", mtretry.Attempt{Err: refused(mtreply.CauseStaleRoute, 0), Deadline: mtclock.Instant(time.Millisecond)}, false},
 		{"last try", mtretry.Attempt{Tries: mtretry.MaxTries, Err: refused(mtreply.CauseUnreachable, 0), Deadline: second}, false},
 		{"newer route after the last try", mtretry.Attempt{Tries: mtretry.MaxTries, Err: refused(mtreply.CauseStaleRoute, 0), Deadline: second}, true},
