Test the duty that tells of crashes by itself

Cause: Its rules were tested only through whole daemons.

Change: Table of what makes a suspect, and stories over gRPC between three of them.

Measured: go test -race ./io/mtpoison -count=5: passed.

Conclusion: No fault found.

--- /dev/null
+++ b/io/mtpoison/mtpoison_test.go
@@ -0,0 +1,181 @@
+package mtpoison_test
+
+import (
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/core/mtroster"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtview"
+	iopoison "magnoliaturn/io/mtpoison"
+)
+
+var dispatch = mtid.Ref{Business: "ratins", Service: "dispatch"}
+
+// clock moves on by a nanosecond each time that it is read.
+type clock struct{ now atomic.Int64 }
+
+func (c *clock) Now() mtclock.Instant { return mtclock.Instant(c.now.Add(1)) }
+
+type conns struct{}
+
+func (conns) Conn(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+// daemon is a Watch with its gRPC side.
+type daemon struct {
+	*iopoison.Watch
+	name    string
+	address string
+	view    *mtview.View
+}
+
+func holder(name string) mtid.Holder {
+	return mtid.Holder{Daemon: mtid.Daemon(name), Incarnation: 1}
+}
+
+// fleet starts daemons that know each other and offer the service.
+func fleet(t *testing.T, names ...string) []*daemon {
+	t.Helper()
+	var daemons []*daemon
+	for _, name := range names {
+		d := &daemon{name: name, view: mtview.New()}
+		watch, cleanUp := iopoison.New(iopoison.Config{
+			Self: func() mtid.Holder { return holder(name) }, View: d.view, Conns: conns{},
+			Clock: &clock{}, Log: slog.New(slog.DiscardHandler), Count: func(string) {},
+		})
+		t.Cleanup(cleanUp)
+		d.Watch = watch
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		d.address = listener.Addr().String()
+		server := grpc.NewServer()
+		d.Register(server)
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(server.Stop)
+		daemons = append(daemons, d)
+	}
+	for _, d := range daemons {
+		for i, other := range daemons {
+			d.put(t, mtid.Version(1), mtid.Revision(i+1), &mtroster.Record{
+				Holder: holder(other.name), Relay: other.address, Offers: []mtroster.Offer{{Service: dispatch, Slots: 1}},
+			})
+		}
+	}
+	return daemons
+}
+
+func (d *daemon) put(t *testing.T, version mtid.Version, revision mtid.Revision, record *mtroster.Record) {
+	t.Helper()
+	value, err := record.Encode()
+	assert.NilError(t, err)
+	item := mtview.Item{Name: mtstore.RosterName(record.Holder.Daemon), Version: version, Revision: revision, Value: value}
+	_, err = d.view.Merge(mtview.Delta{After: d.view.Now().Frontier(), Revision: revision, Items: []mtview.Item{item}})
+	assert.NilError(t, err)
+}
+
+func request(key mtid.Key) *mtrequest.Request {
+	return &mtrequest.Request{Service: dispatch, Key: key, Class: "status"}
+}
+
+// dead returns an address at which nobody listens, live one at which somebody
+// does.
+func dead(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func live(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+var (
+	broken  = &mtreply.UnknownError{Cause: mtreply.CauseLost}
+	refused = &mtreply.RefusedError{Cause: mtreply.CauseUnreachable}
+	late    = &mtreply.UnknownError{Cause: mtreply.CauseTimeout}
+)
+
+func TestWhatMakesASuspect(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		up   bool
+		want mtpoison.Verdict
+	}{
+		{"answered", nil, true, mtpoison.Clear},
+		{"answered by a server that is gone since", nil, false, mtpoison.Clear},
+		{"connection broke, server is up", broken, true, mtpoison.Clear},
+		{"connection broke, server is gone", broken, false, mtpoison.Suspect},
+		{"never reached the server", refused, false, mtpoison.Clear},
+		{"too slow", late, false, mtpoison.Clear},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address := dead(t)
+			if tt.up {
+				address = live(t)
+			}
+			d := fleet(t, "a")[0]
+			r := request("room-1")
+			d.Start(r, address)(tt.err)
+			got := d.Judge(r)
+			assert.Equal(t, got, tt.want, "got %s, want %s", got, tt.want)
+		})
+	}
+}
+
+// A server crashes with a request in flight. By the time that its caller is
+// answered, the other daemons of the service suspect the request.
+func TestOthersKnowBeforeTheCaller(t *testing.T) {
+	daemons := fleet(t, "a", "b", "c")
+	daemons[0].Start(request("room-1"), dead(t))(broken)
+	for _, d := range daemons {
+		assert.Equal(t, d.Judge(request("room-1")), mtpoison.Suspect, "at %s", d.name)
+		assert.Equal(t, d.Judge(request("room-2")), mtpoison.Clear, "at %s", d.name)
+	}
+}
+
+// Many requests are in flight when their server crashes. That is one crash, and
+// not one for each broken connection.
+func TestOneCrashCountsOnce(t *testing.T) {
+	d := fleet(t, "a")[0]
+	address := dead(t)
+	first, second := d.Start(request("room-1"), address), d.Start(request("room-2"), address)
+	first(broken)
+	second(broken)
+	assert.Equal(t, d.Counts().Crashes, 1)
+	assert.Equal(t, d.Counts().Suspects, 2)
+}
+
+// A whole VM is lost while a suspect runs there, alone. The daemons that the
+// ingress told refuse the request as soon as they know that the VM is gone, and
+// not before: the connection alone may have broken.
+func TestLostMachineConfirmsTheSentence(t *testing.T) {
+	daemons := fleet(t, "ingress", "b", "c")
+	ingress, other := daemons[0], daemons[1]
+	relayed := ingress.Relay(request("room-1"), holder("c"))
+	relayed.Begun()
+	relayed.End(broken, false)
+	assert.Equal(t, other.Judge(request("room-1")), mtpoison.Suspect)
+	other.put(t, 2, 9, &mtroster.Record{Holder: holder("c"), Relay: daemons[2].address, Revoked: 2})
+	assert.Equal(t, other.Judge(request("room-1")), mtpoison.Quarantined)
+}
