--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -15,6 +15,8 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +59,9 @@
 	NamePlanner mtkernel.Name = "planner"
 	NameKeys    mtkernel.Name = "keys"
 	NameMetrics mtkernel.Name = "metrics"
+	NameSockets mtkernel.Name = "sockets"
+
+	NameListeners mtkernel.Name = "listeners"
 )
 
 const (
@@ -92,7 +97,7 @@
 	d := &Daemon{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
 		d.addMetrics, d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
-		d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addFigures,
+		d.open, d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addFigures,
 		d.addPlanner, d.addAdmin, d.listen,
 	}
 	for _, step := range steps {
@@ -112,6 +117,9 @@
 	return need[*mtmember.Member](d, NameMember).Holder()
 }
 
+// Now returns the present instant of this daemon's clock.
+func (d *Daemon) Now() mtclock.Instant { return need[*mttime.Clock](d, NameClock).Now() }
+
 // Stamp returns a stamp that no other write carries.
 func (d *Daemon) Stamp() mtroster.Stamp {
 	return mtroster.Stamp{Writer: d.Self(), Sequence: d.sequence.Add(1)}
@@ -139,6 +147,11 @@
 	return func(name string) { metrics.Counter(duty, name).Add(1) }
 }
 
+// Counter returns the value of a duty's counter.
+func (d *Daemon) Counter(duty, name string) int64 {
+	return need[*mtmetric.Metrics](d, NameMetrics).Counter(duty, name).Value()
+}
+
 // observe notes what came of a caller's request.
 func (d *Daemon) observe(q *mtrequest.Request, reply *mtrequest.Reply, took time.Duration) {
 	sample := mtmetric.Sample{
@@ -229,7 +242,11 @@
 		Log:     d.config.Log,
 		Poison:  need[*mtpoison.Watch](d, NamePoison),
 		Quiet:   d.quiet,
-		Ran:     d.ran,
+	})
+	need[*mtsync.Sync](d, NameSync).OnChange(func(names []string) {
+		if slices.ContainsFunc(names, func(name string) bool { return strings.HasPrefix(name, mtstore.Shard) }) {
+			owner.Adopt()
+		}
 	})
 	return mtkernel.Register(d.kernel, NameOwner, owner, cleanUp)
 }
@@ -239,9 +256,6 @@
 	need[*mtmover.Mover](d, NameMover).Quiet(service, low, high)
 }
 
-// ran notes the load of a point for the planner's reports.
-func (d *Daemon) ran(mtclock.Instant, mtid.Ref, mtid.Point, time.Duration) {}
-
 func (d *Daemon) addMover() error {
 	mover, cleanUp := mtmover.New(mtmover.Config{
 		Self:    d.Self,
