Never take a gained shard for one that was split here

Cause: An order could run twice after a takeover. A shard was taken for a part of one that is owned here if its epoch was known; but epochs count per chunk, so another chunk's shard could lend its number, and of two parts that are new at once the first lent it to the second. Where a handover of the range had been given up before, its outdated memory was trusted then.

Change: mtowner keeps adopted epochs by chunk, and knows a shard by those of earlier assignments only.

--- a/io/mtowner/recent.go
+++ b/io/mtowner/recent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,13 +22,17 @@
 	next    mtrecent.Waiter
 	waiters map[mtrecent.Waiter]chan *mtrequest.Reply
 	// adopted is the assignment that the memory answers for, by chunk; the
-	// epochs are those of the shards that were granted or imported.
+	// epochs are those of the shards that were granted or imported. Each chunk
+	// counts its own, so that two shards of two chunks may share one.
 	adopted map[int]*mtshard.Table
-	epochs  map[mtid.Point]mtid.Epoch
+	epochs  map[int]epochs
 	// imports are the ranges that were handed over, until they are owned.
 	imports map[mtid.Point]imported
 }
 
+// epochs are the epochs of adopted shards of one chunk, by where they begin.
+type epochs map[mtid.Point]mtid.Epoch
+
 // imported is a range that was handed over and isn't owned yet.
 type imported struct {
 	from mtid.Holder
@@ -39,7 +44,7 @@
 		table:   mtrecent.New(mtrecent.Limits{}),
 		waiters: make(map[mtrecent.Waiter]chan *mtrequest.Reply),
 		adopted: make(map[int]*mtshard.Table),
-		epochs:  make(map[mtid.Point]mtid.Epoch),
+		epochs:  make(map[int]epochs),
 		imports: make(map[mtid.Point]imported),
 	}
 }
@@ -58,20 +63,28 @@
 		return
 	}
 	r.adopted[table.Chunk] = table
+	// A shard is known by the epochs of earlier assignments, not by those that
+	// this one brings: two parts of a shard that is new here share an epoch, and
+	// granting the first must not make the second look like a split of it.
+	before := r.epochs[table.Chunk]
+	now := maps.Clone(before)
+	if now == nil {
+		now = make(epochs)
+	}
 	for _, shard := range table.Owned(self) {
-		if r.epochs[shard.Low] == shard.Epoch {
+		if before[shard.Low] == shard.Epoch {
 			continue
 		}
-		r.take(clock, self, table, shard)
-		r.epochs[shard.Low] = shard.Epoch
+		if !r.known(before, shard) {
+			r.take(clock, self, table, shard)
+		}
+		now[shard.Low] = shard.Epoch
 	}
+	r.epochs[table.Chunk] = now
 }
 
 func (r *recent) take(clock clock, self mtid.Holder, table *mtshard.Table, shard mtshard.Shard) {
 	high, _ := table.High(shard.Low)
-	if r.known(shard.Low, shard.Epoch) {
-		return // split or merged here
-	}
 	offer, ok := r.imports[shard.Low]
 	delete(r.imports, shard.Low)
 	switch {
@@ -86,12 +99,12 @@
 	}
 }
 
-// known reports whether the shard's epoch was adopted before. A split or a
-// merge of shards that are owned here keeps an epoch, and the memory with it; a
-// part that is gained brings a higher one.
-func (r *recent) known(low mtid.Point, epoch mtid.Epoch) bool {
-	for _, e := range r.epochs {
-		if e == epoch && r.table.Owns(low) {
+// known reports whether a shard came by a split or a merge of shards that were
+// adopted before. Both keep an epoch, and the memory with it; a part that is
+// gained brings a higher one.
+func (r *recent) known(before epochs, shard mtshard.Shard) bool {
+	for _, e := range before {
+		if e == shard.Epoch && r.table.Owns(shard.Low) {
 			return true
 		}
 	}
@@ -220,9 +233,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Revoke(low, high)
-	for at := range r.epochs {
-		if low <= at && at <= high {
-			delete(r.epochs, at)
+	for _, chunk := range r.epochs {
+		for at := range chunk {
+			if low <= at && at <= high {
+				delete(chunk, at)
+			}
 		}
 	}
 }
