--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -182,11 +182,11 @@
 		grpc.Creds(need[*credentialSet](d, NameKeys).server()),
 		grpc.MaxRecvMsgSize(size),
 		grpc.MaxSendMsgSize(size),
-		grpc.MaxHeaderListSize(headerBytes),
+		grpc.MaxHeaderListSize(mtlisten.HeaderBytes),
 		grpc.MaxConcurrentStreams(streams),
 		// A client that connects and says nothing would else hold its place for
 		// two minutes, and enough of them would shut the other daemons out.
-		grpc.ConnectionTimeout(headerTimeout),
+		grpc.ConnectionTimeout(mtlisten.HeaderTime),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingEvery, PermitWithoutStream: true}),
 	)
 	view := need[*mtview.View](d, NameView)
