Let a backend server stop by itself when its daemon's lease ends

Cause: a frozen daemon can't cancel what its server runs. Change: the answer to an announcement carries the end of the lease on the boot-time clock (Serve-Until). A server that announces Grants does so every 250 ms, and cancels its keyed runs once the last end that it heard of passed; a request's Start-By counts as one. Small additions to mtheader, mtannounce, io/mtserver and io/mtdaemon. Conclusion: a server that takes grants needs nobody to cancel its runs.

--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -57,6 +57,7 @@
 	f.BoolVar(&c.setting.Shed, "shed", false, "refuse what finds no slot, rather than let it wait")
 	f.BoolVar(&c.setting.Epochs, "epochs", true, "refuse epochs below the highest seen for a key")
 	f.BoolVar(&c.setting.Deadlines, "deadlines", true, "honour start-by times and deadlines")
+	f.BoolVar(&c.setting.Grants, "grants", true, "cancel keyed runs when the daemon's lease ends")
 	f.StringVar(&c.shape, "shape", string(mtstandin.LogNormal), "service time: fixed, exponential or lognormal")
 	f.DurationVar(&c.setting.Time.Mean, "mean", 2*time.Millisecond, "mean of the service time")
 	f.DurationVar(&c.setting.Cold, "cold", 0, "how long the server starts cold")
--- a/core/mtannounce/mtannounce.go
+++ b/core/mtannounce/mtannounce.go
@@ -22,6 +22,10 @@
 // Lifetime is how long an announcement holds.
 const Lifetime = 3 * time.Second
 
+// GrantPeriod is how often a server that announces Grants does so: several times
+// within a lease, so that one lost answer cancels nothing.
+const GrantPeriod = 250 * time.Millisecond
+
 // State is what the server says of its readiness.
 type State string
 
@@ -41,6 +45,7 @@
 	Connections int           `json:"connections"` // connections that it takes
 	Epochs      bool          `json:"epochs"`      // it refuses epochs below the highest seen for a key
 	Deadlines   bool          `json:"deadlines"`   // it honours Start-By and Deadline
+	Grants      bool          `json:"grants"`      // it cancels what it runs when its daemon's lease ends
 	State       State         `json:"state"`
 	Load        float64       `json:"load"` // its own estimate, 0 to 1
 }
--- a/core/mtheader/mtheader.go
+++ b/core/mtheader/mtheader.go
@@ -42,6 +42,12 @@
 	Deadline = "Deadline"
 )
 
+// Until is in the answer to an announcement: the time, in nanoseconds of the
+// VM's boot-time clock, up to which the daemon's lease is certain. A server that
+// announces Grants cancels the runs of keyed requests once that time has passed
+// and neither a later answer nor a request's StartBy has moved it on.
+const Until = "Serve-Until"
+
 // Prefix is the path under which callers reach services.
 const Prefix = "/v1"
 
--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -132,6 +132,10 @@
 	if err != nil {
 		return err
 	}
+	clock := need[*mttime.Clock](d, NameClock)
+	need[*mtserver.Pool](d, NameServers).Grant(func() int64 {
+		return clock.Boot() + int64(duty.Until().Add(-mtowner.Margin).Sub(clock.Now()))
+	})
 	return mtkernel.Register(d.kernel, NameRenew, duty, cleanUp)
 }
 
--- a/io/mtserver/mtserver_test.go
+++ b/io/mtserver/mtserver_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -13,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"gotest.tools/v3/assert"
 
 	"magnoliaturn/core/mtannounce"
@@ -219,3 +222,18 @@
 	}
 	assert.Equal(t, strings.Join(fields, " "), "business service address slots connections state")
 }
+
+// A daemon that is frozen can't cancel what its server runs, so the server has
+// to know when the lease ends before it needs to.
+func TestAnnouncementIsAnsweredWithTheLeaseEnd(t *testing.T) {
+	pool := mtserver.NewPool(still{}, limit, slog.New(slog.DiscardHandler), func() {})
+	pool.Grant(func() int64 { return 77 })
+	body, err := json.Marshal(announcement("127.0.0.1:1"))
+	assert.NilError(t, err)
+	request := httptest.NewRequest(http.MethodPost, mtheader.AnnouncePath, bytes.NewReader(body))
+	request.Header.Set("Content-Type", "application/json")
+	response := httptest.NewRecorder()
+	assert.NilError(t, pool.Announce(echo.New().NewContext(request, response)))
+	assert.Equal(t, response.Code, http.StatusNoContent)
+	assert.Equal(t, response.Header().Get(mtheader.Until), "77")
+}
--- a/io/mtserver/pool.go
+++ b/io/mtserver/pool.go
@@ -4,12 +4,14 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/labstack/echo/v4"
 
 	"magnoliaturn/core/mtannounce"
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtroster"
 )
@@ -27,6 +29,7 @@
 	mu       sync.Mutex
 	servers  map[mtid.Ref]announced
 	onChange func()
+	grant    func() int64
 }
 
 type announced struct {
@@ -40,6 +43,10 @@
 	return &Pool{clock: c, log: log, limit: limit, servers: make(map[mtid.Ref]announced), onChange: onChange}
 }
 
+// Grant sets where the pool learns up to when the daemon's lease is certain, in
+// nanoseconds of the boot-time clock. It is called before the first announcement.
+func (p *Pool) Grant(until func() int64) { p.grant = until }
+
 // faults is the body of a refused announcement.
 type faults struct {
 	Faults []fault `json:"faults"`
@@ -53,6 +60,11 @@
 
 // Announce is the handler of mtheader.AnnouncePath. It answers 204, or 400 or
 // 422 with every fault of the announcement, and then nothing has changed.
+//
+// The answer carries the end of the lease. A daemon that is frozen can't cancel
+// what its server runs, and another owner begins on the same keys meanwhile: two
+// servers would run one key at once. A server that gets no answer any more knows
+// by the last one when it has to stop.
 func (p *Pool) Announce(c echo.Context) error {
 	var a mtannounce.Announcement
 	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, announcementLimit)
@@ -63,6 +75,9 @@
 		return c.JSON(http.StatusUnprocessableEntity, list(found))
 	}
 	p.Put(a)
+	if p.grant != nil {
+		c.Response().Header().Set(mtheader.Until, strconv.FormatInt(p.grant(), 10))
+	}
 	return c.NoContent(http.StatusNoContent)
 }
 
--- a/io/mtstandin/announce.go
+++ b/io/mtstandin/announce.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"magnoliaturn/core/mtannounce"
@@ -33,7 +34,7 @@
 	go func() {
 		defer close(done)
 		defer client.CloseIdleConnections()
-		tick := time.NewTicker(announcePeriod)
+		tick := time.NewTicker(s.period())
 		defer tick.Stop()
 		heard := true
 		for {
@@ -76,12 +77,23 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, response.Body)
+	if until, err := strconv.ParseInt(response.Header.Get(mtheader.Until), 10, 64); err == nil {
+		s.granted(until)
+	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return &StatusError{Status: response.Status}
 	}
 	return nil
 }
 
+// period returns how often the server announces itself.
+func (s *Server) period() time.Duration {
+	if s.setting.Grants {
+		return mtannounce.GrantPeriod
+	}
+	return announcePeriod
+}
+
 func (s *Server) state() mtannounce.State {
 	if s.drain.Load() {
 		return mtannounce.Draining
--- a/io/mtstandin/server.go
+++ b/io/mtstandin/server.go
@@ -37,6 +37,7 @@
 	Shed        bool
 	Epochs      bool // refuse epochs below the highest seen for a key
 	Deadlines   bool // honour start-by times and deadlines
+	Grants      bool // cancel keyed runs when the daemon's lease ends
 	Time        ServiceTime
 	// A server that starts cold multiplies its service time by ColdFactor for
 	// the length of Cold.
@@ -66,7 +67,7 @@
 func (s *ServerSetting) announcement() mtannounce.Announcement {
 	return mtannounce.Announcement{
 		Business: s.Service.Business, Service: s.Service.Service, Address: s.Address,
-		Slots: s.Slots, Connections: s.Connections, Epochs: s.Epochs, Deadlines: s.Deadlines,
+		Slots: s.Slots, Connections: s.Connections, Epochs: s.Epochs, Deadlines: s.Deadlines, Grants: s.Grants,
 		State: mtannounce.Ready,
 	}
 }
@@ -84,6 +85,7 @@
 	runs    atomic.Uint64
 	busy    atomic.Int64
 	drain   atomic.Bool
+	until   atomic.Int64  // boot-time clock: up to when the daemon's lease is certain
 	changed chan struct{} // asks for an announcement ahead of time
 
 	mu     sync.Mutex
@@ -166,7 +168,7 @@
 	if s.setting.Crash != "" && a.rest == s.setting.Crash {
 		s.crash()
 	}
-	whole := s.work(ctx)
+	whole := s.work(ctx, a.epoch)
 	event.Kind, event.At = mtaudit.End, time.Now()
 	if !whole {
 		s.journal.Write(event)
@@ -182,22 +184,51 @@
 }
 
 // work spends the service time, and reports whether it came to its end before
-// the caller went away or the deadline passed.
-func (s *Server) work(ctx context.Context) bool {
+// the caller went away, the deadline passed or the daemon's lease ended.
+func (s *Server) work(ctx context.Context, epoch mtid.Epoch) bool {
 	d := s.dice.draw(s.setting.Time)
 	if s.cold() {
 		d = time.Duration(float64(d) * s.setting.ColdFactor)
 	}
-	if d <= 0 {
-		return ctx.Err() == nil
+	bound := s.setting.Grants && epoch != 0
+	end := s.clock.Boot() + int64(d)
+	for {
+		now := s.clock.Boot()
+		if bound && now >= s.until.Load() {
+			return false
+		}
+		if now >= end {
+			return ctx.Err() == nil
+		}
+		wait := end - now
+		if bound {
+			wait = min(wait, s.until.Load()-now)
+		}
+		if pause(ctx, time.Duration(wait)) != nil {
+			return false
+		}
 	}
+}
+
+// pause waits for d, or returns the context's error.
+func pause(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return nil
 	case <-ctx.Done():
-		return false
+		return ctx.Err()
+	}
+}
+
+// granted moves on the time up to which the daemon's lease is certain.
+func (s *Server) granted(until int64) {
+	for {
+		old := s.until.Load()
+		if until <= old || s.until.CompareAndSwap(old, until) {
+			return
+		}
 	}
 }
 
@@ -240,6 +271,7 @@
 			return mtreply.CauseExpired
 		}
 	}
+	s.granted(a.startBy)
 	if !s.setting.Epochs {
 		return ""
 	}
--- a/io/mtstandin/server_test.go
+++ b/io/mtstandin/server_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -238,6 +239,62 @@
 	}
 }
 
+// A daemon is frozen while its server runs a send order for longer than the
+// lease lasts. Nobody cancels the run, and the next owner of the key begins. The
+// server has to stop by itself once the last lease end that it heard of passed,
+// and must go on as long as it hears of later ones.
+func TestServerStopsWithItsDaemonsLease(t *testing.T) {
+	const lease = 300 * time.Millisecond
+	clock := mttime.New()
+	tests := []struct {
+		name  string
+		lease time.Duration // that the one answer of the daemon promises
+		epoch string
+		stops bool
+	}{
+		{"frozen", lease, "1", true},
+		{"renewed", time.Hour, "1", false},
+		{"no owner", lease, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var asked atomic.Int32
+			daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if asked.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set(mtheader.Until, strconv.FormatInt(clock.Boot()+int64(tt.lease), 10))
+			}))
+			defer daemon.Close()
+			s := setting()
+			s.Daemon, s.Grants, s.Time.Mean = daemon.URL, true, time.Hour
+			url, server, written := start(t, s)
+			// Once it asks a second time, it has read the first answer.
+			until(t, func() bool { return asked.Load() > 1 })
+			startBy := clock.Boot() + int64(lease)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			gone := make(chan error, 1)
+			go func() {
+				_, _, err := send(ctx, url+"/k/run", map[string]string{
+					mtheader.ID: "r", mtheader.Epoch: tt.epoch, mtheader.StartBy: strconv.FormatInt(startBy, 10),
+				})
+				gone <- err
+			}()
+			if tt.stops {
+				assert.ErrorIs(t, <-gone, io.EOF)
+				assert.Assert(t, clock.Boot() >= startBy, "the run ended before the lease did")
+				events := read[mtaudit.Event](t, written)
+				assert.Equal(t, len(events), 2)
+				assert.Equal(t, events[1].Reply, mtaudit.Digest(""))
+				return
+			}
+			until(t, func() bool { return server.Busy() == 1 && clock.Boot() > startBy+int64(lease) })
+			assert.Equal(t, len(gone), 0)
+		})
+	}
+}
+
 func TestNewServerRefusesSettings(t *testing.T) {
 	tests := []struct {
 		name  string
