Call a quarantine a quarantine

Change: Names; rules and limits in files of their own; the unused hash removed.

Measured: go test ./core/mtpoison ./io/mtpoison and go test ./io/mtdaemon -run Poison pass as before.

Conclusion: No behaviour changed.

--- a/cmd/policies/poison.go
+++ b/cmd/policies/poison.go
@@ -77,8 +77,8 @@
 // nobody is the rule of a fleet that doesn't look.
 type nobody struct{}
 
-// Guilty implements mtpoison.Rule.
-func (nobody) Guilty(mtpoison.Coincidence) bool { return false }
+// Quarantines implements mtpoison.Rule.
+func (nobody) Quarantines(mtpoison.Coincidence) bool { return false }
 
 // Alone implements mtpoison.Rule.
 func (nobody) Alone() bool { return false }
--- a/core/mtpoison/evidence.go
+++ b/core/mtpoison/evidence.go
@@ -83,8 +83,8 @@
 	)
 }
 
-// Sentence is a fingerprint in quarantine.
-type Sentence struct {
+// Quarantine is a fingerprint in quarantine.
+type Quarantine struct {
 	Print Print
 	Asked mtclock.Instant // last time
 	// IfLost, if not zero, is the holder that has to be lost for it to hold.
@@ -94,28 +94,28 @@
 // Digest is evidence as it is exchanged. Times in it are the exchanging
 // daemon's own; Encode and Decode make ages of them.
 type Digest struct {
-	Crashes   []Crash
-	Sentences []Sentence
+	Crashes     []Crash
+	Quarantines []Quarantine
 }
 
-// Digest returns the newest evidence: up to that many sentences and
-// fingerprints of crashes in all. Sentences go first, since they save servers
+// Digest returns the newest evidence: up to that many quarantines and
+// fingerprints of crashes in all. Quarantines go first, since they save servers
 // that are still up. It is called when there is something new to send at once,
 // and for gossip.
 func (t *Table[R]) Digest(now mtclock.Instant, prints int) Digest {
 	t.Expire(now)
 	var d Digest
-	for p, asked := range t.sentences {
-		d.Sentences = append(d.Sentences, Sentence{Print: p, Asked: asked})
+	for p, asked := range t.quarantined {
+		d.Quarantines = append(d.Quarantines, Quarantine{Print: p, Asked: asked})
 	}
 	for p, c := range t.pending {
-		d.Sentences = append(d.Sentences, Sentence{Print: p, Asked: c.at, IfLost: c.holder})
+		d.Quarantines = append(d.Quarantines, Quarantine{Print: p, Asked: c.at, IfLost: c.holder})
 	}
-	slices.SortFunc(d.Sentences, func(a, b Sentence) int {
+	slices.SortFunc(d.Quarantines, func(a, b Quarantine) int {
 		return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Print, b.Print))
 	})
-	d.Sentences = d.Sentences[:min(prints, len(d.Sentences))]
-	left := prints - len(d.Sentences)
+	d.Quarantines = d.Quarantines[:min(prints, len(d.Quarantines))]
+	left := prints - len(d.Quarantines)
 	newest := make([]*Crash, 0, len(t.crashes))
 	for _, c := range t.crashes {
 		newest = append(newest, c)
@@ -147,7 +147,7 @@
 // server is passed over unless it is of an earlier life: what is known here of
 // this one is all there is to know.
 func (t *Table[R]) Merge(now mtclock.Instant, d Digest) {
-	for _, s := range d.Sentences {
+	for _, s := range d.Quarantines {
 		t.take(s)
 	}
 	for i := range d.Crashes {
@@ -158,19 +158,19 @@
 	t.Expire(now)
 }
 
-// take takes in a sentence of another daemon.
-func (t *Table[R]) take(s Sentence) {
-	if known, ok := t.sentences[s.Print]; ok {
+// take takes in a quarantine of another daemon.
+func (t *Table[R]) take(s Quarantine) {
+	if known, ok := t.quarantined[s.Print]; ok {
 		if s.IfLost.IsZero() {
-			t.sentences[s.Print] = max(known, s.Asked)
+			t.quarantined[s.Print] = max(known, s.Asked)
 		}
 		return
 	}
 	if s.IfLost.IsZero() {
-		t.sentence(s.Asked, s.Print)
+		t.quarantine(s.Asked, s.Print)
 		return
 	}
-	if cleared, ok := t.acquitted[s.Print]; (ok && !s.Asked.After(cleared)) || len(t.pending) >= t.limits.Sentences {
+	if cleared, ok := t.cleared[s.Print]; (ok && !s.Asked.After(cleared)) || len(t.pending) >= t.limits.Quarantined {
 		return
 	}
 	t.pending[s.Print] = condition{holder: s.IfLost, at: s.Asked}
@@ -216,14 +216,14 @@
 		}
 		w.Crashes = append(w.Crashes, wc)
 	}
-	for _, s := range d.Sentences {
-		w.Sentences = append(w.Sentences, wireSentence(now, s))
+	for _, s := range d.Quarantines {
+		w.Quarantines = append(w.Quarantines, wireQuarantine(now, s))
 	}
 	return w
 }
 
-func wireSentence(now mtclock.Instant, s Sentence) *mtwire.Sentence {
-	w := &mtwire.Sentence{Print: uint64(s.Print), AgeMs: age(now, s.Asked)}
+func wireQuarantine(now mtclock.Instant, s Quarantine) *mtwire.Quarantine {
+	w := &mtwire.Quarantine{Print: uint64(s.Print), AgeMs: age(now, s.Asked)}
 	if !s.IfLost.IsZero() {
 		w.IfLost = mtroster.WireHolder(s.IfLost)
 	}
@@ -259,8 +259,8 @@
 		}
 		d.Crashes = append(d.Crashes, c)
 	}
-	for _, s := range w.GetSentences() {
-		d.Sentences = append(d.Sentences, Sentence{
+	for _, s := range w.GetQuarantines() {
+		d.Quarantines = append(d.Quarantines, Quarantine{
 			Print:  Print(s.GetPrint()),
 			Asked:  since(now, s.GetAgeMs()),
 			IfLost: mtroster.ReadHolder(s.GetIfLost()),
--- a/core/mtpoison/mtpoison.go
+++ b/core/mtpoison/mtpoison.go
@@ -45,41 +45,14 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 )
 
-// Print is the fingerprint of a request.
+// Print is the fingerprint of a request: a hash of service, key, class, method,
+// path, query and body, as (*mtrequest.Request).Fingerprint makes it.
 type Print uint64
 
-// Content is what a fingerprint is made of.
-type Content struct {
-	Service mtid.Ref
-	Key     mtid.Key
-	Class   mtid.Class
-	Method  string
-	Path    string
-	Query   string
-	Body    []byte
-}
-
-// Print returns the fingerprint. It is called for each request at the ingress.
-func (c *Content) Print() Print {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range [...]string{
-		string(c.Service.Business), string(c.Service.Service), string(c.Key),
-		string(c.Class), c.Method, c.Path, c.Query,
-	} {
-		_, _ = d.WriteString(part)
-		_, _ = d.WriteString("\x00")
-	}
-	_, _ = d.Write(c.Body)
-	return Print(d.Sum64())
-}
-
 // Verdict is what is known of a fingerprint.
 type Verdict uint8
 
@@ -95,40 +68,6 @@
 	return [...]string{"clear", "suspect", "quarantined"}[v]
 }
 
-// Coincidence is what is known against a fingerprint.
-type Coincidence struct {
-	Crashes int  // of which it was in flight
-	Alone   bool // in the last of them nothing else was in flight
-	Only    bool // it alone is on two complete lists of requests in flight
-}
-
-// Rule decides when a suspect is guilty, and how suspects run.
-type Rule interface {
-	// Guilty reports whether a fingerprint is to be quarantined.
-	Guilty(c Coincidence) bool
-	// Alone reports whether suspects run alone.
-	Alone() bool
-}
-
-// Narrow is the rule meant for service: suspects run alone, and only a crash
-// that nothing else can have caused is held against one.
-type Narrow struct{}
-
-// Guilty implements Rule.
-func (Narrow) Guilty(c Coincidence) bool { return c.Alone || c.Only }
-
-// Alone implements Rule.
-func (Narrow) Alone() bool { return true }
-
-// Count is the plain rule: what was in flight at so many crashes is guilty.
-type Count struct{ Crashes int }
-
-// Guilty implements Rule.
-func (r Count) Guilty(c Coincidence) bool { return c.Crashes >= r.Crashes }
-
-// Alone implements Rule.
-func (Count) Alone() bool { return false }
-
 // Number tells the requests in flight apart. The caller of the Table chooses
 // it.
 type Number uint64
@@ -144,24 +83,6 @@
 	Left              // it was given up; nothing is known of the server
 )
 
-// Limits bound a Table. Zero fields take the defaults.
-type Limits struct {
-	Crashes    int           // crashes that are remembered
-	Prints     int           // fingerprints of one crash
-	Sentences  int           // fingerprints in quarantine
-	Suspicion  time.Duration // how long a crash makes suspects
-	Quarantine time.Duration // how long after the last request it ends
-}
-
-// Defaults of Limits.
-const (
-	DefaultCrashes    = 128
-	DefaultPrints     = 256
-	DefaultSentences  = 512
-	DefaultSuspicion  = 10 * time.Minute
-	DefaultQuarantine = time.Hour
-)
-
 // together is how long the connections of one lost server take to break. A
 // request whose connection broke that long before the loss was noticed counts
 // as in flight.
@@ -179,7 +100,7 @@
 	broken mtclock.Instant // when its connection broke or it was given up; zero if neither
 }
 
-// condition is the holder that has to be lost for a sentence to hold, and when
+// condition is the holder that has to be lost for a quarantine to hold, and when
 // the connection to it broke.
 type condition struct {
 	holder mtid.Holder
@@ -188,65 +109,47 @@
 
 // Table is what one daemon knows. See the package comment.
 type Table[R Rule] struct {
-	rule      R
-	limits    Limits
-	self      mtid.Holder
-	losses    uint32 // of the server beside this daemon
-	here      map[Number]*flight
-	relays    map[Number]*flight
-	crashes   map[Loss]*Crash
-	suspects  map[Print]mtclock.Instant // the last crash that each was part of
-	acquitted map[Print]mtclock.Instant
-	sentences map[Print]mtclock.Instant // when each was last asked for
-	pending   map[Print]condition       // sentences that HolderLost would confirm
+	rule        R
+	limits      Limits
+	self        mtid.Holder
+	losses      uint32 // of the server beside this daemon
+	here        map[Number]*flight
+	relays      map[Number]*flight
+	crashes     map[Loss]*Crash
+	suspects    map[Print]mtclock.Instant // the last crash that each was part of
+	cleared     map[Print]mtclock.Instant
+	quarantined map[Print]mtclock.Instant // when each was last asked for
+	pending     map[Print]condition       // quarantines that HolderLost would confirm
 }
 
 // New returns an empty Table of the daemon self.
 func New[R Rule](rule R, self mtid.Holder, limits Limits) *Table[R] {
 	return &Table[R]{
-		rule:      rule,
-		limits:    limits.filled(),
-		self:      self,
-		here:      make(map[Number]*flight),
-		relays:    make(map[Number]*flight),
-		crashes:   make(map[Loss]*Crash),
-		suspects:  make(map[Print]mtclock.Instant),
-		acquitted: make(map[Print]mtclock.Instant),
-		sentences: make(map[Print]mtclock.Instant),
-		pending:   make(map[Print]condition),
-	}
-}
-
-// filled returns l with its zero fields set to the defaults.
-func (l Limits) filled() Limits {
-	fill(&l.Crashes, DefaultCrashes)
-	fill(&l.Prints, DefaultPrints)
-	fill(&l.Sentences, DefaultSentences)
-	fill(&l.Suspicion, DefaultSuspicion)
-	fill(&l.Quarantine, DefaultQuarantine)
-	return l
-}
-
-// fill sets a zero field to its default.
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		rule:        rule,
+		limits:      limits.filled(),
+		self:        self,
+		here:        make(map[Number]*flight),
+		relays:      make(map[Number]*flight),
+		crashes:     make(map[Loss]*Crash),
+		suspects:    make(map[Print]mtclock.Instant),
+		cleared:     make(map[Print]mtclock.Instant),
+		quarantined: make(map[Print]mtclock.Instant),
+		pending:     make(map[Print]condition),
 	}
 }
 
 // Judge is called for each request, at the ingress and again at the owner. hint
 // says that the ingress suspects it; the owner believes that unless it has
-// acquitted the fingerprint itself. A quarantine is renewed by each request, so
+// cleared the fingerprint itself. A quarantine is renewed by each request, so
 // that it lasts for as long as somebody goes on asking.
 func (t *Table[R]) Judge(now mtclock.Instant, p Print, hint bool) Verdict {
-	if asked, ok := t.sentences[p]; ok {
+	if asked, ok := t.quarantined[p]; ok {
 		if now.Sub(asked) < t.limits.Quarantine {
-			t.sentences[p] = now
+			t.quarantined[p] = now
 			return Quarantined
 		}
 		// Out of quarantine, but not clear: the next run is alone.
-		delete(t.sentences, p)
+		delete(t.quarantined, p)
 		t.suspects[p] = now
 	}
 	if !t.rule.Alone() {
@@ -255,7 +158,7 @@
 	if at, ok := t.suspects[p]; ok && now.Sub(at) < t.limits.Suspicion {
 		return Suspect
 	}
-	if _, ok := t.acquitted[p]; hint && !ok {
+	if _, ok := t.cleared[p]; hint && !ok {
 		return Suspect
 	}
 	return Clear
@@ -281,7 +184,7 @@
 	}
 	delete(t.here, n)
 	if how == Whole && f.alone {
-		t.acquit(now, f.print)
+		t.release(now, f.print)
 	}
 	return false
 }
@@ -308,7 +211,7 @@
 			continue
 		}
 		c.Prints = append(c.Prints, f.print)
-		if _, ok := t.acquitted[f.print]; ok {
+		if _, ok := t.cleared[f.print]; ok {
 			c.Cleared = append(c.Cleared, f.print)
 		}
 		c.alone = c.alone || f.alone
@@ -348,7 +251,7 @@
 	}
 	delete(t.relays, n)
 	if whole && f.alone {
-		t.acquit(now, f.print)
+		t.release(now, f.print)
 	}
 }
 
@@ -389,7 +292,7 @@
 	for p, c := range t.pending {
 		if c.holder == holder {
 			delete(t.pending, p)
-			t.hear(now, p, Coincidence{Crashes: t.crashesOf(p), Alone: true})
+			t.weigh(now, p, Coincidence{Crashes: t.crashesOf(p), Alone: true})
 		}
 	}
 }
@@ -407,19 +310,19 @@
 	return holders
 }
 
-// acquit clears a fingerprint that ran alone and was answered.
-func (t *Table[R]) acquit(now mtclock.Instant, p Print) {
+// release clears a fingerprint that ran alone and was answered.
+func (t *Table[R]) release(now mtclock.Instant, p Print) {
 	delete(t.suspects, p)
 	delete(t.pending, p)
-	t.acquitted[p] = now
+	t.cleared[p] = now
 }
 
-// sentence quarantines a fingerprint.
-func (t *Table[R]) sentence(now mtclock.Instant, p Print) {
+// quarantine keeps a fingerprint from running.
+func (t *Table[R]) quarantine(now mtclock.Instant, p Print) {
 	delete(t.suspects, p)
-	t.sentences[p] = now
-	for len(t.sentences) > t.limits.Sentences {
-		delete(t.sentences, oldest(t.sentences))
+	t.quarantined[p] = now
+	for len(t.quarantined) > t.limits.Quarantined {
+		delete(t.quarantined, oldest(t.quarantined))
 	}
 }
 
@@ -442,15 +345,15 @@
 	}
 	only := t.onlyCommon(known)
 	for _, p := range known.Prints {
-		t.hear(now, p, Coincidence{Crashes: t.crashesOf(p), Alone: c.alone, Only: only[p]})
+		t.weigh(now, p, Coincidence{Crashes: t.crashesOf(p), Alone: c.alone, Only: only[p]})
 	}
 	t.bound()
 }
 
-// hear quarantines a suspect that the rule finds guilty.
-func (t *Table[R]) hear(now mtclock.Instant, p Print, c Coincidence) {
-	if _, ok := t.suspects[p]; ok && t.rule.Guilty(c) {
-		t.sentence(now, p)
+// weigh quarantines a suspect if the rule says so.
+func (t *Table[R]) weigh(now mtclock.Instant, p Print, c Coincidence) {
+	if _, ok := t.suspects[p]; ok && t.rule.Quarantines(c) {
+		t.quarantine(now, p)
 	}
 }
 
@@ -482,11 +385,11 @@
 
 // suspect notes that p was part of a crash at that time.
 func (t *Table[R]) suspect(p Print, at mtclock.Instant) {
-	if cleared, ok := t.acquitted[p]; ok && !at.After(cleared) {
+	if cleared, ok := t.cleared[p]; ok && !at.After(cleared) {
 		return
 	}
-	delete(t.acquitted, p)
-	if _, ok := t.sentences[p]; ok {
+	delete(t.cleared, p)
+	if _, ok := t.quarantined[p]; ok {
 		return
 	}
 	t.suspects[p] = max(t.suspects[p], at)
@@ -518,7 +421,7 @@
 		}
 	}
 	drop(t.suspects, now, t.limits.Suspicion)
-	drop(t.acquitted, now, t.limits.Suspicion)
+	drop(t.cleared, now, t.limits.Suspicion)
 	for n, f := range t.here {
 		if f.broken != 0 && now.Sub(f.broken) > together {
 			delete(t.here, n)
@@ -529,9 +432,9 @@
 			delete(t.relays, n)
 		}
 	}
-	for p, asked := range t.sentences {
+	for p, asked := range t.quarantined {
 		if now.Sub(asked) >= t.limits.Quarantine {
-			delete(t.sentences, p)
+			delete(t.quarantined, p)
 			t.suspects[p] = now
 		}
 	}
@@ -561,18 +464,18 @@
 
 // Counts are the sizes of a Table, for metrics.
 type Counts struct {
-	Crashes   int
-	Suspects  int
-	Sentences int
-	InFlight  int
+	Crashes     int
+	Suspects    int
+	Quarantined int
+	InFlight    int
 }
 
 // Counts returns the sizes of the Table.
 func (t *Table[R]) Counts() Counts {
 	return Counts{
-		Crashes:   len(t.crashes),
-		Suspects:  len(t.suspects),
-		Sentences: len(t.sentences),
-		InFlight:  len(t.here) + len(t.relays),
+		Crashes:     len(t.crashes),
+		Suspects:    len(t.suspects),
+		Quarantined: len(t.quarantined),
+		InFlight:    len(t.here) + len(t.relays),
 	}
 }
--- a/core/mtpoison/mtpoison_test.go
+++ b/core/mtpoison/mtpoison_test.go
@@ -208,7 +208,7 @@
 }
 
 func TestBounds(t *testing.T) {
-	tb := mtpoison.New(mtpoison.Narrow{}, holder("a"), mtpoison.Limits{Crashes: 3, Prints: 2, Sentences: 4})
+	tb := mtpoison.New(mtpoison.Narrow{}, holder("a"), mtpoison.Limits{Crashes: 3, Prints: 2, Quarantined: 4})
 	for i := range 20 {
 		now := mtclock.Instant(i + 1)
 		crash(tb, now, false, mtpoison.Print(3*i+10), mtpoison.Print(3*i+11), mtpoison.Print(3*i+12))
@@ -216,9 +216,9 @@
 	}
 	counts := tb.Counts()
 	assert.Equal(t, counts.Crashes, 3)
-	assert.Equal(t, counts.Sentences, 4)
+	assert.Equal(t, counts.Quarantined, 4)
 	d := tb.Digest(21, 5)
-	size := len(d.Sentences)
+	size := len(d.Quarantines)
 	for _, c := range d.Crashes {
 		size += len(c.Prints)
 	}
@@ -408,7 +408,7 @@
 		assert.DeepEqual(t, len(to.Digest(now, 1<<20).Crashes), len(before.Crashes))
 		counts := to.Counts()
 		assert.Assert(t, counts.Crashes <= mtpoison.DefaultCrashes)
-		assert.Assert(t, counts.Sentences <= mtpoison.DefaultSentences)
+		assert.Assert(t, counts.Quarantined <= mtpoison.DefaultQuarantined)
 	})
 }
 
--- a/io/mtpoison/mtpoison.go
+++ b/io/mtpoison/mtpoison.go
@@ -140,11 +140,11 @@
 
 func (w *Watch) holderLost(holder mtid.Holder) {
 	w.mu.Lock()
-	before := w.table.Counts().Sentences
+	before := w.table.Counts().Quarantined
 	w.table.HolderLost(w.Clock.Now(), holder)
-	sentenced := w.table.Counts().Sentences > before
+	quarantined := w.table.Counts().Quarantined > before
 	w.mu.Unlock()
-	if sentenced {
+	if quarantined {
 		w.Count("quarantined")
 		w.Log.Error("a request is quarantined: it ran alone when its owner was lost", "holder", holder.String())
 		w.tell(w.peers(func(*mtroster.Record) bool { return true }))
@@ -208,13 +208,13 @@
 		return
 	}
 	w.table.Live(w.Self())
-	before := w.table.Counts().Sentences
+	before := w.table.Counts().Quarantined
 	w.table.ServerLost(w.Clock.Now())
-	sentenced := w.table.Counts().Sentences > before
+	quarantined := w.table.Counts().Quarantined > before
 	w.mu.Unlock()
 	w.Count("crashes")
 	w.Log.Error("backend server crashed", "service", service.String(), "address", address)
-	if sentenced {
+	if quarantined {
 		w.Count("quarantined")
 		w.Log.Error("a request is quarantined: it ran alone when its server crashed", "service", service.String())
 	}
@@ -323,7 +323,7 @@
 	now := w.Clock.Now()
 	evidence := mtpoison.Wire(now, w.table.Digest(now, digestPrints))
 	w.mu.Unlock()
-	if len(evidence.GetCrashes())+len(evidence.GetSentences()) == 0 {
+	if len(evidence.GetCrashes())+len(evidence.GetQuarantines()) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
--- a/io/mtpoison/mtpoison_test.go
+++ b/io/mtpoison/mtpoison_test.go
@@ -169,7 +169,7 @@
 // A whole VM is lost while a suspect runs there, alone. The daemons that the
 // ingress told refuse the request as soon as they know that the VM is gone, and
 // not before: the connection alone may have broken.
-func TestLostMachineConfirmsTheSentence(t *testing.T) {
+func TestLostMachineConfirmsTheQuarantine(t *testing.T) {
 	daemons := fleet(t, "ingress", "b", "c")
 	ingress, other := daemons[0], daemons[1]
 	relayed := ingress.Relay(request("room-1"), holder("c"))
--- a/io/mtpoison/refused.go
+++ b/io/mtpoison/refused.go
@@ -10,7 +10,7 @@
 )
 
 // maxRefused bounds the fingerprints that are listed for operators.
-const maxRefused = mtpoison.DefaultSentences
+const maxRefused = mtpoison.DefaultQuarantined
 
 // Refused is a quarantined request that this daemon refused. Fingerprints that
 // are in quarantine but weren't asked for here are not listed: a fingerprint
