Keep evidence of requests that come straight to their owner

Cause: A caller that asks the owner's own daemon leaves no ingress that would know what took a VM down: in a test with VMs that vanish at once, such a request took 5 of 6. The earlier test let the dying daemon tell the others.

Change: A peer attends suspects and requests of keys that came from a lost daemon; an identifier older than the takeover makes a suspect; the new owner asks what was in flight at the lost one. The test kills the daemon before its server.

Conclusion: Three remain where a caller names no identifier and asks the owner's daemon itself.

--- a/core/mtrecent/span.go
+++ b/core/mtrecent/span.go
@@ -91,6 +91,16 @@
 	}
 }
 
+// Lost returns up to which time of an identifier a request for p may have run
+// at an owner that is lost, and false if the range had none.
+func (t *Table) Lost(p mtid.Point) (time.Time, bool) {
+	s, ok := t.find(p)
+	if !ok || s.horizon == noHorizon {
+		return time.Time{}, false
+	}
+	return time.UnixMilli(s.horizon), true
+}
+
 // Owns reports whether the Table answers for p.
 func (t *Table) Owns(p mtid.Point) bool {
 	_, ok := t.find(p)
--- a/core/mtrequest/mtrequest.go
+++ b/core/mtrequest/mtrequest.go
@@ -94,6 +94,10 @@
 	// the ingress sets it as a hint, the owner as its verdict. A suspect runs
 	// alone.
 	Suspect bool
+	// Exposed says that the key came to its owner from a lost daemon lately, so
+	// that the request may be the one which took that daemon's VM down. The
+	// owner sets it.
+	Exposed bool
 	// Begun, if not nil, is called when the owner begins to run a suspect: at the
 	// owner to tell the ingress, and at the ingress once it has heard.
 	Begun func()
--- a/io/mtdaemon/poison_test.go
+++ b/io/mtdaemon/poison_test.go
@@ -14,6 +14,7 @@
 
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtstore"
 	iostore "magnoliaturn/io/mtstore"
 )
@@ -75,13 +76,18 @@
 func (f *fragile) crash() {
 	f.mu.Lock()
 	f.crashes++
-	_ = f.server.Close()
 	f.mu.Unlock()
 	if f.crashed != nil {
+		// The daemon first: it must not see its server's connections break and
+		// tell others, as it couldn't if the VM were gone.
 		f.crashed()
-		return
 	}
-	f.serve()
+	f.mu.Lock()
+	_ = f.server.Close()
+	f.mu.Unlock()
+	if f.crashed == nil {
+		f.serve()
+	}
 }
 
 // fragileFleet is a fleet of daemons with such servers.
@@ -94,9 +100,7 @@
 		m := startDaemon(t, store, fmt.Sprintf("d%d", i), zones[i%len(zones)])
 		f := newFragile(t)
 		if vm {
-			var killing sync.WaitGroup
-			f.crashed = func() { killing.Go(m.kill) }
-			t.Cleanup(killing.Wait)
+			f.crashed = m.kill
 		}
 		m.announce(t, f.at)
 		members = append(members, m)
@@ -194,3 +198,61 @@
 	}
 	assert.Equal(t, crashes(servers), 2)
 }
+
+// The desk asks the owner's own daemon, as the reply's Request-Owner invites it
+// to, and each crash takes that whole VM. No ingress is left that knows of it.
+// With the identifier of the first try, the second VM is the last; without any,
+// the third is.
+func TestPoisonRequestStraightToItsOwner(t *testing.T) {
+	tests := []struct {
+		name string
+		id   string
+		want int
+	}{
+		{"with its first identifier", mtrequest.Mint(time.Now(), [10]byte{1}).String(), 2},
+		{"without an identifier", "", 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := iostore.NewMemory(time.Now)
+			accept(t, store)
+			members, servers := fragileFleet(t, store, 6, true)
+			answers(t, members[0], "room-1")
+			point := dispatch.Point("poison")
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				owner, alive := owning(t, members, servers, point)
+				if owner == nil {
+					return poll.Continue("%d of the members live", alive)
+				}
+				response, body, err := owner.send("poison", "status", tt.id)
+				if err != nil {
+					return poll.Continue("%v", err)
+				}
+				if response.Header.Get(mtheader.Cause) != "quarantined" {
+					return poll.Continue("%s %s", response.Header.Get(mtheader.Cause), body)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+			assert.Equal(t, crashes(servers), tt.want)
+		})
+	}
+}
+
+// owning returns the live member that owns a point by its own view.
+func owning(t *testing.T, members []*member, servers []*fragile, point mtid.Point) (*member, int) {
+	alive := 0
+	for i, m := range members {
+		servers[i].mu.Lock()
+		gone := servers[i].crashes > 0
+		servers[i].mu.Unlock()
+		if gone {
+			continue
+		}
+		alive++
+		shard, ok := m.view(t).Now().Lookup(dispatch, point)
+		if ok && shard.Owner == m.daemon.Self() {
+			return m, alive
+		}
+	}
+	return nil, alive
+}
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -200,6 +200,9 @@
 	if service.Kind == mtbundle.Keyed {
 		o.Meter(r.Service).Arrive(now, f.low, r.Point())
 	}
+	if service.Kind == mtbundle.Keyed {
+		o.expose(r, f.holder)
+	}
 	switch o.Poison.Judge(r) {
 	case mtpoison.Quarantined:
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseQuarantined, RetryAfter: -1}
--- a/io/mtowner/recent.go
+++ b/io/mtowner/recent.go
@@ -180,6 +180,34 @@
 	return mtrecent.Name{Point: q.Point(), ID: uuid.UUID(q.ID)}
 }
 
+// exposure is how long after a takeover the requests of a range may be the ones
+// that took its lost owner down: callers send again within seconds.
+const exposure = 30 * time.Second
+
+// expose marks a request that may have taken the VM of its key's last owner
+// down. What that owner knew is lost with it, and if the caller asked it
+// directly, nobody else knew. Two signs are left: the range came from a lost
+// owner lately, and the caller's identifier is from before that. With both, the
+// request is a suspect.
+func (o *Owner) expose(r *mtrequest.Request, self mtid.Holder) {
+	tables := o.View.Now().Tables(r.Service)
+	memory := o.recent(r.Service)
+	memory.adopt(o.Clock, self, tables[mtshard.ChunkOf(r.Point(), len(tables))])
+	lost, ok := memory.lost(r.Point())
+	r.Exposed = ok && o.Clock.Wall().Before(lost.Add(exposure))
+	if r.Exposed && !r.Minted && !r.ID.Made().After(lost) {
+		r.Suspect = true
+	}
+}
+
+// lost returns up to which time requests of a point may have run at an owner
+// that is lost.
+func (r *recent) lost(p mtid.Point) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Lost(p)
+}
+
 // Adopt makes the memories answer for all shards that this daemon owns. It is
 // called when an assignment changed, so that a range which came by failover is
 // granted as of then, not as of its first request.
--- a/io/mtpoison/mtpoison.go
+++ b/io/mtpoison/mtpoison.go
@@ -81,7 +81,9 @@
 	table   *mtpoison.Table[mtpoison.Narrow]
 	next    mtpoison.Number
 	refused refusals
-	lives   map[mtid.Daemon]mtid.Holder // seen alive; used by the duty alone
+	lost    losses
+	// attendant is the peer that attends requests which came straight here.
+	attendant attendant
 }
 
 // New starts the duty that looks for lost daemons and gossips, and returns the
@@ -91,13 +93,14 @@
 		Config:  config,
 		table:   mtpoison.New(mtpoison.Narrow{}, mtid.Holder{}, mtpoison.Limits{}),
 		refused: make(refusals),
-		lives:   make(map[mtid.Daemon]mtid.Holder),
+		lost:    newLosses(),
 	}
 	stop, cancel := context.WithCancel(context.Background())
 	var duty sync.WaitGroup
 	duty.Go(func() { w.run(stop) })
 	return w, func() {
 		cancel()
+		w.attendant.close()
 		duty.Wait()
 	}
 }
@@ -126,15 +129,8 @@
 
 // look finds the lives that have ended since the last look.
 func (w *Watch) look(roster []*mtroster.Record) {
-	for _, record := range roster {
-		before := w.lives[record.Holder.Daemon]
-		if !before.IsZero() && (before != record.Holder || !record.Live()) {
-			w.holderLost(before)
-		}
-		w.lives[record.Holder.Daemon] = mtid.Holder{}
-		if record.Live() {
-			w.lives[record.Holder.Daemon] = record.Holder
-		}
+	for _, holder := range w.lost.look(w.Clock.Now(), roster) {
+		w.holderLost(holder)
 	}
 }
 
@@ -154,6 +150,9 @@
 // Judge says what is known of a request. It is called at the ingress and at the
 // owner.
 func (w *Watch) Judge(r *mtrequest.Request) mtpoison.Verdict {
+	if r.Exposed {
+		w.settle()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, holder := range w.table.Conditions() {
@@ -177,7 +176,23 @@
 // Start says that a request is sent to the backend server at that address. The
 // function that it returns is called with the request's end, before its caller
 // is answered.
+//
+// A request that came straight to its owner has no other daemon that would know
+// of it if the whole VM were lost. A peer attends it if it is a suspect or
+// exposed.
 func (w *Watch) Start(r *mtrequest.Request, address string) func(error) {
+	ended := func(error) {}
+	if r.Ingress == w.Self() && (r.Exposed || r.Suspect) {
+		ended = w.attend(r)
+	}
+	n := w.started(r)
+	return func(err error) {
+		ended(err)
+		w.ended(n, r.Service, address, err)
+	}
+}
+
+func (w *Watch) started(r *mtrequest.Request) mtpoison.Number {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := w.number()
@@ -185,7 +200,7 @@
 	if r.Suspect && r.Begun != nil {
 		r.Begun()
 	}
-	return func(err error) { w.ended(n, r.Service, address, err) }
+	return n
 }
 
 func (w *Watch) number() mtpoison.Number {
@@ -370,15 +385,9 @@
 
 // Tell implements mtwire.SuspicionServer.
 func (s server) Tell(_ context.Context, evidence *mtwire.Evidence) (*mtwire.Told, error) {
-	now := s.w.Clock.Now()
-	digest, err := mtpoison.Read(now, evidence)
-	if err != nil {
+	if err := s.w.merge(evidence); err != nil {
 		return nil, err
 	}
-	s.w.mu.Lock()
-	defer s.w.mu.Unlock()
-	s.w.table.Live(s.w.Self())
-	s.w.table.Merge(now, digest)
 	return &mtwire.Told{}, nil
 }
 
