Take unknown load for unknown, not for none

Cause: a new planner that had heard a few of 480 servers took them for overloaded, moved and split at 47 ms a round, and the reports to it came at once. Change: the mean is over servers that have reported, unknown ones count like the mean, and first reports are spread over a second a server, four minutes at most.

--- a/cmd/policies/placement.go
+++ b/cmd/policies/placement.go
@@ -117,7 +117,7 @@
 	r := mtscene.Run(scene, policy)
 	write(out, []mtscene.Result{r})
 	mean := policy.sum / time.Duration(policy.rounds)
-	measured := time.Duration(len(r.Series))*time.Second - mtscene.WarmUp
+	measured := time.Duration(len(r.Series))*time.Second - scene.WarmTime()
 	writes := float64(r.Writes) / measured.Seconds()
 	batches := float64(r.Batches) / measured.Seconds()
 	fmt.Fprintf(out, "planning: %d rounds, mean %v, longest %v of wall time\n",
--- a/core/mtload/pace.go
+++ b/core/mtload/pace.go
@@ -29,6 +29,19 @@
 	Jump   = 0.1
 )
 
+// Times over which the reports to a new planner are spread: a second for each
+// server, up to a bound.
+const (
+	spreadEach = time.Second
+	maxSpread  = 4 * time.Minute
+)
+
+// Spread returns the time over which the reports of that many servers to a new
+// planner are spread, so that they stay within its share of the control budget.
+func Spread(servers int) time.Duration {
+	return min(spreadEach*time.Duration(servers), maxSpread)
+}
+
 // Pace decides when a daemon reports to the planner of one service. The zero
 // value is ready.
 type Pace struct {
--- a/core/mtplan/planner.go
+++ b/core/mtplan/planner.go
@@ -183,10 +183,11 @@
 		zone:   make([]int, n),
 		shards: len(state.Shards),
 	}
+	r.mean = state.Mean()
 	r.addServers()
 	r.addShards()
+	r.addUnknown()
 	r.addHot()
-	r.mean = state.Mean()
 	p.refill(now, r.total)
 	r.watch()
 	return r
@@ -256,6 +257,20 @@
 	}
 }
 
+// addUnknown takes servers that have never reported for loaded like the mean.
+// Their shards count for nothing yet, and a server that leaves would be emptied
+// onto one of them.
+func (r *round) addUnknown() {
+	for i := range r.state.Servers {
+		if r.state.Servers[i].HeardAt != 0 {
+			continue
+		}
+		missing := max(0, r.fair(i)-r.load[i])
+		r.load[i] += missing
+		r.zones[r.zone[i]].load += missing
+	}
+}
+
 // settle returns the owner that a shard is counted for, and forgets a move that
 // is done or overtaken.
 func (r *round) settle(s *Shard) int {
--- a/core/mtplan/state.go
+++ b/core/mtplan/state.go
@@ -45,7 +45,7 @@
 	Leaving bool
 	// Heard says whether the load of its shards is known.
 	Heard bool
-	// HeardAt is when its last new measurement came in.
+	// HeardAt is when its last new measurement came in, or zero for never.
 	HeardAt mtclock.Instant
 }
 
@@ -182,12 +182,14 @@
 	return shards
 }
 
-// Mean returns the load per usable slot over the servers that stay.
+// Mean returns the load per usable slot over the servers that stay and have ever
+// reported. A planner that has just begun knows the load of a few; set against
+// the slots of all, they would seem overloaded.
 func (s *State) Mean() float64 {
 	slots := 0.0
 	for i := range s.Servers {
-		if !s.Servers[i].Leaving {
-			slots += s.Servers[i].Slots * s.Servers[i].Warm
+		if server := &s.Servers[i]; !server.Leaving && server.HeardAt != 0 {
+			slots += server.Slots * server.Warm
 		}
 	}
 	if slots == 0 {
--- a/core/mtscene/mtscene.go
+++ b/core/mtscene/mtscene.go
@@ -47,9 +47,12 @@
 
 // Scene is one load on one fleet.
 type Scene struct {
-	Name    string
-	Ref     mtid.Ref
-	Length  time.Duration
+	Name   string
+	Ref    mtid.Ref
+	Length time.Duration
+	// WarmUp is left out of the figures: the planner knows nothing of the load
+	// when the first tables are laid. Zero means the usual WarmUp.
+	WarmUp  time.Duration
 	Servers []Server
 	Keys    []mtid.Point // in order
 	// Load fills in the offered load of each key, in slots.
@@ -66,10 +69,17 @@
 	Seed uint64
 }
 
+// WarmTime returns the time that is left out of the figures.
+func (s *Scene) WarmTime() time.Duration {
+	if s.WarmUp == 0 {
+		return WarmUp
+	}
+	return s.WarmUp
+}
+
 // Constants of the model.
 const (
-	// WarmUp is left out of the figures: the first tables are laid without any
-	// knowledge of load.
+	// WarmUp is the usual time that is left out of the figures.
 	WarmUp = 2 * time.Minute
 	// MovePause is how long a planned move keeps a shard's requests waiting.
 	MovePause = 20 * time.Millisecond
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -138,7 +138,7 @@
 // "never" in some fields.
 func (r *run[P]) now() mtclock.Instant { return mtclock.Instant(time.Hour).Add(r.at) }
 
-func (r *run[P]) warm() bool { return r.at >= WarmUp }
+func (r *run[P]) warm() bool { return r.at >= r.scene.WarmTime() }
 
 func (r *run[P]) step() {
 	r.scene.Load(r.at, r.load)
@@ -426,7 +426,7 @@
 			continue
 		}
 		load := r.claimed(i, byServer[i]) / r.slots(i)
-		if !r.paces[i].Due(r.now(), r.holder(i), r.holder(0), load, 0) {
+		if !r.paces[i].Due(r.now(), r.holder(i), r.holder(0), load, mtload.Spread(len(r.scene.Servers))) {
 			continue
 		}
 		r.paces[i].Sent(r.now(), load)
@@ -645,7 +645,7 @@
 func (r *run[P]) finish() Result {
 	result := &r.result
 	result.Scene, result.Policy = r.scene.Name, r.policy.Name()
-	measured := result.Series[int(WarmUp/time.Second):]
+	measured := result.Series[int(r.scene.WarmTime()/time.Second):]
 	result.Mean = average(measured)
 	sorted := slices.Sorted(slices.Values(measured))
 	result.P99 = sorted[len(sorted)*99/100]
@@ -659,7 +659,7 @@
 		result.Shards += len(t.Shards)
 	}
 	result.ChunkBytes, result.StepBytes = sizes(r.tables)
-	counted := r.totals.perMinute[int(WarmUp/time.Minute):]
+	counted := r.totals.perMinute[int(r.scene.WarmTime()/time.Minute):]
 	for _, bytes := range counted {
 		result.ReportRate += bytes / seconds
 		result.ReportPeak = max(result.ReportPeak, bytes/time.Minute.Seconds())
--- a/core/mtscene/scenes.go
+++ b/core/mtscene/scenes.go
@@ -352,10 +352,15 @@
 	}
 }
 
+// largeWarmUp covers the four minutes over which several hundred servers report
+// to a new planner.
+const largeWarmUp = 5 * time.Minute
+
 // Fleet480 is the largest fleet that is planned for, its tables in that many
 // chunks.
 func Fleet480(seed uint64, chunks int) Scene {
-	s := HotKeys(seed, 480, 100000, 25000, chunks, 10*time.Minute)
+	s := HotKeys(seed, 480, 100000, 25000, chunks, 14*time.Minute)
+	s.WarmUp = largeWarmUp
 	s.Name = fmt.Sprintf("480 servers, %d chunks", chunks)
 	return s
 }
@@ -365,7 +370,7 @@
 	const n, keys = 480, 100000
 	p := newPopulation(hotels, keys/100, 100, n*hotelSlots*usual, even, source(seed))
 	return Scene{
-		Name: fmt.Sprintf("480 servers at rest, %d chunks", chunks), Ref: hotels, Length: 12 * time.Minute,
+		Name: fmt.Sprintf("480 servers at rest, %d chunks", chunks), Ref: hotels, Length: 14 * time.Minute, WarmUp: largeWarmUp,
 		Servers: servers(n, riga, hotelSlots), Keys: p.points,
 		Shards: 25000, Chunks: chunks, Weights: hotelWeights, Busy: hotelBusy, Seed: seed, Load: p.at,
 	}
--- a/io/mtplanner/reporter.go
+++ b/io/mtplanner/reporter.go
@@ -31,9 +31,6 @@
 	measureTime = time.Second
 	// reportTimeout bounds one report.
 	reportTimeout = 2 * time.Second
-	// spreadEach is how long the reports to a new leader are spread out for
-	// each server of the service.
-	spreadEach = time.Second
 )
 
 // reporter is the duty that reports the load of this daemon's shards.
@@ -110,8 +107,7 @@
 	report := meter.Report(now, self, ref, func(low mtid.Point) bool { return r.owns(self, ref, low) })
 	leader := mtplan.Leader(ref, leaders(servers))
 	load := report.Load / slots
-	spread := min(spreadEach*time.Duration(len(servers)), mtload.MaxPause)
-	if !pace.Due(now, self, leader, load, spread) {
+	if !pace.Due(now, self, leader, load, mtload.Spread(len(servers))) {
 		return
 	}
 	pace.Sent(now, load)
