--- a/core/mtload/mtload_test.go
+++ b/core/mtload/mtload_test.go
@@ -132,6 +132,21 @@
 	}
 }
 
+// A shard leaves an overloaded server while a hot key on it still grows, so that
+// its total stays the same. The planner believes that it fell, and must be told.
+func TestPaceReportsAfterAMove(t *testing.T) {
+	var pace mtload.Pace
+	pace.Shards(1)
+	pace.Due(at(0), a, b, 1.2, 0)
+	pace.Sent(at(0), 1.2)
+	pace.Heard(1, mtload.MaxPause, false)
+	assert.Assert(t, !pace.Due(at(60*time.Second), a, b, 1.2, 0), "nothing has changed")
+	pace.Shards(2)
+	assert.Assert(t, pace.Due(at(60*time.Second), a, b, 1.2, 0))
+	pace.Sent(at(60*time.Second), 1.2)
+	assert.Assert(t, !pace.Due(at(64*time.Second), a, b, 1.2, 0))
+}
+
 // A report or its reply is lost. It must go out again, even if nothing has
 // changed since, or the planner works from an old figure for minutes.
 func TestPaceRepeatsAnUnansweredReport(t *testing.T) {
--- a/core/mtload/pace.go
+++ b/core/mtload/pace.go
@@ -52,10 +52,18 @@
 	mean     float64 // load per slot of the fleet, as last told
 	reported bool    // whether anything was ever sent
 	answered bool    // whether the last report was, and no other is wanted
+	mark     uint64  // of the shards that the daemon has
+	saidMark uint64  // of those that it had when it last reported
 	known    bool    // whether the present leader has had a report
 	told     bool    // whether any planner has told the mean
 }
 
+// Shards notes which shards the daemon has, by any mark that differs when they
+// do. It is called before Due. The planner counts a shard that moved at its new
+// owner at once; if another grew meanwhile, the owner's total is what it last
+// said, and yet the planner takes it for less.
+func (p *Pace) Shards(mark uint64) { p.mark = mark }
+
 // Due reports whether to send now, given the load per slot. It is called once a
 // second or so with the planner as the daemon sees it.
 //
@@ -75,13 +83,18 @@
 	if p.known && change > Jump*p.mean {
 		return true
 	}
-	if !p.known && p.told && load > p.mean*(1+Band) {
+	above := p.told && load > p.mean*(1+Band)
+	moved := p.mark != p.saidMark && now.Sub(p.sent) >= AgainPause
+	if p.known && above && moved {
+		return true
+	}
+	if !p.known && above {
 		return true
 	}
 	if now.Before(p.until) {
 		return false
 	}
-	return !p.known || !p.answered || now.Sub(p.sent) >= Refresh || change > Change*p.mean
+	return !p.known || !p.answered || moved || now.Sub(p.sent) >= Refresh || change > Change*p.mean
 }
 
 // Sent notes that a report with that load per slot went out, whether or not it
@@ -89,6 +102,7 @@
 func (p *Pace) Sent(now mtclock.Instant, load float64) {
 	p.sent = now
 	p.said = load
+	p.saidMark = p.mark
 	p.reported = true
 	p.answered = false
 	p.until = now.Add(MinPause)
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -426,6 +426,7 @@
 			continue
 		}
 		load := r.claimed(i, byServer[i]) / r.slots(i)
+		r.paces[i].Shards(mark(byServer[i]))
 		if !r.paces[i].Due(r.now(), r.holder(i), r.holder(0), load, mtload.Spread(len(r.scene.Servers))) {
 			continue
 		}
@@ -436,6 +437,15 @@
 	}
 }
 
+// mark returns a number that differs when the shards do.
+func mark(shards []ownedLoad) uint64 {
+	var lows uint64
+	for _, s := range shards {
+		lows ^= uint64(s.shard.Low)
+	}
+	return lows
+}
+
 // reportBytes returns what a report costs the planner's daemon on the wire.
 func reportBytes(report *mtload.Report) float64 {
 	return float64(proto.Size(report.Wire()) + mtload.ReportHeaders)
--- a/io/mtplanner/reporter.go
+++ b/io/mtplanner/reporter.go
@@ -107,6 +107,7 @@
 	report := meter.Report(now, self, ref, func(low mtid.Point) bool { return r.owns(self, ref, low) })
 	leader := mtplan.Leader(ref, leaders(servers))
 	load := report.Load / slots
+	pace.Shards(r.mark(self, ref))
 	if !pace.Due(now, self, leader, load, mtload.Spread(len(servers))) {
 		return
 	}
@@ -149,6 +150,22 @@
 	return ok && shard.Low == low && shard.Owner == self
 }
 
+// mark returns a number that differs when this daemon's shards do.
+func (r *reporter) mark(self mtid.Holder, ref mtid.Ref) uint64 {
+	var lows uint64
+	for chunk := 0; ; chunk++ {
+		table, ok := r.view.Table(ref, chunk)
+		if !ok {
+			return lows
+		}
+		for i := range table.Shards {
+			if table.Shards[i].Owner == self {
+				lows ^= uint64(table.Shards[i].Low)
+			}
+		}
+	}
+}
+
 // slotsOf returns the slots of this daemon's server.
 func slotsOf(self mtid.Holder, ref mtid.Ref, servers []*mtroster.Record) (float64, bool) {
 	for _, record := range servers {
