Tell peers of a change that callers wait for at once

Cause: a change reached the daemons that don't watch the store by renewals, half a period at each: after a loss callers were sent to the lost owner for that long. Change: a daemon that learns of a new bundle or assignment sends its frontier at once to the peers that are not as far, at most once a second.

--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -34,6 +34,8 @@
 	business     = "ratins"
 	forceTimeout = 30 * time.Second
 	forcePoll    = time.Millisecond
+	// changePause keeps changes apart, as 1,900 a day are.
+	changePause = 1230 * time.Millisecond
 )
 
 // fleetCommand measures whole daemons, all in this process.
@@ -176,6 +178,7 @@
 			return nil, err
 		}
 		took = append(took, d)
+		time.Sleep(changePause)
 	}
 	slices.Sort(took)
 	return took, nil
--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/grpc"
@@ -132,9 +134,20 @@
 	if err != nil {
 		return err
 	}
+	need[*mtsync.Sync](d, NameSync).OnChange(func(names []string) {
+		if slices.ContainsFunc(names, urgent) {
+			duty.Tell()
+		}
+	})
 	return mtkernel.Register(d.kernel, NameRenew, duty, cleanUp)
 }
 
+// urgent reports whether callers wait for the change of a value. Records change
+// more often, and only the daemons themselves go by them.
+func urgent(name string) bool {
+	return strings.HasPrefix(name, mtstore.Shard) || strings.HasPrefix(name, mtstore.Bundle)
+}
+
 func (d *Daemon) addMember() error {
 	s, at := d.config.Settings, d.Addresses()
 	relay := need[*mtrelay.Client](d, NameRelay)
--- a/io/mtrenew/mtrenew.go
+++ b/io/mtrenew/mtrenew.go
@@ -95,6 +95,14 @@
 	early = mtlease.Period * 2 / 5
 )
 
+const (
+	// tellPause is the least time between two rounds of Tell: a change that is
+	// followed by others must not double the traffic of the lease.
+	tellPause = time.Second
+	// peerAge is how long a silent peer is still told.
+	peerAge = 5 * mtlease.Period
+)
+
 // inbound is an authentic datagram.
 type inbound struct {
 	message *mtwire.Renew
@@ -129,6 +137,15 @@
 	asked    map[mtid.Holder]mtclock.Instant
 	owed     map[mtid.Daemon]owed
 	windows  map[mtid.Daemon]*window
+	peers    map[mtid.Holder]peer // who was heard of within peerAge
+	told     mtclock.Instant      // when Tell last sent
+}
+
+// peer is what the last datagram of another daemon said.
+type peer struct {
+	address  netip.AddrPort
+	frontier mtid.Revision
+	at       mtclock.Instant
 }
 
 // owed is an answer that waits for the next datagram to its asker.
@@ -162,6 +179,7 @@
 		asked:   make(map[mtid.Holder]mtclock.Instant),
 		owed:    make(map[mtid.Daemon]owed),
 		windows: make(map[mtid.Daemon]*window),
+		peers:   make(map[mtid.Holder]peer),
 	}
 	stop := make(chan struct{})
 	var duties sync.WaitGroup
@@ -456,6 +474,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.wake()
+	d.peers[from] = peer{address: in.source, frontier: mtid.Revision(m.GetFrontier()), at: now}
 	d.answered(now, from, m)
 	if m.GetAsk() != 0 {
 		d.asks(from, m, in.source)
@@ -553,6 +572,34 @@
 	d.send(w, d.message(w, &ask, answer), to)
 }
 
+// Tell sends the frontier at once to the peers that are not known to be as far,
+// instead of with the next renewal. It is called when something changed that
+// callers wait for, such as the owners after a loss: on its way through the
+// fleet such news would otherwise wait half a period at each daemon. A call
+// within tellPause of the last round does nothing; the renewals carry it. It
+// returns how many peers were told.
+func (d *Duty) Tell() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Clock.Now()
+	if d.lease == nil || (d.told != 0 && now.Sub(d.told) < tellPause) {
+		return 0
+	}
+	count := 0
+	frontier := d.config.View.Frontier()
+	for to, p := range d.peers {
+		switch {
+		case now.Sub(p.at) > peerAge:
+			delete(d.peers, to)
+		case p.frontier < frontier:
+			d.send(to, d.message(to, nil, nil), p.address)
+			d.told = now
+			count++
+		}
+	}
+	return count
+}
+
 // message returns the next datagram to a peer.
 func (d *Duty) message(to mtid.Holder, ask *mtlease.Ask, answer *mtlease.Answer) *mtwire.Renew {
 	d.sequence++
