Name sixteen survivors of a loss, not all

Cause: with the 250 chunks that watching the store asks for, the op of a chunk whose owners are few can't be shortened, and named all 384 survivors of a zone's loss: 2,752,140 bytes for each of 480 daemons (go run ./cmd/capacity state). Ruled out: larger chunks, which cost a watching daemon 207 KB/s (PLACEMENT.md). Change: the 16 survivors that rank first for the chunk take over. A holder takes part in at most 2.5 times the mean number of chunks (TestSurvivorsAreSpread).

--- a/cmd/capacity/state.go
+++ b/cmd/capacity/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -24,8 +25,9 @@
 // changes a daemon's load by about two per cent.
 const shardsPerDaemon = 52
 
-// chunkShards is how many shards a chunk holds at most: about 256 KB stored.
-const chunkShards = 8192
+// chunkShards is how many shards a chunk holds at most. A daemon that watches the
+// store reads a whole chunk for each write (see PLACEMENT.md).
+const chunkShards = 100
 
 // stateCommand measures the copy of the live state at three sizes.
 type stateCommand struct{}
@@ -100,13 +102,29 @@
 	shards := daemons * shardsPerDaemon
 	chunks := (shards + chunkShards - 1) / chunkShards
 	for c := range chunks {
-		table, err := mtshard.New(w.ref, c, chunks).Apply(mtroster.Stamp{}, mtshard.Create{Shards: shards / chunks, Among: w.holders})
+		table, err := mtshard.New(w.ref, c, chunks).Apply(mtroster.Stamp{}, mtshard.Create{Shards: shards / chunks, Among: w.near(c, chunks)})
 		must(err)
 		w.tables = append(w.tables, table)
 	}
 	return w
 }
 
+// ownersPerChunk is among how many daemons a chunk is laid: the planner keeps a
+// server's shards in few chunks.
+const ownersPerChunk = 4
+
+// near returns the daemons that a chunk is laid among, going round the fleet.
+func (w *world) near(chunk, chunks int) []mtid.Holder {
+	if chunks*ownersPerChunk < len(w.holders) {
+		return w.holders
+	}
+	var out []mtid.Holder
+	for i := range ownersPerChunk {
+		out = append(out, w.holders[(chunk*len(w.holders)/chunks+i*len(w.holders)/ownersPerChunk)%len(w.holders)])
+	}
+	return out
+}
+
 // must ends the program: its own input can't be wrong unless the code is.
 func must(err error) {
 	if err != nil {
@@ -214,8 +232,16 @@
 	lost := w.holders[:len(w.holders)/zones]
 	size := 0
 	for i, t := range w.tables {
-		next, err := t.Apply(mtroster.Stamp{Writer: w.holders[len(w.holders)-1]},
-			t.Short(mtshard.Failover{Lost: lost, Among: w.holders[len(lost):]}))
+		op := mtshard.Failover{Among: t.Survivors(w.holders[len(lost):])}
+		for _, owner := range t.Owners() {
+			if slices.Contains(lost, owner) {
+				op.Lost = append(op.Lost, owner)
+			}
+		}
+		if len(op.Lost) == 0 {
+			continue
+		}
+		next, err := t.Apply(mtroster.Stamp{Writer: w.holders[len(w.holders)-1]}, t.Short(op))
 		must(err)
 		w.tables[i] = next
 		size += w.merge(view, next)
--- a/core/mtscene/run.go
+++ b/core/mtscene/run.go
@@ -271,9 +271,9 @@
 			r.unavailable(s.load, LossPause)
 		}
 	}
-	op := mtshard.Failover{Lost: dead, Among: r.holders(serving)}
-	for chunk := range r.tables {
-		r.apply(chunk, op)
+	survivors := r.holders(serving)
+	for chunk, table := range r.tables {
+		r.apply(chunk, mtshard.Failover{Lost: dead, Among: table.Survivors(survivors)})
 	}
 }
 
--- a/core/mtshard/mtshard.go
+++ b/core/mtshard/mtshard.go
@@ -245,9 +245,7 @@
 		seen[s.Owner] = true
 	}
 	owners := slices.Collect(maps.Keys(seen))
-	slices.SortFunc(owners, func(a, b mtid.Holder) int {
-		return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+	slices.SortFunc(owners, compareHolders)
 	return owners
 }
 
@@ -312,6 +310,30 @@
 	return best
 }
 
+// MaxSurvivors is how many holders take over from the lost owners of a chunk.
+// Naming all of 480 cost each daemon 2.7 MB for the loss of an availability zone
+// in 250 chunks. Chunks choose differently, so the loss of many owners is still
+// spread over all.
+const MaxSurvivors = 16
+
+// Survivors returns who takes over in a chunk: the first MaxSurvivors of the
+// holders by rendezvous rank for the chunk, ordered by name. All daemons that
+// see the same holders choose alike.
+func (t *Table) Survivors(among []mtid.Holder) []mtid.Holder {
+	low := t.Service.Point("") + ChunkLow(t.Chunk, t.Chunks)
+	ranked := slices.Clone(among)
+	slices.SortFunc(ranked, func(a, b mtid.Holder) int {
+		return cmp.Or(cmp.Compare(mtid.Rank(b.Daemon, low), mtid.Rank(a.Daemon, low)), cmp.Compare(a.Daemon, b.Daemon))
+	})
+	ranked = ranked[:min(len(ranked), MaxSurvivors)]
+	slices.SortFunc(ranked, compareHolders)
+	return ranked
+}
+
+func compareHolders(a, b mtid.Holder) int {
+	return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
 func (o Create) apply(t *Table) error {
 	if len(t.Shards) > 0 {
 		return &OpError{Op: o, Reason: "the chunk has shards already"}
--- a/core/mtshard/mtshard_test.go
+++ b/core/mtshard/mtshard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 
@@ -211,3 +212,28 @@
 		table.Lookup(1 << 60)
 	})
 }
+
+// An availability zone is lost. If the few that take over in each chunk were
+// mostly the same, they would drown in the lost zone's load.
+func TestSurvivorsAreSpread(t *testing.T) {
+	const chunks, holders = 250, 384
+	var among []mtid.Holder
+	for i := range holders {
+		among = append(among, mtid.Holder{Daemon: mtid.Daemon(fmt.Sprintf("centrs-%d", i)), Incarnation: 1})
+	}
+	taken := map[mtid.Holder]int{}
+	for chunk := range chunks {
+		got := mtshard.New(ref, chunk, chunks).Survivors(among)
+		assert.Equal(t, len(got), mtshard.MaxSurvivors)
+		for _, h := range got {
+			taken[h]++
+		}
+	}
+	mean := float64(chunks*mtshard.MaxSurvivors) / holders
+	most := 0
+	for _, n := range taken {
+		most = max(most, n)
+	}
+	assert.Assert(t, float64(most) <= 2.5*mean, "one takes part in %d chunks, the mean is %.1f", most, mean)
+	assert.Assert(t, len(taken) > holders*99/100, "only %d of %d take part", len(taken), holders)
+}
--- a/core/mttakeover/failover.go
+++ b/core/mttakeover/failover.go
@@ -84,7 +84,8 @@
 }
 
 // Failover returns the op that gives the shards of all fenced owners in table
-// to live daemons that offer the service. It returns false if no owner is
+// to some of the live daemons that offer the service, by their rank for the chunk
+// (see mtshard.Table.Survivors). It returns false if no owner is
 // fenced, or if no daemon could take over: then the shards wait for one.
 func Failover(table *mtshard.Table, roster Roster) (mtshard.Failover, bool) {
 	var op mtshard.Failover
@@ -102,11 +103,9 @@
 			op.Among = append(op.Among, record.Holder)
 		}
 	}
-	slices.SortFunc(op.Lost, compareHolders)
-	slices.SortFunc(op.Among, compareHolders)
+	op.Among = table.Survivors(op.Among)
+	slices.SortFunc(op.Lost, func(a, b mtid.Holder) int {
+		return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 	return op, len(op.Among) > 0
 }
-
-func compareHolders(a, b mtid.Holder) int {
-	return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
-}
