Measure the recovery from a lost VM and a lost zone, and size chunks by shards

Cause: recovery was measured up to the stored table only, and a bundle without chunks got one, which a large service can't watch. Change: cmd/capacity loss measures until every daemon left knows a live owner for each key; chunks default to one for each hundred shards, up to 1,024.

--- /dev/null
+++ b/cmd/capacity/loss.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtdaemon"
+	"magnoliaturn/io/mtfleet"
+)
+
+// lossCommand measures how long it takes until every daemon left knows a live
+// owner for every key, after a VM and after an availability zone is lost.
+type lossCommand struct {
+	sizes  string
+	settle time.Duration
+	rounds int
+}
+
+// Name implements subcommands.Command.
+func (*lossCommand) Name() string { return "loss" }
+
+// Synopsis implements subcommands.Command.
+func (*lossCommand) Synopsis() string { return "measure the recovery from a lost VM and a lost zone" }
+
+// Usage implements subcommands.Command.
+func (*lossCommand) Usage() string {
+	return "loss [-sizes 8,16,32] [-settle 40s] [-rounds 3]\n  Example: go run ./cmd/capacity loss -sizes 8,16,32\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *lossCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.sizes, "sizes", "8,16,32", "`numbers` of daemons")
+	f.DurationVar(&c.settle, "settle", 40*time.Second, "how long to wait after the start, until witnesses are paired")
+	f.IntVar(&c.rounds, "rounds", 3, "how many VMs to lose one after another before the zone")
+}
+
+// Execute implements subcommands.Command.
+func (c *lossCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	const padding = 2
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "daemons\tVM lost, median s\tlongest s\tzone: VMs lost\tzone lost s\t")
+	for _, text := range strings.Split(c.sizes, ",") {
+		size, err := strconv.Atoi(text)
+		if err != nil || size < 8 {
+			fmt.Fprintf(os.Stderr, "sizes: %q: accepted are whole numbers from 8\n", text)
+			return subcommands.ExitUsageError
+		}
+		if err := c.measure(w, size); err != nil {
+			fmt.Fprintln(os.Stderr, "loss:", err)
+			return subcommands.ExitFailure
+		}
+	}
+	_ = w.Flush()
+	return subcommands.ExitSuccess
+}
+
+func (c *lossCommand) measure(w *tabwriter.Writer, size int) error {
+	f, cleanUp, err := mtfleet.New(deployment(size))
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	time.Sleep(c.settle)
+	var singles []time.Duration
+	for i := range c.rounds {
+		// Daemons go round the four zones; the ones lost here are of zones
+		// other than the first, which is lost as a whole in the end.
+		took, err := lose(f, []int{1 + 4*i/3 + i%3})
+		if err != nil {
+			return err
+		}
+		singles = append(singles, took)
+		time.Sleep(c.settle / 4)
+	}
+	var zone []int
+	for i := 0; i < size; i += 4 {
+		zone = append(zone, i)
+	}
+	took, err := lose(f, zone)
+	if err != nil {
+		return err
+	}
+	slices.Sort(singles)
+	_, err = fmt.Fprintf(w, "%d\t%.2f\t%.2f\t%d\t%.2f\t\n", size, singles[len(singles)/2].Seconds(),
+		singles[len(singles)-1].Seconds(), len(zone), took.Seconds())
+	return err
+}
+
+// LossError says that keys were still without a live owner after a loss.
+type LossError struct{ After time.Duration }
+
+// Error implements error.
+func (e *LossError) Error() string { return fmt.Sprintf("keys had no live owner after %s", e.After) }
+
+// lose ends daemons with their servers and returns when all that are left know
+// a live owner for each shard.
+func lose(f *mtfleet.Fleet, places []int) (time.Duration, error) {
+	lost := map[mtid.Holder]bool{}
+	for _, i := range places {
+		lost[f.Daemons()[i].Self()] = true
+	}
+	begin := time.Now()
+	f.Lose(places...)
+	for {
+		if recovered(f, lost) {
+			return time.Since(begin), nil
+		}
+		if time.Since(begin) > forceTimeout {
+			return 0, &LossError{After: forceTimeout}
+		}
+		time.Sleep(forcePoll)
+	}
+}
+
+// recovered reports whether no daemon left knows a lost one as an owner.
+func recovered(f *mtfleet.Fleet, lost map[mtid.Holder]bool) bool {
+	ref := mtid.Ref{Business: business, Service: "dispatch"}
+	for _, d := range f.Living() {
+		view, err := mtkernel.Lookup[*mtview.View](d.Kernel(), mtdaemon.NameView)
+		must(err)
+		for _, table := range view.Now().Tables(ref) {
+			for _, shard := range table.Shards {
+				if lost[shard.Owner] {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -4,6 +4,7 @@
 //
 //	go run ./cmd/capacity state   sizes, memory and time of the copied state
 //	go run ./cmd/capacity fleet   daemons at rest, and the spread of a change
+//	go run ./cmd/capacity loss    recovery from a lost VM and a lost zone
 //
 // Everything runs in this process and on loopback. Figures of time depend on
 // the machine; compare only within one run.
@@ -21,6 +22,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&stateCommand{}, "")
 	subcommands.Register(&fleetCommand{}, "")
+	subcommands.Register(&lossCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/core/mtbundle/parse.go
+++ b/core/mtbundle/parse.go
@@ -23,7 +23,7 @@
 	MaxClasses  = 32 // of one service
 	MaxSigners  = 64
 	MaxShards   = 65536
-	MaxChunks   = 64
+	MaxChunks   = 1024
 	MaxTimeout  = 5 * time.Minute
 	MinTimeout  = time.Millisecond
 	MaxQueue    = 65536
@@ -118,6 +118,14 @@
 	return services
 }
 
+// chunksFor returns the chunks that a service's assignment is stored in unless
+// its bundle says otherwise: about one for each hundred shards. A daemon that
+// watches the store reads a whole chunk for each write (see PLACEMENT.md).
+func chunksFor(shards int) int {
+	const shardsPerChunk = 100
+	return min(max((shards+shardsPerChunk-1)/shardsPerChunk, 1), MaxChunks)
+}
+
 func parseService(f *mtini.File, s *mtini.Section) Service {
 	if !mtini.IsName(s.Word(1)) {
 		s.Fault("", s.Word(1), "a name of up to 63 characters")
@@ -130,9 +138,9 @@
 			Churn:          s.Float("churn", 1, 0, MaxWeight),
 			Unavailability: s.Float("unavailability", 1, 0, MaxWeight),
 		},
-		Chunks: s.Int("chunks", 1, 1, MaxChunks),
+		Shards: s.Int("shards", defaultShards, 1, MaxShards),
 	}
-	service.Shards = s.Int("shards", max(defaultShards, service.Chunks), service.Chunks, MaxShards)
+	service.Chunks = s.Int("chunks", chunksFor(service.Shards), 1, min(MaxChunks, max(service.Shards, 1)))
 	for _, c := range f.Kind("class", 2) {
 		if c.Word(1) == s.Word(1) {
 			service.Classes = append(service.Classes, parseClass(c))
--- a/io/mtfleet/mtfleet.go
+++ b/io/mtfleet/mtfleet.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"magnoliaturn/core/mtaudit"
@@ -86,6 +87,7 @@
 	stop    func()
 	done    chan error
 	lose    func() // daemon and server end without a word
+	lost    bool
 }
 
 // Fleet is a deployment that is up. Its methods are called from one goroutine.
@@ -124,6 +126,27 @@
 	return out
 }
 
+// Living returns the daemons that were not lost.
+func (f *Fleet) Living() []*mtdaemon.Daemon {
+	var out []*mtdaemon.Daemon
+	for _, n := range f.nodes {
+		if !n.lost {
+			out = append(out, n.daemon)
+		}
+	}
+	return out
+}
+
+// Lose ends VMs, daemon and server, all at once and without a word to anyone.
+func (f *Fleet) Lose(places ...int) {
+	var losing sync.WaitGroup
+	for _, i := range places {
+		f.nodes[i].lost = true
+		losing.Go(f.nodes[i].lose)
+	}
+	losing.Wait()
+}
+
 // Store returns the store stand-in.
 func (f *Fleet) Store() *iostore.Memory { return f.store }
 
@@ -197,10 +220,10 @@
 		cancel()
 		return err
 	}
-	n.lose = func() {
+	n.lose = sync.OnceFunc(func() {
 		loseServer()
 		cleanUp()
-	}
+	})
 	f.nodes = append(f.nodes, n)
 	f.clean = append(f.clean, cancel, n.lose)
 	return nil
--- a/io/mtfleet/run.go
+++ b/io/mtfleet/run.go
@@ -85,7 +85,7 @@
 	}
 	time.Sleep(f.Length / parts)
 	f.mark("loss of a VM")
-	f.nodes[0].lose()
+	f.Lose(0)
 }
 
 // move moves one shard of the first service from its first instance to the
@@ -113,9 +113,11 @@
 // way an upgrade does.
 func (f *Fleet) shutdown() {
 	f.mark("shutdown")
-	for _, n := range f.nodes[1:] {
-		n.stop()
-		<-n.done
+	for _, n := range f.nodes {
+		if !n.lost {
+			n.stop()
+			<-n.done
+		}
 	}
 }
 
