Answer what the planner asks for without waiting in line

Cause: with late reports the believed mean stayed 9 % too high for a minute, since the reports that would settle it waited for the planner's pause.

--- a/core/mtload/mtload.go
+++ b/core/mtload/mtload.go
@@ -142,7 +142,7 @@
 type Reply struct {
 	Mean  float64       // load per slot over all servers
 	Pause time.Duration // least time until the next report
-	Again bool          // whether another report is wanted after the pause
+	Again bool          // whether another report is wanted soon in any case
 }
 
 // Wire returns the form of r that is sent.
--- a/core/mtload/pace.go
+++ b/core/mtload/pace.go
@@ -108,15 +108,15 @@
 	p.until = now.Add(MinPause)
 }
 
-// Heard notes the planner's reply; again says that it wants another report after
-// the pause in any case.
+// Heard notes the planner's reply; again says that it wants another report soon
+// in any case: until it has come, the planner counts a load twice or not at all.
 func (p *Pace) Heard(mean float64, pause time.Duration, again bool) {
 	p.known = true
 	p.told = true
 	p.answered = !again
 	p.mean = mean
 	if again {
-		pause = max(pause, AgainPause)
+		pause = AgainPause
 	}
 	p.until = p.sent.Add(min(max(pause, MinPause), MaxPause))
 }
