Run no old order alone that is not run at all

Cause: After a takeover a resend of an order took the whole server for itself at the gate, only to be answered as unknown by the memory behind it.

Change: Only idempotent requests become suspects by the age of their identifier; a table test of what is exposed.

Measured: go test -race ./io/mtowner passes; the case is in TestWhatIsExposed.

Conclusion: None.

--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -201,7 +201,7 @@
 		o.Meter(r.Service).Arrive(now, f.low, r.Point())
 	}
 	if service.Kind == mtbundle.Keyed {
-		o.expose(r, f.holder)
+		o.expose(r, class, f.holder)
 	}
 	switch o.Poison.Judge(r) {
 	case mtpoison.Quarantined:
--- a/io/mtowner/recent.go
+++ b/io/mtowner/recent.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrecent"
 	"magnoliaturn/core/mtreply"
@@ -188,14 +189,15 @@
 // down. What that owner knew is lost with it, and if the caller asked it
 // directly, nobody else knew. Two signs are left: the range came from a lost
 // owner lately, and the caller's identifier is from before that. With both, the
-// request is a suspect.
-func (o *Owner) expose(r *mtrequest.Request, self mtid.Holder) {
+// request is a suspect; one that isn't idempotent needn't be, since it is
+// answered as unknown and never run.
+func (o *Owner) expose(r *mtrequest.Request, class *mtbundle.Class, self mtid.Holder) {
 	tables := o.View.Now().Tables(r.Service)
 	memory := o.recent(r.Service)
 	memory.adopt(o.Clock, self, tables[mtshard.ChunkOf(r.Point(), len(tables))])
 	lost, ok := memory.lost(r.Point())
 	r.Exposed = ok && o.Clock.Wall().Before(lost.Add(exposure))
-	if r.Exposed && !r.Minted && !r.ID.Made().After(lost) {
+	if r.Exposed && class.Idempotent && !r.Minted && !r.ID.Made().After(lost) {
 		r.Suspect = true
 	}
 }
--- a/io/mtowner/recent_test.go
+++ b/io/mtowner/recent_test.go
@@ -50,6 +50,10 @@
 [class dispatch send]
 idempotent = no
 timeout = 5s
+
+[class dispatch status]
+idempotent = yes
+timeout = 5s
 `
 
 var (
@@ -245,3 +249,39 @@
 	assert.Equal(t, b.Serve(context.Background(), order).Outcome, mtreply.Answered)
 	assert.Equal(t, b.runs[order.ID.String()], 1, "it ran again")
 }
+
+// A shard came from a lost daemon. What may have taken that VM down runs alone
+// and under a peer's eyes, which the marks on the request say.
+func TestWhatIsExposed(t *testing.T) {
+	tests := []struct {
+		name    string
+		class   mtid.Class
+		age     time.Duration // of the identifier, over the takeover
+		minted  bool
+		after   time.Duration // of the request, over the takeover
+		exposed bool
+		suspect bool
+	}{
+		{"identifier from before", "status", time.Second, false, time.Second, true, true},
+		{"identifier from before, made by the ingress", "status", time.Second, true, time.Second, true, false},
+		{"identifier from before, not idempotent", "send", time.Second, false, time.Second, true, false},
+		{"identifier from after", "status", -time.Second, false, 2 * time.Second, true, false},
+		{"long after", "status", time.Second, false, time.Minute, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.apply(mtshard.New(dispatch, 0, 2), mtshard.Create{Shards: 1, Among: []mtid.Holder{self}})
+			table := b.apply(mtshard.New(dispatch, 1, 2), mtshard.Create{Shards: 1, Among: []mtid.Holder{other}})
+			b.apply(table, mtshard.Failover{Lost: []mtid.Holder{other}, Among: []mtid.Holder{self}})
+			b.Adopt()
+			r := b.order(1)
+			r.ID = mtrequest.Mint(b.clock.Wall().Add(-tt.age), [10]byte{1})
+			r.Class, r.Minted = tt.class, tt.minted
+			b.clock.pass(tt.after)
+			b.Serve(context.Background(), r)
+			assert.Equal(t, r.Exposed, tt.exposed)
+			assert.Equal(t, r.Suspect, tt.suspect)
+		})
+	}
+}
