--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -89,12 +89,13 @@
 	kernel    *mtkernel.Kernel
 	sequence  atomic.Uint64
 	listeners *listeners
+	stopped   *mtmetric.Times // of shards that were handed over
 }
 
 // New puts a daemon together, opens its listeners and starts its duties. The
 // clean-up function ends them; Run calls it too.
 func New(config Config) (*Daemon, func(), error) {
-	d := &Daemon{config: config, kernel: mtkernel.New()}
+	d := &Daemon{config: config, kernel: mtkernel.New(), stopped: mtmetric.NewTimes()}
 	steps := []func() error{
 		d.addMetrics, d.addClock, d.addStore, d.addKeys, d.addView, d.addRelay, d.addSync, d.addServers,
 		d.open, d.addRenew, d.addMember, d.addPoison, d.addOwner, d.addMover, d.addRouter, d.addFigures,
@@ -138,6 +139,7 @@
 
 func (d *Daemon) addMetrics() error {
 	metrics, cleanUp := mtmetric.New()
+	metrics.Gauge("move", "stopped", func() any { return d.stopped.Summary() })
 	return mtkernel.Register(d.kernel, NameMetrics, metrics, cleanUp)
 }
 
@@ -147,6 +149,9 @@
 	return func(name string) { metrics.Counter(duty, name).Add(1) }
 }
 
+// Stopped returns how long shards took no work while they were handed over.
+func (d *Daemon) Stopped() *mtmetric.Times { return d.stopped }
+
 // Counter returns the value of a duty's counter.
 func (d *Daemon) Counter(duty, name string) int64 {
 	return need[*mtmetric.Metrics](d, NameMetrics).Counter(duty, name).Value()
@@ -269,6 +274,7 @@
 		Clock:   need[*mttime.Clock](d, NameClock),
 		Log:     d.config.Log,
 		Count:   d.counter("move"),
+		Stopped: d.stopped.Record,
 		Refresh: need[*mtsync.Sync](d, NameSync).Refresh,
 	})
 	return mtkernel.Register(d.kernel, NameMover, mover, cleanUp)
--- a/io/mtmover/mtmover.go
+++ b/io/mtmover/mtmover.go
@@ -78,6 +78,8 @@
 	Log    *slog.Logger
 	// Count adds one to a counter of this duty.
 	Count func(name string)
+	// Stopped is told how long a shard that was handed over took no work here.
+	Stopped func(d time.Duration)
 	// Refresh is called after a write, so that the store's revision is learnt.
 	Refresh func()
 }
@@ -86,8 +88,9 @@
 type Mover struct {
 	Config
 	events *mtring.Ring[func(now mtclock.Instant)]
-	moves  *mtmove.Moves // of the duty alone
-	self   mtid.Holder   // the life that moves belongs to
+	moves  *mtmove.Moves                    // of the duty alone
+	self   mtid.Holder                      // the life that moves belongs to
+	since  map[mtmove.Place]mtclock.Instant // when moving shards were stopped
 	work   sync.WaitGroup
 	ctx    context.Context
 	closed chan struct{}
@@ -100,6 +103,7 @@
 		Config: config,
 		events: mtring.New[func(mtclock.Instant)](eventsWaiting),
 		moves:  mtmove.New(mtid.Holder{}, mtmove.DefaultLimit),
+		since:  make(map[mtmove.Place]mtclock.Instant),
 		ctx:    ctx,
 		closed: make(chan struct{}),
 	}
@@ -137,6 +141,7 @@
 		// what their gates hold belongs to whoever took the shards over.
 		m.self = self
 		m.moves = mtmove.New(self, mtmove.DefaultLimit)
+		clear(m.since)
 	}
 	m.rehome(now)
 	if m.moves.Len() == 0 {
@@ -256,17 +261,23 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case mtmove.Stop:
+			m.since[e.Place] = m.Clock.Now()
 			m.Gates.Stop(e.Place.Service, e.Place.Low, e.High)
 		case mtmove.Handover:
 			m.work.Go(func() { m.handover(e) })
 		case mtmove.Write:
 			m.work.Go(func() { m.write(e) })
 		case mtmove.Resume:
+			delete(m.since, e.Place)
 			m.Count("resumed_" + string(e.Cause))
 			m.Log.Warn("move given up", "service", e.Place.Service.String(), "shard", uint64(e.Place.Low), "cause", e.Cause)
 			m.Gates.Resume(e.Place.Service, e.Place.Low, e.High)
 		case mtmove.Release:
 			m.Count("released")
+			if since, ok := m.since[e.Place]; ok {
+				m.Stopped(m.Clock.Now().Sub(since))
+				delete(m.since, e.Place)
+			}
 			m.Gates.Release(e.Place.Service, e.Place.Low, e.High)
 		}
 	}
