--- a/io/mtdaemon/figures.go
+++ b/io/mtdaemon/figures.go
@@ -1,6 +1,7 @@
 package mtdaemon
 
 import (
+	"context"
 	"expvar"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"magnoliaturn/core/mtplan"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtmember"
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtowner"
@@ -135,25 +137,7 @@
 		}
 		return out
 	})
-	ticker := time.NewTicker(figuresEvery)
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-				d.measure(f)
-			}
-		}
-	}()
-	return mtkernel.Register(d.kernel, NameFigures, f, func() {
-		ticker.Stop()
-		close(stop)
-		<-done
-	})
+	return mtkernel.Register(d.kernel, NameFigures, f, mtduty.Every(figuresEvery, func(context.Context) { d.measure(f) }))
 }
 
 // vars is a service that has counters of its own.
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -28,6 +28,7 @@
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtmember"
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mtmover"
@@ -197,25 +198,8 @@
 func (d *Daemon) addServers() error {
 	clock := need[*mttime.Clock](d, NameClock)
 	pool := mtserver.NewPool(clock, d.config.Settings.Body, d.config.Log, d.offersChanged)
-	ticker := time.NewTicker(expireEvery)
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-				pool.Expire(clock.Now())
-			}
-		}
-	}()
-	return mtkernel.Register(d.kernel, NameServers, pool, func() {
-		ticker.Stop()
-		close(stop)
-		<-done
-	})
+	stop := mtduty.Every(expireEvery, func(context.Context) { pool.Expire(clock.Now()) })
+	return mtkernel.Register(d.kernel, NameServers, pool, stop)
 }
 
 // heard passes on what a datagram says of a peer's copy of the live state.
--- a/io/mtmember/mtmember.go
+++ b/io/mtmember/mtmember.go
@@ -32,6 +32,7 @@
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwitness"
+	"magnoliaturn/io/mtduty"
 )
 
 // View is what the duties need of the live state. What it returns is shared
@@ -196,16 +197,7 @@
 }
 
 // sleep waits for d, or returns false once the member stops.
-func (m *Member) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-m.stop.Done():
-		return false
-	}
-}
+func (m *Member) sleep(d time.Duration) bool { return mtduty.Sleep(m.stop, d) }
 
 // wrote passes a value on to the live state.
 func (m *Member) wrote(name string, version mtid.Version, value []byte) {
--- a/io/mtmetric/mtmetric.go
+++ b/io/mtmetric/mtmetric.go
@@ -18,12 +18,15 @@
 package mtmetric
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"net/http"
 	"runtime"
 	"sync"
 	"time"
+
+	"magnoliaturn/io/mtduty"
 )
 
 // Window is how long samples are gathered before the oldest ones are dropped;
@@ -47,22 +50,7 @@
 	m.root.Set("requests", expvar.Func(func() any { return m.histograms.Summaries() }))
 	m.root.Set("memory", expvar.Func(memory))
 	m.root.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		ticker := time.NewTicker(Window)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-				m.histograms.Rotate()
-			}
-		}
-	}()
-	return m, func() { close(stop); <-done }
+	return m, mtduty.Every(Window, func(context.Context) { m.histograms.Rotate() })
 }
 
 // Counter returns the counter of a duty, and makes it on first use. Callers
--- a/io/mtoperator/mtoperator.go
+++ b/io/mtoperator/mtoperator.go
@@ -20,6 +20,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/hex"
 	"os"
 	"slices"
@@ -29,6 +30,7 @@
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtini"
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mttls"
 )
 
@@ -96,24 +98,12 @@
 	if err := d.Reload(); err != nil {
 		return nil, nil, err
 	}
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		ticker := time.NewTicker(Interval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-			}
-			if err := d.Reload(); err != nil {
-				report(err)
-			}
+	stop := mtduty.Every(Interval, func(context.Context) {
+		if err := d.Reload(); err != nil {
+			report(err)
 		}
-	}()
-	return d, func() { close(stop); <-done }, nil
+	})
+	return d, stop, nil
 }
 
 // Reload reads the file now. It is called by one goroutine at a time; Find may
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -33,6 +33,7 @@
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtduty"
 	iopoison "magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtserver"
 )
@@ -95,24 +96,7 @@
 // whose lease was lost, and returns the Owner with its clean-up function.
 func New(config Config) (*Owner, func()) {
 	o := &Owner{Config: config, gates: make(map[mtid.Ref]*gate), recents: make(map[mtid.Ref]*recent), meters: make(map[mtid.Ref]*mtload.Meter), runs: make(map[*run]struct{})}
-	stop := make(chan struct{})
-	var duty sync.WaitGroup
-	duty.Go(func() {
-		ticker := time.NewTicker(expireEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-				o.tick(o.Clock.Now())
-			}
-		}
-	})
-	return o, func() {
-		close(stop)
-		duty.Wait()
-	}
+	return o, mtduty.Every(expireEvery, func(context.Context) { o.tick(o.Clock.Now()) })
 }
 
 // tick refuses what waited too long and cancels what runs without a lease.
--- a/io/mtplanner/reporter.go
+++ b/io/mtplanner/reporter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"magnoliaturn/core/mtbundle"
@@ -12,6 +11,7 @@
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtwire"
+	"magnoliaturn/io/mtduty"
 )
 
 // Meters are the gates' counters on this daemon.
@@ -55,21 +55,7 @@
 	if tick == 0 {
 		tick = measureTime
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var duty sync.WaitGroup
-	duty.Go(func() {
-		ticker := time.NewTicker(tick)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				r.tick(ctx)
-			}
-		}
-	})
-	return func() { cancel(); duty.Wait() }, nil
+	return mtduty.Every(tick, r.tick), nil
 }
 
 // tick looks at every keyed service that this daemon serves.
--- a/io/mtrollout/mtrollout.go
+++ b/io/mtrollout/mtrollout.go
@@ -35,6 +35,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtduty"
 )
 
 // tries bounds the rounds of one call: each is lost to a racing writer or to a
@@ -266,7 +267,7 @@
 		default:
 			return err
 		}
-		if !sleep(ctx, pause) {
+		if !mtduty.Sleep(ctx, pause) {
 			break
 		}
 	}
@@ -284,18 +285,6 @@
 	return step(s)
 }
 
-// sleep waits, and reports whether ctx is still good.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Version returns one version of a business's bundle, in force or former. It
 // fails with a *PageError if it is not kept.
 func (r *Rollout) Version(ctx context.Context, business mtid.Business, version mtid.Version) (*mtbundle.Stored, error) {
--- a/io/mtsync/mtsync.go
+++ b/io/mtsync/mtsync.go
@@ -30,6 +30,7 @@
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtduty"
 )
 
 // WatchersPerZone is how many daemons of an availability zone watch the store.
@@ -213,7 +214,7 @@
 		if s.startFromSeeds(ctx) {
 			break
 		}
-		if !sleep(ctx, retryAfter) {
+		if !mtduty.Sleep(ctx, retryAfter) {
 			return
 		}
 	}
@@ -275,12 +276,12 @@
 func (s *Sync) watchStore(ctx context.Context) {
 	for {
 		if !s.Started() || !s.Watcher() {
-			if !sleep(ctx, retryAfter) {
+			if !mtduty.Sleep(ctx, retryAfter) {
 				return
 			}
 			continue
 		}
-		if err := s.watch(ctx, watchWait, refreshTimeout); err != nil && !sleep(ctx, retryAfter) {
+		if err := s.watch(ctx, watchWait, refreshTimeout); err != nil && !mtduty.Sleep(ctx, retryAfter) {
 			return
 		}
 		if ctx.Err() != nil {
@@ -305,15 +306,3 @@
 	})
 	return slices.Index(zone, s.config.Self) < WatchersPerZone
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/io/mttls/mttls.go
+++ b/io/mttls/mttls.go
@@ -32,6 +32,7 @@
 
 	"google.golang.org/grpc/credentials"
 
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtsetting"
 )
 
@@ -80,24 +81,12 @@
 	if err := c.Reload(); err != nil {
 		return nil, nil, err
 	}
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		ticker := time.NewTicker(Interval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-			}
-			if err := c.Reload(); err != nil {
-				report(err)
-			}
+	stop := mtduty.Every(Interval, func(context.Context) {
+		if err := c.Reload(); err != nil {
+			report(err)
 		}
-	}()
-	return c, func() { close(stop); <-done }, nil
+	})
+	return c, stop, nil
 }
 
 // Reload reads the files now. On a *FileError the former ones stay in use: a
