--- a/core/mtmove/mtmove.go
+++ b/core/mtmove/mtmove.go
@@ -101,12 +101,11 @@
 
 // The causes of a Resume.
 const (
-	CauseSlow     Cause = "slow"     // requests in flight outlasted Patience
-	CauseRefused  Cause = "refused"  // the new owner did not take the identifiers
-	CauseStore    Cause = "store"    // the store did not take the write
-	CauseOverdue  Cause = "overdue"  // the identifiers could not be sent in time
-	CauseAltered  Cause = "altered"  // the shard's bounds changed meanwhile
-	CauseDisowned Cause = "disowned" // no longer this owner's before the write
+	CauseSlow    Cause = "slow"    // requests in flight outlasted Patience
+	CauseRefused Cause = "refused" // the new owner did not take the identifiers
+	CauseStore   Cause = "store"   // the store did not take the write
+	CauseOverdue Cause = "overdue" // the identifiers could not be sent in time
+	CauseAltered Cause = "altered" // the shard's bounds changed meanwhile
 )
 
 // WantError says that a wish to move a shard was not taken.
@@ -281,7 +280,10 @@
 		// The version moved on, so no earlier write can land: the table
 		// holds the truth.
 		mv.doubtful = false
-		m.reconcile(now, mv)
+		if m.fits(mv) {
+			mv.phase = ready
+			mv.since = now
+		}
 	case Unavailable:
 		if mv.doubtful {
 			mv.phase = ready
@@ -294,22 +296,6 @@
 	}
 }
 
-// reconcile compares a move with the newest table after a refused write.
-func (m *Moves) reconcile(now mtclock.Instant, mv *move) {
-	table := m.tables[m.chunkOf(mv.place)]
-	shard, _ := table.Lookup(mv.place.Low)
-	high, begins := table.High(mv.place.Low)
-	switch {
-	case shard.Owner != m.self:
-		m.release(mv)
-	case !begins || high != mv.high:
-		m.resume(mv, CauseAltered)
-	default:
-		mv.phase = ready
-		mv.since = now
-	}
-}
-
 // See takes note of a newer table of a chunk, learnt from peers or the store.
 func (m *Moves) See(_ mtclock.Instant, table *mtshard.Table) []Effect {
 	m.out = nil
@@ -355,7 +341,7 @@
 	var batch []*move
 	var ops []mtshard.Op
 	for _, mv := range m.ordered() {
-		if mv.phase == ready && m.chunkOf(mv.place) == c && m.checked(mv) {
+		if mv.phase == ready && m.chunkOf(mv.place) == c && m.fits(mv) {
 			mv.phase = writing
 			batch = append(batch, mv)
 			ops = append(ops, mtshard.Move{Low: mv.place.Low, To: mv.to})
@@ -368,9 +354,10 @@
 	m.emit(Write{Table: m.tables[c], Ops: ops})
 }
 
-// checked reports whether a ready move still fits the newest table, and ends it
-// if not. The planner may have split the shard while it was being stopped.
-func (m *Moves) checked(mv *move) bool {
+// fits reports whether a move still fits the newest table, and ends it if not:
+// another may have become the owner, or the planner may have split the shard
+// while it was being stopped.
+func (m *Moves) fits(mv *move) bool {
 	table := m.tables[m.chunkOf(mv.place)]
 	shard, _ := table.Lookup(mv.place.Low)
 	high, begins := table.High(mv.place.Low)
