--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"runtime"
 	"sync"
 	"time"
 
@@ -185,7 +184,6 @@
 		grpc.MaxSendMsgSize(size),
 		grpc.MaxHeaderListSize(mtlisten.HeaderBytes),
 		grpc.MaxConcurrentStreams(streams),
-		grpc.NumStreamWorkers(uint32(runtime.GOMAXPROCS(0))),
 		// A client that connects and says nothing would else hold its place for
 		// two minutes, and enough of them would shut the other daemons out.
 		grpc.ConnectionTimeout(mtlisten.HeaderTime),
