--- a/io/mtmover/mtmover_test.go
+++ b/io/mtmover/mtmover_test.go
@@ -246,7 +246,9 @@
 // nobody left to take over, must not wait until its time is up.
 func TestLeaving(t *testing.T) {
 	p := newPair(t)
-	assert.NilError(t, p.a.Leave(context.Background()))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	assert.NilError(t, p.a.Leave(ctx))
 	assert.Equal(t, p.owner(t), b)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if shard, _ := p.b.view.Now().Lookup(ref, 0); shard.Owner == b {
@@ -260,6 +262,6 @@
 	_, err = p.b.view.Wrote(mtview.Item{Name: mtstore.RosterName("a"), Version: 2, Value: value})
 	assert.NilError(t, err)
 	var left *mtmover.LeaveError
-	assert.Assert(t, errors.As(p.b.Leave(context.Background()), &left))
+	assert.Assert(t, errors.As(p.b.Leave(ctx), &left))
 	assert.Equal(t, left.Owned, 1)
 }
