Split the two largest files by what they do

Change: the model's memory, reports and results, and the exchange of datagrams, in files of their own; no line of code changed. Measured: tests of both pass; the planted fault in the moved code is still caught.

--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -53,7 +53,7 @@
 takeover=core/mttakeover/mttakeover.go
 failover=core/mttakeover/failover.go
 member=core/mtmember/mtmember.go
-renew=io/mtrenew/mtrenew.go
+renew=io/mtrenew/exchange.go
 packet=io/mtrenew/packet.go
 fusion=core/mtclock/fusion.go
 
