Keep lookups off the path of a request, and order holders in one place

Cause: read again as a whole, each request went three times through the kernel's locked lookup (its own life, the peer's frontier, the sample); the order of holders stood three times, the pause that a stop ends five times. Change: those functions keep their services; mtid.Holder.Compare; mtduty.Sleep. Behaviour and tests stay as they were. The path was not timed again. Conclusion: io/mtcommand's subcommands share their frame; each is a declaration, and was left.

--- a/core/mtid/mtid.go
+++ b/core/mtid/mtid.go
@@ -16,6 +16,7 @@
 package mtid
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,6 +72,11 @@
 	return fmt.Sprintf("%s@%d", h.Daemon, h.Incarnation)
 }
 
+// Compare orders holders by daemon, then by incarnation.
+func (h Holder) Compare(other Holder) int {
+	return cmp.Or(cmp.Compare(h.Daemon, other.Daemon), cmp.Compare(h.Incarnation, other.Incarnation))
+}
+
 // IsZero reports whether h names no daemon.
 func (h Holder) IsZero() bool {
 	return h == Holder{}
--- a/core/mtplan/baseline.go
+++ b/core/mtplan/baseline.go
@@ -136,7 +136,7 @@
 // place returns where holder is among the servers, or -1.
 func place(state *State, holder mtid.Holder) int {
 	i, ok := slices.BinarySearchFunc(state.Servers, holder, func(s Server, h mtid.Holder) int {
-		return compareHolders(s.Holder, h)
+		return s.Holder.Compare(h)
 	})
 	if !ok {
 		return -1
--- a/core/mtplan/create.go
+++ b/core/mtplan/create.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	set := slices.Clone(serving)
-	slices.SortFunc(set, compareHolders)
+	slices.SortFunc(set, mtid.Holder.Compare)
 	if !c.begun {
 		c.begun = true
 		c.first = now
@@ -100,7 +100,7 @@
 // lineUp returns the members with the zones taking turns.
 func lineUp(members []Member) []Member {
 	set := slices.Clone(members)
-	slices.SortFunc(set, func(a, b Member) int { return compareHolders(a.Holder, b.Holder) })
+	slices.SortFunc(set, func(a, b Member) int { return a.Holder.Compare(b.Holder) })
 	turns := make(map[mtid.Zone]int)
 	turn := make(map[mtid.Holder]int, len(set))
 	for _, m := range set {
--- a/core/mtplan/mtplan.go
+++ b/core/mtplan/mtplan.go
@@ -21,8 +21,6 @@
 package mtplan
 
 import (
-	"cmp"
-
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtshard"
 )
@@ -37,7 +35,3 @@
 
 // leaderKey is the key whose point on the ring ranks the planners.
 const leaderKey = "planner"
-
-func compareHolders(a, b mtid.Holder) int {
-	return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
-}
--- a/core/mtplan/state.go
+++ b/core/mtplan/state.go
@@ -145,7 +145,7 @@
 
 // SortServers puts servers in the order that a State has them in.
 func SortServers(servers []Server) {
-	slices.SortFunc(servers, func(a, b Server) int { return compareHolders(a.Holder, b.Holder) })
+	slices.SortFunc(servers, func(a, b Server) int { return a.Holder.Compare(b.Holder) })
 }
 
 // Survey lays out the shards of tables, which must be all chunks in order, with
--- a/core/mtshard/mtshard.go
+++ b/core/mtshard/mtshard.go
@@ -245,7 +245,7 @@
 		seen[s.Owner] = true
 	}
 	owners := slices.Collect(maps.Keys(seen))
-	slices.SortFunc(owners, compareHolders)
+	slices.SortFunc(owners, mtid.Holder.Compare)
 	return owners
 }
 
@@ -326,14 +326,10 @@
 		return cmp.Or(cmp.Compare(mtid.Rank(b.Daemon, low), mtid.Rank(a.Daemon, low)), cmp.Compare(a.Daemon, b.Daemon))
 	})
 	ranked = ranked[:min(len(ranked), MaxSurvivors)]
-	slices.SortFunc(ranked, compareHolders)
+	slices.SortFunc(ranked, mtid.Holder.Compare)
 	return ranked
 }
 
-func compareHolders(a, b mtid.Holder) int {
-	return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
-}
-
 func (o Create) apply(t *Table) error {
 	if len(t.Shards) > 0 {
 		return &OpError{Op: o, Reason: "the chunk has shards already"}
--- a/core/mttakeover/failover.go
+++ b/core/mttakeover/failover.go
@@ -104,8 +104,6 @@
 		}
 	}
 	op.Among = table.Survivors(op.Among)
-	slices.SortFunc(op.Lost, func(a, b mtid.Holder) int {
-		return cmp.Or(cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+	slices.SortFunc(op.Lost, mtid.Holder.Compare)
 	return op, len(op.Among) > 0
 }
--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -190,7 +190,8 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingEvery, PermitWithoutStream: true}),
 	)
 	view := need[*mtview.View](d, NameView)
-	hint := func(frontier mtid.Revision, from mtid.Holder) { d.heard(from.Daemon, frontier) }
+	heard := d.listener()
+	hint := func(frontier mtid.Revision, from mtid.Holder) { heard(from.Daemon, frontier) }
 	relay := mtrelay.NewServer(need[*mtowner.Owner](d, NameOwner), view, need[*mttime.Clock](d, NameClock), hint)
 	relay.Register(server)
 	need[*mtmover.Mover](d, NameMover).Register(server)
--- a/io/mtdaemon/member.go
+++ b/io/mtdaemon/member.go
@@ -128,7 +128,7 @@
 		Secrets: need[*credentialSet](d, NameKeys).secrets,
 		Clock:   need[*mttime.Clock](d, NameClock),
 		View:    liveView{need[*mtview.View](d, NameView)},
-		Heard:   d.heard,
+		Heard:   d.listener(),
 		Log:     d.config.Log,
 	})
 	if err != nil {
--- a/io/mtdaemon/mtdaemon.go
+++ b/io/mtdaemon/mtdaemon.go
@@ -158,14 +158,18 @@
 	return need[*mtmetric.Metrics](d, NameMetrics).Counter(duty, name).Value()
 }
 
-// observe notes what came of a caller's request.
-func (d *Daemon) observe(q *mtrequest.Request, reply *mtrequest.Reply, took time.Duration) {
-	sample := mtmetric.Sample{
-		Service: q.Service, Class: q.Class, Outcome: reply.Outcome, Cause: reply.Cause,
-		Total: took, Queue: reply.Queued, Server: reply.Served,
+// observer returns the function that notes what came of a caller's request. It
+// keeps what it needs: the kernel's lookups are not for the path of a request.
+func (d *Daemon) observer() func(q *mtrequest.Request, reply *mtrequest.Reply, took time.Duration) {
+	metrics := need[*mtmetric.Metrics](d, NameMetrics)
+	return func(q *mtrequest.Request, reply *mtrequest.Reply, took time.Duration) {
+		sample := mtmetric.Sample{
+			Service: q.Service, Class: q.Class, Outcome: reply.Outcome, Cause: reply.Cause,
+			Total: took, Queue: reply.Queued, Server: reply.Served,
+		}
+		sample.Relay = max(took-reply.Queued-reply.Served, 0)
+		metrics.Record(sample)
 	}
-	sample.Relay = max(took-reply.Queued-reply.Served, 0)
-	need[*mtmetric.Metrics](d, NameMetrics).Record(sample)
 }
 
 func (d *Daemon) addClock() error {
@@ -202,17 +206,21 @@
 	return mtkernel.Register(d.kernel, NameServers, pool, stop)
 }
 
-// heard passes on what a datagram says of a peer's copy of the live state.
-func (d *Daemon) heard(peer mtid.Daemon, frontier mtid.Revision) {
-	record, _, ok := need[*mtview.View](d, NameView).Now().Record(peer)
-	if ok {
-		need[*mtsync.Sync](d, NameSync).Hint(record.Relay, frontier)
+// listener returns the function that passes on what a datagram or a relayed
+// request says of a peer's copy of the live state.
+func (d *Daemon) listener() func(peer mtid.Daemon, frontier mtid.Revision) {
+	view := need[*mtview.View](d, NameView)
+	sync := need[*mtsync.Sync](d, NameSync)
+	return func(peer mtid.Daemon, frontier mtid.Revision) {
+		if record, _, ok := view.Now().Record(peer); ok {
+			sync.Hint(record.Relay, frontier)
+		}
 	}
 }
 
 func (d *Daemon) addPoison() error {
 	watch, cleanUp := mtpoison.New(mtpoison.Config{
-		Self:  d.Self,
+		Self:  need[*mtmember.Member](d, NameMember).Holder,
 		View:  need[*mtview.View](d, NameView),
 		Conns: need[*mtrelay.Client](d, NameRelay),
 		Clock: need[*mttime.Clock](d, NameClock),
@@ -267,7 +275,7 @@
 func (d *Daemon) addRouter() error {
 	router := mtrouter.New(mtrouter.Config{
 		Zone:   d.config.Settings.Zone,
-		Self:   d.Self,
+		Self:   need[*mtmember.Member](d, NameMember).Holder,
 		View:   need[*mtview.View](d, NameView),
 		Owner:  need[*mtowner.Owner](d, NameOwner),
 		Peers:  need[*mtrelay.Client](d, NameRelay),
@@ -276,7 +284,7 @@
 		Poison: need[*mtpoison.Watch](d, NamePoison),
 		Hint:   need[*mtsync.Sync](d, NameSync).Hint,
 		Count:  d.counter("route"),
-		Done:   d.observe,
+		Done:   d.observer(),
 	})
 	return mtkernel.Register(d.kernel, NameRouter, router, nil)
 }
--- a/io/mtmover/mtmover.go
+++ b/io/mtmover/mtmover.go
@@ -32,6 +32,7 @@
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtduty"
 )
 
 const (
@@ -378,12 +379,8 @@
 		if left.takeable == 0 {
 			return left.err()
 		}
-		timer := time.NewTimer(tickEvery)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !mtduty.Sleep(ctx, tickEvery) {
 			return left.err()
-		case <-timer.C:
 		}
 	}
 }
--- a/io/mtrouter/mtrouter.go
+++ b/io/mtrouter/mtrouter.go
@@ -27,6 +27,7 @@
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtowner"
 	iopoison "magnoliaturn/io/mtpoison"
 )
@@ -212,14 +213,7 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return mtduty.Sleep(ctx, wait)
 }
 
 // keyed picks the owner of the request's key.
--- a/io/mtserver/pool.go
+++ b/io/mtserver/pool.go
@@ -1,6 +1,7 @@
 package mtserver
 
 import (
+	"cmp"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -180,7 +181,7 @@
 		out = append(out, a.server.announced)
 	}
 	slices.SortFunc(out, func(a, b mtannounce.Announcement) int {
-		return compareRefs(refOf(a), refOf(b))
+		return cmp.Compare(refOf(a).String(), refOf(b).String())
 	})
 	return out
 }
@@ -203,13 +204,3 @@
 func refOf(a mtannounce.Announcement) mtid.Ref {
 	return mtid.Ref{Business: a.Business, Service: a.Service}
 }
-
-func compareRefs(a, b mtid.Ref) int {
-	switch {
-	case a.String() < b.String():
-		return -1
-	case a.String() > b.String():
-		return 1
-	}
-	return 0
-}
--- a/io/mtstandin/server.go
+++ b/io/mtstandin/server.go
@@ -18,6 +18,7 @@
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mttime"
 )
 
@@ -212,14 +213,10 @@
 
 // pause waits for d, or returns the context's error.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !mtduty.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // granted moves on the time up to which the daemon's lease is certain.
--- a/io/mtstore/memory.go
+++ b/io/mtstore/memory.go
@@ -15,6 +15,7 @@
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtduty"
 )
 
 // firstRevision is the revision of an empty store. It is not zero, since a
@@ -538,12 +539,8 @@
 	if d <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !mtduty.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
