--- a/core/mtmove/mtmove_test.go
+++ b/core/mtmove/mtmove_test.go
@@ -86,6 +86,49 @@
 	assert.Assert(t, moves.Moving(place))
 }
 
+// The planner splits a shard while its owner stops it for a move. The handover was
+// for the whole; a write would move a part of it, and the owner would drop the
+// memory of the part that it keeps.
+func TestSplitMeanwhileEndsTheMove(t *testing.T) {
+	moves := mtmove.New(a, 4)
+	first := table(t)
+	place := mtmove.Place{Service: ref, Low: 0}
+	_, err := moves.Want(0, first, 0, b)
+	assert.NilError(t, err)
+	moves.Quiet(0, place)
+	split, err := first.Apply(mtroster.Stamp{}, mtshard.Split{Point: 9})
+	assert.NilError(t, err)
+	moves.See(0, split)
+	got := moves.HandedOver(0, place)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].(mtmove.Resume).Cause, mtmove.CauseAltered)
+}
+
+// Two shards of a chunk are ready while a third one's write is under way. A write
+// beside it would be for the same version, and one of the two would be refused
+// for nothing; they go in one write after it.
+func TestWritesOfAChunkComeOneByOne(t *testing.T) {
+	first, err := mtshard.New(ref, 0, 1).Apply(mtroster.Stamp{}, mtshard.Create{Shards: 3, Among: []mtid.Holder{a}})
+	assert.NilError(t, err)
+	moves := mtmove.New(a, 4)
+	var writes []mtmove.Write
+	for _, shard := range first.Shards {
+		place := mtmove.Place{Service: ref, Low: shard.Low}
+		_, err := moves.Want(0, first, shard.Low, b)
+		assert.NilError(t, err)
+		moves.Quiet(0, place)
+		for _, effect := range moves.HandedOver(0, place) {
+			writes = append(writes, effect.(mtmove.Write))
+		}
+	}
+	assert.Equal(t, len(writes), 1)
+	second, err := first.Apply(mtroster.Stamp{}, writes[0].Ops...)
+	assert.NilError(t, err)
+	effects := moves.Wrote(0, second, mtmove.Landed)
+	assert.Equal(t, len(effects), 2) // the release of the first, the write of the others
+	assert.Equal(t, len(effects[1].(mtmove.Write).Ops), 2)
+}
+
 // closed is a range that is stopped for a move or gone by one.
 type closed struct{ low, high mtid.Point }
 
--- a/io/mtowner/recent.go
+++ b/io/mtowner/recent.go
@@ -94,8 +94,6 @@
 	case table.First(shard):
 		_ = r.table.Grant(shard.Low, high, time.Time{})
 	default:
-		// An import of a move that was given up must not answer for any part.
-		r.table.Revoke(shard.Low, max(high, offer.high))
 		_ = r.table.Grant(shard.Low, high, clock.Wall())
 	}
 }
--- a/io/mtrelay/mtrelay_test.go
+++ b/io/mtrelay/mtrelay_test.go
@@ -16,6 +16,7 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtview"
+	"magnoliaturn/core/mtwire"
 	"magnoliaturn/io/mtrelay"
 )
 
@@ -159,3 +160,26 @@
 	assert.Assert(t, errors.As(err, &unknown), "got %v, want an UnknownError", err)
 	assert.Equal(t, unknown.Cause, mtreply.CauseGone)
 }
+
+// confused answers every request under another identifier.
+type confused struct{ mtwire.UnimplementedPeerServer }
+
+func (confused) Relay(context.Context, *mtwire.RelayRequest) (*mtwire.RelayReply, error) {
+	other := mtrequest.Mint(time.UnixMilli(2), [10]byte{3})
+	return &mtwire.RelayReply{Id: other[:], Outcome: string(mtreply.Answered), Body: []byte("another's balance")}, nil
+}
+
+// A faulty daemon mixes up two replies. A farmer must not see another's balance,
+// and the request may have run.
+func TestReplyToAnotherRequestIsDropped(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer()
+	mtwire.RegisterPeerServer(server, confused{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	reply, err := client(t).Relay(context.Background(), listener.Addr().String(), request(), 0, plenty)
+	var unknown *mtreply.UnknownError
+	assert.Assert(t, errors.As(err, &unknown), "got %v, %v, want an UnknownError", reply, err)
+	assert.Equal(t, unknown.Cause, mtreply.CauseTruncated)
+}
--- a/io/mtrouter/spread_test.go
+++ b/io/mtrouter/spread_test.go
@@ -46,6 +46,13 @@
 [class mapsvc lift]
 idempotent = no
 timeout = 5s
+
+[service dispatch]
+kind = keyed
+
+[class dispatch status]
+idempotent = yes
+timeout = 5s
 `
 
 var mapsvc = mtid.Ref{Business: "ratins", Service: "mapsvc"}
--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plants one fault at a time in a guard of the ownership packages, in a copy of
-# the module, and prints which tests catch it as a row of docs/PLANTED.md. Fails
+# Plants one fault at a time in a guard of the ownership packages and of the path
+# of a request, in a copy of the module, and prints which tests catch it as a row of docs/PLANTED.md. Fails
 # if a fault is caught by none, or if its place is no longer found.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -13,6 +13,8 @@
 without="./core/mtlease ./core/mtmember ./io/mtrenew"
 missed=0
 only=${1:-} # plants only the faults whose name contains this
+from=${2:-} # plants only from the fault with this name on
+started=
 
 # tests prints the names of the tests that fail.
 tests() {
@@ -28,6 +30,8 @@
 plant() {
 	local name=$1 file=$2 edit=$3
 	[[ $name == *${only}* ]] || return
+	[[ -z $from || $name == "$from" ]] && started=yes
+	[[ -n $started ]] || return
 	cp "$file" "$file.orig"
 	sed -E "$edit" "$file.orig" >"$file"
 	if cmp -s "$file" "$file.orig"; then
@@ -101,4 +105,50 @@
 plant "tags don't name the receiver" $packet 's|\[\]byte\(to\)|[]byte(nil)|'
 plant "only the monotonic clock counts" $fusion 's|max\(r.Monotonic-f.anchor.Monotonic.*|max(r.Monotonic-f.anchor.Monotonic, 0)|'
 plant "a wall clock set back hides a freeze" $fusion 's/ \|\| r.Wall < f.anchor.Wall//'
+
+# The path of a request, planned moves and the copy of the live state.
+with_rapid="./core/mtmove ./core/mtview ./core/mtshard"
+without="./io/mtserver ./io/mtrelay ./io/mtowner ./io/mtrouter ./io/mtsync ./io/mtmover"
+view=core/mtview/mtview.go
+move=core/mtmove/mtmove.go
+shard=core/mtshard/mtshard.go
+origin=core/mtshard/origin.go
+relay=io/mtrelay/mtrelay.go
+server=io/mtserver/mtserver.go
+conn=io/mtserver/conn.go
+owner=io/mtowner/mtowner.go
+recent=io/mtowner/recent.go
+router=io/mtrouter/mtrouter.go
+sync=io/mtsync/mtsync.go
+mover=io/mtmover/mtmover.go
+plant "the frontier passes a hole" $view 's/ \&\& d.After <= next.frontier//'
+plant "the frontier passes a value that can't be read" $view 's/failed == nil \&\& d.After/d.After/'
+plant "an older value replaces a newer one" $view 's/item.Revision <= old.revision \|\| item.Version < old.version/item.Revision == old.revision/'
+plant "a doubtful write is taken for failed" $move 's/if mv.doubtful \{/if mv.doubtful \&\& m.limit < 0 {/'
+plant "a shard that was split meanwhile is moved whole" $move 's/high != mv.high:/high < mv.high \&\& high > mv.high:/'
+plant "two writes of a chunk at once" $move 's/if m.busy\[c\] != nil/if m.busy[c] != nil \&\& m.limit < 0/'
+plant "a slow move is never given up" $move 's/now.Sub\(mv.since\) < Patience/now.Sub(mv.since) >= 0/'
+plant "a merge keeps the lower epoch" $shard 's/before.Epoch = max\(before.Epoch, t.Shards\[i\].Epoch\)/before.Epoch = min(before.Epoch, t.Shards[i].Epoch)/'
+plant "a move keeps the epoch" $shard '/^func \(o Move\) apply/,/^}/s/t.Shards\[i\].Epoch = t.epoch\(\)/_ = t.epoch()/'
+plant "a handover of another's move is trusted" $origin 's/ \&\& step.Stamp.Writer == from//'
+plant "a handover before a failover is trusted" $origin '/^func \(t \*Table\) Handed/,/^}/s/case Failover, Evict, Create:/case Create:/'
+plant "a shard of a lost owner counts as new" $origin 's/return s.Epoch <= given/return s.Epoch <= given+99/'
+plant "a lost relay is told not run" $relay 's/if !sent.Load\(\) \{/if sent != nil {/'
+plant "a reply for another request is passed on" $relay 's/err != nil \|\| id != r.ID/err != nil \&\& id != r.ID/'
+plant "a lost reply of the server is told not run" $conn 's/return u.conn.writes.Load\(\) != u.before/return false/'
+plant "net/http may send a request again" $server 's/len\(r.Body\) > 0 \|\| repeatable\(r.Method\)/len(r.Body) > 0/'
+plant "a server's reply to another request is passed on" $server 's/if response.Header.Get\(mtheader.ID\) != call.Request.ID.String\(\)/if response == nil/'
+plant "an earlier life's shards are served" $owner 's/if shard.Owner != holder \{/if shard.Owner.Daemon != holder.Daemon {/'
+plant "served without a lease" $owner '/^func \(o \*Owner\) fence/,/^}/s/if !now.Before\(until\)/if !now.Before(until) \&\& until < 0/'
+plant "runs outlive the lease" $owner 's/r.holder != holder \|\| !now.Before\(until\)/r.holder != holder \|\| until < 0/'
+plant "ownership isn't looked at again after the gate" $owner '/^func \(o \*Owner\) run\(/,/^}/s/f, err := o.fence\(now, r, service\)/f, err := o.fence(now, r, service); err = nil/'
+plant "every import is trusted" $recent 's/ok \&\& table.Handed\(shard.Low, offer.from, self\) \&\&/ok \&\& offer.high >= 0 \&\&/'
+plant "a refused retry undoes an unknown outcome" $router 's/reply.Outcome == mtreply.Unknown \&\& doubt == nil/reply.Outcome == mtreply.Answered/'
+plant "a resend to a spread service is accepted" $router 's/if !class.Idempotent \&\& !q.Minted/if !class.Idempotent \&\& !q.Minted \&\& q.Deadline < 0/'
+plant "a correction by who knows less is followed" $router 's/ \|\| reply.Frontier < r.View.Now\(\).Frontier\(\)//'
+plant "a gap is never filled" $sync 's/case errors.As\(err, \&gap\) \&\& !whole:/case errors.As(err, \&gap) \&\& whole:/'
+plant "a written table isn't known before the release" $mover 's/^\t\tm.learn\(mtview.Item\{Name: name, Version: version, Value: value\}\)$/\t\t_ = version/'
+plant "a refused handover is passed over" io/mtmover/peer.go '/^func \(m \*Mover\) sendRecent/,/^}/s/if !reply.GetTaken\(\)/if reply == nil/'
+plant "an earlier life is handed over to" io/mtmover/peer.go '/^func \(s server\) Handover/,/^}/s/to != s.m.Self\(\)/to.Daemon == ""/'
+plant "an unanswered write counts as not taken" $mover 's/return table, mtmove.InDoubt/return table, mtmove.Unavailable/'
 exit $missed
