--- a/cmd/magnoliaturn/main.go
+++ b/cmd/magnoliaturn/main.go
@@ -18,6 +18,7 @@
 	"github.com/google/subcommands"
 
 	"magnoliaturn/io/mtcommand"
+	"magnoliaturn/platform"
 )
 
 func main() {
@@ -41,5 +42,6 @@
 func commands() []grouped {
 	return []grouped{
 		{&serveCommand{}, "daemon"},
+		{&platform.Command{}, "daemon"},
 	}
 }
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -56,6 +56,11 @@
 	Class    mtid.Class
 	Point    mtid.Point
 	Deadline mtclock.Instant
+	// Objective is until when an answer is worth most; zero is the deadline.
+	Objective mtclock.Instant
+	// Nested says that another backend server waits for this request, with a
+	// slot of its own taken.
+	Nested bool
 	// Alone asks that nothing else is in flight while the request runs. It is
 	// set for a request that is suspected of crashing backend servers, so that
 	// a second crash can't be laid at the door of another request.
@@ -182,6 +187,9 @@
 func (g *Gate[O]) Resize(now mtclock.Instant, slots, connections int) []Effect {
 	g.begin(now)
 	g.limits.Slots, g.limits.Connections = slots, connections
+	if sized, ok := any(g.order).(Sized); ok {
+		sized.Resize(g.capacity())
+	}
 	if g.capacity() == 0 {
 		g.refuseWaiting(mtreply.CauseNoServer, serverRetryAfter)
 	}
--- a/core/mtid/mtid.go
+++ b/core/mtid/mtid.go
@@ -115,3 +115,24 @@
 	_, _ = h.WriteString(string(d))
 	return h.Sum64()
 }
+
+// Number is a key of a numbered key space: services whose keys lie side by side
+// in load, and are divided by ranges of numbers, not by hashes.
+type Number uint16
+
+// LastNumber is the highest key of a numbered key space.
+const LastNumber Number = 1<<16 - 1
+
+// numberShift takes a number to the high bits of a Point.
+const numberShift = 48
+
+// Point returns the first point of the ring that stands for n, so that what
+// works on ranges of the ring works on ranges of numbers.
+func (n Number) Point() Point { return Point(n) << numberShift }
+
+// LastPoint returns the last point that stands for n.
+func (n Number) LastPoint() Point { return n.Point() | (1<<numberShift - 1) }
+
+// Server names one life of a backend server: it has another name after each
+// start.
+type Server string
--- /dev/null
+++ b/core/mtrange/mtrange.go
@@ -0,0 +1,290 @@
+// Package mtrange is the assignment of a service with numbered keys: which life
+// of which backend server owns which range of keys, under which epoch.
+//
+// Neighbouring keys are busy together, so ranges of numbers divide the load
+// where hashes would only scatter it. An owner is a life of a backend server,
+// not of the daemon beside it: a daemon that comes back beside a living server
+// goes on with the same ranges and epochs, and no key changes hands.
+//
+// # Usage
+//
+//	table := mtrange.Spread(service, owners)
+//	next, err := table.Move(low, high, to, handover)
+//	r, ok := next.Lookup(key)
+//
+// A Table is immutable: each change returns a new one, which holds once it has
+// been written to the platform's store in place of the one it was made from.
+package mtrange
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"magnoliaturn/core/mtid"
+)
+
+// Owner is a life of a backend server, with the daemon beside it.
+type Owner struct {
+	Daemon mtid.Daemon `json:"daemon"`
+	Server mtid.Server `json:"server"`
+}
+
+// IsZero reports whether o names no server.
+func (o Owner) IsZero() bool { return o == Owner{} }
+
+// Compare orders owners by daemon, then by server.
+func (o Owner) Compare(other Owner) int {
+	return cmp.Or(cmp.Compare(o.Daemon, other.Daemon), cmp.Compare(o.Server, other.Server))
+}
+
+// Range is a run of keys with one owner, both ends included.
+type Range struct {
+	Low   mtid.Number `json:"low"`
+	High  mtid.Number `json:"high"`
+	Owner Owner       `json:"owner"`
+	Epoch mtid.Epoch  `json:"epoch"`
+	// Warmth is what the former owner left for the next one, so that it starts
+	// warm. It is opaque, and empty if the former owner was lost.
+	Warmth string `json:"warmth,omitempty"`
+}
+
+// Keys returns how many keys the range holds.
+func (r Range) Keys() int { return int(r.High) - int(r.Low) + 1 }
+
+// Covers reports whether the key lies in the range.
+func (r Range) Covers(key mtid.Number) bool { return r.Low <= key && key <= r.High }
+
+// Table is the whole assignment of one service.
+type Table struct {
+	Service mtid.Service `json:"service"`
+	// Next is the epoch of the next change. It only grows, so that no two
+	// owners of one key ever carry the same epoch, nor the later one a lower.
+	Next   mtid.Epoch `json:"next"`
+	Ranges []Range    `json:"ranges"` // in order, without gaps, from 0 to mtid.LastNumber
+}
+
+// RangeError says that a change does not fit its table.
+type RangeError struct {
+	Low, High mtid.Number
+	Reason    string
+}
+
+// Error implements error.
+func (e *RangeError) Error() string {
+	return fmt.Sprintf("range %d to %d: %s", e.Low, e.High, e.Reason)
+}
+
+// Spread divides all keys among the owners, in equal runs. It fails with a
+// *RangeError if there are none.
+func Spread(service mtid.Service, owners []Owner) (*Table, error) {
+	if len(owners) == 0 {
+		return nil, &RangeError{High: mtid.LastNumber, Reason: "no owner to give keys to"}
+	}
+	t := &Table{Service: service, Next: 1}
+	for i, part := range pieces(0, mtid.LastNumber, len(owners)) {
+		part.Owner = owners[i]
+		part.Epoch = t.Next
+		t.Next++
+		t.Ranges = append(t.Ranges, part)
+	}
+	return t, nil
+}
+
+// pieces divides low to high into n runs of nearly equal width.
+func pieces(low, high mtid.Number, n int) []Range {
+	keys := int(high) - int(low) + 1
+	n = min(n, keys)
+	out := make([]Range, 0, n)
+	for i := range n {
+		from, to := i*keys/n, (i+1)*keys/n-1
+		out = append(out, Range{Low: low + mtid.Number(from), High: low + mtid.Number(to)})
+	}
+	return out
+}
+
+// Lookup returns the range of a key. It is called for each request.
+func (t *Table) Lookup(key mtid.Number) (Range, bool) {
+	i, found := slices.BinarySearchFunc(t.Ranges, key, func(r Range, key mtid.Number) int {
+		switch {
+		case r.High < key:
+			return -1
+		case r.Low > key:
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return Range{}, false
+	}
+	return t.Ranges[i], true
+}
+
+// Owned returns the ranges of an owner, in order.
+func (t *Table) Owned(owner Owner) []Range {
+	var owned []Range
+	for _, r := range t.Ranges {
+		if r.Owner == owner {
+			owned = append(owned, r)
+		}
+	}
+	return owned
+}
+
+// Owners returns all owners, ordered.
+func (t *Table) Owners() []Owner {
+	var owners []Owner
+	for _, r := range t.Ranges {
+		owners = append(owners, r.Owner)
+	}
+	slices.SortFunc(owners, Owner.Compare)
+	return slices.Compact(owners)
+}
+
+// Keys returns how many keys an owner has.
+func (t *Table) Keys(owner Owner) int {
+	n := 0
+	for _, r := range t.Ranges {
+		if r.Owner == owner {
+			n += r.Keys()
+		}
+	}
+	return n
+}
+
+// Move gives the keys from low to high, which have one owner, to another one,
+// with what the former owner left for it. It fails with a *RangeError.
+func (t *Table) Move(low, high mtid.Number, to Owner, warmth string) (*Table, error) {
+	if low > high {
+		return nil, &RangeError{Low: low, High: high, Reason: "is empty"}
+	}
+	if to.IsZero() {
+		return nil, &RangeError{Low: low, High: high, Reason: "names no owner"}
+	}
+	i := slices.IndexFunc(t.Ranges, func(r Range) bool { return r.Covers(low) })
+	if i < 0 || !t.Ranges[i].Covers(high) {
+		return nil, &RangeError{Low: low, High: high, Reason: "does not lie in one range"}
+	}
+	whole := t.Ranges[i]
+	next := &Table{Service: t.Service, Next: t.Next + 1}
+	next.Ranges = append(next.Ranges, t.Ranges[:i]...)
+	if whole.Low < low {
+		next.Ranges = append(next.Ranges, part(whole, whole.Low, low-1))
+	}
+	next.Ranges = append(next.Ranges, Range{Low: low, High: high, Owner: to, Epoch: t.Next, Warmth: warmth})
+	if high < whole.High {
+		next.Ranges = append(next.Ranges, part(whole, high+1, whole.High))
+	}
+	next.Ranges = append(next.Ranges, t.Ranges[i+1:]...)
+	return next, nil
+}
+
+// part returns the keys from low to high of a range, with all else as it is.
+func part(r Range, low, high mtid.Number) Range {
+	r.Low, r.High = low, high
+	return r
+}
+
+// maxPieces bounds into how many runs one lost range is cut, so that the table
+// stays small when many servers are lost one after the other.
+const maxPieces = 8
+
+// Take gives all ranges of the lost owners to the survivors, the most to those
+// with the fewest keys. It fails with a *RangeError if there are none.
+func (t *Table) Take(lost func(Owner) bool, survivors []Owner) (*Table, error) {
+	if len(survivors) == 0 {
+		return nil, &RangeError{High: mtid.LastNumber, Reason: "no survivor to give keys to"}
+	}
+	next := &Table{Service: t.Service, Next: t.Next}
+	keys := make(map[Owner]int, len(survivors))
+	for _, s := range survivors {
+		keys[s] = t.Keys(s)
+	}
+	for _, r := range t.Ranges {
+		if !lost(r.Owner) {
+			next.Ranges = append(next.Ranges, r)
+			continue
+		}
+		for _, piece := range pieces(r.Low, r.High, min(len(survivors), maxPieces)) {
+			piece.Owner = fewest(survivors, keys)
+			piece.Epoch = next.Next
+			next.Next++
+			keys[piece.Owner] += piece.Keys()
+			next.Ranges = append(next.Ranges, piece)
+		}
+	}
+	next.Ranges = joined(next.Ranges)
+	return next, nil
+}
+
+// fewest returns the owner with the fewest keys; the first of equals.
+func fewest(owners []Owner, keys map[Owner]int) Owner {
+	best := owners[0]
+	for _, o := range owners[1:] {
+		if keys[o] < keys[best] {
+			best = o
+		}
+	}
+	return best
+}
+
+// joined joins neighbours that were taken by one owner just now. Their epochs
+// follow each other, and the higher one holds for both.
+func joined(ranges []Range) []Range {
+	var out []Range
+	for _, r := range ranges {
+		last := len(out) - 1
+		if last >= 0 && out[last].Owner == r.Owner && out[last].Warmth == "" && r.Warmth == "" && out[last].Epoch+1 == r.Epoch {
+			out[last].High = r.High
+			out[last].Epoch = r.Epoch
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// DecodeError says that a stored table can't be read.
+type DecodeError struct {
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string {
+	if e.Err != nil {
+		return "range: table can't be read: " + e.Err.Error()
+	}
+	return "range: table can't be read: " + e.Reason
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// Encode returns the stored form of t.
+func (t *Table) Encode() ([]byte, error) { return json.Marshal(t) }
+
+// Decode reads a stored table. It fails with a *DecodeError if the ranges don't
+// cover all keys in order: a table with a gap would leave keys unserved for
+// good, one with an overlap would give a key two owners.
+func Decode(value []byte) (*Table, error) {
+	t := &Table{}
+	if err := json.Unmarshal(value, t); err != nil {
+		return nil, &DecodeError{Err: err}
+	}
+	want := 0
+	for _, r := range t.Ranges {
+		if int(r.Low) != want || r.High < r.Low {
+			return nil, &DecodeError{Reason: fmt.Sprintf("range %d to %d is out of order", r.Low, r.High)}
+		}
+		if r.Epoch >= t.Next {
+			return nil, &DecodeError{Reason: fmt.Sprintf("epoch %d is not below the next one", r.Epoch)}
+		}
+		want = int(r.High) + 1
+	}
+	if want != int(mtid.LastNumber)+1 {
+		return nil, &DecodeError{Reason: "not all keys are covered"}
+	}
+	return t, nil
+}
--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -71,6 +71,37 @@
 	Renew(ctx context.Context, lease LeaseID) error
 }
 
+// Condition is what has to hold of a name for a guarded write: its version, or
+// that it does not exist (version 0).
+type Condition struct {
+	Name    string
+	Version mtid.Version
+}
+
+// Guarded is a Store that writes one name under conditions on others, all or
+// nothing, and ends leases. Whoever takes over from a lost process has to write
+// in one step with the proof that it is still lost: between two steps it could
+// come back and be owner again.
+type Guarded interface {
+	Store
+	// SwapIf is Swap under further conditions. It fails like Swap; a
+	// *ConflictError names the first of the conditions that does not hold.
+	SwapIf(ctx context.Context, conditions []Condition, name string, expected mtid.Version, value []byte, lease LeaseID) (mtid.Version, error)
+	// End ends a lease, with everything that was written under it. A lease that
+	// is gone already is no failure.
+	End(ctx context.Context, lease LeaseID) error
+}
+
+// CompactedError says that the changes after the revision that a watch asked for
+// are forgotten. The watcher has to read everything again, and what it no longer
+// finds then was deleted.
+type CompactedError struct{ After mtid.Revision }
+
+// Error implements error.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store: changes after revision %d are forgotten", e.After)
+}
+
 // MissingError says that the name has no value.
 type MissingError struct{ Name string }
 
--- /dev/null
+++ b/io/mtdirectory/keeper.go
@@ -0,0 +1,218 @@
+package mtdirectory
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtstore"
+)
+
+const (
+	// renewals is how many renewals fit into a lease: two may be lost.
+	renewals = 3
+	// drift is the part of a lease that is not counted on, since the store's
+	// clock may run faster than this VM's.
+	drift = 0.02
+	// callTimeout bounds a call to the store. Answers take some milliseconds;
+	// during an outage a call may hang for good.
+	callTimeout = 800 * time.Millisecond
+	// retryPause is between two attempts to write the record while the store
+	// fails. Records have to be back within two seconds of its return.
+	retryPause = 250 * time.Millisecond
+	// endTimeout bounds the end of the lease in a shutdown.
+	endTimeout = 300 * time.Millisecond
+)
+
+// keeper keeps the own record in the store.
+type keeper struct {
+	Config
+	wake chan struct{}
+
+	mu      sync.Mutex
+	wanted  mtbackend.Record
+	present bool // Publish was called
+
+	// The duty's own state.
+	lease   mtstore.LeaseID
+	version mtid.Version
+	written mtbackend.Record
+	renewed mtclock.Instant
+	failing bool
+
+	certain atomic.Int64
+}
+
+func newKeeper(config Config) *keeper {
+	return &keeper{Config: config, wake: make(chan struct{}, 1)}
+}
+
+// publish sets what the record is to say.
+func (k *keeper) publish(r mtbackend.Record) {
+	k.mu.Lock()
+	same := k.present && k.wanted == r
+	k.wanted, k.present = r, true
+	k.mu.Unlock()
+	if same {
+		return
+	}
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// until returns until when the record certainly stands.
+func (k *keeper) until() mtclock.Instant { return mtclock.Instant(k.certain.Load()) }
+
+// start starts the duty and returns the function that ends it.
+func (k *keeper) start() func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var duty sync.WaitGroup
+	duty.Go(func() {
+		for ctx.Err() == nil {
+			k.pause(ctx, k.step(ctx))
+		}
+	})
+	return func() {
+		cancel()
+		duty.Wait()
+		k.end()
+	}
+}
+
+// pause waits for the next step, or until something is published.
+func (k *keeper) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-k.wake:
+	}
+}
+
+// step does what is due and returns when the next one is.
+func (k *keeper) step(ctx context.Context) time.Duration {
+	k.mu.Lock()
+	wanted, present := k.wanted, k.present
+	k.mu.Unlock()
+	if !present {
+		return k.Lease
+	}
+	err := k.keep(ctx, wanted)
+	if err != nil {
+		if ctx.Err() == nil {
+			k.Log.Warn("own record can't be kept", "error", err, "certain", k.until().Sub(k.Clock.Now()))
+		}
+		k.failing = true
+		return retryPause
+	}
+	if k.failing {
+		k.Log.Info("own record stands again")
+		k.failing = false
+	}
+	return k.Lease / renewals
+}
+
+// keep renews the lease and brings the record up to date. The lease runs from
+// the call's arrival, which is later than its sending, by which it is counted.
+func (k *keeper) keep(ctx context.Context, wanted mtbackend.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := k.Clock.Now()
+	if err := k.hold(ctx, sent); err != nil {
+		return err
+	}
+	if k.version != 0 && k.written == wanted {
+		k.certify(k.renewed)
+		return nil
+	}
+	if err := k.write(ctx, wanted); err != nil {
+		return err
+	}
+	k.certify(k.renewed)
+	return nil
+}
+
+// certify notes that the record stands for a lease from the instant on.
+func (k *keeper) certify(sent mtclock.Instant) {
+	k.certain.Store(int64(sent.Add(time.Duration(float64(k.Lease) * (1 - drift)))))
+}
+
+// hold makes a lease or renews it.
+func (k *keeper) hold(ctx context.Context, sent mtclock.Instant) error {
+	if k.lease != "" {
+		if k.renewed != 0 && sent.Sub(k.renewed) < k.Lease/renewals/2 {
+			return nil // a record is published shortly after a renewal
+		}
+		err := k.Store.Renew(ctx, k.lease)
+		var lapsed *mtstore.LapsedError
+		if !errors.As(err, &lapsed) {
+			if err == nil {
+				k.renewed = sent
+			}
+			return err
+		}
+		k.Log.Warn("own lease has lapsed", "lease", k.lease)
+		k.lease, k.version = "", 0
+		k.certain.Store(0)
+	}
+	lease, err := k.Store.Grant(ctx, k.Lease)
+	if err != nil {
+		return err
+	}
+	k.lease, k.renewed = lease, sent
+	return nil
+}
+
+// write writes the record. A former life of this daemon may have left one, whose
+// lease still runs, and an earlier write whose answer was lost may have landed:
+// both show as a conflict with what stands there now.
+func (k *keeper) write(ctx context.Context, wanted mtbackend.Record) error {
+	value, err := wanted.Encode()
+	if err != nil {
+		return err
+	}
+	name := mtstore.BackendName(k.Self)
+	for range conflicts {
+		version, err := k.Store.Swap(ctx, name, k.version, value, k.lease)
+		var conflict *mtstore.ConflictError
+		var lapsed *mtstore.LapsedError
+		switch {
+		case err == nil:
+			k.version, k.written = version, wanted
+			k.Log.Info("own record written", "state", wanted.State, "server", wanted.Server, "leaving", wanted.Leaving, "version", uint64(version))
+			return nil
+		case errors.As(err, &conflict):
+			k.version = conflict.Current.Version
+		case errors.As(err, &lapsed):
+			k.lease, k.version = "", 0
+			return err
+		default:
+			return err
+		}
+	}
+	return &mtstore.ConflictError{Name: name, Expected: k.version}
+}
+
+// conflicts is how often a write is tried over what others left.
+const conflicts = 3
+
+// end ends the lease, so that others need not wait for it to run out.
+func (k *keeper) end() {
+	k.certain.Store(0)
+	if k.lease == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if err := k.Store.End(ctx, k.lease); err != nil {
+		k.Log.Warn("own lease runs out by itself", "error", err)
+	}
+}
--- /dev/null
+++ b/io/mtdirectory/mtdirectory.go
@@ -0,0 +1,257 @@
+// Package mtdirectory keeps one daemon's copy of what all share in the
+// platform's store: the records of the backend servers and the assignments of
+// keys. It also keeps this daemon's own record alive there, under a lease.
+//
+// A record that has lapsed is kept for a while and marked: while the store is
+// away leases may run out, although the servers live. Whoever routes may go on
+// to use it; whoever takes keys over needs it gone for long enough.
+//
+// # Usage
+//
+//	directory, cleanUp := mtdirectory.New(config)
+//	defer cleanUp()
+//	directory.Publish(record)
+//	view := directory.Now()
+//
+// A Directory is safe for concurrent use; a View is immutable.
+package mtdirectory
+
+import (
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtwatch"
+)
+
+// clock has a steady instant, which never runs ahead: whoever waits for a lease
+// to be over must not be led by a clock that steps forward.
+type clock interface {
+	Now() mtclock.Instant
+	Steady() mtclock.Instant
+}
+
+// Config is what a Directory works with.
+type Config struct {
+	Self  mtid.Daemon
+	Store mtstore.Guarded
+	Clock clock
+	Log   *slog.Logger
+	// Lease is how long the own record outlives this daemon.
+	Lease time.Duration
+}
+
+// Member is a record with what is known of its lease.
+type Member struct {
+	mtbackend.Record
+	Version mtid.Version
+	// Lapsed says that the record is gone from the store, since when by the
+	// steady clock of this daemon.
+	Lapsed bool
+	Since  mtclock.Instant
+}
+
+// Assignment is a table with its version in the store.
+type Assignment struct {
+	*mtrange.Table
+	Version mtid.Version
+}
+
+// View is one state of the copy.
+type View struct {
+	Members     map[mtid.Daemon]Member
+	Assignments map[mtid.Service]Assignment
+	// Revision is that of the store up to which the copy is complete; zero if
+	// nothing was read yet.
+	Revision mtid.Revision
+}
+
+// Directory keeps the copy. See the package comment.
+type Directory struct {
+	Config
+	view     atomic.Pointer[View]
+	mu       sync.Mutex // guards listeners and the making of views
+	changed  []func()
+	keeper   *keeper
+	upSince  atomic.Int64 // steady instant since when the store answers; 0 if it doesn't
+	everRead atomic.Bool
+}
+
+// New starts to follow the store and returns the Directory and its clean-up
+// function, which ends the lease, so that others learn at once that this daemon
+// is gone.
+func New(config Config) (*Directory, func()) {
+	d := &Directory{Config: config}
+	d.view.Store(&View{Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}})
+	d.keeper = newKeeper(config)
+	stopWatch := mtwatch.Start(mtwatch.Config{
+		Store: config.Store, Prefix: mtstore.Live, Apply: d.apply, Health: d.health, Log: config.Log,
+	})
+	stopKeeper := d.keeper.start()
+	return d, func() {
+		stopWatch()
+		stopKeeper()
+	}
+}
+
+// Now returns the present copy. It is called for each request.
+func (d *Directory) Now() *View { return d.view.Load() }
+
+// OnChange adds a function that is called after each change of the copy. It
+// must not block.
+func (d *Directory) OnChange(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changed = append(d.changed, f)
+}
+
+// Publish sets the own record. The duty writes it, and writes it again whenever
+// it has lapsed.
+func (d *Directory) Publish(r mtbackend.Record) { d.keeper.publish(r) }
+
+// Certain returns until when the own record certainly stands in the store, by
+// the clock that never runs slow. Zero means that it does not stand yet.
+func (d *Directory) Certain() mtclock.Instant { return d.keeper.until() }
+
+// Up returns since when the store answers without a failure, by the steady
+// clock, or false if it does not answer now.
+func (d *Directory) Up() (mtclock.Instant, bool) {
+	since := mtclock.Instant(d.upSince.Load())
+	return since, since != 0
+}
+
+// health notes whether the store answers.
+func (d *Directory) health(up bool) {
+	if !up {
+		d.upSince.Store(0)
+		return
+	}
+	d.upSince.CompareAndSwap(0, int64(d.Clock.Steady()))
+}
+
+// Learn takes in an assignment that was written or read outside the watch, so
+// that this daemon goes by its own write at once.
+func (d *Directory) Learn(a Assignment) {
+	d.change(func(v *View) bool {
+		if old, ok := v.Assignments[a.Service]; ok && old.Version >= a.Version {
+			return false
+		}
+		v.Assignments[a.Service] = a
+		return true
+	})
+}
+
+// apply takes in what the watch brings.
+func (d *Directory) apply(u mtwatch.Update) {
+	now := d.Clock.Steady()
+	d.change(func(v *View) bool {
+		seen := make(map[string]bool, len(u.Changes.Entries))
+		for _, e := range u.Changes.Entries {
+			seen[e.Name] = true
+			d.take(v, now, e)
+		}
+		if u.Whole {
+			for name, m := range v.Members {
+				if !seen[mtstore.BackendName(name)] {
+					v.Members[name] = lapse(m, now)
+				}
+			}
+		}
+		v.Revision = u.Changes.Revision
+		return true
+	})
+}
+
+// take takes in one entry.
+func (d *Directory) take(v *View, now mtclock.Instant, e mtstore.Entry) {
+	switch {
+	case strings.HasPrefix(e.Name, mtstore.Backend):
+		d.takeMember(v, now, e)
+	case strings.HasPrefix(e.Name, mtstore.Range):
+		d.takeAssignment(v, e)
+	}
+}
+
+func (d *Directory) takeMember(v *View, now mtclock.Instant, e mtstore.Entry) {
+	name := mtid.Daemon(strings.TrimPrefix(e.Name, mtstore.Backend))
+	if e.Version == 0 {
+		if m, ok := v.Members[name]; ok {
+			v.Members[name] = lapse(m, now)
+			d.Log.Info("record of backend server gone", "daemon", name, "server", m.Server, "revision", uint64(e.Revision))
+		}
+		return
+	}
+	record, err := mtbackend.Decode(e.Value)
+	if err != nil {
+		d.Log.Error("record of backend server passed over", "name", e.Name, "error", err)
+		return
+	}
+	old, known := v.Members[name]
+	if !known || old.Record != record || old.Lapsed {
+		d.Log.Info("backend server", "daemon", name, "server", record.Server, "service", record.Service,
+			"state", record.State, "leaving", record.Leaving, "version", uint64(e.Version))
+	}
+	v.Members[name] = Member{Record: record, Version: e.Version}
+}
+
+func (d *Directory) takeAssignment(v *View, e mtstore.Entry) {
+	service := mtid.Service(strings.TrimPrefix(e.Name, mtstore.Range))
+	if e.Version == 0 {
+		d.Log.Error("assignment deleted", "service", service)
+		return
+	}
+	table, err := mtrange.Decode(e.Value)
+	if err != nil {
+		d.Log.Error("assignment passed over", "service", service, "error", err)
+		return
+	}
+	if old, ok := v.Assignments[service]; ok && old.Version >= e.Version {
+		return
+	}
+	d.Log.Info("assignment", "service", service, "version", uint64(e.Version), "epoch", uint64(table.Next), "ranges", len(table.Ranges))
+	v.Assignments[service] = Assignment{Table: table, Version: e.Version}
+}
+
+// lapse marks a record as gone since now, or since it was first seen gone.
+func lapse(m Member, now mtclock.Instant) Member {
+	if !m.Lapsed {
+		m.Lapsed, m.Since = true, now
+	}
+	return m
+}
+
+// change makes a new view and tells the listeners, if f says that it differs.
+func (d *Directory) change(f func(v *View) bool) {
+	d.mu.Lock()
+	old := d.view.Load()
+	next := &View{
+		Members:     make(map[mtid.Daemon]Member, len(old.Members)),
+		Assignments: make(map[mtid.Service]Assignment, len(old.Assignments)),
+		Revision:    old.Revision,
+	}
+	for k, v := range old.Members {
+		next.Members[k] = v
+	}
+	for k, v := range old.Assignments {
+		next.Assignments[k] = v
+	}
+	differs := f(next)
+	if differs {
+		d.view.Store(next)
+	}
+	listeners := d.changed
+	d.mu.Unlock()
+	if !differs {
+		return
+	}
+	for _, f := range listeners {
+		f()
+	}
+}
--- /dev/null
+++ b/io/mtforward/mtforward.go
@@ -0,0 +1,260 @@
+// Package mtforward carries calls between daemons over gRPC: from the one that a
+// caller asked to the one beside the backend server.
+//
+// A daemon that is frozen, powerless or behind a silent connection doesn't refuse
+// a call, it lets it hang. So the receiver sends the header of its reply as soon
+// as the call has arrived; a sender that sees none in time knows that nobody is
+// there, long before the call's deadline.
+//
+// # Usage
+//
+//	client, cleanUp := mtforward.NewClient(clock, log)
+//	answer, err := client.Forward(ctx, daemon, address, call)
+//	mtforward.Register(grpcServer, host, clock)
+//
+// Forward fails with a *mtreply.RefusedError if the call was not run, else with
+// a *mtreply.UnknownError. All types are safe for concurrent use.
+package mtforward
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
+
+	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtwire"
+	"magnoliaturn/io/mtdial"
+)
+
+type clock interface{ Now() mtclock.Instant }
+
+const (
+	// arrival is how long the header of a reply may take. A round trip between
+	// availability zones takes some milliseconds, and a lost packet is sent
+	// again after 200 ms.
+	arrival = 600 * time.Millisecond
+	// buffer is the size of a connection's buffers, in bytes. A daemon has a
+	// connection to each of many others, and most messages are smaller.
+	buffer = 8 << 10
+	// messageLimit is the largest message, in bytes.
+	messageLimit = 72 << 20
+	// unreachableRetry is when to ask again for a server whose daemon can't be
+	// reached: about the time in which a daemon is back.
+	unreachableRetry = 500 * time.Millisecond
+	// silentFor is how long a daemon that did not answer is taken for silent, so
+	// that calls don't wait for it one after the other.
+	silentFor = time.Second
+)
+
+// A daemon that was restarted listens again within a second or two.
+var reconnect = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 300 * time.Millisecond},
+	MinConnectTimeout: 500 * time.Millisecond,
+}
+
+// Report is the load that a daemon reported, and when.
+type Report struct {
+	mtcall.Load
+	At mtclock.Instant
+}
+
+// Client sends calls to other daemons over one connection each.
+type Client struct {
+	clock   clock
+	options []grpc.DialOption
+	mu      sync.Mutex
+	conns   map[string]*grpc.ClientConn
+	reports map[mtid.Daemon]Report
+	silent  map[string]mtclock.Instant // until when an address counts as silent
+}
+
+// NewClient returns a client and its clean-up function.
+func NewClient(c clock) (*Client, func()) {
+	client := &Client{
+		clock: c, conns: make(map[string]*grpc.ClientConn),
+		reports: make(map[mtid.Daemon]Report), silent: make(map[string]mtclock.Instant),
+	}
+	client.options = []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(reconnect),
+		grpc.WithContextDialer(dial),
+		grpc.WithReadBufferSize(buffer),
+		grpc.WithWriteBufferSize(buffer),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit), grpc.MaxCallSendMsgSize(messageLimit)),
+	}
+	return client, client.close
+}
+
+// dial connects to another daemon.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return mtdial.Dial(ctx, "tcp", address)
+}
+
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.conns = map[string]*grpc.ClientConn{}
+}
+
+// conn returns the connection to an address.
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, c.options...)
+	if err != nil {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, Detail: err.Error()}
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// renew drops the connection to an address, so that the next call opens a new
+// one: an open connection may stay silent where a new one works.
+func (c *Client) renew(address string) {
+	c.mu.Lock()
+	conn := c.conns[address]
+	delete(c.conns, address)
+	c.silent[address] = c.clock.Now().Add(silentFor)
+	c.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// Silent reports whether a daemon did not answer a moment ago.
+func (c *Client) Silent(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, ok := c.silent[address]
+	if ok && !c.clock.Now().Before(until) {
+		delete(c.silent, address)
+		return false
+	}
+	return ok
+}
+
+// Report returns the last load that a daemon reported.
+func (c *Client) Report(daemon mtid.Daemon) (Report, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.reports[daemon]
+	return r, ok
+}
+
+// note keeps a report.
+func (c *Client) note(daemon mtid.Daemon, w *mtwire.ForwardLoad) {
+	if w == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports[daemon] = Report{Load: readLoad(w), At: c.clock.Now()}
+}
+
+// Observe asks a daemon for its load.
+func (c *Client) Observe(ctx context.Context, daemon mtid.Daemon, address string) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	load, err := mtwire.NewForwarderClient(conn).Observe(ctx, &mtwire.ObserveRequest{})
+	if err != nil {
+		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
+	}
+	c.note(daemon, load)
+	return nil
+}
+
+// Forward sends a call to the daemon beside a backend server.
+func (c *Client) Forward(ctx context.Context, daemon mtid.Daemon, address string, call *mtcall.Call) (*mtcall.Answer, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	now := c.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(now))
+	defer cancel()
+	var sent atomic.Bool
+	outer := context.WithValue(ctx, sentKey{}, &sent)
+	inner, giveUp := context.WithCancel(outer)
+	defer giveUp()
+	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, wireCall(now, call))
+	if err != nil {
+		return nil, c.explain(ctx, err, &sent)
+	}
+	if err := c.arrived(stream, giveUp); err != nil {
+		if ctx.Err() == nil {
+			c.renew(address)
+		}
+		return nil, c.explain(ctx, err, &sent)
+	}
+	w, err := stream.Recv()
+	if err != nil {
+		return nil, c.explain(ctx, err, &sent)
+	}
+	c.note(daemon, w.GetLoad())
+	return readReply(w)
+}
+
+// arrived waits for the header, which says that the call has arrived.
+func (c *Client) arrived(stream grpc.ClientStream, giveUp func()) error {
+	late := time.AfterFunc(arrival, giveUp)
+	_, err := stream.Header()
+	if !late.Stop() && err == nil {
+		return context.Canceled
+	}
+	return err
+}
+
+// explain says what is known of a call whose reply failed.
+func (c *Client) explain(ctx context.Context, err error, sent *atomic.Bool) error {
+	if !sent.Load() {
+		return &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: unreachableRetry, Detail: err.Error()}
+	}
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return &mtreply.UnknownError{Cause: mtreply.CauseTimeout, Err: err}
+	case context.Canceled:
+		return &mtreply.UnknownError{Cause: mtreply.CauseGone, Err: err}
+	}
+	return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
+}
+
+type sentKey struct{}
+
+// sentHandler notes in the call's context that the message was handed to the
+// transport. Before that no byte of it can have left.
+type sentHandler struct{}
+
+func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (sentHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if _, ok := s.(*stats.OutPayload); !ok {
+		return
+	}
+	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		sent.Store(true)
+	}
+}
+
+func (sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+func (sentHandler) HandleConn(context.Context, stats.ConnStats) {}
--- /dev/null
+++ b/io/mtforward/server.go
@@ -0,0 +1,177 @@
+package mtforward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+
+	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtwire"
+)
+
+// host runs calls on the backend server of this VM.
+type host interface {
+	Run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error)
+	Load() mtcall.Load
+}
+
+// server answers other daemons.
+type server struct {
+	mtwire.UnimplementedForwarderServer
+	host  host
+	clock clock
+}
+
+// Register adds the service to a gRPC server.
+func Register(r grpc.ServiceRegistrar, h host, c clock) {
+	mtwire.RegisterForwarderServer(r, &server{host: h, clock: c})
+}
+
+// Forward implements mtwire.ForwarderServer.
+func (s *server) Forward(w *mtwire.ForwardRequest, stream grpc.ServerStreamingServer[mtwire.ForwardReply]) error {
+	if err := stream.SendHeader(metadata.MD{}); err != nil {
+		return err
+	}
+	answer, err := s.host.Run(stream.Context(), readCall(s.clock.Now(), w))
+	reply := wireReply(answer, err)
+	reply.Load = wireLoad(s.host.Load())
+	return stream.Send(reply)
+}
+
+// Observe implements mtwire.ForwarderServer.
+func (s *server) Observe(context.Context, *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
+	return wireLoad(s.host.Load()), nil
+}
+
+// Times travel as what is left of them: clocks of two VMs are not compared.
+
+func wireCall(now mtclock.Instant, c *mtcall.Call) *mtwire.ForwardRequest {
+	return &mtwire.ForwardRequest{
+		Id:          string(c.ID),
+		Method:      c.Method,
+		Target:      c.Target,
+		Host:        c.Host,
+		Header:      wireFields(c.Header),
+		Body:        c.Body,
+		Service:     string(c.Service),
+		Route:       string(c.Route),
+		Keyed:       c.Keyed,
+		Key:         uint32(c.Key),
+		Idempotent:  c.Idempotent,
+		Nested:      c.Nested,
+		Repeat:      c.Repeat,
+		Priority:    int32(c.Priority),
+		ObjectiveUs: c.Objective.Sub(now).Microseconds(),
+		DeadlineUs:  c.Deadline.Sub(now).Microseconds(),
+		Caller:      string(c.Caller),
+	}
+}
+
+func readCall(now mtclock.Instant, w *mtwire.ForwardRequest) *mtcall.Call {
+	return &mtcall.Call{
+		ID:         mtcall.ID(w.GetId()),
+		Method:     w.GetMethod(),
+		Target:     w.GetTarget(),
+		Host:       w.GetHost(),
+		Header:     readFields(w.GetHeader()),
+		Body:       w.GetBody(),
+		Service:    mtid.Service(w.GetService()),
+		Route:      mtid.Class(w.GetRoute()),
+		Keyed:      w.GetKeyed(),
+		Key:        mtid.Number(w.GetKey()),
+		Idempotent: w.GetIdempotent(),
+		Nested:     w.GetNested(),
+		Repeat:     w.GetRepeat(),
+		Priority:   int(w.GetPriority()),
+		Objective:  now.Add(micros(w.GetObjectiveUs())),
+		Deadline:   now.Add(micros(w.GetDeadlineUs())),
+		Caller:     mtid.Service(w.GetCaller()),
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func wireFields(fields []mtcall.Field) []*mtwire.Field {
+	out := make([]*mtwire.Field, 0, len(fields))
+	for _, f := range fields {
+		out = append(out, &mtwire.Field{Name: f.Name, Value: f.Value})
+	}
+	return out
+}
+
+func readFields(w []*mtwire.Field) []mtcall.Field {
+	out := make([]mtcall.Field, 0, len(w))
+	for _, f := range w {
+		out = append(out, mtcall.Field{Name: f.GetName(), Value: f.GetValue()})
+	}
+	return out
+}
+
+func wireLoad(l mtcall.Load) *mtwire.ForwardLoad {
+	return &mtwire.ForwardLoad{
+		Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots),
+		ServiceUs: l.Service.Microseconds(), Demand: float32(l.Demand),
+	}
+}
+
+func readLoad(w *mtwire.ForwardLoad) mtcall.Load {
+	return mtcall.Load{
+		Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots()),
+		Service: micros(w.GetServiceUs()), Demand: float64(w.GetDemand()),
+	}
+}
+
+func wireReply(answer *mtcall.Answer, err error) *mtwire.ForwardReply {
+	var refused *mtreply.RefusedError
+	var unknown *mtreply.UnknownError
+	switch {
+	case err == nil:
+		return &mtwire.ForwardReply{
+			Outcome:  string(mtreply.Answered),
+			Status:   uint32(answer.Status),
+			Header:   wireFields(answer.Header),
+			Body:     answer.Body,
+			QueuedUs: answer.Queued.Microseconds(),
+			ServedUs: answer.Served.Microseconds(),
+		}
+	case errors.As(err, &refused):
+		return &mtwire.ForwardReply{
+			Outcome: string(mtreply.NotRun), Cause: string(refused.Cause), Detail: refused.Detail,
+			RetryAfterUs: refused.RetryAfter.Microseconds(),
+		}
+	case errors.As(err, &unknown):
+		return &mtwire.ForwardReply{Outcome: string(mtreply.Unknown), Cause: string(unknown.Cause), Detail: unknown.Error()}
+	}
+	// Only a proof allows "not run".
+	return &mtwire.ForwardReply{Outcome: string(mtreply.Unknown), Cause: string(mtreply.CauseLost), Detail: err.Error()}
+}
+
+// remoteError is what another daemon said of a call whose outcome is unknown.
+type remoteError struct{ detail string }
+
+// Error implements error.
+func (e *remoteError) Error() string { return e.detail }
+
+func readReply(w *mtwire.ForwardReply) (*mtcall.Answer, error) {
+	switch mtreply.Outcome(w.GetOutcome()) {
+	case mtreply.Answered:
+		return &mtcall.Answer{
+			Status: int(w.GetStatus()),
+			Header: readFields(w.GetHeader()),
+			Body:   w.GetBody(),
+			Queued: micros(w.GetQueuedUs()),
+			Served: micros(w.GetServedUs()),
+		}, nil
+	case mtreply.NotRun:
+		return nil, &mtreply.RefusedError{
+			Cause: mtreply.Cause(w.GetCause()), Detail: w.GetDetail(), RetryAfter: micros(w.GetRetryAfterUs()),
+		}
+	}
+	return nil, &mtreply.UnknownError{Cause: mtreply.Cause(w.GetCause()), Err: &remoteError{detail: w.GetDetail()}}
+}
--- /dev/null
+++ b/io/mtgrant/mtgrant.go
@@ -0,0 +1,394 @@
+// Package mtgrant sees to it that the backend server on this VM holds the keys
+// that the assignment gives it, and no others.
+//
+// A grant is an order to the server: it may run calls for these keys for a
+// while, under an epoch. The duty renews what the assignment gives to the
+// server's present life, as long as this daemon's record certainly stands in
+// the platform's store. So whoever finds the record gone, and waits until every
+// grant of this daemon must have run out, can give the keys to another server.
+// A grant lasts longer than the store's usual outages, so that an outage alone
+// stops no key.
+//
+// Keys leave a server in one of three ways: this daemon releases them, which
+// the server answers once nothing runs on them, and then writes their new owner
+// (a move); the record shows that the server's process has ended; or the record
+// has been gone for long enough.
+//
+// # Usage
+//
+//	grants, cleanUp := mtgrant.New(config)
+//	err := grants.Holds(server, key) // for each keyed call
+//
+// A Grants is safe for concurrent use.
+package mtgrant
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtduty"
+)
+
+// Port carries orders to a backend server.
+type Port interface {
+	// Grant lets the server run calls for the range for the time hold, counted
+	// from the order's arrival. It fails with a *SupersededError if the server
+	// has seen a higher epoch on one of the keys; after any other failure the
+	// order may still be carried out, later.
+	Grant(ctx context.Context, address string, r mtrange.Range, hold time.Duration) error
+	// Release takes keys back. It returns once nothing runs on them, with what
+	// the next owner needs to start warm. After a failure the order may still
+	// be carried out.
+	Release(ctx context.Context, address string, low, high mtid.Number, epoch mtid.Epoch) (warmth string, err error)
+}
+
+// SupersededError says that a server has seen a higher epoch.
+type SupersededError struct{ Epoch mtid.Epoch }
+
+// Error implements error.
+func (*SupersededError) Error() string { return "grant: the server has seen a higher epoch" }
+
+type clock interface {
+	Now() mtclock.Instant
+	Steady() mtclock.Instant
+}
+
+const (
+	// period is how often the duty looks, besides whenever something changes.
+	period = 250 * time.Millisecond
+	// orderTimeout bounds a grant, which a server answers within milliseconds.
+	orderTimeout = 400 * time.Millisecond
+	// slowClock is by how much a server's clock may run slow, so that a grant
+	// lasts longer than it says.
+	slowClock = 0.02
+	// spare is added to the end of a grant before others may take its keys: for
+	// what neither clock nor time-out covers.
+	spare = 300 * time.Millisecond
+	// failing is how much of the certain time may be left before all grants are
+	// renewed once more: the store seems to be away, and what is granted now has
+	// to last until it is back.
+	failing = 1200 * time.Millisecond
+	// grantRetry is when to ask again for a key that is about to be granted.
+	grantRetry = 200 * time.Millisecond
+)
+
+// host is the backend server on this VM.
+type host interface {
+	Owner() (mtrange.Owner, bool)
+	Record() (mtbackend.Record, string)
+	Stop(low, high mtid.Number)
+	Resume(low, high mtid.Number)
+	Release(low, high mtid.Number)
+	Cut(ranges []mtrange.Range, amount float64) (low, high mtid.Number, ok bool)
+	Forget(low, high mtid.Number)
+}
+
+// Config is what a Grants works with.
+type Config struct {
+	Self      mtid.Daemon
+	Service   mtid.Service
+	Keyed     func() bool // the configuration in force divides the service by key
+	Hold      time.Duration
+	Directory *mtdirectory.Directory
+	Store     mtstore.Guarded
+	Host      host
+	Port      Port
+	Clock     clock
+	Log       *slog.Logger
+	// Standings returns what is known of the load of this server and the others
+	// of its service.
+	Standings func() (self mtrange.Standing, others []mtrange.Standing)
+}
+
+// grant is a range as the server has been told of it.
+type grant struct {
+	mtrange.Range
+	server  mtid.Server
+	granted mtclock.Instant // when the last answered order was sent; zero if none
+	until   mtclock.Instant // when the grant may end, by the server's fastest clock
+	moving  bool            // stopped at the gate, on its way to another owner
+	overdue bool            // was renewed because the record is about to lapse
+}
+
+// Grants keeps the grants of one server.
+type Grants struct {
+	Config
+	wake chan struct{}
+	// stopping ends with the clean-up. A move outlives the step that began it.
+	stopping context.Context
+
+	mu     sync.Mutex
+	grants []*grant
+	// doubt is until when an order that was not answered may still be in force,
+	// for each life of the server. A key that is released while such an order
+	// is on its way would be held again.
+	doubt map[mtid.Server]mtclock.Instant
+	moved mtclock.Instant // the last move
+	// fenced says that nothing that a former life of this daemon wrote can land
+	// any more.
+	fenced    bool
+	counted   int             // servers that were there at countedAt
+	countedAt mtclock.Instant // steady
+}
+
+// New starts the duties and returns the Grants and its clean-up function.
+func New(config Config) (*Grants, func()) {
+	g := &Grants{Config: config, wake: make(chan struct{}, 1), doubt: make(map[mtid.Server]mtclock.Instant)}
+	config.Directory.OnChange(g.Wake)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stopping = ctx
+	var duties sync.WaitGroup
+	duties.Go(func() { g.loop(ctx) })
+	stopTaker := mtduty.Every(takePeriod, func(ctx context.Context) { g.take(ctx) })
+	stopBalance := mtduty.Every(balancePeriod, func(ctx context.Context) { g.balance(ctx) })
+	return g, func() {
+		cancel()
+		stopTaker()
+		stopBalance()
+		duties.Wait()
+	}
+}
+
+// Wake makes the duty look at once.
+func (g *Grants) Wake() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Grants) loop(ctx context.Context) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.wake:
+		}
+		g.renew(ctx)
+	}
+}
+
+// Holds fails with a *mtreply.RefusedError unless the server was granted the
+// key.
+func (g *Grants) Holds(server mtid.Server, key mtid.Number) error {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, held := range g.grants {
+		if !held.Covers(key) || held.server != server {
+			continue
+		}
+		if held.granted == 0 || !now.Before(held.granted.Add(g.Hold)) {
+			return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: grantRetry}
+		}
+		return nil
+	}
+	return g.elsewhere(server, key)
+}
+
+// elsewhere says why the server does not hold the key.
+func (g *Grants) elsewhere(server mtid.Server, key mtid.Number) error {
+	assignment, ok := g.Directory.Now().Assignments[g.Service]
+	if !ok {
+		return &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: grantRetry}
+	}
+	r, _ := assignment.Lookup(key)
+	if r.Owner == (mtrange.Owner{Daemon: g.Self, Server: server}) {
+		return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: grantRetry}
+	}
+	return &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute}
+}
+
+// Fenced makes the duty grant the key again, which the server says it does not
+// hold: an order to release it may have been carried out late.
+func (g *Grants) Fenced(key mtid.Number) {
+	g.mu.Lock()
+	for _, held := range g.grants {
+		if held.Covers(key) {
+			held.granted = 0
+		}
+	}
+	g.mu.Unlock()
+	g.Wake()
+}
+
+// renew brings the grants in line with the assignment and renews what is due.
+func (g *Grants) renew(ctx context.Context) {
+	owner, _ := g.Host.Owner()
+	record, address := g.Host.Record()
+	if owner.Server == "" || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
+		return
+	}
+	assignment, ok := g.Directory.Now().Assignments[g.Service]
+	if !ok {
+		return
+	}
+	if !g.fence(ctx, owner, assignment) {
+		return
+	}
+	g.drop(ctx, address, g.adopt(owner, assignment.Owned(owner)))
+	for _, held := range g.due(owner.Server) {
+		g.order(ctx, address, held)
+	}
+}
+
+// fence writes the assignment once anew before this life of the daemon grants
+// anything of what it finds assigned. A move that its former life had begun may
+// have been written and not have landed yet: it would land after the keys were
+// granted here again, and two servers would hold them. With another version in
+// the store it never lands.
+func (g *Grants) fence(ctx context.Context, owner mtrange.Owner, a mtdirectory.Assignment) bool {
+	g.mu.Lock()
+	fenced := g.fenced || len(a.Owned(owner)) == 0
+	g.mu.Unlock()
+	if fenced {
+		return true
+	}
+	if g.Directory.Certain().Sub(g.Clock.Now()) <= 0 {
+		return false
+	}
+	done := g.write(ctx, nil, a.Table, a.Version, "fence of a former life") == written
+	g.mu.Lock()
+	g.fenced = done
+	g.mu.Unlock()
+	return done
+}
+
+// drop releases what the assignment gave to another server without a move of
+// this life of the daemon.
+func (g *Grants) drop(ctx context.Context, address string, dropped []*grant) {
+	for _, held := range dropped {
+		g.Log.Warn("grant is no longer assigned here", "server", held.server, "low", held.Low, "high", held.High, "epoch", uint64(held.Epoch))
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		if _, err := g.Port.Release(ctx, address, held.Low, held.High, held.Epoch); err != nil {
+			g.Log.Warn("release failed", "low", held.Low, "high", held.High, "error", err)
+		}
+		cancel()
+	}
+}
+
+// adopt takes over what the assignment says, and returns the grants that it no
+// longer gives to the server and that were not moved from here.
+func (g *Grants) adopt(owner mtrange.Owner, owned []mtrange.Range) (dropped []*grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var next []*grant
+	for _, r := range owned {
+		next = append(next, g.known(owner.Server, r)...)
+	}
+	for _, held := range g.grants {
+		still := slices.ContainsFunc(next, func(n *grant) bool { return n.Epoch == held.Epoch && n.Covers(held.Low) })
+		if !still && !held.moving && held.until != 0 && held.server == owner.Server {
+			dropped = append(dropped, held)
+		}
+		if !still && held.moving {
+			next = append(next, held) // its move ends it
+		}
+	}
+	g.grants = next
+	return dropped
+}
+
+// known returns the grants of a range: as they were, the part that is left of a
+// wider one, or a new one.
+func (g *Grants) known(server mtid.Server, r mtrange.Range) []*grant {
+	var inside []*grant
+	keys := 0
+	for _, held := range g.grants {
+		if held.server != server || held.Epoch != r.Epoch {
+			continue
+		}
+		if r.Covers(held.Low) && r.Covers(held.High) {
+			inside = append(inside, held)
+			keys += held.Keys()
+			continue
+		}
+		if held.Covers(r.Low) && held.Covers(r.High) && !held.moving {
+			left := *held
+			left.Low, left.High = r.Low, r.High
+			return []*grant{&left}
+		}
+	}
+	if keys == r.Keys() {
+		return inside
+	}
+	return []*grant{{Range: r, server: server}}
+}
+
+// due returns the grants to renew now. Nothing is granted after the time up to
+// which the own record certainly stands: from then on others count.
+func (g *Grants) due(server mtid.Server) []*grant {
+	now := g.Clock.Now()
+	certain := g.Directory.Certain().Sub(now)
+	if certain <= orderTimeout {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var due []*grant
+	for _, held := range g.grants {
+		if held.moving {
+			continue
+		}
+		age := now.Sub(held.granted)
+		if certain > failing {
+			held.overdue = false
+		}
+		switch {
+		case held.granted == 0 || age > g.Hold/renewals:
+		case certain <= failing && !held.overdue:
+			held.overdue = true
+		default:
+			continue
+		}
+		due = append(due, held)
+	}
+	return due
+}
+
+// renewals is how many renewals fit into a hold.
+const renewals = 3
+
+// order grants one range. An order that is not answered may be carried out until
+// its time has run out, counted from its arrival.
+func (g *Grants) order(ctx context.Context, address string, held *grant) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	sent := g.Clock.Now()
+	until := sent.Add(orderTimeout + g.longest())
+	g.mu.Lock()
+	r := held.Range
+	first := held.granted == 0
+	held.until = max(held.until, until)
+	g.mu.Unlock()
+	err := g.Port.Grant(ctx, address, r, g.Hold)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		g.doubt[held.server] = max(g.doubt[held.server], until)
+		g.Log.Warn("grant failed", "server", held.server, "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "error", err)
+		return
+	}
+	held.granted = sent
+	if first {
+		g.Log.Info("granted", "server", held.server, "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "hold", g.Hold, "warm", r.Warmth != "")
+	}
+}
+
+// longest returns how long a grant lasts at most, by a true clock.
+func (g *Grants) longest() time.Duration {
+	return time.Duration(float64(g.Hold) * (1 + slowClock))
+}
--- /dev/null
+++ b/io/mtingress/send.go
@@ -0,0 +1,321 @@
+package mtingress
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtchoice"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtretry"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtduty"
+	"magnoliaturn/io/mtforward"
+)
+
+// host runs calls on the backend server of this VM.
+type host interface {
+	Run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error)
+	Load() mtcall.Load
+}
+
+// peers send calls to other daemons.
+type peers interface {
+	Forward(ctx context.Context, daemon mtid.Daemon, address string, call *mtcall.Call) (*mtcall.Answer, error)
+	Report(daemon mtid.Daemon) (mtforward.Report, bool)
+	Silent(address string) bool
+}
+
+const (
+	// bounces is how often a call that no server has begun goes to another one
+	// at once. A draining server, one that has moved the key, or a full one
+	// beside others with room cost no server anything.
+	bounces = 3
+	// moved is how long the ingress waits for news of a key's new owner before
+	// it asks again.
+	moved = 15 * time.Millisecond
+	// redirects is how often it does so: longer than a write of the assignment
+	// takes to be seen here.
+	redirects = 6
+	// ownerRetry is when to ask again for keys whose owner can't be reached:
+	// about the time in which a daemon is back.
+	ownerRetry = 800 * time.Millisecond
+	// emptyRetry is when to ask again for a service without any server.
+	emptyRetry = 500 * time.Millisecond
+	// lapsedUse is how long a record that is gone from the store is still used:
+	// while the store is away leases may run out, and records are back within
+	// two seconds of its return.
+	lapsedUse = 3 * time.Second
+	// farCost is what a server in another availability zone costs more, as a
+	// part of its service time: the bytes between zones are paid for.
+	farCost = 0.1
+)
+
+// Retries is what each first try of a service earns towards a second one. The
+// limit for all daemons together is a fifth of the requests; nested calls that a
+// repeated request makes count as repeats too and can't be told apart.
+const Retries = 0.08
+
+// SenderConfig is what a Sender works with.
+type SenderConfig struct {
+	Self      mtid.Daemon
+	Zone      mtid.Zone
+	Directory *mtdirectory.Directory
+	Host      host
+	Peers     peers
+	Clock     clock
+	Steady    func() mtclock.Instant
+	Log       *slog.Logger
+	Random    *rand.Rand
+}
+
+// Sender takes calls to backend servers, once or again.
+type Sender struct {
+	SenderConfig
+	mu      sync.Mutex // guards what follows
+	retry   *mtretry.Budgeted
+	choices map[mtid.Service]*choice
+}
+
+// choice chooses among the servers of one service.
+type choice struct {
+	policy *mtchoice.Least
+	seen   *mtdirectory.View
+	at     mtclock.Instant
+}
+
+// NewSender returns a Sender.
+func NewSender(config SenderConfig) *Sender {
+	return &Sender{
+		SenderConfig: config,
+		retry:        mtretry.NewBudgeted(config.Random),
+		choices:      make(map[mtid.Service]*choice),
+	}
+}
+
+// sending is the state of one call on its way.
+type sending struct {
+	tried     []mtid.Holder // daemons that can't or won't take it
+	bounced   int
+	redirects int
+	arrivals  int // at backend servers
+}
+
+// Send implements the sender of an Ingress. attempts is how many servers may be
+// given the call at most.
+func (s *Sender) Send(ctx context.Context, call *mtcall.Call, attempts int) (*mtcall.Answer, error) {
+	flow := mtretry.Flow{Class: mtid.Class(call.Service)}
+	s.mu.Lock()
+	s.retry.Declare(flow, Retries)
+	s.retry.First(flow)
+	s.mu.Unlock()
+	state := &sending{}
+	for {
+		member, err := s.target(call, state)
+		if err != nil {
+			return nil, err
+		}
+		answer, err := s.try(ctx, call, member)
+		if err == nil {
+			return answer, nil
+		}
+		if !s.again(ctx, call, member, state, attempts, err) {
+			return nil, err
+		}
+	}
+}
+
+// again decides whether the call is sent once more, and waits if need be.
+func (s *Sender) again(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, state *sending, attempts int, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if !reached(err) {
+		return s.bounce(ctx, call, member, state, err)
+	}
+	state.arrivals++
+	call.Repeat = true
+	if state.arrivals >= attempts {
+		return false
+	}
+	if !call.Keyed {
+		state.tried = append(state.tried, holder(member))
+	}
+	s.mu.Lock()
+	wait, ok := s.retry.Next(s.Clock.Now(), mtretry.Attempt{
+		Flow:       mtretry.Flow{Class: mtid.Class(call.Service)},
+		Idempotent: call.Idempotent,
+		Elsewhere:  true,
+		Tries:      state.arrivals,
+		Deadline:   call.Deadline,
+		Err:        err,
+	})
+	s.mu.Unlock()
+	return ok && mtduty.Sleep(ctx, wait)
+}
+
+// reached reports whether the failed try may have reached a backend server, so
+// that another one is a repeat.
+func reached(err error) bool {
+	var refused *mtreply.RefusedError
+	if !errors.As(err, &refused) {
+		return true
+	}
+	return refused.Cause == mtreply.CauseRefused || refused.Cause == mtreply.CauseFenced
+}
+
+// bounce decides about a call that no backend server has seen.
+func (s *Sender) bounce(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, state *sending, err error) bool {
+	var refused *mtreply.RefusedError
+	errors.As(err, &refused)
+	if call.Keyed {
+		if refused.Cause != mtreply.CauseStaleRoute && refused.Cause != mtreply.CauseNoLease {
+			return false
+		}
+		state.redirects++
+		return state.redirects <= redirects && mtduty.Sleep(ctx, moved)
+	}
+	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined {
+		return false
+	}
+	state.tried = append(state.tried, holder(member))
+	state.bounced++
+	return state.bounced <= bounces
+}
+
+// holder names a member for the choice policy.
+func holder(m mtdirectory.Member) mtid.Holder { return mtid.Holder{Daemon: m.Daemon, Incarnation: 1} }
+
+// target returns the daemon to ask next.
+func (s *Sender) target(call *mtcall.Call, state *sending) (mtdirectory.Member, error) {
+	view := s.Directory.Now()
+	if call.Keyed {
+		return s.owner(view, call)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.choice(view, call.Service)
+	chosen, ok := c.policy.Pick(s.Clock.Now(), state.tried)
+	if !ok {
+		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: emptyRetry, Detail: "no server takes calls of the service"}
+	}
+	return view.Members[chosen.Daemon], nil
+}
+
+// owner returns the daemon beside the owner of the call's key.
+func (s *Sender) owner(view *mtdirectory.View, call *mtcall.Call) (mtdirectory.Member, error) {
+	assignment, ok := view.Assignments[call.Service]
+	if !ok {
+		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: emptyRetry, Detail: "no assignment is known"}
+	}
+	r, _ := assignment.Lookup(call.Key)
+	member, ok := view.Members[r.Owner.Daemon]
+	if !ok || member.Leaving {
+		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: ownerRetry, Detail: "the owner's daemon is away"}
+	}
+	return member, nil
+}
+
+// choice returns the choice of a service, brought up to date.
+func (s *Sender) choice(view *mtdirectory.View, service mtid.Service) *choice {
+	c, ok := s.choices[service]
+	if !ok {
+		c = &choice{policy: mtchoice.NewLeast(s.Random, s.Zone, farCost)}
+		s.choices[service] = c
+	}
+	now := s.Steady()
+	if c.seen == view && now.Sub(c.at) < lapsedUse/4 {
+		return c
+	}
+	c.seen, c.at = view, now
+	var candidates []mtchoice.Candidate
+	for _, m := range view.Members {
+		if m.Service == service && s.usable(m, now) {
+			candidates = append(candidates, mtchoice.Candidate{Holder: holder(m), Zone: m.Zone, Slots: m.Slots})
+		}
+	}
+	c.policy.Update(candidates)
+	return c
+}
+
+// usable reports whether calls may be sent to a member.
+func (s *Sender) usable(m mtdirectory.Member, now mtclock.Instant) bool {
+	if !m.Takes() {
+		return false
+	}
+	if !m.Lapsed {
+		return true
+	}
+	// While the store does not answer, nobody can renew a record there.
+	up, ok := s.Directory.Up()
+	return !ok || now.Sub(max(up, m.Since)) < lapsedUse
+}
+
+// try sends the call to a member, once.
+func (s *Sender) try(ctx context.Context, call *mtcall.Call, member mtdirectory.Member) (*mtcall.Answer, error) {
+	chosen := holder(member)
+	if !call.Keyed {
+		s.mu.Lock()
+		s.choices[call.Service].policy.Started(chosen)
+		s.mu.Unlock()
+	}
+	answer, err := s.pass(ctx, call, member)
+	if !call.Keyed {
+		s.mu.Lock()
+		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, kind(err), s.report(member))
+		s.mu.Unlock()
+	}
+	return answer, err
+}
+
+// pass takes the call to the member: by a function call if it is this daemon.
+func (s *Sender) pass(ctx context.Context, call *mtcall.Call, member mtdirectory.Member) (*mtcall.Answer, error) {
+	if member.Daemon == s.Self {
+		return s.Host.Run(ctx, call)
+	}
+	if s.Peers.Silent(member.Address) {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: ownerRetry, Detail: "the daemon has been silent"}
+	}
+	return s.Peers.Forward(ctx, member.Daemon, member.Address, call)
+}
+
+// report returns what is known of the member's load.
+func (s *Sender) report(member mtdirectory.Member) mtchoice.Report {
+	if member.Daemon == s.Self {
+		load := s.Host.Load()
+		return mtchoice.Report{Busy: load.Running + load.Waiting, Service: load.Service, At: s.Clock.Now()}
+	}
+	r, ok := s.Peers.Report(member.Daemon)
+	if !ok {
+		return mtchoice.Report{}
+	}
+	return mtchoice.Report{Busy: r.Running + r.Waiting, Service: r.Service, At: r.At}
+}
+
+// kind says what an end tells of the server.
+func kind(err error) mtchoice.Kind {
+	var refused *mtreply.RefusedError
+	if err == nil {
+		return mtchoice.Good
+	}
+	if errors.As(err, &refused) {
+		switch refused.Cause {
+		case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseRefused, mtreply.CauseDraining:
+			return mtchoice.Bad
+		case mtreply.CauseQueueFull, mtreply.CauseShed:
+			return mtchoice.Busy
+		}
+		return mtchoice.Other
+	}
+	var unknown *mtreply.UnknownError
+	if errors.As(err, &unknown) && unknown.Cause == mtreply.CauseGone {
+		return mtchoice.Other
+	}
+	return mtchoice.Bad
+}
--- /dev/null
+++ b/io/mtmesh/mtmesh.go
@@ -0,0 +1,408 @@
+// Package mtmesh puts a daemon together that stands beside a backend server on a
+// platform which has no other tier: it takes the requests of callers on its own
+// VM by host and path, sees them to a backend server anywhere, and answers for
+// the one on its VM.
+//
+// It needs no witnesses, no bundles and no certificates: the platform's store
+// holds the configuration, the records and the assignments. What the platform
+// calls things, and how it is spoken to, is the caller's of this package: it
+// gives a store, a port for grants, header names, and tells beats and
+// configurations.
+//
+// # Usage
+//
+//	mesh, cleanUp, err := mtmesh.New(config)
+//	defer cleanUp()
+//	mesh.Ingress().Configure(configuration)
+//	mesh.Host().Beat(beat)
+//	err = mesh.Run(ctx)
+//
+// When ctx ends, Run shuts down gracefully: others are told, callers are served
+// until they have gone elsewhere, and what is in flight finishes.
+package mtmesh
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/grpc"
+
+	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtheader"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
+	iobackend "magnoliaturn/io/mtbackend"
+	"magnoliaturn/io/mtdial"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtforward"
+	"magnoliaturn/io/mtgrant"
+	"magnoliaturn/io/mthost"
+	"magnoliaturn/io/mtingress"
+	"magnoliaturn/io/mtlisten"
+	"magnoliaturn/io/mtmetric"
+	"magnoliaturn/io/mttime"
+)
+
+// Names under which the services of a daemon find each other.
+const (
+	NameClock     mtkernel.Name = "clock"
+	NameMetrics   mtkernel.Name = "metrics"
+	NameDirectory mtkernel.Name = "directory"
+	NamePeers     mtkernel.Name = "peers"
+	NameClient    mtkernel.Name = "client"
+	NameHost      mtkernel.Name = "host"
+	NameGrants    mtkernel.Name = "grants"
+	NameIngress   mtkernel.Name = "ingress"
+	NameListeners mtkernel.Name = "listeners"
+)
+
+// Config is what a Mesh is made of.
+type Config struct {
+	Daemon  mtid.Daemon
+	Zone    mtid.Zone
+	Service mtid.Service // of the backend server on this VM
+	Host    string       // address of this VM without port
+	Server  string       // address of the backend server
+	Callers string       // where callers on this VM send requests
+	Peers   string       // where other daemons send calls
+	Store   mtstore.Guarded
+	Port    mtgrant.Port
+	Names   mtheader.Names
+	// Lease is how long the daemon's record in the store outlives it, and Hold
+	// how long a grant lasts. Their sum bounds for how long keys of a lost VM
+	// are unavailable, and for how long the store may be away.
+	Lease time.Duration
+	Hold  time.Duration
+	Drain time.Duration // new work may reach a leaving server for so long
+	Grace time.Duration // from the order to stop until the process is ended
+	Log   *slog.Logger
+}
+
+// Mesh is one daemon.
+type Mesh struct {
+	config  Config
+	kernel  *mtkernel.Kernel
+	callers *mtlisten.Server
+	peers   *grpc.Server
+	ready   atomic.Bool
+}
+
+// New puts a daemon together, opens its listeners and starts its duties. The
+// clean-up function ends them; Run calls it too.
+func New(config Config) (*Mesh, func(), error) {
+	m := &Mesh{config: config, kernel: mtkernel.New()}
+	steps := []func() error{
+		m.addClock, m.addMetrics, m.addPeers, m.addDirectory, m.addHost, m.addIngress, m.listen,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			m.kernel.Close()
+			return nil, nil, err
+		}
+	}
+	m.ready.Store(true)
+	return m, m.kernel.Close, nil
+}
+
+// need returns a service that an earlier step registered. A missing one is a
+// mistake in the order of the steps, which the first start shows.
+func need[T any](m *Mesh, name mtkernel.Name) T {
+	service, err := mtkernel.Lookup[T](m.kernel, name)
+	if err != nil {
+		panic(err)
+	}
+	return service
+}
+
+// Host returns the backend server on this VM.
+func (m *Mesh) Host() *mthost.Host { return need[*mthost.Host](m, NameHost) }
+
+// Ingress returns the way in for callers.
+func (m *Mesh) Ingress() *mtingress.Ingress { return need[*mtingress.Ingress](m, NameIngress) }
+
+// Metrics returns the figures of the daemon.
+func (m *Mesh) Metrics() *mtmetric.Metrics { return need[*mtmetric.Metrics](m, NameMetrics) }
+
+// Kernel returns the services, for more duties.
+func (m *Mesh) Kernel() *mtkernel.Kernel { return m.kernel }
+
+// Ready reports whether callers should be sent here: a configuration is in
+// force, the other servers are known, and the daemon does not shut down.
+func (m *Mesh) Ready() bool {
+	directory := need[*mtdirectory.Directory](m, NameDirectory)
+	return m.ready.Load() && m.Ingress().Configuration() != nil && directory.Now().Revision != 0
+}
+
+func (m *Mesh) addClock() error {
+	return mtkernel.Register(m.kernel, NameClock, mttime.New(), nil)
+}
+
+func (m *Mesh) addMetrics() error {
+	metrics, cleanUp := mtmetric.New()
+	return mtkernel.Register(m.kernel, NameMetrics, metrics, cleanUp)
+}
+
+func (m *Mesh) addPeers() error {
+	client, cleanUp := mtforward.NewClient(need[*mttime.Clock](m, NameClock))
+	return mtkernel.Register(m.kernel, NamePeers, client, cleanUp)
+}
+
+func (m *Mesh) addDirectory() error {
+	directory, cleanUp := mtdirectory.New(mtdirectory.Config{
+		Self:  m.config.Daemon,
+		Store: m.config.Store,
+		Clock: need[*mttime.Clock](m, NameClock),
+		Lease: m.config.Lease,
+		Log:   m.config.Log,
+	})
+	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
+}
+
+// addHost adds the backend server on this VM and the grants of its keys, which
+// need each other.
+func (m *Mesh) addHost() error {
+	clock := need[*mttime.Clock](m, NameClock)
+	directory := need[*mtdirectory.Directory](m, NameDirectory)
+	client, closeClient := iobackend.New(iobackend.Config{Names: m.config.Names, Clock: clock})
+	if err := mtkernel.Register(m.kernel, NameClient, client, closeClient); err != nil {
+		return err
+	}
+	var grants atomic.Pointer[mtgrant.Grants]
+	host, closeHost := mthost.New(mthost.Config{
+		Daemon:  m.config.Daemon,
+		Zone:    m.config.Zone,
+		Service: m.config.Service,
+		Address: m.config.Server,
+		Peer:    m.config.Peers,
+		Drain:   m.config.Drain,
+		Clock:   clock,
+		Client:  client,
+		Log:     m.config.Log,
+		Publish: directory.Publish,
+		Holds:   func(server mtid.Server, key mtid.Number) error { return grants.Load().Holds(server, key) },
+		Fenced:  func(key mtid.Number) { grants.Load().Fenced(key) },
+		Quiet:   func(mtid.Point, mtid.Point) {},
+		Changed: func() {
+			if g := grants.Load(); g != nil {
+				g.Wake()
+			}
+		},
+	})
+	held, closeGrants := mtgrant.New(mtgrant.Config{
+		Self:      m.config.Daemon,
+		Service:   m.config.Service,
+		Keyed:     m.keyed,
+		Hold:      m.config.Hold,
+		Directory: directory,
+		Store:     m.config.Store,
+		Host:      host,
+		Port:      m.config.Port,
+		Clock:     clock,
+		Log:       m.config.Log,
+		Standings: m.standings,
+	})
+	grants.Store(held)
+	if err := mtkernel.Register(m.kernel, NameHost, host, closeHost); err != nil {
+		return err
+	}
+	return mtkernel.Register(m.kernel, NameGrants, held, closeGrants)
+}
+
+// keyed reports whether the service of this VM is divided by key.
+func (m *Mesh) keyed() bool {
+	ingress, err := mtkernel.Lookup[*mtingress.Ingress](m.kernel, NameIngress)
+	if err != nil {
+		return false // the daemon is still being put together
+	}
+	configuration := ingress.Configuration()
+	return configuration != nil && configuration.Services[m.config.Service].Keyed
+}
+
+// reportLife is how long a reported load is believed.
+const reportLife = 3 * time.Second
+
+// standings returns what is known of the servers of this VM's service.
+func (m *Mesh) standings() (self mtrange.Standing, others []mtrange.Standing) {
+	view := need[*mtdirectory.Directory](m, NameDirectory).Now()
+	peers := need[*mtforward.Client](m, NamePeers)
+	now := need[*mttime.Clock](m, NameClock).Now()
+	assignment := view.Assignments[m.config.Service]
+	for _, member := range view.Members {
+		if member.Service != m.config.Service || !member.Takes() || member.Lapsed {
+			continue
+		}
+		s := mtrange.Standing{
+			Owner: mtrange.Owner{Daemon: member.Daemon, Server: member.Server},
+			Slots: member.Slots,
+		}
+		if assignment.Table != nil {
+			s.Keys = assignment.Keys(s.Owner)
+		}
+		if member.Daemon == m.config.Daemon {
+			load := m.Host().Load()
+			s.Demand, s.Service, s.Known = load.Demand, load.Service, true
+			self = s
+			continue
+		}
+		if r, ok := peers.Report(member.Daemon); ok && now.Sub(r.At) < reportLife {
+			s.Demand, s.Service, s.Known = r.Demand, r.Service, true
+		}
+		others = append(others, s)
+	}
+	return self, others
+}
+
+func (m *Mesh) addIngress() error {
+	clock := need[*mttime.Clock](m, NameClock)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	sender := mtingress.NewSender(mtingress.SenderConfig{
+		Self:      m.config.Daemon,
+		Zone:      m.config.Zone,
+		Directory: need[*mtdirectory.Directory](m, NameDirectory),
+		Host:      m.Host(),
+		Peers:     need[*mtforward.Client](m, NamePeers),
+		Clock:     clock,
+		Steady:    clock.Steady,
+		Log:       m.config.Log,
+		Random:    random,
+	})
+	ingress := mtingress.New(mtingress.Config{
+		Names:   m.config.Names,
+		Service: m.config.Service,
+		Host:    m.config.Host,
+		Send:    sender,
+		Clock:   clock,
+		Log:     m.config.Log,
+		Done:    m.done,
+	})
+	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
+}
+
+// done notes what became of a request.
+func (m *Mesh) done(call *mtcall.Call, status int, err error, took time.Duration) {
+	if err == nil {
+		return
+	}
+	m.config.Log.Info("request failed", "id", string(call.ID), "route", string(call.Route), "service", string(call.Service),
+		"status", status, "error", err, "took", took)
+}
+
+const (
+	// linger is how long callers are served after the order to stop: until they
+	// have been told at least twice, a second apart, to go elsewhere.
+	linger = 2600 * time.Millisecond
+	// spare is kept free before the process is ended.
+	spare = 500 * time.Millisecond
+	// connections is how many callers may be connected, and streams how many
+	// calls of one other daemon may be under way.
+	connections = 3000
+	streams     = 4096
+)
+
+// ListenError says that an address can't be listened on.
+type ListenError struct {
+	Purpose string
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return "mesh: can't listen on " + e.Address + " for " + e.Purpose + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// listen opens the ways in.
+func (m *Mesh) listen() error {
+	peers, err := mtdial.Listen(context.Background(), m.config.Peers)
+	if err != nil {
+		return &ListenError{Purpose: "other daemons", Address: m.config.Peers, Err: err}
+	}
+	callers, err := net.Listen("tcp", m.config.Callers)
+	if err != nil {
+		_ = peers.Close()
+		return &ListenError{Purpose: "callers", Address: m.config.Callers, Err: err}
+	}
+	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(streams), grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
+	mtforward.Register(m.peers, m.Host(), need[*mttime.Clock](m, NameClock))
+	go func() {
+		if err := m.peers.Serve(peers); err != nil {
+			m.config.Log.Error("listener for daemons ended", "error", err)
+		}
+	}()
+	router := echo.New()
+	router.HideBanner = true
+	router.Any("/*", m.Ingress().Handle)
+	m.callers = mtlisten.Start(callers, router, mtlisten.Options{Connections: connections})
+	return mtkernel.Register(m.kernel, NameListeners, m, func() {
+		m.callers.Close()
+		m.peers.Stop()
+	})
+}
+
+// peerBuffer is the size of the buffers of a connection from another daemon, in
+// bytes.
+const peerBuffer = 8 << 10
+
+// Run serves until ctx ends and shuts down gracefully then.
+func (m *Mesh) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m.kernel.Duty(func() error {
+		select {
+		case <-ctx.Done():
+			m.shutdown()
+			return nil
+		case err := <-m.callers.Failed():
+			return err
+		case <-inner.Done():
+			return nil
+		}
+	}, func(error) { cancel() })
+	return m.kernel.Run(inner)
+}
+
+// shutdown lets everybody go elsewhere before it ends what is left.
+func (m *Mesh) shutdown() {
+	end := time.Now().Add(m.config.Grace - spare)
+	m.config.Log.Info("stopping", "grace", m.config.Grace)
+	m.ready.Store(false)
+	m.Ingress().Retire()
+	m.Host().Retire()
+	time.Sleep(linger)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	m.callers.Shutdown(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		m.peers.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		m.config.Log.Warn("calls of other daemons were cut off")
+	}
+	m.config.Log.Info("stopped")
+}
+
+// Handler answers whether the daemon is ready: 200 or 503.
+func (m *Mesh) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if m.Ready() {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -34,6 +34,7 @@
 	"magnoliaturn/core/mtshard"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/io/mtduty"
+	iogate "magnoliaturn/io/mtgate"
 	iopoison "magnoliaturn/io/mtpoison"
 	"magnoliaturn/io/mtserver"
 )
@@ -79,7 +80,7 @@
 type Owner struct {
 	Config
 	mu       sync.Mutex
-	gates    map[mtid.Ref]*gate
+	gates    map[mtid.Ref]*door
 	recents  map[mtid.Ref]*recent
 	meters   map[mtid.Ref]*mtload.Meter
 	runs     map[*run]struct{} // requests of keyed services at the backend server
@@ -95,15 +96,15 @@
 // New starts the duty that expires waiting requests and cancels running ones
 // whose lease was lost, and returns the Owner with its clean-up function.
 func New(config Config) (*Owner, func()) {
-	o := &Owner{Config: config, gates: make(map[mtid.Ref]*gate), recents: make(map[mtid.Ref]*recent), meters: make(map[mtid.Ref]*mtload.Meter), runs: make(map[*run]struct{})}
-	return o, mtduty.Every(expireEvery, func(context.Context) { o.tick(o.Clock.Now()) })
+	o := &Owner{Config: config, gates: make(map[mtid.Ref]*door), recents: make(map[mtid.Ref]*recent), meters: make(map[mtid.Ref]*mtload.Meter), runs: make(map[*run]struct{})}
+	return o, mtduty.Every(iogate.ExpireEvery, func(context.Context) { o.tick(o.Clock.Now()) })
 }
 
 // tick refuses what waited too long and cancels what runs without a lease.
 func (o *Owner) tick(now mtclock.Instant) {
 	holder, until := o.Lease.Permit()
 	o.mu.Lock()
-	gates := make([]*gate, 0, len(o.gates))
+	gates := make([]*door, 0, len(o.gates))
 	for _, g := range o.gates {
 		gates = append(gates, g)
 	}
@@ -117,7 +118,7 @@
 	}
 	o.mu.Unlock()
 	for _, g := range gates {
-		g.expire(now)
+		g.Expire(now)
 	}
 }
 
@@ -200,8 +201,8 @@
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: time.Second}
 	}
 	g := o.gate(r.Service)
-	g.fit(now, server.Announced(), r.Service.Business, service)
-	end, err := g.admit(ctx, o.Clock, mtgate.Ticket{
+	g.fit(server.Announced(), r.Service.Business, service)
+	end, err := g.Admit(ctx, mtgate.Ticket{
 		Business: r.Service.Business, Class: class.Name, Point: r.Point(), Deadline: r.Deadline, Alone: r.Suspect,
 	})
 	if err != nil {
@@ -350,12 +351,12 @@
 	}
 }
 
-func (o *Owner) gate(ref mtid.Ref) *gate {
+func (o *Owner) gate(ref mtid.Ref) *door {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.gates[ref]
 	if g == nil {
-		g = newGate(func(low, high mtid.Point) { o.Quiet(ref, low, high) })
+		g = newDoor(o.Clock, func(low, high mtid.Point) { o.Quiet(ref, low, high) })
 		o.gates[ref] = g
 	}
 	return g
@@ -388,18 +389,18 @@
 // Stop holds new work for a range of a service; Config.Quiet is called once
 // none is in flight.
 func (o *Owner) Stop(ref mtid.Ref, low, high mtid.Point) {
-	o.gate(ref).stop(o.Clock.Now(), low, high)
+	o.gate(ref).Stop(low, high)
 }
 
 // Resume admits the held work of a stopped range here.
 func (o *Owner) Resume(ref mtid.Ref, low, high mtid.Point) {
-	o.gate(ref).resume(o.Clock.Now(), low, high)
+	o.gate(ref).Resume(low, high)
 }
 
 // Release sends the held work of a stopped range to its new owner.
 func (o *Owner) Release(ref mtid.Ref, low, high mtid.Point) {
 	o.recent(ref).forget(low, high)
-	o.gate(ref).release(o.Clock.Now(), low, high)
+	o.gate(ref).Release(low, high)
 }
 
 // Drain refuses new work of every service and waits until none is in flight or
@@ -407,17 +408,17 @@
 func (o *Owner) Drain(ctx context.Context) {
 	o.stopping.Store(true)
 	o.mu.Lock()
-	gates := make([]*gate, 0, len(o.gates))
+	gates := make([]*door, 0, len(o.gates))
 	for _, g := range o.gates {
 		gates = append(gates, g)
 	}
 	o.mu.Unlock()
 	for _, g := range gates {
-		g.drain(o.Clock.Now())
+		g.Drain()
 	}
 	for _, g := range gates {
 		select {
-		case <-g.idle:
+		case <-g.Idle():
 		case <-ctx.Done():
 			return
 		}
@@ -425,4 +426,4 @@
 }
 
 // Counts returns the counters of a service's gate.
-func (o *Owner) Counts(ref mtid.Ref) mtgate.Counts { return o.gate(ref).counts() }
+func (o *Owner) Counts(ref mtid.Ref) mtgate.Counts { return o.gate(ref).Counts() }
--- /dev/null
+++ b/io/mtsetting/mesh.go
@@ -0,0 +1,100 @@
+package mtsetting
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtini"
+)
+
+// Mesh are the settings of a daemon that stands beside a backend server on a
+// platform that keeps everything else in its store.
+type Mesh struct {
+	Name    mtid.Daemon
+	Zone    mtid.Zone
+	Service mtid.Service // of the backend server
+	Host    string       // address of the VM, without port
+	Server  string       // address of the backend server
+	Callers string       // where callers on this VM send requests
+	Ready   string       // where the platform asks for readiness
+	Beats   string       // where the backend server sends its beats
+	Peers   string       // where other daemons send calls
+	Metrics string       // where figures are read
+	Store   string       // address of the platform's store
+	Hold    time.Duration
+	Drain   time.Duration
+	Grace   time.Duration
+}
+
+// Bounds and defaults of the times. The platform names its own.
+const (
+	minTime      = 100 * time.Millisecond
+	maxTime      = 10 * time.Minute
+	defaultHold  = 8 * time.Second
+	defaultDrain = 2 * time.Second
+	defaultGrace = 6 * time.Second
+)
+
+// LoadMesh reads and checks a settings file of a Mesh.
+func LoadMesh(file string) (*Mesh, Faults) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Faults{{File: file, Field: "file", Value: file, Accept: "a file that can be read: " + reason(err)}}
+	}
+	return ParseMesh(file, text)
+}
+
+// ParseMesh checks the text of a settings file of a Mesh.
+func ParseMesh(file string, text []byte) (*Mesh, Faults) {
+	f := mtini.Read(file, text)
+	f.Known(map[string]int{"daemon": 0, "listen": 0, "store": 0, "times": 0})
+	s := &Mesh{}
+	daemon := f.Only("daemon")
+	s.Name = mtid.Daemon(daemon.Name("name"))
+	s.Zone = mtid.Zone(daemon.Name("zone"))
+	s.Service = mtid.Service(daemon.Name("service"))
+	s.Host = host(daemon)
+	s.Server = daemon.Address("server")
+	listen := f.Only("listen")
+	s.Callers = listen.Address("callers")
+	s.Ready = listen.Address("ready")
+	s.Beats = listen.Address("beats")
+	s.ports(listen)
+	s.Store = f.Only("store").Address("address")
+	times := f.Only("times")
+	s.Hold = times.Duration("hold", defaultHold, minTime, maxTime)
+	s.Drain = times.Duration("drain", defaultDrain, minTime, maxTime)
+	s.Grace = times.Duration("grace", defaultGrace, minTime, maxTime)
+	if faults := f.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+// host returns the address of the VM.
+func host(s *mtini.Section) string {
+	v := s.Text("host", "")
+	if _, err := netip.ParseAddr(v); err != nil {
+		s.Fault("host", v, "the IP of this VM")
+	}
+	return v
+}
+
+// ports takes the first ports of the range for other daemons and for figures.
+func (s *Mesh) ports(listen *mtini.Section) {
+	v := listen.Text("ports", "")
+	low, high, ok := strings.Cut(v, ",")
+	from, errLow := strconv.ParseUint(strings.TrimSpace(low), 10, 16)
+	to, errHigh := strconv.ParseUint(strings.TrimSpace(high), 10, 16)
+	if !ok || errLow != nil || errHigh != nil || to <= from {
+		listen.Fault("ports", v, "the first and the last of at least two ports, parted by a comma")
+		return
+	}
+	s.Peers = net.JoinHostPort(s.Host, strconv.FormatUint(from, 10))
+	s.Metrics = net.JoinHostPort(s.Host, strconv.FormatUint(from+1, 10))
+}
--- /dev/null
+++ b/io/mtwatch/mtwatch.go
@@ -0,0 +1,126 @@
+// Package mtwatch follows the names under a prefix of the platform's store
+// through everything that befalls a watch: outages, cut and silent connections,
+// and a history that was forgotten.
+//
+// # Usage
+//
+//	stop := mtwatch.Start(mtwatch.Config{Store: store, Prefix: "live/", Apply: apply, Log: log})
+//	defer stop()
+//
+// Apply is called from one goroutine, in order of revision.
+package mtwatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtduty"
+)
+
+const (
+	// Wait is how long one watch waits for changes. Each watch is a call that is
+	// paid for; the longer it waits, the fewer there are.
+	Wait = 20 * time.Second
+	// firstPause and maxPause are between two attempts while the store fails.
+	// The longer one bounds how late a watcher hears that the store is back.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
+)
+
+// Update is what a watcher hears.
+type Update struct {
+	Changes mtstore.Changes
+	// Whole says that Changes holds everything that exists, so that whatever is
+	// not in it was deleted.
+	Whole bool
+}
+
+// Config is what a watcher works with.
+type Config struct {
+	Store  mtstore.Store
+	Prefix string
+	Apply  func(Update)
+	// Health is told when the store answers a watch again, and when it fails.
+	// It may be nil.
+	Health func(up bool)
+	Log    *slog.Logger
+}
+
+// Start starts to follow and returns the function that ends it.
+func Start(config Config) func() {
+	if config.Health == nil {
+		config.Health = func(bool) {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var duty sync.WaitGroup
+	duty.Go(func() {
+		w := &watcher{Config: config}
+		for ctx.Err() == nil {
+			w.step(ctx)
+		}
+	})
+	return func() {
+		cancel()
+		duty.Wait()
+	}
+}
+
+// watcher is the state of one Start.
+type watcher struct {
+	Config
+	after  mtid.Revision // everything up to it was applied
+	failed int           // attempts in a row
+}
+
+// step makes one watch and applies what it brings.
+func (w *watcher) step(ctx context.Context) {
+	whole := w.after == 0
+	changes, err := w.Store.Watch(ctx, w.Prefix, w.after, Wait)
+	if err != nil {
+		w.fail(ctx, err)
+		return
+	}
+	w.recover()
+	if changes.Revision < w.after {
+		// An answer from a replica that is behind: it would take back what was
+		// applied.
+		return
+	}
+	w.after = changes.Revision
+	if whole || len(changes.Entries) > 0 {
+		w.Apply(Update{Changes: changes, Whole: whole})
+	}
+}
+
+// recover notes that the store answers.
+func (w *watcher) recover() {
+	if w.failed > 0 {
+		w.Log.Info("watch works again", "prefix", w.Prefix, "failures", w.failed)
+	}
+	w.failed = 0
+	w.Health(true)
+}
+
+// fail notes a failure and waits before the next attempt.
+func (w *watcher) fail(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	var compacted *mtstore.CompactedError
+	if errors.As(err, &compacted) {
+		w.Log.Warn("watch has to read everything again", "prefix", w.Prefix, "after", uint64(w.after), "error", err)
+		w.after = 0
+		return
+	}
+	w.Log.Warn("watch failed", "prefix", w.Prefix, "after", uint64(w.after), "failures", w.failed+1, "error", err)
+	w.Health(false)
+	pause := min(firstPause<<min(w.failed, 8), maxPause)
+	w.failed++
+	mtduty.Sleep(ctx, pause/2+rand.N(pause/2))
+}
