Tell other daemons what was seen, and ask a server which life of it runs

Cause: a watch of the store may hear nothing for seconds while changes are made, so that a newer configuration was not in force two seconds after it was written. A beat held up behind its sender's crash made the daemon take the keys of the living server for free.

Ruled out: shorter watches (as deaf as long ones).

Change: daemons tell in passing the newest versions they know; two of them ask for the configuration every 0.8 s. An unknown life is identified by the server itself. A duty's step no longer begins after its stop.

--- a/core/mtheader/names.go
+++ b/core/mtheader/names.go
@@ -8,7 +8,8 @@
 	Deadline  string // milliseconds that are left
 	Key       string // number of the key
 	Caller    string // service on the VM where the request began
-	Server    string // life of the server that is meant, or that answers
+	Server    string // life of the server that is meant
+	Answerer  string // life of the server that answers
 	Signature string // the server's mark on its answers
 	NotRun    string // present if the server did not run the request
 }
@@ -20,6 +21,7 @@
 	Key:       "Shard-Key",
 	Caller:    "Caller-Service",
 	Server:    "Server-Id",
+	Answerer:  "Server-Answering",
 	Signature: "Reply-Signature",
 	NotRun:    "Request-Not-Run",
 }
--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -82,6 +82,9 @@
 // nothing, and ends leases. Whoever takes over from a lost process has to write
 // in one step with the proof that it is still lost: between two steps it could
 // come back and be owner again.
+//
+// The versions of a Guarded store are its revisions, so that those of different
+// names can be compared: the higher one was written later.
 type Guarded interface {
 	Store
 	// SwapIf is Swap under further conditions. It fails like Swap; a
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -151,6 +151,9 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if !c.genuine(response) {
+			return nil, false, &forgedError{}
+		}
 		switch id := response.Header.Get(c.Names.ID); {
 		case id == string(call.ID):
 		case id == "" && response.Header.Get(c.Names.NotRun) != "":
@@ -165,6 +168,43 @@
 	return nil, false, &foreignError{}
 }
 
+// forgedError says that a success does not bear the server's mark.
+type forgedError struct{}
+
+// Error implements error.
+func (*forgedError) Error() string { return "answer is not the backend server's own" }
+
+// genuine reports whether an answer is the server's own: a success bears its
+// mark, and no answer is encoded, since nobody asked for that.
+func (c *Client) genuine(response *http.Response) bool {
+	if response.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	return !success || response.Header.Get(c.Names.Signature) != ""
+}
+
+// Identify asks the server at an address which life of it answers there.
+func (c *Client) Identify(ctx context.Context, address, path string) (mtid.Server, error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return "", &mtreply.RefusedError{Cause: mtreply.CauseMalformed, Detail: err.Error()}
+	}
+	request.Close = true
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return "", &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
+	}
+	_ = response.Body.Close()
+	return mtid.Server(response.Header.Get(c.Names.Answerer)), nil
+}
+
+// identifyTimeout bounds the question which life of a server answers. It waits
+// for a slot like any other request.
+const identifyTimeout = time.Second
+
 // foreignError says that a connection gave only answers of other calls.
 type foreignError struct{}
 
@@ -266,7 +306,7 @@
 // was not run.
 func (c *Client) refusal(response *http.Response, target Target) error {
 	if response.StatusCode == http.StatusMisdirectedRequest {
-		if other := response.Header.Get(c.Names.Server); other != "" && other != string(target.Server) {
+		if other := response.Header.Get(c.Names.Answerer); other != "" && other != string(target.Server) {
 			return &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: unreachableRetry, Detail: "another server has the address"}
 		}
 		return &mtreply.RefusedError{Cause: mtreply.CauseFenced, RetryAfter: unreachableRetry, Detail: "the server does not hold the key"}
@@ -290,7 +330,8 @@
 		return &mtreply.UnknownError{Cause: mtreply.CauseGone, Err: err}
 	}
 	var foreign *foreignError
-	if errors.As(err, &foreign) || errors.Is(err, io.ErrUnexpectedEOF) {
+	var forged *forgedError
+	if errors.As(err, &foreign) || errors.As(err, &forged) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return &mtreply.UnknownError{Cause: mtreply.CauseTruncated, Err: err}
 	}
 	return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
--- a/io/mtdirectory/keeper.go
+++ b/io/mtdirectory/keeper.go
@@ -46,6 +46,7 @@
 	failing bool
 
 	certain atomic.Int64
+	newest  atomic.Uint64 // version of the last write
 }
 
 func newKeeper(config Config) *keeper {
@@ -70,6 +71,9 @@
 // until returns until when the record certainly stands.
 func (k *keeper) until() mtclock.Instant { return mtclock.Instant(k.certain.Load()) }
 
+// seen returns the version of the last write of the record.
+func (k *keeper) seen() mtid.Version { return mtid.Version(k.newest.Load()) }
+
 // start starts the duty and returns the function that ends it.
 func (k *keeper) start() func() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -187,6 +191,7 @@
 		switch {
 		case err == nil:
 			k.version, k.written = version, wanted
+			k.newest.Store(uint64(version))
 			k.Log.Info("own record written", "state", wanted.State, "server", wanted.Server, "leaving", wanted.Leaving, "version", uint64(version))
 			return nil
 		case errors.As(err, &conflict):
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -71,17 +71,18 @@
 	// Revision is that of the store up to which the copy is complete; zero if
 	// nothing was read yet.
 	Revision mtid.Revision
+	newest   mtid.Version // of all of these
 }
 
 // Directory keeps the copy. See the package comment.
 type Directory struct {
 	Config
-	view     atomic.Pointer[View]
-	mu       sync.Mutex // guards listeners and the making of views
-	changed  []func()
-	keeper   *keeper
-	upSince  atomic.Int64 // steady instant since when the store answers; 0 if it doesn't
-	everRead atomic.Bool
+	view    atomic.Pointer[View]
+	mu      sync.Mutex // guards listeners and the making of views
+	changed []func()
+	keeper  *keeper
+	watcher *mtwatch.Watcher
+	upSince atomic.Int64 // steady instant since when the store answers; 0 if it doesn't
 }
 
 // New starts to follow the store and returns the Directory and its clean-up
@@ -91,9 +92,10 @@
 	d := &Directory{Config: config}
 	d.view.Store(&View{Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}})
 	d.keeper = newKeeper(config)
-	stopWatch := mtwatch.Start(mtwatch.Config{
+	watcher, stopWatch := mtwatch.Start(mtwatch.Config{
 		Store: config.Store, Prefix: mtstore.Live, Apply: d.apply, Health: d.health, Log: config.Log,
 	})
+	d.watcher = watcher
 	stopKeeper := d.keeper.start()
 	return d, func() {
 		stopWatch()
@@ -127,6 +129,14 @@
 	return since, since != 0
 }
 
+// Seen returns the newest version that this daemon knows of anything, its own
+// writes included.
+func (d *Directory) Seen() mtid.Version { return max(d.keeper.seen(), d.Now().newest) }
+
+// Resync reads everything again: another daemon has seen a version that the
+// watch has not brought.
+func (d *Directory) Resync() { d.watcher.Resync(time.Now()) }
+
 // health notes whether the store answers.
 func (d *Directory) health(up bool) {
 	if !up {
@@ -244,6 +254,7 @@
 	}
 	differs := f(next)
 	if differs {
+		next.newest = newest(next)
 		d.view.Store(next)
 	}
 	listeners := d.changed
@@ -255,3 +266,15 @@
 		f()
 	}
 }
+
+// newest returns the highest version of anything in a view.
+func newest(v *View) mtid.Version {
+	var newest mtid.Version
+	for _, m := range v.Members {
+		newest = max(newest, m.Version)
+	}
+	for _, a := range v.Assignments {
+		newest = max(newest, a.Version)
+	}
+	return newest
+}
--- a/io/mtduty/mtduty.go
+++ b/io/mtduty/mtduty.go
@@ -32,7 +32,11 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				step(ctx)
+				// Both may be ready at once, and select draws then: without
+				// this look a step would begin after the stop.
+				if ctx.Err() == nil {
+					step(ctx)
+				}
 			}
 		}
 	})
--- a/io/mtduty/mtduty_test.go
+++ b/io/mtduty/mtduty_test.go
@@ -27,6 +27,27 @@
 	stop()
 }
 
+// A daemon is stopped just as the next step is due. The step's tick and the stop
+// are ready at the same time, and a step that begins after the stop meets what
+// has been closed already: a former version let it begin in half of the cases.
+func TestNoStepBeginsAfterTheStop(t *testing.T) {
+	for range 200 {
+		begun := make(chan struct{}, 1)
+		steps := 0
+		stop := mtduty.Every(time.Microsecond, func(ctx context.Context) {
+			steps++
+			select {
+			case begun <- struct{}{}:
+			default:
+			}
+			<-ctx.Done()
+		})
+		<-begun
+		stop()
+		assert.Equal(t, steps, 1)
+	}
+}
+
 func TestSleepEndsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	assert.Assert(t, mtduty.Sleep(ctx, time.Microsecond))
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -8,9 +8,9 @@
 //
 // # Usage
 //
-//	client, cleanUp := mtforward.NewClient(clock, log)
+//	client, cleanUp := mtforward.NewClient(clock, exchange)
 //	answer, err := client.Forward(ctx, daemon, address, call)
-//	mtforward.Register(grpcServer, host, clock)
+//	mtforward.Register(grpcServer, host, clock, exchange)
 //
 // Forward fails with a *mtreply.RefusedError if the call was not run, else with
 // a *mtreply.UnknownError. All types are safe for concurrent use.
@@ -68,9 +68,22 @@
 	At mtclock.Instant
 }
 
+// News is how much a daemon has seen of what all share.
+type News struct {
+	Config mtid.Version // of the configuration in force
+	Seen   mtid.Version // the newest of all records and assignments
+}
+
+// Exchange is how daemons tell each other what they have seen.
+type Exchange struct {
+	Tell func() News
+	Hear func(News)
+}
+
 // Client sends calls to other daemons over one connection each.
 type Client struct {
 	clock   clock
+	news    Exchange
 	options []grpc.DialOption
 	mu      sync.Mutex
 	conns   map[string]*grpc.ClientConn
@@ -79,9 +92,9 @@
 }
 
 // NewClient returns a client and its clean-up function.
-func NewClient(c clock) (*Client, func()) {
+func NewClient(c clock, news Exchange) (*Client, func()) {
 	client := &Client{
-		clock: c, conns: make(map[string]*grpc.ClientConn),
+		clock: c, news: news, conns: make(map[string]*grpc.ClientConn),
 		reports: make(map[mtid.Daemon]Report), silent: make(map[string]mtclock.Instant),
 	}
 	client.options = []grpc.DialOption{
@@ -175,11 +188,12 @@
 	if err != nil {
 		return err
 	}
-	load, err := mtwire.NewForwarderClient(conn).Observe(ctx, &mtwire.ObserveRequest{})
+	load, err := mtwire.NewForwarderClient(conn).Observe(ctx, &mtwire.ObserveRequest{News: wireNews(c.news.Tell())})
 	if err != nil {
 		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
 	c.note(daemon, load)
+	c.news.Hear(readNews(load.GetNews()))
 	return nil
 }
 
@@ -196,7 +210,7 @@
 	outer := context.WithValue(ctx, sentKey{}, &sent)
 	inner, giveUp := context.WithCancel(outer)
 	defer giveUp()
-	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, wireCall(now, call))
+	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, c.wire(now, call))
 	if err != nil {
 		return nil, c.explain(ctx, err, &sent)
 	}
@@ -211,9 +225,17 @@
 		return nil, c.explain(ctx, err, &sent)
 	}
 	c.note(daemon, w.GetLoad())
+	c.news.Hear(readNews(w.GetNews()))
 	return readReply(w)
 }
 
+// wire returns the message of a call, with the news.
+func (c *Client) wire(now mtclock.Instant, call *mtcall.Call) *mtwire.ForwardRequest {
+	w := wireCall(now, call)
+	w.News = wireNews(c.news.Tell())
+	return w
+}
+
 // arrived waits for the header, which says that the call has arrived.
 func (c *Client) arrived(stream grpc.ClientStream, giveUp func()) error {
 	late := time.AfterFunc(arrival, giveUp)
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -26,11 +26,12 @@
 	mtwire.UnimplementedForwarderServer
 	host  host
 	clock clock
+	news  Exchange
 }
 
 // Register adds the service to a gRPC server.
-func Register(r grpc.ServiceRegistrar, h host, c clock) {
-	mtwire.RegisterForwarderServer(r, &server{host: h, clock: c})
+func Register(r grpc.ServiceRegistrar, h host, c clock, news Exchange) {
+	mtwire.RegisterForwarderServer(r, &server{host: h, clock: c, news: news})
 }
 
 // Forward implements mtwire.ForwarderServer.
@@ -38,15 +39,28 @@
 	if err := stream.SendHeader(metadata.MD{}); err != nil {
 		return err
 	}
+	s.news.Hear(readNews(w.GetNews()))
 	answer, err := s.host.Run(stream.Context(), readCall(s.clock.Now(), w))
 	reply := wireReply(answer, err)
 	reply.Load = wireLoad(s.host.Load())
+	reply.News = wireNews(s.news.Tell())
 	return stream.Send(reply)
 }
 
 // Observe implements mtwire.ForwarderServer.
-func (s *server) Observe(context.Context, *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
-	return wireLoad(s.host.Load()), nil
+func (s *server) Observe(_ context.Context, w *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
+	s.news.Hear(readNews(w.GetNews()))
+	load := wireLoad(s.host.Load())
+	load.News = wireNews(s.news.Tell())
+	return load, nil
+}
+
+func wireNews(n News) *mtwire.News {
+	return &mtwire.News{Config: uint64(n.Config), Seen: uint64(n.Seen)}
+}
+
+func readNews(w *mtwire.News) News {
+	return News{Config: mtid.Version(w.GetConfig()), Seen: mtid.Version(w.GetSeen())}
 }
 
 // Times travel as what is left of them: clocks of two VMs are not compared.
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -40,6 +40,8 @@
 // runner sends one call to the server.
 type runner interface {
 	Do(ctx context.Context, target iobackend.Target, call *mtcall.Call) (*mtcall.Answer, error)
+	// Identify asks which life of the server answers at an address.
+	Identify(ctx context.Context, address, path string) (mtid.Server, error)
 }
 
 const (
@@ -74,6 +76,9 @@
 	Clock  clock
 	Client runner
 	Log    *slog.Logger
+	// Health returns the path of the server's health check, or an empty one if it
+	// is not known yet.
+	Health func() string
 	// Publish is told the record whenever it changes.
 	Publish func(mtbackend.Record)
 	// Holds reports whether the server has been granted the key; it fails with
@@ -100,8 +105,11 @@
 	door     *iogate.Door[*mtgate.Urgent]
 	drains   mtclock.Instant // Draining: no new work from then on; zero if not draining
 	checking bool
-	beaten   mtclock.Instant // last beat
-	checked  mtclock.Instant // last look after a silent server
+	stranger mtbackend.Beat // the last beat of a life that is not known here
+	// identifying says that the server is being asked which life runs.
+	identifying bool
+	beaten      mtclock.Instant // last beat
+	checked     mtclock.Instant // last look after a silent server
 
 	meterMu sync.Mutex
 	meter   *mtrange.Meter
@@ -165,27 +173,64 @@
 // Beat takes in what the server says. It returns after what the beat tells is in
 // force here: the answer to a beat that announces the server's leaving binds
 // this daemon.
+//
+// A beat may be held up and arrive after its sender has crashed and another life
+// has begun. So one of a life that is not known here only makes the daemon ask
+// the server itself. Taken at its word, it would make the keys of the life that
+// runs look free, and they would be given to another server.
 func (h *Host) Beat(b mtbackend.Beat) {
-	now := h.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended[b.Server] {
-		// A beat of a former life that was held up on its way.
+	switch {
+	case h.ended[b.Server]:
 		h.Log.Info("beat of a former life passed over", "server", b.Server, "sequence", b.Sequence)
-		return
+	case h.record.Server == b.Server:
+		h.take(b)
+	default:
+		h.identify(b)
 	}
-	if h.record.Server != b.Server {
+}
+
+// identify finds out whether the sender of a beat is the life that runs. If the
+// server can't be asked, a second beat of the same life shows it too.
+func (h *Host) identify(b mtbackend.Beat) {
+	former := h.stranger
+	h.stranger = b
+	if former.Server == b.Server && b.Sequence > former.Sequence {
 		h.begin(b)
+		return
+	}
+	path := h.Health()
+	if path == "" || h.identifying {
+		return
 	}
+	h.identifying = true
+	go func() {
+		server, err := h.Client.Identify(context.Background(), b.Address, path)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.identifying = false
+		switch {
+		case err != nil || server == "":
+			h.Log.Info("server could not be asked which life runs", "beat", b.Server, "error", err)
+		case server != b.Server:
+			h.Log.Warn("beat of another life than the one that runs", "beat", b.Server, "server", server)
+		case h.record.Server != b.Server:
+			h.begin(b)
+		}
+	}()
+}
+
+// take takes in a beat of the present life.
+func (h *Host) take(b mtbackend.Beat) {
+	now := h.Clock.Now()
 	h.beaten = now
 	if b.Sequence < h.sequence {
 		return
 	}
 	h.sequence = b.Sequence
 	h.address = b.Address
-	if h.record.Slots != b.Slots {
-		h.record.Slots = b.Slots
-	}
+	h.record.Slots = b.Slots
 	h.door.Resize(b.Slots, b.Slots)
 	switch {
 	case b.Draining:
@@ -209,6 +254,7 @@
 	h.record.State = mtbackend.Unknown
 	h.sequence = 0
 	h.drains = 0
+	h.take(b)
 }
 
 // state changes the state and tells all daemons.
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -61,6 +61,7 @@
 	NameHost      mtkernel.Name = "host"
 	NameGrants    mtkernel.Name = "grants"
 	NameIngress   mtkernel.Name = "ingress"
+	NameNews      mtkernel.Name = "news"
 	NameListeners mtkernel.Name = "listeners"
 )
 
@@ -84,6 +85,9 @@
 	Drain time.Duration // new work may reach a leaving server for so long
 	Grace time.Duration // from the order to stop until the process is ended
 	Log   *slog.Logger
+	// Refresh makes the configuration be read anew: another daemon has a newer
+	// one, or the store is to be asked in case its watches have gone deaf.
+	Refresh func()
 }
 
 // Mesh is one daemon.
@@ -93,6 +97,7 @@
 	callers *mtlisten.Server
 	peers   *grpc.Server
 	ready   atomic.Bool
+	asking  atomic.Bool // the store is asked for what other daemons have seen
 }
 
 // New puts a daemon together, opens its listeners and starts its duties. The
@@ -100,7 +105,7 @@
 func New(config Config) (*Mesh, func(), error) {
 	m := &Mesh{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
-		m.addClock, m.addMetrics, m.addPeers, m.addDirectory, m.addHost, m.addIngress, m.listen,
+		m.addClock, m.addMetrics, m.addPeers, m.addDirectory, m.addHost, m.addIngress, m.addNews, m.listen,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -151,7 +156,7 @@
 }
 
 func (m *Mesh) addPeers() error {
-	client, cleanUp := mtforward.NewClient(need[*mttime.Clock](m, NameClock))
+	client, cleanUp := mtforward.NewClient(need[*mttime.Clock](m, NameClock), m.exchange())
 	return mtkernel.Register(m.kernel, NamePeers, client, cleanUp)
 }
 
@@ -186,6 +191,7 @@
 		Clock:   clock,
 		Client:  client,
 		Log:     m.config.Log,
+		Health:  m.health,
 		Publish: directory.Publish,
 		Holds:   func(server mtid.Server, key mtid.Number) error { return grants.Load().Holds(server, key) },
 		Fenced:  func(key mtid.Number) { grants.Load().Fenced(key) },
@@ -216,6 +222,15 @@
 	return mtkernel.Register(m.kernel, NameGrants, held, closeGrants)
 }
 
+// health returns the path of the health check of this VM's server.
+func (m *Mesh) health() string {
+	ingress, err := mtkernel.Lookup[*mtingress.Ingress](m.kernel, NameIngress)
+	if err != nil || ingress.Configuration() == nil {
+		return ""
+	}
+	return ingress.Configuration().Services[m.config.Service].Health
+}
+
 // keyed reports whether the service of this VM is divided by key.
 func (m *Mesh) keyed() bool {
 	ingress, err := mtkernel.Lookup[*mtingress.Ingress](m.kernel, NameIngress)
@@ -334,7 +349,7 @@
 		return &ListenError{Purpose: "callers", Address: m.config.Callers, Err: err}
 	}
 	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(streams), grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
-	mtforward.Register(m.peers, m.Host(), need[*mttime.Clock](m, NameClock))
+	mtforward.Register(m.peers, m.Host(), need[*mttime.Clock](m, NameClock), m.exchange())
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
 			m.config.Log.Error("listener for daemons ended", "error", err)
--- /dev/null
+++ b/io/mtmesh/news.go
@@ -0,0 +1,123 @@
+package mtmesh
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtroute"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtduty"
+	"magnoliaturn/io/mtforward"
+	"magnoliaturn/io/mtingress"
+)
+
+// A watch of the store may hear nothing for seconds while changes are made. So a
+// few daemons ask for the configuration regularly, and all tell each other in
+// passing what they have seen.
+const (
+	// askEvery is how often the configuration is asked for. It has to be in
+	// force everywhere within two seconds: asked for in half of that, told and
+	// read in the rest.
+	askEvery = 800 * time.Millisecond
+	// askers is how many daemons do so: one may be lost or cut off.
+	askers = 2
+	// doubtAfter is how long a daemon that hears of something newer waits for
+	// its own watch to bring it, which usually takes some milliseconds.
+	doubtAfter = 150 * time.Millisecond
+	// tellTimeout bounds the telling of one other daemon.
+	tellTimeout = 500 * time.Millisecond
+)
+
+// exchange returns how this daemon takes part in the news.
+func (m *Mesh) exchange() mtforward.Exchange {
+	return mtforward.Exchange{Tell: m.tell, Hear: m.hear}
+}
+
+// tell returns what this daemon has seen.
+func (m *Mesh) tell() mtforward.News {
+	var news mtforward.News
+	if directory, err := mtkernel.Lookup[*mtdirectory.Directory](m.kernel, NameDirectory); err == nil {
+		news.Seen = directory.Seen()
+	}
+	if ingress, err := mtkernel.Lookup[*mtingress.Ingress](m.kernel, NameIngress); err == nil {
+		if c := ingress.Configuration(); c != nil {
+			news.Config = c.Version
+		}
+	}
+	return news
+}
+
+// hear compares what another daemon has seen, and asks the store if the own
+// watches don't bring it soon.
+func (m *Mesh) hear(theirs mtforward.News) {
+	if !behind(m.tell(), theirs) || !m.asking.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(doubtAfter, func() {
+		defer m.asking.Store(false)
+		own := m.tell()
+		if own.Config < theirs.Config {
+			m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.Config), "newest", uint64(theirs.Config))
+			m.config.Refresh()
+		}
+		if own.Seen < theirs.Seen {
+			m.config.Log.Warn("another daemon has seen newer records", "own", uint64(own.Seen), "newest", uint64(theirs.Seen))
+			need[*mtdirectory.Directory](m, NameDirectory).Resync()
+		}
+	})
+}
+
+// behind reports whether theirs holds something newer.
+func behind(own, theirs mtforward.News) bool {
+	return own.Config < theirs.Config || own.Seen < theirs.Seen
+}
+
+// addNews adds the duty that asks for the configuration.
+func (m *Mesh) addNews() error {
+	stop := mtduty.Every(askEvery, func(context.Context) {
+		if m.asker() {
+			m.config.Refresh()
+		}
+	})
+	return mtkernel.Register(m.kernel, NameNews, stop, stop)
+}
+
+// asker reports whether this daemon is one of those that ask.
+func (m *Mesh) asker() bool {
+	var live []mtid.Daemon
+	for name, member := range need[*mtdirectory.Directory](m, NameDirectory).Now().Members {
+		if !member.Lapsed && !member.Leaving {
+			live = append(live, name)
+		}
+	}
+	slices.Sort(live)
+	return slices.Contains(live[:min(askers, len(live))], m.config.Daemon)
+}
+
+// Configure puts a configuration in force, unless a newer one is. Those that ask
+// for it tell all others, since nobody else may have heard of it.
+func (m *Mesh) Configure(c *mtroute.Config) {
+	if m.Ingress().Configure(c) && m.asker() {
+		go m.spread()
+	}
+}
+
+// spread tells all other daemons what this one has seen.
+func (m *Mesh) spread() {
+	peers := need[*mtforward.Client](m, NamePeers)
+	for name, member := range need[*mtdirectory.Directory](m, NameDirectory).Now().Members {
+		if name == m.config.Daemon || member.Lapsed {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+			defer cancel()
+			if err := peers.Observe(ctx, name, member.Address); err != nil {
+				m.config.Log.Info("daemon could not be told", "daemon", name, "error", err)
+			}
+		}()
+	}
+}
--- a/io/mtwatch/mtwatch.go
+++ b/io/mtwatch/mtwatch.go
@@ -4,8 +4,9 @@
 //
 // # Usage
 //
-//	stop := mtwatch.Start(mtwatch.Config{Store: store, Prefix: "live/", Apply: apply, Log: log})
+//	watcher, stop := mtwatch.Start(mtwatch.Config{Store: store, Prefix: "live/", Apply: apply, Log: log})
 //	defer stop()
+//	watcher.Resync() // if it is known otherwise that the watch has missed something
 //
 // Apply is called from one goroutine, in order of revision.
 package mtwatch
@@ -52,34 +53,71 @@
 	Log    *slog.Logger
 }
 
-// Start starts to follow and returns the function that ends it.
-func Start(config Config) func() {
+// Start starts to follow and returns the Watcher and the function that ends it.
+func Start(config Config) (*Watcher, func()) {
 	if config.Health == nil {
 		config.Health = func(bool) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{Config: config}
 	var duty sync.WaitGroup
 	duty.Go(func() {
-		w := &watcher{Config: config}
 		for ctx.Err() == nil {
-			w.step(ctx)
+			w.attempt(ctx)
 		}
 	})
-	return func() {
+	return w, func() {
 		cancel()
 		duty.Wait()
 	}
 }
 
-// watcher is the state of one Start.
-type watcher struct {
+// Watcher follows one prefix.
+type Watcher struct {
 	Config
 	after  mtid.Revision // everything up to it was applied
 	failed int           // attempts in a row
+
+	mu      sync.Mutex
+	cancel  context.CancelFunc // of the present attempt
+	resync  bool
+	resyncs time.Time // the last one
+}
+
+// resyncPause is the least time between two Resyncs that take effect: each costs
+// the store a reading of everything.
+const resyncPause = 300 * time.Millisecond
+
+// Resync makes the watcher read everything again. A watch may hear nothing
+// although changes are made.
+func (w *Watcher) Resync(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.resyncs) < resyncPause {
+		return
+	}
+	w.resyncs = now
+	w.resync = true
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// attempt makes one step that a Resync can end.
+func (w *Watcher) attempt(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.mu.Lock()
+	w.cancel = cancel
+	if w.resync {
+		w.after, w.resync = 0, false
+	}
+	w.mu.Unlock()
+	w.step(ctx)
 }
 
 // step makes one watch and applies what it brings.
-func (w *watcher) step(ctx context.Context) {
+func (w *Watcher) step(ctx context.Context) {
 	whole := w.after == 0
 	changes, err := w.Store.Watch(ctx, w.Prefix, w.after, Wait)
 	if err != nil {
@@ -99,7 +137,7 @@
 }
 
 // recover notes that the store answers.
-func (w *watcher) recover() {
+func (w *Watcher) recover() {
 	if w.failed > 0 {
 		w.Log.Info("watch works again", "prefix", w.Prefix, "failures", w.failed)
 	}
@@ -108,7 +146,7 @@
 }
 
 // fail notes a failure and waits before the next attempt.
-func (w *watcher) fail(ctx context.Context, err error) {
+func (w *Watcher) fail(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
