Send no order behind a release, and tell no run request that it did not run

A renewal that was found due before a move began reached the server after the release: two servers held the keys for two seconds. A call whose first try had run and whose second was refused was answered 503. A daemon that was told to stop cut off what was under way at the end of its grace, while others who could not hear of it went on sending.

Ruled out: a wrong record or a late beat (traces show the renewal sent 65 ms after the move began).

Change: orders and moves of one range exclude each other. The outcome of a try in doubt stands for the whole call. A stopping daemon refuses calls that can go elsewhere, bounds deadlines by its end and gives final answers before it.

--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -129,6 +129,9 @@
 
 	mu     sync.Mutex
 	grants []*grant
+	// ordering is the grant whose order is under way. Its keys don't begin to
+	// move before it is answered.
+	ordering *grant
 	// doubt is until when an order that was not answered may still be in force,
 	// for each life of the server. A key that is released while such an order
 	// is on its way would be held again.
@@ -370,6 +373,14 @@
 	sent := g.Clock.Now()
 	until := sent.Add(orderTimeout + g.longest())
 	g.mu.Lock()
+	if held.moving || !slices.Contains(g.grants, held) {
+		// Since it was found due, the range has begun to move. An order now could
+		// reach the server after the release, and the server would hold the keys
+		// beside their new owner until the grant runs out.
+		g.mu.Unlock()
+		return
+	}
+	g.ordering = held
 	r := held.Range
 	first := held.granted == 0
 	held.until = max(held.until, until)
@@ -377,6 +388,7 @@
 	err := g.Port.Grant(ctx, address, r, g.Hold)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.ordering = nil
 	if err != nil {
 		g.doubt[held.server] = max(g.doubt[held.server], until)
 		g.Log.Warn("grant failed", "server", held.server, "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "error", err)
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -368,7 +368,7 @@
 		if held.Range != r || held.moving || held.granted == 0 {
 			continue
 		}
-		if g.Clock.Now().Before(g.doubt[held.server]) {
+		if held == g.ordering || g.Clock.Now().Before(g.doubt[held.server]) {
 			return false
 		}
 		parts := []*grant{}
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -289,6 +289,8 @@
 }
 
 // Retire tells the others that this daemon shuts down while its server lives on.
+// They may not hear of it while the store is away, so calls that can go
+// elsewhere are refused from now on.
 func (h *Host) Retire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -296,6 +298,9 @@
 	h.Publish(h.record)
 }
 
+// Close refuses all new calls; what is in flight finishes.
+func (h *Host) Close() { h.gate().Drain() }
+
 // Owner returns the present life of the server as an owner of keys, and whether
 // it may be given some.
 func (h *Host) Owner() (mtrange.Owner, bool) {
@@ -374,6 +379,8 @@
 		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute, Detail: "another service runs here"}
 	case record.State == mtbackend.Unknown || record.State == mtbackend.Ended:
 		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: time.Second}
+	case record.Leaving && !call.Keyed:
+		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseStopping}
 	case record.State == mtbackend.Draining && !call.Keyed:
 		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseDraining}
 	}
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -73,11 +73,18 @@
 	mu       sync.Mutex // guards splitter
 	splitter *mtroute.Splitter
 	closing  atomic.Bool
+	// ending ends when the calls that are still under way in a shutdown get
+	// their final answers, at the instant end.
+	ending context.Context
+	finish context.CancelFunc
+	end    atomic.Int64
 }
 
 // New returns an Ingress that knows no configuration yet.
 func New(config Config) *Ingress {
-	return &Ingress{Config: config, splitter: mtroute.NewSplitter()}
+	in := &Ingress{Config: config, splitter: mtroute.NewSplitter()}
+	in.ending, in.finish = context.WithCancel(context.Background())
+	return in
 }
 
 // Configure puts a configuration in force, unless a newer one is. Versions never
@@ -98,8 +105,24 @@
 // Configuration returns what is in force, or nil.
 func (in *Ingress) Configuration() *mtroute.Config { return in.config.Load() }
 
-// Retire makes each answer from now on the last one on its connection.
-func (in *Ingress) Retire() { in.closing.Store(true) }
+// Retire makes each answer from now on the last one on its connection. What is
+// still under way at the instant end gets its final answer then: a connection
+// that closes without one leaves its caller in the dark.
+func (in *Ingress) Retire(end mtclock.Instant) {
+	in.end.Store(int64(end))
+	in.closing.Store(true)
+	time.AfterFunc(end.Sub(in.Clock.Now()), in.finish)
+}
+
+// within returns the context of a call.
+func (in *Ingress) within(ctx context.Context, left time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, left)
+	stop := context.AfterFunc(in.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
 
 // Handle is the handler of all callers' requests.
 func (in *Ingress) Handle(c echo.Context) error {
@@ -114,7 +137,7 @@
 		in.Done(call, w.Status, err, in.Clock.Now().Sub(arrived))
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), call.Deadline.Sub(arrived))
+	ctx, cancel := in.within(r.Context(), call.Deadline.Sub(arrived))
 	defer cancel()
 	answer, err := in.Send.Send(ctx, call, route.Attempts)
 	if err == nil {
@@ -150,6 +173,9 @@
 		left = min(left, time.Duration(ms)*time.Millisecond)
 	}
 	call.Deadline = now.Add(left)
+	if in.closing.Load() {
+		call.Deadline = min(call.Deadline, mtclock.Instant(in.end.Load()))
+	}
 	in.mu.Lock()
 	call.Service = in.splitter.Pick(route)
 	in.mu.Unlock()
@@ -304,7 +330,7 @@
 		return request.status, -1
 	case errors.As(err, &refused):
 		return http.StatusServiceUnavailable, refused.RetryAfter
-	case errors.As(err, &unknown) && unknown.Cause == mtreply.CauseTimeout:
+	case errors.As(err, &unknown) && (unknown.Cause == mtreply.CauseTimeout || unknown.Cause == mtreply.CauseGone):
 		return http.StatusGatewayTimeout, -1
 	}
 	return http.StatusBadGateway, -1
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -105,6 +105,18 @@
 	bounced   int
 	redirects int
 	arrivals  int // at backend servers
+	// doubt is the failure of a try that may have run. Whatever later tries say,
+	// the call is not proved not run any more.
+	doubt error
+}
+
+// verdict returns what the caller is told after a last failure.
+func (s *sending) verdict(last error) error {
+	var refused *mtreply.RefusedError
+	if s.doubt != nil && errors.As(last, &refused) {
+		return s.doubt
+	}
+	return last
 }
 
 // Send implements the sender of an Ingress. attempts is how many servers may be
@@ -119,14 +131,18 @@
 	for {
 		member, err := s.target(call, state)
 		if err != nil {
-			return nil, err
+			return nil, state.verdict(err)
 		}
 		answer, err := s.try(ctx, call, member)
 		if err == nil {
 			return answer, nil
 		}
+		var unknown *mtreply.UnknownError
+		if errors.As(err, &unknown) {
+			state.doubt = err
+		}
 		if !s.again(ctx, call, member, state, attempts, err) {
-			return nil, err
+			return nil, state.verdict(err)
 		}
 	}
 }
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -38,6 +38,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtstore"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtdial"
@@ -98,6 +99,9 @@
 	peers   *grpc.Server
 	ready   atomic.Bool
 	asking  atomic.Bool // the store is asked for what other daemons have seen
+	// The news go with each message, and the kernel's lookups are not for that.
+	directory atomic.Pointer[mtdirectory.Directory]
+	ingress   atomic.Pointer[mtingress.Ingress]
 }
 
 // New puts a daemon together, opens its listeners and starts its duties. The
@@ -168,6 +172,7 @@
 		Lease: m.config.Lease,
 		Log:   m.config.Log,
 	})
+	m.directory.Store(directory)
 	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
 }
 
@@ -222,22 +227,28 @@
 	return mtkernel.Register(m.kernel, NameGrants, held, closeGrants)
 }
 
+// configuration returns what is in force, or nil if nothing is, or while the
+// daemon is still being put together.
+func (m *Mesh) configuration() *mtroute.Config {
+	ingress := m.ingress.Load()
+	if ingress == nil {
+		return nil
+	}
+	return ingress.Configuration()
+}
+
 // health returns the path of the health check of this VM's server.
 func (m *Mesh) health() string {
-	ingress, err := mtkernel.Lookup[*mtingress.Ingress](m.kernel, NameIngress)
-	if err != nil || ingress.Configuration() == nil {
+	configuration := m.configuration()
+	if configuration == nil {
 		return ""
 	}
-	return ingress.Configuration().Services[m.config.Service].Health
+	return configuration.Services[m.config.Service].Health
 }
 
 // keyed reports whether the service of this VM is divided by key.
 func (m *Mesh) keyed() bool {
-	ingress, err := mtkernel.Lookup[*mtingress.Ingress](m.kernel, NameIngress)
-	if err != nil {
-		return false // the daemon is still being put together
-	}
-	configuration := ingress.Configuration()
+	configuration := m.configuration()
 	return configuration != nil && configuration.Services[m.config.Service].Keyed
 }
 
@@ -298,6 +309,7 @@
 		Log:     m.config.Log,
 		Done:    m.done,
 	})
+	m.ingress.Store(ingress)
 	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
 }
 
@@ -314,8 +326,11 @@
 	// linger is how long callers are served after the order to stop: until they
 	// have been told at least twice, a second apart, to go elsewhere.
 	linger = 2600 * time.Millisecond
-	// spare is kept free before the process is ended.
-	spare = 500 * time.Millisecond
+	// spare is kept free before the process is ended, for the clean-ups, which
+	// may have to wait for a store that does not answer.
+	spare = 700 * time.Millisecond
+	// lastWord is how long before that the final answers are given.
+	lastWord = 200 * time.Millisecond
 	// connections is how many callers may be connected, and streams how many
 	// calls of one other daemon may be under way.
 	connections = 3000
@@ -389,12 +404,15 @@
 
 // shutdown lets everybody go elsewhere before it ends what is left.
 func (m *Mesh) shutdown() {
-	end := time.Now().Add(m.config.Grace - spare)
+	clock := need[*mttime.Clock](m, NameClock)
+	left := m.config.Grace - spare
+	end := time.Now().Add(left)
 	m.config.Log.Info("stopping", "grace", m.config.Grace)
 	m.ready.Store(false)
-	m.Ingress().Retire()
+	m.Ingress().Retire(clock.Now().Add(left - lastWord))
 	m.Host().Retire()
-	time.Sleep(linger)
+	time.Sleep(min(linger, left/2))
+	m.Host().Close()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	m.callers.Shutdown(ctx)
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -11,7 +11,6 @@
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtforward"
-	"magnoliaturn/io/mtingress"
 )
 
 // A watch of the store may hear nothing for seconds while changes are made. So a
@@ -39,13 +38,11 @@
 // tell returns what this daemon has seen.
 func (m *Mesh) tell() mtforward.News {
 	var news mtforward.News
-	if directory, err := mtkernel.Lookup[*mtdirectory.Directory](m.kernel, NameDirectory); err == nil {
+	if directory := m.directory.Load(); directory != nil {
 		news.Seen = directory.Seen()
 	}
-	if ingress, err := mtkernel.Lookup[*mtingress.Ingress](m.kernel, NameIngress); err == nil {
-		if c := ingress.Configuration(); c != nil {
-			news.Config = c.Version
-		}
+	if c := m.configuration(); c != nil {
+		news.Config = c.Version
 	}
 	return news
 }
