--- /dev/null
+++ b/core/mtgate/urgent_test.go
@@ -0,0 +1,80 @@
+package mtgate_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtbundle"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtgate"
+	"magnoliaturn/core/mtid"
+)
+
+func urgentGate(slots int) *mtgate.Gate[*mtgate.Urgent] {
+	gate := mtgate.New(mtgate.NewUrgent(), mtgate.Limits{Patience: 1})
+	gate.Declare("", mtbundle.Class{Name: "pay", Priority: -1, Queue: 100})
+	gate.Declare("", mtbundle.Class{Name: "look", Priority: -2, Queue: 100})
+	gate.Resize(0, slots, slots)
+	return gate
+}
+
+func at(d time.Duration) mtclock.Instant { return mtclock.Instant(d) }
+
+// started returns the numbers that the effects start.
+func started(effects []mtgate.Effect) []mtgate.Number {
+	var out []mtgate.Number
+	for _, e := range effects {
+		if s, ok := e.(mtgate.Start); ok {
+			out = append(out, s.Ticket.Number)
+		}
+	}
+	return out
+}
+
+// Breakfast: more is asked of a server than it can do. Whoever came first was
+// served first, and every answer came late. What can still meet its objective
+// goes first, nested requests before all, the urgent class before the other.
+func TestUrgentOrder(t *testing.T) {
+	gate := urgentGate(1)
+	ticket := func(n mtgate.Number, class mtid.Class, objective time.Duration, nested bool) mtgate.Ticket {
+		return mtgate.Ticket{Number: n, Class: class, Objective: at(objective), Deadline: at(20 * time.Second), Nested: nested}
+	}
+	assert.DeepEqual(t, started(gate.Offer(0, ticket(1, "look", time.Second, false))), []mtgate.Number{1})
+	gate.Offer(0, ticket(2, "look", 100*time.Millisecond, false)) // late by the time a slot is free
+	gate.Offer(0, ticket(3, "look", 5*time.Second, false))
+	gate.Offer(0, ticket(4, "pay", 6*time.Second, false))
+	gate.Offer(0, ticket(5, "look", 4*time.Second, false))
+	gate.Offer(0, ticket(6, "look", 9*time.Second, true))
+	var order []mtgate.Number
+	now, running := time.Second, mtgate.Number(1)
+	for {
+		next := started(gate.Done(at(now), running))
+		if len(next) == 0 {
+			break
+		}
+		order = append(order, next...)
+		running = next[0]
+		now += 10 * time.Millisecond
+	}
+	assert.DeepEqual(t, order, []mtgate.Number{6, 4, 5, 3, 2})
+}
+
+// What a full gate refuses is what would start last, not what came last.
+func TestUrgentVictim(t *testing.T) {
+	gate := mtgate.New(mtgate.NewUrgent(), mtgate.Limits{Patience: 1, Waiting: 1})
+	gate.Declare("", mtbundle.Class{Name: "pay", Priority: -1, Queue: 100})
+	gate.Declare("", mtbundle.Class{Name: "look", Priority: -2, Queue: 100})
+	gate.Resize(0, 1, 1)
+	offer := func(n mtgate.Number, class mtid.Class) []mtgate.Effect {
+		return gate.Offer(0, mtgate.Ticket{Number: n, Class: class, Objective: at(time.Second), Deadline: at(9 * time.Second)})
+	}
+	offer(1, "look")
+	offer(2, "look")
+	effects := offer(3, "pay")
+	assert.Equal(t, len(effects), 1)
+	refused, ok := effects[0].(mtgate.Refuse)
+	assert.Assert(t, ok)
+	assert.Equal(t, refused.Ticket.Number, mtgate.Number(2))
+}
--- /dev/null
+++ b/core/mtroute/mtroute_test.go
@@ -0,0 +1,91 @@
+package mtroute_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtroute"
+)
+
+func route(name, host, prefix string, parts ...mtroute.Part) mtroute.Route {
+	if len(parts) == 0 {
+		parts = []mtroute.Part{{Service: "maps", Weight: 1}}
+	}
+	return mtroute.Route{Name: mtid.Class(name), Host: host, Prefix: prefix, Timeout: time.Second, Parts: parts}
+}
+
+var services = []mtroute.Service{{Name: "maps"}, {Name: "desk"}}
+
+func TestLongestPrefixOfTheHostHolds(t *testing.T) {
+	config, err := mtroute.New(3, []mtroute.Route{
+		route("short", "a.example", "/plans/"),
+		route("long", "a.example", "/plans/floors/"),
+		route("other", "b.example", "/plans/"),
+		route("all", "c.example", "/"),
+	}, services, mtroute.Limits{})
+	assert.NilError(t, err)
+	for _, test := range []struct {
+		host, target string
+		want         mtid.Class
+	}{
+		{"a.example", "/plans/7", "short"},
+		{"a.example", "/plans/floors/7", "long"},
+		{"a.example", "/plans/floors", "short"},
+		{"a.example", "/plans", ""},
+		{"A.Example:8080", "/plans/7", "short"},
+		{"a.example", "/plans/?q=/plans/floors/", "short"},
+		{"a.example", "/other?x=/plans/", ""},
+		{"b.example", "/plans/floors/7", "other"},
+		{"c.example", "/", "all"},
+		{"d.example", "/plans/7", ""},
+	} {
+		got, ok := config.Match(test.host, test.target)
+		assert.Equal(t, ok, test.want != "", "%s %s", test.host, test.target)
+		if ok {
+			assert.Equal(t, got.Name, test.want, "%s %s", test.host, test.target)
+		}
+	}
+}
+
+func TestRoutesThatCannotBeServedAreRefused(t *testing.T) {
+	for name, bad := range map[string]mtroute.Route{
+		"prefix without slash at its end": route("r", "a", "/plans"),
+		"relative prefix":                 route("r", "a", "plans/"),
+		"unknown service":                 route("r", "a", "/", mtroute.Part{Service: "none", Weight: 1}),
+		"weight below zero":               route("r", "a", "/", mtroute.Part{Service: "maps", Weight: -1}),
+		"no timeout":                      {Name: "r", Host: "a", Prefix: "/", Parts: []mtroute.Part{{Service: "maps"}}},
+		"no service":                      {Name: "r", Host: "a", Prefix: "/", Timeout: time.Second},
+	} {
+		_, err := mtroute.New(1, []mtroute.Route{bad}, services, mtroute.Limits{})
+		var want *mtroute.RouteError
+		assert.Assert(t, errors.As(err, &want), name)
+	}
+}
+
+// An operator sends a tenth of a route's requests to a new service and looks at
+// its figures after some hundred of them. Parts that were drawn at random would
+// be off by a third of their share by then.
+func TestPartsKeepToTheirWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		heavy := rapid.IntRange(0, 100).Draw(t, "heavy")
+		light := rapid.IntRange(1, 100).Draw(t, "light")
+		n := rapid.IntRange(1, 500).Draw(t, "requests")
+		r := route("r", "a", "/", mtroute.Part{Service: "maps", Weight: heavy}, mtroute.Part{Service: "desk", Weight: light})
+		splitter := mtroute.NewSplitter()
+		got := 0
+		for range n {
+			if splitter.Pick(&r) == "maps" {
+				got++
+			}
+		}
+		want := float64(n) * float64(heavy) / float64(heavy+light)
+		if diff := float64(got) - want; diff > 1 || diff < -1 {
+			t.Fatalf("of %d requests %d went to the part with %d of %d, want %.1f", n, got, heavy, heavy+light, want)
+		}
+	})
+}
--- /dev/null
+++ b/io/mtgrant/mtgrant_test.go
@@ -0,0 +1,396 @@
+package mtgrant_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtgrant"
+	"magnoliaturn/io/mtstandin"
+)
+
+const (
+	service = mtid.Service("maps")
+	hold    = 8 * time.Second
+	lease   = 3 * time.Second
+)
+
+// clock is set by hand. Both of its instants are the same.
+type clock struct {
+	mu  sync.Mutex
+	now mtclock.Instant
+}
+
+func (c *clock) Now() mtclock.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) Steady() mtclock.Instant { return c.Now() }
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+func (c *clock) time() time.Time { return time.Unix(0, int64(c.Now())) }
+
+// host is a backend server as the daemon knows it.
+type host struct {
+	mu     sync.Mutex
+	record mtbackend.Record
+}
+
+func (h *host) Owner() (mtrange.Owner, bool) {
+	r, _ := h.Record()
+	return mtrange.Owner{Daemon: r.Daemon, Server: r.Server}, r.Takes()
+}
+
+func (h *host) Record() (mtbackend.Record, string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.record, "server"
+}
+
+func (h *host) set(s mtbackend.State) mtbackend.Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.record.State = s
+	return h.record
+}
+
+func (*host) Stop(mtid.Number, mtid.Number)    {}
+func (*host) Resume(mtid.Number, mtid.Number)  {}
+func (*host) Release(mtid.Number, mtid.Number) {}
+func (*host) Forget(mtid.Number, mtid.Number)  {}
+
+func (*host) Cut([]mtrange.Range, float64) (low, high mtid.Number, ok bool) { return 0, 0, false }
+
+// port notes the orders and lets a test hold them up.
+type port struct {
+	mu     sync.Mutex
+	orders []string
+	before func(order string)
+}
+
+func (p *port) note(format string, args ...any) {
+	order := fmt.Sprintf(format, args...)
+	p.mu.Lock()
+	p.orders = append(p.orders, order)
+	before := p.before
+	p.mu.Unlock()
+	if before != nil {
+		before(order)
+	}
+}
+
+func (p *port) Grant(_ context.Context, _ string, r mtrange.Range, _ time.Duration) error {
+	p.note("grant %d-%d at %d", r.Low, r.High, r.Epoch)
+	return nil
+}
+
+func (p *port) Release(_ context.Context, _ string, low, high mtid.Number, epoch mtid.Epoch) (string, error) {
+	p.note("release %d-%d at %d", low, high, epoch)
+	return "warm", nil
+}
+
+func (p *port) seen() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.orders)
+}
+
+func (p *port) count(prefix string) int {
+	n := 0
+	for _, o := range p.seen() {
+		if strings.HasPrefix(o, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// fleet is a store with daemon "a" under test and others that only have records.
+type fleet struct {
+	t         *testing.T
+	clock     *clock
+	store     *mtstandin.Revisions
+	directory *mtdirectory.Directory
+	host      *host
+	port      *port
+	grants    *mtgrant.Grants
+}
+
+func record(daemon mtid.Daemon, s mtbackend.State) mtbackend.Record {
+	return mtbackend.Record{Daemon: daemon, Service: service, Server: mtid.Server("of-" + daemon), Slots: 10, State: s}
+}
+
+func ownerOf(daemon mtid.Daemon) mtrange.Owner {
+	return mtrange.Owner{Daemon: daemon, Server: mtid.Server("of-" + daemon)}
+}
+
+func (f *fleet) write(r mtbackend.Record) {
+	value, err := r.Encode()
+	assert.NilError(f.t, err)
+	f.store.Put(mtstore.BackendName(r.Daemon), value)
+}
+
+// newFleet starts daemon a, with keys divided among the given owners.
+func newFleet(t *testing.T, assigned ...mtid.Daemon) *fleet {
+	t.Helper()
+	f := &fleet{t: t, clock: &clock{now: mtclock.Instant(time.Hour)}, host: &host{record: record("a", mtbackend.Ready)}, port: &port{}}
+	f.store = mtstandin.NewRevisions(f.clock.time)
+	var owners []mtrange.Owner
+	for _, d := range assigned {
+		owners = append(owners, ownerOf(d))
+		if d != "a" {
+			f.write(record(d, mtbackend.Ready))
+		}
+	}
+	if len(owners) > 0 {
+		table, err := mtrange.Spread(service, owners)
+		assert.NilError(t, err)
+		value, err := table.Encode()
+		assert.NilError(t, err)
+		f.store.Put(mtstore.RangeName(service), value)
+	}
+	return f
+}
+
+func (f *fleet) start() {
+	directory, closeDirectory := mtdirectory.New(mtdirectory.Config{
+		Self: "a", Store: f.store, Clock: f.clock, Lease: lease, Log: slog.New(slog.DiscardHandler),
+	})
+	f.directory = directory
+	r, _ := f.host.Record()
+	directory.Publish(r)
+	grants, closeGrants := mtgrant.New(mtgrant.Config{
+		Self: "a", Service: service, Keyed: func() bool { return true }, Hold: hold, Directory: directory,
+		Store: f.store, Host: f.host, Port: f.port, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
+		Standings: func() (mtrange.Standing, []mtrange.Standing) { return mtrange.Standing{}, nil },
+	})
+	f.grants = grants
+	f.t.Cleanup(func() {
+		closeGrants()
+		closeDirectory()
+	})
+}
+
+// until waits for a condition.
+func (f *fleet) until(what string, done func() bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("%s; orders %v", what, f.port.seen())
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// turns lets the duties look several times.
+func (f *fleet) turns() { time.Sleep(700 * time.Millisecond) }
+
+func (f *fleet) owner(key mtid.Number) mtid.Daemon {
+	a, ok := f.directory.Now().Assignments[service]
+	if !ok {
+		return ""
+	}
+	r, _ := a.Lookup(key)
+	return r.Owner.Daemon
+}
+
+// lapseB makes the record of daemon b disappear, as when its VM is lost.
+func (f *fleet) lapseB() {
+	lease, err := f.store.Grant(context.Background(), time.Hour)
+	assert.NilError(f.t, err)
+	entry, err := f.store.Get(context.Background(), mtstore.BackendName("b"))
+	assert.NilError(f.t, err)
+	_, err = f.store.Swap(context.Background(), entry.Name, entry.Version, entry.Value, lease)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, f.store.End(context.Background(), lease))
+	f.until("the record of b is seen gone", func() bool { return f.directory.Now().Members["b"].Lapsed })
+}
+
+// A server leaves while its daemon renews grants. A renewal that was found due
+// before the move began was sent after the release was answered; the server held
+// the keys for two more seconds, beside their new owner.
+func TestNoOrderFollowsARelease(t *testing.T) {
+	f := newFleet(t, "a", "b", "a")
+	gate := make(chan struct{})
+	f.start()
+	f.until("both ranges are granted", func() bool { return f.port.count("grant") == 2 })
+	f.port.mu.Lock()
+	f.port.before = func(order string) {
+		if strings.HasPrefix(order, "grant 0-") {
+			<-gate
+		}
+	}
+	f.port.mu.Unlock()
+	f.clock.advance(hold / 2) // both are due; the renewal of the first hangs
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.grants.Wake()
+	f.until("a renewal is under way", func() bool { return f.port.count("grant 0-") == 2 })
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	f.until("the other range has moved", func() bool { return f.owner(mtid.LastNumber) == "b" })
+	close(gate)
+	f.until("all keys have moved", func() bool { return f.owner(0) == "b" })
+	f.turns()
+	released := map[string]bool{}
+	for _, order := range f.port.seen() {
+		kind, rest, _ := strings.Cut(order, " ")
+		if kind == "release" {
+			released[rest] = true
+		}
+		assert.Assert(t, kind != "grant" || !released[rest], "%s was ordered after the release: %v", rest, f.port.seen())
+	}
+}
+
+// A VM is lost with its server. Its last grant may have been ordered just before
+// the record ran out, and lasts on a slow clock; only after that may the keys be
+// given to another server.
+func TestKeysOfALostVMWaitForItsGrantsToRunOut(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.lapseB()
+	f.clock.advance(hold)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.turns()
+	assert.Equal(t, f.owner(mtid.LastNumber), mtid.Daemon("b"), "taken while a grant may still be in force")
+	f.clock.advance(time.Second)
+	f.until("the keys are taken over", func() bool { return f.owner(mtid.LastNumber) == "a" })
+	f.until("and granted", func() bool { return f.port.count("grant") >= 2 })
+}
+
+// The daemon beside a lost server lives and says so: its server's process is
+// gone, or has another life. Nobody has to wait then.
+func TestKeysOfAnEndedServerAreTakenAtOnce(t *testing.T) {
+	for name, change := range map[string]func(r *mtbackend.Record){
+		"ended":        func(r *mtbackend.Record) { r.State = mtbackend.Ended },
+		"another life": func(r *mtbackend.Record) { r.Server = "next" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, "a", "b")
+			f.start()
+			f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+			r := record("b", mtbackend.Ready)
+			change(&r)
+			f.write(r)
+			f.until("the keys are taken over", func() bool {
+				a := f.directory.Now().Assignments[service]
+				return a.Keys(ownerOf("b")) == 0
+			})
+		})
+	}
+}
+
+// A daemon was restarted and has not heard from its server yet. That says nothing
+// of the server, which goes on with the keys that it was granted.
+func TestARestartedDaemonKeepsItsServersKeys(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.write(mtbackend.Record{Daemon: "b", Service: service, State: mtbackend.Unknown})
+	f.clock.advance(time.Minute)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.turns()
+	assert.Equal(t, f.owner(mtid.LastNumber), mtid.Daemon("b"))
+}
+
+// The store turns this daemon away. Others will count its record as gone, so it
+// orders nothing once the record is no longer certain, although its server would
+// obey.
+func TestNothingIsGrantedWithoutACertainRecord(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.store.Fail(func(op, _ string) error {
+		return &mtstore.UnavailableError{Op: op, Err: context.DeadlineExceeded}
+	})
+	f.clock.advance(lease)
+	before := f.port.count("grant")
+	f.clock.advance(hold)
+	f.grants.Wake()
+	f.turns()
+	assert.Equal(t, f.port.count("grant"), before)
+	var refused *mtreply.RefusedError
+	err := f.grants.Holds("of-a", 0)
+	assert.Assert(t, asRefused(err, &refused))
+	assert.Equal(t, refused.Cause, mtreply.CauseNoLease)
+}
+
+func asRefused(err error, into **mtreply.RefusedError) bool {
+	r, ok := err.(*mtreply.RefusedError)
+	*into = r
+	return ok
+}
+
+// The new owner was written and the store's answer was lost. Were the keys
+// granted here again meanwhile, two servers would hold them.
+func TestAMoveInDoubtIsNeverTakenBack(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.store.Deafen(true) // the watch does not tell either
+	f.store.Lose(func(op, name string) error {
+		if name != mtstore.RangeName(service) {
+			return nil
+		}
+		return &mtstore.UnknownError{Op: op, Name: name, Err: context.DeadlineExceeded}
+	})
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	f.until("the move has been found written", func() bool { return f.owner(0) == "b" })
+	f.turns()
+	assert.Equal(t, f.port.count("grant"), 1)
+}
+
+// A daemon comes back beside its living server. What its former life wrote last
+// may land only now; the assignment is written anew first, so that it can't.
+func TestAFormerLifesWriteCannotLandAfterTheFirstGrant(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
+	assert.NilError(t, err)
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	late, err := mtrange.Decode(entry.Value)
+	assert.NilError(t, err)
+	moved, err := late.Move(0, 10, ownerOf("b"), "")
+	assert.NilError(t, err)
+	value, err := moved.Encode()
+	assert.NilError(t, err)
+	_, err = f.store.Swap(context.Background(), entry.Name, entry.Version, value, "")
+	var conflict *mtstore.ConflictError
+	conflict, _ = err.(*mtstore.ConflictError)
+	assert.Assert(t, conflict != nil, "the late write landed: %v", err)
+}
+
+// All daemons start together and find no assignment.
+func TestTheFirstAssignmentWaitsForAllServers(t *testing.T) {
+	f := newFleet(t)
+	f.start()
+	f.until("the own record stands", func() bool { return len(f.directory.Now().Members) == 1 })
+	f.turns()
+	assert.Equal(t, f.owner(0), mtid.Daemon(""))
+	f.write(record("b", mtbackend.Ready))
+	f.until("the other is seen", func() bool { return len(f.directory.Now().Members) == 2 })
+	f.turns()
+	f.clock.advance(2 * time.Second)
+	f.until("keys are assigned", func() bool { return f.owner(0) == "a" && f.owner(mtid.LastNumber) == "b" })
+}
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -230,8 +230,8 @@
 
 // empty moves all keys of a leaving server to the others, to each its share.
 func (g *Grants) empty(ctx context.Context, owned []mtrange.Range) {
-	view := g.Directory.Now()
-	survivors := g.survivors(view)
+	// The own record in the directory may still be that of before the leaving.
+	survivors := slices.DeleteFunc(g.survivors(g.Directory.Now()), func(o mtrange.Owner) bool { return o.Daemon == g.Self })
 	if len(survivors) == 0 {
 		g.Log.Warn("leaving server keeps its keys: no other takes them", "ranges", len(owned))
 		return
--- /dev/null
+++ b/io/mtstandin/revisions.go
@@ -0,0 +1,295 @@
+package mtstandin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtstore"
+)
+
+// Revisions is a guarded store in memory: its versions are revisions of the whole
+// store, and it forgets its history when it is told to. Leases run out by the
+// clock whenever something is asked of it.
+//
+// It is safe for concurrent use.
+type Revisions struct {
+	clock func() time.Time
+
+	mu        sync.Mutex
+	revision  uint64
+	items     map[string]revised
+	deleted   map[string]uint64 // revision of the deletion
+	leases    map[mtstore.LeaseID]held
+	granted   uint64
+	forgotten uint64 // history up to it is gone
+	deaf      bool
+	fault     func(op, name string) error
+	lost      func(op, name string) error
+	changed   chan struct{}
+}
+
+type revised struct {
+	value    []byte
+	revision uint64
+	lease    mtstore.LeaseID
+}
+
+type held struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// NewRevisions returns an empty store that goes by the clock.
+func NewRevisions(clock func() time.Time) *Revisions {
+	return &Revisions{
+		clock: clock, revision: 1, items: make(map[string]revised), deleted: make(map[string]uint64),
+		leases: make(map[mtstore.LeaseID]held), changed: make(chan struct{}),
+	}
+}
+
+// Fail makes calls fail before they do anything: with what f returns, if that is
+// not nil. A nil f ends it.
+func (s *Revisions) Fail(f func(op, name string) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.wake()
+}
+
+// Lose makes calls fail after they have done their work.
+func (s *Revisions) Lose(f func(op, name string) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = f
+}
+
+// Deafen makes watches hear nothing, or hear again.
+func (s *Revisions) Deafen(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+	s.wake()
+}
+
+// Compact forgets the history.
+func (s *Revisions) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
+	s.wake()
+}
+
+// Put writes a name whatever stands there, as an operator does.
+func (s *Revisions) Put(name string, value []byte) mtid.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(name, value, "")
+}
+
+// Get implements mtstore.Store.
+func (s *Revisions) Get(_ context.Context, name string) (mtstore.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if err := s.failure("get", name); err != nil {
+		return mtstore.Entry{}, err
+	}
+	i, ok := s.items[name]
+	if !ok {
+		return mtstore.Entry{}, &mtstore.MissingError{Name: name}
+	}
+	return i.entry(name), nil
+}
+
+// Swap implements mtstore.Store.
+func (s *Revisions) Swap(ctx context.Context, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
+	return s.SwapIf(ctx, nil, name, expected, value, lease)
+}
+
+// SwapIf implements mtstore.Guarded.
+func (s *Revisions) SwapIf(_ context.Context, conditions []mtstore.Condition, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if err := s.failure("swap", name); err != nil {
+		return 0, err
+	}
+	if _, ok := s.leases[lease]; lease != "" && !ok {
+		return 0, &mtstore.LapsedError{Lease: lease}
+	}
+	for _, c := range append([]mtstore.Condition{{Name: name, Version: expected}}, conditions...) {
+		if now := s.items[c.Name]; now.revision != uint64(c.Version) {
+			conflict := &mtstore.ConflictError{Name: c.Name, Expected: c.Version}
+			if now.revision != 0 {
+				conflict.Current = now.entry(c.Name)
+			}
+			return 0, conflict
+		}
+	}
+	version := s.put(name, value, lease)
+	if s.lost != nil {
+		if err := s.lost("swap", name); err != nil {
+			return 0, err
+		}
+	}
+	return version, nil
+}
+
+// Watch implements mtstore.Store.
+func (s *Revisions) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		changes, changed, err := s.look(prefix, uint64(after))
+		if err != nil || after == 0 || len(changes.Entries) > 0 {
+			return changes, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return changes, nil
+		}
+	}
+}
+
+// look returns what has changed under the prefix, and what is closed at the next
+// change.
+func (s *Revisions) look(prefix string, after uint64) (mtstore.Changes, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if err := s.failure("watch", prefix); err != nil {
+		return mtstore.Changes{}, nil, err
+	}
+	if after != 0 && after < s.forgotten {
+		return mtstore.Changes{}, nil, &mtstore.CompactedError{After: mtid.Revision(after)}
+	}
+	if s.deaf && after != 0 {
+		return mtstore.Changes{Revision: mtid.Revision(after)}, s.changed, nil
+	}
+	changes := mtstore.Changes{Revision: mtid.Revision(s.revision)}
+	for name, i := range s.items {
+		if strings.HasPrefix(name, prefix) && i.revision > after {
+			changes.Entries = append(changes.Entries, i.entry(name))
+		}
+	}
+	for name, revision := range s.deleted {
+		if strings.HasPrefix(name, prefix) && revision > after && after != 0 {
+			changes.Entries = append(changes.Entries, mtstore.Entry{Name: name, Revision: mtid.Revision(revision)})
+		}
+	}
+	slices.SortFunc(changes.Entries, func(a, b mtstore.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	return changes, s.changed, nil
+}
+
+// Grant implements mtstore.Store.
+func (s *Revisions) Grant(_ context.Context, ttl time.Duration) (mtstore.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if err := s.failure("grant", ""); err != nil {
+		return "", err
+	}
+	s.granted++
+	id := mtstore.LeaseID(strconv.FormatUint(s.granted, 10))
+	s.leases[id] = held{ttl: ttl, until: s.clock().Add(ttl)}
+	return id, nil
+}
+
+// Renew implements mtstore.Store.
+func (s *Revisions) Renew(_ context.Context, lease mtstore.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if err := s.failure("renew", string(lease)); err != nil {
+		return err
+	}
+	l, ok := s.leases[lease]
+	if !ok {
+		return &mtstore.LapsedError{Lease: lease}
+	}
+	l.until = s.clock().Add(l.ttl)
+	s.leases[lease] = l
+	return nil
+}
+
+// End implements mtstore.Guarded.
+func (s *Revisions) End(_ context.Context, lease mtstore.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure("end", string(lease)); err != nil {
+		return err
+	}
+	s.drop(lease)
+	return nil
+}
+
+// Lapse ends all leases, as an outage may.
+func (s *Revisions) Lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.drop(id)
+	}
+}
+
+// Expire ends the leases whose time is over. A watcher that waits hears of it.
+func (s *Revisions) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+}
+
+func (s *Revisions) failure(op, name string) error {
+	if s.fault == nil {
+		return nil
+	}
+	return s.fault(op, name)
+}
+
+func (s *Revisions) put(name string, value []byte, lease mtstore.LeaseID) mtid.Version {
+	s.revision++
+	s.items[name] = revised{value: slices.Clone(value), revision: s.revision, lease: lease}
+	delete(s.deleted, name)
+	s.wake()
+	return mtid.Version(s.revision)
+}
+
+func (s *Revisions) expire() {
+	now := s.clock()
+	for id, l := range s.leases {
+		if !now.Before(l.until) {
+			s.drop(id)
+		}
+	}
+}
+
+// drop ends a lease with everything that was written under it.
+func (s *Revisions) drop(lease mtstore.LeaseID) {
+	delete(s.leases, lease)
+	for name, i := range s.items {
+		if i.lease == lease {
+			s.revision++
+			delete(s.items, name)
+			s.deleted[name] = s.revision
+		}
+	}
+	s.wake()
+}
+
+func (s *Revisions) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (i revised) entry(name string) mtstore.Entry {
+	return mtstore.Entry{Name: name, Value: slices.Clone(i.value), Version: mtid.Version(i.revision), Revision: mtid.Revision(i.revision)}
+}
+
+var _ mtstore.Guarded = (*Revisions)(nil)
