Know nested calls, admit by objective, hand keys over at a stop

Cause: half of the robot-status requests failed since their nested calls were refused. The daemon took every request for nested (callers share the VM's address), so nobody went first; the gate knew no class, so priorities did not count; requests waited until their deadline and were refused then.

Ruled out: more retries (the servers were full).

Change: a request whose identifier extends that of a running call is nested. Routes are declared to the gate. A request is admitted if it is expected to meet its objective, else refused at once. A stopping daemon moves its keys. An owner counts only if its server still is of the service.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -21,6 +21,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtreply"
 )
 
 // ID is the identifier that the caller gave its request: any bounded text.
@@ -55,6 +56,15 @@
 	Deadline  mtclock.Instant
 	// Caller is the service on the VM where the request began.
 	Caller mtid.Service
+	// Tries are the failed ones so far, for the logs of the ingress.
+	Tries []Try
+}
+
+// Try is a try that failed.
+type Try struct {
+	Daemon mtid.Daemon   `json:"daemon"`
+	Cause  mtreply.Cause `json:"cause"`
+	Took   time.Duration `json:"took"`
 }
 
 // Print returns a hash of everything that the backend server sees but the
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -328,7 +328,7 @@
 		return
 	}
 	wait := g.order.Wait(now, e)
-	if now.Add(wait*estimateMargin).After(e.GiveUp) || !e.GiveUp.After(now) {
+	if g.tooLate(now, e, wait) {
 		g.refuse(e, refusal(mtreply.CauseShed, clampRetry(wait), "the queue is longer than its time allows"))
 		return
 	}
@@ -344,6 +344,30 @@
 	g.order.Push(e)
 }
 
+// tooLate reports whether e is refused on arrival, since it would start too late.
+// A request with an objective has to be expected to meet it: while more is asked
+// than can be done, a queue longer than that makes every answer late and none
+// more, and what is refused at once can still be served after its caller's next
+// try. A nested request only has to start in time, since refusing it wastes the
+// work of the server that waits for it.
+func (g *Gate[O]) tooLate(now mtclock.Instant, e *Entry, wait time.Duration) bool {
+	if !e.GiveUp.After(now) {
+		return true
+	}
+	if e.Ticket.Nested {
+		return now.Add(wait).After(e.GiveUp)
+	}
+	if e.Ticket.Objective != 0 {
+		return now.Add(wait).After(max(latestStart(e), now.Add(e.Flow.service/leastQueue)))
+	}
+	return now.Add(wait * estimateMargin).After(e.GiveUp)
+}
+
+// leastQueue is the part of its service time, one over it, that a request may be
+// expected to wait although it can't meet its objective any more: on a slow
+// server nothing could, and its slots would stand idle between two requests.
+const leastQueue = 4
+
 // makeRoom sheds one waiting request in favour of e and reports whether it
 // could.
 func (g *Gate[O]) makeRoom(now mtclock.Instant, e *Entry) bool {
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -221,7 +221,9 @@
 	owned := assignment.Owned(owner)
 	switch {
 	case len(owned) == 0:
-	case record.State == mtbackend.Draining:
+	case record.State == mtbackend.Draining, record.Leaving:
+		// While a daemon is restarted its server can't be reached, for longer
+		// than a warm move takes.
 		g.empty(ctx, owned)
 	case record.Takes():
 		g.relieve(ctx, owned)
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -20,16 +20,19 @@
 	"errors"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
 	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtroute"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtduty"
 	iogate "magnoliaturn/io/mtgate"
@@ -103,6 +106,7 @@
 	address  string
 	ended    map[mtid.Server]bool // lives that are over
 	door     *iogate.Door[*mtgate.Urgent]
+	classes  []mtbundle.Class
 	drains   mtclock.Instant // Draining: no new work from then on; zero if not draining
 	checking bool
 	stranger mtbackend.Beat // the last beat of a life that is not known here
@@ -111,6 +115,9 @@
 	beaten      mtclock.Instant // last beat
 	checked     mtclock.Instant // last look after a silent server
 
+	runMu   sync.Mutex
+	running map[mtcall.ID]int // calls at the server, by identifier
+
 	meterMu sync.Mutex
 	meter   *mtrange.Meter
 	service time.Duration // mean time of a call at the server
@@ -123,6 +130,7 @@
 		Config:  config,
 		address: config.Address,
 		ended:   make(map[mtid.Server]bool),
+		running: make(map[mtcall.ID]int),
 		meter:   mtrange.NewMeter(config.Clock.Now()),
 	}
 	h.record = mtbackend.Record{
@@ -136,7 +144,25 @@
 
 func (h *Host) newDoor() *iogate.Door[*mtgate.Urgent] {
 	limits := mtgate.Limits{Waiting: waiting, Patience: 1}
-	return iogate.New(h.Clock, mtgate.NewUrgent(), limits, h.Quiet)
+	door := iogate.New(h.Clock, mtgate.NewUrgent(), limits, h.Quiet)
+	for _, c := range h.classes {
+		door.Declare("", c)
+	}
+	return door
+}
+
+// Declare sets the classes of calls that the gate tells apart: the routes of the
+// configuration in force.
+func (h *Host) Declare(routes []mtroute.Route) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.classes = h.classes[:0]
+	for _, r := range routes {
+		// Routes rank the most urgent lowest, classes highest.
+		c := mtbundle.Class{Name: r.Name, Idempotent: r.Idempotent, Timeout: r.Timeout, Priority: -r.Priority, Queue: waiting}
+		h.classes = append(h.classes, c)
+		h.door.Declare("", c)
+	}
 }
 
 // tick refuses what has waited too long, and ends the time in which a leaving
@@ -251,6 +277,7 @@
 		h.door = h.newDoor()
 	}
 	h.record.Server = b.Server
+	h.record.Service = b.Service
 	h.record.State = mtbackend.Unknown
 	h.sequence = 0
 	h.drains = 0
@@ -356,6 +383,7 @@
 			return nil, err
 		}
 	}
+	defer h.track(call.ID)()
 	started := h.Clock.Now()
 	_, address := h.Record()
 	answer, err := h.Client.Do(ctx, iobackend.Target{Address: address, Server: record.Server}, call)
@@ -369,6 +397,35 @@
 	return answer, nil
 }
 
+// track notes that a call runs at the server, until the returned function is
+// called.
+func (h *Host) track(id mtcall.ID) func() {
+	h.runMu.Lock()
+	defer h.runMu.Unlock()
+	h.running[id]++
+	return func() {
+		h.runMu.Lock()
+		defer h.runMu.Unlock()
+		h.running[id]--
+		if h.running[id] == 0 {
+			delete(h.running, id)
+		}
+	}
+}
+
+// Parent reports whether an identifier is derived from that of a call which runs
+// at this VM's server: the same with a part of its own behind a dot. The server
+// makes that request then, as a part of the call.
+func (h *Host) Parent(id mtcall.ID) bool {
+	dot := strings.LastIndexByte(string(id), '.')
+	if dot < 0 {
+		return false
+	}
+	h.runMu.Lock()
+	defer h.runMu.Unlock()
+	return h.running[id[:dot]] > 0
+}
+
 // ready returns the server if it takes the call.
 func (h *Host) ready(call *mtcall.Call) (mtbackend.Record, *iogate.Door[*mtgate.Urgent], error) {
 	h.mu.Lock()
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -20,7 +20,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,14 +55,14 @@
 type Config struct {
 	Names   mtheader.Names
 	Service mtid.Service // on this VM
-	// Host is the address of this VM without port: requests from there are the
-	// backend server's own.
-	Host  string
-	Send  sender
-	Clock clock
-	Log   *slog.Logger
+	// Parent reports whether the backend server on this VM makes a request as a
+	// part of one that it runs.
+	Parent func(id mtcall.ID) bool
+	Send   sender
+	Clock  clock
+	Log    *slog.Logger
 	// Done is told what became of each request.
-	Done func(call *mtcall.Call, status int, err error, took time.Duration)
+	Done func(call *mtcall.Call, answer *mtcall.Answer, status int, err error, took time.Duration)
 }
 
 // Ingress serves callers.
@@ -134,7 +133,7 @@
 	call, route, err := in.read(arrived, r)
 	if err != nil {
 		in.fail(w, call, err)
-		in.Done(call, w.Status, err, in.Clock.Now().Sub(arrived))
+		in.Done(call, nil, w.Status, err, in.Clock.Now().Sub(arrived))
 		return nil
 	}
 	ctx, cancel := in.within(r.Context(), call.Deadline.Sub(arrived))
@@ -145,7 +144,7 @@
 	} else {
 		in.fail(w, call, err)
 	}
-	in.Done(call, w.Status, err, in.Clock.Now().Sub(arrived))
+	in.Done(call, answer, w.Status, err, in.Clock.Now().Sub(arrived))
 	return nil
 }
 
@@ -166,7 +165,7 @@
 		return call, nil, &requestError{status: http.StatusBadRequest, reason: "identifier is missing or too long"}
 	}
 	call.Route, call.Idempotent, call.Priority = route.Name, route.Idempotent, route.Priority
-	call.Nested = in.nested(r)
+	call.Nested = in.Parent(call.ID)
 	call.Objective = now.Add(route.Objective)
 	left := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(in.Names.Deadline), 10, 64); err == nil {
@@ -186,12 +185,6 @@
 	return call, route, in.readBody(call, config, r)
 }
 
-// nested reports whether the request comes from the backend server on this VM.
-func (in *Ingress) nested(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	return err == nil && host == in.Host
-}
-
 // readKey reads the key of a call to a service that is divided by key.
 func (in *Ingress) readKey(call *mtcall.Call, config *mtroute.Config, r *http.Request) error {
 	if !config.Services[call.Service].Keyed {
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -13,6 +13,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
@@ -36,7 +37,7 @@
 	// bounces is how often a call that no server has begun goes to another one
 	// at once. A draining server, one that has moved the key, or a full one
 	// beside others with room cost no server anything.
-	bounces = 3
+	bounces = 4
 	// moved is how long the ingress waits for news of a key's new owner before
 	// it asks again.
 	moved = 15 * time.Millisecond
@@ -108,6 +109,7 @@
 	// doubt is the failure of a try that may have run. Whatever later tries say,
 	// the call is not proved not run any more.
 	doubt error
+	last  error // of the tries so far
 }
 
 // verdict returns what the caller is told after a last failure.
@@ -133,10 +135,15 @@
 		if err != nil {
 			return nil, state.verdict(err)
 		}
+		begun := s.Clock.Now()
 		answer, err := s.try(ctx, call, member)
 		if err == nil {
 			return answer, nil
 		}
+		call.Tries = append(call.Tries, mtcall.Try{
+			Daemon: member.Daemon, Cause: mtrequest.FromError(err).Cause, Took: s.Clock.Now().Sub(begun),
+		})
+		state.last = err
 		var unknown *mtreply.UnknownError
 		if errors.As(err, &unknown) {
 			state.doubt = err
@@ -202,9 +209,19 @@
 	}
 	state.tried = append(state.tried, holder(member))
 	state.bounced++
+	if full(refused.Cause) {
+		state.bounced += bounces / 2
+	}
 	return state.bounced <= bounces
 }
 
+// full reports whether a server refused for its load. Where the least loaded one
+// does, the others are mostly full as well, and asking all of them costs time
+// that the answer to the caller is held back.
+func full(cause mtreply.Cause) bool {
+	return cause == mtreply.CauseShed || cause == mtreply.CauseQueueFull
+}
+
 // holder names a member for the choice policy.
 func holder(m mtdirectory.Member) mtid.Holder { return mtid.Holder{Daemon: m.Daemon, Incarnation: 1} }
 
@@ -218,6 +235,9 @@
 	defer s.mu.Unlock()
 	c := s.choice(view, call.Service)
 	chosen, ok := c.policy.Pick(s.Clock.Now(), state.tried)
+	if !ok && state.last != nil {
+		return mtdirectory.Member{}, state.last // every server has been asked
+	}
 	if !ok {
 		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: emptyRetry, Detail: "no server takes calls of the service"}
 	}
@@ -232,7 +252,7 @@
 	}
 	r, _ := assignment.Lookup(call.Key)
 	member, ok := view.Members[r.Owner.Daemon]
-	if !ok || member.Leaving {
+	if !ok || member.Service != call.Service {
 		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: ownerRetry, Detail: "the owner's daemon is away"}
 	}
 	return member, nil
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -167,8 +167,8 @@
 	t.Helper()
 	clock := mttime.New()
 	ingress := mtingress.New(mtingress.Config{
-		Names: mtheader.Passed, Service: "own", Host: "10.0.0.1", Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
-		Done: func(*mtcall.Call, int, error, time.Duration) {},
+		Names: mtheader.Passed, Service: "own", Parent: func(mtcall.ID) bool { return false }, Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Done: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
 	router := echo.New()
 	router.Any("/*", ingress.Handle)
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -33,7 +33,6 @@
 	"github.com/labstack/echo/v4"
 	"google.golang.org/grpc"
 
-	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
@@ -71,7 +70,6 @@
 	Daemon  mtid.Daemon
 	Zone    mtid.Zone
 	Service mtid.Service // of the backend server on this VM
-	Host    string       // address of this VM without port
 	Server  string       // address of the backend server
 	Callers string       // where callers on this VM send requests
 	Peers   string       // where other daemons send calls
@@ -97,6 +95,7 @@
 	kernel  *mtkernel.Kernel
 	callers *mtlisten.Server
 	peers   *grpc.Server
+	record  *recorder
 	ready   atomic.Bool
 	asking  atomic.Bool // the store is asked for what other daemons have seen
 	// The news go with each message, and the kernel's lookups are not for that.
@@ -156,6 +155,10 @@
 
 func (m *Mesh) addMetrics() error {
 	metrics, cleanUp := mtmetric.New()
+	m.record = newRecorder(metrics, m.config.Log, func() (configuration, seen mtid.Version) {
+		news := m.tell()
+		return news.Config, news.Seen
+	})
 	return mtkernel.Register(m.kernel, NameMetrics, metrics, cleanUp)
 }
 
@@ -303,25 +306,16 @@
 	ingress := mtingress.New(mtingress.Config{
 		Names:   m.config.Names,
 		Service: m.config.Service,
-		Host:    m.config.Host,
+		Parent:  m.Host().Parent,
 		Send:    sender,
 		Clock:   clock,
 		Log:     m.config.Log,
-		Done:    m.done,
+		Done:    m.record.done,
 	})
 	m.ingress.Store(ingress)
 	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
 }
 
-// done notes what became of a request.
-func (m *Mesh) done(call *mtcall.Call, status int, err error, took time.Duration) {
-	if err == nil {
-		return
-	}
-	m.config.Log.Info("request failed", "id", string(call.ID), "route", string(call.Route), "service", string(call.Service),
-		"status", status, "error", err, "took", took)
-}
-
 const (
 	// linger is how long callers are served after the order to stop: until they
 	// have been told at least twice, a second apart, to go elsewhere.
@@ -426,6 +420,7 @@
 	case <-ctx.Done():
 		m.config.Log.Warn("calls of other daemons were cut off")
 	}
+	m.record.figures()
 	m.config.Log.Info("stopped")
 }
 
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -97,7 +97,11 @@
 // Configure puts a configuration in force, unless a newer one is. Those that ask
 // for it tell all others, since nobody else may have heard of it.
 func (m *Mesh) Configure(c *mtroute.Config) {
-	if m.Ingress().Configure(c) && m.asker() {
+	if !m.Ingress().Configure(c) {
+		return
+	}
+	m.Host().Declare(c.Routes())
+	if m.asker() {
 		go m.spread()
 	}
 }
