Let late requests give way, and choose near servers

Cause: requests that were admitted and became late waited until just before their deadline and were refused then; a third of the bytes between availability zones came from choosing a far server where a near one was as good.

Ruled out: a longer queue with late answers (each late start delays one that is in time).

Change: a request that has missed its latest start waits a quarter of what is left until its deadline. A server in another zone costs one service time more. Connections between daemons have fixed windows. The ingress follows a moving key for up to 0.3 s.

--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -518,9 +518,23 @@
 	if !g.order.Predicts() {
 		return patient
 	}
-	return min(patient, e.Ticket.Deadline.Add(-e.Flow.service))
+	patient = min(patient, e.Ticket.Deadline.Add(-e.Flow.service))
+	if e.Ticket.Objective == 0 || e.Ticket.Nested {
+		return patient
+	}
+	// What has become late only starts while nothing waits that is in time. Held
+	// until its deadline it mostly ends refused all the same, without time left
+	// for its caller to try again.
+	late := max(e.Ticket.Deadline.Sub(e.Ticket.Objective), 0) / latePart
+	return min(patient, max(latestStart(e), now.Add(e.Flow.service/leastQueue)).Add(late))
 }
 
+// latePart is the part, one over it, of the time between objective and deadline
+// that a request waits beyond the time at which it had to start to be in time.
+// With a quarter, a second in which more is asked than can be done passes
+// without refusals of what was admitted.
+const latePart = 4
+
 // capacity returns how many requests may be in flight.
 func (g *Gate[O]) capacity() int { return min(g.limits.Slots, g.limits.Connections) }
 
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -46,6 +46,11 @@
 	// buffer is the size of a connection's buffers, in bytes. A daemon has a
 	// connection to each of many others, and most messages are smaller.
 	buffer = 8 << 10
+	// Window is how many bytes may be under way to a receiver. A window that is
+	// set keeps gRPC from measuring the connection with a ping for each burst of
+	// data. The processor time of a calm day of nine daemons fell from 11.5 s to
+	// 10.3 s by it, one run each.
+	Window = 1 << 20
 	// messageLimit is the largest message, in bytes.
 	messageLimit = 72 << 20
 	// unreachableRetry is when to ask again for a server whose daemon can't be
@@ -103,6 +108,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithConnectParams(reconnect),
 		grpc.WithContextDialer(dial),
+		grpc.WithInitialWindowSize(Window),
+		grpc.WithInitialConnWindowSize(Window),
 		grpc.WithReadBufferSize(buffer),
 		grpc.WithWriteBufferSize(buffer),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit), grpc.MaxCallSendMsgSize(messageLimit)),
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -41,9 +41,9 @@
 	// moved is how long the ingress waits for news of a key's new owner before
 	// it asks again.
 	moved = 15 * time.Millisecond
-	// redirects is how often it does so: longer than a write of the assignment
-	// takes to be seen here.
-	redirects = 6
+	// redirects is how often it does so: as long as another daemon's word that
+	// there is news, and a reading of the store, take when the own watch is deaf.
+	redirects = 20
 	// ownerRetry is when to ask again for keys whose owner can't be reached:
 	// about the time in which a daemon is back.
 	ownerRetry = 800 * time.Millisecond
@@ -55,7 +55,7 @@
 	lapsedUse = 3 * time.Second
 	// farCost is what a server in another availability zone costs more, as a
 	// part of its service time: the bytes between zones are paid for.
-	farCost = 0.1
+	farCost = 1.0
 )
 
 // Retries is what each first try of a service earns towards a second one. The
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -357,7 +357,9 @@
 		_ = peers.Close()
 		return &ListenError{Purpose: "callers", Address: m.config.Callers, Err: err}
 	}
-	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(streams), grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
+	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(streams),
+		grpc.InitialWindowSize(mtforward.Window), grpc.InitialConnWindowSize(mtforward.Window),
+		grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
 	mtforward.Register(m.peers, m.Host(), need[*mttime.Clock](m, NameClock), m.exchange())
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
