--- a/cmd/magnoliaturn/main.go
+++ b/cmd/magnoliaturn/main.go
@@ -43,5 +43,6 @@
 	return []grouped{
 		{&serveCommand{}, "daemon"},
 		{&platform.Command{}, "daemon"},
+		{&explainCommand{}, "tools"},
 	}
 }
--- a/core/mtgate/flow.go
+++ b/core/mtgate/flow.go
@@ -176,6 +176,10 @@
 	return c
 }
 
+// Busy returns how many requests are in flight and how many wait. It is for each
+// request, where Counts is for metrics.
+func (g *Gate[O]) Busy() (running, waiting int) { return len(g.running), len(g.waiting) }
+
 // inOrder returns all that waits, by arrival. Maps have no order, and effects
 // must come in the same one from the same events.
 func (g *Gate[O]) inOrder() []*Entry {
--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -150,6 +150,13 @@
 // Idle is closed once nothing is in flight after Drain.
 func (d *Door[O]) Idle() <-chan struct{} { return d.idle }
 
+// Busy returns how many requests are in flight and how many wait.
+func (d *Door[O]) Busy() (running, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Busy()
+}
+
 // Counts returns the gate's counters.
 func (d *Door[O]) Counts() mtgate.Counts {
 	d.mu.Lock()
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -32,6 +32,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtroute"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtduty"
@@ -360,6 +361,32 @@
 
 // Run runs a call on the server.
 func (h *Host) Run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error) {
+	answer, err := h.run(ctx, call)
+	if err != nil {
+		h.note(call, err)
+	}
+	return answer, err
+}
+
+// note writes the line of a call that was not answered, with what decided it. Its
+// message holds the cause, so that a frequent one does not use up the room of
+// the others.
+func (h *Host) note(call *mtcall.Call, err error) {
+	reply := mtrequest.FromError(err)
+	load := h.Load()
+	record, _ := h.Record()
+	attrs := []any{
+		"id", string(call.ID), "route", string(call.Route), "server", record.Server, "state", record.State,
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "service", load.Service.String(),
+		"left", call.Deadline.Sub(h.Clock.Now()).String(), "error", err.Error(),
+	}
+	if call.Keyed {
+		attrs = append(attrs, "key", int(call.Key))
+	}
+	h.Log.Info("call "+string(reply.Outcome)+": "+string(reply.Cause), attrs...)
+}
+
+func (h *Host) run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error) {
 	arrived := h.Clock.Now()
 	h.count(arrived, call)
 	record, door, err := h.ready(call)
@@ -489,12 +516,12 @@
 // Load returns how loaded the server is.
 func (h *Host) Load() mtcall.Load {
 	record, _ := h.Record()
-	counts := h.gate().Counts()
+	running, waiting := h.gate().Busy()
 	h.meterMu.Lock()
 	defer h.meterMu.Unlock()
 	return mtcall.Load{
-		Running: counts.Running,
-		Waiting: counts.Waiting,
+		Running: running,
+		Waiting: waiting,
 		Slots:   record.Slots,
 		Service: h.service,
 		Demand:  h.meter.Demand(h.Clock.Now()),
