Test the host of the backend server

Cause: it had no tests. One found a fault: while the server was asked which life runs, the beat of that very life was passed over, and the daemon took the server for silent.

Change: the answer is compared with the newest beat.

--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -240,10 +240,12 @@
 		switch {
 		case err != nil || server == "":
 			h.Log.Info("server could not be asked which life runs", "beat", b.Server, "error", err)
-		case server != b.Server:
+		case h.record.Server == server:
+			// A second beat has shown it meanwhile.
+		case server == h.stranger.Server:
+			h.begin(h.stranger)
+		default:
 			h.Log.Warn("beat of another life than the one that runs", "beat", b.Server, "server", server)
-		case h.record.Server != b.Server:
-			h.begin(b)
 		}
 	}()
 }
--- /dev/null
+++ b/io/mthost/mthost_test.go
@@ -0,0 +1,260 @@
+package mthost_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtroute"
+	iobackend "magnoliaturn/io/mtbackend"
+	"magnoliaturn/io/mthost"
+	"magnoliaturn/io/mttime"
+)
+
+// server is a backend server as its client reaches it.
+type server struct {
+	mu     sync.Mutex
+	runs   mtid.Server // the life that answers
+	calls  int
+	answer func(ctx context.Context) (*mtcall.Answer, error)
+}
+
+func (s *server) Do(ctx context.Context, _ iobackend.Target, _ *mtcall.Call) (*mtcall.Answer, error) {
+	s.mu.Lock()
+	s.calls++
+	answer := s.answer
+	s.mu.Unlock()
+	return answer(ctx)
+}
+
+func (s *server) Identify(context.Context, string, string) (mtid.Server, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == "" {
+		return "", &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: errors.New("no answer")}
+	}
+	return s.runs, nil
+}
+
+// stand is a host with what it has told.
+type stand struct {
+	t      *testing.T
+	host   *mthost.Host
+	server *server
+	clock  *mttime.Clock
+	mu     sync.Mutex
+	told   mtbackend.Record
+	holds  error
+}
+
+func newStand(t *testing.T, address string) *stand {
+	t.Helper()
+	s := &stand{t: t, clock: mttime.New(), server: &server{}}
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) { return &mtcall.Answer{Status: 200}, nil }
+	host, cleanUp := mthost.New(mthost.Config{
+		Daemon: "a", Service: "maps", Address: address, Drain: 300 * time.Millisecond, Clock: s.clock, Client: s.server,
+		Log: slog.New(slog.DiscardHandler), Health: func() string { return "/health" },
+		Publish: func(r mtbackend.Record) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.told = r
+		},
+		Holds: func(mtid.Server, mtid.Number) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.holds
+		},
+		Fenced: func(mtid.Number) {}, Quiet: func(mtid.Point, mtid.Point) {}, Changed: func() {},
+	})
+	host.Declare([]mtroute.Route{{Name: "plans"}})
+	s.host = host
+	t.Cleanup(cleanUp)
+	return s
+}
+
+func (s *stand) record() mtbackend.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told
+}
+
+func (s *stand) until(what string, done func(r mtbackend.Record) bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if done(s.record()) {
+			return poll.Success()
+		}
+		return poll.Continue("%s; record %+v", what, s.record())
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(2*time.Millisecond))
+}
+
+func (s *stand) beat(life mtid.Server, sequence uint64) mtbackend.Beat {
+	return mtbackend.Beat{Server: life, Address: "server", Service: "maps", Slots: 2, Sequence: sequence}
+}
+
+// ready brings a life of the server into service.
+func (s *stand) ready(life mtid.Server) {
+	s.server.mu.Lock()
+	s.server.runs = life
+	s.server.mu.Unlock()
+	s.host.Beat(s.beat(life, 1))
+	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Server == life && r.Takes() })
+}
+
+func (s *stand) call(keyed bool) *mtcall.Call {
+	now := s.clock.Now()
+	return &mtcall.Call{ID: "1", Service: "maps", Route: "plans", Keyed: keyed, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+}
+
+func (s *stand) cause(keyed bool) mtreply.Cause {
+	_, err := s.host.Run(context.Background(), s.call(keyed))
+	var refused *mtreply.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Cause
+	}
+	return ""
+}
+
+// A beat of a former life was held up and comes after the new life has begun,
+// with a daemon that was just restarted and knows neither. Were it taken at its
+// word, the keys of the life that runs would look free.
+func TestALateBeatOfAFormerLifeChangesNothing(t *testing.T) {
+	s := newStand(t, "127.0.0.1:1")
+	s.server.runs = "new"
+	s.host.Beat(s.beat("old", 9))
+	s.host.Beat(s.beat("new", 1))
+	s.until("the life that runs is known", func(r mtbackend.Record) bool { return r.Server == "new" })
+	s.host.Beat(s.beat("old", 9))
+	assert.Equal(t, s.record().Server, mtid.Server("new"))
+}
+
+// The server can't be asked. Two beats of one life, the second a later one, show
+// that it runs; the same beat twice does not.
+func TestASecondBeatShowsALifeThatCannotBeAsked(t *testing.T) {
+	s := newStand(t, "127.0.0.1:1")
+	s.host.Beat(s.beat("old", 9))
+	s.host.Beat(s.beat("old", 9))
+	assert.Equal(t, s.record().Server, mtid.Server(""))
+	s.host.Beat(s.beat("new", 1))
+	s.host.Beat(s.beat("new", 2))
+	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Server == "new" && r.Takes() })
+}
+
+// The server says that it leaves. Once that is acknowledged, calls without a key
+// go elsewhere at once; keyed ones are served while their keys move, but not
+// beyond the time in which new work may reach it.
+func TestALeavingServerGetsNoNewWork(t *testing.T) {
+	for name, leave := range map[string]func(s *stand){
+		"says so": func(s *stand) {
+			b := s.beat("life", 2)
+			b.Draining = true
+			s.host.Beat(b)
+		},
+		"takes itself out": func(s *stand) { s.host.Leave("life") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, "127.0.0.1:1")
+			s.ready("life")
+			assert.Equal(t, s.cause(false), mtreply.Cause(""))
+			leave(s)
+			assert.Equal(t, s.record().State, mtbackend.Draining)
+			assert.Equal(t, s.cause(false), mtreply.CauseDraining)
+			assert.Equal(t, s.cause(true), mtreply.Cause(""))
+			s.until("keyed calls are refused too", func(mtbackend.Record) bool { return s.cause(true) == mtreply.CauseDraining })
+			s.host.Beat(s.beat("life", 3)) // a beat that says ready again, held up
+			assert.Equal(t, s.record().State, mtbackend.Draining)
+		})
+	}
+}
+
+// A call waits at the gate while its key moves away. Only the look after the
+// wait shows it; the server was sent calls for keys that it had released.
+func TestAKeyThatLeftWhileACallWaitedIsNotServed(t *testing.T) {
+	s := newStand(t, "127.0.0.1:1")
+	release := make(chan struct{})
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		<-release
+		return &mtcall.Answer{Status: 200}, nil
+	}
+	s.ready("life")
+	var others sync.WaitGroup
+	for range 2 {
+		others.Go(func() { _, _ = s.host.Run(context.Background(), s.call(true)) })
+	}
+	s.until("both slots are taken", func(mtbackend.Record) bool { return s.host.Load().Running == 2 })
+	waiting := make(chan mtreply.Cause)
+	go func() { waiting <- s.cause(true) }()
+	s.until("the third waits", func(mtbackend.Record) bool { return s.host.Load().Waiting == 1 })
+	s.mu.Lock()
+	s.holds = &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute}
+	s.mu.Unlock()
+	close(release)
+	assert.Equal(t, <-waiting, mtreply.CauseStaleRoute)
+	others.Wait()
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	assert.Equal(t, s.server.calls, 2)
+}
+
+// The process of the server is gone: its port refuses. The daemon says so, so
+// that nobody has to wait for the grants to run out. One refusal is no proof.
+func TestAServerWhoseProcessIsGoneHasEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	s := newStand(t, address)
+	s.server.runs = "life"
+	b := s.beat("life", 1)
+	b.Address = address
+	s.host.Beat(b)
+	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Takes() })
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer}
+	}
+	assert.Equal(t, s.cause(false), mtreply.CauseNoServer)
+	time.Sleep(400 * time.Millisecond) // longer than the checks take
+	assert.Equal(t, s.record().State, mtbackend.Ready, "a server that listens was taken for gone")
+	assert.NilError(t, listener.Close())
+	assert.Equal(t, s.cause(false), mtreply.CauseNoServer)
+	s.until("the end is told", func(r mtbackend.Record) bool { return r.State == mtbackend.Ended })
+	assert.Equal(t, s.cause(false), mtreply.CauseNoServer)
+}
+
+// A daemon that stops can't tell others while the store is away. It refuses what
+// can go elsewhere itself, and goes on with keys.
+func TestAStoppingDaemonRefusesWhatCanGoElsewhere(t *testing.T) {
+	s := newStand(t, "127.0.0.1:1")
+	s.ready("life")
+	s.host.Retire()
+	assert.Equal(t, s.cause(false), mtreply.CauseStopping)
+	assert.Equal(t, s.cause(true), mtreply.Cause(""))
+	s.host.Close()
+	assert.Equal(t, s.cause(true), mtreply.CauseDraining)
+}
+
+func TestParent(t *testing.T) {
+	s := newStand(t, "127.0.0.1:1")
+	s.ready("life")
+	inside := map[mtcall.ID]bool{}
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		for _, id := range []mtcall.ID{"1.5", "1.5.6", "1", "15", "2.1"} {
+			inside[id] = s.host.Parent(id)
+		}
+		return &mtcall.Answer{Status: 200}, nil
+	}
+	_, err := s.host.Run(t.Context(), s.call(false))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, inside, map[mtcall.ID]bool{"1.5": true, "1.5.6": false, "1": false, "15": false, "2.1": false})
+	assert.Assert(t, !s.host.Parent("1.5"))
+}
