Let one daemon a zone watch the store, and the others learn from it

Cause: each change cost an answer of the store for each daemon.

Ruled out: fewer changes (most are the records at the start).

Change: the first daemon of each zone watches; the others ask it, and the store only if nobody can tell them. A daemon that does not hear the store itself refuses to tell. One watch holds records, assignments and configuration.

--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -17,7 +17,10 @@
 package mtdirectory
 
 import (
+	"cmp"
+	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +49,11 @@
 	Log   *slog.Logger
 	// Lease is how long the own record outlives this daemon.
 	Lease time.Duration
+	// Source is where changes are heard of; nil is the store.
+	Source mtwatch.Source
+	// Other is told of every entry that is no record and no assignment. It may
+	// be nil.
+	Other func(mtstore.Entry)
 }
 
 // Member is a record with what is known of its lease.
@@ -78,8 +86,10 @@
 type Directory struct {
 	Config
 	view    atomic.Pointer[View]
-	mu      sync.Mutex // guards listeners and the making of views
+	mu      sync.Mutex // guards what follows and the making of views
 	changed []func()
+	entries map[string]mtstore.Entry // all that was heard of, deletions included
+	next    chan struct{}            // closed at the next change
 	keeper  *keeper
 	watcher *mtwatch.Watcher
 	upSince atomic.Int64 // steady instant since when the store answers; 0 if it doesn't
@@ -89,11 +99,14 @@
 // function, which ends the lease, so that others learn at once that this daemon
 // is gone.
 func New(config Config) (*Directory, func()) {
-	d := &Directory{Config: config}
+	d := &Directory{Config: config, entries: make(map[string]mtstore.Entry), next: make(chan struct{})}
+	if d.Source == nil {
+		d.Source = config.Store
+	}
 	d.view.Store(&View{Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}})
 	d.keeper = newKeeper(config)
 	watcher, stopWatch := mtwatch.Start(mtwatch.Config{
-		Store: config.Store, Prefix: mtstore.Live, Apply: d.apply, Health: d.health, Log: config.Log,
+		Store: d.Source, Apply: d.apply, Health: d.health, Log: config.Log,
 	})
 	d.watcher = watcher
 	stopKeeper := d.keeper.start()
@@ -161,32 +174,98 @@
 // apply takes in what the watch brings.
 func (d *Directory) apply(u mtwatch.Update) {
 	now := d.Clock.Steady()
+	var others []mtstore.Entry
 	d.change(func(v *View) bool {
-		seen := make(map[string]bool, len(u.Changes.Entries))
-		for _, e := range u.Changes.Entries {
-			seen[e.Name] = true
+		for _, e := range d.missing(u) {
 			d.take(v, now, e)
 		}
-		if u.Whole {
-			for name, m := range v.Members {
-				if !seen[mtstore.BackendName(name)] {
-					v.Members[name] = lapse(m, now)
-				}
+		for _, e := range u.Changes.Entries {
+			d.entries[e.Name] = e
+			if !d.take(v, now, e) {
+				others = append(others, e)
 			}
 		}
 		v.Revision = u.Changes.Revision
 		return true
 	})
+	if d.Other == nil {
+		return
+	}
+	for _, e := range others {
+		d.Other(e)
+	}
+}
+
+// missing returns the deletions that a whole reading shows: what was known and
+// is no longer there. It is called with mu held.
+func (d *Directory) missing(u mtwatch.Update) []mtstore.Entry {
+	if !u.Whole {
+		return nil
+	}
+	present := make(map[string]bool, len(u.Changes.Entries))
+	for _, e := range u.Changes.Entries {
+		present[e.Name] = true
+	}
+	var gone []mtstore.Entry
+	for name, e := range d.entries {
+		if !present[name] && e.Version != 0 {
+			e = mtstore.Entry{Name: name, Revision: u.Changes.Revision}
+			d.entries[name] = e
+			gone = append(gone, e)
+		}
+	}
+	return gone
 }
 
-// take takes in one entry.
-func (d *Directory) take(v *View, now mtclock.Instant, e mtstore.Entry) {
+// take takes in one entry, and reports whether it is a record or an assignment.
+func (d *Directory) take(v *View, now mtclock.Instant, e mtstore.Entry) bool {
 	switch {
 	case strings.HasPrefix(e.Name, mtstore.Backend):
 		d.takeMember(v, now, e)
 	case strings.HasPrefix(e.Name, mtstore.Range):
 		d.takeAssignment(v, e)
+	default:
+		return false
+	}
+	return true
+}
+
+// Watch waits for changes after a revision and returns them as they were heard
+// here, as a watch of the store would. Another daemon asks for it, so that not
+// all have to watch.
+func (d *Directory) Watch(ctx context.Context, after mtid.Revision, wait time.Duration) mtstore.Changes {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		changes, next := d.since(after)
+		if len(changes.Entries) > 0 {
+			return changes
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return changes
+		}
+	}
+}
+
+// since returns what was heard after a revision, and what is closed at the next
+// change. With nothing new it returns no revision below the one asked for.
+func (d *Directory) since(after mtid.Revision) (mtstore.Changes, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := mtstore.Changes{Revision: d.Now().Revision}
+	if changes.Revision <= after {
+		changes.Revision = after
+		return changes, d.next
+	}
+	for _, e := range d.entries {
+		if e.Revision > after {
+			changes.Entries = append(changes.Entries, e)
+		}
 	}
+	slices.SortFunc(changes.Entries, func(a, b mtstore.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	return changes, d.next
 }
 
 func (d *Directory) takeMember(v *View, now mtclock.Instant, e mtstore.Entry) {
@@ -256,6 +335,8 @@
 	if differs {
 		next.newest = newest(next)
 		d.view.Store(next)
+		close(d.next)
+		d.next = make(chan struct{})
 	}
 	listeners := d.changed
 	d.mu.Unlock()
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -10,7 +10,7 @@
 //
 //	client, cleanUp := mtforward.NewClient(clock, exchange)
 //	answer, err := client.Forward(ctx, daemon, address, call)
-//	mtforward.Register(grpcServer, host, clock, exchange)
+//	mtforward.Register(grpcServer, mtforward.Server{Host: host, Clock: clock, News: exchange, Teach: teach})
 //
 // Forward fails with a *mtreply.RefusedError if the call was not run, else with
 // a *mtreply.UnknownError. All types are safe for concurrent use.
@@ -32,6 +32,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
 	"magnoliaturn/io/mtdial"
 )
@@ -204,6 +205,29 @@
 	return nil
 }
 
+// Learn waits for changes of the store after a revision, as the daemon at the
+// address hears them. It fails with a *mtstore.UnavailableError if that one does
+// not hear them itself.
+func (c *Client) Learn(ctx context.Context, address string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return mtstore.Changes{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+arrival)
+	defer cancel()
+	w, err := mtwire.NewForwarderClient(conn).Learn(ctx, &mtwire.LearnRequest{After: uint64(after), WaitMs: wait.Milliseconds()})
+	if err != nil {
+		return mtstore.Changes{}, &mtstore.UnavailableError{Op: "learn", Err: err}
+	}
+	changes := mtstore.Changes{Revision: mtid.Revision(w.GetRevision())}
+	for _, e := range w.GetEntries() {
+		changes.Entries = append(changes.Entries, mtstore.Entry{
+			Name: e.GetName(), Value: e.GetValue(), Version: mtid.Version(e.GetVersion()), Revision: mtid.Revision(e.GetRevision()),
+		})
+	}
+	return changes, nil
+}
+
 // Forward sends a call to the daemon beside a backend server.
 func (c *Client) Forward(ctx context.Context, daemon mtid.Daemon, address string, call *mtcall.Call) (*mtcall.Answer, error) {
 	conn, err := c.conn(address)
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
 )
 
@@ -21,17 +24,48 @@
 	Load() mtcall.Load
 }
 
-// server answers other daemons.
+// Server is what answers other daemons.
+type Server struct {
+	Host  host
+	Clock clock
+	News  Exchange
+	// Teach waits for changes of the store after a revision. It fails with a
+	// *mtstore.UnavailableError if this daemon does not watch the store itself:
+	// two that learned from each other would both know nothing.
+	Teach func(ctx context.Context, after mtid.Revision, wait time.Duration) (mtstore.Changes, error)
+}
+
+// server implements the service.
 type server struct {
 	mtwire.UnimplementedForwarderServer
 	host  host
 	clock clock
 	news  Exchange
+	teach func(ctx context.Context, after mtid.Revision, wait time.Duration) (mtstore.Changes, error)
 }
 
 // Register adds the service to a gRPC server.
-func Register(r grpc.ServiceRegistrar, h host, c clock, news Exchange) {
-	mtwire.RegisterForwarderServer(r, &server{host: h, clock: c, news: news})
+func Register(r grpc.ServiceRegistrar, s Server) {
+	mtwire.RegisterForwarderServer(r, &server{host: s.Host, clock: s.Clock, news: s.News, teach: s.Teach})
+}
+
+// maxLearn bounds how long another daemon may wait.
+const maxLearn = 30 * time.Second
+
+// Learn implements mtwire.ForwarderServer.
+func (s *server) Learn(ctx context.Context, w *mtwire.LearnRequest) (*mtwire.LearnReply, error) {
+	wait := min(time.Duration(w.GetWaitMs())*time.Millisecond, maxLearn)
+	changes, err := s.teach(ctx, mtid.Revision(w.GetAfter()), wait)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	reply := &mtwire.LearnReply{Revision: uint64(changes.Revision)}
+	for _, e := range changes.Entries {
+		reply.Entries = append(reply.Entries, &mtwire.LearnEntry{
+			Name: e.Name, Value: e.Value, Version: uint64(e.Version), Revision: uint64(e.Revision),
+		})
+	}
+	return reply, nil
 }
 
 // Forward implements mtwire.ForwarderServer.
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -87,6 +87,8 @@
 	// Refresh makes the configuration be read anew: another daemon has a newer
 	// one, or the store is to be asked in case its watches have gone deaf.
 	Refresh func()
+	// Other is told of every entry of the store that is not the product's own.
+	Other func(mtstore.Entry)
 }
 
 // Mesh is one daemon.
@@ -98,6 +100,7 @@
 	record  *recorder
 	ready   atomic.Bool
 	asking  atomic.Bool // the store is asked for what other daemons have seen
+	learner *learner
 	// The news go with each message, and the kernel's lookups are not for that.
 	directory atomic.Pointer[mtdirectory.Directory]
 	ingress   atomic.Pointer[mtingress.Ingress]
@@ -168,12 +171,22 @@
 }
 
 func (m *Mesh) addDirectory() error {
+	m.learner = newLearner(m.config.Daemon, m.config.Zone, m.config.Store, need[*mtforward.Client](m, NamePeers))
+	m.learner.view = func() *mtdirectory.View {
+		directory := m.directory.Load()
+		if directory == nil {
+			return nil
+		}
+		return directory.Now()
+	}
 	directory, cleanUp := mtdirectory.New(mtdirectory.Config{
-		Self:  m.config.Daemon,
-		Store: m.config.Store,
-		Clock: need[*mttime.Clock](m, NameClock),
-		Lease: m.config.Lease,
-		Log:   m.config.Log,
+		Self:   m.config.Daemon,
+		Store:  m.config.Store,
+		Clock:  need[*mttime.Clock](m, NameClock),
+		Lease:  m.config.Lease,
+		Log:    m.config.Log,
+		Source: m.learner,
+		Other:  m.config.Other,
 	})
 	m.directory.Store(directory)
 	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
@@ -360,7 +373,9 @@
 	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(streams),
 		grpc.InitialWindowSize(mtforward.Window), grpc.InitialConnWindowSize(mtforward.Window),
 		grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
-	mtforward.Register(m.peers, m.Host(), need[*mttime.Clock](m, NameClock), m.exchange())
+	mtforward.Register(m.peers, mtforward.Server{
+		Host: m.Host(), Clock: need[*mttime.Clock](m, NameClock), News: m.exchange(), Teach: m.teach,
+	})
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
 			m.config.Log.Error("listener for daemons ended", "error", err)
--- a/io/mtwatch/mtwatch.go
+++ b/io/mtwatch/mtwatch.go
@@ -42,9 +42,16 @@
 	Whole bool
 }
 
+// Source is where changes are heard of: the store, or another daemon that
+// watches it.
+type Source interface {
+	// Watch is that of mtstore.Store.
+	Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error)
+}
+
 // Config is what a watcher works with.
 type Config struct {
-	Store  mtstore.Store
+	Store  Source
 	Prefix string
 	Apply  func(Update)
 	// Health is told when the store answers a watch again, and when it fails.
