Bind a move to the record of the life that makes it

Cause: each daemon wrote the assignment anew when it began, to fence its former life. At a start of 39 keyed daemons all of them raced for one name.

Change: the write of a move is made under the condition that the daemon's record is still the one of this life; the next life writes its record before it grants anything. The test of the late write was made anew for it, as strict, and a second one binds the write to the record; both fail without the condition.

--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -135,6 +135,9 @@
 // the clock that never runs slow. Zero means that it does not stand yet.
 func (d *Directory) Certain() mtclock.Instant { return d.keeper.until() }
 
+// Own returns the version of the own record that this life wrote last, or zero.
+func (d *Directory) Own() mtid.Version { return d.keeper.seen() }
+
 // Up returns since when the store answers without a failure, by the steady
 // clock, or false if it does not answer now.
 func (d *Directory) Up() (mtclock.Instant, bool) {
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -135,11 +135,8 @@
 	// doubt is until when an order that was not answered may still be in force,
 	// for each life of the server. A key that is released while such an order
 	// is on its way would be held again.
-	doubt map[mtid.Server]mtclock.Instant
-	moved mtclock.Instant // the last move
-	// fenced says that nothing that a former life of this daemon wrote can land
-	// any more.
-	fenced    bool
+	doubt     map[mtid.Server]mtclock.Instant
+	moved     mtclock.Instant // the last move
 	counted   int             // servers that were there at countedAt
 	countedAt mtclock.Instant // steady
 }
@@ -239,37 +236,12 @@
 	if !ok {
 		return
 	}
-	if !g.fence(ctx, owner, assignment) {
-		return
-	}
 	g.drop(ctx, address, g.adopt(owner, assignment.Owned(owner)))
 	for _, held := range g.due(owner.Server) {
 		g.order(ctx, address, held)
 	}
 }
 
-// fence writes the assignment once anew before this life of the daemon grants
-// anything of what it finds assigned. A move that its former life had begun may
-// have been written and not have landed yet: it would land after the keys were
-// granted here again, and two servers would hold them. With another version in
-// the store it never lands.
-func (g *Grants) fence(ctx context.Context, owner mtrange.Owner, a mtdirectory.Assignment) bool {
-	g.mu.Lock()
-	fenced := g.fenced || len(a.Owned(owner)) == 0
-	g.mu.Unlock()
-	if fenced {
-		return true
-	}
-	if g.Directory.Certain().Sub(g.Clock.Now()) <= 0 {
-		return false
-	}
-	done := g.write(ctx, nil, a.Table, a.Version, "fence of a former life") == written
-	g.mu.Lock()
-	g.fenced = done
-	g.mu.Unlock()
-	return done
-}
-
 // drop releases what the assignment gave to another server without a move of
 // this life of the daemon.
 func (g *Grants) drop(ctx context.Context, address string, dropped []*grant) {
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -361,10 +362,14 @@
 	assert.Equal(t, f.port.count("grant"), 1)
 }
 
-// A daemon comes back beside its living server. What its former life wrote last
-// may land only now; the assignment is written anew first, so that it can't.
-func TestAFormerLifesWriteCannotLandAfterTheFirstGrant(t *testing.T) {
+// A daemon dies while the write of a move is on its way, and comes back beside its
+// living server. The late write must not land after the keys were granted again.
+// It was made under the condition that the record is that of the former life.
+func TestAFormerLifesMoveCannotLandAfterTheFirstGrant(t *testing.T) {
 	f := newFleet(t, "a", "b")
+	f.write(record("a", mtbackend.Ready))
+	former, err := f.store.Get(context.Background(), mtstore.BackendName("a"))
+	assert.NilError(t, err)
 	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
 	assert.NilError(t, err)
 	f.start()
@@ -375,12 +380,33 @@
 	assert.NilError(t, err)
 	value, err := moved.Encode()
 	assert.NilError(t, err)
-	_, err = f.store.Swap(context.Background(), entry.Name, entry.Version, value, "")
-	var conflict *mtstore.ConflictError
-	conflict, _ = err.(*mtstore.ConflictError)
+	own := mtstore.Condition{Name: former.Name, Version: former.Version}
+	_, err = f.store.SwapIf(context.Background(), []mtstore.Condition{own}, entry.Name, entry.Version, value, "")
+	conflict, _ := err.(*mtstore.ConflictError)
 	assert.Assert(t, conflict != nil, "the late write landed: %v", err)
 }
 
+// A move is written only while the record is that of this life: another life
+// has begun when it differs.
+func TestAMoveIsBoundToTheOwnRecord(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	var bound atomic.Bool
+	f.store.Lose(func(_, name string) error {
+		if name == mtstore.RangeName(service) {
+			bound.Store(true)
+		}
+		return nil
+	})
+	f.write(record("a", mtbackend.Ready)) // by another life
+	f.host.set(mtbackend.Draining)        // and this one does not publish any more
+	f.until("the release is ordered", func() bool { return f.port.count("release") > 0 })
+	f.turns()
+	assert.Assert(t, !bound.Load(), "the move was written although another life has begun")
+	assert.Equal(t, f.owner(0), mtid.Daemon("a"))
+}
+
 // All daemons start together and find no assignment.
 func TestTheFirstAssignmentWaitsForAllServers(t *testing.T) {
 	f := newFleet(t)
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -90,12 +90,7 @@
 		g.Log.Warn("no first assignment", "service", g.Service, "error", err)
 		return
 	}
-	if g.write(ctx, nil, table, 0, "first assignment") == written {
-		// No former life can have written anything: there was no assignment.
-		g.mu.Lock()
-		g.fenced = true
-		g.mu.Unlock()
-	}
+	g.write(ctx, nil, table, 0, "first assignment")
 }
 
 // lost returns the owners whose keys may be given to others.
@@ -342,7 +337,12 @@
 			g.Log.Error("move does not fit the assignment", "low", low, "high", high, "error", err)
 			return false
 		}
-		switch g.write(ctx, nil, next, assignment.Version, why) {
+		// The write holds only while the own record is the one of this life. If
+		// the daemon dies now, its next life writes the record before it grants
+		// anything, and a write that is still on its way never lands: it would
+		// give keys away that the next life has granted again.
+		own := mtstore.Condition{Name: mtstore.BackendName(g.Self), Version: g.Directory.Own()}
+		switch g.write(ctx, []mtstore.Condition{own}, next, assignment.Version, why) {
 		case written:
 			return true
 		case doubtful:
