--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -62,6 +62,14 @@
 	s.wake()
 }
 
+// Failing reports whether a call would fail now, for servers that speak a
+// protocol over the store.
+func (s *Revisions) Failing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failure("any", "") != nil
+}
+
 // Lose makes calls fail after they have done their work.
 func (s *Revisions) Lose(f func(op, name string) error) {
 	s.mu.Lock()
