Count a request's objective from its caller's first try

Cause: a caller that was refused comes back with what is left of its deadline, and passed for a fresh request.

Ruled out: a wider margin at the gate (the late ones had been late on arrival).

Change: the longest deadline that a route's callers give is that of first tries; what is missing from it is the request's age.

--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -69,8 +69,9 @@
 type Ingress struct {
 	Config
 	config   atomic.Pointer[mtroute.Config]
-	mu       sync.Mutex // guards splitter
+	mu       sync.Mutex // guards what follows
 	splitter *mtroute.Splitter
+	longest  map[mtid.Class]time.Duration // deadline that a route's callers gave
 	closing  atomic.Bool
 	// ending ends when the calls that are still under way in a shutdown get
 	// their final answers, at the instant end.
@@ -81,7 +82,7 @@
 
 // New returns an Ingress that knows no configuration yet.
 func New(config Config) *Ingress {
-	in := &Ingress{Config: config, splitter: mtroute.NewSplitter()}
+	in := &Ingress{Config: config, splitter: mtroute.NewSplitter(), longest: make(map[mtid.Class]time.Duration)}
 	in.ending, in.finish = context.WithCancel(context.Background())
 	return in
 }
@@ -169,7 +170,9 @@
 	call.Objective = now.Add(route.Objective)
 	left := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(in.Names.Deadline), 10, 64); err == nil {
-		left = min(left, time.Duration(ms)*time.Millisecond)
+		given := time.Duration(ms) * time.Millisecond
+		left = min(left, given)
+		call.Objective = call.Objective.Add(-in.age(route.Name, given))
 	}
 	call.Deadline = now.Add(left)
 	if in.closing.Load() {
@@ -185,6 +188,31 @@
 	return call, route, in.readBody(call, config, r)
 }
 
+// age returns for how long the caller has been asking, as far as its deadline
+// tells. A caller that was refused and asks again gives what is left of its
+// deadline; the longest that the route's callers give is that of first tries.
+//
+// Without it a second try passes for a fresh request. While more is asked than
+// can be done, half of the slots went to requests whose callers had waited past
+// the objective already, and as many fresh ones were refused for them.
+func (in *Ingress) age(route mtid.Class, given time.Duration) time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	longest := in.longest[route]
+	if given > longest {
+		in.longest[route] = given
+		return 0
+	}
+	if age := longest - given; age > sameTry {
+		return age
+	}
+	return 0
+}
+
+// sameTry is by how much the deadlines of first tries differ: they are counted
+// down on their way.
+const sameTry = 30 * time.Millisecond
+
 // readKey reads the key of a call to a service that is divided by key.
 func (in *Ingress) readKey(call *mtcall.Call, config *mtroute.Config, r *http.Request) error {
 	if !config.Services[call.Service].Keyed {
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -278,3 +278,23 @@
 	w := <-done
 	assert.Equal(t, w.Code, http.StatusGatewayTimeout)
 }
+
+// A caller was refused and asks again with what is left of its deadline. Its
+// objective runs from its first try.
+func TestASecondTryKeepsItsObjective(t *testing.T) {
+	s := &sent{answer: wholeOK}
+	ingress, clock, handler := newIngress(t, s)
+	ingress.Configure(configuration(t, 1))
+	ask := func(deadline string) time.Duration {
+		handler.ServeHTTP(httptest.NewRecorder(), request("/plans/1", "1", mtheader.Passed.Key, "1", mtheader.Passed.Deadline, deadline))
+		return s.call.Objective.Sub(clock.Now())
+	}
+	first := ask("5000")
+	assert.Assert(t, first > 500*time.Millisecond && first <= time.Second, "first try: %s left", first)
+	onItsWay := ask("4990")
+	assert.Assert(t, onItsWay > 500*time.Millisecond, "first try that was on its way: %s left", onItsWay)
+	second := ask("4600")
+	assert.Assert(t, second <= 600*time.Millisecond, "second try after 400 ms: %s left of a second", second)
+	third := ask("3000")
+	assert.Assert(t, third < 0, "third try after 2 s: %s left of a second", third)
+}
