Soak the real program, and clear a server's new life before it is told

A server crashed and started again at its address; until its next beat the daemon renewed the former life's grants, and the new life obeyed. It was told at once, others took the former life's keys over, and two servers held them.

Ruled out: late landings and the takeover's wait (the logs show the renewal in the gap between the crash and the beat).

Change: a life that owns no keys is made to give all back, after any order that is under way has been answered, before its record names it. Tests in mthost and mtgrant; both fail without it.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,66 @@
+// Command soak runs the real program as processes under random faults and checks
+// what callers and backend servers see; see package platform/soak.
+//
+// # Usage
+//
+//	go build -o target/magnoliaturn ./cmd/magnoliaturn
+//	go run ./cmd/soak -program target/magnoliaturn -seed 1 -runs 10 -time 20s
+//
+// It exits with 1 if a promise was broken or the fleet did not recover, and
+// prints the seed and the faults of that run.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"magnoliaturn/platform/soak"
+)
+
+func main() {
+	program := flag.String("program", "target/magnoliaturn", "the built program")
+	seed := flag.Uint64("seed", uint64(time.Now().UnixNano())%1_000_000, "the first seed")
+	runs := flag.Int("runs", 1, "how many seeds, one after the other")
+	lasts := flag.Duration("time", 20*time.Second, "how long faults are injected in each run")
+	vms := flag.Int("vms", 6, "how many VMs")
+	logs := flag.String("logs", "", "directory for the logs of the daemons")
+	flag.Parse()
+	broken := 0
+	for i := range uint64(*runs) {
+		config := soak.Config{Program: *program, Seed: *seed + i, Time: *lasts, VMs: *vms, Logs: *logs}
+		result, err := soak.Run(context.Background(), config)
+		if !report(config.Seed, result, err) {
+			broken++
+		}
+	}
+	fmt.Printf("%d of %d runs broken\n", broken, *runs)
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
+
+// report prints what came of a run and reports whether all promises held.
+func report(seed uint64, result *soak.Result, err error) bool {
+	if result == nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d faults injected, recovered in %s\n",
+		seed, result.Served, result.Refused, result.Failed, len(result.Injected), result.Recovered.Round(time.Millisecond))
+	if err == nil && len(result.Faults) == 0 {
+		return true
+	}
+	if err != nil {
+		fmt.Println("  ", err)
+	}
+	for _, fault := range result.Faults {
+		fmt.Println("  broken:", fault)
+	}
+	for _, fault := range result.Injected {
+		fmt.Println("  injected:", fault)
+	}
+	return false
+}
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -276,7 +276,7 @@
 	if e.Version == 0 {
 		if m, ok := v.Members[name]; ok {
 			v.Members[name] = lapse(m, now)
-			d.Log.Info("record of backend server gone", "daemon", name, "server", m.Server, "revision", uint64(e.Revision))
+			d.Log.Info("record of backend server gone", "peer", name, "server", m.Server, "revision", uint64(e.Revision))
 		}
 		return
 	}
@@ -287,7 +287,7 @@
 	}
 	old, known := v.Members[name]
 	if !known || old.Record != record || old.Lapsed {
-		d.Log.Info("backend server", "daemon", name, "server", record.Server, "service", record.Service,
+		d.Log.Info("backend server", "peer", name, "server", record.Server, "service", record.Service,
 			"state", record.State, "leaving", record.Leaving, "version", uint64(e.Version))
 	}
 	v.Members[name] = Member{Record: record, Version: e.Version}
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -237,7 +237,7 @@
 		return
 	}
 	g.drop(ctx, address, g.adopt(owner, assignment.Owned(owner)))
-	for _, held := range g.due(owner.Server) {
+	for _, held := range g.due() {
 		g.order(ctx, address, held)
 	}
 }
@@ -255,6 +255,33 @@
 	}
 }
 
+// Clear takes all keys from a life of the server that owns none. An order that
+// was meant for a former life at the same address may have reached it.
+func (g *Grants) Clear(ctx context.Context, server mtid.Server, address string) error {
+	assignment, ok := g.Directory.Now().Assignments[g.Service]
+	if !g.Keyed() || !ok || len(assignment.Owned(mtrange.Owner{Daemon: g.Self, Server: server})) > 0 {
+		return nil
+	}
+	for g.orders() {
+		if !mtduty.Sleep(ctx, orderTimeout/orderLooks) {
+			return ctx.Err()
+		}
+	}
+	_, err := g.Port.Release(ctx, address, 0, mtid.LastNumber, assignment.Next-1)
+	return err
+}
+
+// orderLooks is how often it is looked whether an order has ended, within the
+// time that it may take.
+const orderLooks = 100
+
+// orders reports whether an order is under way.
+func (g *Grants) orders() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ordering != nil
+}
+
 // adopt takes over what the assignment says, and returns the grants that it no
 // longer gives to the server and that were not moved from here.
 func (g *Grants) adopt(owner mtrange.Owner, owned []mtrange.Range) (dropped []*grant) {
@@ -305,7 +332,7 @@
 
 // due returns the grants to renew now. Nothing is granted after the time up to
 // which the own record certainly stands: from then on others count.
-func (g *Grants) due(server mtid.Server) []*grant {
+func (g *Grants) due() []*grant {
 	now := g.Clock.Now()
 	certain := g.Directory.Certain().Sub(now)
 	if certain <= orderTimeout {
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -407,6 +407,36 @@
 	assert.Equal(t, f.owner(0), mtid.Daemon("a"))
 }
 
+// A renewal for a former life is under way to the address at which another life
+// answers now. What it gives that life is taken back, but not before it has been
+// answered; the life that owns the keys keeps them.
+func TestClear(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	assert.NilError(t, f.grants.Clear(t.Context(), "of-a", "server"))
+	assert.Equal(t, f.port.count("release"), 0)
+	gate := make(chan struct{})
+	f.port.mu.Lock()
+	f.port.before = func(order string) {
+		if strings.HasPrefix(order, "grant") {
+			<-gate
+		}
+	}
+	f.port.mu.Unlock()
+	f.clock.advance(hold / 2)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.grants.Wake()
+	f.until("a renewal is under way", func() bool { return f.port.count("grant") == 2 })
+	cleared := make(chan error)
+	go func() { cleared <- f.grants.Clear(t.Context(), "next", "server") }()
+	f.turns()
+	assert.Equal(t, f.port.count("release"), 0, "cleared while an order was under way")
+	close(gate)
+	assert.NilError(t, <-cleared)
+	assert.Equal(t, f.port.count("release 0-65535 at 2"), 1)
+}
+
 // All daemons start together and find no assignment.
 func TestTheFirstAssignmentWaitsForAllServers(t *testing.T) {
 	f := newFleet(t)
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -142,7 +142,7 @@
 		}
 	}
 	for _, owner := range lost {
-		g.Log.Warn("taking over keys of a lost server", "daemon", owner.Daemon, "server", owner.Server, "keys", a.Keys(owner), "survivors", len(survivors))
+		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Server, "keys", a.Keys(owner), "survivors", len(survivors))
 	}
 	g.write(ctx, conditions, next, a.Version, "takeover")
 }
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -92,6 +92,9 @@
 	Fenced func(key mtid.Number)
 	// Quiet is called when nothing is in flight in a stopped range.
 	Quiet func(low, high mtid.Point)
+	// Clear takes from a new life of the server what orders meant for a former
+	// one may have given it. It may take a moment.
+	Clear func(ctx context.Context, server mtid.Server, address string) error
 	// Changed is called when the server has another life or state. It must not
 	// block.
 	Changed func()
@@ -110,6 +113,7 @@
 	classes  []mtbundle.Class
 	drains   mtclock.Instant // Draining: no new work from then on; zero if not draining
 	checking bool
+	clearing bool
 	stranger mtbackend.Beat // the last beat of a life that is not known here
 	// identifying says that the server is being asked which life runs.
 	identifying bool
@@ -262,15 +266,51 @@
 	h.record.Slots = b.Slots
 	h.door.Resize(b.Slots, b.Slots)
 	switch {
+	case h.record.State == mtbackend.Unknown:
+		h.clear(b)
 	case b.Draining:
 		h.leave(now, "beat")
-	case h.record.State == mtbackend.Unknown:
-		h.state(mtbackend.Ready)
 	default:
 		h.Publish(h.record)
 	}
 }
 
+// clear brings a life of the server into service, once it holds no keys but its
+// own.
+//
+// A server crashes and starts again at the same address. Until its next beat the
+// daemon takes it for the former life, and renews that life's grants: the new one
+// obeys. Were the new life told at once, others would take the former one's keys
+// over, and two servers would hold them.
+func (h *Host) clear(b mtbackend.Beat) {
+	if h.clearing {
+		return
+	}
+	h.clearing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
+		defer cancel()
+		err := h.Clear(ctx, b.Server, b.Address)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.clearing = false
+		if err != nil {
+			h.Log.Warn("new life of the server could not be cleared", "server", b.Server, "error", err)
+			return // the next beat tries again
+		}
+		if h.record.Server != b.Server || h.record.State != mtbackend.Unknown {
+			return
+		}
+		h.state(mtbackend.Ready)
+		if b.Draining {
+			h.leave(h.Clock.Now(), "beat")
+		}
+	}()
+}
+
+// clearTimeout bounds the clearing of a new life, which runs nothing yet.
+const clearTimeout = time.Second
+
 // begin starts a new life of the server.
 func (h *Host) begin(b mtbackend.Beat) {
 	if h.record.Server != "" {
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,6 +57,7 @@
 	mu     sync.Mutex
 	told   mtbackend.Record
 	holds  error
+	clear  func() error
 }
 
 func newStand(t *testing.T, address string) *stand {
@@ -75,6 +77,15 @@
 			defer s.mu.Unlock()
 			return s.holds
 		},
+		Clear: func(context.Context, mtid.Server, string) error {
+			s.mu.Lock()
+			answer := s.clear
+			s.mu.Unlock()
+			if answer == nil {
+				return nil
+			}
+			return answer()
+		},
 		Fenced: func(mtid.Number) {}, Quiet: func(mtid.Point, mtid.Point) {}, Changed: func() {},
 	})
 	host.Declare([]mtroute.Route{{Name: "plans"}})
@@ -258,3 +269,33 @@
 	assert.DeepEqual(t, inside, map[mtcall.ID]bool{"1.5": true, "1.5.6": false, "1": false, "15": false, "2.1": false})
 	assert.Assert(t, !s.host.Parent("1.5"))
 }
+
+// A server crashes and starts again at once. Its daemon renews the grants of the
+// former life until it hears of the new one, which obeys them. If the new life is
+// told before it has given those keys back, others take them over meanwhile.
+func TestANewLifeIsToldOnlyOnceItIsCleared(t *testing.T) {
+	s := newStand(t, "127.0.0.1:1")
+	s.ready("old")
+	var cleared atomic.Bool
+	s.mu.Lock()
+	s.clear = func() error {
+		if !cleared.Load() {
+			return errors.New("no answer")
+		}
+		return nil
+	}
+	s.mu.Unlock()
+	s.server.mu.Lock()
+	s.server.runs = "new"
+	s.server.mu.Unlock()
+	s.host.Beat(s.beat("new", 1))
+	for sequence := range uint64(5) {
+		time.Sleep(20 * time.Millisecond)
+		s.host.Beat(s.beat("new", 2+sequence))
+		r := s.record()
+		assert.Assert(t, r.Runs("old"), "the end of the former life was told: %+v", r)
+	}
+	cleared.Store(true)
+	s.host.Beat(s.beat("new", 9))
+	s.until("the new life is ready", func(r mtbackend.Record) bool { return r.Server == "new" && r.Takes() })
+}
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -216,7 +216,10 @@
 		Publish: directory.Publish,
 		Holds:   func(server mtid.Server, key mtid.Number) error { return grants.Load().Holds(server, key) },
 		Fenced:  func(key mtid.Number) { grants.Load().Fenced(key) },
-		Quiet:   func(mtid.Point, mtid.Point) {},
+		Clear: func(ctx context.Context, server mtid.Server, address string) error {
+			return grants.Load().Clear(ctx, server, address)
+		},
+		Quiet: func(mtid.Point, mtid.Point) {},
 		Changed: func() {
 			if g := grants.Load(); g != nil {
 				g.Wake()
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -117,7 +117,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 			defer cancel()
 			if err := peers.Observe(ctx, name, member.Address); err != nil {
-				m.config.Log.Info("daemon could not be told", "daemon", name, "error", err)
+				m.config.Log.Info("daemon could not be told", "peer", name, "error", err)
 			}
 		}()
 	}
