Leave other calls alone when one is not heard of

Cause: on a grown deployment 20 requests were given up while their servers were at work. One call whose arrival was not told in 0.6 s, on a narrow link that was full, closed the connection, and all calls on it with it.

Ruled out: a dead peer (its server went on and answered others).

Change: after 0.6 s new calls keep away and the next ones open a new connection; the call itself is given up after 1.5 s; the old connection is left until its calls have ended. A new life of a server is not cleared before the assignment is known.

--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -40,10 +40,17 @@
 type clock interface{ Now() mtclock.Instant }
 
 const (
-	// arrival is how long the header of a reply may take. A round trip between
-	// availability zones takes some milliseconds, and a lost packet is sent
-	// again after 200 ms.
-	arrival = 600 * time.Millisecond
+	// suspicion is how long the header of a reply may take before no new calls
+	// are sent to a daemon. A round trip between availability zones takes some
+	// milliseconds, and a lost packet is sent again after 200 ms.
+	suspicion = 600 * time.Millisecond
+	// arrival is how long it may take before the call is given up. Packets may
+	// wait for a second on a narrow link that is full, and what is given up then
+	// reaches its server all the same.
+	arrival = 1500 * time.Millisecond
+	// lastCall is after which time a connection that is no longer used is closed.
+	// Calls on it may still be answered until their deadlines.
+	lastCall = 30 * time.Second
 	// buffer is the size of a connection's buffers, in bytes. A daemon has a
 	// connection to each of many others, and most messages are smaller.
 	buffer = 8 << 10
@@ -147,16 +154,18 @@
 	return conn, nil
 }
 
-// renew drops the connection to an address, so that the next call opens a new
-// one: an open connection may stay silent where a new one works.
-func (c *Client) renew(address string) {
+// suspect keeps new calls from a daemon that does not answer, and lets the next
+// ones after that open a new connection: an open one may stay silent where a new
+// one works. Calls that are under way on it are left alone. Closed with it, all
+// calls to a daemon behind a full link failed because of one.
+func (c *Client) suspect(address string) {
 	c.mu.Lock()
 	conn := c.conns[address]
 	delete(c.conns, address)
 	c.silent[address] = c.clock.Now().Add(silentFor)
 	c.mu.Unlock()
 	if conn != nil {
-		_ = conn.Close()
+		time.AfterFunc(lastCall, func() { _ = conn.Close() })
 	}
 }
 
@@ -245,10 +254,7 @@
 	if err != nil {
 		return nil, c.explain(ctx, err, &sent)
 	}
-	if err := c.arrived(stream, giveUp); err != nil {
-		if ctx.Err() == nil {
-			c.renew(address)
-		}
+	if err := c.arrived(stream, address, giveUp); err != nil {
 		return nil, c.explain(ctx, err, &sent)
 	}
 	w, err := stream.Recv()
@@ -268,7 +274,9 @@
 }
 
 // arrived waits for the header, which says that the call has arrived.
-func (c *Client) arrived(stream grpc.ClientStream, giveUp func()) error {
+func (c *Client) arrived(stream grpc.ClientStream, address string, giveUp func()) error {
+	slow := time.AfterFunc(suspicion, func() { c.suspect(address) })
+	defer slow.Stop()
 	late := time.AfterFunc(arrival, giveUp)
 	_, err := stream.Header()
 	if !late.Stop() && err == nil {
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 	"gotest.tools/v3/assert"
 
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtwire"
 	"magnoliaturn/io/mtforward"
 	"magnoliaturn/io/mttime"
 )
@@ -179,6 +181,51 @@
 	}
 }
 
+// mute is a daemon that says of one call that it has arrived, and of another
+// nothing, as when its packets wait on a full link.
+type mute struct {
+	mtwire.UnimplementedForwarderServer
+	release chan struct{}
+}
+
+func (m *mute) Forward(w *mtwire.ForwardRequest, stream grpc.ServerStreamingServer[mtwire.ForwardReply]) error {
+	if w.GetId() == "silent" {
+		<-stream.Context().Done()
+		return stream.Context().Err()
+	}
+	if err := stream.SendHeader(metadata.MD{}); err != nil {
+		return err
+	}
+	<-m.release
+	return stream.Send(&mtwire.ForwardReply{Outcome: string(mtreply.Answered), Status: 200})
+}
+
+// One call to a daemon is not heard of, and is given up. The other calls on the
+// same connection were cut off with it, and their callers told 502, although
+// their server was at work.
+func TestOneSilentCallDoesNotCutOffOthers(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer()
+	peer := &mute{release: make(chan struct{})}
+	mtwire.RegisterForwarderServer(server, peer)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	c, clock, _ := client(t)
+	done := make(chan error)
+	go func() {
+		_, err := c.Forward(t.Context(), "b", listener.Addr().String(), call(clock))
+		done <- err
+	}()
+	silent := call(clock)
+	silent.ID = "silent"
+	_, err = c.Forward(t.Context(), "b", listener.Addr().String(), silent)
+	var unknown *mtreply.UnknownError
+	assert.Assert(t, errors.As(err, &unknown), "%v", err)
+	close(peer.release)
+	assert.NilError(t, <-done)
+}
+
 // Nothing listens: no byte of the call has left, so it was not run.
 func TestADaemonThatIsGoneRefuses(t *testing.T) {
 	c, clock, _ := client(t)
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -58,6 +58,12 @@
 // Error implements error.
 func (*SupersededError) Error() string { return "grant: the server has seen a higher epoch" }
 
+// UnreadError says that the assignment has not been read from the store yet.
+type UnreadError struct{}
+
+// Error implements error.
+func (*UnreadError) Error() string { return "grant: the assignment has not been read yet" }
+
 type clock interface {
 	Now() mtclock.Instant
 	Steady() mtclock.Instant
@@ -258,7 +264,13 @@
 // Clear takes all keys from a life of the server that owns none. An order that
 // was meant for a former life at the same address may have reached it.
 func (g *Grants) Clear(ctx context.Context, server mtid.Server, address string) error {
-	assignment, ok := g.Directory.Now().Assignments[g.Service]
+	view := g.Directory.Now()
+	if view.Revision == 0 {
+		// Whose keys these are is not known yet, and nobody else hears of the new
+		// life before the store is reached.
+		return &UnreadError{}
+	}
+	assignment, ok := view.Assignments[g.Service]
 	if !g.Keyed() || !ok || len(assignment.Owned(mtrange.Owner{Daemon: g.Self, Server: server})) > 0 {
 		return nil
 	}
