Split the host and the grants by what they do; one copy of the sent handler

Change: mthost in host, lives and load; mtgrant in grants, takeovers, moves and writes; io/mtsent. No behaviour changes.

--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -26,7 +26,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/stats"
 
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
@@ -35,6 +34,7 @@
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
 	"magnoliaturn/io/mtdial"
+	"magnoliaturn/io/mtsent"
 )
 
 type clock interface{ Now() mtclock.Instant }
@@ -112,7 +112,7 @@
 	}
 	client.options = []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithStatsHandler(mtsent.Handler{}),
 		grpc.WithDisableRetry(),
 		grpc.WithConnectParams(reconnect),
 		grpc.WithContextDialer(dial),
@@ -246,20 +246,19 @@
 	now := c.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(now))
 	defer cancel()
-	var sent atomic.Bool
-	outer := context.WithValue(ctx, sentKey{}, &sent)
-	inner, giveUp := context.WithCancel(outer)
+	watched, sent := mtsent.Watch(ctx)
+	inner, giveUp := context.WithCancel(watched)
 	defer giveUp()
 	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, c.wire(now, call))
 	if err != nil {
-		return nil, c.explain(ctx, err, &sent)
+		return nil, c.explain(ctx, err, sent)
 	}
 	if err := c.arrived(stream, address, giveUp); err != nil {
-		return nil, c.explain(ctx, err, &sent)
+		return nil, c.explain(ctx, err, sent)
 	}
 	w, err := stream.Recv()
 	if err != nil {
-		return nil, c.explain(ctx, err, &sent)
+		return nil, c.explain(ctx, err, sent)
 	}
 	c.note(daemon, w.GetLoad())
 	c.news.Hear(readNews(w.GetNews()))
@@ -298,24 +297,3 @@
 	}
 	return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 }
-
-type sentKey struct{}
-
-// sentHandler notes in the call's context that the message was handed to the
-// transport. Before that no byte of it can have left.
-type sentHandler struct{}
-
-func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
-
-func (sentHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	if _, ok := s.(*stats.OutPayload); !ok {
-		return
-	}
-	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
-		sent.Store(true)
-	}
-}
-
-func (sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
-
-func (sentHandler) HandleConn(context.Context, stats.ConnStats) {}
--- /dev/null
+++ b/io/mtgrant/move.go
@@ -0,0 +1,226 @@
+package mtgrant
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtduty"
+)
+
+// balancePeriod is how often the load is weighed, and a leaving server's keys
+// are looked after.
+const balancePeriod = 200 * time.Millisecond
+
+// balance moves keys away from this server: all of them if it is leaving, some
+// if it is overloaded and others are not.
+func (g *Grants) balance(ctx context.Context) {
+	owner, _ := g.Host.Owner()
+	record, _ := g.Host.Record()
+	assignment, ok := g.Directory.Now().Assignments[g.Service]
+	if !ok || owner.Server == "" {
+		return
+	}
+	owned := assignment.Owned(owner)
+	switch {
+	case len(owned) == 0:
+	case record.State == mtbackend.Draining, record.Leaving:
+		// While a daemon is restarted its server can't be reached, for longer
+		// than a warm move takes.
+		g.empty(ctx, owned)
+	case record.Takes():
+		g.relieve(ctx, owned)
+	}
+}
+
+// empty moves all keys of a leaving server to the others, to each its share.
+func (g *Grants) empty(ctx context.Context, owned []mtrange.Range) {
+	// The own record in the directory may still be that of before the leaving.
+	survivors := slices.DeleteFunc(g.survivors(g.Directory.Now()), func(o mtrange.Owner) bool { return o.Daemon == g.Self })
+	if len(survivors) == 0 {
+		g.Log.Warn("leaving server keeps its keys: no other takes them", "ranges", len(owned))
+		return
+	}
+	var tasks []func()
+	for i, r := range owned {
+		to := survivors[i%len(survivors)]
+		tasks = append(tasks, func() { g.move(ctx, r, r.Low, r.High, to, "server is leaving") })
+	}
+	together(tasks)
+}
+
+// relieve moves some keys if this server has too much work.
+func (g *Grants) relieve(ctx context.Context, owned []mtrange.Range) {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	early := now.Sub(g.moved) < mtrange.MovePause
+	g.mu.Unlock()
+	if early {
+		return
+	}
+	self, others := g.Standings()
+	to, amount, ok := mtrange.Relief(self, others)
+	if !ok {
+		return
+	}
+	low, high, ok := g.Host.Cut(owned, amount)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	g.moved = now
+	g.mu.Unlock()
+	for _, r := range owned {
+		if r.Covers(low) {
+			g.Log.Info("relief", "demand", self.Demand, "slots", self.Slots, "amount", amount, "to", to.Daemon, "low", low, "high", high)
+			g.move(ctx, r, low, high, to, "relief")
+			return
+		}
+	}
+}
+
+// together runs tasks at the same time and waits for them.
+func together(tasks []func()) {
+	done := make(chan struct{})
+	for _, task := range tasks {
+		go func() {
+			task()
+			done <- struct{}{}
+		}()
+	}
+	for range tasks {
+		<-done
+	}
+}
+
+// releaseTimeout bounds a release, which waits for what runs on the keys.
+const releaseTimeout = 6 * time.Second
+
+// move takes keys of a range back from the server and gives them to another
+// owner. New calls for them wait at the gate meanwhile, and go to the new owner
+// once the assignment names it.
+func (g *Grants) move(ctx context.Context, r mtrange.Range, low, high mtid.Number, to mtrange.Owner, why string) {
+	_, address := g.Host.Record()
+	if !g.beginMove(r, low, high) {
+		return
+	}
+	begun := g.Clock.Now()
+	g.Host.Stop(low, high)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	warmth, err := g.Port.Release(ctx, address, low, high, r.Epoch)
+	if err != nil {
+		g.Log.Warn("release failed", "why", why, "low", low, "high", high, "epoch", uint64(r.Epoch), "error", err)
+		g.abandon(r, low, high)
+		return
+	}
+	if !g.hand(r, low, high, to, warmth, why) {
+		g.abandon(r, low, high)
+		return
+	}
+	g.Host.Forget(low, high)
+	g.Host.Release(low, high)
+	g.endMove(low)
+	g.Log.Info("moved", "why", why, "low", low, "high", high, "to", to.Daemon, "took", g.Clock.Now().Sub(begun))
+}
+
+// hand writes the new owner of released keys. It reports false once it is certain
+// that they stay here. A write whose outcome is not known is tried again until
+// the store tells: were the keys granted here meanwhile, it might still land,
+// and two servers would hold them.
+func (g *Grants) hand(r mtrange.Range, low, high mtid.Number, to mtrange.Owner, warmth, why string) bool {
+	ctx := g.stopping
+	doubt := false
+	for tries := 0; ctx.Err() == nil; tries++ {
+		assignment := g.Directory.Now().Assignments[g.Service]
+		at, _ := assignment.Lookup(low)
+		if at.Owner != r.Owner || at.Epoch != r.Epoch {
+			return true // this move has landed, or another daemon has taken the keys
+		}
+		if tries >= conflicts && !doubt {
+			return false
+		}
+		next, err := assignment.Move(low, high, to, warmth)
+		if err != nil {
+			g.Log.Error("move does not fit the assignment", "low", low, "high", high, "error", err)
+			return false
+		}
+		// The write holds only while the own record is the one of this life. If
+		// the daemon dies now, its next life writes the record before it grants
+		// anything, and a write that is still on its way never lands: it would
+		// give keys away that the next life has granted again.
+		own := mtstore.Condition{Name: mtstore.BackendName(g.Self), Version: g.Directory.Own()}
+		switch g.write(ctx, []mtstore.Condition{own}, next, assignment.Version, why) {
+		case written:
+			return true
+		case doubtful:
+			doubt = true
+		case refused:
+		}
+		mtduty.Sleep(ctx, conflictPause)
+	}
+	return false
+}
+
+const (
+	// conflicts is how often a move is tried over other changes of the
+	// assignment, conflictPause apart.
+	conflicts     = 8
+	conflictPause = 50 * time.Millisecond
+)
+
+// beginMove marks keys as moving. It refuses while an unanswered order may put a
+// released key back into force.
+func (g *Grants) beginMove(r mtrange.Range, low, high mtid.Number) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, held := range g.grants {
+		if held.Range != r || held.moving || held.granted == 0 {
+			continue
+		}
+		if held == g.ordering || g.Clock.Now().Before(g.doubt[held.server]) {
+			return false
+		}
+		parts := []*grant{}
+		for _, p := range []struct {
+			low, high int
+			moving    bool
+		}{{int(r.Low), int(low) - 1, false}, {int(low), int(high), true}, {int(high) + 1, int(r.High), false}} {
+			if p.low > p.high {
+				continue
+			}
+			part := *held
+			part.Low, part.High, part.moving = mtid.Number(p.low), mtid.Number(p.high), p.moving
+			parts = append(parts, &part)
+		}
+		g.grants = slices.Concat(g.grants[:i:i], parts, g.grants[i+1:])
+		return true
+	}
+	return false
+}
+
+// endMove forgets the grant of moved keys.
+func (g *Grants) endMove(low mtid.Number) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.grants = slices.DeleteFunc(g.grants, func(held *grant) bool { return held.moving && held.Low == low })
+	g.Wake()
+}
+
+// abandon takes keys back into service here, after a move that failed. They are
+// granted anew, since they may have been released.
+func (g *Grants) abandon(r mtrange.Range, low, high mtid.Number) {
+	g.mu.Lock()
+	for _, held := range g.grants {
+		if held.moving && held.Low == low && held.Epoch == r.Epoch {
+			held.moving, held.granted = false, 0
+		}
+	}
+	g.mu.Unlock()
+	g.Wake()
+	g.Host.Resume(low, high)
+}
--- /dev/null
+++ b/io/mtgrant/write.go
@@ -0,0 +1,64 @@
+package mtgrant
+
+import (
+	"context"
+	"errors"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtdirectory"
+)
+
+// outcome is what is known of a write.
+type outcome int
+
+const (
+	refused outcome = iota // it has not been written and never will be
+	written
+	doubtful // it may have been written, or may be later
+)
+
+// write writes an assignment.
+func (g *Grants) write(ctx context.Context, conditions []mtstore.Condition, next *mtrange.Table, expected mtid.Version, why string) outcome {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	value, err := next.Encode()
+	if err != nil {
+		g.Log.Error("assignment can't be encoded", "error", err)
+		return refused
+	}
+	name := mtstore.RangeName(g.Service)
+	version, err := g.Store.SwapIf(ctx, conditions, name, expected, value, "")
+	if err == nil {
+		g.Log.Info("assignment written", "why", why, "service", g.Service, "version", uint64(version), "epoch", uint64(next.Next))
+		g.Directory.Learn(mtdirectory.Assignment{Table: next, Version: version})
+		return written
+	}
+	g.Log.Warn("assignment not written", "why", why, "expected", uint64(expected), "error", err)
+	g.reread(ctx, err)
+	var unknown *mtstore.UnknownError
+	if errors.As(err, &unknown) {
+		return doubtful
+	}
+	return refused
+}
+
+// reread takes in what won over a write.
+func (g *Grants) reread(ctx context.Context, err error) {
+	var conflict *mtstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	entry, err := g.Store.Get(ctx, mtstore.RangeName(g.Service))
+	if err != nil {
+		g.Log.Warn("assignment can't be read again", "error", err)
+		return
+	}
+	table, err := mtrange.Decode(entry.Value)
+	if err != nil {
+		g.Log.Error("assignment passed over", "service", g.Service, "error", err)
+		return
+	}
+	g.Directory.Learn(mtdirectory.Assignment{Table: table, Version: entry.Version})
+}
--- a/io/mtrelay/mtrelay.go
+++ b/io/mtrelay/mtrelay.go
@@ -27,13 +27,13 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
-	"google.golang.org/grpc/stats"
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtview"
 	"magnoliaturn/core/mtwire"
+	"magnoliaturn/io/mtsent"
 )
 
 // DeltaLimit is the size, in bytes, near which a delta is cut.
@@ -74,7 +74,7 @@
 	size := int(limit) + overhead + DeltaLimit
 	c.options = []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
-		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithStatsHandler(mtsent.Handler{}),
 		grpc.WithDisableRetry(),
 		grpc.WithConnectParams(reconnect),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(size), grpc.MaxCallSendMsgSize(size)),
@@ -128,15 +128,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	var sent atomic.Bool
-	ctx = context.WithValue(ctx, sentKey{}, &sent)
+	ctx, sent := mtsent.Watch(ctx)
 	var header metadata.MD
 	w, err := mtwire.NewPeerClient(conn).Relay(ctx, wireRequest(r, frontier), grpc.Header(&header))
 	if len(header.Get(begunHeader)) > 0 && r.Begun != nil {
 		r.Begun()
 	}
 	if err != nil {
-		return nil, relayError(ctx, err, &sent)
+		return nil, relayError(ctx, err, sent)
 	}
 	// A reply that is not for this request would hand one caller another's
 	// data; gRPC matches streams, so this shows only with a faulty peer.
@@ -185,25 +184,3 @@
 
 // Unwrap returns the cause.
 func (e *PullError) Unwrap() error { return e.Err }
-
-type sentKey struct{}
-
-// sentHandler notes in the call's context that the message was handed to the
-// transport. Before that event no byte of it can have left, so a failure
-// without it proves that the request was not run.
-type sentHandler struct{}
-
-func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
-
-func (sentHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	if _, ok := s.(*stats.OutPayload); !ok {
-		return
-	}
-	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
-		sent.Store(true)
-	}
-}
-
-func (sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
-
-func (sentHandler) HandleConn(context.Context, stats.ConnStats) {}
