--- /dev/null
+++ b/io/mtsetting/mesh_test.go
@@ -0,0 +1,80 @@
+package mtsetting_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/io/mtsetting"
+)
+
+const meshText = `[daemon]
+name = vm-1
+zone = old-town
+service = maps
+host = 10.1.0.38
+server = 10.1.0.38:8145
+
+[listen]
+callers = 10.1.0.38:8147
+ready = 10.1.0.38:8141
+beats = 10.1.0.38:8144
+ports = 7380,7395
+
+[store]
+address = 10.200.1.7:8142
+
+[times]
+hold = 10s
+drain = 2.5s
+grace = 6s
+`
+
+func TestMeshSettings(t *testing.T) {
+	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(meshText))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	assert.DeepEqual(t, got, &mtsetting.Mesh{
+		Name: "vm-1", Zone: "old-town", Service: "maps", Host: "10.1.0.38", Server: "10.1.0.38:8145",
+		Callers: "10.1.0.38:8147", Ready: "10.1.0.38:8141", Beats: "10.1.0.38:8144",
+		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
+		Hold: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second,
+	})
+}
+
+// Every mistake is named at once, with what would be accepted.
+func TestMeshSettingsNameEveryFault(t *testing.T) {
+	text := strings.NewReplacer(
+		"host = 10.1.0.38", "host = here",
+		"server = 10.1.0.38:8145", "server = 8145",
+		"ports = 7380,7395", "ports = 7380",
+		"hold = 10s", "hold = 10",
+		"grace = 6s", "grace = 6s\nmisspelt = 1",
+	).Replace(meshText)
+	_, faults := mtsetting.ParseMesh("daemon.ini", []byte(text))
+	var fields []string
+	for _, f := range faults {
+		fields = append(fields, f.Field)
+		assert.Assert(t, f.Accept != "", f.Field)
+	}
+	assert.DeepEqual(t, fields, []string{"[daemon] host", "[daemon] server", "[listen] ports", "[times] hold", "[times] misspelt"})
+}
+
+// The template that the platform fills in and the settings that are read name the
+// same fields.
+func TestTheTemplateNamesTheFieldsThatAreRead(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/daemon.ini")
+	assert.NilError(t, err)
+	filled := strings.NewReplacer(
+		"{{node}}", "vm-1", "{{zone}}", "old-town", "{{service}}", "maps", "{{ip}}", "10.1.0.38", "{{app_addr}}", "10.1.0.38:8145",
+		"{{listen.outbound}}", "10.1.0.38:8147", "{{listen.ready}}", "10.1.0.38:8141", "{{listen.control}}", "10.1.0.38:8144",
+		"{{port_range}}", "7380,7395", "{{provider.address}}", "10.200.1.7:8142",
+		"{{bounds.hold_max_s}}", "10", "{{bounds.drain_s}}", "2.5", "{{bounds.grace_s}}", "6",
+	).Replace(string(template))
+	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(filled))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	want, _ := mtsetting.ParseMesh("daemon.ini", []byte(meshText))
+	assert.DeepEqual(t, got, want)
+}
