Choose servers by room, so that slow ones are used before fast ones queue

Cause: the choice took the least expected time. Second tries went to near servers that had just refused others.

Ruled out: too few slots (63 % in use), zones (the zone with the least load refused as many).

Change: what runs counts by the root of how slow a server is, what waits in full. A server that refused for its load is passed over for 150 ms, but for the first try at a near one; a call that is late already is not sent around. Reports older than 0.7 s no longer decide where keys go.

--- a/core/mtchoice/least.go
+++ b/core/mtchoice/least.go
@@ -1,6 +1,7 @@
 package mtchoice
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -23,22 +24,28 @@
 	// jitter is the random part of a cost. Several daemons see the same reports
 	// at the same time, and without it all of them would choose the same server.
 	jitter = 0.15
-	// slack is the weight of a server that has free slots but many in use. Some
-	// servers slow down when they are nearly full.
-	slack = 0.2
 	// firstSpare and mostSpare are how long a server is passed over after one
 	// failure and after several in a row.
 	firstSpare = 200 * time.Millisecond
 	mostSpare  = 3 * time.Second
+	// fullFor is how long a server that refused for its load is taken for full. It
+	// ends some ten requests in that time, and refuses more than half of the calls
+	// that come meanwhile; four in ten of all calls were refused by near servers
+	// that had just refused others, beside far ones with a third of their slots
+	// free.
+	fullFor = 150 * time.Millisecond
+	// fullCost is how much more a full near server costs than another near one.
+	fullCost = 1.5
 )
 
-// Least chooses the server with the least expected time until the answer: what
-// is queued there, by its own report and by what was sent there since, times
-// what a request takes there. It answers the pattern of servers whose speeds
-// differ by a factor of two: an equal share of the requests overloads the slow
-// ones while the fast ones are idle.
+// Least chooses the server with the most room: by what is busy and queued there,
+// by its own report and by what was sent there since, and by how slow it is. It
+// answers the pattern of servers whose speeds differ by a factor of two: an equal
+// share of the requests overloads the slow ones while the fast ones are idle, and
+// the least time until the answer overloads the fast ones.
 //
-// Servers that fail are passed over for a while, unless all do.
+// Servers that fail are passed over for a while, unless all do, and those that
+// refuse for their load for a moment.
 type Least struct {
 	random  *rand.Rand
 	zone    mtid.Zone
@@ -55,11 +62,12 @@
 	since    int // of these, sent after the report
 	report   Report
 	spared   mtclock.Instant
+	full     mtclock.Instant
 	failures int // in a row
 }
 
 // NewLeast returns a Least without candidates. far is what a server in another
-// availability zone costs more, as a part of its service time.
+// availability zone costs more; one costs as much as all slots in use.
 func NewLeast(random *rand.Rand, zone mtid.Zone, far float64) *Least {
 	return &Least{random: random, zone: zone, far: far, byName: make(map[mtid.Holder]*least)}
 }
@@ -80,35 +88,51 @@
 	}
 }
 
-// Pick returns a server that is not in without, or false if there is none.
+// Pick returns a server that is not in without, or false if there is none. Servers
+// that have failed, and then those that were full a moment ago, are chosen only if
+// there are no others; a call that some server has refused already is not sent to
+// one that was full. The first try may go to a near one all the same: asking there
+// costs a millisecond and no bytes between zones, and a quarter of them have room
+// again.
 func (p *Least) Pick(now mtclock.Instant, without []mtid.Holder) (mtid.Holder, bool) {
 	usual := p.usual()
-	var best, spared *least
-	bestCost, sparedCost := 0.0, 0.0
+	var best *least
+	bestRank, bestCost := rankFull, 0.0
 	for _, s := range p.servers {
 		if contains(without, s.Holder) {
 			continue
 		}
-		cost := p.cost(now, s, usual)
-		if now.Before(s.spared) {
-			if spared == nil || cost < sparedCost {
-				spared, sparedCost = s, cost
-			}
-			continue
+		rank, cost := s.rank(now), p.cost(now, s, usual)
+		if rank == rankFull && s.Zone == p.zone && len(without) == 0 {
+			rank, cost = rankGood, cost*fullCost
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = s, cost
+		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
+			best, bestRank, bestCost = s, rank, cost
 		}
 	}
-	if best == nil {
-		best = spared
-	}
-	if best == nil {
+	if best == nil || bestRank == rankFull && len(without) > 0 {
 		return mtid.Holder{}, false
 	}
 	return best.Holder, true
 }
 
+// The ranks of servers, the first to be chosen first.
+const (
+	rankGood = iota
+	rankSpared
+	rankFull
+)
+
+func (s *least) rank(now mtclock.Instant) int {
+	switch {
+	case now.Before(s.full):
+		return rankFull
+	case now.Before(s.spared):
+		return rankSpared
+	}
+	return rankGood
+}
+
 func contains(holders []mtid.Holder, h mtid.Holder) bool {
 	for _, o := range holders {
 		if o == h {
@@ -134,23 +158,26 @@
 	return sum / time.Duration(n)
 }
 
-// cost returns how long the next request is expected to take at the server, in
-// seconds.
+// cost returns what it costs to send the next request to the server: what runs and
+// what waits there as parts of its slots, by how slow it is, plus the distance.
+// For what runs, how slow it is counts by its root only: requests mostly have time
+// for a slow server, and by its full measure the slow ones, which were a third of
+// all, stood idle while every fast one had two requests waiting for each slot.
 func (p *Least) cost(now mtclock.Instant, s *least, usual time.Duration) float64 {
-	service := s.report.Service
-	if service <= 0 {
-		service = usual
+	pace := 1.0
+	if s.report.Service > 0 {
+		pace = float64(s.report.Service) / float64(usual)
 	}
 	fade := 1 / (1 + float64(now.Sub(s.report.At))/float64(reportMemory))
 	busy := max(float64(s.report.Busy)*fade+float64(s.since), float64(s.mine))
 	slots := float64(max(s.Slots, 1))
 	over := max(busy+1-slots, 0)
-	cost := 1 + over/slots + slack*min(busy/slots, 1)
+	cost := math.Sqrt(pace)*(1+min(busy, slots)/slots) + pace*over/slots
 	if s.Zone != p.zone {
 		cost += p.far
 	}
 	cost /= max(s.estimate.Availability(), minAvailability)
-	return cost * service.Seconds() * (1 + jitter*p.random.Float64())
+	return cost * (1 + jitter*p.random.Float64())
 }
 
 // Started says that a request is sent to the server.
@@ -175,10 +202,15 @@
 	case Good:
 		s.estimate.Note(true)
 		s.failures, s.spared = 0, 0
+		if s.report.Busy < s.Slots {
+			s.full = 0
+		}
 	case Bad:
 		s.estimate.Note(false)
 		s.spared = now.Add(min(firstSpare<<min(s.failures, 8), mostSpare))
 		s.failures++
-	case Busy, Other:
+	case Busy:
+		s.full = now.Add(fullFor)
+	case Other:
 	}
 }
--- a/core/mtchoice/least_test.go
+++ b/core/mtchoice/least_test.go
@@ -73,3 +73,58 @@
 	}
 	assert.Assert(t, near > 60, "the near server got %d of 100", near)
 }
+
+// Near servers are full, far ones have room. Whoever asks near ones again and again
+// is refused beside free slots; whoever asks all of them holds the refusal back
+// while there is no room anywhere.
+func TestLeastPassesOverServersThatAreFull(t *testing.T) {
+	near, other, far := server("a", "near"), server("b", "near"), server("c", "far")
+	p := newLeast(near, other, far)
+	now := mtclock.Instant(time.Second)
+	full := func(c mtchoice.Candidate) {
+		p.Started(c.Holder)
+		p.Ended(now, c.Holder, mtchoice.Busy, mtchoice.Report{Busy: 30, Service: time.Second, At: now})
+	}
+	full(near)
+	full(other)
+	for range 20 {
+		h, _ := p.Pick(now, []mtid.Holder{near.Holder})
+		assert.Equal(t, h, far.Holder)
+	}
+	full(far)
+	_, ok := p.Pick(now, nil)
+	assert.Assert(t, ok, "a first try goes somewhere")
+	_, ok = p.Pick(now, []mtid.Holder{near.Holder})
+	assert.Assert(t, !ok, "a second one does not")
+	_, ok = p.Pick(now.Add(time.Second), []mtid.Holder{near.Holder})
+	assert.Assert(t, ok, "room is looked for again")
+}
+
+// A third of the servers take twice as long as the others, which requests have time
+// for. Fast ones were sent everything until two requests waited for each of their
+// slots and most were refused, beside slow ones without any.
+func TestLeastUsesSlowServersBeforeFastOnesQueue(t *testing.T) {
+	var servers []mtchoice.Candidate
+	for _, name := range []string{"f1", "f2", "s1"} {
+		servers = append(servers, server(name, "near"))
+	}
+	p := newLeast(servers...)
+	now := mtclock.Instant(time.Second)
+	for _, c := range servers {
+		service := 70 * time.Millisecond
+		if c.Holder.Daemon == "s1" {
+			service = 170 * time.Millisecond
+		}
+		p.Started(c.Holder)
+		p.Ended(now, c.Holder, mtchoice.Good, mtchoice.Report{Busy: 0, Service: service, At: now})
+	}
+	got := map[mtid.Daemon]int{}
+	for range 24 { // of thirty slots
+		h, _ := p.Pick(now, nil)
+		p.Started(h)
+		got[h.Daemon]++
+	}
+	assert.Assert(t, got["s1"] >= 3, "the slow server got %d of 24", got["s1"])
+	assert.Assert(t, got["f1"] <= 12 && got["f2"] <= 12, "fast servers queue: %v", got)
+	assert.Assert(t, got["s1"] < got["f1"] && got["s1"] < got["f2"], "%v", got)
+}
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -36,8 +36,9 @@
 const (
 	// bounces is how often a call that no server has begun goes to another one
 	// at once. A draining server, one that has moved the key, or a full one
-	// beside others with room cost no server anything.
-	bounces = 4
+	// beside others with room cost no server anything. The choice ends it sooner
+	// where all others were full a moment ago.
+	bounces = 5
 	// moved is how long the ingress waits for news of a key's new owner before
 	// it asks again.
 	moved = 15 * time.Millisecond
@@ -53,8 +54,8 @@
 	// while the store is away leases may run out, and records are back within
 	// two seconds of its return.
 	lapsedUse = 3 * time.Second
-	// farCost is what a server in another availability zone costs more, as a
-	// part of its service time: the bytes between zones are paid for.
+	// farCost is what a server in another availability zone costs more: as much as
+	// all slots in use. The bytes between zones are paid for.
 	farCost = 1.0
 )
 
@@ -209,19 +210,25 @@
 	}
 	state.tried = append(state.tried, holder(member))
 	state.bounced++
-	if full(refused.Cause) {
-		state.bounced += bounces / 2
+	if full(refused.Cause) && late(s.Clock.Now(), call) {
+		return false
 	}
 	return state.bounced <= bounces
 }
 
-// full reports whether a server refused for its load. Where the least loaded one
-// does, the others are mostly full as well, and asking all of them costs time
-// that the answer to the caller is held back.
+// full reports whether a server refused for its load.
 func full(cause mtreply.Cause) bool {
 	return cause == mtreply.CauseShed || cause == mtreply.CauseQueueFull
 }
 
+// late reports whether a call can't meet its objective any more. If it is refused
+// for load then, it isn't worth looking for room in other zones: it would take the
+// slots of calls that are still in time, and the bytes cost more than a late
+// answer is worth.
+func late(now mtclock.Instant, call *mtcall.Call) bool {
+	return !call.Nested && call.Objective != 0 && now.Add(call.Usual).After(call.Objective)
+}
+
 // holder names a member for the choice policy.
 func holder(m mtdirectory.Member) mtid.Holder { return mtid.Holder{Daemon: m.Daemon, Incarnation: 1} }
 
--- a/io/mtmesh/standing.go
+++ b/io/mtmesh/standing.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// reportLife is how long a reported load is believed.
-	reportLife = 3 * time.Second
+	// reportLife is how long a reported load is believed. Hot runs move on within
+	// seconds: with reports of up to three seconds, owners gave keys to servers
+	// that had become busy since.
+	reportLife = 700 * time.Millisecond
 	// surveyed is how many other servers are asked for their load before keys are
 	// moved. Reports come with replies, and among 40 servers a daemon hears from
 	// any one of them every few seconds only; a dozen drawn by lot hold some with
