--- a/io/mtcommand/connect.go
+++ b/io/mtcommand/connect.go
@@ -1,6 +1,7 @@
 package mtcommand
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"flag"
@@ -33,6 +34,21 @@
 	f.StringVar(&c.authority, "authority", os.Getenv(envAuthority), "file with the authority's certificates; also "+envAuthority)
 }
 
+// run returns the function of a command that needs so many arguments, written as
+// usage, and a client of the administration API.
+func (c *connection) run(low, high int, usage string, do func(ctx context.Context, client *mtadmin.Client, args []string) error) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if err := need(args, low, high, usage); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		return do(ctx, client, args)
+	}
+}
+
 // client returns a client for what the flags say. A token goes over TLS only,
 // or to this machine.
 func (c *connection) client() (*mtadmin.Client, error) {
--- a/io/mtcommand/force.go
+++ b/io/mtcommand/force.go
@@ -67,20 +67,13 @@
 			f.BoolVar(&text, "text", false, "print the text only")
 			f.Uint64Var(&former, "version", 0, "a former version; the one in force if absent")
 		},
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 1, 1, "BUSINESS"); err != nil {
-				return err
-			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
+		run: at.run(1, 1, "BUSINESS", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			business := mtid.Business(args[0])
 			if text || former > 0 {
 				return c.showText(ctx, client, business, mtid.Version(former), text)
 			}
 			return c.showForce(ctx, client, business)
-		},
+		}),
 	}
 }
 
@@ -167,20 +160,13 @@
 		help:    "Lists the bundle in force and the former ones that the store keeps, the newest\nfirst.",
 		example: "magnoliaturn bundle history ratins",
 		flags:   at.flags,
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 1, 1, "BUSINESS"); err != nil {
-				return err
-			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
+		run: at.run(1, 1, "BUSINESS", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			page, err := client.History(ctx, mtid.Business(args[0]))
 			if err != nil {
 				return err
 			}
 			c.show(page.Items, bundleHeading, bundleRows(page.Items))
 			return nil
-		},
+		}),
 	}
 }
--- a/io/mtcommand/propose.go
+++ b/io/mtcommand/propose.go
@@ -24,14 +24,7 @@
 			at.flags(f)
 			f.Uint64Var(&rollback, "rollback", 0, "former version to propose again")
 		},
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 1, 1, "FILE | -rollback VERSION BUSINESS"); err != nil {
-				return err
-			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
+		run: at.run(1, 1, "FILE | -rollback VERSION BUSINESS", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			business, text, err := proposal(ctx, client, args[0], mtid.Version(rollback))
 			if err != nil {
 				return err
@@ -42,7 +35,7 @@
 			}
 			c.showBundle(d)
 			return nil
-		},
+		}),
 	}
 }
 
--- a/io/mtcommand/show.go
+++ b/io/mtcommand/show.go
@@ -33,18 +33,11 @@
 		help:    "Shows the shard of a key, its owner and epoch. An owner that is not live is\nabout to be taken over.",
 		example: "magnoliaturn show owner ratins/dispatch hotel-7/room-214",
 		flags:   at.flags,
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 2, 2, "BUSINESS/SERVICE KEY"); err != nil {
-				return err
-			}
+		run: at.run(2, 2, "BUSINESS/SERVICE KEY", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			ref, err := refOf(args[0])
 			if err != nil {
 				return err
 			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
 			d, err := client.Owner(ctx, ref, mtid.Key(args[1]))
 			if err != nil {
 				return err
@@ -53,7 +46,7 @@
 				string(d.Key), life(d.Shard.Owner, d.Shard.Incarnation), fmt.Sprint(d.Shard.Epoch), d.Shard.Low, yesNo(d.Live), dash(d.Caller),
 			}})
 			return nil
-		},
+		}),
 	}
 }
 
@@ -75,14 +68,7 @@
 		help:    "Lists every daemon with its zone, state, witnesses and backend servers.",
 		example: "magnoliaturn show roster",
 		flags:   at.flags,
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 0, 0, "no arguments"); err != nil {
-				return err
-			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
+		run: at.run(0, 0, "no arguments", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			page, err := client.Roster(ctx)
 			if err != nil {
 				return err
@@ -96,7 +82,7 @@
 			}
 			c.show(page.Items, []string{"DAEMON", "ZONE", "REGION", "STATE", "LIVE", "SERVERS", "WITNESSES"}, rows)
 			return nil
-		},
+		}),
 	}
 }
 
@@ -115,18 +101,11 @@
 		help:    "Lists every shard with its owner and epoch, in order of the ring.",
 		example: "magnoliaturn show assignment ratins/dispatch",
 		flags:   at.flags,
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 1, 1, "BUSINESS/SERVICE"); err != nil {
-				return err
-			}
+		run: at.run(1, 1, "BUSINESS/SERVICE", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			ref, err := refOf(args[0])
 			if err != nil {
 				return err
 			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
 			page, err := client.Assignment(ctx, ref)
 			if err != nil {
 				return err
@@ -137,7 +116,7 @@
 			}
 			c.show(page.Items, []string{"SHARD", "OWNER", "EPOCH", "CHUNK", "VERSION"}, rows)
 			return nil
-		},
+		}),
 	}
 }
 
@@ -148,14 +127,7 @@
 		help:    "Lists the fingerprints of requests in quarantine since they crashed backend\nservers, as far as daemons have refused them. Daemons that gave no answer are\nnamed on standard error.",
 		example: "magnoliaturn show quarantine ratins",
 		flags:   at.flags,
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 1, 1, "BUSINESS"); err != nil {
-				return err
-			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
+		run: at.run(1, 1, "BUSINESS", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			page, err := client.Quarantine(ctx, mtid.Business(args[0]))
 			if err != nil {
 				return err
@@ -169,7 +141,7 @@
 			}
 			c.show(page.Items, []string{"FINGERPRINT", "SERVICE", "REFUSED", "UNTIL", "DAEMON"}, rows)
 			return nil
-		},
+		}),
 	}
 }
 
@@ -180,21 +152,14 @@
 		help:    "The daemon moves its shards to others, finishes the requests that it has, and\ngoes on as an ingress. Watch its shards go with \"show assignment\".",
 		example: "magnoliaturn drain riga-old-town-1",
 		flags:   at.flags,
-		run: func(ctx context.Context, args []string) error {
-			if err := need(args, 1, 1, "DAEMON"); err != nil {
-				return err
-			}
-			client, err := at.client()
-			if err != nil {
-				return err
-			}
+		run: at.run(1, 1, "DAEMON", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			d, err := client.Drain(ctx, mtid.Daemon(args[0]))
 			if err != nil {
 				return err
 			}
 			c.show(d, []string{"DAEMON", "STATE"}, [][]string{{string(d.Daemon), d.State}})
 			return nil
-		},
+		}),
 	}
 }
 
