Call the print of a request a mark where print is a built-in

Cause: the linter found a parameter that hides a built-in function. Ruled out: nothing. Change: names only.

--- a/core/mtattempt/mtattempt.go
+++ b/core/mtattempt/mtattempt.go
@@ -36,7 +36,7 @@
 
 // attempt is a try that failed.
 type attempt struct {
-	print    mtpoison.Print
+	mark     mtpoison.Print
 	first    mtclock.Instant // arrival of its caller's first try
 	deadline mtclock.Instant
 }
@@ -56,12 +56,12 @@
 // Recall returns when the first try of a request arrived that arrives now with a
 // deadline: now, unless it is another try of one that failed. Each failure is
 // followed by one try at most, so it is forgotten then.
-func (a *Attempts) Recall(now mtclock.Instant, print mtpoison.Print, deadline mtclock.Instant) mtclock.Instant {
-	if a.known[print] == 0 {
+func (a *Attempts) Recall(now mtclock.Instant, mark mtpoison.Print, deadline mtclock.Instant) mtclock.Instant {
+	if a.known[mark] == 0 {
 		return now
 	}
 	i := slices.IndexFunc(a.recent, func(t attempt) bool {
-		return t.print == print && near(t.deadline, deadline)
+		return t.mark == mark && near(t.deadline, deadline)
 	})
 	if i < 0 {
 		return now
@@ -78,18 +78,18 @@
 
 // Failed remembers a try that was not answered with success, whose caller's first
 // try arrived at first. After the deadline nobody asks again.
-func (a *Attempts) Failed(now mtclock.Instant, print mtpoison.Print, first, deadline mtclock.Instant) {
+func (a *Attempts) Failed(now mtclock.Instant, mark mtpoison.Print, first, deadline mtclock.Instant) {
 	for len(a.recent) > 0 && (len(a.recent) >= a.most || a.recent[0].deadline.Before(now)) {
 		a.forget(0)
 	}
-	a.recent = append(a.recent, attempt{print: print, first: first, deadline: deadline})
-	a.known[print]++
+	a.recent = append(a.recent, attempt{mark: mark, first: first, deadline: deadline})
+	a.known[mark]++
 }
 
 func (a *Attempts) forget(i int) {
-	print := a.recent[i].print
+	mark := a.recent[i].mark
 	a.recent = slices.Delete(a.recent, i, i+1)
-	if a.known[print]--; a.known[print] == 0 {
-		delete(a.known, print)
+	if a.known[mark]--; a.known[mark] == 0 {
+		delete(a.known, mark)
 	}
 }
