Keep slots for nested requests at slow servers; give keys only where there is room

Cause: after a loss of power every key is cold and valuations take six times as long. They took every slot for seconds although none could be in time, and the collateral checks of the loan desk found none before their deadline, so that its lookups failed too. Owners meanwhile gave keys to others that had as much more than they could do, and callers waited for the releases (a hundred refusals 'moving' a second for six seconds).

Ruled out: the time until servers are known (0.5 s after their start).

Change: while nested requests come, requests that can't meet their objective have half of the slots; relief brings others to 1.2 of their slots at most.

--- a/core/mtgate/flow.go
+++ b/core/mtgate/flow.go
@@ -49,6 +49,7 @@
 	Started mtclock.Instant
 	GiveUp  mtclock.Instant // refused then if it still waits
 	held    *stop
+	late    bool // started although it could not meet its objective, under Urgent
 }
 
 // service returns how long the entry is expected to run.
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -222,6 +222,7 @@
 	delete(g.running, number)
 	ran := now.Sub(e.Started)
 	e.Flow.ended(ran)
+	g.order.Ended(e)
 	g.counts.Busy += ran
 	if e.Ticket.Alone {
 		g.loneRuns = false
@@ -322,7 +323,7 @@
 		g.enterLone(e)
 		return
 	}
-	if g.free() && g.order.Len() == 0 && !g.loneFirst(now) {
+	if g.free() && g.order.Len() == 0 && !g.loneFirst(now) && g.order.Admits(now, e, g.capacity()) {
 		g.start(now, e)
 		return
 	}
@@ -395,7 +396,7 @@
 			g.startLone(now)
 			return
 		}
-		e := g.order.Next(now)
+		e := g.order.Next(now, g.capacity())
 		if e == nil {
 			return
 		}
@@ -432,6 +433,7 @@
 	e.Started = now
 	g.running[e.Ticket.Number] = e
 	e.Flow.started(now, e)
+	g.order.Started(now, e)
 	for _, s := range g.stops {
 		if s.covers(e.Ticket.Point) {
 			s.inFlight++
--- a/core/mtgate/order.go
+++ b/core/mtgate/order.go
@@ -13,8 +13,15 @@
 	Join(f *Flow)
 	// Push lets e wait.
 	Push(e *Entry)
-	// Next takes out the entry that starts now, or returns nil.
-	Next(now mtclock.Instant) *Entry
+	// Next takes out the entry that starts now, at a server that runs so many
+	// requests at once, or returns nil.
+	Next(now mtclock.Instant, slots int) *Entry
+	// Admits reports whether e, which arrives now while nothing waits, may have a
+	// free slot.
+	Admits(now mtclock.Instant, e *Entry, slots int) bool
+	// Started and Ended tell what runs.
+	Started(now mtclock.Instant, e *Entry)
+	Ended(e *Entry)
 	// Remove takes out a waiting entry.
 	Remove(e *Entry)
 	// Victim returns the waiting entry that gives way to e, or nil if e itself
@@ -52,6 +59,15 @@
 // Retry implements Order.
 func (patiently) Retry(_ *Entry, wait time.Duration) time.Duration { return wait }
 
+// Admits implements Order.
+func (patiently) Admits(mtclock.Instant, *Entry, int) bool { return true }
+
+// Started implements Order.
+func (patiently) Started(mtclock.Instant, *Entry) {}
+
+// Ended implements Order.
+func (patiently) Ended(*Entry) {}
+
 // inTime returns the earlier of patient and when e has to start to end before its
 // deadline.
 func inTime(e *Entry, patient mtclock.Instant) mtclock.Instant {
@@ -78,7 +94,7 @@
 }
 
 // Next implements Order.
-func (o *FIFO) Next(mtclock.Instant) *Entry {
+func (o *FIFO) Next(mtclock.Instant, int) *Entry {
 	if len(o.queue) == 0 {
 		return nil
 	}
@@ -177,7 +193,7 @@
 }
 
 // Next implements Order.
-func (o *Fair) Next(mtclock.Instant) *Entry {
+func (o *Fair) Next(mtclock.Instant, int) *Entry {
 	t := o.pickTenant()
 	if t == nil {
 		return nil
--- a/core/mtgate/urgent.go
+++ b/core/mtgate/urgent.go
@@ -25,9 +25,17 @@
 //  4. The earlier objective, less the time that the request takes.
 //
 // When the gate is full, the request that would start last gives way.
+//
+// While nested requests come, those that can't meet their objective have half of
+// the slots at most. It answers the pattern of a server that has become slow,
+// after a loss of power by six times: every request was late, each held its slot
+// for seconds, and nested ones that take a tenth of that found no slot free before
+// their deadlines. The servers that waited for them lost what they had done.
 type Urgent struct {
 	patiently
 	waiting []*Entry
+	late    int             // run although they can't meet their objective
+	nested  mtclock.Instant // the last nested request
 }
 
 // NewUrgent returns an empty Urgent.
@@ -38,24 +46,67 @@
 
 // Push implements Order.
 func (o *Urgent) Push(e *Entry) {
+	if e.Ticket.Nested {
+		o.nested = e.Arrival
+	}
 	o.waiting = append(o.waiting, e)
 	e.Flow.queue = append(e.Flow.queue, e)
 }
 
 // Next implements Order.
-func (o *Urgent) Next(now mtclock.Instant) *Entry {
+func (o *Urgent) Next(now mtclock.Instant, slots int) *Entry {
 	var best *Entry
 	for _, e := range o.waiting {
 		if best == nil || before(now, e, best) {
 			best = e
 		}
 	}
-	if best != nil {
-		o.Remove(best)
+	if best == nil || !o.Admits(now, best, slots) {
+		return nil
 	}
+	o.Remove(best)
 	return best
 }
 
+const (
+	// latePortion is the part of the slots, one over it, that requests may have
+	// which can't meet their objective.
+	latePortion = 2
+	// nestedMemory is how long after a nested request others are expected.
+	nestedMemory = time.Second
+)
+
+// Admits implements Order. What can't meet its objective comes last in the order,
+// so nothing else waits if it is not admitted.
+func (o *Urgent) Admits(now mtclock.Instant, e *Entry, slots int) bool {
+	if e.Ticket.Nested || !lost(now, e) || now.Sub(o.nested) > nestedMemory {
+		return true
+	}
+	return o.late < max(slots/latePortion, 1)
+}
+
+// lost reports whether e can't meet its objective any more.
+func lost(now mtclock.Instant, e *Entry) bool {
+	return e.Ticket.Objective != 0 && now.After(latestStart(e))
+}
+
+// Started implements Order.
+func (o *Urgent) Started(now mtclock.Instant, e *Entry) {
+	if e.Ticket.Nested {
+		o.nested = now
+	} else if lost(now, e) {
+		e.late = true
+		o.late++
+	}
+}
+
+// Ended implements Order.
+func (o *Urgent) Ended(e *Entry) {
+	if e.late {
+		o.late--
+	}
+}
+
 // before reports whether e starts before f.
 func before(now mtclock.Instant, e, f *Entry) bool {
 	if e.Ticket.Nested != f.Ticket.Nested {
--- a/core/mtgate/urgent_test.go
+++ b/core/mtgate/urgent_test.go
@@ -78,3 +78,31 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, refused.Ticket.Number, mtgate.Number(2))
 }
+
+// All VMs lost power and every key is cold: valuations take 2.5 s, three times their
+// objective. They took every slot, and the collateral checks of the loan desk, which
+// take a quarter of a second, found none before their deadline.
+func TestNestedRequestsFindSlotsAtASlowServer(t *testing.T) {
+	gate := urgentGate(4)
+	gate.Expect("", "look", 2500*time.Millisecond)
+	number := mtgate.Number(0)
+	offer := func(now time.Duration, class mtid.Class, nested bool) int {
+		number++
+		return len(started(gate.Offer(at(now), mtgate.Ticket{
+			Number: number, Class: class, Nested: nested, Objective: at(now + 800*time.Millisecond), Deadline: at(now + 8*time.Second),
+		})))
+	}
+	assert.Equal(t, offer(0, "check", true), 1)
+	running := 0
+	for range 6 {
+		running += offer(time.Millisecond, "look", false)
+	}
+	assert.Equal(t, running, 2, "late requests have half of the slots")
+	assert.Equal(t, offer(2*time.Millisecond, "check", true), 1)
+	assert.Equal(t, offer(3*time.Millisecond, "check", true), 0, "all slots are in use")
+	// The one that waits goes first; once nobody asks for others, late ones have
+	// all slots.
+	assert.DeepEqual(t, started(gate.Done(at(4*time.Millisecond), 1)), []mtgate.Number{number})
+	assert.Equal(t, len(started(gate.Done(at(5*time.Millisecond), number))), 0, "a slot is kept")
+	assert.Equal(t, offer(1200*time.Millisecond, "look", false), 1)
+}
--- a/core/mtrange/relief.go
+++ b/core/mtrange/relief.go
@@ -22,6 +22,10 @@
 	// strangerPart is what a server that has no keys yet gets of an owner's
 	// work, at most: it has just started and is slow.
 	strangerPart = 0.5
+	// full is the load up to which others are given work. Where all have more than
+	// they can do, as after a loss of power while every key is cold, one that is
+	// moved is served no sooner, and its callers wait for the release.
+	full = 1.2
 	// leastGift is the least work, in slots, that is worth the pause of a move and
 	// one more range in the assignment.
 	leastGift = 1.0
@@ -74,7 +78,7 @@
 			takers = append(takers, o)
 		}
 	}
-	level := level(self, takers)
+	level := min(level(self, takers), full)
 	var gifts []Gift
 	for _, o := range takers {
 		if o.Keys > 0 && self.load()-level < minGap {
