--- a/io/mtcommand/show.go
+++ b/io/mtcommand/show.go
@@ -68,7 +68,7 @@
 		help:    "Lists every daemon with its zone, state, witnesses and backend servers.",
 		example: "magnoliaturn show roster",
 		flags:   at.flags,
-		run: at.run(0, 0, "no arguments", func(ctx context.Context, client *mtadmin.Client, args []string) error {
+		run: at.run(0, 0, "no arguments", func(ctx context.Context, client *mtadmin.Client, _ []string) error {
 			page, err := client.Roster(ctx)
 			if err != nil {
 				return err
