Give newcomers work where there are many owners

Cause: found when reading the change: since a gift has to be a slot at least, a server that joins forty others got nothing, as each gives it a fortieth of its work. Ruled out: small deployments (five owners give it a slot each). Change: some owners, drawn by lot from the two names, give a whole slot.

--- a/core/mtrange/mtrange_test.go
+++ b/core/mtrange/mtrange_test.go
@@ -256,3 +256,22 @@
 	meter.Forget(now, 100, 199)
 	assert.Assert(t, meter.Demand(now) < 0.1, "%.1f slots", meter.Demand(now))
 }
+
+// A server joins forty others, none of which has too much. Each gives it a fortieth
+// of its work, which is not worth a move, and it would stand idle for good.
+func TestANewcomerAmongManyGetsWork(t *testing.T) {
+	var owned []mtrange.Standing
+	for n := range 40 {
+		owned = append(owned, mtrange.Standing{Owner: owner(n), Slots: 9, Demand: 6, Service: time.Second, Keys: 1600, Known: true})
+	}
+	newcomer := mtrange.Standing{Owner: owner(40), Slots: 9}
+	given := 0.0
+	for n, self := range owned {
+		others := append([]mtrange.Standing{newcomer}, owned[:n]...)
+		for _, g := range mtrange.Relief(self, append(others, owned[n+1:]...)) {
+			assert.Equal(t, g.To, newcomer.Owner)
+			given += g.Amount
+		}
+	}
+	assert.Assert(t, given >= 2 && given <= 12, "%.1f slots", given)
+}
--- a/core/mtrange/relief.go
+++ b/core/mtrange/relief.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 )
@@ -128,8 +131,20 @@
 	if s.Keys > 0 {
 		return room
 	}
-	// All owners give to a newcomer at the same time.
-	return min(room, owner.Demand*strangerPart/float64(others+1)*2)
+	// All owners give to a newcomer at the same time. Where there are many, a part
+	// of each one's work would not be worth a move: some give a whole gift instead,
+	// drawn by lot.
+	part := min(room, owner.Demand*strangerPart/float64(others+1)*2)
+	if part < leastGift && part > leastGift*lot(owner.Owner, s.Owner) {
+		return leastGift
+	}
+	return part
+}
+
+// lot returns a number from 0 to 1 that is always the same for two owners.
+func lot(a, b Owner) float64 {
+	sum := xxhash.Sum64String(string(a.Server) + "\x00" + string(b.Server))
+	return float64(sum) / math.MaxUint64
 }
 
 // ratio returns how much longer work takes there than here, within bounds that
