--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -293,6 +293,32 @@
 	assert.Equal(t, s.cause(false), mtreply.CauseNoServer)
 }
 
+// A leaving server takes no new connections but works on, and holds its keys. Its
+// daemon was refused three connections, said that the process had ended, and others
+// took the keys over: two servers held them for half a second.
+func TestALeavingServerThatRefusesConnectionsHasNotEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	s := newStand(t, address)
+	s.ready("one")
+	leaving := s.beat("one", 2)
+	leaving.Address, leaving.Draining = address, true
+	s.host.Beat(leaving)
+	s.until("it is leaving", func(r mtbackend.Record) bool { return r.State == mtbackend.Draining })
+	s.server.mu.Lock()
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer}
+	}
+	s.server.mu.Unlock()
+	for range 10 {
+		s.cause(true)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, s.record().State, mtbackend.Draining)
+	}
+}
+
 // A daemon that stops can't tell others while the store is away. It refuses what
 // can go elsewhere itself, and goes on with keys.
 func TestAStoppingDaemonRefusesWhatCanGoElsewhere(t *testing.T) {
