Let one piece serve where the last changes wrote two

Cause: read once more as a whole. The same filter of members stood in three places, the split of a range around some keys in two, the decay of measured work in three, whether a call is late in two, parallel moves in two, a delayed look after news in two, and a duty's loop with a wake beside mtduty's. The host kept what a route usually takes twice. A newcomer's part was a constant of a half times two.

Ruled out: behaviour. A half times two is one; concatenation copies, so the clone before it did nothing.

Change: View.Serving, Range.around, left, Call.Late, full, moveAll, soon, assigned, mtduty.EveryOr; the host keeps the routes themselves; orders that keep no slot say so by a part of their own.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -85,6 +85,12 @@
 	return mtpoison.Print(d.Sum64())
 }
 
+// Late reports whether the call can't meet its objective any more if it takes so
+// long. A nested call has none of its own.
+func (c *Call) Late(now mtclock.Instant, takes time.Duration) bool {
+	return !c.Nested && c.Objective != 0 && now.Add(takes).After(c.Objective)
+}
+
 // Load is how loaded a backend server is, as its daemon counts it.
 type Load struct {
 	Running int
--- a/core/mtgate/order.go
+++ b/core/mtgate/order.go
@@ -59,14 +59,17 @@
 // Retry implements Order.
 func (patiently) Retry(_ *Entry, wait time.Duration) time.Duration { return wait }
 
+// unreserved is the part of an Order that keeps no slot for anybody.
+type unreserved struct{}
+
 // Admits implements Order.
-func (patiently) Admits(mtclock.Instant, *Entry, int) bool { return true }
+func (unreserved) Admits(mtclock.Instant, *Entry, int) bool { return true }
 
 // Started implements Order.
-func (patiently) Started(mtclock.Instant, *Entry) {}
+func (unreserved) Started(mtclock.Instant, *Entry) {}
 
 // Ended implements Order.
-func (patiently) Ended(*Entry) {}
+func (unreserved) Ended(*Entry) {}
 
 // inTime returns the earlier of patient and when e has to start to end before its
 // deadline.
@@ -78,6 +81,7 @@
 // who finds the queue full is refused.
 type FIFO struct {
 	patiently
+	unreserved
 	queue []*Entry
 }
 
@@ -152,6 +156,7 @@
 // request of its lowest priority.
 type Fair struct {
 	patiently
+	unreserved
 	guaranteed float64
 	virtual    float64
 	tenants    []*tenant
--- a/core/mtrange/meter.go
+++ b/core/mtrange/meter.go
@@ -50,10 +50,14 @@
 	grownUp = 2 * MeterMemory
 )
 
+// left returns what is left of measured work after a time, as a part.
+func left(passed time.Duration) float64 {
+	return math.Exp(-passed.Seconds() / MeterMemory.Seconds())
+}
+
 // share returns the part of the work that has come into the measurement by now.
 func (s *span) share(now mtclock.Instant) float64 {
-	age := max(now.Sub(s.since), leastAge)
-	return 1 - math.Exp(-age.Seconds()/MeterMemory.Seconds())
+	return 1 - left(max(now.Sub(s.since), leastAge))
 }
 
 func (s *span) covers(key mtid.Number) bool { return s.low <= key && key <= s.high }
@@ -61,7 +65,7 @@
 // add counts work of the span's keys, and lets the past count less.
 func (s *span) add(now mtclock.Instant, work float64) {
 	if passed := now.Sub(s.at); passed > 0 {
-		s.sum *= math.Exp(-passed.Seconds() / MeterMemory.Seconds())
+		s.sum *= left(passed)
 		s.at = now
 	}
 	s.sum += work
@@ -150,7 +154,7 @@
 		return
 	}
 	m.at = now
-	factor := math.Exp(-passed.Seconds() / MeterMemory.Seconds())
+	factor := left(passed)
 	m.sum *= factor
 	m.scale *= factor
 	if m.scale >= rescaleAt {
--- a/core/mtrange/mtrange.go
+++ b/core/mtrange/mtrange.go
@@ -167,16 +167,22 @@
 	}
 	whole := t.Ranges[i]
 	next := &Table{Service: t.Service, Next: t.Next + 1}
-	next.Ranges = append(next.Ranges, t.Ranges[:i]...)
-	if whole.Low < low {
-		next.Ranges = append(next.Ranges, part(whole, whole.Low, low-1))
+	before, after := whole.around(low, high)
+	moved := Range{Low: low, High: high, Owner: to, Epoch: t.Next, Warmth: warmth}
+	next.Ranges = slices.Concat(t.Ranges[:i], before, []Range{moved}, after, t.Ranges[i+1:])
+	return next, nil
+}
+
+// around returns what is left of a range before and behind the keys from low to
+// high, which lie in it: one part each, or none.
+func (r Range) around(low, high mtid.Number) (before, after []Range) {
+	if r.Low < low {
+		before = []Range{part(r, r.Low, low-1)}
 	}
-	next.Ranges = append(next.Ranges, Range{Low: low, High: high, Owner: to, Epoch: t.Next, Warmth: warmth})
-	if high < whole.High {
-		next.Ranges = append(next.Ranges, part(whole, high+1, whole.High))
+	if high < r.High {
+		after = []Range{part(r, high+1, r.High)}
 	}
-	next.Ranges = append(next.Ranges, t.Ranges[i+1:]...)
-	return next, nil
+	return before, after
 }
 
 // part returns the keys from low to high of a range, with all else as it is.
--- a/core/mtrange/relief.go
+++ b/core/mtrange/relief.go
@@ -22,9 +22,6 @@
 	// busy is the load below which an owner keeps what it has: hardly anybody
 	// waits there, whatever others have.
 	busy = 0.85
-	// strangerPart is what a server that has no keys yet gets of an owner's
-	// work, at most: it has just started and is slow.
-	strangerPart = 0.5
 	// full is the load up to which others are given work. Where all have more than
 	// they can do, as after a loss of power while every key is cold, one that is
 	// moved is served no sooner, and its callers wait for the release.
@@ -56,6 +53,10 @@
 // load returns the offered work as a share of the slots.
 func (s Standing) load() float64 { return s.Demand / s.slots() }
 
+// newcomer reports whether the server has no keys yet. Nothing is known of its load
+// then, and nothing needs to be.
+func (s Standing) newcomer() bool { return s.Keys == 0 }
+
 // Overloaded reports whether the server may have work to give away, so that it is
 // worth asking others how they are.
 func (s Standing) Overloaded() bool { return s.load() >= busy }
@@ -77,14 +78,14 @@
 func Relief(self Standing, others []Standing) []Gift {
 	var takers []Standing
 	for _, o := range others {
-		if o.Keys == 0 || (o.Known && self.load() >= busy && o.load() < self.load()) {
+		if o.newcomer() || (o.Known && self.load() >= busy && o.load() < self.load()) {
 			takers = append(takers, o)
 		}
 	}
 	level := min(level(self, takers), full)
 	var gifts []Gift
 	for _, o := range takers {
-		if o.Keys > 0 && self.load()-level < minGap {
+		if !o.newcomer() && self.load()-level < minGap {
 			continue
 		}
 		if amount := o.room(self, level, len(others)); amount >= leastGift {
@@ -128,13 +129,13 @@
 // room returns how much of the owner's work the server is given.
 func (s Standing) room(owner Standing, level float64, others int) float64 {
 	room := s.below(owner, level)
-	if s.Keys > 0 {
+	if !s.newcomer() {
 		return room
 	}
 	// All owners give to a newcomer at the same time. Where there are many, a part
 	// of each one's work would not be worth a move: some give a whole gift instead,
 	// drawn by lot.
-	part := min(room, owner.Demand*strangerPart/float64(others+1)*2)
+	part := min(room, owner.Demand/float64(others+1))
 	if part < leastGift && part > leastGift*lot(owner.Owner, s.Owner) {
 		return leastGift
 	}
@@ -165,7 +166,6 @@
 // CutAll finds a run of keys for each gift, as Cut does, none of which overlap.
 // Gifts for which there is none are left out.
 func CutAll(now mtclock.Instant, ranges []Range, meter *Meter, gifts []Gift) []Run {
-	ranges = slices.Clone(ranges)
 	var runs []Run
 	for _, g := range gifts {
 		low, high, ok := Cut(now, ranges, meter, g.Amount)
@@ -174,14 +174,8 @@
 		}
 		runs = append(runs, Run{Low: low, High: high, To: g.To})
 		i := slices.IndexFunc(ranges, func(r Range) bool { return r.Covers(low) })
-		var left []Range
-		if r := ranges[i]; r.Low < low {
-			left = append(left, part(r, r.Low, low-1))
-		}
-		if r := ranges[i]; high < r.High {
-			left = append(left, part(r, high+1, r.High))
-		}
-		ranges = slices.Concat(ranges[:i], left, ranges[i+1:])
+		before, after := ranges[i].around(low, high)
+		ranges = slices.Concat(ranges[:i], before, after, ranges[i+1:])
 	}
 	return runs
 }
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -83,6 +83,17 @@
 	newest   mtid.Version // of all of these
 }
 
+// Serving returns the members whose servers take new work for a service.
+func (v *View) Serving(service mtid.Service) []Member {
+	var serving []Member
+	for _, m := range v.Members {
+		if m.Service == service && m.Takes() && !m.Lapsed {
+			serving = append(serving, m)
+		}
+	}
+	return serving
+}
+
 // Directory keeps the copy. See the package comment.
 type Directory struct {
 	Config
@@ -213,7 +224,7 @@
 // whole returns an entry as it stands in the store. Another daemon may have told
 // only what has changed of an assignment.
 func (d *Directory) whole(v *View, e mtstore.Entry) (mtstore.Entry, error) {
-	service, assignment := strings.CutPrefix(e.Name, mtstore.Range)
+	service, assignment := assigned(e)
 	if !assignment || e.Version == 0 {
 		return e, nil
 	}
@@ -221,7 +232,7 @@
 	if err != nil || patch == nil {
 		return e, err
 	}
-	own, ok := v.Assignments[mtid.Service(service)]
+	own, ok := v.Assignments[service]
 	if !ok {
 		return e, &mtrange.PatchError{Service: patch.Service, Since: patch.Since}
 	}
@@ -237,6 +248,12 @@
 	return e, err
 }
 
+// assigned returns the service whose assignment an entry is, or false.
+func assigned(e mtstore.Entry) (mtid.Service, bool) {
+	service, ok := strings.CutPrefix(e.Name, mtstore.Range)
+	return mtid.Service(service), ok
+}
+
 // missing returns the deletions that a whole reading shows: what was known and
 // is no longer there. It is called with mu held.
 func (d *Directory) missing(u mtwatch.Update) []mtstore.Entry {
@@ -327,11 +344,11 @@
 // daemon that knows it up to an epoch.
 func (d *Directory) patched(e mtstore.Entry, epochs Epochs) mtstore.Entry {
 	epoch, known := epochs[e.Name]
-	service, assignment := strings.CutPrefix(e.Name, mtstore.Range)
+	service, assignment := assigned(e)
 	if !known || !assignment || e.Version == 0 {
 		return e
 	}
-	a, ok := d.Now().Assignments[mtid.Service(service)]
+	a, ok := d.Now().Assignments[service]
 	if !ok || a.Version != e.Version || a.Next < epoch {
 		return e
 	}
@@ -367,7 +384,7 @@
 }
 
 func (d *Directory) takeAssignment(v *View, e mtstore.Entry) {
-	service := mtid.Service(strings.TrimPrefix(e.Name, mtstore.Range))
+	service, _ := assigned(e)
 	if e.Version == 0 {
 		d.Log.Error("assignment deleted", "service", service)
 		return
--- a/io/mtduty/mtduty.go
+++ b/io/mtduty/mtduty.go
@@ -22,6 +22,11 @@
 // function ends the duty: it cancels the step's context and waits for the step
 // to return. It may be called more than once.
 func Every(period time.Duration, step func(ctx context.Context)) func() {
+	return EveryOr(period, nil, step)
+}
+
+// EveryOr is Every, with a step also whenever wake has something.
+func EveryOr(period time.Duration, wake <-chan struct{}, step func(ctx context.Context)) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var duty sync.WaitGroup
 	duty.Go(func() {
@@ -32,11 +37,12 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				// Both may be ready at once, and select draws then: without
-				// this look a step would begin after the stop.
-				if ctx.Err() == nil {
-					step(ctx)
-				}
+			case <-wake:
+			}
+			// The stop may be ready as well, and select draws then: without this
+			// look a step would begin after it.
+			if ctx.Err() == nil {
+				step(ctx)
 			}
 		}
 	})
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -46,12 +46,11 @@
 		g.Log.Warn("leaving server keeps its keys: no other takes them", "ranges", len(owned))
 		return
 	}
-	var moves sync.WaitGroup
+	var runs []mtrange.Run
 	for i, r := range owned {
-		to := survivors[i%len(survivors)]
-		moves.Go(func() { g.move(ctx, r, r.Low, r.High, to, "server is leaving") })
+		runs = append(runs, mtrange.Run{Low: r.Low, High: r.High, To: survivors[i%len(survivors)]})
 	}
-	moves.Wait()
+	g.moveAll(ctx, owned, runs, "server is leaving")
 }
 
 // relieve moves some keys if this server has too much work. It returns at once:
@@ -79,8 +78,8 @@
 		return
 	}
 	g.Log.Info("relief", "demand", self.Demand, "slots", self.Slots, "service", self.Service.String(), "runs", len(runs), "others", len(others))
-	g.duties.Go(func() {
-		g.moveAll(ctx, owned, runs)
+	g.reliefs.Go(func() {
+		g.moveAll(ctx, owned, runs, "relief")
 		g.mu.Lock()
 		g.relieving, g.moved = false, g.Clock.Now()
 		g.mu.Unlock()
@@ -99,14 +98,14 @@
 }
 
 // moveAll moves runs of the owned ranges, all at the same time.
-func (g *Grants) moveAll(ctx context.Context, owned []mtrange.Range, runs []mtrange.Run) {
+func (g *Grants) moveAll(ctx context.Context, owned []mtrange.Range, runs []mtrange.Run, why string) {
 	var moves sync.WaitGroup
 	for _, run := range runs {
 		i := slices.IndexFunc(owned, func(r mtrange.Range) bool { return r.Covers(run.Low) })
 		if i < 0 {
 			continue
 		}
-		moves.Go(func() { g.move(ctx, owned[i], run.Low, run.High, run.To, "relief") })
+		moves.Go(func() { g.move(ctx, owned[i], run.Low, run.High, run.To, why) })
 	}
 	moves.Wait()
 }
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -151,8 +151,8 @@
 	counted   int             // servers that were there at countedAt
 	countedAt mtclock.Instant // steady
 
-	writing sync.Mutex // one write of transfers at a time
-	duties  sync.WaitGroup
+	writing sync.Mutex     // one write of transfers at a time
+	reliefs sync.WaitGroup // those under way
 	// noticed is since when owners have been found lost, by the steady clock. Only
 	// the duty that takes over looks.
 	noticed map[mtrange.Owner]mtclock.Instant
@@ -164,14 +164,15 @@
 	config.Directory.OnChange(g.Wake)
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stopping = ctx
-	g.duties.Go(func() { g.loop(ctx) })
-	stopTaker := mtduty.Every(takePeriod, func(ctx context.Context) { g.take(ctx) })
-	stopBalance := mtduty.Every(balancePeriod, func(ctx context.Context) { g.balance(ctx) })
+	stopRenewal := mtduty.EveryOr(period, g.wake, g.renew)
+	stopTaker := mtduty.Every(takePeriod, g.take)
+	stopBalance := mtduty.Every(balancePeriod, g.balance)
 	return g, func() {
 		cancel()
+		stopRenewal()
 		stopTaker()
 		stopBalance()
-		g.duties.Wait()
+		g.reliefs.Wait()
 	}
 }
 
@@ -183,20 +184,6 @@
 	}
 }
 
-func (g *Grants) loop(ctx context.Context) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-g.wake:
-		}
-		g.renew(ctx)
-	}
-}
-
 // Holds fails with a *mtreply.RefusedError unless the server was granted the
 // key.
 func (g *Grants) Holds(server mtid.Server, key mtid.Number) error {
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -61,10 +61,8 @@
 // order that all daemons share.
 func (g *Grants) survivors(view *mtdirectory.View) []mtrange.Owner {
 	var out []mtrange.Owner
-	for _, m := range view.Members {
-		if m.Service == g.Service && m.Takes() && !m.Lapsed {
-			out = append(out, m.Owner())
-		}
+	for _, m := range view.Serving(g.Service) {
+		out = append(out, m.Owner())
 	}
 	slices.SortFunc(out, mtrange.Owner.Compare)
 	return out
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -19,8 +19,7 @@
 	h.meterMu.Lock()
 	defer h.meterMu.Unlock()
 	takes := h.expected(call.Route)
-	late := call.Objective != 0 && !call.Nested && now.Add(takes).After(call.Objective)
-	if call.Keyed && !call.Repeat && !late {
+	if call.Keyed && !call.Repeat && !call.Late(now, takes) {
 		h.meter.Arrive(now, call.Key, takes)
 	}
 }
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -107,7 +107,7 @@
 	address  string
 	ended    map[mtid.Server]bool // lives that are over
 	door     *iogate.Door[*mtgate.Urgent]
-	classes  []class
+	routes   []mtroute.Route
 	drains   mtclock.Instant // Draining: no new work from then on; zero if not draining
 	checking bool
 	clearing bool
@@ -161,21 +161,18 @@
 func (h *Host) newDoor() *iogate.Door[*mtgate.Urgent] {
 	limits := mtgate.Limits{Waiting: waiting, Patience: 1}
 	door := iogate.New(h.Clock, mtgate.NewUrgent(), limits, quiet)
-	for _, c := range h.classes {
-		c.declare(door)
+	for _, r := range h.routes {
+		declare(door, r)
 	}
 	return door
 }
 
-// class is a class of calls that the gate tells apart.
-type class struct {
-	mtbundle.Class
-	usual time.Duration // that a call takes
-}
-
-func (c class) declare(door *iogate.Door[*mtgate.Urgent]) {
-	door.Declare("", c.Class)
-	door.Expect("", c.Name, c.usual)
+// declare makes a route known to a gate, as a class of calls.
+func declare(door *iogate.Door[*mtgate.Urgent], r mtroute.Route) {
+	// Routes rank the most urgent lowest, classes highest.
+	class := mtbundle.Class{Name: r.Name, Idempotent: r.Idempotent, Timeout: r.Timeout, Priority: -r.Priority, Queue: waiting}
+	door.Declare("", class)
+	door.Expect("", r.Name, r.Usual())
 }
 
 // Declare sets the classes of calls that the gate tells apart: the routes of the
@@ -183,20 +180,12 @@
 func (h *Host) Declare(routes []mtroute.Route) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.routes = routes
 	h.meterMu.Lock()
+	defer h.meterMu.Unlock()
 	for _, r := range routes {
 		h.usual[r.Name] = r.Usual()
-	}
-	h.meterMu.Unlock()
-	h.classes = h.classes[:0]
-	for _, r := range routes {
-		// Routes rank the most urgent lowest, classes highest.
-		c := class{
-			Class: mtbundle.Class{Name: r.Name, Idempotent: r.Idempotent, Timeout: r.Timeout, Priority: -r.Priority, Queue: waiting},
-			usual: r.Usual(),
-		}
-		h.classes = append(h.classes, c)
-		c.declare(h.door)
+		declare(h.door, r)
 	}
 }
 
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -210,7 +210,10 @@
 	}
 	state.tried = append(state.tried, holder(member))
 	state.bounced++
-	if full(refused.Cause) && late(s.Clock.Now(), call) {
+	// A call that is late already isn't worth looking for room in other zones: it
+	// would take the slots of calls that are still in time, and the bytes cost more
+	// than a late answer is worth.
+	if full(refused.Cause) && call.Late(s.Clock.Now(), call.Usual) {
 		return false
 	}
 	return state.bounced <= bounces
@@ -221,14 +224,6 @@
 	return cause == mtreply.CauseShed || cause == mtreply.CauseQueueFull
 }
 
-// late reports whether a call can't meet its objective any more. If it is refused
-// for load then, it isn't worth looking for room in other zones: it would take the
-// slots of calls that are still in time, and the bytes cost more than a late
-// answer is worth.
-func late(now mtclock.Instant, call *mtcall.Call) bool {
-	return !call.Nested && call.Objective != 0 && now.Add(call.Usual).After(call.Objective)
-}
-
 // holder names a member for the choice policy.
 func holder(m mtdirectory.Member) mtid.Holder { return mtid.Holder{Daemon: m.Daemon, Incarnation: 1} }
 
@@ -348,11 +343,12 @@
 		return mtchoice.Good
 	}
 	if errors.As(err, &refused) {
+		if full(refused.Cause) {
+			return mtchoice.Busy
+		}
 		switch refused.Cause {
 		case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseRefused, mtreply.CauseDraining:
 			return mtchoice.Bad
-		case mtreply.CauseQueueFull, mtreply.CauseShed:
-			return mtchoice.Busy
 		}
 		return mtchoice.Other
 	}
--- a/io/mtmesh/learn.go
+++ b/io/mtmesh/learn.go
@@ -67,11 +67,12 @@
 	changes, err := l.store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		l.direct.Store(false)
+		return changes, err
 	}
-	if err == nil && after != 0 && len(changes.Entries) > 0 {
+	if after != 0 && len(changes.Entries) > 0 {
 		mtduty.Sleep(ctx, gather)
 	}
-	return changes, err
+	return changes, nil
 }
 
 // learn asks another daemon. For a reading of everything it has to know more than
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"magnoliaturn/core/mtid"
@@ -56,34 +57,39 @@
 // watches don't bring it soon.
 func (m *Mesh) hear(theirs mtforward.News) {
 	own := m.tell()
-	if own.Config < theirs.Config && m.asking.CompareAndSwap(false, true) {
-		m.doubtConfiguration(theirs)
+	if own.Config < theirs.Config {
+		soon(&m.asking, doubtAfter, func() { m.doubtConfiguration(theirs) })
 	}
-	if own.Seen < theirs.Seen && m.doubting.CompareAndSwap(false, true) {
-		m.doubtRecords(theirs)
+	if own.Seen < theirs.Seen {
+		soon(&m.doubting, recordsDoubt, func() { m.doubtRecords(theirs) })
 	}
 }
 
-// doubtConfiguration asks for the configuration if nothing brings it soon.
-func (m *Mesh) doubtConfiguration(theirs mtforward.News) {
-	time.AfterFunc(doubtAfter, func() {
-		defer m.asking.Store(false)
-		if own := m.tell(); own.Config < theirs.Config {
-			m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.Config), "newest", uint64(theirs.Config))
-			m.config.Refresh()
-		}
+// soon looks after a while, unless a look is pending already.
+func soon(pending *atomic.Bool, after time.Duration, look func()) {
+	if !pending.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(after, func() {
+		defer pending.Store(false)
+		look()
 	})
 }
 
-// doubtRecords reads everything anew if nothing brings the newer records soon.
+// doubtConfiguration asks for the configuration if nothing has brought it.
+func (m *Mesh) doubtConfiguration(theirs mtforward.News) {
+	if own := m.tell(); own.Config < theirs.Config {
+		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.Config), "newest", uint64(theirs.Config))
+		m.config.Refresh()
+	}
+}
+
+// doubtRecords reads everything anew if nothing has brought the newer records.
 func (m *Mesh) doubtRecords(theirs mtforward.News) {
-	time.AfterFunc(recordsDoubt, func() {
-		defer m.doubting.Store(false)
-		if own := m.tell(); own.Seen < theirs.Seen {
-			m.config.Log.Warn("another daemon has seen newer records", "own", uint64(own.Seen), "newest", uint64(theirs.Seen))
-			mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Resync()
-		}
-	})
+	if own := m.tell(); own.Seen < theirs.Seen {
+		m.config.Log.Warn("another daemon has seen newer records", "own", uint64(own.Seen), "newest", uint64(theirs.Seen))
+		mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Resync()
+	}
 }
 
 // addNews adds the duty that asks for the configuration.
--- a/io/mtmesh/standing.go
+++ b/io/mtmesh/standing.go
@@ -35,10 +35,7 @@
 	peers := mtkernel.Need[*mtforward.Client](m.kernel, NamePeers)
 	now := mtkernel.Need[*mttime.Clock](m.kernel, NameClock).Now()
 	assignment := view.Assignments[m.config.Service]
-	for _, member := range view.Members {
-		if member.Service != m.config.Service || !member.Takes() || member.Lapsed {
-			continue
-		}
+	for _, member := range view.Serving(m.config.Service) {
 		s := mtrange.Standing{
 			Owner: member.Owner(),
 			Slots: member.Slots,
@@ -65,8 +62,8 @@
 	peers := mtkernel.Need[*mtforward.Client](m.kernel, NamePeers)
 	now := mtkernel.Need[*mttime.Clock](m.kernel, NameClock).Now()
 	var stale []mtdirectory.Member
-	for _, member := range mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Now().Members {
-		if member.Service != m.config.Service || member.Daemon == m.config.Daemon || !member.Takes() || member.Lapsed {
+	for _, member := range mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Now().Serving(m.config.Service) {
+		if member.Daemon == m.config.Daemon {
 			continue
 		}
 		if r, ok := peers.Report(member.Daemon); ok && now.Sub(r.At) < surveyFresh {
