Take over a mass loss in steps that the store accepts

Cause: found when reading the change again. A takeover names the record of each lost owner as a condition, and the users' store takes 32 entries in one step. Forty owners found lost at the same moment, as after a loss of power while the store was away, made a write that it rejects, again and again; their keys stayed without an owner. Change: mtstore.MostConditions; one write takes that many owners, the next look the rest; the stand-in rejects more, as the store does.

--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -78,6 +78,11 @@
 	Version mtid.Version
 }
 
+// MostConditions is how many conditions a guarded write may have. The users' store
+// takes 32 entries in one step, and the written name is two of them: what is
+// expected of it and what is put there.
+const MostConditions = 30
+
 // Guarded is a Store that writes one name under conditions on others, all or
 // nothing, and ends leases. Whoever takes over from a lost process has to write
 // in one step with the proof that it is still lost: between two steps it could
@@ -87,8 +92,8 @@
 // names can be compared: the higher one was written later.
 type Guarded interface {
 	Store
-	// SwapIf is Swap under further conditions. It fails like Swap; a
-	// *ConflictError names the first of the conditions that does not hold.
+	// SwapIf is Swap under further conditions, MostConditions of them at most. It
+	// fails like Swap; a *ConflictError names the first of the conditions that does not hold.
 	SwapIf(ctx context.Context, conditions []Condition, name string, expected mtid.Version, value []byte, lease LeaseID) (mtid.Version, error)
 	// End ends a lease, with everything that was written under it. A lease that
 	// is gone already is no failure.
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -325,6 +325,26 @@
 	f.until("and granted", func() bool { return f.port.count("grant") >= 2 })
 }
 
+// All VMs of a large fleet lose power while the store is away, and once it is back
+// forty servers are found lost at the same moment. The store takes no more than
+// thirty conditions in one step; a takeover of all at once was rejected, and tried
+// again for ever.
+func TestAMassLossIsTakenOverInSteps(t *testing.T) {
+	daemons := []mtid.Daemon{"a"}
+	for n := range 40 {
+		daemons = append(daemons, mtid.Daemon(fmt.Sprintf("b%02d", n)))
+	}
+	f := newFleet(t, daemons...)
+	for _, d := range daemons[1:] {
+		f.write(record(d, mtbackend.Ended))
+	}
+	f.start()
+	f.until("all keys are taken over", func() bool {
+		a, ok := f.directory.Now().Assignments[service]
+		return ok && a.Keys(ownerOf("a")) == int(mtid.LastNumber)+1
+	})
+}
+
 // The daemon beside a lost server lives and says so: its server's process is
 // gone, or has another life. Nobody has to wait then.
 func TestKeysOfAnEndedServerAreTakenAtOnce(t *testing.T) {
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -54,6 +54,9 @@
 	if len(lost) == 0 {
 		return
 	}
+	// Each owner is a condition of the write, and what does not fit into one is
+	// still lost at the next look.
+	lost = lost[:min(len(lost), mtstore.MostConditions)]
 	g.takeOver(ctx, view, assignment, lost, survivors)
 }
 
--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -128,6 +128,9 @@
 	if err := s.failure("swap", name); err != nil {
 		return 0, err
 	}
+	if len(conditions) > mtstore.MostConditions {
+		return 0, &mtstore.RejectedError{Op: "swap", Reason: "too many conditions"}
+	}
 	if _, ok := s.leases[lease]; lease != "" && !ok {
 		return 0, &mtstore.LapsedError{Lease: lease}
 	}
