--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -17,6 +17,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"magnoliaturn/core/mtid"
@@ -34,6 +35,11 @@
 	Ended    State = "ended"    // its process is gone; it holds no keys
 )
 
+// known reports whether s is a state that daemons write.
+func (s State) known() bool {
+	return s == Unknown || s == Ready || s == Draining || s == Ended
+}
+
 // Rate is a bandwidth, in Mbit/s.
 type Rate float64
 
@@ -43,7 +49,7 @@
 	Address string       `json:"address"` // of the daemon, for other daemons
 	Zone    mtid.Zone    `json:"zone"`
 	Service mtid.Service `json:"service"`
-	Server  mtid.Server  `json:"server"` // the present life, or the last one if it has ended
+	Life    mtid.Life    `json:"-"` // the present life, or the last one if it has ended
 	Slots   int          `json:"slots"`
 	State   State        `json:"state"`
 	// Link is the bandwidth of the VM's own link. Those with the widest ones tell
@@ -57,7 +63,7 @@
 // Beat is what a backend server says of itself to the daemon beside it, about
 // once a second.
 type Beat struct {
-	Server   mtid.Server
+	Life     mtid.Life
 	Address  string // host:port of its HTTP listener
 	Service  mtid.Service
 	Slots    int
@@ -69,18 +75,18 @@
 }
 
 // Owner returns the life of the server as an owner of keys.
-func (r Record) Owner() mtrange.Owner { return mtrange.Owner{Daemon: r.Daemon, Server: r.Server} }
+func (r Record) Owner() mtrange.Owner { return mtrange.Owner{Daemon: r.Daemon, Life: r.Life} }
 
 // Takes reports whether new work may be sent to the server.
 func (r Record) Takes() bool { return r.State == Ready && !r.Leaving }
 
 // Runs reports whether the record proves that this life of the server may still
 // hold keys: it is the one that the daemon knows, or the daemon knows none yet.
-func (r Record) Runs(server mtid.Server) bool {
+func (r Record) Runs(life mtid.Life) bool {
 	if r.State == Unknown {
 		return true
 	}
-	return r.Server == server && r.State != Ended
+	return r.Life == life && r.State != Ended
 }
 
 // DecodeError says that a stored record can't be read.
@@ -92,23 +98,62 @@
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
+// stored is the form in which a record lies in the platform's store.
+type stored struct {
+	Record
+	Server mtid.Server `json:"server"`
+	Born   mtid.Birth  `json:"born,omitempty"`
+}
+
 // Encode returns the stored form of r.
-func (r Record) Encode() ([]byte, error) { return json.Marshal(r) }
+func (r Record) Encode() ([]byte, error) {
+	return json.Marshal(stored{Record: r, Server: r.Life.Server, Born: r.Life.Born})
+}
 
 // Decode reads a stored record. It fails with a *DecodeError.
+//
+// Somebody else may have written under a daemon's name. Taken at its word, such an
+// entry could name a server to send work to, or make the keys of one that lives
+// look free. So whatever no daemon writes is no record: the last good one holds.
 func Decode(value []byte) (Record, error) {
-	var r Record
-	if err := json.Unmarshal(value, &r); err != nil {
+	var s stored
+	if err := json.Unmarshal(value, &s); err != nil {
 		return Record{}, &DecodeError{Err: err}
 	}
-	if r.Daemon == "" {
-		return Record{}, &DecodeError{Err: errNameless{}}
+	r := s.Record
+	r.Life = mtid.Life{Server: s.Server, Born: s.Born}
+	if err := r.check(); err != nil {
+		return Record{}, &DecodeError{Err: err}
 	}
 	return r, nil
 }
 
-// errNameless says that a record lacks the name of its daemon.
-type errNameless struct{}
+// check returns what no daemon writes into a record, or nil.
+func (r Record) check() error {
+	switch {
+	case r.Daemon == "":
+		return &fieldError{field: "daemon"}
+	case r.Address == "":
+		return &fieldError{field: "address"}
+	case r.Service == "":
+		return &fieldError{field: "service"}
+	case !r.State.known():
+		return &fieldError{field: "state", value: string(r.State)}
+	case r.State != Unknown && r.Life.Server == "":
+		return &fieldError{field: "server"}
+	case r.State == Ready && r.Slots <= 0:
+		return &fieldError{field: "slots", value: strconv.Itoa(r.Slots)}
+	}
+	return nil
+}
+
+// fieldError says which field of a record holds what no daemon writes.
+type fieldError struct{ field, value string }
 
 // Error implements error.
-func (errNameless) Error() string { return fmt.Sprintf("%q is empty", "daemon") }
+func (e *fieldError) Error() string {
+	if e.value == "" {
+		return fmt.Sprintf("%q is empty", e.field)
+	}
+	return fmt.Sprintf("%q can't be %q", e.field, e.value)
+}
--- a/core/mtid/mtid.go
+++ b/core/mtid/mtid.go
@@ -132,7 +132,3 @@
 
 // LastPoint returns the last point that stands for n.
 func (n Number) LastPoint() Point { return n.Point() | (1<<numberShift - 1) }
-
-// Server names one life of a backend server: it has another name after each
-// start.
-type Server string
--- a/core/mtrange/codec.go
+++ b/core/mtrange/codec.go
@@ -105,7 +105,7 @@
 		if !ok {
 			place = uint32(len(w.Owners))
 			places[r.Owner] = place
-			w.Owners = append(w.Owners, &mtwire.RangeOwner{Daemon: string(r.Owner.Daemon), Server: string(r.Owner.Server)})
+			w.Owners = append(w.Owners, wireOwner(r.Owner))
 		}
 		w.Lows = append(w.Lows, uint32(r.Low))
 		w.Highs = append(w.Highs, uint32(r.High))
@@ -118,6 +118,15 @@
 	return proto.MarshalOptions{Deterministic: true}.Marshal(w)
 }
 
+func wireOwner(o Owner) *mtwire.RangeOwner {
+	return &mtwire.RangeOwner{Daemon: string(o.Daemon), Server: string(o.Life.Server), Born: int64(o.Life.Born)}
+}
+
+func readOwner(w *mtwire.RangeOwner) Owner {
+	life := mtid.Life{Server: mtid.Server(w.GetServer()), Born: mtid.Birth(w.GetBorn())}
+	return Owner{Daemon: mtid.Daemon(w.GetDaemon()), Life: life}
+}
+
 // Decode reads a stored table. It fails with a *DecodeError if the ranges don't
 // cover all keys in order: a table with a gap would leave keys unserved for
 // good, one with an overlap would give a key two owners.
@@ -185,10 +194,9 @@
 		case int(place) >= len(w.GetOwners()):
 			return nil, nil, &DecodeError{Reason: fmt.Sprintf("owner %d is not named", place)}
 		}
-		owner := w.GetOwners()[place]
 		ranges = append(ranges, Range{
 			Low: mtid.Number(low), High: mtid.Number(high), Epoch: mtid.Epoch(epoch),
-			Owner: Owner{Daemon: mtid.Daemon(owner.GetDaemon()), Server: mtid.Server(owner.GetServer())},
+			Owner: readOwner(w.GetOwners()[place]),
 		})
 		least = high + 1
 	}
--- a/core/mtrange/mtrange.go
+++ b/core/mtrange/mtrange.go
@@ -27,15 +27,15 @@
 // Owner is a life of a backend server, with the daemon beside it.
 type Owner struct {
 	Daemon mtid.Daemon
-	Server mtid.Server
+	Life   mtid.Life
 }
 
 // IsZero reports whether o names no server.
 func (o Owner) IsZero() bool { return o == Owner{} }
 
-// Compare orders owners by daemon, then by server.
+// Compare orders owners by daemon, then by life of the server.
 func (o Owner) Compare(other Owner) int {
-	return cmp.Or(cmp.Compare(o.Daemon, other.Daemon), cmp.Compare(o.Server, other.Server))
+	return cmp.Or(cmp.Compare(o.Daemon, other.Daemon), o.Life.Compare(other.Life))
 }
 
 // Range is a run of keys with one owner, both ends included.
--- a/core/mtrange/mtrange_test.go
+++ b/core/mtrange/mtrange_test.go
@@ -15,7 +15,7 @@
 )
 
 func owner(n int) mtrange.Owner {
-	return mtrange.Owner{Daemon: mtid.Daemon("d" + strconv.Itoa(n)), Server: mtid.Server("s" + strconv.Itoa(n))}
+	return mtrange.Owner{Daemon: mtid.Daemon("d" + strconv.Itoa(n)), Life: mtid.Life{Server: mtid.Server("s" + strconv.Itoa(n)), Born: mtid.Birth(n)}}
 }
 
 func owners(n int) []mtrange.Owner {
@@ -201,7 +201,7 @@
 	table, err := mtrange.Spread("maps", owners(6))
 	assert.NilError(t, err)
 	next := owner(2)
-	next.Server = "reborn"
+	next.Life.Born++
 	taken, err := table.Take(func(o mtrange.Owner) bool { return o == owner(2) }, []mtrange.Owner{owner(0), next, owner(5)})
 	assert.NilError(t, err)
 	assert.Equal(t, taken.Keys(next), table.Keys(owner(2)))
--- a/core/mtrange/relief.go
+++ b/core/mtrange/relief.go
@@ -144,7 +144,7 @@
 
 // lot returns a number from 0 to 1 that is always the same for two owners.
 func lot(a, b Owner) float64 {
-	sum := xxhash.Sum64String(string(a.Server) + "\x00" + string(b.Server))
+	sum := xxhash.Sum64String(a.Life.String() + "\x00" + b.Life.String())
 	return float64(sum) / math.MaxUint64
 }
 
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -59,7 +59,7 @@
 // Target is the backend server that is meant.
 type Target struct {
 	Address string
-	Server  mtid.Server // of another life, the server refuses the call itself
+	Server  mtid.Server // one of another name refuses the call itself
 }
 
 // Client is one daemon's way to its backend server.
--- a/io/mtdirectory/keeper.go
+++ b/io/mtdirectory/keeper.go
@@ -48,6 +48,7 @@
 
 	certain atomic.Int64
 	newest  atomic.Uint64 // version of the last write
+	foreign atomic.Uint64 // version that another writer left under the own name
 }
 
 func newKeeper(config Config) *keeper {
@@ -69,6 +70,18 @@
 	}
 }
 
+// overwritten is told that something stands under the own name that no daemon wrote.
+// The record is written again over it, since the others pass it over and would go by
+// what they knew before. A record of another life of this daemon is left alone: that
+// life has taken the place of this one.
+func (k *keeper) overwritten(version mtid.Version) {
+	k.foreign.Store(uint64(version))
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // until returns until when the record certainly stands.
 func (k *keeper) until() mtclock.Instant { return mtclock.Instant(k.certain.Load()) }
 
@@ -134,6 +147,10 @@
 	if err := k.hold(ctx, sent); err != nil {
 		return err
 	}
+	if foreign := mtid.Version(k.foreign.Swap(0)); k.version != 0 && foreign > k.version {
+		k.Log.Warn("own record was written over", "own", uint64(k.version), "by", uint64(foreign))
+		k.version, k.written = foreign, mtbackend.Record{}
+	}
 	if k.version == 0 || k.written != wanted {
 		if err := k.write(ctx, wanted); err != nil {
 			return err
@@ -191,7 +208,7 @@
 		case err == nil:
 			k.version, k.written = version, wanted
 			k.newest.Store(uint64(version))
-			k.Log.Info("own record written", "state", wanted.State, "server", wanted.Server, "leaving", wanted.Leaving, "version", uint64(version))
+			k.Log.Info("own record written", "state", wanted.State, "server", wanted.Life.String(), "leaving", wanted.Leaving, "version", uint64(version))
 			return nil
 		case errors.As(err, &conflict):
 			k.version = conflict.Current.Version
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -19,6 +19,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -77,6 +78,10 @@
 type View struct {
 	Members     map[mtid.Daemon]Member
 	Assignments map[mtid.Service]Assignment
+	// Foreign are the daemons under whose names something stands that no daemon
+	// wrote, while nothing else is known of them. It names no server to use, and it
+	// proves no end either.
+	Foreign map[mtid.Daemon]bool
 	// Revision is that of the store up to which the copy is complete; zero if
 	// nothing was read yet.
 	Revision mtid.Revision
@@ -115,7 +120,7 @@
 	if d.Source == nil {
 		d.Source = config.Store
 	}
-	d.view.Store(&View{Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}})
+	d.view.Store(&View{Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}, Foreign: map[mtid.Daemon]bool{}})
 	d.keeper = newKeeper(config)
 	watcher, stopWatch := mtwatch.Start(mtwatch.Config{
 		Store: d.Source, Apply: d.apply, Health: d.health, Log: config.Log,
@@ -363,26 +368,46 @@
 
 func (d *Directory) takeMember(v *View, now mtclock.Instant, e mtstore.Entry) {
 	name := mtid.Daemon(strings.TrimPrefix(e.Name, mtstore.Backend))
+	delete(v.Foreign, name)
 	if e.Version == 0 {
 		if m, ok := v.Members[name]; ok {
 			v.Members[name] = lapse(m, now)
-			d.Log.Info("record of backend server gone", "peer", name, "server", m.Server, "revision", uint64(e.Revision))
+			d.Log.Info("record of backend server gone", "peer", name, "server", m.Life.String(), "revision", uint64(e.Revision))
 		}
 		return
 	}
+	old, known := v.Members[name]
 	record, err := mtbackend.Decode(e.Value)
+	if err == nil && record.Daemon != name {
+		err = &mtbackend.DecodeError{Err: &nameError{name: name, daemon: record.Daemon}}
+	}
 	if err != nil {
-		d.Log.Error("record of backend server passed over", "name", e.Name, "error", err)
+		// What was known holds on. A takeover is conditional on its version, so
+		// that it fails while this entry stands.
+		d.Log.Error("record of backend server passed over", "name", e.Name, "version", uint64(e.Version), "error", err)
+		if !known {
+			v.Foreign[name] = true
+		}
+		if name == d.Self {
+			d.keeper.overwritten(e.Version)
+		}
 		return
 	}
-	old, known := v.Members[name]
 	if !known || old.Record != record || old.Lapsed {
-		d.Log.Info("backend server", "peer", name, "server", record.Server, "service", record.Service,
+		d.Log.Info("backend server", "peer", name, "server", record.Life.String(), "service", record.Service,
 			"state", record.State, "leaving", record.Leaving, "version", uint64(e.Version))
 	}
 	v.Members[name] = Member{Record: record, Version: e.Version}
 }
 
+// nameError says that a record stands under another daemon's name.
+type nameError struct{ name, daemon mtid.Daemon }
+
+// Error implements error.
+func (e *nameError) Error() string {
+	return fmt.Sprintf("record of %q stands under the name of %q", e.daemon, e.name)
+}
+
 func (d *Directory) takeAssignment(v *View, e mtstore.Entry) {
 	service, _ := assigned(e)
 	if e.Version == 0 {
@@ -416,6 +441,7 @@
 	next := &View{
 		Members:     maps.Clone(old.Members),
 		Assignments: maps.Clone(old.Assignments),
+		Foreign:     maps.Clone(old.Foreign),
 		Revision:    old.Revision,
 	}
 	differs := f(next)
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -32,7 +32,7 @@
 }
 
 func record(daemon mtid.Daemon) mtbackend.Record {
-	return mtbackend.Record{Daemon: daemon, Service: "maps", Server: "s", Slots: 3, State: mtbackend.Ready}
+	return mtbackend.Record{Daemon: daemon, Address: "a:1", Service: "maps", Life: mtid.Life{Server: "s"}, Slots: 3, State: mtbackend.Ready}
 }
 
 func until(t *testing.T, what string, done func() bool) {
@@ -87,16 +87,16 @@
 	assert.NilError(t, err)
 	a := start(t, store, "a")
 	next := record("a")
-	next.Server = "next"
+	next.Life.Server = "next"
 	a.Publish(next)
-	until(t, "the new life stands", func() bool { return a.Now().Members["a"].Server == "next" })
+	until(t, "the new life stands", func() bool { return a.Now().Members["a"].Life.Server == "next" })
 	time.Sleep(400 * time.Millisecond)
 	store.Expire()
 	entry, err := store.Get(context.Background(), mtstore.BackendName("a"))
 	assert.NilError(t, err)
 	got, err := mtbackend.Decode(entry.Value)
 	assert.NilError(t, err)
-	assert.Equal(t, got.Server, mtid.Server("next"))
+	assert.Equal(t, got.Life.Server, mtid.Server("next"))
 }
 
 // A watch goes deaf, then the history is forgotten. What was deleted meanwhile
@@ -126,9 +126,11 @@
 	b := start(t, store, "b")
 	lease, err := store.Grant(context.Background(), time.Minute)
 	assert.NilError(t, err)
-	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, []byte(`{"daemon":"a"}`), lease)
+	stored, err := record("a").Encode()
 	assert.NilError(t, err)
-	table, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Server: "s"}})
+	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, stored, lease)
+	assert.NilError(t, err)
+	table, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Life: mtid.Life{Server: "s"}}})
 	assert.NilError(t, err)
 	value, err := table.Encode()
 	assert.NilError(t, err)
@@ -175,7 +177,7 @@
 func TestAssignmentsAreLearnedByPatches(t *testing.T) {
 	store := mtstandin.NewRevisions(time.Now)
 	watching := start(t, store, "a")
-	table, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Server: "s"}, {Daemon: "b", Server: "t"}})
+	table, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Life: mtid.Life{Server: "s"}}, {Daemon: "b", Life: mtid.Life{Server: "t"}}})
 	assert.NilError(t, err)
 	put := func() {
 		value, err := table.Encode()
@@ -193,7 +195,7 @@
 	source.pupil = pupil
 	close(ready)
 	for key := range mtid.Number(20) {
-		table, err = table.Move(key*10, key*10+3, mtrange.Owner{Daemon: "b", Server: "t"}, "")
+		table, err = table.Move(key*10, key*10+3, mtrange.Owner{Daemon: "b", Life: mtid.Life{Server: "t"}}, "")
 		assert.NilError(t, err)
 		put()
 	}
@@ -206,7 +208,7 @@
 	last, err := mtrange.Decode(taught.Entries[len(taught.Entries)-1].Value)
 	assert.NilError(t, err, "what it passes on must be whole")
 	assert.DeepEqual(t, last, table)
-	table, err = table.Move(900, 909, mtrange.Owner{Daemon: "b", Server: "t"}, "")
+	table, err = table.Move(900, 909, mtrange.Owner{Daemon: "b", Life: mtid.Life{Server: "t"}}, "")
 	assert.NilError(t, err)
 	put()
 	until(t, "the pupil has the next table", func() bool { return pupil.Now().Assignments["maps"].Next == table.Next })
@@ -230,9 +232,9 @@
 func TestLearnNeverGoesBack(t *testing.T) {
 	store := mtstandin.NewRevisions(time.Now)
 	b := start(t, store, "b")
-	first, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Server: "s"}})
+	first, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Life: mtid.Life{Server: "s"}}})
 	assert.NilError(t, err)
-	second, err := first.Move(0, 9, mtrange.Owner{Daemon: "b", Server: "t"}, "")
+	second, err := first.Move(0, 9, mtrange.Owner{Daemon: "b", Life: mtid.Life{Server: "t"}}, "")
 	assert.NilError(t, err)
 	b.Learn(mtdirectory.Assignment{Table: second, Version: 9})
 	b.Learn(mtdirectory.Assignment{Table: first, Version: 8})
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -23,7 +23,7 @@
 	record, _ := g.Host.Record()
 	owner := record.Owner()
 	assignment, ok := g.Directory.Now().Assignments[g.Service]
-	if !ok || owner.Server == "" {
+	if !ok || owner.Life.IsZero() {
 		return
 	}
 	owned := assignment.Owned(owner)
@@ -204,7 +204,7 @@
 		if held.Epoch != r.Epoch || !held.Covers(low) || !held.Covers(high) || held.moving || held.granted == 0 {
 			continue
 		}
-		if held == g.ordering || g.Clock.Now().Before(g.doubt[held.server]) {
+		if held == g.ordering || g.Clock.Now().Before(g.doubt[held.life]) {
 			return false
 		}
 		parts := []*grant{}
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync"
@@ -43,8 +44,9 @@
 type Port interface {
 	// Grant lets the server run calls for the range for the time hold, counted
 	// from the order's arrival. It fails with a *SupersededError if the server
-	// has seen a higher epoch on one of the keys; after any other failure the
-	// order may still be carried out, later.
+	// has seen a higher epoch on one of the keys, and with an *AbsentError if it
+	// was not delivered; after any other failure the order may still be carried
+	// out, later.
 	Grant(ctx context.Context, address string, r mtrange.Range, hold time.Duration) error
 	// Release takes keys back. It returns once nothing runs on them, with what
 	// the next owner needs to start warm. After a failure the order may still
@@ -58,6 +60,16 @@
 // Error implements error.
 func (*SupersededError) Error() string { return "grant: the server has seen a higher epoch" }
 
+// AbsentError says that nothing listens at a server's address, so that the order
+// was not delivered.
+type AbsentError struct{ Err error }
+
+// Error implements error.
+func (e *AbsentError) Error() string { return "grant: nobody takes the order: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AbsentError) Unwrap() error { return e.Err }
+
 // UnreadError says that the assignment has not been read from the store yet.
 type UnreadError struct{}
 
@@ -97,6 +109,10 @@
 	Cut(ranges []mtrange.Range, gifts []mtrange.Gift) []mtrange.Run
 	Forget(low, high mtid.Number)
 	Gain(low, high mtid.Number)
+	Suspect(life mtid.Life)
+	// Bound reports whether an order that is sent now reaches that life of the
+	// server, and no other.
+	Bound(life mtid.Life) bool
 }
 
 // Config is what a Grants works with.
@@ -121,7 +137,7 @@
 // grant is a range as the server has been told of it.
 type grant struct {
 	mtrange.Range
-	server  mtid.Server
+	life    mtid.Life       // of the server
 	granted mtclock.Instant // when the last answered order was sent; zero if none
 	ordered bool            // an order was sent, answered or not
 	moving  bool            // stopped at the gate, on its way to another owner
@@ -143,7 +159,8 @@
 	// doubt is until when an order that was not answered may still be in force,
 	// for each life of the server. A key that is released while such an order
 	// is on its way would be held again.
-	doubt     map[mtid.Server]mtclock.Instant
+	doubt     map[mtid.Life]mtclock.Instant
+	lasts     mtclock.Instant // until when any order may be in force
 	moved     mtclock.Instant // the end of the last relief, or a look that led to none
 	relieving bool
 	beaten    int             // writes of the last relief that lost against others
@@ -160,7 +177,7 @@
 
 // New starts the duties and returns the Grants and its clean-up function.
 func New(config Config) (*Grants, func()) {
-	g := &Grants{Config: config, wake: make(chan struct{}, 1), doubt: make(map[mtid.Server]mtclock.Instant)}
+	g := &Grants{Config: config, wake: make(chan struct{}, 1), doubt: make(map[mtid.Life]mtclock.Instant)}
 	config.Directory.OnChange(g.Wake)
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stopping = ctx
@@ -184,14 +201,14 @@
 	}
 }
 
-// Holds fails with a *mtreply.RefusedError unless the server was granted the
-// key.
-func (g *Grants) Holds(server mtid.Server, key mtid.Number) error {
+// Holds fails with a *mtreply.RefusedError unless that life of the server was
+// granted the key.
+func (g *Grants) Holds(life mtid.Life, key mtid.Number) error {
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, held := range g.grants {
-		if !held.Covers(key) || held.server != server {
+		if !held.Covers(key) || held.life != life {
 			continue
 		}
 		if held.granted == 0 || !now.Before(held.granted.Add(g.Hold)) {
@@ -199,17 +216,17 @@
 		}
 		return nil
 	}
-	return g.elsewhere(server, key)
+	return g.elsewhere(life, key)
 }
 
 // elsewhere says why the server does not hold the key.
-func (g *Grants) elsewhere(server mtid.Server, key mtid.Number) error {
+func (g *Grants) elsewhere(life mtid.Life, key mtid.Number) error {
 	assignment, ok := g.Directory.Now().Assignments[g.Service]
 	if !ok {
 		return &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: grantRetry}
 	}
 	r, _ := assignment.Lookup(key)
-	if r.Owner == (mtrange.Owner{Daemon: g.Self, Server: server}) {
+	if r.Owner == (mtrange.Owner{Daemon: g.Self, Life: life}) {
 		return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: grantRetry}
 	}
 	return &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute}
@@ -232,7 +249,7 @@
 func (g *Grants) renew(ctx context.Context) {
 	record, address := g.Host.Record()
 	owner := record.Owner()
-	if owner.Server == "" || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
+	if owner.Life.IsZero() || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
 		return
 	}
 	assignment, ok := g.Directory.Now().Assignments[g.Service]
@@ -249,7 +266,7 @@
 // this life of the daemon.
 func (g *Grants) drop(ctx context.Context, address string, dropped []*grant) {
 	for _, held := range dropped {
-		g.Log.Warn("grant is no longer assigned here", "server", held.server, "low", held.Low, "high", held.High, "epoch", uint64(held.Epoch))
+		g.Log.Warn("grant is no longer assigned here", "server", held.life.String(), "low", held.Low, "high", held.High, "epoch", uint64(held.Epoch))
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		if _, err := g.Port.Release(ctx, address, held.Low, held.High, held.Epoch); err != nil {
 			g.Log.Warn("release failed", "low", held.Low, "high", held.High, "error", err)
@@ -260,7 +277,7 @@
 
 // Clear takes all keys from a life of the server that owns none. An order that
 // was meant for a former life at the same address may have reached it.
-func (g *Grants) Clear(ctx context.Context, server mtid.Server, address string) error {
+func (g *Grants) Clear(ctx context.Context, life mtid.Life, address string) error {
 	view := g.Directory.Now()
 	if view.Revision == 0 {
 		// Whose keys these are is not known yet, and nobody else hears of the new
@@ -268,7 +285,7 @@
 		return &UnreadError{}
 	}
 	assignment, ok := view.Assignments[g.Service]
-	if !g.Keyed() || !ok || len(assignment.Owned(mtrange.Owner{Daemon: g.Self, Server: server})) > 0 {
+	if !g.Keyed() || !ok || len(assignment.Owned(mtrange.Owner{Daemon: g.Self, Life: life})) > 0 {
 		return nil
 	}
 	for g.orders() {
@@ -298,11 +315,11 @@
 	defer g.mu.Unlock()
 	var next []*grant
 	for _, r := range owned {
-		next = append(next, g.known(owner.Server, r)...)
+		next = append(next, g.known(owner.Life, r)...)
 	}
 	for _, held := range g.grants {
 		still := slices.ContainsFunc(next, func(n *grant) bool { return n.Epoch == held.Epoch && n.Covers(held.Low) })
-		if !still && !held.moving && held.ordered && held.server == owner.Server {
+		if !still && !held.moving && held.ordered && held.life == owner.Life {
 			dropped = append(dropped, held)
 		}
 		if !still && held.moving {
@@ -315,11 +332,11 @@
 
 // known returns the grants of a range: as they were, the part that is left of a
 // wider one, or a new one.
-func (g *Grants) known(server mtid.Server, r mtrange.Range) []*grant {
+func (g *Grants) known(life mtid.Life, r mtrange.Range) []*grant {
 	var inside []*grant
 	keys := 0
 	for _, held := range g.grants {
-		if held.server != server || held.Epoch != r.Epoch {
+		if held.life != life || held.Epoch != r.Epoch {
 			continue
 		}
 		if r.Covers(held.Low) && r.Covers(held.High) {
@@ -336,7 +353,7 @@
 	if keys == r.Keys() {
 		return inside
 	}
-	return []*grant{{Range: r, server: server}}
+	return []*grant{{Range: r, life: life}}
 }
 
 // due returns the grants to renew now. Nothing is granted after the time up to
@@ -376,6 +393,9 @@
 // order grants one range. An order that is not answered may be carried out until
 // its time has run out, counted from its arrival.
 func (g *Grants) order(ctx context.Context, address string, held *grant) {
+	if !g.Host.Bound(held.life) {
+		return // it would obey as another life; the host wakes the duty
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sent := g.Clock.Now()
@@ -394,21 +414,35 @@
 	held.ordered = true
 	g.mu.Unlock()
 	err := g.Port.Grant(ctx, address, r, g.Hold)
+	var absent *AbsentError
+	if errors.As(err, &absent) {
+		g.Host.Suspect(held.life)
+		until = 0 // nothing was delivered
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ordering = nil
+	g.lasts = max(g.lasts, until)
 	if err != nil {
-		g.doubt[held.server] = max(g.doubt[held.server], until)
-		g.Log.Warn("grant failed", "server", held.server, "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "error", err)
+		g.doubt[held.life] = max(g.doubt[held.life], until)
+		g.Log.Warn("grant failed", "server", held.life.String(), "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "error", err)
 		return
 	}
 	held.granted = sent
 	if first {
 		g.Host.Gain(r.Low, r.High)
-		g.Log.Info("granted", "server", held.server, "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "hold", g.Hold, "warm", r.Warmth != "")
+		g.Log.Info("granted", "server", held.life.String(), "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "hold", g.Hold, "warm", r.Warmth != "")
 	}
 }
 
+// Lasts returns until when an order may be in force at the server, whether it was
+// answered or not.
+func (g *Grants) Lasts() mtclock.Instant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lasts
+}
+
 // longest returns how long a grant lasts at most, by a true clock.
 func (g *Grants) longest() time.Duration {
 	return time.Duration(float64(g.Hold) * (1 + slowClock))
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -77,6 +77,8 @@
 func (*host) Release(mtid.Number, mtid.Number) {}
 func (*host) Forget(mtid.Number, mtid.Number)  {}
 func (*host) Gain(mtid.Number, mtid.Number)    {}
+func (*host) Suspect(mtid.Life)                {}
+func (*host) Bound(mtid.Life) bool              { return true }
 
 // Cut gives a hundred keys for each gift.
 func (*host) Cut(ranges []mtrange.Range, gifts []mtrange.Gift) []mtrange.Run {
@@ -148,12 +150,16 @@
 	others   []mtrange.Standing
 }
 
+func lifeOf(daemon mtid.Daemon) mtid.Life {
+	return mtid.Life{Server: mtid.Server("of-" + daemon), Born: 1}
+}
+
 func record(daemon mtid.Daemon, s mtbackend.State) mtbackend.Record {
-	return mtbackend.Record{Daemon: daemon, Service: service, Server: mtid.Server("of-" + daemon), Slots: 10, State: s}
+	return mtbackend.Record{Daemon: daemon, Address: string(daemon) + ":1", Service: service, Life: lifeOf(daemon), Slots: 10, State: s}
 }
 
 func ownerOf(daemon mtid.Daemon) mtrange.Owner {
-	return mtrange.Owner{Daemon: daemon, Server: mtid.Server("of-" + daemon)}
+	return mtrange.Owner{Daemon: daemon, Life: lifeOf(daemon)}
 }
 
 func (f *fleet) write(r mtbackend.Record) {
@@ -349,8 +355,9 @@
 // gone, or has another life. Nobody has to wait then.
 func TestKeysOfAnEndedServerAreTakenAtOnce(t *testing.T) {
 	for name, change := range map[string]func(r *mtbackend.Record){
-		"ended":        func(r *mtbackend.Record) { r.State = mtbackend.Ended },
-		"another life": func(r *mtbackend.Record) { r.Server = "next" },
+		"ended":                     func(r *mtbackend.Record) { r.State = mtbackend.Ended },
+		"another life":              func(r *mtbackend.Record) { r.Life.Server = "next" },
+		"another life of that name": func(r *mtbackend.Record) { r.Life.Born++ },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, "a", "b")
@@ -397,7 +404,7 @@
 	f.turns()
 	assert.Equal(t, f.port.count("grant"), before)
 	var refused *mtreply.RefusedError
-	err := f.grants.Holds("of-a", 0)
+	err := f.grants.Holds(lifeOf("a"), 0)
 	assert.Assert(t, asRefused(err, &refused))
 	assert.Equal(t, refused.Cause, mtreply.CauseNoLease)
 }
@@ -479,7 +486,7 @@
 	f := newFleet(t, "a", "b")
 	f.start()
 	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
-	assert.NilError(t, f.grants.Clear(t.Context(), "of-a", "server"))
+	assert.NilError(t, f.grants.Clear(t.Context(), lifeOf("a"), "server"))
 	assert.Equal(t, f.port.count("release"), 0)
 	gate := make(chan struct{})
 	f.port.mu.Lock()
@@ -494,7 +501,7 @@
 	f.grants.Wake()
 	f.until("a renewal is under way", func() bool { return f.port.count("grant") == 2 })
 	cleared := make(chan error)
-	go func() { cleared <- f.grants.Clear(t.Context(), "next", "server") }()
+	go func() { cleared <- f.grants.Clear(t.Context(), mtid.Life{Server: "next"}, "server") }()
 	f.turns()
 	assert.Equal(t, f.port.count("release"), 0, "cleared while an order was under way")
 	close(gate)
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -116,8 +116,10 @@
 	for _, owner := range a.Owners() {
 		m, known := view.Members[owner.Daemon]
 		switch {
+		case view.Foreign[owner.Daemon]:
+			// Somebody wrote over the record; its daemon may live and hold keys.
 		case known && !m.Lapsed:
-			if !m.Runs(owner.Server) {
+			if !m.Runs(owner.Life) {
 				lost = append(lost, owner)
 			}
 		case now.Sub(up) < settle:
@@ -159,7 +161,7 @@
 		}
 	}
 	for _, owner := range lost {
-		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Server, "keys", a.Keys(owner), "survivors", len(survivors))
+		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Life.String(), "keys", a.Keys(owner), "survivors", len(survivors))
 	}
 	g.write(ctx, conditions, next, a.Version, "takeover")
 }
--- /dev/null
+++ b/io/mthost/end.go
@@ -0,0 +1,155 @@
+package mthost
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+	iobackend "magnoliaturn/io/mtbackend"
+)
+
+// leave begins the leaving of the server. Calls without a key go elsewhere from
+// now on; keyed ones are served until their keys have moved, but not for long.
+func (h *Host) leave(now mtclock.Instant, why string) {
+	if h.record.State == mtbackend.Draining || h.record.State == mtbackend.Ended {
+		return
+	}
+	h.Log.Info("server is leaving", "server", h.record.Life.String(), "why", why)
+	h.drains = now.Add(time.Duration(float64(h.Drain) * drainPart))
+	h.state(mtbackend.Draining)
+}
+
+// Leave takes in that the server takes itself out. It serves on for a while and
+// exits then. One that does not say when it was born is the life that runs: the
+// leaving is acknowledged, and that binds this daemon.
+func (h *Host) Leave(life mtid.Life) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if life.Born == 0 && life.Server == h.record.Life.Server {
+		life = h.record.Life
+	}
+	if h.record.Life != life {
+		h.ended[life] = true
+		return
+	}
+	h.leave(h.Clock.Now(), "deregistered")
+}
+
+// failed looks into a failure that says something of the server itself.
+func (h *Host) failed(life mtid.Life, call *mtcall.Call, err error) {
+	var refused *mtreply.RefusedError
+	if errors.As(err, &refused) {
+		switch refused.Cause {
+		case mtreply.CauseFenced:
+			h.deny(life, call.Key)
+		case mtreply.CauseNoServer:
+			h.check(life)
+		}
+		return
+	}
+	var unknown *mtreply.UnknownError
+	if errors.As(err, &unknown) && unknown.Cause == mtreply.CauseLost {
+		h.check(life)
+	}
+}
+
+// deny takes in that the server says not to hold a key that it was granted: an
+// order to release it may have been carried out late, or the server has begun
+// another life under its name. That one must not be granted what the former life
+// had under the same epoch, so where lives share a name the key is granted anew
+// only after the next beat, which tells them apart. It costs such a key the time
+// between two beats, and only where the server says when it was born.
+func (h *Host) deny(life mtid.Life, key mtid.Number) {
+	if life.Born == 0 {
+		h.Fenced(key)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.record.Life == life {
+		h.denied = append(h.denied, key)
+	}
+}
+
+// grantDenied grants what the server denied to hold, now that its life is known to
+// go on. It is called with mu held.
+func (h *Host) grantDenied() {
+	for _, key := range h.denied {
+		h.Fenced(key)
+	}
+	h.denied = nil
+}
+
+// Suspect is told that an order found nobody at the server's address.
+func (h *Host) Suspect(life mtid.Life) { h.check(life) }
+
+// check finds out whether the server's process is gone, unless a check runs.
+//
+// What counts as the end of a life, and for how long its keys are unserved then:
+//
+//   - another life that runs at the address: until that one is granted keys, some
+//     tens of milliseconds;
+//   - refused connections of a server that was not leaving: 0.3 s;
+//   - refused connections of one that is leaving, once every order to it must have
+//     run out: up to the length of a grant. Such a server takes no new connections
+//     and works on. Taken for ended at once, two servers held its keys for half a
+//     second. Mostly its keys have moved by then.
+func (h *Host) check(life mtid.Life) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.checking || h.record.Life != life || h.record.State == mtbackend.Ended {
+		return
+	}
+	h.checking = true
+	address := h.address
+	silent := h.Clock.Now().Sub(h.beaten) > silence
+	go func() {
+		gone := processGone(address, silent)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.checking = false
+		if !gone || h.record.Life != life {
+			return
+		}
+		if h.record.State == mtbackend.Draining && !h.idle(h.Clock.Now()) {
+			h.Log.Info("leaving server takes no connections", "server", life.String(), "address", address)
+			return
+		}
+		h.Log.Warn("server's process is gone", "server", life.String(), "address", address)
+		h.ended[life] = true
+		h.drains = 0
+		h.state(mtbackend.Ended)
+		h.door.Resize(0, 0)
+	}()
+}
+
+// idle reports whether no order can be in force at the server any more.
+func (h *Host) idle(now mtclock.Instant) bool {
+	return h.Lasts != nil && !now.Before(h.Lasts())
+}
+
+// processGone reports whether nothing listens at the address any more: the
+// kernel of the own VM refuses each of several connections. Of a server that
+// has been silent too, connections that nobody answers show the same: a server
+// that lives accepts connections, or resets them, within its VM at once.
+func processGone(address string, silent bool) bool {
+	for i := range deadChecks {
+		if i > 0 {
+			time.Sleep(deadPause)
+		}
+		conn, err := net.DialTimeout("tcp", address, deadPause)
+		if err == nil {
+			_ = conn.Close()
+			return false
+		}
+		if !iobackend.Refused(err) && !(silent && iobackend.TimedOut(err)) {
+			return false
+		}
+	}
+	return true
+}
--- a/io/mthost/life.go
+++ b/io/mthost/life.go
@@ -2,32 +2,36 @@
 
 import (
 	"context"
-	"errors"
-	"net"
+	"fmt"
 	"time"
 
 	"magnoliaturn/core/mtbackend"
-	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
-	"magnoliaturn/core/mtreply"
-	iobackend "magnoliaturn/io/mtbackend"
 )
 
 // listen looks after a server that has fallen silent, or was never heard of.
 func (h *Host) listen(now mtclock.Instant) {
 	h.mu.Lock()
 	silent := now.Sub(h.beaten) > silence && now.Sub(h.checked) > silence
-	server, state := h.record.Server, h.record.State
+	life, state := h.record.Life, h.record.State
 	if silent {
 		h.checked = now
 	}
 	h.mu.Unlock()
 	if silent && state != mtbackend.Ended {
-		h.check(server)
+		h.check(life)
 	}
 }
 
+// ForeignError says that a beat can't be that of this VM's server.
+type ForeignError struct{ Service mtid.Service }
+
+// Error implements error.
+func (e *ForeignError) Error() string {
+	return fmt.Sprintf("host: a beat names the service %q, which nothing declares", e.Service)
+}
+
 // Beat takes in what the server says. It returns after what the beat tells is in
 // force here: the answer to a beat that announces the server's leaving binds
 // this daemon.
@@ -36,17 +40,23 @@
 // has begun. So one of a life that is not known here only makes the daemon ask
 // the server itself. Taken at its word, it would make the keys of the life that
 // runs look free, and they would be given to another server.
-func (h *Host) Beat(b mtbackend.Beat) {
+//
+// It fails with a *ForeignError if the beat names a service that nobody knows.
+func (h *Host) Beat(b mtbackend.Beat) error {
+	if b.Service != h.Service && !h.Named(b.Service) {
+		return &ForeignError{Service: b.Service}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.ended[b.Server]:
-		h.Log.Info("beat of a former life passed over", "server", b.Server, "sequence", b.Sequence)
-	case h.record.Server == b.Server:
+	case h.ended[b.Life], b.Life.Before(h.record.Life):
+		h.Log.Info("beat of a former life passed over", "server", b.Life.String(), "sequence", b.Sequence)
+	case h.record.Life == b.Life:
 		h.take(b)
 	default:
 		h.identify(b)
 	}
+	return nil
 }
 
 // identify finds out whether the sender of a beat is the life that runs. If the
@@ -54,7 +64,7 @@
 func (h *Host) identify(b mtbackend.Beat) {
 	former := h.stranger
 	h.stranger, h.strange = b, h.Clock.Now()
-	if former.Server == b.Server && b.Sequence > former.Sequence {
+	if former.Life == b.Life && b.Sequence > former.Sequence {
 		h.begin(b)
 		return
 	}
@@ -75,7 +85,7 @@
 // ask asks the server which life runs, if there is one to ask about. It is called
 // with mu held.
 func (h *Host) ask(now mtclock.Instant) {
-	if h.stranger.Server == "" || h.identifying || now.Before(h.askAgain) || now.Sub(h.strange) > askFor {
+	if h.stranger.Life.IsZero() || h.identifying || now.Before(h.askAgain) || now.Sub(h.strange) > askFor {
 		return
 	}
 	path := h.Health()
@@ -92,13 +102,17 @@
 		h.identifying = false
 		switch {
 		case err != nil || server == "":
-			h.Log.Info("server could not be asked which life runs", "beat", beat.Server, "error", err)
-		case h.record.Server == server:
+			h.Log.Info("server could not be asked which life runs", "beat", beat.Life.String(), "error", err)
+		case h.stranger.Life.IsZero():
 			// A second beat has shown it meanwhile.
-		case server == h.stranger.Server:
+		case server == h.stranger.Life.Server:
+			// Of two lives with this name the one that was born later runs, and
+			// no earlier one is asked about.
 			h.begin(h.stranger)
+		case h.record.Life.Server == server:
+			// The known life runs, and the beat is an old one.
 		default:
-			h.Log.Warn("beat of another life than the one that runs", "beat", beat.Server, "server", server)
+			h.Log.Warn("beat of another life than the one that runs", "beat", beat.Life.String(), "server", server)
 			h.stranger = mtbackend.Beat{}
 		}
 	}()
@@ -111,6 +125,10 @@
 	if b.Sequence < h.sequence {
 		return
 	}
+	h.grantDenied()
+	if h.tether != nil && h.tether.opened.Before(now) {
+		h.confirm(h.tether)
+	}
 	h.sequence = b.Sequence
 	h.address = b.Address
 	h.record.Slots = b.Slots
@@ -142,16 +160,16 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
 		defer cancel()
-		err := h.Clear(ctx, b.Server, b.Address)
+		err := h.Clear(ctx, b.Life, b.Address)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.clearing = false
 		if err != nil {
-			h.Log.Warn("new life of the server could not be cleared", "server", b.Server, "error", err)
+			h.Log.Warn("new life of the server could not be cleared", "server", b.Life.String(), "error", err)
 			return
 		}
 		h.uncleared = mtbackend.Beat{}
-		if h.record.Server != b.Server || h.record.State != mtbackend.Unknown {
+		if h.record.Life != b.Life || h.record.State != mtbackend.Unknown {
 			return
 		}
 		h.state(mtbackend.Ready)
@@ -166,7 +184,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ask(now)
-	unsettled := h.uncleared.Server != "" && h.uncleared.Server == h.record.Server && h.record.State == mtbackend.Unknown
+	h.tie(now)
+	unsettled := !h.uncleared.Life.IsZero() && h.uncleared.Life == h.record.Life && h.record.State == mtbackend.Unknown
 	if unsettled && !now.Before(h.clearAgain) {
 		h.clear(h.uncleared)
 	}
@@ -177,113 +196,28 @@
 
 // begin starts a new life of the server.
 func (h *Host) begin(b mtbackend.Beat) {
-	if h.record.Server != "" {
-		h.ended[h.record.Server] = true
-		h.Log.Info("server has another life", "former", h.record.Server, "server", b.Server)
+	if !h.record.Life.IsZero() {
+		h.ended[h.record.Life] = true
+		h.Log.Info("server has another life", "former", h.record.Life.String(), "server", b.Life.String())
 		h.door.Drain()
 		h.door = h.newDoor()
 	}
 	h.stranger = mtbackend.Beat{}
-	h.record.Server = b.Server
+	h.record.Life = b.Life
 	h.record.Service = b.Service
 	h.record.State = mtbackend.Unknown
 	h.sequence = 0
 	h.drains = 0
+	h.denied = nil
+	h.untieLocked()
 	h.take(b)
+	h.tie(h.Clock.Now())
 }
 
 // state changes the state and tells all daemons.
 func (h *Host) state(s mtbackend.State) {
-	h.Log.Info("server state", "server", h.record.Server, "from", h.record.State, "to", s, "slots", h.record.Slots, "sequence", h.sequence)
+	h.Log.Info("server state", "server", h.record.Life.String(), "from", h.record.State, "to", s, "slots", h.record.Slots, "sequence", h.sequence)
 	h.record.State = s
 	h.Publish(h.record)
 	h.Changed()
 }
-
-// leave begins the leaving of the server. Calls without a key go elsewhere from
-// now on; keyed ones are served until their keys have moved, but not for long.
-func (h *Host) leave(now mtclock.Instant, why string) {
-	if h.record.State == mtbackend.Draining || h.record.State == mtbackend.Ended {
-		return
-	}
-	h.Log.Info("server is leaving", "server", h.record.Server, "why", why)
-	h.drains = now.Add(time.Duration(float64(h.Drain) * drainPart))
-	h.state(mtbackend.Draining)
-}
-
-// Leave takes in that the server takes itself out. It serves on for a while and
-// exits then.
-func (h *Host) Leave(server mtid.Server) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.record.Server != server {
-		h.ended[server] = true
-		return
-	}
-	h.leave(h.Clock.Now(), "deregistered")
-}
-
-// failed looks into a failure that says something of the server itself.
-func (h *Host) failed(server mtid.Server, call *mtcall.Call, err error) {
-	var refused *mtreply.RefusedError
-	if errors.As(err, &refused) {
-		switch refused.Cause {
-		case mtreply.CauseFenced:
-			h.Fenced(call.Key)
-		case mtreply.CauseNoServer:
-			h.check(server)
-		}
-		return
-	}
-	var unknown *mtreply.UnknownError
-	if errors.As(err, &unknown) && unknown.Cause == mtreply.CauseLost {
-		h.check(server)
-	}
-}
-
-// check finds out whether the server's process is gone, unless a check runs.
-func (h *Host) check(server mtid.Server) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.checking || h.record.Server != server || h.record.State == mtbackend.Ended {
-		return
-	}
-	h.checking = true
-	address := h.address
-	silent := h.Clock.Now().Sub(h.beaten) > silence
-	go func() {
-		gone := processGone(address, silent)
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.checking = false
-		if !gone || h.record.Server != server {
-			return
-		}
-		h.Log.Warn("server's process is gone", "server", server, "address", address)
-		h.ended[server] = true
-		h.drains = 0
-		h.state(mtbackend.Ended)
-		h.door.Resize(0, 0)
-	}()
-}
-
-// processGone reports whether nothing listens at the address any more: the
-// kernel of the own VM refuses each of several connections. Of a server that
-// has been silent too, connections that nobody answers show the same: a server
-// that lives accepts connections, or resets them, within its VM at once.
-func processGone(address string, silent bool) bool {
-	for i := range deadChecks {
-		if i > 0 {
-			time.Sleep(deadPause)
-		}
-		conn, err := net.DialTimeout("tcp", address, deadPause)
-		if err == nil {
-			_ = conn.Close()
-			return false
-		}
-		if !iobackend.Refused(err) && !(silent && iobackend.TimedOut(err)) {
-			return false
-		}
-	}
-	return true
-}
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -84,14 +84,19 @@
 	Health func() string
 	// Publish is told the record whenever it changes.
 	Publish func(mtbackend.Record)
+	// Named reports whether the configuration in force declares a service.
+	Named func(service mtid.Service) bool
 	// Holds reports whether the server has been granted the key; it fails with
 	// a *mtreply.RefusedError. It is called for keyed calls.
-	Holds func(server mtid.Server, key mtid.Number) error
+	Holds func(life mtid.Life, key mtid.Number) error
 	// Fenced is told that the server denied holding a key that it was granted.
 	Fenced func(key mtid.Number)
 	// Clear takes from a new life of the server what orders meant for a former
 	// one may have given it. It may take a moment.
-	Clear func(ctx context.Context, server mtid.Server, address string) error
+	Clear func(ctx context.Context, life mtid.Life, address string) error
+	// Lasts returns until when an order may be in force at the server. It may be
+	// nil, if orders end by themselves at no known time.
+	Lasts func() mtclock.Instant
 	// Changed is called when the server has another life or state. It must not
 	// block.
 	Changed func()
@@ -105,7 +110,7 @@
 	record   mtbackend.Record
 	sequence uint64
 	address  string
-	ended    map[mtid.Server]bool // lives that are over
+	ended    map[mtid.Life]bool // lives that are over
 	door     *iogate.Door[*mtgate.Urgent]
 	routes   []mtroute.Route
 	drains   mtclock.Instant // Draining: no new work from then on; zero if not draining
@@ -121,6 +126,11 @@
 	identifying bool
 	beaten      mtclock.Instant // last beat
 	checked     mtclock.Instant // last look after a silent server
+	tether      *tether         // nil if there is none
+	tying       bool            // one is being opened
+	tieAgain    mtclock.Instant // none is opened before
+	recognised  mtid.Life       // that was known to be at the end of a tether
+	denied      []mtid.Number   // keys that the server said not to hold, since its last beat
 
 	runMu   sync.Mutex
 	running map[mtcall.ID]int // calls at the server, by identifier
@@ -138,7 +148,7 @@
 	h := &Host{
 		Config:  config,
 		address: config.Address,
-		ended:   make(map[mtid.Server]bool),
+		ended:   make(map[mtid.Life]bool),
 		running: make(map[mtcall.ID]int),
 		pace:    1,
 		times:   make(map[mtid.Class]time.Duration),
@@ -151,7 +161,11 @@
 	h.beaten = config.Clock.Now()
 	h.door = h.newDoor()
 	config.Publish(h.record)
-	return h, mtduty.Every(iogate.ExpireEvery, func(context.Context) { h.tick(h.Clock.Now()) })
+	stop := mtduty.Every(iogate.ExpireEvery, func(context.Context) { h.tick(h.Clock.Now()) })
+	return h, func() {
+		stop()
+		h.untie()
+	}
 }
 
 // quiet is told that nothing is in flight in a stopped range. Nobody waits for it
@@ -259,7 +273,7 @@
 	load := h.Load()
 	record, _ := h.Record()
 	attrs := []any{
-		"id", string(call.ID), "route", string(call.Route), "server", record.Server, "state", record.State,
+		"id", string(call.ID), "route", string(call.Route), "server", record.Life.String(), "state", record.State,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "service", load.Service.String(),
 		"left", call.Deadline.Sub(h.Clock.Now()).String(), "error", err.Error(),
 	}
@@ -289,16 +303,16 @@
 	defer end()
 	// What held on arrival may have changed while the call waited.
 	if call.Keyed {
-		if err := h.Holds(record.Server, call.Key); err != nil {
+		if err := h.Holds(record.Life, call.Key); err != nil {
 			return nil, err
 		}
 	}
 	defer h.track(call.ID)()
 	started := h.Clock.Now()
 	_, address := h.Record()
-	answer, err := h.Client.Do(ctx, iobackend.Target{Address: address, Server: record.Server}, call)
+	answer, err := h.Client.Do(ctx, iobackend.Target{Address: address, Server: record.Life.Server}, call)
 	if err != nil {
-		h.failed(record.Server, call, err)
+		h.failed(record.Life, call, err)
 		return nil, err
 	}
 	answer.Queued = started.Sub(arrived)
@@ -352,7 +366,7 @@
 		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseDraining}
 	}
 	if call.Keyed {
-		if err := h.Holds(record.Server, call.Key); err != nil {
+		if err := h.Holds(record.Life, call.Key); err != nil {
 			return record, nil, err
 		}
 	}
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -15,6 +15,7 @@
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
@@ -77,12 +78,13 @@
 			defer s.mu.Unlock()
 			s.told = r
 		},
-		Holds: func(mtid.Server, mtid.Number) error {
+		Named: func(service mtid.Service) bool { return service == "desk" },
+		Holds: func(mtid.Life, mtid.Number) error {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return s.holds
 		},
-		Clear: func(context.Context, mtid.Server, string) error {
+		Clear: func(context.Context, mtid.Life, string) error {
 			s.mu.Lock()
 			answer := s.clear
 			s.mu.Unlock()
@@ -99,6 +101,12 @@
 	return s
 }
 
+// hear lets the host hear a beat.
+func (s *stand) hear(b mtbackend.Beat) {
+	s.t.Helper()
+	assert.NilError(s.t, s.host.Beat(b))
+}
+
 func (s *stand) record() mtbackend.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,8 +123,8 @@
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(2*time.Millisecond))
 }
 
-func (s *stand) beat(life mtid.Server, sequence uint64) mtbackend.Beat {
-	return mtbackend.Beat{Server: life, Address: "server", Service: "maps", Slots: 2, Sequence: sequence}
+func (s *stand) beat(server mtid.Server, sequence uint64) mtbackend.Beat {
+	return mtbackend.Beat{Life: mtid.Life{Server: server}, Address: "server", Service: "maps", Slots: 2, Sequence: sequence}
 }
 
 // ready brings a life of the server into service.
@@ -124,8 +132,8 @@
 	s.server.mu.Lock()
 	s.server.runs = life
 	s.server.mu.Unlock()
-	s.host.Beat(s.beat(life, 1))
-	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Server == life && r.Takes() })
+	s.hear(s.beat(life, 1))
+	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Life.Server == life && r.Takes() })
 }
 
 func (s *stand) call(keyed bool) *mtcall.Call {
@@ -148,23 +156,23 @@
 func TestALateBeatOfAFormerLifeChangesNothing(t *testing.T) {
 	s := newStand(t, "127.0.0.1:1")
 	s.server.runs = "new"
-	s.host.Beat(s.beat("old", 9))
-	s.host.Beat(s.beat("new", 1))
-	s.until("the life that runs is known", func(r mtbackend.Record) bool { return r.Server == "new" })
-	s.host.Beat(s.beat("old", 9))
-	assert.Equal(t, s.record().Server, mtid.Server("new"))
+	s.hear(s.beat("old", 9))
+	s.hear(s.beat("new", 1))
+	s.until("the life that runs is known", func(r mtbackend.Record) bool { return r.Life.Server == "new" })
+	s.hear(s.beat("old", 9))
+	assert.Equal(t, s.record().Life.Server, mtid.Server("new"))
 }
 
 // The server can't be asked. Two beats of one life, the second a later one, show
 // that it runs; the same beat twice does not.
 func TestASecondBeatShowsALifeThatCannotBeAsked(t *testing.T) {
 	s := newStand(t, "127.0.0.1:1")
-	s.host.Beat(s.beat("old", 9))
-	s.host.Beat(s.beat("old", 9))
-	assert.Equal(t, s.record().Server, mtid.Server(""))
-	s.host.Beat(s.beat("new", 1))
-	s.host.Beat(s.beat("new", 2))
-	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Server == "new" && r.Takes() })
+	s.hear(s.beat("old", 9))
+	s.hear(s.beat("old", 9))
+	assert.Equal(t, s.record().Life.Server, mtid.Server(""))
+	s.hear(s.beat("new", 1))
+	s.hear(s.beat("new", 2))
+	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Life.Server == "new" && r.Takes() })
 }
 
 // All VMs come back at once after a loss of power. The server's first beat comes
@@ -185,16 +193,16 @@
 		return nil
 	}
 	s.mu.Unlock()
-	s.host.Beat(s.beat("one", 1))
+	s.hear(s.beat("one", 1))
 	s.mu.Lock()
 	s.path = "/health"
 	s.mu.Unlock()
 	s.until("the life is known", func(_ mtbackend.Record) bool {
 		known, _ := s.host.Record()
-		return known.Server == "one" && known.State == mtbackend.Unknown
+		return known.Life.Server == "one" && known.State == mtbackend.Unknown
 	})
 	unread.Store(false)
-	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Server == "one" && r.Takes() })
+	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Life.Server == "one" && r.Takes() })
 }
 
 // The server says that it leaves. Once that is acknowledged, calls without a key
@@ -205,9 +213,9 @@
 		"says so": func(s *stand) {
 			b := s.beat("life", 2)
 			b.Draining = true
-			s.host.Beat(b)
+			s.hear(b)
 		},
-		"takes itself out": func(s *stand) { s.host.Leave("life") },
+		"takes itself out": func(s *stand) { s.host.Leave(mtid.Life{Server: "life"}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStand(t, "127.0.0.1:1")
@@ -279,7 +287,7 @@
 	s.server.runs = "life"
 	b := s.beat("life", 1)
 	b.Address = address
-	s.host.Beat(b)
+	s.hear(b)
 	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Takes() })
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer}
@@ -305,7 +313,7 @@
 	s.ready("one")
 	leaving := s.beat("one", 2)
 	leaving.Address, leaving.Draining = address, true
-	s.host.Beat(leaving)
+	s.hear(leaving)
 	s.until("it is leaving", func(r mtbackend.Record) bool { return r.State == mtbackend.Draining })
 	s.server.mu.Lock()
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
@@ -319,6 +327,118 @@
 	}
 }
 
+// The same, and the server does end: its orders run out and nobody listens. Its keys
+// were never free for others as long as an order could still be in force.
+func TestALeavingServerHasEndedOnceItsOrdersHaveRunOut(t *testing.T) {
+	s := newStand(t, "server")
+	s.ready("one")
+	var lasts atomic.Int64
+	lasts.Store(int64(s.clock.Now().Add(time.Hour)))
+	s.host.Lasts = func() mtclock.Instant { return mtclock.Instant(lasts.Load()) }
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	leaving := s.beat("one", 2)
+	leaving.Address, leaving.Draining = listener.Addr().String(), true
+	assert.NilError(t, listener.Close())
+	s.hear(leaving)
+	s.host.Suspect(mtid.Life{Server: "one"})
+	time.Sleep(400 * time.Millisecond) // longer than the checks take
+	assert.Equal(t, s.record().State, mtbackend.Draining)
+	lasts.Store(int64(s.clock.Now()))
+	s.until("the end is told", func(r mtbackend.Record) bool {
+		s.host.Suspect(mtid.Life{Server: "one"})
+		return r.State == mtbackend.Ended
+	})
+}
+
+// born returns a beat of a life that says when it was born.
+func (s *stand) born(born mtid.Birth, sequence uint64) mtbackend.Beat {
+	b := s.beat("one", sequence)
+	b.Life.Born = born
+	return b
+}
+
+// A server crashes and starts again under its name. Its first beat counts anew, and
+// beats of the former life, with higher numbers, come late. Taken for one life, the
+// new one passed for the owner of keys that it does not hold, and its beats for old.
+func TestAServerThatStartsAgainUnderItsNameIsAnotherLife(t *testing.T) {
+	s := newStand(t, "server")
+	s.server.runs = "one"
+	var cleared atomic.Int64
+	s.mu.Lock()
+	s.clear = func() error {
+		cleared.Add(1)
+		return nil
+	}
+	s.mu.Unlock()
+	first, second := mtid.Life{Server: "one", Born: 100}, mtid.Life{Server: "one", Born: 200}
+	s.hear(s.born(100, 50))
+	s.until("the first life is ready", func(r mtbackend.Record) bool { return r.Life == first && r.Takes() })
+	s.hear(s.born(200, 1))
+	s.until("the second life is ready", func(r mtbackend.Record) bool { return r.Life == second && r.Takes() })
+	assert.Equal(t, cleared.Load(), int64(2), "the new life was cleared of what it may have been granted")
+	assert.Assert(t, !s.record().Runs(first))
+	for sequence := range uint64(3) {
+		late := s.born(100, 51+sequence)
+		late.Draining = true
+		s.hear(late)
+	}
+	s.host.Leave(first)
+	assert.Equal(t, s.record().Life, second)
+	assert.Assert(t, s.record().Takes())
+}
+
+// The same with a daemon that has just started and hears the late beat first.
+func TestOfTwoLivesOfOneNameTheLaterOneRuns(t *testing.T) {
+	s := newStand(t, "server")
+	s.server.runs = "one"
+	s.hear(s.born(100, 50))
+	s.hear(s.born(200, 1))
+	want := mtid.Life{Server: "one", Born: 200}
+	s.until("the later life runs", func(r mtbackend.Record) bool { return r.Life == want && r.Takes() })
+	s.hear(s.born(100, 51))
+	s.hear(s.born(100, 52))
+	assert.Equal(t, s.record().Life, want)
+}
+
+// A server has begun another life under its name and denies to hold a key, before its
+// first beat is heard. Granted again at once, it held the key under the epoch that its
+// former life had.
+func TestADeniedKeyIsGrantedAgainOnlyAfterABeat(t *testing.T) {
+	s := newStand(t, "server")
+	s.server.runs = "one"
+	fenced := make(chan mtid.Number, 8)
+	s.host.Fenced = func(key mtid.Number) { fenced <- key }
+	s.hear(s.born(100, 1))
+	s.until("the server is ready", func(r mtbackend.Record) bool { return r.Takes() })
+	s.server.mu.Lock()
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseFenced}
+	}
+	s.server.mu.Unlock()
+	assert.Equal(t, s.cause(true), mtreply.CauseFenced)
+	assert.Equal(t, len(fenced), 0, "granted again before a beat")
+	s.hear(s.born(100, 2))
+	assert.Equal(t, len(fenced), 1)
+	assert.Equal(t, s.cause(true), mtreply.CauseFenced)
+	s.hear(s.born(200, 1))
+	s.until("the new life is known", func(r mtbackend.Record) bool { return r.Life.Born == 200 })
+	assert.Equal(t, len(fenced), 1, "the new life was granted what the former one had")
+}
+
+// A beat names a service that no configuration declares. It is not this VM's server.
+func TestABeatOfAnUnknownServiceNamesNoServer(t *testing.T) {
+	s := newStand(t, "server")
+	s.server.runs = "one"
+	b := s.beat("one", 1)
+	b.Service = "nobody's"
+	var foreign *mthost.ForeignError
+	assert.Assert(t, errors.As(s.host.Beat(b), &foreign))
+	assert.Assert(t, s.record().Life.IsZero())
+	b.Service = "desk" // declared
+	assert.NilError(t, s.host.Beat(b))
+}
+
 // A daemon that stops can't tell others while the store is away. It refuses what
 // can go elsewhere itself, and goes on with keys.
 func TestAStoppingDaemonRefusesWhatCanGoElsewhere(t *testing.T) {
@@ -365,14 +485,14 @@
 	s.server.mu.Lock()
 	s.server.runs = "new"
 	s.server.mu.Unlock()
-	s.host.Beat(s.beat("new", 1))
+	s.hear(s.beat("new", 1))
 	for sequence := range uint64(5) {
 		time.Sleep(20 * time.Millisecond)
-		s.host.Beat(s.beat("new", 2+sequence))
+		s.hear(s.beat("new", 2+sequence))
 		r := s.record()
-		assert.Assert(t, r.Runs("old"), "the end of the former life was told: %+v", r)
+		assert.Assert(t, r.Runs(mtid.Life{Server: "old"}), "the end of the former life was told: %+v", r)
 	}
 	cleared.Store(true)
-	s.host.Beat(s.beat("new", 9))
-	s.until("the new life is ready", func(r mtbackend.Record) bool { return r.Server == "new" && r.Takes() })
+	s.hear(s.beat("new", 9))
+	s.until("the new life is ready", func(r mtbackend.Record) bool { return r.Life.Server == "new" && r.Takes() })
 }
--- /dev/null
+++ b/io/mthost/tether_test.go
@@ -0,0 +1,107 @@
+package mthost_test
+
+import (
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtid"
+)
+
+// process listens as a server does, and ends as one does.
+type process struct {
+	listener net.Listener
+	accepted chan net.Conn
+}
+
+// newProcess listens at an address; an empty one is free.
+func newProcess(t *testing.T, address string) *process {
+	t.Helper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	p := &process{listener: listener, accepted: make(chan net.Conn, 100)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				close(p.accepted)
+				return
+			}
+			p.accepted <- conn
+		}
+	}()
+	t.Cleanup(p.end)
+	return p
+}
+
+func (p *process) address() string { return p.listener.Addr().String() }
+
+// end closes the listener and all connections.
+func (p *process) end() {
+	_ = p.listener.Close()
+	for conn := range p.accepted {
+		_ = conn.Close()
+	}
+}
+
+// A server crashes and another life starts at its address before any beat tells. The
+// next renewal of a grant would reach the new life, which obeys it. No order goes out
+// from the moment at which the process has ended.
+func TestNoOrderIsSentOnceTheProcessHasEnded(t *testing.T) {
+	first := newProcess(t, "")
+	s := newStand(t, first.address())
+	one := mtid.Life{Server: "one"}
+	s.server.runs = "one"
+	former := s.beat("one", 1)
+	former.Address = first.address()
+	s.hear(former)
+	s.until("the life is bound", func(mtbackend.Record) bool { return s.host.Bound(one) })
+	assert.Assert(t, !s.host.Bound(mtid.Life{Server: "one", Born: 1}))
+	s.server.mu.Lock()
+	s.server.runs = "two"
+	s.server.mu.Unlock()
+	first.end()
+	newProcess(t, first.address())
+	s.until("the end shows", func(mtbackend.Record) bool { return !s.host.Bound(one) })
+	b := s.beat("two", 1)
+	b.Address = first.address()
+	s.hear(b)
+	s.until("the new life is bound", func(mtbackend.Record) bool { return s.host.Bound(mtid.Life{Server: "two"}) })
+	assert.Assert(t, !s.host.Bound(one))
+}
+
+// Its own connection to the server is reset, and the server has not ended. Where the
+// name tells lives apart the server is asked; where it does not, its next beat tells.
+func TestALifeIsKnownAgainAfterAReset(t *testing.T) {
+	for name, born := range map[string]mtid.Birth{"by its name": 0, "by its birth": 100} {
+		t.Run(name, func(t *testing.T) {
+			p := newProcess(t, "")
+			s := newStand(t, p.address())
+			life := mtid.Life{Server: "one", Born: born}
+			s.server.runs = "one"
+			beat := func(sequence uint64) mtbackend.Beat {
+				b := s.born(born, sequence)
+				b.Address = p.address()
+				return b
+			}
+			s.hear(beat(1))
+			s.until("the life is bound", func(mtbackend.Record) bool { return s.host.Bound(life) })
+			assert.NilError(t, (<-p.accepted).Close())
+			s.until("the reset shows", func(mtbackend.Record) bool { return !s.host.Bound(life) || born == 0 })
+			sequence := uint64(2)
+			s.until("the life is known again", func(mtbackend.Record) bool {
+				if born != 0 {
+					s.hear(beat(sequence))
+					sequence++
+				}
+				return s.host.Bound(life)
+			})
+			assert.Equal(t, s.record().State, mtbackend.Ready)
+		})
+	}
+}
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -59,7 +59,7 @@
 	clock := mttime.New()
 	store := mtstandin.NewRevisions(time.Now)
 	for _, d := range []mtid.Daemon{"b", "c", "d"} {
-		value, err := mtbackend.Record{Daemon: d, Service: "desk", Server: "s", Slots: 10, State: mtbackend.Ready}.Encode()
+		value, err := mtbackend.Record{Daemon: d, Address: string(d) + ":1", Service: "desk", Life: mtid.Life{Server: "s"}, Slots: 10, State: mtbackend.Ready}.Encode()
 		assert.NilError(t, err)
 		store.Put(mtstore.BackendName(d), value)
 	}
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -34,6 +34,7 @@
 	"google.golang.org/grpc"
 
 	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
@@ -212,12 +213,14 @@
 		Client:  client,
 		Log:     m.config.Log,
 		Health:  m.health,
+		Named:   m.named,
 		Publish: directory.Publish,
-		Holds:   func(server mtid.Server, key mtid.Number) error { return grants.Load().Holds(server, key) },
+		Holds:   func(life mtid.Life, key mtid.Number) error { return grants.Load().Holds(life, key) },
 		Fenced:  func(key mtid.Number) { grants.Load().Fenced(key) },
-		Clear: func(ctx context.Context, server mtid.Server, address string) error {
-			return grants.Load().Clear(ctx, server, address)
+		Clear: func(ctx context.Context, life mtid.Life, address string) error {
+			return grants.Load().Clear(ctx, life, address)
 		},
+		Lasts: func() mtclock.Instant { return grants.Load().Lasts() },
 		Changed: func() {
 			if g := grants.Load(); g != nil {
 				g.Wake()
@@ -264,6 +267,16 @@
 	return configuration.Services[m.config.Service].Health
 }
 
+// named reports whether the configuration in force declares a service.
+func (m *Mesh) named(service mtid.Service) bool {
+	configuration := m.configuration()
+	if configuration == nil {
+		return false
+	}
+	_, ok := configuration.Services[service]
+	return ok
+}
+
 // keyed reports whether the service of this VM is divided by key.
 func (m *Mesh) keyed() bool {
 	configuration := m.configuration()
