--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -30,22 +30,23 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtsilence"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
 	"magnoliaturn/io/mtconn"
 	"magnoliaturn/io/mtdial"
+	"magnoliaturn/io/mtduty"
 )
 
 type clock interface{ Now() mtclock.Instant }
 
 const (
-	// suspicion is how long the header of a reply may take before no new calls
-	// are sent to a daemon. A round trip between availability zones takes some
-	// milliseconds, and a lost packet is sent again after 200 ms.
-	suspicion = 600 * time.Millisecond
-	// arrival is how long it may take before the call is given up. Packets may
-	// wait for a second on a narrow link that is full, and what is given up then
-	// reaches its server all the same.
+	// arrival is how long the header of a reply may take before an idempotent call
+	// is given up. Packets may wait for a second on a narrow link that is full, and
+	// what is given up then reaches its server all the same. One that must not run
+	// twice is not given up: nobody could send it again, and its answer may still
+	// come. Sixty kilobytes took 1.8 s over a link of 10 Mbit/s with others; their
+	// caller was told 502 while the server began to work on them.
 	arrival = 1500 * time.Millisecond
 	// lastCall is after which time a connection that is no longer used is closed.
 	// Calls on it may still be answered until their deadlines.
@@ -63,9 +64,6 @@
 	// unreachableRetry is when to ask again for a server whose daemon can't be
 	// reached: about the time in which a daemon is back.
 	unreachableRetry = 500 * time.Millisecond
-	// silentFor is how long a daemon that did not answer is taken for silent, so
-	// that calls don't wait for it one after the other.
-	silentFor = time.Second
 )
 
 // A daemon that was restarted listens again within a second or two.
@@ -97,9 +95,11 @@
 	clock   clock
 	news    Exchange
 	pool    *mtconn.Pool
+	ctx     context.Context // of the probes
+	probes  sync.WaitGroup
 	mu      sync.Mutex
 	reports map[mtid.Daemon]Report
-	silent  map[string]mtclock.Instant // until when an address counts as silent
+	silent  *mtsilence.Silences
 }
 
 // NewClient returns a client and its clean-up function.
@@ -114,10 +114,16 @@
 		grpc.WithWriteBufferSize(buffer),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit), grpc.MaxCallSendMsgSize(messageLimit)),
 	)
-	return &Client{
-		clock: c, news: news, pool: pool,
-		reports: make(map[mtid.Daemon]Report), silent: make(map[string]mtclock.Instant),
-	}, cleanUp
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &Client{
+		clock: c, news: news, pool: pool, ctx: ctx,
+		reports: make(map[mtid.Daemon]Report), silent: mtsilence.New(),
+	}
+	return client, func() {
+		cancel()
+		client.probes.Wait()
+		cleanUp()
+	}
 }
 
 // dial connects to another daemon.
@@ -129,25 +135,55 @@
 // ones after that open a new connection: an open one may stay silent where a new
 // one works. Calls that are under way on it are left alone. Closed with it, all
 // calls to a daemon behind a full link failed because of one.
-func (c *Client) suspect(address string) {
+func (c *Client) suspect(daemon mtid.Daemon, address string) {
 	c.mu.Lock()
-	c.silent[address] = c.clock.Now().Add(silentFor)
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil || !c.silent.Suspect(c.clock.Now(), address) {
+		return
+	}
 	if conn := c.pool.Take(address); conn != nil {
 		time.AfterFunc(lastCall, func() { _ = conn.Close() })
 	}
+	c.probes.Go(func() { c.probe(daemon, address) })
 }
 
-// Silent reports whether a daemon did not answer a moment ago.
+// probe asks a silent daemon how it is until it answers, or nobody has calls for it.
+func (c *Client) probe(daemon mtid.Daemon, address string) {
+	for {
+		ctx, cancel := context.WithTimeout(c.ctx, c.patience(address))
+		err := c.Observe(ctx, daemon, address)
+		cancel()
+		if err == nil {
+			return
+		}
+		c.mu.Lock()
+		pause, more := c.silent.Missed(c.clock.Now(), address)
+		c.mu.Unlock()
+		if !more || !mtduty.Sleep(c.ctx, pause) {
+			return
+		}
+	}
+}
+
+// Silent reports whether a daemon does not answer.
 func (c *Client) Silent(address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	until, ok := c.silent[address]
-	if ok && !c.clock.Now().Before(until) {
-		delete(c.silent, address)
-		return false
-	}
-	return ok
+	return c.silent.Silent(c.clock.Now(), address)
+}
+
+// patience returns how long to wait for a sign from a daemon.
+func (c *Client) patience(address string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent.Patience(address)
+}
+
+// answered notes that a sign came from a daemon.
+func (c *Client) answered(address string, since mtclock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent.Answered(address, c.clock.Now().Sub(since))
 }
 
 // Report returns the last load that a daemon reported.
@@ -174,10 +210,12 @@
 	if err != nil {
 		return err
 	}
+	begun := c.clock.Now()
 	load, err := mtwire.NewForwarderClient(conn).Observe(ctx, &mtwire.ObserveRequest{News: wireNews(c.news.Tell())})
 	if err != nil {
 		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
+	c.answered(address, begun)
 	c.note(daemon, load)
 	c.news.Hear(readNews(load.GetNews()))
 	return nil
@@ -227,7 +265,7 @@
 	if err != nil {
 		return nil, mtconn.Explain(ctx, err, sent, unreachableRetry)
 	}
-	if err := c.arrived(stream, address, giveUp); err != nil {
+	if err := c.arrived(stream, daemon, address, call.Idempotent, giveUp); err != nil {
 		return nil, mtconn.Explain(ctx, err, sent, unreachableRetry)
 	}
 	w, err := stream.Recv()
@@ -247,13 +285,21 @@
 }
 
 // arrived waits for the header, which says that the call has arrived.
-func (c *Client) arrived(stream grpc.ClientStream, address string, giveUp func()) error {
-	slow := time.AfterFunc(suspicion, func() { c.suspect(address) })
+func (c *Client) arrived(stream grpc.ClientStream, daemon mtid.Daemon, address string, idempotent bool, giveUp func()) error {
+	begun := c.clock.Now()
+	slow := time.AfterFunc(c.patience(address), func() { c.suspect(daemon, address) })
 	defer slow.Stop()
-	late := time.AfterFunc(arrival, giveUp)
+	var late *time.Timer
+	if idempotent {
+		late = time.AfterFunc(arrival, giveUp)
+	}
 	_, err := stream.Header()
-	if !late.Stop() && err == nil {
+	switch {
+	case err != nil:
+		return err
+	case late != nil && !late.Stop():
 		return context.Canceled
 	}
-	return err
+	c.answered(address, begun)
+	return nil
 }
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtid"
@@ -146,6 +147,13 @@
 // proxy passes bytes on until it is frozen: connections stay open then, and
 // nobody hears anything.
 func proxy(t *testing.T, to string) (address string, freeze func()) {
+	t.Helper()
+	address, freeze, _ = freezer(t, to)
+	return address, freeze
+}
+
+// freezer is proxy with a way back: what is opened after the thaw works.
+func freezer(t *testing.T, to string) (address string, freeze, thaw func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -165,7 +173,7 @@
 			go pass(in, out, &frozen)
 		}
 	}()
-	return listener.Addr().String(), func() { frozen.Store(true) }
+	return listener.Addr().String(), func() { frozen.Store(true) }, func() { frozen.Store(false) }
 }
 
 func pass(to, from net.Conn, frozen *atomic.Bool) {
@@ -173,6 +181,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
+			_ = to.Close()
 			return
 		}
 		if !frozen.Load() {
@@ -226,6 +235,63 @@
 	assert.NilError(t, <-done)
 }
 
+// Sixty kilobytes wait on a narrow link with others. The sender gave the call up after
+// 1.5 s and told its caller 502; its bytes arrived all the same, and the server ran it.
+// A call that must not run twice can't go elsewhere anyway, so its answer is waited for.
+func TestACallThatMustNotRunTwiceIsNotGivenUpOnItsWay(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer()
+	mtwire.RegisterForwarderServer(server, &tardy{after: 1800 * time.Millisecond})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	c, clock, _ := client(t)
+	upload := call(clock)
+	upload.Idempotent = false
+	answer, err := c.Forward(t.Context(), "b", listener.Addr().String(), upload)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, 200)
+}
+
+// tardy is a daemon behind a link on which calls wait for so long.
+type tardy struct {
+	mtwire.UnimplementedForwarderServer
+	after time.Duration
+}
+
+func (d *tardy) Forward(_ *mtwire.ForwardRequest, stream grpc.ServerStreamingServer[mtwire.ForwardReply]) error {
+	time.Sleep(d.after)
+	if err := stream.SendHeader(metadata.MD{}); err != nil {
+		return err
+	}
+	return stream.Send(&mtwire.ForwardReply{Outcome: string(mtreply.Answered), Status: 200})
+}
+
+// A daemon was cut off for a moment. Whether it is back is asked beside the calls, and
+// these go there again once it has answered.
+func TestASilentDaemonIsProbedUntilItAnswers(t *testing.T) {
+	address, _ := serve(t, &host{run: func(context.Context, *mtcall.Call) (*mtcall.Answer, error) {
+		return &mtcall.Answer{Status: 200}, nil
+	}})
+	through, freeze, thaw := freezer(t, address)
+	c, clock, _ := client(t)
+	_, err := c.Forward(t.Context(), "b", through, call(clock))
+	assert.NilError(t, err)
+	freeze()
+	_, err = c.Forward(t.Context(), "b", through, call(clock))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, c.Silent(through))
+	thaw()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.Silent(through) {
+			return poll.Continue("still passed over")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	_, err = c.Forward(t.Context(), "b", through, call(clock))
+	assert.NilError(t, err)
+}
+
 // Nothing listens: no byte of the call has left, so it was not run.
 func TestADaemonThatIsGoneRefuses(t *testing.T) {
 	c, clock, _ := client(t)
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -78,7 +78,7 @@
 func (*host) Forget(mtid.Number, mtid.Number)  {}
 func (*host) Gain(mtid.Number, mtid.Number)    {}
 func (*host) Suspect(mtid.Life)                {}
-func (*host) Bound(mtid.Life) bool              { return true }
+func (*host) Bound(mtid.Life) bool             { return true }
 
 // Cut gives a hundred keys for each gift.
 func (*host) Cut(ranges []mtrange.Range, gifts []mtrange.Gift) []mtrange.Run {
