--- a/cmd/magnoliaturn/explain.go
+++ b/cmd/magnoliaturn/explain.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"os"
 
 	"github.com/google/subcommands"
@@ -42,19 +41,11 @@
 		fmt.Fprintln(os.Stderr, "explain needs an identifier and at least one file")
 		return subcommands.ExitUsageError
 	}
-	var logs []io.Reader
-	for _, name := range f.Args()[1:] {
-		if name == "-" {
-			logs = append(logs, os.Stdin)
-			continue
-		}
-		file, err := os.Open(name)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return subcommands.ExitFailure
-		}
-		defer func() { _ = file.Close() }()
-		logs = append(logs, file)
+	logs, cleanUp, err := openLogs(f.Args()[1:])
+	defer cleanUp()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
 	}
 	story, err := mtexplain.Read(f.Arg(0), logs...)
 	if err == nil {
--- a/cmd/magnoliaturn/main.go
+++ b/cmd/magnoliaturn/main.go
@@ -44,5 +44,6 @@
 		{&serveCommand{}, "daemon"},
 		{&platform.Command{}, "daemon"},
 		{&explainCommand{}, "tools"},
+		{&lossesCommand{}, "tools"},
 	}
 }
--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -139,7 +139,8 @@
 		return &fieldError{field: "service"}
 	case !r.State.known():
 		return &fieldError{field: "state", value: string(r.State)}
-	case r.State != Unknown && r.Life.Server == "":
+	case (r.State == Ready || r.State == Draining) && r.Life.Server == "":
+		// A daemon that never heard of its server may say that it has ended.
 		return &fieldError{field: "server"}
 	case r.State == Ready && r.Slots <= 0:
 		return &fieldError{field: "slots", value: strconv.Itoa(r.Slots)}
--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -55,9 +55,10 @@
 	Objective mtclock.Instant
 	Deadline  mtclock.Instant
 	// The following are known at the ingress only.
-	Usual time.Duration   // that calls of its route run
-	First mtclock.Instant // arrival of its caller's first try
-	Given mtclock.Instant // the deadline that its caller gave; zero if none
+	Usual   time.Duration // that calls of its route run
+	Arrived mtclock.Instant
+	First   mtclock.Instant // arrival of its caller's first try
+	Given   mtclock.Instant // the deadline that its caller gave; zero if none
 	// Caller is the service on the VM where the request began.
 	Caller mtid.Service
 	// Tries are the failed ones so far, for the logs of the ingress.
@@ -85,6 +86,9 @@
 	return mtpoison.Print(d.Sum64())
 }
 
+// Second reports whether the call is known to be a second try of its caller.
+func (c *Call) Second() bool { return c.First != 0 && c.First < c.Arrived }
+
 // Late reports whether the call can't meet its objective any more if it takes so
 // long. A nested call has none of its own.
 func (c *Call) Late(now mtclock.Instant, takes time.Duration) bool {
--- a/io/mtexplain/mtexplain.go
+++ b/io/mtexplain/mtexplain.go
@@ -54,28 +54,40 @@
 func Read(id string, logs ...io.Reader) (*Story, error) {
 	s := &Story{ID: id}
 	var believed []Line
+	err := Each(func(line Line) {
+		switch {
+		case s.concerns(line):
+			s.Lines = append(s.Lines, line)
+		case beliefs[line.Message]:
+			believed = append(believed, line)
+		}
+	}, logs...)
+	if err != nil {
+		return nil, err
+	}
+	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(s.Lines, byTime)
+	slices.SortStableFunc(believed, byTime)
+	s.Beliefs = s.before(believed)
+	return s, nil
+}
+
+// Each calls do for each line of the logs that a daemon wrote. It fails with the
+// error of a reader.
+func Each(do func(Line), logs ...io.Reader) error {
 	for _, log := range logs {
 		scanner := bufio.NewScanner(log)
 		scanner.Buffer(nil, maxLine)
 		for scanner.Scan() {
-			line, ok := parse(scanner.Text())
-			switch {
-			case !ok:
-			case s.concerns(line):
-				s.Lines = append(s.Lines, line)
-			case beliefs[line.Message]:
-				believed = append(believed, line)
+			if line, ok := parse(scanner.Text()); ok {
+				do(line)
 			}
 		}
 		if err := scanner.Err(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
-	slices.SortStableFunc(s.Lines, byTime)
-	slices.SortStableFunc(believed, byTime)
-	s.Beliefs = s.before(believed)
-	return s, nil
+	return nil
 }
 
 // parse reads a line; what is no line of a daemon is passed over.
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -229,7 +229,13 @@
 func (g *Grants) endMove(low mtid.Number) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.grants = slices.DeleteFunc(g.grants, func(held *grant) bool { return held.moving && held.Low == low })
+	g.grants = slices.DeleteFunc(g.grants, func(held *grant) bool {
+		if !held.moving || held.Low != low {
+			return false
+		}
+		g.given += held.Keys()
+		return true
+	})
 	g.Wake()
 }
 
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -163,6 +163,7 @@
 	lasts     mtclock.Instant // until when any order may be in force
 	moved     mtclock.Instant // the end of the last relief, or a look that led to none
 	relieving bool
+	given     int             // keys given to other servers since TakeMoved
 	beaten    int             // writes of the last relief that lost against others
 	transfers []*transfer     // that wait to be written
 	counted   int             // servers that were there at countedAt
@@ -435,6 +436,16 @@
 	}
 }
 
+// TakeMoved returns how many keys have gone from this server to others since the
+// last call.
+func (g *Grants) TakeMoved() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	given := g.given
+	g.given = 0
+	return given
+}
+
 // Lasts returns until when an order may be in force at the server, whether it was
 // answered or not.
 func (g *Grants) Lasts() mtclock.Instant {
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -157,7 +157,7 @@
 // read turns a request into a call.
 func (in *Ingress) read(now mtclock.Instant, r *http.Request) (*mtcall.Call, *mtroute.Route, error) {
 	call := &mtcall.Call{
-		ID: mtcall.ID(r.Header.Get(in.Names.ID)), Method: r.Method, Target: r.RequestURI, Host: r.Host, Caller: in.Service,
+		ID: mtcall.ID(r.Header.Get(in.Names.ID)), Method: r.Method, Target: r.RequestURI, Host: r.Host, Caller: in.Service, Arrived: now,
 	}
 	config := in.config.Load()
 	if config == nil {
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -43,6 +43,7 @@
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtforward"
 	"magnoliaturn/io/mtgrant"
 	"magnoliaturn/io/mthost"
@@ -63,6 +64,7 @@
 	NameGrants    mtkernel.Name = "grants"
 	NameIngress   mtkernel.Name = "ingress"
 	NameNews      mtkernel.Name = "news"
+	NameSums      mtkernel.Name = "sums"
 	NameListeners mtkernel.Name = "listeners"
 )
 
@@ -116,7 +118,7 @@
 func New(config Config) (*Mesh, func(), error) {
 	m := &Mesh{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
-		m.addClock, m.addMetrics, m.addPeers, m.addDirectory, m.addHost, m.addIngress, m.addNews, m.listen,
+		m.addClock, m.addMetrics, m.addPeers, m.addDirectory, m.addHost, m.addIngress, m.addNews, m.addSums, m.listen,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -157,7 +159,8 @@
 
 func (m *Mesh) addMetrics() error {
 	metrics, cleanUp := mtmetric.New()
-	m.record = newRecorder(metrics, m.config.Log, func() (configuration, seen mtid.Version) {
+	clock := mtkernel.Need[*mttime.Clock](m.kernel, NameClock)
+	m.record = newRecorder(metrics, clock, m.config.Service, m.config.Log, func() (configuration, seen mtid.Version) {
 		news := m.tell()
 		return news.Config, news.Seen
 	})
@@ -310,6 +313,13 @@
 	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
 }
 
+// addSums adds the duty that sums up what became of requests.
+func (m *Mesh) addSums() error {
+	grants := mtkernel.Need[*mtgrant.Grants](m.kernel, NameGrants)
+	stop := mtduty.Every(tallyEvery, func(context.Context) { m.record.sum(m.Host().Load(), grants.TakeMoved()) })
+	return mtkernel.Register(m.kernel, NameSums, stop, stop)
+}
+
 const (
 	// linger is how long callers are served after the order to stop: until they
 	// have been told at least twice, a second apart, to go elsewhere.
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
@@ -25,13 +26,18 @@
 	metrics *mtmetric.Metrics
 	ends    *expvar.Map
 	answers *expvar.Int
+	tally   *tally
+	clock   clock
+	service mtid.Service // on this VM
 	log     *slog.Logger
 	known   func() (configuration, seen mtid.Version)
 }
 
-func newRecorder(m *mtmetric.Metrics, log *slog.Logger, known func() (configuration, seen mtid.Version)) *recorder {
+type clock interface{ Now() mtclock.Instant }
+
+func newRecorder(m *mtmetric.Metrics, c clock, service mtid.Service, log *slog.Logger, known func() (configuration, seen mtid.Version)) *recorder {
 	return &recorder{
-		metrics: m, ends: m.Counters("requests", "ends"), answers: m.Counter("requests", "answered"), log: log, known: known,
+		metrics: m, tally: newTally(), clock: c, service: service, ends: m.Counters("requests", "ends"), answers: m.Counter("requests", "answered"), log: log, known: known,
 	}
 }
 
@@ -52,6 +58,7 @@
 		r.metrics.Record(sample)
 	}
 	r.count(call, sample, status)
+	r.tally.add(call, r.end(call, sample, status))
 	r.write(call, sample, status, err, took)
 }
 
--- a/io/mtmetric/log.go
+++ b/io/mtmetric/log.go
@@ -19,6 +19,10 @@
 // many there are; the listener for operators limits how many there can be.
 const Audit = slog.LevelInfo + 2
 
+// Sum is the level of regular sums, one line a duty and second at most. None of
+// them is left out: lines of single requests are under load.
+const Sum = slog.LevelInfo + 1
+
 // maxMessages bounds the messages that are told apart. Messages are constants
 // of the program; the bound holds even where one is not.
 const maxMessages = 1024
@@ -65,7 +69,7 @@
 
 // Handle implements slog.Handler.
 func (l *limited) Handle(ctx context.Context, r slog.Record) error {
-	if r.Level == Audit {
+	if r.Level == Audit || r.Level == Sum {
 		return l.next.Handle(ctx, r)
 	}
 	write, left := l.seen.admit(r.Time, message{level: r.Level, text: r.Message})
