--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -12,7 +12,13 @@
 // averaging is the weight of a new service time in the mean: one over it.
 const averaging = 16
 
-// count notes the offered work of a keyed call. What is late on its arrival doesn't
+// count notes the offered work of a keyed call whose key the server holds. Callers'
+// daemons hear of a move some tenths of a second later and ask here until then, every
+// few milliseconds: counted too, an owner that had given a hot run away seemed to have
+// nine times what it could do for eight seconds, was given nothing, and stood idle
+// beside others with queues.
+//
+// What is late on its arrival doesn't
 // count: mostly it is a caller's second or third try, and with these an owner that
 // had a little too much seemed to have twice what it could do, and gave it away.
 func (h *Host) count(now mtclock.Instant, call *mtcall.Call) {
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -285,11 +285,11 @@
 
 func (h *Host) run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error) {
 	arrived := h.Clock.Now()
-	h.count(arrived, call)
 	record, door, err := h.ready(call)
 	if err != nil {
 		return nil, err
 	}
+	h.count(arrived, call)
 	ticket := mtgate.Ticket{
 		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Nested: call.Nested,
 	}
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -248,6 +248,21 @@
 	assert.Assert(t, s.host.Load().Demand > 0)
 }
 
+// A hot run has moved to another owner, and callers' daemons that have not heard of it
+// ask here again and again. Counted as work, the former owner seemed overloaded for
+// seconds while it stood idle, and nobody gave it any keys.
+func TestCallsForKeysThatHaveGoneDoNotCountAsWork(t *testing.T) {
+	s := newStand(t, "server")
+	s.ready("one")
+	s.mu.Lock()
+	s.holds = &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute}
+	s.mu.Unlock()
+	for range 200 {
+		assert.Equal(t, s.cause(true), mtreply.CauseStaleRoute)
+	}
+	assert.Equal(t, s.host.Load().Demand, 0.0)
+}
+
 // A call waits at the gate while its key moves away. Only the look after the
 // wait shows it; the server was sent calls for keys that it had released.
 func TestAKeyThatLeftWhileACallWaitedIsNotServed(t *testing.T) {
