--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -17,6 +17,8 @@
 import (
 	"fmt"
 	"time"
+
+	"magnoliaturn/core/mtid"
 )
 
 // Outcome is what is known about a request when the caller hears of it.
@@ -75,6 +77,11 @@
 	RetryAfter time.Duration
 	// Detail is for people; it names the field and range for malformed input.
 	Detail string
+	// Owner is the daemon beside the present owner of the key, where the one that
+	// refused knows of another, and Epoch the next one of the assignment by which
+	// it goes.
+	Owner mtid.Daemon
+	Epoch mtid.Epoch
 }
 
 // Error implements error.
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -74,6 +74,14 @@
 	Version mtid.Version
 }
 
+// Epoch returns the next epoch of the table, or 0 if there is none.
+func (a Assignment) Epoch() mtid.Epoch {
+	if a.Table == nil {
+		return 0
+	}
+	return a.Next
+}
+
 // View is one state of the copy.
 type View struct {
 	Members     map[mtid.Daemon]Member
@@ -191,6 +199,27 @@
 	})
 }
 
+// Inform takes in a write of an assignment that another daemon tells of. What does not
+// fit is heard of by the watch.
+func (d *Directory) Inform(e mtstore.Entry) {
+	service, ok := assigned(e)
+	own, known := d.Now().Assignments[service]
+	if !ok || !known || own.Version >= e.Version {
+		return
+	}
+	patch, err := mtrange.DecodePatch(e.Value)
+	if err != nil || patch == nil {
+		d.Log.Warn("word of an assignment passed over", "name", e.Name, "error", err)
+		return
+	}
+	table, err := own.Apply(patch)
+	if err != nil {
+		d.Log.Info("word of an assignment does not fit", "name", e.Name, "error", err)
+		return
+	}
+	d.Learn(Assignment{Table: table, Version: e.Version})
+}
+
 // apply takes in what the watch brings.
 func (d *Directory) apply(u mtwatch.Update) {
 	now := d.Clock.Steady()
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -242,13 +242,23 @@
 	}
 	changes := mtstore.Changes{Revision: mtid.Revision(w.GetRevision())}
 	for _, e := range w.GetEntries() {
-		changes.Entries = append(changes.Entries, mtstore.Entry{
-			Name: e.GetName(), Value: e.GetValue(), Version: mtid.Version(e.GetVersion()), Revision: mtid.Revision(e.GetRevision()),
-		})
+		changes.Entries = append(changes.Entries, readEntry(e))
 	}
 	return changes, nil
 }
 
+// Inform tells a daemon of a write of an assignment that concerns it.
+func (c *Client) Inform(ctx context.Context, address string, entry mtstore.Entry) error {
+	conn, err := c.pool.Conn(address)
+	if err != nil {
+		return err
+	}
+	if _, err := mtwire.NewForwarderClient(conn).Inform(ctx, wireEntry(entry)); err != nil {
+		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
+	}
+	return nil
+}
+
 // Forward sends a call to the daemon beside a backend server.
 func (c *Client) Forward(ctx context.Context, daemon mtid.Daemon, address string, call *mtcall.Call) (*mtcall.Answer, error) {
 	conn, err := c.pool.Conn(address)
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -34,6 +34,8 @@
 	// *mtstore.UnavailableError if this daemon does not watch the store itself:
 	// two that learned from each other would both know nothing.
 	Teach teach
+	// Inform is told of a write of an assignment that concerns this daemon.
+	Inform func(mtstore.Entry)
 }
 
 type teach = func(ctx context.Context, after mtid.Revision, epochs map[string]mtid.Epoch, wait time.Duration) (mtstore.Changes, error)
@@ -41,15 +43,16 @@
 // server implements the service.
 type server struct {
 	mtwire.UnimplementedForwarderServer
-	host  host
-	clock clock
-	news  Exchange
-	teach teach
+	host   host
+	clock  clock
+	news   Exchange
+	teach  teach
+	inform func(mtstore.Entry)
 }
 
 // Register adds the service to a gRPC server.
 func Register(r grpc.ServiceRegistrar, s Server) {
-	mtwire.RegisterForwarderServer(r, &server{host: s.Host, clock: s.Clock, news: s.News, teach: s.Teach})
+	mtwire.RegisterForwarderServer(r, &server{host: s.Host, clock: s.Clock, news: s.News, teach: s.Teach, inform: s.Inform})
 }
 
 // maxLearn bounds how long another daemon may wait.
@@ -68,13 +71,27 @@
 	}
 	reply := &mtwire.LearnReply{Revision: uint64(changes.Revision)}
 	for _, e := range changes.Entries {
-		reply.Entries = append(reply.Entries, &mtwire.LearnEntry{
-			Name: e.Name, Value: e.Value, Version: uint64(e.Version), Revision: uint64(e.Revision),
-		})
+		reply.Entries = append(reply.Entries, wireEntry(e))
 	}
 	return reply, nil
 }
 
+func wireEntry(e mtstore.Entry) *mtwire.LearnEntry {
+	return &mtwire.LearnEntry{Name: e.Name, Value: e.Value, Version: uint64(e.Version), Revision: uint64(e.Revision)}
+}
+
+func readEntry(w *mtwire.LearnEntry) mtstore.Entry {
+	return mtstore.Entry{
+		Name: w.GetName(), Value: w.GetValue(), Version: mtid.Version(w.GetVersion()), Revision: mtid.Revision(w.GetRevision()),
+	}
+}
+
+// Inform implements mtwire.ForwarderServer.
+func (s *server) Inform(_ context.Context, w *mtwire.LearnEntry) (*mtwire.InformReply, error) {
+	s.inform(readEntry(w))
+	return &mtwire.InformReply{}, nil
+}
+
 // Forward implements mtwire.ForwarderServer.
 func (s *server) Forward(w *mtwire.ForwardRequest, stream grpc.ServerStreamingServer[mtwire.ForwardReply]) error {
 	if err := stream.SendHeader(metadata.MD{}); err != nil {
@@ -199,6 +216,7 @@
 		return &mtwire.ForwardReply{
 			Outcome: string(mtreply.NotRun), Cause: string(refused.Cause), Detail: refused.Detail,
 			RetryAfterUs: refused.RetryAfter.Microseconds(),
+			Owner:        string(refused.Owner), OwnerEpoch: uint64(refused.Epoch),
 		}
 	case errors.As(err, &unknown):
 		return &mtwire.ForwardReply{Outcome: string(mtreply.Unknown), Cause: string(unknown.Cause), Detail: unknown.Error()}
@@ -226,6 +244,7 @@
 	case mtreply.NotRun:
 		return nil, &mtreply.RefusedError{
 			Cause: mtreply.Cause(w.GetCause()), Detail: w.GetDetail(), RetryAfter: micros(w.GetRetryAfterUs()),
+			Owner: mtid.Daemon(w.GetOwner()), Epoch: mtid.Epoch(w.GetOwnerEpoch()),
 		}
 	}
 	return nil, &mtreply.UnknownError{Cause: mtreply.Cause(w.GetCause()), Err: &remoteError{detail: w.GetDetail()}}
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -130,6 +130,9 @@
 	// Standings returns what is known of the load of this server and the others
 	// of its service.
 	Standings func() (self mtrange.Standing, others []mtrange.Standing)
+	// Inform tells a daemon of an assignment that gives it keys, as far as it differs
+	// from the one at an epoch. It must not block, and may be nil.
+	Inform func(to mtid.Daemon, a mtdirectory.Assignment, since mtid.Epoch)
 	// Survey asks other servers of the service how loaded they are.
 	Survey func(ctx context.Context)
 }
@@ -230,7 +233,7 @@
 	if r.Owner == (mtrange.Owner{Daemon: g.Self, Life: life}) {
 		return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: grantRetry}
 	}
-	return &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute}
+	return &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute, Owner: r.Owner.Daemon, Epoch: assignment.Next}
 }
 
 // Fenced makes the duty grant the key again, which the server says it does not
--- a/io/mtgrant/transfer.go
+++ b/io/mtgrant/transfer.go
@@ -63,11 +63,37 @@
 	// that the next life has granted again.
 	own := mtstore.Condition{Name: mtstore.BackendName(g.Self), Version: g.Directory.Own()}
 	result := g.write(g.stopping, []mtstore.Condition{own}, next, assignment.Version, ready[0].why)
+	if result == written {
+		g.informTakers(ready, assignment.Next)
+	}
 	for _, t := range ready {
 		t.result <- result
 	}
 }
 
+// told is how many epochs before a write a daemon may have stopped hearing of
+// assignments and still be told of the write in passing: a handful of moves.
+const told = 32
+
+// informTakers tells those that were given keys, before they hear of it by their
+// watches. A watch takes a tenth of a second and two hops; nobody served the keys
+// meanwhile, which is half of the time that a lookup has, and their callers asked for
+// them every few milliseconds.
+func (g *Grants) informTakers(ready []*transfer, next mtid.Epoch) {
+	if g.Inform == nil {
+		return
+	}
+	assignment := g.Directory.Now().Assignments[g.Service]
+	since := next - min(next, told)
+	done := make(map[mtid.Daemon]bool, len(ready))
+	for _, t := range ready {
+		if to := t.to.Daemon; !done[to] {
+			done[to] = true
+			g.Inform(to, assignment, since)
+		}
+	}
+}
+
 // apply makes the transfers in a table, and returns those that fit. The others are
 // told that they were refused: their keys have changed hands in the meantime.
 func (g *Grants) apply(table *mtrange.Table, batch []*transfer) (next *mtrange.Table, ready []*transfer) {
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -106,7 +106,10 @@
 	tried     []mtid.Holder // daemons that can't or won't take it
 	bounced   int
 	redirects int
-	arrivals  int // at backend servers
+	// owner is the daemon beside the owner of the key, as another daemon says that
+	// has heard more of the assignment.
+	owner    mtid.Daemon
+	arrivals int // at backend servers
 	// doubt is the failure of a try that may have run. Whatever later tries say,
 	// the call is not proved not run any more.
 	doubt error
@@ -203,7 +206,13 @@
 			return false
 		}
 		state.redirects++
-		return state.redirects <= redirects && mtduty.Sleep(ctx, moved)
+		if state.redirects > redirects {
+			return false
+		}
+		if s.redirected(call, state, member, refused) {
+			return true
+		}
+		return mtduty.Sleep(ctx, moved)
 	}
 	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined {
 		return false
@@ -219,6 +228,24 @@
 	return state.bounced <= bounces
 }
 
+// redirected reports whether the daemon that refused a key has told who owns it, by an
+// assignment that is not known here yet: then the call goes there at once. News of a
+// move take a tenth of a second, and until then one in ten lookups was asked for again
+// and again where the key had been, until its time was over.
+func (s *Sender) redirected(call *mtcall.Call, state *sending, asked mtdirectory.Member, refused *mtreply.RefusedError) bool {
+	former := state.owner
+	state.owner = ""
+	newer := refused.Epoch > s.Directory.Now().Assignments[call.Service].Epoch()
+	if refused.Cause != mtreply.CauseStaleRoute || refused.Owner == "" || refused.Owner == asked.Daemon || !newer {
+		if refused.Cause == mtreply.CauseNoLease {
+			state.owner = former // it is about to be granted there
+		}
+		return false
+	}
+	state.owner = refused.Owner
+	return true
+}
+
 // full reports whether a server refused for its load.
 func full(cause mtreply.Cause) bool {
 	return cause == mtreply.CauseShed || cause == mtreply.CauseQueueFull
@@ -231,7 +258,7 @@
 func (s *Sender) target(call *mtcall.Call, state *sending) (mtdirectory.Member, error) {
 	view := s.Directory.Now()
 	if call.Keyed {
-		return s.owner(view, call)
+		return s.owner(view, call, state)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -247,13 +274,17 @@
 }
 
 // owner returns the daemon beside the owner of the call's key.
-func (s *Sender) owner(view *mtdirectory.View, call *mtcall.Call) (mtdirectory.Member, error) {
+func (s *Sender) owner(view *mtdirectory.View, call *mtcall.Call, state *sending) (mtdirectory.Member, error) {
 	assignment, ok := view.Assignments[call.Service]
 	if !ok {
 		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: emptyRetry, Detail: "no assignment is known"}
 	}
 	r, _ := assignment.Lookup(call.Key)
-	member, ok := view.Members[r.Owner.Daemon]
+	owner := r.Owner.Daemon
+	if state.owner != "" {
+		owner = state.owner
+	}
+	member, ok := view.Members[owner]
 	if !ok || member.Service != call.Service {
 		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: ownerRetry, Detail: "the owner's daemon is away"}
 	}
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -20,6 +20,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtstore"
@@ -90,6 +91,50 @@
 	wholeOK = &mtcall.Answer{Status: http.StatusOK}
 )
 
+// keyed makes the call one for a key of a service that daemon b owns.
+func keyed(t *testing.T, sender *mtingress.Sender, call *mtcall.Call) *mtcall.Call {
+	t.Helper()
+	table, err := mtrange.Spread("desk", []mtrange.Owner{{Daemon: "b", Life: mtid.Life{Server: "s"}}})
+	assert.NilError(t, err)
+	sender.Directory.Learn(mtdirectory.Assignment{Table: table, Version: 1})
+	call.Keyed = true
+	return call
+}
+
+// A hot run has moved, and this daemon hears of it a tenth of a second later. It asked
+// the former owner again every 15 ms until then, which a lookup of 200 ms does not
+// outlive. The former owner knows the new one, and the call goes there at once.
+func TestARefusedKeyIsAskedForAtTheOwnerThatIsNamed(t *testing.T) {
+	p := &peers{}
+	p.answer = func(n int) (*mtcall.Answer, error) {
+		if n == 1 {
+			return nil, &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute, Owner: "c", Epoch: 99}
+		}
+		return wholeOK, nil
+	}
+	s, clock := newSender(t, p)
+	answer, err := s.Send(t.Context(), keyed(t, s, newCall(clock.Now(), true)), 2)
+	assert.NilError(t, err)
+	assert.Equal(t, answer, wholeOK)
+	assert.DeepEqual(t, p.sent, []mtid.Daemon{"b", "c"})
+}
+
+// The word of a daemon that has heard less than this one leads nowhere: two that name
+// each other would be asked in turn.
+func TestAnOlderWordOfAnOwnerIsNotFollowed(t *testing.T) {
+	p := &peers{}
+	p.answer = func(n int) (*mtcall.Answer, error) {
+		if n == 1 {
+			return nil, &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute, Owner: "c", Epoch: 1}
+		}
+		return wholeOK, nil
+	}
+	s, clock := newSender(t, p)
+	_, err := s.Send(t.Context(), keyed(t, s, newCall(clock.Now(), true)), 2)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, p.sent, []mtid.Daemon{"b", "b"})
+}
+
 // A first try was cut off while the server worked on it, and the second was
 // refused. The caller was told 503, which promises that nothing has run.
 func TestARefusalAfterATryInDoubtIsNoProof(t *testing.T) {
@@ -167,7 +212,7 @@
 	t.Helper()
 	clock := mttime.New()
 	ingress := mtingress.New(mtingress.Config{
-		Names: mtheader.Passed, Service: "own", Parent: func(mtcall.ID) bool { return false }, Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Names:  mtheader.Passed, Service: "own", Parent: func(mtcall.ID) bool { return false }, Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		Done: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
 	router := echo.New()
@@ -291,7 +336,7 @@
 	s := &sent{err: shed}
 	clock := &stepped{now: mtclock.Instant(time.Hour)}
 	ingress := mtingress.New(mtingress.Config{
-		Names: mtheader.Passed, Service: "own", Parent: func(mtcall.ID) bool { return false }, Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Names:  mtheader.Passed, Service: "own", Parent: func(mtcall.ID) bool { return false }, Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		Done: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
 	router := echo.New()
--- a/io/mtmesh/learn.go
+++ b/io/mtmesh/learn.go
@@ -9,6 +9,7 @@
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
@@ -145,6 +146,28 @@
 // Error implements error.
 func (notWatching) Error() string { return "this daemon does not watch the store" }
 
+// inform tells a daemon of an assignment that gives it keys.
+func (m *Mesh) inform(to mtid.Daemon, a mtdirectory.Assignment, since mtid.Epoch) {
+	member, ok := m.directory.Load().Now().Members[to]
+	if !ok {
+		return
+	}
+	value, err := a.Since(since).Encode()
+	if err != nil {
+		m.config.Log.Error("word of an assignment can't be encoded", "service", a.Service, "error", err)
+		return
+	}
+	entry := mtstore.Entry{Name: mtstore.RangeName(a.Service), Value: value, Version: a.Version}
+	peers := mtkernel.Need[*mtforward.Client](m.kernel, NamePeers)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+		defer cancel()
+		if err := peers.Inform(ctx, member.Address, entry); err != nil {
+			m.config.Log.Info("daemon could not be told of its keys", "peer", to, "error", err)
+		}
+	}()
+}
+
 // teach waits for changes on behalf of another daemon.
 func (m *Mesh) teach(ctx context.Context, after mtid.Revision, epochs map[string]mtid.Epoch, wait time.Duration) (mtstore.Changes, error) {
 	directory := m.directory.Load()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -243,6 +243,7 @@
 		Log:       m.config.Log,
 		Standings: m.standings,
 		Survey:    m.survey,
+		Inform:    m.inform,
 	})
 	grants.Store(held)
 	if err := mtkernel.Register(m.kernel, NameHost, host, closeHost); err != nil {
@@ -350,7 +351,7 @@
 		grpc.InitialWindowSize(mtforward.Window), grpc.InitialConnWindowSize(mtforward.Window),
 		grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
 	mtforward.Register(m.peers, mtforward.Server{
-		Host: m.Host(), Clock: mtkernel.Need[*mttime.Clock](m.kernel, NameClock), News: m.exchange(), Teach: m.teach,
+		Host: m.Host(), Clock: mtkernel.Need[*mttime.Clock](m.kernel, NameClock), News: m.exchange(), Teach: m.teach, Inform: m.directory.Load().Inform,
 	})
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
