--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -82,12 +82,16 @@
 type News struct {
 	Config mtid.Version // of the configuration in force
 	Seen   mtid.Version // the newest of all records and assignments
+	// Age is how long ago the configuration certainly was the newest.
+	Age time.Duration
 }
 
 // Exchange is how daemons tell each other what they have seen.
 type Exchange struct {
 	Tell func() News
-	Hear func(News)
+	// Hear is told of another daemon's news. They are an answer to what was sent at
+	// an instant, or it is zero: then nobody knows for how long they were on their way.
+	Hear func(news News, sent mtclock.Instant)
 }
 
 // Client sends calls to other daemons over one connection each.
@@ -217,7 +221,7 @@
 	}
 	c.answered(address, begun)
 	c.note(daemon, load)
-	c.news.Hear(readNews(load.GetNews()))
+	c.news.Hear(readNews(load.GetNews()), begun)
 	return nil
 }
 
@@ -283,7 +287,7 @@
 		return nil, mtconn.Explain(ctx, err, sent, unreachableRetry)
 	}
 	c.note(daemon, w.GetLoad())
-	c.news.Hear(readNews(w.GetNews()))
+	c.news.Hear(readNews(w.GetNews()), now)
 	return readReply(w)
 }
 
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtstore"
@@ -40,7 +41,7 @@
 
 func exchange(tell mtforward.News) (mtforward.Exchange, *news) {
 	n := &news{heard: make(chan mtforward.News, 100)}
-	return mtforward.Exchange{Tell: func() mtforward.News { return tell }, Hear: func(h mtforward.News) { n.heard <- h }}, n
+	return mtforward.Exchange{Tell: func() mtforward.News { return tell }, Hear: func(h mtforward.News, _ mtclock.Instant) { n.heard <- h }}, n
 }
 
 func serve(t *testing.T, h *host) (address string, heard *news) {
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -97,7 +97,7 @@
 	if err := stream.SendHeader(metadata.MD{}); err != nil {
 		return err
 	}
-	s.news.Hear(readNews(w.GetNews()))
+	s.news.Hear(readNews(w.GetNews()), 0)
 	answer, err := s.host.Run(stream.Context(), readCall(s.clock.Now(), w))
 	reply := wireReply(answer, err)
 	reply.Load = wireLoad(s.host.Load())
@@ -107,18 +107,18 @@
 
 // Observe implements mtwire.ForwarderServer.
 func (s *server) Observe(_ context.Context, w *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
-	s.news.Hear(readNews(w.GetNews()))
+	s.news.Hear(readNews(w.GetNews()), 0)
 	load := wireLoad(s.host.Load())
 	load.News = wireNews(s.news.Tell())
 	return load, nil
 }
 
 func wireNews(n News) *mtwire.News {
-	return &mtwire.News{Config: uint64(n.Config), Seen: uint64(n.Seen)}
+	return &mtwire.News{Config: uint64(n.Config), Seen: uint64(n.Seen), AgeUs: n.Age.Microseconds()}
 }
 
 func readNews(w *mtwire.News) News {
-	return News{Config: mtid.Version(w.GetConfig()), Seen: mtid.Version(w.GetSeen())}
+	return News{Config: mtid.Version(w.GetConfig()), Seen: mtid.Version(w.GetSeen()), Age: micros(w.GetAgeUs())}
 }
 
 // Times travel as what is left of them: clocks of two VMs are not compared.
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -62,6 +62,9 @@
 	// Parent reports whether the backend server on this VM makes a request as a
 	// part of one that it runs.
 	Parent func(id mtcall.ID) bool
+	// Denies reports whether the configuration in force is so certainly the newest
+	// that a route which it does not have can be denied.
+	Denies func(now mtclock.Instant) bool
 	Send   sender
 	Clock  clock
 	Log    *slog.Logger
@@ -164,6 +167,9 @@
 		return call, nil, &mtreply.RefusedError{Cause: mtreply.CauseNoService, RetryAfter: unconfigured, Detail: "no configuration is known yet"}
 	}
 	route, ok := config.Match(r.Host, r.RequestURI)
+	if !ok && !in.Denies(now) {
+		return call, nil, &mtreply.RefusedError{Cause: mtreply.CauseNoService, RetryAfter: unconfigured, Detail: "the route may be newer than the configuration"}
+	}
 	if !ok {
 		return call, nil, &routeError{version: config.Version}
 	}
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -212,6 +212,7 @@
 	t.Helper()
 	clock := mttime.New()
 	ingress := mtingress.New(mtingress.Config{
+		Denies: func(mtclock.Instant) bool { return true },
 		Names:  mtheader.Passed, Service: "own", Parent: func(mtcall.ID) bool { return false }, Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		Done: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
@@ -336,6 +337,7 @@
 	s := &sent{err: shed}
 	clock := &stepped{now: mtclock.Instant(time.Hour)}
 	ingress := mtingress.New(mtingress.Config{
+		Denies: func(mtclock.Instant) bool { return true },
 		Names:  mtheader.Passed, Service: "own", Parent: func(mtcall.ID) bool { return false }, Send: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		Done: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -90,7 +90,8 @@
 	Log   *slog.Logger
 	// Refresh makes the configuration be read anew: another daemon has a newer
 	// one, or the store is to be asked in case its watches have gone deaf.
-	Refresh func()
+	// It fails if the store did not answer.
+	Refresh func() error
 	// Other is told of every entry of the store that is not the product's own.
 	Other func(mtstore.Entry)
 }
@@ -105,9 +106,10 @@
 	ready   atomic.Bool
 	// The store is asked for what another daemon has seen: a configuration, and
 	// records.
-	asking   atomic.Bool
-	doubting atomic.Bool
-	learner  *learner
+	asking    atomic.Bool
+	certainty certainty
+	doubting  atomic.Bool
+	learner   *learner
 	// The news go with each message, and the kernel's lookups are not for that.
 	directory atomic.Pointer[mtdirectory.Directory]
 	ingress   atomic.Pointer[mtingress.Ingress]
@@ -305,6 +307,7 @@
 		Names:   m.config.Names,
 		Service: m.config.Service,
 		Parent:  m.Host().Parent,
+		Denies:  m.certainty.denies,
 		Send:    sender,
 		Clock:   clock,
 		Log:     m.config.Log,
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -3,25 +3,27 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtforward"
+	"magnoliaturn/io/mttime"
 )
 
 // A watch of the store may hear nothing for seconds while changes are made. So a
 // few daemons ask for the configuration regularly, and all tell each other in
 // passing what they have seen.
 const (
-	// askEvery is how often the configuration is asked for. It has to be in
-	// force everywhere within two seconds: asked for in half of that, told and
-	// read in the rest.
-	askEvery = 800 * time.Millisecond
+	// askLook is how often it is looked whether the store is to be asked for the
+	// configuration.
+	askLook = 100 * time.Millisecond
 	// askers is how many daemons do so: one may be lost or cut off.
 	askers = 2
 	// doubtAfter is how long a daemon that hears of a newer configuration waits
@@ -36,6 +38,42 @@
 	tellTimeout = 500 * time.Millisecond
 )
 
+// certainty is how old the knowledge of the configuration is, for several goroutines.
+type certainty struct {
+	mu   sync.Mutex
+	core mtroute.Certainty
+}
+
+func (c *certainty) confirm(at mtclock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Confirm(at)
+}
+
+func (c *certainty) hear(own, theirs mtid.Version, age time.Duration, sent mtclock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Hear(own, theirs, age, sent)
+}
+
+func (c *certainty) age(now mtclock.Instant) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Age(now)
+}
+
+func (c *certainty) ask(now mtclock.Instant, turn bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Ask(now, turn)
+}
+
+func (c *certainty) denies(now mtclock.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Denies(now)
+}
+
 // exchange returns how this daemon takes part in the news.
 func (m *Mesh) exchange() mtforward.Exchange {
 	return mtforward.Exchange{Tell: m.tell, Hear: m.hear}
@@ -50,13 +88,17 @@
 	if c := m.configuration(); c != nil {
 		news.Config = c.Version
 	}
+	news.Age = m.certainty.age(m.steady())
 	return news
 }
 
 // hear compares what another daemon has seen, and asks the store if the own
 // watches don't bring it soon.
-func (m *Mesh) hear(theirs mtforward.News) {
+func (m *Mesh) hear(theirs mtforward.News, sent mtclock.Instant) {
 	own := m.tell()
+	if sent != 0 {
+		m.certainty.hear(own.Config, theirs.Config, theirs.Age, sent)
+	}
 	if own.Config < theirs.Config {
 		soon(&m.asking, doubtAfter, func() { m.doubtConfiguration(theirs) })
 	}
@@ -80,10 +122,25 @@
 func (m *Mesh) doubtConfiguration(theirs mtforward.News) {
 	if own := m.tell(); own.Config < theirs.Config {
 		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.Config), "newest", uint64(theirs.Config))
-		m.config.Refresh()
+		m.refresh()
 	}
 }
 
+// refresh asks the store for the configuration.
+func (m *Mesh) refresh() {
+	begun := m.steady()
+	if err := m.config.Refresh(); err != nil {
+		m.config.Log.Warn("configuration could not be asked for", "error", err)
+		return
+	}
+	m.certainty.confirm(begun)
+}
+
+// steady returns the instant by which ages are counted.
+func (m *Mesh) steady() mtclock.Instant {
+	return mtkernel.Need[*mttime.Clock](m.kernel, NameClock).Now()
+}
+
 // doubtRecords reads everything anew if nothing has brought the newer records.
 func (m *Mesh) doubtRecords(theirs mtforward.News) {
 	if own := m.tell(); own.Seen < theirs.Seen {
@@ -94,9 +151,9 @@
 
 // addNews adds the duty that asks for the configuration.
 func (m *Mesh) addNews() error {
-	stop := mtduty.Every(askEvery, func(context.Context) {
-		if m.asker() {
-			m.config.Refresh()
+	stop := mtduty.Every(askLook, func(context.Context) {
+		if m.certainty.ask(m.steady(), m.asker()) {
+			m.refresh()
 		}
 	})
 	return mtkernel.Register(m.kernel, NameNews, stop, stop)
