--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -116,7 +116,7 @@
 	entries map[string]mtstore.Entry // all that was heard of, deletions included
 	next    chan struct{}            // closed at the next change
 	keeper  *keeper
-	watcher *mtwatch.Watcher
+	watcher atomic.Pointer[mtwatch.Watcher]
 	upSince atomic.Int64 // steady instant since when the store answers; 0 if it doesn't
 }
 
@@ -133,7 +133,7 @@
 	watcher, stopWatch := mtwatch.Start(mtwatch.Config{
 		Store: d.Source, Apply: d.apply, Health: d.health, Log: config.Log,
 	})
-	d.watcher = watcher
+	d.watcher.Store(watcher)
 	stopKeeper := d.keeper.start()
 	return d, func() {
 		stopWatch()
@@ -176,7 +176,13 @@
 
 // Resync reads everything again: another daemon has seen a version that the
 // watch has not brought.
-func (d *Directory) Resync() { d.watcher.Resync(time.Now()) }
+func (d *Directory) Resync() {
+	// What the first reading brings may be unreadable before New has returned. Another
+	// reading would bring the same.
+	if watcher := d.watcher.Load(); watcher != nil {
+		watcher.Resync(time.Now())
+	}
+}
 
 // health notes whether the store answers.
 func (d *Directory) health(up bool) {
