--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -55,8 +55,9 @@
 
 // host is a backend server as the daemon knows it.
 type host struct {
-	mu     sync.Mutex
-	record mtbackend.Record
+	mu      sync.Mutex
+	record  mtbackend.Record
+	unbound atomic.Bool // another life may answer
 }
 
 func (h *host) Record() (mtbackend.Record, string) {
@@ -78,7 +79,7 @@
 func (*host) Forget(mtid.Number, mtid.Number)  {}
 func (*host) Gain(mtid.Number, mtid.Number)    {}
 func (*host) Suspect(mtid.Life)                {}
-func (*host) Bound(mtid.Life) bool             { return true }
+func (h *host) Bound(mtid.Life) bool           { return !h.unbound.Load() }
 
 // Cut gives a hundred keys for each gift.
 func (*host) Cut(ranges []mtrange.Range, gifts []mtrange.Gift) []mtrange.Run {
@@ -146,6 +147,7 @@
 	grants    *mtgrant.Grants
 
 	mu       sync.Mutex
+	inform   func(to mtid.Daemon, a mtdirectory.Assignment, since mtid.Epoch)
 	standing mtrange.Standing
 	others   []mtrange.Standing
 }
@@ -206,6 +208,7 @@
 			return f.standing, f.others
 		},
 		Survey: func(context.Context) {},
+		Inform: f.inform,
 	})
 	f.grants = grants
 	f.t.Cleanup(func() {
@@ -374,6 +377,57 @@
 	}
 }
 
+// Somebody writes over the record of a daemon that lives and can't be reached just now.
+// One that has started since knows nothing else of it. The entry proves no end, however
+// long it stands: taken over, the keys had two owners.
+func TestKeysAreNotTakenWhileAForeignRecordStands(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.store.Put(mtstore.BackendName("b"), []byte(`{"daemon":"b","state":"resting"}`))
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.clock.advance(hold + lease + time.Minute)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.turns()
+	assert.Equal(t, f.owner(mtid.LastNumber), mtid.Daemon("b"))
+}
+
+// A move's taker learns of its keys only by its watch, a tenth of a second later, and
+// nobody serves them until then. It is told at once, by what has changed.
+func TestTheTakerOfKeysIsToldOfThem(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	told := make(chan mtrange.Owner, 8)
+	f.inform = func(to mtid.Daemon, a mtdirectory.Assignment, since mtid.Epoch) {
+		assert.Check(t, to == "b" && since < a.Next)
+		for _, r := range a.Since(since).Ranges {
+			if r.Low == 0 {
+				told <- r.Owner
+			}
+		}
+	}
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	assert.Equal(t, <-told, ownerOf("b"))
+}
+
+// The server's process has ended, and another life may answer at its address already. A
+// renewal that came due then reached that one, under the epoch of the former.
+func TestNoOrderIsSentToWhoeverAnswers(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.host.unbound.Store(true)
+	f.clock.advance(hold / 2)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.until("the record stands", func() bool { return f.directory.Certain().Sub(f.clock.Now()) > lease/2 })
+	f.grants.Wake()
+	f.turns()
+	assert.Equal(t, f.port.count("grant"), 1)
+	f.host.unbound.Store(false)
+	f.grants.Wake()
+	f.until("the grant is renewed", func() bool { return f.port.count("grant") == 2 })
+}
+
 // A daemon was restarted and has not heard from its server yet. That says nothing
 // of the server, which goes on with the keys that it was granted.
 func TestARestartedDaemonKeepsItsServersKeys(t *testing.T) {
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -407,13 +407,20 @@
 func TestOfTwoLivesOfOneNameTheLaterOneRuns(t *testing.T) {
 	s := newStand(t, "server")
 	s.server.runs = "one"
+	s.mu.Lock()
+	s.path = "" // no configuration is known yet, so the server can't be asked
+	s.mu.Unlock()
 	s.hear(s.born(100, 50))
 	s.hear(s.born(200, 1))
+	s.mu.Lock()
+	s.path = "/health"
+	s.mu.Unlock()
 	want := mtid.Life{Server: "one", Born: 200}
 	s.until("the later life runs", func(r mtbackend.Record) bool { return r.Life == want && r.Takes() })
 	s.hear(s.born(100, 51))
 	s.hear(s.born(100, 52))
-	assert.Equal(t, s.record().Life, want)
+	known, _ := s.host.Record()
+	assert.Equal(t, known.Life, want)
 }
 
 // A server has begun another life under its name and denies to hold a key, before its
--- a/io/mthost/tether_test.go
+++ b/io/mthost/tether_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -93,6 +94,10 @@
 			s.until("the life is bound", func(mtbackend.Record) bool { return s.host.Bound(life) })
 			assert.NilError(t, (<-p.accepted).Close())
 			s.until("the reset shows", func(mtbackend.Record) bool { return !s.host.Bound(life) || born == 0 })
+			if born != 0 {
+				time.Sleep(500 * time.Millisecond) // the connection is open again, and the server could be asked
+				assert.Assert(t, !s.host.Bound(life), "known again by a name that its next life has too")
+			}
 			sequence := uint64(2)
 			s.until("the life is known again", func(mtbackend.Record) bool {
 				if born != 0 {
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -278,6 +278,18 @@
 	}
 }
 
+// A route was added a second ago, and this daemon can't know whether it has heard of all
+// changes. Told 404, callers don't ask again; they are told to come back instead.
+func TestARouteIsDeniedOnlyWithCertainty(t *testing.T) {
+	ingress, _, handler := newIngress(t, &sent{})
+	ingress.Configure(configuration(t, 1))
+	ingress.Denies = func(mtclock.Instant) bool { return false }
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, request("/none", "1"))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, w.Header().Get("Retry-After") != "")
+}
+
 // The caller's own word on where the request comes from, and what concerns its
 // connection only, stays here; all else is passed on.
 func TestWhatIsPassedOn(t *testing.T) {
