--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -405,10 +405,16 @@
 	name := mtid.Daemon(strings.TrimPrefix(e.Name, mtstore.Backend))
 	delete(v.Foreign, name)
 	if e.Version == 0 {
-		if m, ok := v.Members[name]; ok {
-			v.Members[name] = lapse(m, now)
-			d.Log.Info("record of backend server gone", "peer", name, "server", m.Life.String(), "revision", uint64(e.Revision))
+		// One that was never seen is noted too. It may have stood between a reading of
+		// everything and now, while this daemon heard nothing: its daemon ordered
+		// grants until then, and whoever counts from the reading takes the keys while
+		// the last one is in force.
+		m, ok := v.Members[name]
+		if !ok {
+			m.Daemon = name
 		}
+		v.Members[name] = lapse(m, now)
+		d.Log.Info("record of backend server gone", "peer", name, "server", m.Life.String(), "known", ok, "revision", uint64(e.Revision))
 		return
 	}
 	old, known := v.Members[name]
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -119,6 +119,26 @@
 	until(t, "b sees that a has lapsed", func() bool { return seen(b, "a", true) })
 }
 
+// A daemon starts and reads everything just before another one's record is back. It hears
+// nothing for three seconds, and then that the record has gone again. It counted from its
+// own start how long that daemon could have granted keys, and took them 1.9 s after
+// the record had gone: two servers held them.
+func TestARecordThatCameAndWentUnseenCountsFromItsEnd(t *testing.T) {
+	store := mtstandin.NewRevisions(time.Now)
+	b := start(t, store, "b")
+	until(t, "b has read all", func() bool { return b.Now().Revision != 0 })
+	store.Deafen(true)
+	lease, err := store.Grant(context.Background(), time.Minute)
+	assert.NilError(t, err)
+	value, err := record("a").Encode()
+	assert.NilError(t, err)
+	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, lease)
+	assert.NilError(t, err)
+	assert.NilError(t, store.End(context.Background(), lease))
+	store.Deafen(false)
+	until(t, "b knows that a's record has gone", func() bool { return seen(b, "a", true) })
+}
+
 // Only some daemons watch the store; the others ask one of those. What they are
 // told is what a watch would have told, deletions included, and nothing old.
 func TestWhatOthersLearnIsWhatAWatchTells(t *testing.T) {
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -334,6 +334,23 @@
 	f.until("and granted", func() bool { return f.port.count("grant") >= 2 })
 }
 
+// The store takes a daemon's record away before its lease has run out, and turns that
+// daemon away. It goes by its last renewal, counts the record as certain for the rest
+// of the lease, and orders grants until then, which last a hold longer. Another daemon
+// counts from the moment at which the record went, and takes the keys before that:
+// two servers hold them.
+func TestKeysOfADaemonWhoseRecordWentEarlyWaitForItsGrants(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.lapseB() // just after a renewal
+	const lastOrder = lease * 98 / 100
+	f.clock.advance(lastOrder + hold)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.turns()
+	assert.Equal(t, f.owner(mtid.LastNumber), mtid.Daemon("b"), "taken while a grant may still be in force")
+}
+
 // All VMs of a large fleet lose power while the store is away, and once it is back
 // forty servers are found lost at the same moment. The store takes no more than
 // thirty conditions in one step; a takeover of all at once was rejected, and tried
