Test what two owners and late leaving need, failing

The daemon that was back wrote its record (version 47) and granted by its copy of the assignment 42 ms later, 20 ms before it heard of the takeover (version 46). Reading every step of that path, and of the leaving that was granted its keys, brought up siblings. Change: tests only, each with its story, and a store that lets another writer delete a name.

--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -139,6 +139,63 @@
 	until(t, "b knows that a's record has gone", func() bool { return seen(b, "a", true) })
 }
 
+// comeAndGo lets the record of daemon a stand for a moment.
+func comeAndGo(t *testing.T, store *mtstandin.Revisions) {
+	t.Helper()
+	lease, err := store.Grant(context.Background(), time.Minute)
+	assert.NilError(t, err)
+	value, err := record("a").Encode()
+	assert.NilError(t, err)
+	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, lease)
+	assert.NilError(t, err)
+	assert.NilError(t, store.End(context.Background(), lease))
+}
+
+// The record of a daemon has gone, is back and goes again, and another daemon hears only
+// of the last of these: it was cut off, or learned from one that tells the last state.
+// Its daemon ordered grants until then. Counted from the first end, the keys were taken
+// while the last grant was in force.
+func TestARecordThatWentAgainCountsFromItsLastEnd(t *testing.T) {
+	for name, hear := range map[string]func(store *mtstandin.Revisions){
+		"by a watch": func(store *mtstandin.Revisions) { store.Deafen(false) },
+		"by a reading of everything": func(store *mtstandin.Revisions) {
+			store.Compact()
+			store.Deafen(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := mtstandin.NewRevisions(time.Now)
+			b := start(t, store, "b")
+			until(t, "b has read all", func() bool { return b.Now().Revision != 0 })
+			comeAndGo(t, store)
+			until(t, "b knows that a's record has gone", func() bool { return seen(b, "a", true) })
+			first := b.Now()
+			store.Deafen(true)
+			comeAndGo(t, store)
+			store.Put("other", nil)
+			hear(store)
+			until(t, "b has heard of what came later", func() bool { return b.Now().Revision > first.Revision })
+			assert.Assert(t, seen(b, "a", true))
+			assert.Assert(t, b.Now().Members["a"].Since > first.Members["a"].Since, "counted from the first end")
+		})
+	}
+}
+
+// Somebody deletes the record of a daemon whose lease goes on. The renewal of the lease
+// succeeds, so that the daemon took its record for certain and ordered grants, while all
+// others counted until they would take its keys.
+func TestARecordThatIsDeletedIsWrittenAgain(t *testing.T) {
+	store := mtstandin.NewRevisions(time.Now)
+	a := start(t, store, "a")
+	a.Publish(record("a"))
+	until(t, "a's record stands", func() bool { return seen(a, "a", false) && a.Certain() != 0 })
+	before := a.Own()
+	store.Delete(mtstore.BackendName("a"))
+	until(t, "a's record stands again", func() bool { return a.Own() > before && seen(a, "a", false) })
+	_, err := store.Get(context.Background(), mtstore.BackendName("a"))
+	assert.NilError(t, err)
+}
+
 // Only some daemons watch the store; the others ask one of those. What they are
 // told is what a watch would have told, deletions included, and nothing old.
 func TestWhatOthersLearnIsWhatAWatchTells(t *testing.T) {
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -232,6 +234,68 @@
 	}
 }
 
+// The store is away and the daemon has just been restarted. Its server says that it
+// leaves; that is acknowledged, but the daemon can't bring the server into service yet,
+// since it knows no assignment. Once the store is back it did, counted the time for new
+// work from then, and calls reached the server 2.0 s after the acknowledgement: "new life
+// of the server could not be cleared" for a second, then "ready", "draining", "granted".
+func TestALeavingBindsFromItsAcknowledgement(t *testing.T) {
+	for name, leave := range map[string]func(s *stand){
+		"says so": func(s *stand) {
+			b := s.beat("life", 1)
+			b.Draining = true
+			s.hear(b)
+		},
+		"says so before it can be asked": func(s *stand) {
+			s.mu.Lock()
+			s.path = ""
+			s.mu.Unlock()
+			b := s.beat("life", 1)
+			b.Draining = true
+			s.hear(b)
+			s.hear(b)
+			s.mu.Lock()
+			s.path = "/health"
+			s.mu.Unlock()
+		},
+		"takes itself out": func(s *stand) {
+			s.hear(s.beat("life", 1))
+			s.host.Leave(mtid.Life{Server: "life"})
+		},
+		"takes itself out before anything else": func(s *stand) {
+			s.host.Leave(mtid.Life{Server: "life"})
+			s.hear(s.beat("life", 1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, "server")
+			s.server.runs = "life"
+			var unread atomic.Bool
+			unread.Store(true)
+			s.mu.Lock()
+			s.clear = func() error {
+				if unread.Load() {
+					return errors.New("the assignment has not been read yet")
+				}
+				return nil
+			}
+			s.mu.Unlock()
+			leave(s)
+			time.Sleep(300 * time.Millisecond) // as long as new work may reach the server
+			unread.Store(false)
+			s.until("it is known to leave", func(r mtbackend.Record) bool {
+				assert.Assert(t, r.State != mtbackend.Ready, "offered to others")
+				return r.State == mtbackend.Draining
+			})
+			assert.Equal(t, s.cause(true), mtreply.CauseDraining)
+			assert.Equal(t, s.cause(false), mtreply.CauseDraining)
+			s.server.mu.Lock()
+			defer s.server.mu.Unlock()
+			assert.Equal(t, s.server.calls, 0)
+		})
+	}
+}
+
 // Callers that were refused ask again, and again. Counted each time, a server with a
 // little too much work seems to have twice what it can do, and its daemon gives keys
 // away that would be served well.
@@ -342,6 +406,28 @@
 	}
 }
 
+// The same with a daemon that was restarted and has not heard from its server: a leaving
+// one may say nothing more. Its daemon said that it had ended, although grants of the
+// former daemon were in force, and others took the keys of a server that worked on.
+func TestASilentServerOfARestartedDaemonHasNotEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	s := newStand(t, address)
+	var lasts atomic.Int64
+	lasts.Store(int64(s.clock.Now().Add(time.Hour)))
+	s.host.Lasts = func() mtclock.Instant { return mtclock.Instant(lasts.Load()) }
+	s.host.Suspect(mtid.Life{})
+	time.Sleep(400 * time.Millisecond) // longer than the checks take
+	assert.Equal(t, s.record().State, mtbackend.Unknown)
+	lasts.Store(int64(s.clock.Now()))
+	s.until("the end is told", func(r mtbackend.Record) bool {
+		s.host.Suspect(mtid.Life{})
+		return r.State == mtbackend.Ended
+	})
+}
+
 // The same, and the server does end: its orders run out and nobody listens. Its keys
 // were never free for others as long as an order could still be in force.
 func TestALeavingServerHasEndedOnceItsOrdersHaveRunOut(t *testing.T) {
@@ -518,3 +604,24 @@
 	s.hear(s.beat("new", 9))
 	s.until("the new life is ready", func(r mtbackend.Record) bool { return r.Life.Server == "new" && r.Takes() })
 }
+
+// A request crashes each server that runs it, and its caller sends it again under new
+// identifiers, for as long as the server is back. Of a request that has crashed three
+// servers no more than three further tries may reach one; each costs a server's keys
+// some seconds, and all others that were in flight there.
+func TestARequestThatCrashesItsServersIsContained(t *testing.T) {
+	s := newStand(t, "server")
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		return nil, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: errors.New("connection reset")}
+	}
+	for n := range 13 {
+		s.ready(mtid.Server(fmt.Sprintf("life-%d", n)))
+		call := s.call(true)
+		call.ID = mtcall.ID(strconv.Itoa(n))
+		_, err := s.host.Run(context.Background(), call)
+		assert.Assert(t, err != nil)
+	}
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	assert.Assert(t, s.server.calls <= 6, "%d lives were given the request", s.server.calls)
+}
--- a/io/mthost/tether_test.go
+++ b/io/mthost/tether_test.go
@@ -110,3 +110,31 @@
 		})
 	}
 }
+
+// A server crashes and starts again under its name. Its daemon opens a connection to the
+// new life, and then a beat of the former one comes, held up on its way. Taken for a word
+// of the life at the end of that connection, it let a renewal reach the new life, under
+// the epoch of the former one.
+func TestALateBeatDoesNotTellWhoAnswers(t *testing.T) {
+	first := newProcess(t, "")
+	s := newStand(t, first.address())
+	s.server.runs = "one"
+	former := mtid.Life{Server: "one", Born: 100}
+	beat := func(born mtid.Birth, sequence uint64) mtbackend.Beat {
+		b := s.born(born, sequence)
+		b.Address = first.address()
+		return b
+	}
+	s.hear(beat(100, 1))
+	s.until("the life is bound", func(mtbackend.Record) bool { return s.host.Bound(former) })
+	first.end()
+	s.until("the end shows", func(mtbackend.Record) bool { return !s.host.Bound(former) })
+	second := newProcess(t, first.address())
+	conn := <-second.accepted // by the daemon
+	defer conn.Close()
+	time.Sleep(50 * time.Millisecond) // the daemon has noted that it is open
+	s.hear(beat(100, 2))
+	assert.Assert(t, !s.host.Bound(former), "a late beat passed for one of the life that answers")
+	s.hear(beat(200, 1))
+	s.until("the new life is bound", func(mtbackend.Record) bool { return s.host.Bound(mtid.Life{Server: "one", Born: 200}) })
+}
--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -100,6 +100,15 @@
 	return s.put(name, value, "")
 }
 
+// Delete takes a name away whatever stands there, as another writer may. A lease that
+// it was written under goes on.
+func (s *Revisions) Delete(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(name)
+	s.wake()
+}
+
 // Get implements mtstore.Store.
 func (s *Revisions) Get(_ context.Context, name string) (mtstore.Entry, error) {
 	s.mu.Lock()
@@ -286,14 +295,18 @@
 	delete(s.leases, lease)
 	for name, i := range s.items {
 		if i.lease == lease {
-			s.revision++
-			delete(s.items, name)
-			s.deleted[name] = s.revision
+			s.remove(name)
 		}
 	}
 	s.wake()
 }
 
+func (s *Revisions) remove(name string) {
+	s.revision++
+	delete(s.items, name)
+	s.deleted[name] = s.revision
+}
+
 func (s *Revisions) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
