Know when the copy is as new as the own record, and what went unseen

Cause: three gaps in what a daemon knows of records. Its copy may be older than its own record, whose absence is what others take keys over by. A record that was known as gone and had been back unseen counted from its first end. A record deleted under a lease that goes on passed for certain as long as the lease was renewed. Change: Directory.Current; each end of a record has its revision, and a later one, or a whole reading in which it is missing still, counts anew; the keeper is told of the own record's end and writes it again.

--- a/io/mtdirectory/keeper.go
+++ b/io/mtdirectory/keeper.go
@@ -46,9 +46,11 @@
 	renewed mtclock.Instant
 	failing bool
 
-	certain atomic.Int64
-	newest  atomic.Uint64 // version of the last write
-	foreign atomic.Uint64 // version that another writer left under the own name
+	certain  atomic.Int64
+	newest   atomic.Uint64 // version of the last write
+	standing atomic.Uint64 // version from which on the record has stood without a gap
+	foreign  atomic.Uint64 // version that another writer left under the own name
+	deleted  atomic.Uint64 // revision at which the record was seen deleted
 }
 
 func newKeeper(config Config) *keeper {
@@ -82,9 +84,34 @@
 	}
 }
 
+// removed is told that the own record was seen deleted. If it is the one that this life
+// wrote last, its lease may go on all the same: another writer deleted it, or the store
+// takes keys away without their leases. Renewals succeed then, so that the record passed
+// for certain for ever, while all others counted until they would take the keys.
+func (k *keeper) removed(revision mtid.Revision) {
+	if uint64(revision) <= k.newest.Load() {
+		return // of before the last write
+	}
+	k.deleted.Store(uint64(revision))
+	k.certain.Store(0)
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // until returns until when the record certainly stands.
 func (k *keeper) until() mtclock.Instant { return mtclock.Instant(k.certain.Load()) }
 
+// stands returns the version from which on the record has stood without a gap, as far
+// as this life knows. Zero means that it does not stand.
+func (k *keeper) stands() mtid.Version {
+	if k.until() == 0 {
+		return 0
+	}
+	return mtid.Version(k.standing.Load())
+}
+
 // seen returns the version of the last write of the record.
 func (k *keeper) seen() mtid.Version { return mtid.Version(k.newest.Load()) }
 
@@ -151,6 +178,10 @@
 		k.Log.Warn("own record was written over", "own", uint64(k.version), "by", uint64(foreign))
 		k.version, k.written = foreign, mtbackend.Record{}
 	}
+	if deleted := k.deleted.Swap(0); k.version != 0 && deleted > uint64(k.version) {
+		k.Log.Warn("own record was deleted", "own", uint64(k.version), "revision", deleted)
+		k.version = 0
+	}
 	if k.version == 0 || k.written != wanted {
 		if err := k.write(ctx, wanted); err != nil {
 			return err
@@ -200,6 +231,7 @@
 		return err
 	}
 	name := mtstore.BackendName(k.Self)
+	gap := k.version == 0
 	for range conflicts {
 		version, err := k.Store.Swap(ctx, name, k.version, value, k.lease)
 		var conflict *mtstore.ConflictError
@@ -207,10 +239,16 @@
 		switch {
 		case err == nil:
 			k.version, k.written = version, wanted
+			if gap {
+				k.standing.Store(uint64(version))
+			}
 			k.newest.Store(uint64(version))
 			k.Log.Info("own record written", "state", wanted.State, "server", wanted.Life.String(), "leaving", wanted.Leaving, "version", uint64(version))
 			return nil
 		case errors.As(err, &conflict):
+			// What stands there, or that nothing does, was not known here: the record
+			// may have been gone in between.
+			gap = true
 			k.version = conflict.Current.Version
 		case errors.As(err, &lapsed):
 			k.lease, k.version = "", 0
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -63,9 +63,11 @@
 	mtbackend.Record
 	Version mtid.Version
 	// Lapsed says that the record is gone from the store, since when by the
-	// steady clock of this daemon.
+	// steady clock of this daemon at the latest.
 	Lapsed bool
 	Since  mtclock.Instant
+	// gone is the store's revision at which the record was last known to be gone.
+	gone mtid.Revision
 }
 
 // Assignment is a table with its version in the store.
@@ -160,6 +162,16 @@
 // the clock that never runs slow. Zero means that it does not stand yet.
 func (d *Directory) Certain() mtclock.Instant { return d.keeper.until() }
 
+// Current reports whether the copy holds all that was written before the own record
+// began to stand. Whoever takes over keys of this daemon's server writes that while the
+// record is gone. So a daemon whose record is back has heard of each takeover only once
+// its copy is as new as that record; by an older one it granted keys that had another
+// owner already.
+func (d *Directory) Current() bool {
+	stands := d.keeper.stands()
+	return stands != 0 && uint64(d.Now().Revision) >= uint64(stands)
+}
+
 // Own returns the version of the own record that this life wrote last, or zero.
 func (d *Directory) Own() mtid.Version { return d.keeper.seen() }
 
@@ -232,7 +244,7 @@
 	var others []mtstore.Entry
 	unfit := false
 	d.change(func(v *View) bool {
-		for _, e := range d.missing(u) {
+		for _, e := range d.missing(u, v) {
 			d.take(v, now, e)
 		}
 		for _, e := range u.Changes.Entries {
@@ -294,10 +306,11 @@
 	return mtid.Service(service), ok
 }
 
-// missing returns the deletions that a whole reading shows: what was known and
-// is no longer there. It is called with mu held.
-func (d *Directory) missing(u mtwatch.Update) []mtstore.Entry {
-	if !u.Whole {
+// missing returns the deletions that a whole reading shows: what was known and is no
+// longer there, and records that are gone still. Those may have been back in between.
+// It is called with mu held.
+func (d *Directory) missing(u mtwatch.Update, v *View) []mtstore.Entry {
+	if !u.Whole || u.Changes.Revision <= v.Revision {
 		return nil
 	}
 	present := make(map[string]bool, len(u.Changes.Entries))
@@ -306,11 +319,12 @@
 	}
 	var gone []mtstore.Entry
 	for name, e := range d.entries {
-		if !present[name] && e.Version != 0 {
-			e = mtstore.Entry{Name: name, Revision: u.Changes.Revision}
-			d.entries[name] = e
-			gone = append(gone, e)
+		if present[name] || e.Version == 0 && !strings.HasPrefix(name, mtstore.Backend) {
+			continue
 		}
+		e = mtstore.Entry{Name: name, Revision: u.Changes.Revision}
+		d.entries[name] = e
+		gone = append(gone, e)
 	}
 	return gone
 }
@@ -413,7 +427,13 @@
 		if !ok {
 			m.Daemon = name
 		}
-		v.Members[name] = lapse(m, now)
+		if name == d.Self {
+			d.keeper.removed(e.Revision)
+		}
+		if m.Lapsed && e.Revision <= m.gone {
+			return
+		}
+		v.Members[name] = m.lapse(now, e.Revision)
 		d.Log.Info("record of backend server gone", "peer", name, "server", m.Life.String(), "known", ok, "revision", uint64(e.Revision))
 		return
 	}
@@ -467,11 +487,12 @@
 	v.Assignments[service] = Assignment{Table: table, Version: e.Version}
 }
 
-// lapse marks a record as gone since now, or since it was first seen gone.
-func lapse(m Member, now mtclock.Instant) Member {
-	if !m.Lapsed {
-		m.Lapsed, m.Since = true, now
-	}
+// lapse returns the member with its record gone at a revision, heard of now. One that was
+// known as gone at an earlier revision has been back: its daemon may have ordered grants
+// until just now. Counted from its first end, its keys were taken while the last of
+// those was in force.
+func (m Member) lapse(now mtclock.Instant, revision mtid.Revision) Member {
+	m.Lapsed, m.Since, m.gone = true, now, revision
 	return m
 }
 
