Grant only by a copy as new as the own record, and nothing to a server that leaves

Beside it: certainty was looked at once for all orders of a round, each of which may take 0.4 s; whoever takes over did not count the lease in; and a leaving server was granted keys by a restarted daemon so that it could release them (symptom DRAIN). Ruled out: a move of a former life, a late order (the epochs are those of the copy). Change: no order unless the record is certain and the copy is as new as the record, asked before each order; a copy that stays behind for 0.4 s is read anew; takeovers wait for the lease too; keys of a leaving server that it does not hold move without a grant; a restarted daemon reckons with the orders of its former process.

--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -117,8 +117,8 @@
 // owner. New calls for them wait at the gate meanwhile, and go to the new owner
 // once the assignment names it.
 func (g *Grants) move(ctx context.Context, r mtrange.Range, low, high mtid.Number, to mtrange.Owner, why string) {
-	_, address := g.Host.Record()
-	if !g.beginMove(r, low, high) {
+	record, address := g.Host.Record()
+	if !g.beginMove(r, low, high, record.State == mtbackend.Draining) {
 		return
 	}
 	begun := g.Clock.Now()
@@ -196,12 +196,13 @@
 
 // beginMove marks keys as moving, which may be a part of what was granted at once;
 // other parts may move at the same time. It refuses while an unanswered order may put a
-// released key back into force.
-func (g *Grants) beginMove(r mtrange.Range, low, high mtid.Number) bool {
+// released key back into force, and for keys that have not been granted yet, unless the
+// server is leaving: they are never granted to it.
+func (g *Grants) beginMove(r mtrange.Range, low, high mtid.Number, leaving bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, held := range g.grants {
-		if held.Epoch != r.Epoch || !held.Covers(low) || !held.Covers(high) || held.moving || held.granted == 0 {
+		if held.Epoch != r.Epoch || !held.Covers(low) || !held.Covers(high) || held.moving || held.granted == 0 && !leaving {
 			continue
 		}
 		if held == g.ordering || g.Clock.Now().Before(g.doubt[held.life]) {
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -9,6 +9,11 @@
 // A grant lasts longer than the store's usual outages, so that an outage alone
 // stops no key.
 //
+// A daemon whose record was gone, or that has just started, grants nothing before its
+// copy of the assignment is as new as its record: what others took over while the record
+// was gone stands in it then. Nor is anything granted to a server that leaves; its keys
+// only move away.
+//
 // Keys leave a server in one of three ways: this daemon releases them, which
 // the server answers once nothing runs on them, and then writes their new owner
 // (a move); the record shows that the server's process has ended; or the record
@@ -94,10 +99,16 @@
 	spare = 300 * time.Millisecond
 	// failing is how much of the certain time may be left before all grants are
 	// renewed once more: the store seems to be away, and what is granted now has
-	// to last until it is back.
-	failing = 1200 * time.Millisecond
+	// to last until it is back. The later that is, the longer an outage is outlived;
+	// it leaves 0.4 s for the orders beside the time-out of the last one, and is less
+	// than what is left before a renewal of the lease that succeeds, 1.3 s.
+	failing = 800 * time.Millisecond
 	// grantRetry is when to ask again for a key that is about to be granted.
 	grantRetry = 200 * time.Millisecond
+	// behindFor is how long the copy may be older than the own record before
+	// everything is read anew. A watch brings the record within 0.25 s, over two hops;
+	// one that has gone deaf would keep the server idle until it is cut.
+	behindFor = 400 * time.Millisecond
 )
 
 // host is the backend server on this VM.
@@ -164,6 +175,7 @@
 	// is on its way would be held again.
 	doubt     map[mtid.Life]mtclock.Instant
 	lasts     mtclock.Instant // until when any order may be in force
+	behind    mtclock.Instant // since when the copy is older than the own record; zero if it isn't
 	moved     mtclock.Instant // the end of the last relief, or a look that led to none
 	relieving bool
 	given     int             // keys given to other servers since TakeMoved
@@ -183,6 +195,8 @@
 func New(config Config) (*Grants, func()) {
 	g := &Grants{Config: config, wake: make(chan struct{}, 1), doubt: make(map[mtid.Life]mtclock.Instant)}
 	config.Directory.OnChange(g.Wake)
+	// A former process of this daemon may have ordered a grant just before its end.
+	g.lasts = config.Clock.Now().Add(orderTimeout + g.longest())
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stopping = ctx
 	stopRenewal := mtduty.EveryOr(period, g.wake, g.renew)
@@ -253,6 +267,7 @@
 func (g *Grants) renew(ctx context.Context) {
 	record, address := g.Host.Record()
 	owner := record.Owner()
+	g.catchUp(g.Clock.Now())
 	if owner.Life.IsZero() || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
 		return
 	}
@@ -261,11 +276,40 @@
 		return
 	}
 	g.drop(ctx, address, g.adopt(owner, assignment.Owned(owner)))
-	for _, held := range g.due() {
+	for _, held := range g.due(record) {
 		g.order(ctx, address, held)
 	}
 }
 
+// mayOrder reports whether others still have to reckon with grants of this daemon, and
+// this daemon knows of all that they took over before. From the time on up to which its
+// record is certain, others count until they take its keys. It is asked before each
+// order: servers answer late, and while one answer after the other was waited for, the
+// time ran out.
+func (g *Grants) mayOrder(now mtclock.Instant) bool {
+	return g.Directory.Certain().Sub(now) > orderTimeout && g.Directory.Current()
+}
+
+// catchUp has everything read anew if the copy stays older than the own record.
+func (g *Grants) catchUp(now mtclock.Instant) {
+	late := g.Directory.Certain().After(now) && !g.Directory.Current()
+	g.mu.Lock()
+	if !late {
+		g.behind = 0
+	} else if g.behind == 0 {
+		g.behind = now
+	}
+	resync := late && now.Sub(g.behind) >= behindFor
+	if resync {
+		g.behind = now
+	}
+	g.mu.Unlock()
+	if resync {
+		g.Log.Warn("copy stays older than the own record: reading everything", "own", uint64(g.Directory.Own()), "copy", uint64(g.Directory.Now().Revision))
+		g.Directory.Resync()
+	}
+}
+
 // drop releases what the assignment gave to another server without a move of
 // this life of the daemon.
 func (g *Grants) drop(ctx context.Context, address string, dropped []*grant) {
@@ -360,19 +404,20 @@
 	return []*grant{{Range: r, life: life}}
 }
 
-// due returns the grants to renew now. Nothing is granted after the time up to
-// which the own record certainly stands: from then on others count.
-func (g *Grants) due() []*grant {
+// due returns the grants to renew now. A server that leaves is granted nothing that it
+// does not hold: it got calls after its time for new work, from a daemon that had just
+// been restarted and granted the keys only to release them.
+func (g *Grants) due(record mtbackend.Record) []*grant {
 	now := g.Clock.Now()
-	certain := g.Directory.Certain().Sub(now)
-	if certain <= orderTimeout {
+	if !g.mayOrder(now) {
 		return nil
 	}
+	certain := g.Directory.Certain().Sub(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var due []*grant
 	for _, held := range g.grants {
-		if held.moving {
+		if held.moving || held.granted == 0 && record.State == mtbackend.Draining {
 			continue
 		}
 		age := now.Sub(held.granted)
@@ -403,6 +448,9 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sent := g.Clock.Now()
+	if !g.mayOrder(sent) {
+		return
+	}
 	until := sent.Add(orderTimeout + g.longest())
 	g.mu.Lock()
 	if held.moving || !slices.Contains(g.grants, held) {
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -137,9 +137,13 @@
 	return lost
 }
 
-// outlast is how long a record has to be gone until no grant of its daemon can
-// be in force: the last order may have been sent just before.
-func (g *Grants) outlast() time.Duration { return orderTimeout + g.longest() + spare }
+// outlast is how long a record has to be gone until no grant of its daemon can be in
+// force. Its daemon orders grants up to a lease after the last renewal, and nothing tells
+// others when that was: they hear of the record's end only. Where it went with its lease
+// that end is a lease later than the renewal; where somebody took it away before, it is
+// not, and without the lease in the sum two servers held keys for up to a lease. It costs
+// each real loss a lease more, which is why leases are short.
+func (g *Grants) outlast() time.Duration { return g.Directory.Lease + g.longest() + spare }
 
 // takeOver writes new owners for the keys of the lost ones, under the condition
 // that their records are as they were when that was decided: a daemon that came
