Bind a leaving from its acknowledgement, and take silence for no end

The like of it: what a server that takes itself out says only once was lost with the daemon's process; a server that a restarted daemon has not heard of, and that takes no connections, was said to have ended after 2.7 s, although grants of the former process were in force (seen at each start beside a server that comes later, harmless there: no keys are granted yet). Ruled out: the grant itself (nothing says that a leaving server may not hold keys); the gate, which keeps its time once it is told. Change: Host.acknowledge notes since when a life leaves, before the server is answered; it goes from unknown to draining without being offered. The record of a leaving server outlives its daemon's shutdown by its lease, and Host.Former takes it in. Refused connections prove an end only of a life that this daemon has heard say that it serves, or once all orders have run out. A key that nobody will hold within the time that the ingress waits is refused at once, with 0.8 s, and one whose server has left with 0.5 s instead of none.

--- a/io/mtdirectory/keeper.go
+++ b/io/mtdirectory/keeper.go
@@ -14,14 +14,15 @@
 )
 
 const (
-	// renewals is how many renewals fit into a lease: two may be lost.
+	// renewals is how many renewals fit into a lease: one may be lost.
 	renewals = 3
 	// drift is the part of a lease that is not counted on, since the store's
 	// clock may run faster than this VM's.
 	drift = 0.02
-	// callTimeout bounds a call to the store. Answers take some milliseconds;
-	// during an outage a call may hang for good.
-	callTimeout = 800 * time.Millisecond
+	// callTimeout bounds a call to the store. Answers take some milliseconds, and 0.4 s
+	// from a store that is slow; during an outage a call may hang for good. With the
+	// pause after it, one that hangs leaves time for the next before a lease of 2 s ends.
+	callTimeout = 600 * time.Millisecond
 	// retryPause is between two attempts to write the record while the store
 	// fails. Records have to be back within two seconds of its return, and each
 	// attempt is paid for.
@@ -250,6 +251,7 @@
 			// may have been gone in between.
 			gap = true
 			k.version = conflict.Current.Version
+			k.former(conflict.Current)
 		case errors.As(err, &lapsed):
 			k.lease, k.version = "", 0
 			return err
@@ -260,13 +262,29 @@
 	return &mtstore.ConflictError{Name: name, Expected: k.version}
 }
 
+// former tells of the record that a former life of this daemon left. What that one knew
+// of its server is lost otherwise: that it leaves, for one, which a server may say once.
+func (k *keeper) former(e mtstore.Entry) {
+	if k.Former == nil || e.Version == 0 {
+		return
+	}
+	record, err := mtbackend.Decode(e.Value)
+	if err != nil {
+		k.Log.Warn("record of a former life can't be read", "version", uint64(e.Version), "error", err)
+		return
+	}
+	k.Former(record)
+}
+
 // conflicts is how often a write is tried over what others left.
 const conflicts = 3
 
-// end ends the lease, so that others need not wait for it to run out.
+// end ends the lease, so that others need not wait for it to run out. The record of a
+// leaving server is left to its lease: the daemon may be back before that ends, and learns
+// from it that the server has no time for new work any more.
 func (k *keeper) end() {
 	k.certain.Store(0)
-	if k.lease == "" {
+	if k.lease == "" || k.written.State == mtbackend.Draining {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -99,6 +99,28 @@
 	assert.Equal(t, got.Life.Server, mtid.Server("next"))
 }
 
+// A daemon ends while its server is leaving, and the next life of it is back within the
+// lease. The record still says what the former life knew; it was deleted with the lease.
+func TestALeavingIsKnownToTheNextLife(t *testing.T) {
+	store := mtstandin.NewRevisions(time.Now)
+	leaving := record("a")
+	leaving.State = mtbackend.Draining
+	former, end := mtdirectory.New(mtdirectory.Config{
+		Self: "a", Store: store, Clock: mttime.New(), Lease: time.Minute, Log: slog.New(slog.DiscardHandler),
+	})
+	former.Publish(leaving)
+	until(t, "the record stands", func() bool { return former.Own() != 0 })
+	end()
+	told := make(chan mtbackend.Record, 1)
+	next, cleanUp := mtdirectory.New(mtdirectory.Config{
+		Self: "a", Store: store, Clock: mttime.New(), Lease: time.Minute, Log: slog.New(slog.DiscardHandler),
+		Former: func(r mtbackend.Record) { told <- r },
+	})
+	t.Cleanup(cleanUp)
+	next.Publish(mtbackend.Record{Daemon: "a", Address: "a:1", Service: "maps", State: mtbackend.Unknown})
+	assert.DeepEqual(t, <-told, leaving)
+}
+
 // A watch goes deaf, then the history is forgotten. What was deleted meanwhile
 // shows only by its absence.
 func TestDeletionsInAForgottenHistoryShow(t *testing.T) {
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -105,6 +105,9 @@
 	failing = 800 * time.Millisecond
 	// grantRetry is when to ask again for a key that is about to be granted.
 	grantRetry = 200 * time.Millisecond
+	// awayRetry is the same while the store turns this daemon away: about what its
+	// record takes to be back after that.
+	awayRetry = 800 * time.Millisecond
 	// behindFor is how long the copy may be older than the own record before
 	// everything is read anew. A watch brings the record within 0.25 s, over two hops;
 	// one that has gone deaf would keep the server idle until it is cut.
@@ -230,7 +233,7 @@
 			continue
 		}
 		if held.granted == 0 || !now.Before(held.granted.Add(g.Hold)) {
-			return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: grantRetry}
+			return g.ungranted(now)
 		}
 		return nil
 	}
@@ -245,11 +248,22 @@
 	}
 	r, _ := assignment.Lookup(key)
 	if r.Owner == (mtrange.Owner{Daemon: g.Self, Life: life}) {
-		return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: grantRetry}
+		return g.ungranted(g.Clock.Now())
 	}
 	return &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute, Owner: r.Owner.Daemon, Epoch: assignment.Next}
 }
 
+// ungranted says why the server does not hold a key that is assigned to it. While the own
+// record is not certain nothing is granted, here or elsewhere, and waiting a moment for it
+// helps nobody.
+func (g *Grants) ungranted(now mtclock.Instant) error {
+	retry := grantRetry
+	if !g.Directory.Certain().After(now) {
+		retry = awayRetry
+	}
+	return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: retry}
+}
+
 // Fenced makes the duty grant the key again, which the server says it does not
 // hold: an order to release it may have been carried out late.
 func (g *Grants) Fenced(key mtid.Number) {
--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -13,14 +13,41 @@
 	iobackend "magnoliaturn/io/mtbackend"
 )
 
-// leave begins the leaving of the server. Calls without a key go elsewhere from
-// now on; keyed ones are served until their keys have moved, but not for long.
+// acknowledge notes that a life of the server is known to leave since an instant, which
+// binds this daemon from then on, whatever it knows of that life yet. It is called with mu
+// held, and before the server is told so.
+//
+// A restarted daemon acknowledged a leaving before it had read the assignment. When it had
+// it brought the server into service, counted the time for new work from then, and the
+// server got calls 2.0 s after the acknowledgement.
+func (h *Host) acknowledge(life mtid.Life, at mtclock.Instant) {
+	if known, ok := h.leaving[life]; ok && known <= at {
+		return
+	}
+	if len(h.leaving) >= mostLeaving {
+		clear(h.leaving) // of lives that never ran here
+	}
+	h.leaving[life] = at
+}
+
+// mostLeaving bounds the lives that are known to leave. One runs at a time; others are
+// those of beats that came late, or that another writer made up.
+const mostLeaving = 64
+
+// leave begins the leaving of the server, if its present life has been acknowledged to
+// leave. Calls without a key go elsewhere from now on; keyed ones are served until their
+// keys have moved, but not for long. It is called with mu held.
 func (h *Host) leave(now mtclock.Instant, why string) {
-	if h.record.State == mtbackend.Draining || h.record.State == mtbackend.Ended {
+	at, leaves := h.leaving[h.record.Life]
+	if !leaves || h.record.State == mtbackend.Draining || h.record.State == mtbackend.Ended {
 		return
 	}
-	h.Log.Info("server is leaving", "server", h.record.Life.String(), "why", why)
-	h.drains = now.Add(time.Duration(float64(h.Drain) * drainPart))
+	h.Log.Info("server is leaving", "server", h.record.Life.String(), "why", why, "since", now.Sub(at))
+	h.drains = at.Add(time.Duration(float64(h.Drain) * drainPart))
+	if !now.Before(h.drains) {
+		h.drains = 0
+		h.door.Drain()
+	}
 	h.state(mtbackend.Draining)
 }
 
@@ -33,11 +60,34 @@
 	if life.Born == 0 && life.Server == h.record.Life.Server {
 		life = h.record.Life
 	}
-	if h.record.Life != life {
+	if life.Before(h.record.Life) {
 		h.ended[life] = true
 		return
 	}
-	h.leave(h.Clock.Now(), "deregistered")
+	now := h.Clock.Now()
+	h.acknowledge(life, now)
+	if h.record.Life == life && h.record.State == mtbackend.Ready {
+		h.leave(now, "deregistered")
+	}
+}
+
+// Former takes in the record that a former process of this daemon left. If its server
+// was leaving, that was acknowledged then, and nobody knows any more when: no new work
+// reaches that life. One that has taken itself out does not say so again.
+func (h *Host) Former(r mtbackend.Record) {
+	if r.State != mtbackend.Draining {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended[r.Life] || r.Life.Before(h.record.Life) {
+		return
+	}
+	now := h.Clock.Now()
+	h.acknowledge(r.Life, now.Add(-h.Drain))
+	if h.record.Life == r.Life && h.record.State == mtbackend.Ready {
+		h.leave(now, "as a former daemon knew")
+	}
 }
 
 // failed looks into a failure that says something of the server itself.
@@ -94,11 +144,13 @@
 //
 //   - another life that runs at the address: until that one is granted keys, some
 //     tens of milliseconds;
-//   - refused connections of a server that was not leaving: 0.3 s;
-//   - refused connections of one that is leaving, once every order to it must have
-//     run out: up to the length of a grant. Such a server takes no new connections
-//     and works on. Taken for ended at once, two servers held its keys for half a
-//     second. Mostly its keys have moved by then.
+//   - refused connections of a server that this daemon knows and that has not said that
+//     it leaves: 0.3 s;
+//   - refused connections of one that is leaving, or that this daemon has not heard of
+//     since its start, once every order to it must have run out: up to the length of a
+//     grant. A leaving server takes no new connections and works on, and one that has
+//     taken itself out says nothing more. Taken for ended at once, two servers held its
+//     keys for half a second. Mostly its keys have moved by then.
 func (h *Host) check(life mtid.Life) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -116,8 +168,8 @@
 		if !gone || h.record.Life != life {
 			return
 		}
-		if h.record.State == mtbackend.Draining && !h.idle(h.Clock.Now()) {
-			h.Log.Info("leaving server takes no connections", "server", life.String(), "address", address)
+		if h.record.State != mtbackend.Ready && !h.idle(h.Clock.Now()) {
+			h.Log.Info("server takes no connections, and may be at work", "server", life.String(), "state", h.record.State, "address", address)
 			return
 		}
 		h.Log.Warn("server's process is gone", "server", life.String(), "address", address)
--- a/io/mthost/life.go
+++ b/io/mthost/life.go
@@ -48,12 +48,16 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case h.ended[b.Life], b.Life.Before(h.record.Life):
+	if h.ended[b.Life] || b.Life.Before(h.record.Life) {
 		h.Log.Info("beat of a former life passed over", "server", b.Life.String(), "sequence", b.Sequence)
-	case h.record.Life == b.Life:
+		return nil
+	}
+	if b.Draining {
+		h.acknowledge(b.Life, h.Clock.Now())
+	}
+	if h.record.Life == b.Life {
 		h.take(b)
-	default:
+	} else {
 		h.identify(b)
 	}
 	return nil
@@ -133,14 +137,12 @@
 	h.address = b.Address
 	h.record.Slots = b.Slots
 	h.door.Resize(b.Slots, b.Slots)
-	switch {
-	case h.record.State == mtbackend.Unknown:
+	if h.record.State == mtbackend.Unknown {
 		h.clear(b)
-	case b.Draining:
-		h.leave(now, "beat")
-	default:
-		h.Publish(h.record)
+		return
 	}
+	h.Publish(h.record)
+	h.leave(now, "beat")
 }
 
 // clear brings a life of the server into service, once it holds no keys but its
@@ -172,10 +174,11 @@
 		if h.record.Life != b.Life || h.record.State != mtbackend.Unknown {
 			return
 		}
-		h.state(mtbackend.Ready)
-		if b.Draining {
-			h.leave(h.Clock.Now(), "beat")
+		if _, leaves := h.leaving[b.Life]; leaves {
+			h.leave(h.Clock.Now(), "before it was in service")
+			return
 		}
+		h.state(mtbackend.Ready)
 	}()
 }
 
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"strings"
 	"sync"
@@ -63,6 +64,10 @@
 	// calls, in which this daemon sends it some: its keys move to other servers
 	// meanwhile.
 	drainPart = 0.6
+	// elsewhereRetry is when to ask again for a key whose server has left, before its
+	// keys have moved: a move takes 0.1 to 0.3 s while the store answers, and a record
+	// is back 0.6 s after an outage.
+	elsewhereRetry = 500 * time.Millisecond
 )
 
 // Config is what a Host works with.
@@ -111,6 +116,8 @@
 	sequence uint64
 	address  string
 	ended    map[mtid.Life]bool // lives that are over
+	// leaving is since when lives are known to leave.
+	leaving  map[mtid.Life]mtclock.Instant
 	door     *iogate.Door[*mtgate.Urgent]
 	routes   []mtroute.Route
 	drains   mtclock.Instant // Draining: no new work from then on; zero if not draining
@@ -149,6 +156,7 @@
 		Config:  config,
 		address: config.Address,
 		ended:   make(map[mtid.Life]bool),
+		leaving: make(map[mtid.Life]mtclock.Instant),
 		running: make(map[mtcall.ID]int),
 		pace:    1,
 		times:   make(map[mtid.Class]time.Duration),
@@ -298,7 +306,7 @@
 	}
 	end, err := door.Admit(ctx, ticket)
 	if err != nil {
-		return nil, err
+		return nil, left(call, err)
 	}
 	defer end()
 	// What held on arrival may have changed while the call waited.
@@ -321,6 +329,17 @@
 	return answer, nil
 }
 
+// left returns the refusal of a call, with the time after which its key can be elsewhere
+// if the server is leaving. Without one the caller asks again at once, and nothing can
+// have changed.
+func left(call *mtcall.Call, err error) error {
+	var refused *mtreply.RefusedError
+	if !call.Keyed || !errors.As(err, &refused) || refused.Cause != mtreply.CauseDraining {
+		return err
+	}
+	return &mtreply.RefusedError{Cause: mtreply.CauseDraining, RetryAfter: elsewhereRetry, Detail: refused.Detail}
+}
+
 // track notes that a call runs at the server, until the returned function is
 // called.
 func (h *Host) track(id mtcall.ID) func() {
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -296,6 +296,35 @@
 	}
 }
 
+// A server takes itself out, and says nothing more of that. Its daemon is killed and
+// started again. The record of before says that the server leaves; since nobody knows
+// for how long it has, it gets no new work at all.
+func TestALeavingThatAFormerDaemonAcknowledgedBinds(t *testing.T) {
+	former := mtbackend.Record{Daemon: "a", Life: mtid.Life{Server: "life"}, State: mtbackend.Draining}
+	for name, order := range map[string]func(s *stand){
+		"known before the server": func(s *stand) {
+			s.host.Former(former)
+			s.hear(s.beat("life", 7))
+		},
+		"known after the server": func(s *stand) {
+			s.ready("life")
+			s.host.Former(former)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, "server")
+			s.server.runs = "life"
+			order(s)
+			s.until("it is known to leave", func(r mtbackend.Record) bool { return r.State == mtbackend.Draining })
+			s.until("no new work reaches it", func(mtbackend.Record) bool { return s.cause(true) == mtreply.CauseDraining })
+		})
+	}
+	s := newStand(t, "server")
+	s.host.Former(former)
+	s.ready("next")
+	assert.Equal(t, s.cause(true), mtreply.Cause(""), "another life is not bound")
+}
+
 // Callers that were refused ask again, and again. Counted each time, a server with a
 // little too much work seems to have twice what it can do, and its daemon gives keys
 // away that would be served well.
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -205,6 +205,9 @@
 		if refused.Cause != mtreply.CauseStaleRoute && refused.Cause != mtreply.CauseNoLease {
 			return false
 		}
+		if refused.RetryAfter > redirects*moved {
+			return false // nobody will hold the key before the waiting here is over
+		}
 		state.redirects++
 		if state.redirects > redirects {
 			return false
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -119,6 +119,28 @@
 	assert.DeepEqual(t, p.sent, []mtid.Daemon{"b", "c"})
 }
 
+// The store turns the owner's daemon away, and its grants have run out. The owner says
+// that nothing changes before 0.8 s; the caller waited 0.3 s for that answer.
+func TestAKeyThatNobodyWillHoldSoonIsRefusedAtOnce(t *testing.T) {
+	for retry, asked := range map[time.Duration]int{800 * time.Millisecond: 1, 200 * time.Millisecond: 2} {
+		p := &peers{}
+		p.answer = func(n int) (*mtcall.Answer, error) {
+			if n == 1 {
+				return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: retry}
+			}
+			return wholeOK, nil
+		}
+		s, clock := newSender(t, p)
+		_, err := s.Send(t.Context(), keyed(t, s, newCall(clock.Now(), true)), 2)
+		assert.Equal(t, len(p.sent), asked)
+		if asked == 1 {
+			status, told := mtingress.Status(err)
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			assert.Equal(t, told, retry)
+		}
+	}
+}
+
 // The word of a daemon that has heard less than this one leads nowhere: two that name
 // each other would be asked in turn.
 func TestAnOlderWordOfAnOwnerIsNotFollowed(t *testing.T) {
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -110,6 +110,7 @@
 	certainty certainty
 	doubting  atomic.Bool
 	learner   *learner
+	former    former
 	// The news go with each message, and the kernel's lookups are not for that.
 	directory atomic.Pointer[mtdirectory.Directory]
 	ingress   atomic.Pointer[mtingress.Ingress]
@@ -191,6 +192,7 @@
 		Log:    m.config.Log,
 		Source: m.learner,
 		Other:  m.config.Other,
+		Former: m.former.hear,
 	})
 	m.directory.Store(directory)
 	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
@@ -248,6 +250,7 @@
 		Inform:    m.inform,
 	})
 	grants.Store(held)
+	m.former.follow(host)
 	if err := mtkernel.Register(m.kernel, NameHost, host, closeHost); err != nil {
 		return err
 	}
