Give no new work to a server whose leaving may be known for longer

Nobody can tell a fresh process when a leaving was first acknowledged. Change: the time for new work runs only for a life that is in service in this process; any other that leaves gets none.

--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -13,14 +13,20 @@
 	iobackend "magnoliaturn/io/mtbackend"
 )
 
-// acknowledge notes that a life of the server is known to leave since an instant, which
-// binds this daemon from then on, whatever it knows of that life yet. It is called with mu
-// held, and before the server is told so.
+// acknowledge notes that a life of the server leaves, which binds this daemon from now on,
+// whatever it knows of that life yet. It is called with mu held, and before the server is
+// told so.
 //
 // A restarted daemon acknowledged a leaving before it had read the assignment. When it had
 // it brought the server into service, counted the time for new work from then, and the
-// server got calls 2.0 s after the acknowledgement.
-func (h *Host) acknowledge(life mtid.Life, at mtclock.Instant) {
+// server got calls 2.0 s after the acknowledgement. One that had said so to the former
+// process of its daemon got calls even later. So the time for new work runs only for a
+// life that is in service here; that of another may be over already.
+func (h *Host) acknowledge(life mtid.Life, now mtclock.Instant) {
+	at := now
+	if h.record.Life != life || h.record.State != mtbackend.Ready {
+		at = now.Add(-h.Drain)
+	}
 	if known, ok := h.leaving[life]; ok && known <= at {
 		return
 	}
@@ -84,7 +90,7 @@
 		return
 	}
 	now := h.Clock.Now()
-	h.acknowledge(r.Life, now.Add(-h.Drain))
+	h.leaving[r.Life] = now.Add(-h.Drain)
 	if h.record.Life == r.Life && h.record.State == mtbackend.Ready {
 		h.leave(now, "as a former daemon knew")
 	}
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -239,6 +239,8 @@
 // since it knows no assignment. Once the store is back it did, counted the time for new
 // work from then, and calls reached the server 2.0 s after the acknowledgement: "new life
 // of the server could not be cleared" for a second, then "ready", "draining", "granted".
+// A former process of the daemon may have acknowledged it even earlier, so that no new
+// work reaches the server at all.
 func TestALeavingBindsFromItsAcknowledgement(t *testing.T) {
 	for name, leave := range map[string]func(s *stand){
 		"says so": func(s *stand) {
@@ -281,7 +283,6 @@
 			}
 			s.mu.Unlock()
 			leave(s)
-			time.Sleep(300 * time.Millisecond) // as long as new work may reach the server
 			unread.Store(false)
 			s.until("it is known to leave", func(r mtbackend.Record) bool {
 				assert.Assert(t, r.State != mtbackend.Ready, "offered to others")
