Split members and orders off, and apply patches in one place

Change: member.go and order.go; View.told serves what is watched and what is told in passing; denied keys are a set. Behaviour stays.

--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -19,7 +19,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -61,18 +60,6 @@
 	Former func(mtbackend.Record)
 }
 
-// Member is a record with what is known of its lease.
-type Member struct {
-	mtbackend.Record
-	Version mtid.Version
-	// Lapsed says that the record is gone from the store, since when by the
-	// steady clock of this daemon at the latest.
-	Lapsed bool
-	Since  mtclock.Instant
-	// gone is the store's revision at which the record was last known to be gone.
-	gone mtid.Revision
-}
-
 // Assignment is a table with its version in the store.
 type Assignment struct {
 	*mtrange.Table
@@ -231,22 +218,14 @@
 // Inform takes in a write of an assignment that another daemon tells of. What does not
 // fit is heard of by the watch.
 func (d *Directory) Inform(e mtstore.Entry) {
-	service, ok := assigned(e)
-	own, known := d.Now().Assignments[service]
-	if !ok || !known || own.Version >= e.Version {
-		return
-	}
-	patch, err := mtrange.DecodePatch(e.Value)
-	if err != nil || patch == nil {
-		d.Log.Warn("word of an assignment passed over", "name", e.Name, "error", err)
-		return
-	}
-	table, err := own.Apply(patch)
+	told, err := d.Now().told(e)
 	if err != nil {
-		d.Log.Info("word of an assignment does not fit", "name", e.Name, "error", err)
+		d.Log.Info("word of an assignment passed over", "name", e.Name, "error", err)
 		return
 	}
-	d.Learn(Assignment{Table: table, Version: e.Version})
+	if told != nil {
+		d.Learn(*told)
+	}
 }
 
 // apply takes in what the watch brings.
@@ -287,28 +266,39 @@
 // whole returns an entry as it stands in the store. Another daemon may have told
 // only what has changed of an assignment.
 func (d *Directory) whole(v *View, e mtstore.Entry) (mtstore.Entry, error) {
+	told, err := v.told(e)
+	if err != nil || told == nil {
+		return e, err
+	}
+	e.Version = told.Version
+	e.Value, err = told.Encode()
+	return e, err
+}
+
+// told returns the assignment that a patch in an entry leads to, or the one that is known
+// already if it is as new. It is nil if the entry holds no patch, and fails with a
+// *mtrange.PatchError if what is known does not fit.
+func (v *View) told(e mtstore.Entry) (*Assignment, error) {
 	service, assignment := assigned(e)
 	if !assignment || e.Version == 0 {
-		return e, nil
+		return nil, nil
 	}
 	patch, err := mtrange.DecodePatch(e.Value)
 	if err != nil || patch == nil {
-		return e, err
+		return nil, err
 	}
-	own, ok := v.Assignments[service]
-	if !ok {
-		return e, &mtrange.PatchError{Service: patch.Service, Since: patch.Since}
+	own, known := v.Assignments[service]
+	if !known {
+		return nil, &mtrange.PatchError{Service: patch.Service, Since: patch.Since}
 	}
-	table := own.Table
-	if own.Version < e.Version {
-		if table, err = own.Apply(patch); err != nil {
-			return e, err
-		}
-	} else {
-		e.Version = own.Version // this daemon has read or written a newer one
+	if own.Version >= e.Version {
+		return &own, nil
 	}
-	e.Value, err = table.Encode()
-	return e, err
+	table, err := own.Apply(patch)
+	if err != nil {
+		return nil, err
+	}
+	return &Assignment{Table: table, Version: e.Version}, nil
 }
 
 // assigned returns the service whose assignment an entry is, or false.
@@ -317,29 +307,6 @@
 	return mtid.Service(service), ok
 }
 
-// missing returns the deletions that a whole reading shows: what was known and is no
-// longer there, and records that are gone still. Those may have been back in between.
-// It is called with mu held.
-func (d *Directory) missing(u mtwatch.Update, v *View) []mtstore.Entry {
-	if !u.Whole || u.Changes.Revision <= v.Revision {
-		return nil
-	}
-	present := make(map[string]bool, len(u.Changes.Entries))
-	for _, e := range u.Changes.Entries {
-		present[e.Name] = true
-	}
-	var gone []mtstore.Entry
-	for name, e := range d.entries {
-		if present[name] || e.Version == 0 && !strings.HasPrefix(name, mtstore.Backend) {
-			continue
-		}
-		e = mtstore.Entry{Name: name, Revision: u.Changes.Revision}
-		d.entries[name] = e
-		gone = append(gone, e)
-	}
-	return gone
-}
-
 // take takes in one entry, and reports whether it is a record or an assignment.
 func (d *Directory) take(v *View, now mtclock.Instant, e mtstore.Entry) bool {
 	switch {
@@ -426,60 +393,6 @@
 	return e
 }
 
-func (d *Directory) takeMember(v *View, now mtclock.Instant, e mtstore.Entry) {
-	name := mtid.Daemon(strings.TrimPrefix(e.Name, mtstore.Backend))
-	delete(v.Foreign, name)
-	if e.Version == 0 {
-		// One that was never seen is noted too. It may have stood between a reading of
-		// everything and now, while this daemon heard nothing: its daemon ordered
-		// grants until then, and whoever counts from the reading takes the keys while
-		// the last one is in force.
-		m, ok := v.Members[name]
-		if !ok {
-			m.Daemon = name
-		}
-		if name == d.Self {
-			d.keeper.removed(e.Revision)
-		}
-		if m.Lapsed && e.Revision <= m.gone {
-			return
-		}
-		v.Members[name] = m.lapse(now, e.Revision)
-		d.Log.Info("record of backend server gone", "peer", name, "server", m.Life.String(), "known", ok, "revision", uint64(e.Revision))
-		return
-	}
-	old, known := v.Members[name]
-	record, err := mtbackend.Decode(e.Value)
-	if err == nil && record.Daemon != name {
-		err = &mtbackend.DecodeError{Err: &nameError{name: name, daemon: record.Daemon}}
-	}
-	if err != nil {
-		// What was known holds on. A takeover is conditional on its version, so
-		// that it fails while this entry stands.
-		d.Log.Error("record of backend server passed over", "name", e.Name, "version", uint64(e.Version), "error", err)
-		if !known {
-			v.Foreign[name] = true
-		}
-		if name == d.Self {
-			d.keeper.overwritten(e.Version)
-		}
-		return
-	}
-	if !known || old.Record != record || old.Lapsed {
-		d.Log.Info("backend server", "peer", name, "server", record.Life.String(), "service", record.Service,
-			"state", record.State, "leaving", record.Leaving, "version", uint64(e.Version))
-	}
-	v.Members[name] = Member{Record: record, Version: e.Version}
-}
-
-// nameError says that a record stands under another daemon's name.
-type nameError struct{ name, daemon mtid.Daemon }
-
-// Error implements error.
-func (e *nameError) Error() string {
-	return fmt.Sprintf("record of %q stands under the name of %q", e.daemon, e.name)
-}
-
 func (d *Directory) takeAssignment(v *View, e mtstore.Entry) {
 	service, _ := assigned(e)
 	if e.Version == 0 {
@@ -498,15 +411,6 @@
 	v.Assignments[service] = Assignment{Table: table, Version: e.Version}
 }
 
-// lapse returns the member with its record gone at a revision, heard of now. One that was
-// known as gone at an earlier revision has been back: its daemon may have ordered grants
-// until just now. Counted from its first end, its keys were taken while the last of
-// those was in force.
-func (m Member) lapse(now mtclock.Instant, revision mtid.Revision) Member {
-	m.Lapsed, m.Since, m.gone = true, now, revision
-	return m
-}
-
 // change makes a new view and tells the listeners, if f says that it differs.
 func (d *Directory) change(f func(v *View) bool) {
 	d.mu.Lock()
--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -128,17 +128,17 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.record.Life == life {
-		h.denied = append(h.denied, key)
+		h.denied[key] = true
 	}
 }
 
 // grantDenied grants what the server denied to hold, now that its life is known to
 // go on. It is called with mu held.
 func (h *Host) grantDenied() {
-	for _, key := range h.denied {
+	for key := range h.denied {
 		h.Fenced(key)
 	}
-	h.denied = nil
+	clear(h.denied)
 }
 
 // Suspect is told that an order found nobody at the server's address.
--- a/io/mthost/life.go
+++ b/io/mthost/life.go
@@ -211,7 +211,7 @@
 	h.record.State = mtbackend.Unknown
 	h.sequence = 0
 	h.drains = 0
-	h.denied = nil
+	clear(h.denied)
 	h.untieLocked()
 	h.take(b)
 	h.tie(h.Clock.Now())
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -131,13 +131,13 @@
 	clearAgain mtclock.Instant
 	// identifying says that the server is being asked which life runs.
 	identifying bool
-	beaten      mtclock.Instant // last beat
-	checked     mtclock.Instant // last look after a silent server
-	tether      *tether         // nil if there is none
-	tying       bool            // one is being opened
-	tieAgain    mtclock.Instant // none is opened before
-	recognised  mtid.Life       // that was known to be at the end of a tether
-	denied      []mtid.Number   // keys that the server said not to hold, since its last beat
+	beaten      mtclock.Instant      // last beat
+	checked     mtclock.Instant      // last look after a silent server
+	tether      *tether              // nil if there is none
+	tying       bool                 // one is being opened
+	tieAgain    mtclock.Instant      // none is opened before
+	recognised  mtid.Life            // that was known to be at the end of a tether
+	denied      map[mtid.Number]bool // keys that the server said not to hold, since its last beat
 
 	runMu   sync.Mutex
 	running map[mtcall.ID]int // calls at the server, by identifier
@@ -157,6 +157,7 @@
 		address: config.Address,
 		ended:   make(map[mtid.Life]bool),
 		leaving: make(map[mtid.Life]mtclock.Instant),
+		denied:  make(map[mtid.Number]bool),
 		running: make(map[mtcall.ID]int),
 		pace:    1,
 		times:   make(map[mtid.Class]time.Duration),
