Let a beat prove a life by the connection on which it comes

Cause: a beat that is late by seconds passed for one of the life at the end of the connection that the daemon had opened to the server, after that had started again under its name. A renewal would have reached the new life under the epoch of the former one. Ruled out: counting beats since the connection ended (they come about once a second, and late by an unknown time); asking the server (its answer names no birth). Change: beats carry when their connection was accepted, each on a new one; a life is confirmed by a beat whose connection is younger than the daemon's own. Tests: TestALateBeatDoesNotTellWhoAnswers, unchanged, fails before and passes after. TestALifeIsKnownAgainAfterAReset says of its beats when they connected; its assertions stay.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"time"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
 )
@@ -72,6 +73,9 @@
 	Sequence uint64
 	// Cold is how much longer the server is slow after its start.
 	Cold time.Duration
+	// Connected is when the connection on which it came was accepted: its sender was
+	// alive then, however late the beat itself is. Zero if that is not known.
+	Connected mtclock.Instant
 }
 
 // Owner returns the life of the server as an owner of keys.
--- a/io/mthost/life.go
+++ b/io/mthost/life.go
@@ -130,7 +130,10 @@
 		return
 	}
 	h.grantDenied()
-	if h.tether != nil && h.tether.opened.Before(now) {
+	// A beat may come seconds after its sender has ended. Its sender was alive when its
+	// connection was accepted; if that was after the tether had been opened, the two lead
+	// to the same life.
+	if h.tether != nil && h.tether.opened.Before(b.Connected) {
 		h.confirm(h.tether)
 	}
 	h.sequence = b.Sequence
--- a/io/mthost/tether.go
+++ b/io/mthost/tether.go
@@ -34,7 +34,7 @@
 type tether struct {
 	conn   net.Conn
 	life   mtid.Life       // that is taken to be at its end
-	opened mtclock.Instant // when it was asked for
+	opened mtclock.Instant // after it had been opened
 	known  bool            // that life is certainly at its end
 }
 
@@ -68,7 +68,7 @@
 			h.Log.Info("server takes no connection to tell its lives apart", "server", life.String(), "error", err)
 			return
 		}
-		h.tied(&tether{conn: conn, life: life, opened: now}, former)
+		h.tied(&tether{conn: conn, life: life, opened: h.Clock.Now()}, former)
 	}()
 }
 
--- a/io/mthost/tether_test.go
+++ b/io/mthost/tether_test.go
@@ -87,7 +87,7 @@
 			s.server.runs = "one"
 			beat := func(sequence uint64) mtbackend.Beat {
 				b := s.born(born, sequence)
-				b.Address = p.address()
+				b.Address, b.Connected = p.address(), s.clock.Now()
 				return b
 			}
 			s.hear(beat(1))
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -59,6 +59,9 @@
 	Write       time.Duration // for a whole reply; 0 is no limit
 	Grace       time.Duration // for requests that run at the end; 0 is Grace
 	TLS         *tls.Config
+	// ConnContext is that of net/http: it adds to the context of what comes on a new
+	// connection. It may be nil.
+	ConnContext func(ctx context.Context, conn net.Conn) context.Context
 }
 
 // Server is an open listener.
@@ -122,6 +125,7 @@
 			IdleTimeout:       IdleTime,
 			MaxHeaderBytes:    HeaderBytes,
 			TLSConfig:         options.TLS,
+			ConnContext:       options.ConnContext,
 		},
 	}
 	bounded := Limit(listener, options.Connections)
