--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -118,6 +118,7 @@
 	})
 	t.Cleanup(cleanUp)
 	next.Publish(mtbackend.Record{Daemon: "a", Address: "a:1", Service: "maps", State: mtbackend.Unknown})
+	until(t, "the former life's record is told", func() bool { return len(told) > 0 })
 	assert.DeepEqual(t, <-told, leaving)
 }
 
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -592,6 +592,27 @@
 	assert.Equal(t, refused.Cause, mtreply.CauseNoLease)
 }
 
+// A key is not granted yet. Its callers ask again within a moment while the daemon's record
+// is certain, and later while the store turns the daemon away: nothing changes before.
+func TestAnUngrantedKeyIsAskedForAgainWhenItMayBeHeld(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	f.store.Fail(func(op, _ string) error {
+		return &mtstore.UnavailableError{Op: op, Err: context.DeadlineExceeded}
+	})
+	retry := func() time.Duration {
+		var refused *mtreply.RefusedError
+		assert.Assert(t, asRefused(f.grants.Holds(lifeOf("a"), 0), &refused))
+		return refused.RetryAfter
+	}
+	f.host.unbound.Store(true)
+	f.grants.Fenced(0)
+	soon := retry()
+	f.clock.advance(lease)
+	assert.Assert(t, soon > 0 && retry() > 2*soon, "%s and %s", soon, retry())
+}
+
 func asRefused(err error, into **mtreply.RefusedError) bool {
 	r, ok := err.(*mtreply.RefusedError)
 	*into = r
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -297,6 +297,21 @@
 	}
 }
 
+// A server has left before its keys have moved. Its callers are refused with the time that
+// a move takes; without one they asked again at once, over and over, in vain.
+func TestAKeyWhoseServerHasLeftIsAskedForLater(t *testing.T) {
+	s := newStand(t, "server")
+	s.ready("life")
+	s.host.Close()
+	for keyed, wait := range map[bool]bool{true: true, false: false} {
+		_, err := s.host.Run(context.Background(), s.call(keyed))
+		var refused *mtreply.RefusedError
+		assert.Assert(t, errors.As(err, &refused))
+		assert.Equal(t, refused.Cause, mtreply.CauseDraining)
+		assert.Equal(t, refused.RetryAfter > 0, wait, "one without a key is taken elsewhere at once")
+	}
+}
+
 // A server takes itself out, and says nothing more of that. Its daemon is killed and
 // started again. The record of before says that the server leaves; since nobody knows
 // for how long it has, it gets no new work at all.
