--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -592,6 +592,17 @@
 	assert.Equal(t, refused.Cause, mtreply.CauseNoLease)
 }
 
+// A daemon is restarted beside a server that takes no connections. What its former process
+// ordered just before its end is in force for a hold; without that in its account, it said
+// that the server had ended, and others took the keys of one that worked on.
+func TestOrdersOfAFormerProcessCount(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.host.unbound.Store(true) // nothing is ordered by this one
+	begun := f.clock.Now()
+	f.start()
+	assert.Assert(t, f.grants.Lasts().Sub(begun) >= hold)
+}
+
 // A key is not granted yet. Its callers ask again within a moment while the daemon's record
 // is certain, and later while the store turns the daemon away: nothing changes before.
 func TestAnUngrantedKeyIsAskedForAgainWhenItMayBeHeld(t *testing.T) {
