Take the tour's ports from below those that the system hands out

The port lies in the range (32768 to 60999) from which the system serves listeners that name no port and outgoing connections; dozens of packages ask for such ports beside it. Ruled out: 25 plays of the old test beside a program that opens and closes connections without a pause did not fail, so it takes others' listeners or luck; not shown further. Change: ports from 20000 on, counted from a start drawn by lot.

--- a/examples/operator/fleet.go
+++ b/examples/operator/fleet.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,14 +26,34 @@
 // announceEvery is how often a backend server announces itself.
 const announceEvery = 500 * time.Millisecond
 
+// firstPort and lastPort bound the ports of the daemons. They lie below those that the
+// system hands out by itself, to listeners that name no port and to outgoing connections:
+// one of these was gone again before the daemon listened there, beside other programs.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// given counts the ports that were looked at, from a start drawn by lot: no two addresses
+// of one tour are alike, and hardly any of two tours at the same time.
+var given = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(rand.Uint32N(lastPort - firstPort))
+	return &n
+}()
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range lastPort - firstPort {
+		var listener net.Listener
+		port := firstPort + int(given.Add(1)%(lastPort-firstPort))
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // member is a VM: a daemon and the backend server beside it.
