Wake the keeper, and write a leased record in tests, in one place

Cause: the read of the whole change. Change: keeper.wakeUp; leased and comeAndGo serve four tests, whose assertions stay. The comment of Former says that it may also be told of a write whose answer was lost. Figures: go test -race -count=5 ./io/mtdirectory ./io/mtgrant pass. Conclusion: behaviour stays.

--- a/io/mtdirectory/keeper.go
+++ b/io/mtdirectory/keeper.go
@@ -67,10 +67,7 @@
 	if same {
 		return
 	}
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
+	k.wakeUp()
 }
 
 // overwritten is told that something stands under the own name that no daemon wrote.
@@ -79,10 +76,7 @@
 // life has taken the place of this one.
 func (k *keeper) overwritten(version mtid.Version) {
 	k.foreign.Store(uint64(version))
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
+	k.wakeUp()
 }
 
 // removed is told that the own record was seen deleted. If it is the one that this life
@@ -95,6 +89,11 @@
 	}
 	k.deleted.Store(uint64(revision))
 	k.certain.Store(0)
+	k.wakeUp()
+}
+
+// wakeUp makes the duty look at once.
+func (k *keeper) wakeUp() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -55,8 +55,9 @@
 	// Other is told of every entry that is no record and no assignment. It may
 	// be nil.
 	Other func(mtstore.Entry)
-	// Former is told of a record under the own name that this life has not written,
-	// as soon as it is found and before it is written over. It may be nil.
+	// Former is told of a record under the own name that this life does not know to have
+	// written, before it is written over: that of a former life, or one of its own whose
+	// answer was lost. It may be nil.
 	Former func(mtbackend.Record)
 }
 
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -51,6 +51,24 @@
 	return ok && m.Lapsed == lapsed
 }
 
+// leased writes the record of daemon a and returns the lease under which it stands.
+func leased(t *testing.T, store *mtstandin.Revisions) mtstore.LeaseID {
+	t.Helper()
+	lease, err := store.Grant(context.Background(), time.Minute)
+	assert.NilError(t, err)
+	value, err := record("a").Encode()
+	assert.NilError(t, err)
+	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, lease)
+	assert.NilError(t, err)
+	return lease
+}
+
+// comeAndGo lets the record of daemon a stand for a moment.
+func comeAndGo(t *testing.T, store *mtstandin.Revisions) {
+	t.Helper()
+	assert.NilError(t, store.End(context.Background(), leased(t, store)))
+}
+
 // Leases run out while the store is away, although the daemon lives. Its record
 // is back as soon as the store is, and others know it all the while as lapsed.
 func TestARecordThatLapsedIsWrittenAgain(t *testing.T) {
@@ -127,12 +145,7 @@
 func TestDeletionsInAForgottenHistoryShow(t *testing.T) {
 	store := mtstandin.NewRevisions(time.Now)
 	b := start(t, store, "b")
-	lease, err := store.Grant(context.Background(), time.Minute)
-	assert.NilError(t, err)
-	value, err := record("a").Encode()
-	assert.NilError(t, err)
-	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, lease)
-	assert.NilError(t, err)
+	lease := leased(t, store)
 	until(t, "b knows a", func() bool { return seen(b, "a", false) })
 	store.Deafen(true)
 	assert.NilError(t, store.End(context.Background(), lease))
@@ -151,29 +164,11 @@
 	b := start(t, store, "b")
 	until(t, "b has read all", func() bool { return b.Now().Revision != 0 })
 	store.Deafen(true)
-	lease, err := store.Grant(context.Background(), time.Minute)
-	assert.NilError(t, err)
-	value, err := record("a").Encode()
-	assert.NilError(t, err)
-	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, lease)
-	assert.NilError(t, err)
-	assert.NilError(t, store.End(context.Background(), lease))
+	comeAndGo(t, store)
 	store.Deafen(false)
 	until(t, "b knows that a's record has gone", func() bool { return seen(b, "a", true) })
 }
 
-// comeAndGo lets the record of daemon a stand for a moment.
-func comeAndGo(t *testing.T, store *mtstandin.Revisions) {
-	t.Helper()
-	lease, err := store.Grant(context.Background(), time.Minute)
-	assert.NilError(t, err)
-	value, err := record("a").Encode()
-	assert.NilError(t, err)
-	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, lease)
-	assert.NilError(t, err)
-	assert.NilError(t, store.End(context.Background(), lease))
-}
-
 // The record of a daemon has gone, is back and goes again, and another daemon hears only
 // of the last of these: it was cut off, or learned from one that tells the last state.
 // Its daemon ordered grants until then. Counted from the first end, the keys were taken
@@ -224,12 +219,7 @@
 func TestWhatOthersLearnIsWhatAWatchTells(t *testing.T) {
 	store := mtstandin.NewRevisions(time.Now)
 	b := start(t, store, "b")
-	lease, err := store.Grant(context.Background(), time.Minute)
-	assert.NilError(t, err)
-	stored, err := record("a").Encode()
-	assert.NilError(t, err)
-	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, stored, lease)
-	assert.NilError(t, err)
+	lease := leased(t, store)
 	table, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Life: mtid.Life{Server: "s"}}})
 	assert.NilError(t, err)
 	value, err := table.Encode()
