--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -22,6 +22,7 @@
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 )
 
@@ -59,6 +60,8 @@
 	// Leaving says that the daemon itself shuts down, so that nothing should be
 	// sent to it although its server lives on.
 	Leaving bool `json:"leaving"`
+	// Suspects are the requests that may have crashed the server when it was lost last.
+	Suspects mtpoison.Suspects `json:"suspects,omitempty"`
 }
 
 // Beat is what a backend server says of itself to the daemon beside it, about
--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -49,9 +49,12 @@
 	Idempotent bool
 	// Nested says that a backend server waits for it: it is part of a request
 	// that has used other servers' time already.
-	Nested    bool
-	Repeat    bool // an earlier try reached a backend server
-	Priority  int  // the lowest is the most urgent
+	Nested bool
+	Repeat bool // an earlier try reached a backend server
+	// Proven says that a server has answered the same request before, as the daemon
+	// that the caller asked remembers: it is not one that crashes its servers.
+	Proven    bool
+	Priority  int // the lowest is the most urgent
 	Objective mtclock.Instant
 	Deadline  mtclock.Instant
 	// The following are known at the ingress only.
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -100,6 +100,9 @@
 			"state", record.State, "leaving", record.Leaving, "version", uint64(e.Version))
 	}
 	v.Members[name] = Member{Record: record, Version: e.Version}
+	if d.Heard != nil && name != d.Self {
+		d.Heard(record)
+	}
 }
 
 // nameError says that a record stands under another daemon's name.
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -59,6 +59,8 @@
 	// written, before it is written over: that of a former life, or one of its own whose
 	// answer was lost. It may be nil.
 	Former func(mtbackend.Record)
+	// Heard is told of each record of another daemon. It may be nil, and must not block.
+	Heard func(mtbackend.Record)
 }
 
 // Assignment is a table with its version in the store.
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -331,3 +331,19 @@
 	assert.Equal(t, b.Now().Assignments["maps"].Version, mtid.Version(9))
 	assert.Equal(t, b.Seen(), mtid.Version(9))
 }
+
+// A daemon's server was lost, and its record says what was in flight. The others must hear
+// of that with the record, or the same requests take the next server.
+func TestWhatADaemonSuspectsReachesTheOthers(t *testing.T) {
+	store := mtstandin.NewRevisions(time.Now)
+	told := make(chan mtbackend.Record, 8)
+	_, cleanUp := mtdirectory.New(mtdirectory.Config{
+		Self: "b", Store: store, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.DiscardHandler),
+		Heard: func(r mtbackend.Record) { told <- r },
+	})
+	t.Cleanup(cleanUp)
+	lost := record("a")
+	lost.State, lost.Suspects = mtbackend.Ended, "1:2a:2b"
+	start(t, store, "a").Publish(lost)
+	assert.DeepEqual(t, <-told, lost)
+}
--- /dev/null
+++ b/io/mthost/crash.go
@@ -0,0 +1,87 @@
+package mthost
+
+import (
+	"errors"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtreply"
+)
+
+// A request may crash each server that runs it, and its caller sends it again, through
+// any daemon and to any server. Nothing was held against it: each loss costs the keys
+// of a server some seconds, and whatever else was in flight there. The daemons tell each
+// other in their records what was in flight at a loss, and refuse what was so too often.
+
+// contain refuses a request that is held to have crashed its servers. It fails with a
+// *mtreply.RefusedError.
+func (h *Host) contain(now mtclock.Instant, p mtpoison.Print, proven bool) error {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	left := h.recurring.Quarantined(now, p, proven)
+	if left == 0 {
+		return nil
+	}
+	return &mtreply.RefusedError{Cause: mtreply.CauseQuarantined, RetryAfter: left, Detail: "servers were lost each time that the request ran"}
+}
+
+// began notes that a request is sent to the server.
+func (h *Host) began(p mtpoison.Print) {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	h.recurring.Began(p)
+}
+
+// ended notes how a request that began has ended.
+func (h *Host) ended(p mtpoison.Print, err error) {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	h.recurring.Ended(h.Clock.Now(), p, endOf(err))
+}
+
+// endOf returns what the end of a request tells of its server.
+func endOf(err error) mtpoison.End {
+	var unknown *mtreply.UnknownError
+	switch {
+	case err == nil:
+		return mtpoison.Whole
+	case errors.As(err, &unknown) && unknown.Cause == mtreply.CauseLost:
+		return mtpoison.Broken
+	case errors.As(err, &unknown):
+		return mtpoison.Left
+	}
+	return mtpoison.NotRun
+}
+
+// lost notes that the server's process has ended. It is called with mu held, and before
+// the record is published that says so.
+func (h *Host) lost() {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	h.record.Suspects = h.recurring.Lost(h.Clock.Now(), h.Daemon)
+}
+
+// Heard takes in what another daemon suspects, by its record.
+func (h *Host) Heard(r mtbackend.Record) {
+	if r.Suspects == "" {
+		return
+	}
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	h.recurring.Heard(h.Clock.Now(), r.Daemon, r.Suspects)
+}
+
+// Proven reports whether a server has answered the same request before.
+func (h *Host) Proven(p mtpoison.Print) bool {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	return h.recurring.Proven(p)
+}
+
+// Prove notes that a server anywhere has answered a request.
+func (h *Host) Prove(p mtpoison.Print) {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	h.recurring.Prove(p)
+}
--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -67,7 +67,7 @@
 		life = h.record.Life
 	}
 	if life.Before(h.record.Life) {
-		h.ended[life] = true
+		h.over[life] = true
 		return
 	}
 	now := h.Clock.Now()
@@ -86,7 +86,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended[r.Life] || r.Life.Before(h.record.Life) {
+	if h.over[r.Life] || r.Life.Before(h.record.Life) {
 		return
 	}
 	now := h.Clock.Now()
@@ -179,8 +179,9 @@
 			return
 		}
 		h.Log.Warn("server's process is gone", "server", life.String(), "address", address)
-		h.ended[life] = true
+		h.over[life] = true
 		h.drains = 0
+		h.lost()
 		h.state(mtbackend.Ended)
 		h.door.Resize(0, 0)
 	}()
--- a/io/mthost/life.go
+++ b/io/mthost/life.go
@@ -48,7 +48,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended[b.Life] || b.Life.Before(h.record.Life) {
+	if h.over[b.Life] || b.Life.Before(h.record.Life) {
 		h.Log.Info("beat of a former life passed over", "server", b.Life.String(), "sequence", b.Sequence)
 		return nil
 	}
@@ -203,7 +203,10 @@
 // begin starts a new life of the server.
 func (h *Host) begin(b mtbackend.Beat) {
 	if !h.record.Life.IsZero() {
-		h.ended[h.record.Life] = true
+		if !h.over[h.record.Life] {
+			h.lost()
+		}
+		h.over[h.record.Life] = true
 		h.Log.Info("server has another life", "former", h.record.Life.String(), "server", b.Life.String())
 		h.door.Drain()
 		h.door = h.newDoor()
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -29,6 +29,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
@@ -115,7 +116,7 @@
 	record   mtbackend.Record
 	sequence uint64
 	address  string
-	ended    map[mtid.Life]bool // lives that are over
+	over     map[mtid.Life]bool // lives that have ended
 	// leaving is since when lives are known to leave.
 	leaving  map[mtid.Life]mtclock.Instant
 	door     *iogate.Door[*mtgate.Urgent]
@@ -142,6 +143,9 @@
 	runMu   sync.Mutex
 	running map[mtcall.ID]int // calls at the server, by identifier
 
+	crashMu   sync.Mutex
+	recurring *mtpoison.Recurring
+
 	meterMu sync.Mutex
 	meter   *mtrange.Meter
 	pace    float64 // mean time of calls, as a multiple of what is usual for them
@@ -155,7 +159,7 @@
 	h := &Host{
 		Config:  config,
 		address: config.Address,
-		ended:   make(map[mtid.Life]bool),
+		over:    make(map[mtid.Life]bool),
 		leaving: make(map[mtid.Life]mtclock.Instant),
 		denied:  make(map[mtid.Number]bool),
 		running: make(map[mtcall.ID]int),
@@ -163,6 +167,8 @@
 		times:   make(map[mtid.Class]time.Duration),
 		usual:   make(map[mtid.Class]time.Duration),
 		meter:   mtrange.NewMeter(config.Clock.Now()),
+
+		recurring: mtpoison.NewRecurring(),
 	}
 	h.record = mtbackend.Record{
 		Daemon: config.Daemon, Address: config.Peer, Zone: config.Zone, Link: config.Link, Service: config.Service, State: mtbackend.Unknown,
@@ -298,6 +304,10 @@
 	if err != nil {
 		return nil, err
 	}
+	mark := call.Print()
+	if err := h.contain(arrived, mark, call.Proven); err != nil {
+		return nil, err
+	}
 	h.count(arrived, call)
 	ticket := mtgate.Ticket{
 		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Nested: call.Nested,
@@ -316,10 +326,15 @@
 			return nil, err
 		}
 	}
-	defer h.track(call.ID)()
 	started := h.Clock.Now()
+	if err := h.contain(started, mark, call.Proven); err != nil {
+		return nil, err
+	}
+	defer h.track(call.ID)()
 	_, address := h.Record()
+	h.began(mark)
 	answer, err := h.Client.Do(ctx, iobackend.Target{Address: address, Server: record.Life.Server}, call)
+	h.ended(mark, err)
 	if err != nil {
 		h.failed(record.Life, call, err)
 		return nil, err
--- a/io/mthost/tether.go
+++ b/io/mthost/tether.go
@@ -51,7 +51,7 @@
 func (h *Host) tie(now mtclock.Instant) {
 	life := h.record.Life
 	fresh := h.tether != nil && h.tether.life == life && now.Sub(h.tether.opened) < tieFor
-	if life.IsZero() || h.ended[life] || fresh || h.tying || now.Before(h.tieAgain) {
+	if life.IsZero() || h.over[life] || fresh || h.tying || now.Before(h.tieAgain) {
 		return
 	}
 	h.tying = true
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -12,6 +12,7 @@
 	"magnoliaturn/core/mtchoice"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
@@ -24,6 +25,10 @@
 type host interface {
 	Run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error)
 	Load() mtcall.Load
+	// Proven reports whether a server has answered the same request before, and Prove
+	// notes that one has.
+	Proven(p mtpoison.Print) bool
+	Prove(p mtpoison.Print)
 }
 
 // peers send calls to other daemons.
@@ -134,6 +139,8 @@
 	s.retry.First(flow)
 	s.mu.Unlock()
 	state := &sending{}
+	mark := call.Print()
+	call.Proven = s.Host.Proven(mark)
 	for {
 		member, err := s.target(call, state)
 		if err != nil {
@@ -142,6 +149,7 @@
 		begun := s.Clock.Now()
 		answer, err := s.try(ctx, call, member)
 		if err == nil {
+			s.Host.Prove(mark)
 			return answer, nil
 		}
 		call.Tries = append(call.Tries, mtcall.Try{
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -20,6 +20,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
@@ -54,6 +55,10 @@
 
 func (host) Load() mtcall.Load { return mtcall.Load{} }
 
+func (host) Proven(mtpoison.Print) bool { return false }
+
+func (host) Prove(mtpoison.Print) {}
+
 // newSender returns a sender that knows three servers beside other daemons.
 func newSender(t *testing.T, p *peers) (*mtingress.Sender, *mttime.Clock) {
 	t.Helper()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -111,6 +111,7 @@
 	doubting  atomic.Bool
 	learner   *learner
 	former    former
+	host      atomic.Pointer[mthost.Host]
 	// The news go with each message, and the kernel's lookups are not for that.
 	directory atomic.Pointer[mtdirectory.Directory]
 	ingress   atomic.Pointer[mtingress.Ingress]
@@ -193,6 +194,7 @@
 		Source: m.learner,
 		Other:  m.config.Other,
 		Former: m.former.hear,
+		Heard:  m.heard,
 	})
 	m.directory.Store(directory)
 	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
@@ -251,12 +253,24 @@
 	})
 	grants.Store(held)
 	m.former.follow(host)
+	m.host.Store(host)
+	for _, member := range directory.Now().Members {
+		host.Heard(member.Record)
+	}
 	if err := mtkernel.Register(m.kernel, NameHost, host, closeHost); err != nil {
 		return err
 	}
 	return mtkernel.Register(m.kernel, NameGrants, held, closeGrants)
 }
 
+// heard passes on what another daemon suspects. What is heard before the host stands is
+// read once it does.
+func (m *Mesh) heard(r mtbackend.Record) {
+	if host := m.host.Load(); host != nil {
+		host.Heard(r)
+	}
+}
+
 // configuration returns what is in force, or nil if nothing is, or while the
 // daemon is still being put together.
 func (m *Mesh) configuration() *mtroute.Config {
