--- a/core/mtroute/certainty_test.go
+++ b/core/mtroute/certainty_test.go
@@ -18,6 +18,18 @@
 	cut     bool // from all others
 }
 
+func newMember(start mtclock.Instant) *member {
+	return &member{Certainty: mtroute.NewCertainty(start, mtroute.Within), version: 3}
+}
+
+// turnOf returns the turn of one of the few that ask regularly, or of all others.
+func turnOf(regular bool) mtroute.Turn {
+	if regular {
+		return mtroute.Regular
+	}
+	return mtroute.Last
+}
+
 // ask asks the store.
 func (m *member) ask(now mtclock.Instant, newest mtid.Version) {
 	m.version = newest
@@ -40,7 +52,7 @@
 			start := mtclock.Instant(time.Hour)
 			fleet := make([]*member, 14)
 			for i := range fleet {
-				fleet[i] = &member{version: 3}
+				fleet[i] = newMember(start)
 				fleet[i].Confirm(start)
 			}
 			asked := 0
@@ -52,7 +64,7 @@
 				for i, m := range fleet {
 					turn := i < 2
 					m.cut = turn && d >= 200*time.Millisecond
-					if !m.cut && m.Ask(now, turn) {
+					if !m.cut && m.Ask(now, turnOf(turn)) {
 						m.ask(now, newest)
 						asked++
 					}
@@ -76,14 +88,14 @@
 	start := mtclock.Instant(time.Hour)
 	fleet := make([]*member, 14)
 	for i := range fleet {
-		fleet[i] = &member{version: 3}
+		fleet[i] = newMember(start)
 		fleet[i].Confirm(start)
 	}
 	asked := make([]int, len(fleet))
 	for d := time.Duration(0); d < 20*time.Second; d += step {
 		now := start.Add(d)
 		for i, m := range fleet {
-			if m.Ask(now, i < 2) {
+			if m.Ask(now, turnOf(i < 2)) {
 				m.ask(now, 3)
 				asked[i]++
 			}
@@ -98,12 +110,12 @@
 
 // The store is away: questions are paid for, and few.
 func TestAStoreThatIsAwayIsAskedSeldom(t *testing.T) {
-	var c mtroute.Certainty
 	start := mtclock.Instant(time.Hour)
+	c := mtroute.NewCertainty(start, mtroute.Within)
 	c.Confirm(start)
 	asked := 0
 	for d := time.Duration(0); d < 9*time.Second; d += 50 * time.Millisecond {
-		if c.Ask(start.Add(d), false) {
+		if c.Ask(start.Add(d), mtroute.Last) {
 			asked++
 		}
 	}
--- a/io/mtdirectory/keeper.go
+++ b/io/mtdirectory/keeper.go
@@ -14,14 +14,15 @@
 )
 
 const (
-	// renewals is how many renewals fit into a lease: one may be lost.
-	renewals = 3
+	// renewals is how many renewals fit into a lease: one may be lost, since it is tried
+	// again once.
+	renewals = 2
 	// drift is the part of a lease that is not counted on, since the store's
 	// clock may run faster than this VM's.
 	drift = 0.02
 	// callTimeout bounds a call to the store. Answers take some milliseconds, and 0.4 s
-	// from a store that is slow; during an outage a call may hang for good. With the
-	// pause after it, one that hangs leaves time for the next before a lease of 2 s ends.
+	// from a store that is slow; during an outage a call may hang for good. A renewal
+	// that hangs leaves time for a second one before a lease of 2 s ends.
 	callTimeout = 600 * time.Millisecond
 	// retryPause is between two attempts to write the record while the store
 	// fails. Records have to be back within two seconds of its return, and each
@@ -150,13 +151,13 @@
 	if !present {
 		return k.Lease
 	}
+	begun := k.Clock.Now()
 	err := k.keep(ctx, wanted)
 	if err != nil {
 		if ctx.Err() == nil {
 			k.Log.Warn("own record can't be kept", "error", err, "certain", k.until().Sub(k.Clock.Now()))
 		}
-		k.failing = true
-		return retryPause
+		return k.retry(k.Clock.Now().Sub(begun))
 	}
 	if k.failing {
 		k.Log.Info("own record stands again")
@@ -165,6 +166,18 @@
 	return k.Lease / renewals
 }
 
+// retry returns the pause after an attempt that failed and took so long. The first
+// renewal that fails may be one lost answer: the next attempt begins while the lease
+// still stands.
+func (k *keeper) retry(took time.Duration) time.Duration {
+	first := !k.failing
+	k.failing = true
+	if first {
+		return max(retryPause-took, 0)
+	}
+	return retryPause
+}
+
 // keep renews the lease and brings the record up to date. The lease runs from
 // the call's arrival, which is later than its sending, by which it is counted.
 func (k *keeper) keep(ctx context.Context, wanted mtbackend.Record) error {
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -18,7 +18,6 @@
 
 import (
 	"cmp"
-	"context"
 	"log/slog"
 	"maps"
 	"slices"
@@ -61,6 +60,8 @@
 	Former func(mtbackend.Record)
 	// Heard is told of each record of another daemon. It may be nil, and must not block.
 	Heard func(mtbackend.Record)
+	// Applied is told of each update that has been taken in. It may be nil, and must not block.
+	Applied func(mtwatch.Update)
 }
 
 // Assignment is a table with its version in the store.
@@ -258,11 +259,13 @@
 	if unfit {
 		d.Resync()
 	}
-	if d.Other == nil {
-		return
+	if d.Other != nil {
+		for _, e := range others {
+			d.Other(e)
+		}
 	}
-	for _, e := range others {
-		d.Other(e)
+	if d.Applied != nil {
+		d.Applied(u)
 	}
 }
 
@@ -323,29 +326,11 @@
 	return true
 }
 
-// Watch waits for changes after a revision and returns them as they were heard
-// here, as a watch of the store would. Another daemon asks for it, so that not
-// all have to watch. Of an assignment that it knows up to an epoch it gets a
-// patch.
-func (d *Directory) Watch(ctx context.Context, after mtid.Revision, epochs Epochs, wait time.Duration) mtstore.Changes {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	for {
-		changes, next := d.since(after, epochs)
-		if len(changes.Entries) > 0 {
-			return changes
-		}
-		select {
-		case <-next:
-		case <-ctx.Done():
-			return changes
-		}
-	}
-}
-
-// since returns what was heard after a revision, and what is closed at the next
-// change. With nothing new it returns no revision below the one asked for.
-func (d *Directory) since(after mtid.Revision, epochs Epochs) (mtstore.Changes, <-chan struct{}) {
+// Since returns what was heard after a revision, as a watch of the store would, and what
+// is closed at the next change. Another daemon asks for it, so that not all have to watch.
+// Of an assignment that it knows up to an epoch it gets a patch. With nothing new the
+// revision is not below the one asked for.
+func (d *Directory) Since(after mtid.Revision, epochs Epochs) (mtstore.Changes, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changes := mtstore.Changes{Revision: d.Now().Revision}
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -51,6 +51,24 @@
 	return ok && m.Lapsed == lapsed
 }
 
+// watch waits for what a directory hears after a revision, as another daemon does that
+// learns from it.
+func watch(ctx context.Context, d *mtdirectory.Directory, after mtid.Revision, epochs mtdirectory.Epochs, wait time.Duration) mtstore.Changes {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		changes, next := d.Since(after, epochs)
+		if len(changes.Entries) > 0 {
+			return changes
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return changes
+		}
+	}
+}
+
 // leased writes the record of daemon a and returns the lease under which it stands.
 func leased(t *testing.T, store *mtstandin.Revisions) mtstore.LeaseID {
 	t.Helper()
@@ -226,15 +244,15 @@
 	assert.NilError(t, err)
 	store.Put(mtstore.RangeName("maps"), value)
 	until(t, "b has read all", func() bool { return seen(b, "a", false) && len(b.Now().Assignments) == 1 })
-	all := b.Watch(t.Context(), 0, nil, time.Second)
+	all := watch(t.Context(), b, 0, nil, time.Second)
 	assert.Equal(t, len(all.Entries), 2)
-	none := b.Watch(t.Context(), all.Revision, nil, time.Millisecond)
+	none := watch(t.Context(), b, all.Revision, nil, time.Millisecond)
 	assert.Equal(t, len(none.Entries), 0)
 	assert.Equal(t, none.Revision, all.Revision)
-	ahead := b.Watch(t.Context(), all.Revision+100, nil, time.Millisecond)
+	ahead := watch(t.Context(), b, all.Revision+100, nil, time.Millisecond)
 	assert.Equal(t, ahead.Revision, all.Revision+100, "who knows more is not led back")
 	assert.NilError(t, store.End(context.Background(), lease))
-	gone := b.Watch(t.Context(), all.Revision, nil, 10*time.Second)
+	gone := watch(t.Context(), b, all.Revision, nil, 10*time.Second)
 	assert.Equal(t, len(gone.Entries), 1)
 	assert.Equal(t, gone.Entries[0].Name, mtstore.BackendName("a"))
 	assert.Equal(t, gone.Entries[0].Version, mtid.Version(0))
@@ -253,7 +271,7 @@
 	if after == 0 {
 		return s.store.Watch(ctx, prefix, after, wait)
 	}
-	changes := s.of.Watch(ctx, after, s.pupil.Now().Epochs(), wait)
+	changes := watch(ctx, s.of, after, s.pupil.Now().Epochs(), wait)
 	for _, e := range changes.Entries {
 		if patch, err := mtrange.DecodePatch(e.Value); err == nil && patch != nil {
 			s.patches.Add(1)
@@ -294,7 +312,7 @@
 		return ok && a.Next == table.Next
 	})
 	assert.DeepEqual(t, pupil.Now().Assignments["maps"].Table, table)
-	taught := pupil.Watch(t.Context(), 0, nil, time.Second)
+	taught := watch(t.Context(), pupil, 0, nil, time.Second)
 	last, err := mtrange.Decode(taught.Entries[len(taught.Entries)-1].Value)
 	assert.NilError(t, err, "what it passes on must be whole")
 	assert.DeepEqual(t, last, table)
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -51,8 +51,9 @@
 	// lastCall is after which time a connection that is no longer used is closed.
 	// Calls on it may still be answered until their deadlines.
 	lastCall = 30 * time.Second
-	// buffer is the size of a connection's buffers, in bytes. A daemon has a
-	// connection to each of many others, and most messages are smaller.
+	// buffer is the size of a connection's buffers, in bytes. A daemon has a connection
+	// to each of hundreds of others, and most messages are smaller. Those for writing
+	// are shared: at any moment few connections have something to write.
 	buffer = 8 << 10
 	// Window is how many bytes may be under way to a receiver. A window that is
 	// set keeps gRPC from measuring the connection with a ping for each burst of
@@ -116,6 +117,7 @@
 		grpc.WithInitialConnWindowSize(Window),
 		grpc.WithReadBufferSize(buffer),
 		grpc.WithWriteBufferSize(buffer),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit), grpc.MaxCallSendMsgSize(messageLimit)),
 	)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -225,30 +227,48 @@
 	return nil
 }
 
-// Learn waits for changes of the store after a revision, as the daemon at the
-// address hears them. Of an assignment that is known here up to an epoch, the
-// entry holds a patch. It fails with a *mtstore.UnavailableError if that one does
-// not hear them itself.
-func (c *Client) Learn(ctx context.Context, address string, after mtid.Revision, epochs map[string]mtid.Epoch, wait time.Duration) (mtstore.Changes, error) {
+// Question is what a daemon asks of one that it learns from.
+type Question struct {
+	After  mtid.Revision         // tell what has changed since
+	Epochs map[string]mtid.Epoch // up to which assignments are known, by name of the entry
+	Wait   time.Duration         // for so long, if there is nothing to tell
+	// Relays says that the asker tells others what it learns.
+	Relays bool
+	// Age is how long ago the asker was certain of its configuration.
+	Age time.Duration
+}
+
+// Lesson is the answer to a Question.
+type Lesson struct {
+	Changes mtstore.Changes
+	Hops    int // from the store to the daemon that was asked, which is one hop on
+}
+
+// Learn waits for changes of the store, as the daemon at the address hears of them. Of
+// an assignment that is known here up to an epoch, the entry holds a patch. It fails
+// with a *mtstore.UnavailableError if that one does not hear of them.
+func (c *Client) Learn(ctx context.Context, address string, q Question) (Lesson, error) {
 	conn, err := c.pool.Conn(address)
 	if err != nil {
-		return mtstore.Changes{}, err
+		return Lesson{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+arrival)
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+arrival)
 	defer cancel()
-	question := &mtwire.LearnRequest{After: uint64(after), WaitMs: wait.Milliseconds()}
-	for name, epoch := range epochs {
+	question := &mtwire.LearnRequest{After: uint64(q.After), WaitMs: q.Wait.Milliseconds(), Relays: q.Relays, News: wireNews(c.news.Tell())}
+	for name, epoch := range q.Epochs {
 		question.Epochs = append(question.Epochs, &mtwire.LearnEpoch{Name: name, Next: uint64(epoch)})
 	}
+	sent := c.clock.Now()
 	w, err := mtwire.NewForwarderClient(conn).Learn(ctx, question)
 	if err != nil {
-		return mtstore.Changes{}, &mtstore.UnavailableError{Op: "learn", Err: err}
+		return Lesson{}, &mtstore.UnavailableError{Op: "learn", Err: err}
 	}
-	changes := mtstore.Changes{Revision: mtid.Revision(w.GetRevision())}
+	c.news.Hear(readNews(w.GetNews()), sent)
+	lesson := Lesson{Changes: mtstore.Changes{Revision: mtid.Revision(w.GetRevision())}, Hops: int(w.GetHops())}
 	for _, e := range w.GetEntries() {
-		changes.Entries = append(changes.Entries, readEntry(e))
+		lesson.Changes.Entries = append(lesson.Changes.Entries, readEntry(e))
 	}
-	return changes, nil
+	return lesson, nil
 }
 
 // Inform tells a daemon of a write of an assignment that concerns it.
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -52,8 +52,8 @@
 	told, heard := exchange(mtforward.News{Config: 7, Seen: 70})
 	mtforward.Register(server, mtforward.Server{
 		Host: h, Clock: mttime.New(), News: told,
-		Teach: func(context.Context, mtid.Revision, map[string]mtid.Epoch, time.Duration) (mtstore.Changes, error) {
-			return mtstore.Changes{}, &mtstore.UnavailableError{Op: "teach", Err: errors.New("deaf")}
+		Teach: func(context.Context, mtforward.Question) (mtforward.Lesson, error) {
+			return mtforward.Lesson{}, &mtstore.UnavailableError{Op: "teach", Err: errors.New("deaf")}
 		},
 	})
 	go func() { _ = server.Serve(listener) }()
@@ -331,7 +331,7 @@
 func TestADeafDaemonDoesNotTeach(t *testing.T) {
 	address, _ := serve(t, &host{})
 	c, _, _ := client(t)
-	_, err := c.Learn(t.Context(), address, 5, nil, time.Second)
+	_, err := c.Learn(t.Context(), address, mtforward.Question{After: 5, Wait: time.Second})
 	var unavailable *mtstore.UnavailableError
 	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
 }
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -29,16 +29,15 @@
 	Host  host
 	Clock clock
 	News  Exchange
-	// Teach waits for changes of the store after a revision, for a daemon that
-	// knows assignments up to these epochs. It fails with a
-	// *mtstore.UnavailableError if this daemon does not watch the store itself:
-	// two that learned from each other would both know nothing.
+	// Teach waits for changes of the store on behalf of another daemon. It fails with
+	// a *mtstore.UnavailableError if this daemon does not hear of them: two that
+	// learned from each other would both know nothing.
 	Teach teach
 	// Inform is told of a write of an assignment that concerns this daemon.
 	Inform func(mtstore.Entry)
 }
 
-type teach = func(ctx context.Context, after mtid.Revision, epochs map[string]mtid.Epoch, wait time.Duration) (mtstore.Changes, error)
+type teach = func(ctx context.Context, q Question) (Lesson, error)
 
 // server implements the service.
 type server struct {
@@ -60,17 +59,27 @@
 
 // Learn implements mtwire.ForwarderServer.
 func (s *server) Learn(ctx context.Context, w *mtwire.LearnRequest) (*mtwire.LearnReply, error) {
-	wait := min(time.Duration(w.GetWaitMs())*time.Millisecond, maxLearn)
-	epochs := make(map[string]mtid.Epoch, len(w.GetEpochs()))
+	q := Question{
+		After:  mtid.Revision(w.GetAfter()),
+		Epochs: make(map[string]mtid.Epoch, len(w.GetEpochs())),
+		Wait:   min(time.Duration(w.GetWaitMs())*time.Millisecond, maxLearn),
+		Relays: w.GetRelays(),
+		Age:    micros(w.GetNews().GetAgeUs()),
+	}
 	for _, e := range w.GetEpochs() {
-		epochs[e.GetName()] = mtid.Epoch(e.GetNext())
+		q.Epochs[e.GetName()] = mtid.Epoch(e.GetNext())
 	}
-	changes, err := s.teach(ctx, mtid.Revision(w.GetAfter()), epochs, wait)
+	s.news.Hear(readNews(w.GetNews()), 0)
+	arrived := s.clock.Now()
+	lesson, err := s.teach(ctx, q)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	reply := &mtwire.LearnReply{Revision: uint64(changes.Revision)}
-	for _, e := range changes.Entries {
+	news := s.news.Tell()
+	// The asker counts from the sending of its question, a long wait ago.
+	news.Age -= s.clock.Now().Sub(arrived)
+	reply := &mtwire.LearnReply{Revision: uint64(lesson.Changes.Revision), Hops: uint32(lesson.Hops), News: wireNews(news)}
+	for _, e := range lesson.Changes.Entries {
 		reply.Entries = append(reply.Entries, wireEntry(e))
 	}
 	return reply, nil
--- /dev/null
+++ b/io/mtmesh/export_test.go
@@ -0,0 +1,32 @@
+package mtmesh
+
+import (
+	"context"
+	"time"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtspread"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtforward"
+	"magnoliaturn/io/mttime"
+	"magnoliaturn/io/mtwatch"
+)
+
+// Learner lets tests hear of changes as a daemon does.
+type Learner struct{ *learner }
+
+// NewLearner returns the Learner of a daemon that goes by a fixed tree.
+func NewLearner(self mtid.Daemon, zone mtid.Zone, tree *mtspread.Tree, store mtwatch.Source, peers teachers, directory func() *mtdirectory.Directory) Learner {
+	clock := mttime.New()
+	certainty := newCertainty(clock.Now(), 2*time.Second, newBeacon())
+	return Learner{&learner{
+		self: self, zone: zone, store: store, peers: peers, clock: clock, certainty: certainty, directory: directory,
+		stirred: certainty.stirred, paused: make(map[string]time.Time), configured: func() bool { return true },
+		fixed: tree,
+	}}
+}
+
+// Teach answers another daemon.
+func (l Learner) Teach(ctx context.Context, q mtforward.Question) (mtforward.Lesson, error) {
+	return l.teach(ctx, q)
+}
--- a/io/mtmesh/learn.go
+++ b/io/mtmesh/learn.go
@@ -1,15 +1,15 @@
 package mtmesh
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtspread"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
@@ -17,44 +17,100 @@
 	"magnoliaturn/io/mtwatch"
 )
 
-// Each change costs the store one answer for each watcher, and all calls are
-// paid for: with 75 daemons that all watched, the calls of a calm day cost more
-// than half of what its requests were worth. So in each availability zone one
-// daemon watches, and the others learn from it.
+// Each change costs the store one answer for each watcher, and all calls are paid for.
+// So two daemons watch, and the others learn from them (core/mtspread).
 const (
 	// gather is how long a watcher waits after a change before it asks for the
 	// next ones, so that changes that come together cost one answer.
 	gather = 110 * time.Millisecond
+	// gatherIdle is the same while no configuration is known: nobody is served yet, and
+	// all daemons write their records at once when the whole system starts.
+	gatherIdle = 500 * time.Millisecond
 	// teacherPause is how long a daemon that could not be learned from is passed
 	// over.
 	teacherPause = time.Second
 	// learnWait is how long one question waits at a teacher. It is renewed at a
 	// teacher that is silent for longer than a lost connection takes to show.
 	learnWait = 10 * time.Second
+	// farthest is how many hops from the store a daemon may be that teaches others: two
+	// that learned from each other would be further and further away, and know nothing.
+	farthest = 2
 )
 
+// teachers are the daemons to learn from.
+type teachers interface {
+	Learn(ctx context.Context, address string, q mtforward.Question) (mtforward.Lesson, error)
+}
+
 // learner hears of changes: from the store itself, or from a daemon that does.
 type learner struct {
-	self  mtid.Daemon
-	zone  mtid.Zone
-	store mtwatch.Source
-	peers *mtforward.Client
-	view  func() *mtdirectory.View // nil while there is none
-	// direct says that the last changes came from the store itself.
-	direct atomic.Bool
+	self      mtid.Daemon
+	zone      mtid.Zone
+	store     mtwatch.Source
+	peers     teachers
+	clock     clock
+	certainty *certainty
+	directory func() *mtdirectory.Directory // nil while there is none
+	// configured reports whether a configuration is in force.
+	configured func() bool
+	// hops is how far from the store this daemon hears of changes: one, if from the
+	// store itself, or zero while it does not.
+	hops atomic.Int32
+	// stirred is told of what those who learn here may wait for.
+	stirred *beacon
+	planned atomic.Pointer[plan]
+	fixed   *mtspread.Tree // in place of the planned one; nil but in tests
+	// read is when the last reading of everything from the store itself began.
+	read atomic.Int64
 	// paused are the addresses to pass over, until when. Only the goroutine that
 	// watches looks.
 	paused map[string]time.Time
 }
 
-func newLearner(self mtid.Daemon, zone mtid.Zone, store mtwatch.Source, peers *mtforward.Client) *learner {
-	return &learner{self: self, zone: zone, store: store, peers: peers, paused: make(map[string]time.Time)}
+// plan is who hears from whom in a view.
+type plan struct {
+	view *mtdirectory.View
+	tree *mtspread.Tree
 }
 
+// view returns what is known, or nil while there is nothing.
+func (l *learner) view() *mtdirectory.View {
+	directory := l.directory()
+	if directory == nil {
+		return nil
+	}
+	return directory.Now()
+}
+
+// tree returns who hears from whom, as this daemon knows.
+func (l *learner) tree() *mtspread.Tree {
+	if l.fixed != nil {
+		return l.fixed
+	}
+	view := l.view()
+	if view == nil {
+		return mtspread.New(nil)
+	}
+	if p := l.planned.Load(); p != nil && p.view == view {
+		return p.tree
+	}
+	nodes := make([]mtspread.Node, 0, len(view.Members))
+	for _, m := range view.Members {
+		if !m.Lapsed && !m.Leaving {
+			nodes = append(nodes, mtspread.Node{Daemon: m.Daemon, Zone: m.Zone, Address: m.Address, Link: m.Link})
+		}
+	}
+	p := &plan{view: view, tree: mtspread.New(nodes)}
+	l.planned.Store(p)
+	return p.tree
+}
+
+// turn returns when it is this daemon's turn to ask the store.
+func (l *learner) turn() mtroute.Turn { return l.tree().Turn(l.self) }
+
 // Watch implements mtwatch.Source.
 func (l *learner) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
 	if teacher, ok := l.teacher(time.Now()); ok {
-		l.direct.Store(false)
 		changes, err := l.learn(ctx, teacher, after, min(wait, learnWait))
 		if err == nil {
 			return changes, nil
@@ -64,80 +120,132 @@
 		}
 		l.paused[teacher] = time.Now().Add(teacherPause)
 	}
-	l.direct.Store(after != 0)
+	if after == 0 {
+		return l.readAll(ctx, prefix)
+	}
+	l.move(1)
 	changes, err := l.store.Watch(ctx, prefix, after, wait)
 	if err != nil {
-		l.direct.Store(false)
+		l.move(0)
 		return changes, err
 	}
-	if after != 0 && len(changes.Entries) > 0 {
-		mtduty.Sleep(ctx, gather)
+	if len(changes.Entries) > 0 {
+		mtduty.Sleep(ctx, l.gather())
 	}
 	return changes, nil
 }
 
+// gather returns how long to wait after a change before asking for the next ones.
+func (l *learner) gather() time.Duration {
+	if l.configured() {
+		return gather
+	}
+	return gatherIdle
+}
+
+// readAll reads everything from the store.
+func (l *learner) readAll(ctx context.Context, prefix string) (mtstore.Changes, error) {
+	l.move(0)
+	begun := l.clock.Now()
+	changes, err := l.store.Watch(ctx, prefix, 0, 0)
+	if err == nil {
+		l.read.Store(int64(begun))
+	}
+	return changes, err
+}
+
+// applied notes that what was read has been taken in: the configuration with it.
+func (l *learner) applied(u mtwatch.Update) {
+	if begun := mtclock.Instant(l.read.Swap(0)); u.Whole && begun != 0 {
+		l.certainty.confirm(begun)
+	}
+}
+
+// move notes how far from the store this daemon hears of changes. Those who learn here
+// have to go elsewhere if that is too far.
+func (l *learner) move(hops int) {
+	if l.hops.Swap(int32(hops)) != int32(hops) {
+		l.stirred.fire()
+	}
+}
+
 // learn asks another daemon. For a reading of everything it has to know more than
 // this daemon does: else the store itself must tell. A daemon that the store turns
 // away can still read everything so.
 func (l *learner) learn(ctx context.Context, teacher string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	if l.hops.Load() == 1 {
+		// The store is not watched any more. Those who relied on that go elsewhere; this
+		// daemon might be going to learn from one of them.
+		l.move(0)
+	}
 	view := l.view()
+	q := mtforward.Question{After: after, Relays: l.turn() != mtroute.Last, Age: l.certainty.age(l.clock.Now())}
 	if after != 0 {
-		return l.peers.Learn(ctx, teacher, after, view.Epochs(), wait)
+		q.Epochs, q.Wait = view.Epochs(), wait
 	}
-	changes, err := l.peers.Learn(ctx, teacher, 0, nil, 0)
-	if err == nil && changes.Revision <= view.Revision {
-		return changes, &mtstore.UnavailableError{Op: "learn", Err: notWatching{}}
+	lesson, err := l.peers.Learn(ctx, teacher, q)
+	if err != nil {
+		l.move(0)
+		return lesson.Changes, err
 	}
-	return changes, err
+	l.move(lesson.Hops + 1)
+	if after == 0 && lesson.Changes.Revision <= view.Revision {
+		return lesson.Changes, &mtstore.UnavailableError{Op: "learn", Err: notWatching{}}
+	}
+	return lesson.Changes, nil
 }
 
 // teacher returns the address of the daemon to learn from, or false if this one
-// watches the store itself: the first of its zone does, and whoever finds nobody
-// who does.
+// watches the store itself: it is a source, or finds nobody who does.
 func (l *learner) teacher(now time.Time) (string, bool) {
-	view := l.view()
-	if view == nil || view.Revision == 0 {
+	if view := l.view(); view == nil || view.Revision == 0 {
 		return "", false
 	}
-	firsts := make(map[mtid.Zone]mtdirectory.Member)
-	for _, m := range view.Members {
-		if m.Lapsed || m.Leaving {
-			continue
-		}
-		if first, ok := firsts[m.Zone]; !ok || ahead(m.Record, first.Record) {
-			firsts[m.Zone] = m
-		}
-	}
-	if own, ok := firsts[l.zone]; !ok || own.Daemon == l.self {
-		return "", false
-	}
-	teachers := make([]mtdirectory.Member, 0, len(firsts))
-	for _, m := range firsts {
-		teachers = append(teachers, m)
-	}
-	slices.SortFunc(teachers, func(a, b mtdirectory.Member) int {
-		return cmp.Or(cmp.Compare(far(a, l.zone), far(b, l.zone)), cmp.Compare(a.Daemon, b.Daemon))
-	})
-	for _, m := range teachers {
-		if now.After(l.paused[m.Address]) {
-			return m.Address, true
+	for _, n := range l.tree().Teachers(l.self, l.zone) {
+		if now.After(l.paused[n.Address]) {
+			return n.Address, true
 		}
 	}
 	return "", false
 }
 
-// ahead reports whether a is to watch the store rather than b: the one with the
-// wider link, since it tells everything to all others of its zone.
-func ahead(a, b mtbackend.Record) bool {
-	return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(a.Daemon, b.Daemon)) < 0
+// teaches reports whether this daemon hears of changes from close enough to tell others,
+// who relay them or not.
+func (l *learner) teaches(relays bool) bool {
+	hops := int(l.hops.Load())
+	if relays {
+		return hops == 1
+	}
+	return hops > 0 && hops <= farthest
 }
 
-// far is 0 for a member of the zone and 1 for others.
-func far(m mtdirectory.Member, zone mtid.Zone) int {
-	if m.Zone == zone {
-		return 0
+// teach waits for changes on behalf of another daemon, or until this one is certain of its
+// configuration for so much longer that the other should hear of it.
+func (l *learner) teach(ctx context.Context, q mtforward.Question) (mtforward.Lesson, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait)
+	defer cancel()
+	directory := l.directory()
+	theirs := l.clock.Now().Add(-q.Age)
+	for {
+		stirred := l.stirred.wait()
+		if directory == nil || !l.teaches(q.Relays) {
+			return mtforward.Lesson{}, &mtstore.UnavailableError{Op: "teach", Err: notWatching{}}
+		}
+		if _, up := directory.Up(); !up {
+			return mtforward.Lesson{}, &mtstore.UnavailableError{Op: "teach", Err: notWatching{}}
+		}
+		changes, next := directory.Since(q.After, q.Epochs)
+		lesson := mtforward.Lesson{Changes: changes, Hops: int(l.hops.Load())}
+		if len(changes.Entries) > 0 || l.certainty.fresher(theirs) {
+			return lesson, nil
+		}
+		select {
+		case <-next:
+		case <-stirred:
+		case <-ctx.Done():
+			return lesson, nil
+		}
 	}
-	return 1
 }
 
 // notWatching says that a daemon can't teach.
@@ -167,15 +275,3 @@
 		}
 	}()
 }
-
-// teach waits for changes on behalf of another daemon.
-func (m *Mesh) teach(ctx context.Context, after mtid.Revision, epochs map[string]mtid.Epoch, wait time.Duration) (mtstore.Changes, error) {
-	directory := m.directory.Load()
-	if directory == nil || !m.learner.direct.Load() {
-		return mtstore.Changes{}, &mtstore.UnavailableError{Op: "teach", Err: notWatching{}}
-	}
-	if _, up := directory.Up(); !up {
-		return mtstore.Changes{}, &mtstore.UnavailableError{Op: "teach", Err: notWatching{}}
-	}
-	return directory.Watch(ctx, after, epochs, wait), nil
-}
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -87,13 +87,18 @@
 	Hold  time.Duration
 	Drain time.Duration // new work may reach a leaving server for so long
 	Grace time.Duration // from the order to stop until the process is ended
-	Log   *slog.Logger
+	// Within is within which time a configuration has to be in force everywhere.
+	Within time.Duration
+	Log    *slog.Logger
 	// Refresh makes the configuration be read anew: another daemon has a newer
 	// one, or the store is to be asked in case its watches have gone deaf.
 	// It fails if the store did not answer.
 	Refresh func() error
 	// Other is told of every entry of the store that is not the product's own.
 	Other func(mtstore.Entry)
+	// Calls returns how often the store was called since it was last asked for, by what
+	// the calls were for. It may be nil.
+	Calls func() map[string]int
 }
 
 // Mesh is one daemon.
@@ -107,7 +112,7 @@
 	// The store is asked for what another daemon has seen: a configuration, and
 	// records.
 	asking    atomic.Bool
-	certainty certainty
+	certainty *certainty
 	doubting  atomic.Bool
 	learner   *learner
 	former    former
@@ -158,7 +163,9 @@
 }
 
 func (m *Mesh) addClock() error {
-	return mtkernel.Register(m.kernel, NameClock, mttime.New(), nil)
+	clock := mttime.New()
+	m.certainty = newCertainty(clock.Now(), m.config.Within, newBeacon())
+	return mtkernel.Register(m.kernel, NameClock, clock, nil)
 }
 
 func (m *Mesh) addMetrics() error {
@@ -177,13 +184,18 @@
 }
 
 func (m *Mesh) addDirectory() error {
-	m.learner = newLearner(m.config.Daemon, m.config.Zone, m.config.Store, mtkernel.Need[*mtforward.Client](m.kernel, NamePeers))
-	m.learner.view = func() *mtdirectory.View {
-		directory := m.directory.Load()
-		if directory == nil {
-			return nil
-		}
-		return directory.Now()
+	m.learner = &learner{
+		self:      m.config.Daemon,
+		zone:      m.config.Zone,
+		store:     m.config.Store,
+		peers:     mtkernel.Need[*mtforward.Client](m.kernel, NamePeers),
+		clock:     mtkernel.Need[*mttime.Clock](m.kernel, NameClock),
+		certainty: m.certainty,
+		stirred:   m.certainty.stirred,
+		paused:    make(map[string]time.Time),
+		directory: m.directory.Load,
+
+		configured: func() bool { return m.configuration() != nil },
 	}
 	directory, cleanUp := mtdirectory.New(mtdirectory.Config{
 		Self:   m.config.Daemon,
@@ -195,6 +207,8 @@
 		Other:  m.config.Other,
 		Former: m.former.hear,
 		Heard:  m.heard,
+
+		Applied: m.learner.applied,
 	})
 	m.directory.Store(directory)
 	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
@@ -337,10 +351,18 @@
 // addSums adds the duty that sums up what became of requests.
 func (m *Mesh) addSums() error {
 	grants := mtkernel.Need[*mtgrant.Grants](m.kernel, NameGrants)
-	stop := mtduty.Every(tallyEvery, func(context.Context) { m.record.sum(m.Host().Load(), grants.TakeMoved()) })
+	stop := mtduty.Every(tallyEvery, func(context.Context) { m.record.sum(m.Host().Load(), grants.TakeMoved(), m.calls()) })
 	return mtkernel.Register(m.kernel, NameSums, stop, stop)
 }
 
+// calls returns how often the store was called since the last time, by purpose.
+func (m *Mesh) calls() map[string]int {
+	if m.config.Calls == nil {
+		return nil
+	}
+	return m.config.Calls()
+}
+
 const (
 	// linger is how long callers are served after the order to stop: until they
 	// have been told at least twice, a second apart, to go elsewhere.
@@ -369,9 +391,9 @@
 	}
 	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(streams),
 		grpc.InitialWindowSize(mtforward.Window), grpc.InitialConnWindowSize(mtforward.Window),
-		grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
+		grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer), grpc.SharedWriteBuffer(true))
 	mtforward.Register(m.peers, mtforward.Server{
-		Host: m.Host(), Clock: mtkernel.Need[*mttime.Clock](m.kernel, NameClock), News: m.exchange(), Teach: m.teach, Inform: m.directory.Load().Inform,
+		Host: m.Host(), Clock: mtkernel.Need[*mttime.Clock](m.kernel, NameClock), News: m.exchange(), Teach: m.learner.teach, Inform: m.directory.Load().Inform,
 	})
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,8 +23,6 @@
 	// askLook is how often it is looked whether the store is to be asked for the
 	// configuration.
 	askLook = 100 * time.Millisecond
-	// askers is how many daemons do so: one may be lost or cut off.
-	askers = 2
 	// doubtAfter is how long a daemon that hears of a newer configuration waits
 	// for its own watch to bring it, which usually takes some milliseconds.
 	doubtAfter = 150 * time.Millisecond
@@ -42,18 +39,40 @@
 type certainty struct {
 	mu   sync.Mutex
 	core mtroute.Certainty
+	told mtclock.Instant // up to which others were told to look
+	// stirred is told when others should look.
+	stirred *beacon
+}
+
+func newCertainty(now mtclock.Instant, within time.Duration, stirred *beacon) *certainty {
+	return &certainty{core: mtroute.NewCertainty(now, within), stirred: stirred}
 }
 
 func (c *certainty) confirm(at mtclock.Instant) {
+	c.change(func() { c.core.Confirm(at) })
+}
+
+func (c *certainty) hear(own, theirs mtid.Version, age time.Duration, sent mtclock.Instant) {
+	c.change(func() { c.core.Hear(own, theirs, age, sent) })
+}
+
+// change lets those look who wait for news, if there are.
+func (c *certainty) change(f func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.core.Confirm(at)
+	f()
+	if c.core.Fresher(c.core.At(), c.told) {
+		c.told = c.core.At()
+		c.stirred.fire()
+	}
 }
 
-func (c *certainty) hear(own, theirs mtid.Version, age time.Duration, sent mtclock.Instant) {
+// fresher reports whether the knowledge is so much newer than another daemon's that it
+// should hear of it.
+func (c *certainty) fresher(theirs mtclock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.core.Hear(own, theirs, age, sent)
+	return c.core.Fresher(c.core.At(), theirs)
 }
 
 func (c *certainty) age(now mtclock.Instant) time.Duration {
@@ -62,7 +81,7 @@
 	return c.core.Age(now)
 }
 
-func (c *certainty) ask(now mtclock.Instant, turn bool) bool {
+func (c *certainty) ask(now mtclock.Instant, turn mtroute.Turn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.core.Ask(now, turn)
@@ -74,6 +93,28 @@
 	return c.core.Denies(now)
 }
 
+// beacon wakes all who wait for something to happen.
+type beacon struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+func newBeacon() *beacon { return &beacon{next: make(chan struct{})} }
+
+// wait returns what is closed at the next fire.
+func (b *beacon) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.next
+}
+
+func (b *beacon) fire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.next)
+	b.next = make(chan struct{})
+}
+
 // exchange returns how this daemon takes part in the news.
 func (m *Mesh) exchange() mtforward.Exchange {
 	return mtforward.Exchange{Tell: m.tell, Hear: m.hear}
@@ -152,25 +193,13 @@
 // addNews adds the duty that asks for the configuration.
 func (m *Mesh) addNews() error {
 	stop := mtduty.Every(askLook, func(context.Context) {
-		if m.certainty.ask(m.steady(), m.asker()) {
+		if m.certainty.ask(m.steady(), m.learner.turn()) {
 			m.refresh()
 		}
 	})
 	return mtkernel.Register(m.kernel, NameNews, stop, stop)
 }
 
-// asker reports whether this daemon is one of those that ask.
-func (m *Mesh) asker() bool {
-	var live []mtid.Daemon
-	for name, member := range mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Now().Members {
-		if !member.Lapsed && !member.Leaving {
-			live = append(live, name)
-		}
-	}
-	slices.Sort(live)
-	return slices.Contains(live[:min(askers, len(live))], m.config.Daemon)
-}
-
 // Configure puts a configuration in force, unless a newer one is. Those that ask
 // for it tell all others, since nobody else may have heard of it.
 func (m *Mesh) Configure(c *mtroute.Config) {
@@ -178,7 +207,7 @@
 		return
 	}
 	m.Host().Declare(c.Routes())
-	if m.asker() {
+	if m.learner.tree().Source(m.config.Daemon) {
 		go m.spread()
 	}
 }
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -26,6 +26,7 @@
 	metrics *mtmetric.Metrics
 	ends    *expvar.Map
 	answers *expvar.Int
+	calls   *expvar.Map // of the store
 	tally   *tally
 	clock   clock
 	service mtid.Service // on this VM
@@ -37,7 +38,7 @@
 
 func newRecorder(m *mtmetric.Metrics, c clock, service mtid.Service, log *slog.Logger, known func() (configuration, seen mtid.Version)) *recorder {
 	return &recorder{
-		metrics: m, tally: newTally(), clock: c, service: service, ends: m.Counters("requests", "ends"), answers: m.Counter("requests", "answered"), log: log, known: known,
+		metrics: m, tally: newTally(), clock: c, service: service, ends: m.Counters("requests", "ends"), answers: m.Counter("requests", "answered"), calls: m.Counters("store", "calls"), log: log, known: known,
 	}
 }
 
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -81,14 +81,17 @@
 	return end
 }
 
-// sum writes the line of a second: how requests ended here, and how the server was
-// used. It writes none if nothing happened.
-func (r *recorder) sum(load mtcall.Load, moved int) {
+// sum writes the line of a second: how requests ended here, how the server was used, and
+// what the store was called for. It writes none if nothing happened.
+func (r *recorder) sum(load mtcall.Load, moved int, calls map[string]int) {
 	ends := r.tally.take()
-	if len(ends) == 0 && load.Running == 0 && moved == 0 {
+	for purpose, n := range calls {
+		r.calls.Add(purpose, int64(n))
+	}
+	if len(ends) == 0 && load.Running == 0 && moved == 0 && len(calls) == 0 {
 		return
 	}
 	r.log.Log(context.Background(), mtmetric.Sum, "second", "service", string(r.service), "ends", ends,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "pace", load.Service.String(),
-		"demand", load.Demand, "moved", moved)
+		"demand", load.Demand, "moved", moved, "store", calls)
 }
--- a/io/mtmetric/histogram.go
+++ b/io/mtmetric/histogram.go
@@ -109,7 +109,7 @@
 // so that classes don't wait for each other, and a sample costs one lookup.
 type group struct {
 	mu       sync.Mutex
-	times    [len(measures)]*hdrhistogram.WindowedHistogram // nil until used
+	times    [len(measures)]*windows // nil until used
 	refusals map[mtreply.Cause]int64
 }
 
@@ -144,12 +144,44 @@
 	g.refusals[s.Cause]++
 }
 
+// windows is one series over the last windows, the present one first. A daemon has some
+// tens of series, so each holds a histogram only for windows in which it had samples.
+type windows [Kept]*hdrhistogram.Histogram
+
+func (w *windows) record(d time.Duration) {
+	if w[0] == nil {
+		w[0] = hdrhistogram.New(1, highest, digits)
+	}
+	// The value is clamped to the range, so recording can't fail.
+	_ = w[0].RecordValue(min(max(int64(d/unit), 1), highest))
+}
+
+// rotate begins a window, in place of the oldest.
+func (w *windows) rotate() {
+	oldest := w[Kept-1]
+	copy(w[1:], w[:Kept-1])
+	if oldest != nil {
+		oldest.Reset()
+	}
+	w[0] = oldest
+}
+
+// merge returns all windows in one histogram.
+func (w *windows) merge() *hdrhistogram.Histogram {
+	merged := hdrhistogram.New(1, highest, digits)
+	for _, h := range w {
+		if h != nil {
+			merged.Merge(h)
+		}
+	}
+	return merged
+}
+
 func (g *group) record(i int, d time.Duration) {
 	if g.times[i] == nil {
-		g.times[i] = hdrhistogram.NewWindowed(Kept, 1, highest, digits)
+		g.times[i] = &windows{}
 	}
-	// The value is clamped to the range, so recording can't fail.
-	_ = g.times[i].Current.RecordValue(min(max(int64(d/unit), 1), highest))
+	g.times[i].record(d)
 }
 
 // find returns the group, made on first use, or nil past the bound.
@@ -174,7 +206,7 @@
 		g.mu.Lock()
 		for _, times := range g.times {
 			if times != nil {
-				times.Rotate()
+				times.rotate()
 			}
 		}
 		g.mu.Unlock()
@@ -203,7 +235,7 @@
 	if i < 0 || g.times[i] == nil {
 		return empty
 	}
-	return g.times[i].Merge().Clone()
+	return g.times[i].merge()
 }
 
 // Summaries returns every series that has samples in the kept windows, and the
@@ -236,7 +268,7 @@
 		if times == nil {
 			continue
 		}
-		if merged := times.Merge(); merged.TotalCount() > 0 {
+		if merged := times.merge(); merged.TotalCount() > 0 {
 			out = append(out, summarize(Series{name.service, name.class, name.outcome, measures[i]}, merged))
 		}
 	}
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -10,6 +10,7 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtini"
+	"magnoliaturn/core/mtroute"
 )
 
 // Mesh are the settings of a daemon that stands beside a backend server on a
@@ -30,6 +31,7 @@
 	Hold    time.Duration
 	Drain   time.Duration
 	Grace   time.Duration
+	Config  time.Duration // within which a configuration has to be in force
 }
 
 // Bounds and defaults of the times. The platform names its own.
@@ -39,6 +41,7 @@
 	defaultHold  = 8 * time.Second
 	defaultDrain = 2 * time.Second
 	defaultGrace = 6 * time.Second
+	minConfig    = time.Second
 )
 
 // Bounds of the VM's own link, in Mbit/s. Only the order among VMs counts.
@@ -72,6 +75,7 @@
 	s.Hold = times.Duration("hold", defaultHold, minTime, maxTime)
 	s.Drain = times.Duration("drain", defaultDrain, minTime, maxTime)
 	s.Grace = times.Duration("grace", defaultGrace, minTime, maxTime)
+	s.Config = times.Duration("config", mtroute.Within, minConfig, maxTime)
 	if faults := f.Faults(); len(faults) > 0 {
 		return nil, faults
 	}
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -32,6 +32,7 @@
 hold = 10s
 drain = 2.5s
 grace = 6s
+config = 3s
 `
 
 func TestMeshSettings(t *testing.T) {
@@ -41,7 +42,7 @@
 		Name: "vm-1", Zone: "old-town", Link: 200, Service: "maps", Host: "10.1.0.38", Server: "10.1.0.38:8145",
 		Callers: "10.1.0.38:8147", Ready: "10.1.0.38:8141", Beats: "10.1.0.38:8144",
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
-		Hold: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second,
+		Hold: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, Config: 3 * time.Second,
 	})
 }
 
@@ -72,7 +73,7 @@
 		"{{node}}", "vm-1", "{{zone}}", "old-town", "{{limits.link_mbps}}", "200", "{{service}}", "maps", "{{ip}}", "10.1.0.38", "{{app_addr}}", "10.1.0.38:8145",
 		"{{listen.outbound}}", "10.1.0.38:8147", "{{listen.ready}}", "10.1.0.38:8141", "{{listen.control}}", "10.1.0.38:8144",
 		"{{port_range}}", "7380,7395", "{{provider.address}}", "10.200.1.7:8142",
-		"{{bounds.hold_max_s}}", "10", "{{bounds.drain_s}}", "2.5", "{{bounds.grace_s}}", "6",
+		"{{bounds.hold_max_s}}", "10", "{{bounds.drain_s}}", "2.5", "{{bounds.grace_s}}", "6", "{{bounds.config_s}}", "3",
 	).Replace(string(template))
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(filled))
 	assert.Equal(t, len(faults), 0, "%v", faults)
