--- a/core/mtrange/mtrange.go
+++ b/core/mtrange/mtrange.go
@@ -152,6 +152,15 @@
 	return n
 }
 
+// Shares returns how many keys each owner has.
+func (t *Table) Shares() map[Owner]int {
+	shares := make(map[Owner]int)
+	for _, r := range t.Ranges {
+		shares[r.Owner] += r.Keys()
+	}
+	return shares
+}
+
 // Move gives the keys from low to high, which have one owner, to another one,
 // with what the former owner left for it. It fails with a *RangeError.
 func (t *Table) Move(low, high mtid.Number, to Owner, warmth string) (*Table, error) {
@@ -206,10 +215,11 @@
 		return nil, &RangeError{High: mtid.LastNumber, Reason: "no survivor to give keys to"}
 	}
 	next := &Table{Service: t.Service, Next: t.Next}
+	shares := t.Shares()
 	keys := make(map[Owner]int, len(survivors))
 	heirs := make(map[mtid.Daemon]Owner, len(survivors))
 	for _, s := range survivors {
-		keys[s] = t.Keys(s)
+		keys[s] = shares[s]
 		heirs[s.Daemon] = s
 	}
 	cuts := t.cuts(lost, len(survivors))
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 
 	"magnoliaturn/core/mtbackend"
@@ -55,8 +56,18 @@
 	return gone
 }
 
+// rolled makes Members and Foreign those of a view that is being made, before the first
+// change of them: until then they are shared with the view before.
+func (d *Directory) rolled(v *View) {
+	if old := d.view.Load(); v.Roll == old.Roll {
+		v.Members, v.Foreign = maps.Clone(old.Members), maps.Clone(old.Foreign)
+		v.Roll++
+	}
+}
+
 // takeMember takes in the record of a daemon, or its end.
 func (d *Directory) takeMember(v *View, now mtclock.Instant, e mtstore.Entry) {
+	d.rolled(v)
 	name := mtid.Daemon(strings.TrimPrefix(e.Name, mtstore.Backend))
 	delete(v.Foreign, name)
 	if e.Version == 0 {
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -89,7 +89,10 @@
 	// Revision is that of the store up to which the copy is complete; zero if
 	// nothing was read yet.
 	Revision mtid.Revision
-	newest   mtid.Version // of all of these
+	// Roll counts the changes of Members and Foreign. What is derived from these alone
+	// need not be derived again after each move of a key.
+	Roll   uint64
+	newest mtid.Version // of all of these
 }
 
 // Serving returns the members whose servers take new work for a service.
@@ -242,12 +245,16 @@
 			d.take(v, now, e)
 		}
 		for _, e := range u.Changes.Entries {
-			e, err := d.whole(v, e)
+			told, err := v.told(e)
 			if err != nil {
 				d.Log.Warn("patch of an assignment passed over", "name", e.Name, "error", err)
 				unfit = true
 				continue
 			}
+			if told != nil {
+				d.patch(v, e, *told)
+				continue
+			}
 			d.entries[e.Name] = e
 			if !d.take(v, now, e) {
 				others = append(others, e)
@@ -269,16 +276,13 @@
 	}
 }
 
-// whole returns an entry as it stands in the store. Another daemon may have told
-// only what has changed of an assignment.
-func (d *Directory) whole(v *View, e mtstore.Entry) (mtstore.Entry, error) {
-	told, err := v.told(e)
-	if err != nil || told == nil {
-		return e, err
-	}
-	e.Version = told.Version
-	e.Value, err = told.Encode()
-	return e, err
+// patch takes in an assignment of which only the changes were told. Its entry is kept
+// without a value, which is made when another daemon asks for all of it: made for each
+// move, it took each daemon as long as all else about the move.
+func (d *Directory) patch(v *View, e mtstore.Entry, told Assignment) {
+	e.Version, e.Value = told.Version, nil
+	d.entries[e.Name] = e
+	v.Assignments[told.Service] = told
 }
 
 // told returns the assignment that a patch in an entry leads to, or the one that is known
@@ -360,24 +364,27 @@
 	return epochs
 }
 
-// patched returns an entry with a patch in place of a whole assignment, for a
-// daemon that knows it up to an epoch.
+// patched returns the entry of an assignment as another daemon needs it: a patch, if it
+// knows the assignment up to an epoch, or else all of it.
 func (d *Directory) patched(e mtstore.Entry, epochs Epochs) mtstore.Entry {
-	epoch, known := epochs[e.Name]
 	service, assignment := assigned(e)
-	if !known || !assignment || e.Version == 0 {
+	if !assignment || e.Version == 0 {
 		return e
 	}
 	a, ok := d.Now().Assignments[service]
-	if !ok || a.Version != e.Version || a.Next < epoch {
-		return e
+	if !ok || a.Version < e.Version {
+		return e // it can't be read, and others see for themselves
+	}
+	encode := a.Encode
+	if epoch, known := epochs[e.Name]; known && epoch <= a.Next {
+		encode = a.Since(epoch).Encode
 	}
-	value, err := a.Since(epoch).Encode()
+	value, err := encode()
 	if err != nil {
-		d.Log.Error("patch of an assignment can't be encoded", "service", service, "error", err)
+		d.Log.Error("assignment can't be encoded", "service", service, "error", err)
 		return e
 	}
-	e.Value = value
+	e.Value, e.Version = value, a.Version
 	return e
 }
 
@@ -404,10 +411,11 @@
 	d.mu.Lock()
 	old := d.view.Load()
 	next := &View{
-		Members:     maps.Clone(old.Members),
+		Members:     old.Members,
 		Assignments: maps.Clone(old.Assignments),
-		Foreign:     maps.Clone(old.Foreign),
+		Foreign:     old.Foreign,
 		Revision:    old.Revision,
+		Roll:        old.Roll,
 	}
 	differs := f(next)
 	if differs {
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -163,6 +163,10 @@
 	// noticed is since when owners have been found lost, by the steady clock. Only
 	// the duty that takes over looks.
 	noticed map[mtrange.Owner]mtclock.Instant
+	// owners are those of the table owned, which changes far less often than that duty
+	// looks.
+	owners []mtrange.Owner
+	owned  *mtrange.Table
 }
 
 // New starts the duties and returns the Grants and its clean-up function.
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -39,18 +39,26 @@
 		return
 	}
 	now := g.Clock.Steady()
+	assignment, assigned := view.Assignments[g.Service]
+	var lost []mtrange.Owner
+	if assigned {
+		lost = g.lost(view, assignment, now, up)
+	}
+	if assigned && len(lost) == 0 {
+		g.noticed = nil
+		return
+	}
 	survivors := g.survivors(view)
 	rank := slices.IndexFunc(survivors, func(o mtrange.Owner) bool { return o.Daemon == g.Self })
 	if rank < 0 {
 		return
 	}
 	patience := time.Duration(rank) * turn
-	assignment, assigned := view.Assignments[g.Service]
 	if !assigned {
 		g.first(ctx, now, survivors, patience)
 		return
 	}
-	lost := g.notice(now, g.lost(view, assignment, now, up), patience)
+	lost = g.notice(now, lost, patience)
 	if len(lost) == 0 {
 		return
 	}
@@ -113,7 +121,10 @@
 // lost returns the owners whose keys may be given to others.
 func (g *Grants) lost(view *mtdirectory.View, a mtdirectory.Assignment, now, up mtclock.Instant) []mtrange.Owner {
 	var lost []mtrange.Owner
-	for _, owner := range a.Owners() {
+	if g.owned != a.Table {
+		g.owned, g.owners = a.Table, a.Owners()
+	}
+	for _, owner := range g.owners {
 		m, known := view.Members[owner.Daemon]
 		switch {
 		case view.Foreign[owner.Daemon]:
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -93,7 +93,8 @@
 // choice chooses among the servers of one service.
 type choice struct {
 	policy *mtchoice.Least
-	seen   *mtdirectory.View
+	known  bool
+	roll   uint64 // of the view whose members it knows
 	at     mtclock.Instant
 }
 
@@ -310,10 +311,10 @@
 		s.choices[service] = c
 	}
 	now := s.Steady()
-	if c.seen == view && now.Sub(c.at) < lapsedUse/4 {
+	if c.known && c.roll == view.Roll && now.Sub(c.at) < lapsedUse/4 {
 		return c
 	}
-	c.seen, c.at = view, now
+	c.known, c.roll, c.at = true, view.Roll, now
 	var candidates []mtchoice.Candidate
 	for _, m := range view.Members {
 		if m.Service == service && s.usable(m, now) {
--- a/io/mtmesh/learn.go
+++ b/io/mtmesh/learn.go
@@ -67,9 +67,9 @@
 	paused map[string]time.Time
 }
 
-// plan is who hears from whom in a view.
+// plan is who hears from whom among the members of a view.
 type plan struct {
-	view *mtdirectory.View
+	roll uint64
 	tree *mtspread.Tree
 }
 
@@ -91,7 +91,7 @@
 	if view == nil {
 		return mtspread.New(nil)
 	}
-	if p := l.planned.Load(); p != nil && p.view == view {
+	if p := l.planned.Load(); p != nil && p.roll == view.Roll {
 		return p.tree
 	}
 	nodes := make([]mtspread.Node, 0, len(view.Members))
@@ -100,7 +100,7 @@
 			nodes = append(nodes, mtspread.Node{Daemon: m.Daemon, Zone: m.Zone, Address: m.Address, Link: m.Link})
 		}
 	}
-	p := &plan{view: view, tree: mtspread.New(nodes)}
+	p := &plan{roll: view.Roll, tree: mtspread.New(nodes)}
 	l.planned.Store(p)
 	return p.tree
 }
--- a/io/mtmesh/standing.go
+++ b/io/mtmesh/standing.go
@@ -34,14 +34,15 @@
 	view := mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Now()
 	peers := mtkernel.Need[*mtforward.Client](m.kernel, NamePeers)
 	now := mtkernel.Need[*mttime.Clock](m.kernel, NameClock).Now()
-	assignment := view.Assignments[m.config.Service]
+	var shares map[mtrange.Owner]int
+	if assignment := view.Assignments[m.config.Service]; assignment.Table != nil {
+		shares = assignment.Shares()
+	}
 	for _, member := range view.Serving(m.config.Service) {
 		s := mtrange.Standing{
 			Owner: member.Owner(),
 			Slots: member.Slots,
-		}
-		if assignment.Table != nil {
-			s.Keys = assignment.Keys(s.Owner)
+			Keys:  shares[member.Owner()],
 		}
 		if member.Daemon == m.config.Daemon {
 			load := m.Host().Load()
