--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -59,7 +59,12 @@
 func (h *Host) lost() {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	h.record.Suspects = h.recurring.Lost(h.Clock.Now(), h.Daemon)
+	suspects := h.recurring.Lost(h.Clock.Now(), h.Daemon)
+	if suspects == h.record.Suspects {
+		return
+	}
+	h.record.Suspects = suspects
+	h.Log.Warn("requests in flight when the server was lost are suspected", "server", h.record.Life.String(), "suspects", string(suspects))
 }
 
 // Heard takes in what another daemon suspects, by its record.
--- a/io/mtmesh/learn.go
+++ b/io/mtmesh/learn.go
@@ -29,6 +29,10 @@
 	// teacherPause is how long a daemon that could not be learned from is passed
 	// over.
 	teacherPause = time.Second
+	// deferPause is how long a daemon that is to learn from others waits for them when
+	// the whole system starts, and mostDeferred how often.
+	deferPause   = 300 * time.Millisecond
+	mostDeferred = 8
 	// learnWait is how long one question waits at a teacher. It is renewed at a
 	// teacher that is silent for longer than a lost connection takes to show.
 	learnWait = 10 * time.Second
@@ -64,7 +68,8 @@
 	read atomic.Int64
 	// paused are the addresses to pass over, until when. Only the goroutine that
 	// watches looks.
-	paused map[string]time.Time
+	paused   map[string]time.Time
+	deferred int // looks at others before there was a configuration
 }
 
 // plan is who hears from whom among the members of a view.
@@ -123,6 +128,10 @@
 	if after == 0 {
 		return l.readAll(ctx, prefix)
 	}
+	if l.defers() {
+		mtduty.Sleep(ctx, deferPause)
+		return mtstore.Changes{Revision: after}, nil
+	}
 	l.move(1)
 	changes, err := l.store.Watch(ctx, prefix, after, wait)
 	if err != nil {
@@ -135,6 +144,17 @@
 	return changes, nil
 }
 
+// defers reports whether this daemon waits for others to hear of changes first, and looks
+// again then who could tell it. When the whole system starts nobody hears of anything yet,
+// and all watched the store in the meantime, woken by each other's records.
+func (l *learner) defers() bool {
+	if l.configured() || l.turn() != mtroute.Last || l.deferred >= mostDeferred {
+		return false
+	}
+	l.deferred++
+	return true
+}
+
 // gather returns how long to wait after a change before asking for the next ones.
 func (l *learner) gather() time.Duration {
 	if l.configured() {
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -32,6 +32,12 @@
 	// everything anew costs the store a call and the link a hundred kilobytes:
 	// with the shorter time 75 daemons did so 500 times in ten seconds.
 	recordsDoubt = 700 * time.Millisecond
+	// doubtPart is by how much longer those doubt whom others tell, one over it of the time
+	// in which a configuration has to be in force: once for those who tell others in turn,
+	// twice for all others. Where a watch is deaf it is a source's,
+	// and once that one has read everything anew, nobody else needs to: when each did,
+	// three hundred daemons asked the store 700 times in two seconds.
+	doubtPart = 8
 	// tellTimeout bounds the telling of one other daemon.
 	tellTimeout = 500 * time.Millisecond
 )
@@ -148,13 +154,26 @@
 		m.certainty.hear(own.Config, theirs.Config, theirs.Age, sent)
 	}
 	if own.Config < theirs.Config {
-		soon(&m.asking, doubtAfter, func() { m.doubtConfiguration(theirs) })
+		soon(&m.asking, doubtAfter+m.deference(), func() { m.doubtConfiguration(theirs) })
 	}
 	if own.Seen < theirs.Seen {
-		soon(&m.doubting, recordsDoubt, func() { m.doubtRecords(theirs) })
+		soon(&m.doubting, recordsDoubt+m.deference(), func() { m.doubtRecords(theirs) })
 	}
 }
 
+// deference is how much longer this daemon waits than a source before it asks the store
+// for what it has heard of.
+func (m *Mesh) deference() time.Duration {
+	tree, step := m.learner.tree(), m.config.Within/doubtPart
+	switch {
+	case tree.Source(m.config.Daemon):
+		return 0
+	case tree.Turn(m.config.Daemon) == mtroute.Relaying:
+		return step
+	}
+	return 2 * step
+}
+
 // soon looks after a while, unless a look is pending already.
 func soon(pending *atomic.Bool, after time.Duration, look func()) {
 	if !pending.CompareAndSwap(false, true) {
@@ -174,14 +193,18 @@
 	}
 }
 
-// refresh asks the store for the configuration.
+// refresh asks the store for the configuration. If it has one that the watch has not
+// brought, the watch is deaf, and others that learn from it with it.
 func (m *Mesh) refresh() {
-	begun := m.steady()
+	begun, before := m.steady(), m.tell().Config
 	if err := m.config.Refresh(); err != nil {
 		m.config.Log.Warn("configuration could not be asked for", "error", err)
 		return
 	}
 	m.certainty.confirm(begun)
+	if m.tell().Config > before && before != 0 && m.learner.turn() != mtroute.Last {
+		mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Resync()
+	}
 }
 
 // steady returns the instant by which ages are counted.
