--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtspread"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtforward"
@@ -16,12 +15,12 @@
 type Learner struct{ *learner }
 
 // NewLearner returns the Learner of a daemon that goes by a fixed tree.
-func NewLearner(self mtid.Daemon, zone mtid.Zone, tree *mtspread.Tree, store mtwatch.Source, peers teachers, directory func() *mtdirectory.Directory) Learner {
+func NewLearner(n mtspread.Node, tree *mtspread.Tree, store mtwatch.Source, peers teachers, directory func() *mtdirectory.Directory, configured bool) Learner {
 	clock := mttime.New()
 	certainty := newCertainty(clock.Now(), 2*time.Second, newBeacon())
 	return Learner{&learner{
-		self: self, zone: zone, store: store, peers: peers, clock: clock, certainty: certainty, directory: directory,
-		stirred: certainty.stirred, paused: make(map[string]time.Time), configured: func() bool { return true },
+		self: n.Daemon, zone: n.Zone, store: store, peers: peers, clock: clock, certainty: certainty, directory: directory,
+		stirred: certainty.stirred, paused: make(map[string]time.Time), configured: func() bool { return configured },
 		fixed: tree,
 	}}
 }
--- a/io/mtmesh/learn_test.go
+++ b/io/mtmesh/learn_test.go
@@ -27,6 +27,8 @@
 	t     *testing.T
 	store *mtstandin.Revisions
 	open  map[string]mtmesh.Learner // by address
+	// starting says that no configuration is known yet.
+	starting bool
 }
 
 // Learn implements the way to another daemon.
@@ -43,7 +45,7 @@
 // join adds a daemon that goes by a tree, and returns its directory.
 func (s *school) join(n mtspread.Node, tree *mtspread.Tree) *mtdirectory.Directory {
 	var directory atomic.Pointer[mtdirectory.Directory]
-	learner := mtmesh.NewLearner(n.Daemon, n.Zone, tree, s.store, s, directory.Load)
+	learner := mtmesh.NewLearner(n, tree, s.store, s, directory.Load, !s.starting)
 	s.open[n.Address] = learner
 	d, cleanUp := mtdirectory.New(mtdirectory.Config{
 		Self: n.Daemon, Store: s.store, Clock: mttime.New(), Lease: time.Minute, Log: slog.New(slog.DiscardHandler), Source: learner,
@@ -95,3 +97,34 @@
 		})
 	}
 }
+
+// The whole system starts, and the daemon to learn from does not hear of anything yet. All
+// the others watched the store meanwhile, each woken by every record that was written.
+func TestThoseWhoAreToLearnDoNotWatchAtAStart(t *testing.T) {
+	var watches atomic.Int32
+	s := &school{t: t, store: mtstandin.NewRevisions(time.Now), open: make(map[string]mtmesh.Learner), starting: true}
+	s.write("first")
+	s.store.Fail(func(op, _ string) error {
+		if op == "watch" {
+			watches.Add(1)
+		}
+		return nil
+	})
+	source, pupil := node("a", "zone"), node("c", "zone")
+	tree := mtspread.New([]mtspread.Node{source, node("b", "zone"), pupil})
+	learns := s.join(pupil, tree)
+	hears := func(d *mtdirectory.Directory, name mtid.Daemon) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if _, known := d.Now().Members[name]; known {
+				return poll.Success()
+			}
+			return poll.Continue("not heard of %s yet", name)
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(2*time.Millisecond))
+	}
+	hears(learns, "first")
+	read := watches.Load()
+	s.join(source, tree)
+	s.write("second")
+	hears(learns, "second")
+	assert.Assert(t, read <= 1, "the store was watched %d times before anybody heard of anything", read)
+}
