--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -150,6 +151,8 @@
 	inform   func(to mtid.Daemon, a mtdirectory.Assignment, since mtid.Epoch)
 	standing mtrange.Standing
 	others   []mtrange.Standing
+	// delegate writes for daemon a; nil is daemon a itself.
+	delegate func(ctx context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool)
 }
 
 func lifeOf(daemon mtid.Daemon) mtid.Life {
@@ -207,8 +210,9 @@
 			defer f.mu.Unlock()
 			return f.standing, f.others
 		},
-		Survey: func(context.Context) {},
-		Inform: f.inform,
+		Survey:   func(context.Context) {},
+		Inform:   f.inform,
+		Delegate: f.delegate,
 	})
 	f.grants = grants
 	f.t.Cleanup(func() {
@@ -553,3 +557,38 @@
 	f.clock.advance(2 * time.Second)
 	f.until("keys are assigned", func() bool { return f.owner(0) == "a" && f.owner(mtid.LastNumber) == "b" })
 }
+
+// The daemon that writes for all is cut off with a move in its hands: it may write it
+// seconds later, or never. Granted here again meanwhile, the keys had two owners once it
+// did. So this daemon writes the move itself until the table tells that it has landed, and
+// a late write of the other one finds that it does not stand any more.
+func TestAMoveInAnotherDaemonsHandsIsNotTakenBack(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	var batch atomic.Pointer[mtrange.Batch]
+	asked := make(chan struct{})
+	f.delegate = func(_ context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool) {
+		if batch.CompareAndSwap(nil, &b) {
+			close(asked)
+		}
+		return []mtrange.Outcome{mtrange.Doubtful}, true
+	}
+	f.start()
+	f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+	var away atomic.Bool
+	away.Store(true)
+	f.store.Fail(func(op, name string) error {
+		if away.Load() && name == mtstore.RangeName(service) {
+			return &mtstore.UnavailableError{Op: op, Err: errors.New("busy")}
+		}
+		return nil
+	})
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	<-asked
+	f.turns()
+	assert.Equal(t, f.owner(0), mtid.Daemon("a"))
+	assert.Equal(t, f.port.count("grant"), 1, "granted again while the move is in doubt")
+	away.Store(false)
+	f.until("the move has landed", func() bool { return f.owner(0) == "b" })
+	assert.Equal(t, f.port.count("grant"), 1)
+	assert.Assert(t, !f.directory.Now().Assignments[service].Stands(batch.Load().Transfers[0]))
+}
