--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -100,6 +100,7 @@
 // choice chooses among the servers of one service.
 type choice struct {
 	policy *mtchoice.Least
+	luck   mtchoice.Luck
 	known  bool
 	roll   uint64 // of the view whose members it knows
 	at     mtclock.Instant
@@ -157,7 +158,7 @@
 			return nil, state.verdict(err)
 		}
 		begun := s.Clock.Now()
-		answer, err := s.try(ctx, call, member)
+		answer, err := s.try(ctx, call, member, state.bounced > 0)
 		if err == nil {
 			s.Host.Prove(mark)
 			return answer, nil
@@ -250,7 +251,14 @@
 	if full(refused.Cause) && call.Late(s.Clock.Now(), call.Usual) {
 		return false
 	}
-	return state.bounced <= bounces
+	return state.bounced <= s.looks(call.Service)
+}
+
+// looks returns at how many other servers a call looks for one that takes it.
+func (s *Sender) looks(service mtid.Service) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.choices[service].luck.Looks(bounces)
 }
 
 // awaitOwner waits until another owner of the call's key is known, or until it is time to
@@ -382,8 +390,8 @@
 	return !ok || now.Sub(max(up, m.Since)) < lapsedUse
 }
 
-// try sends the call to a member, once.
-func (s *Sender) try(ctx context.Context, call *mtcall.Call, member mtdirectory.Member) (*mtcall.Answer, error) {
+// try sends the call to a member, once. looked says that another server had no room for it.
+func (s *Sender) try(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, looked bool) (*mtcall.Answer, error) {
 	chosen := holder(member)
 	if !call.Keyed {
 		s.mu.Lock()
@@ -393,7 +401,11 @@
 	answer, err := s.pass(ctx, call, member)
 	if !call.Keyed {
 		s.mu.Lock()
-		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, kind(err), s.report(member))
+		c := s.choices[call.Service]
+		c.policy.Ended(s.Clock.Now(), chosen, kind(err), s.report(member))
+		if looked {
+			c.luck.Note(kind(err) != mtchoice.Busy)
+		}
 		s.mu.Unlock()
 	}
 	return answer, err
