--- a/core/mtchoice/luck.go
+++ b/core/mtchoice/luck.go
@@ -5,11 +5,12 @@
 // It answers the pattern of a large service that is asked for more than it can do: each
 // call was refused by six of 140 servers before its caller was told, and that took daemons
 // three times the processor time of a call that is served. Where others rarely have room,
-// a call looks at few of them.
+// a call looks at few of them, and most calls at none.
 //
 // It isn't safe for concurrent use.
 type Luck struct {
 	missed float64 // part of the looks that found no room
+	credit float64 // looks that are due, while there is less than one for each call
 }
 
 const (
@@ -18,6 +19,9 @@
 	// goodLuck is the part of the looks that have to find room for a call to look as
 	// often as it may.
 	goodLuck = 0.3
+	// leastLooks is how many looks there are for each call at least, so that it is noticed
+	// when there is room again.
+	leastLooks = 0.125
 )
 
 // Note takes in whether a look found room.
@@ -30,8 +34,15 @@
 }
 
 // Looks returns at how many other servers a call should look for room, most at the most.
-// It is one at least: so it is noticed when there is room again.
 func (l *Luck) Looks(most int) int {
-	share := min((1-l.missed)/goodLuck, 1)
-	return max(int(share*float64(most)+0.5), 1)
+	looks := min((1-l.missed)/goodLuck, 1) * float64(most)
+	if looks >= 1 {
+		return int(looks + 0.5)
+	}
+	l.credit += max(looks, leastLooks)
+	if l.credit < 1 {
+		return 0
+	}
+	l.credit--
+	return 1
 }
--- a/core/mtchoice/luck_test.go
+++ b/core/mtchoice/luck_test.go
@@ -31,7 +31,7 @@
 		return float64(n) / float64(calls)
 	}
 	looks(100, 0.02)
-	assert.Assert(t, looks(1000, 0.02) < 1.3)
-	looks(100, 0.5)
+	assert.Assert(t, looks(1000, 0.02) < 0.5)
+	looks(1000, 0.5)
 	assert.Assert(t, looks(1000, 0.5) > 1.8, "a call that finds room at every second server needs two looks")
 }
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -119,6 +119,7 @@
 type sending struct {
 	tried     []mtid.Holder // daemons that can't or won't take it
 	bounced   int
+	looks     int             // at servers beside the first that may be asked for room
 	redirects int             // other owners asked, or the same one again
 	waits     int             // for news of another owner
 	movedAt   mtclock.Instant // when the key was first not held where it was asked for
@@ -245,13 +246,16 @@
 	}
 	state.tried = append(state.tried, holder(member))
 	state.bounced++
+	if state.bounced == 1 {
+		state.looks = s.looks(call.Service)
+	}
 	// A call that is late already isn't worth looking for room in other zones: it
 	// would take the slots of calls that are still in time, and the bytes cost more
 	// than a late answer is worth.
 	if full(refused.Cause) && call.Late(s.Clock.Now(), call.Usual) {
 		return false
 	}
-	return state.bounced <= s.looks(call.Service)
+	return state.bounced <= state.looks || !full(refused.Cause) && state.bounced <= bounces
 }
 
 // looks returns at how many other servers a call looks for one that takes it.
