--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -2,8 +2,8 @@
 // caller asked to the one beside the backend server.
 //
 // A daemon that is frozen, powerless or behind a silent connection doesn't refuse
-// a call, it lets it hang. So the receiver sends the header of its reply soon after
-// the call has arrived; a sender that sees none in time knows that nobody is
+// a call, it lets it hang. So the receiver sends the header of its reply as soon
+// as the call has arrived; a sender that sees none in time knows that nobody is
 // there, long before the call's deadline.
 //
 // # Usage
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -121,43 +120,19 @@
 	return reply, nil
 }
 
-// signAfter is how long a call may take until its sender is told that it has arrived. What
-// is refused at once says so by its reply alone.
-const signAfter = 5 * time.Millisecond
-
 // Forward implements mtwire.ForwarderServer.
 func (s *server) Forward(w *mtwire.ForwardRequest, stream grpc.ServerStreamingServer[mtwire.ForwardReply]) error {
-	stop := signLater(stream)
+	if err := stream.SendHeader(metadata.MD{}); err != nil {
+		return err
+	}
 	s.news.Hear(readNews(w.GetNews()), 0)
 	answer, err := s.host.Run(stream.Context(), readCall(s.clock.Now(), w))
 	reply := wireReply(answer, err)
 	reply.Load = wireLoad(s.host.Load())
 	reply.News = wireNews(s.news.Tell())
-	stop()
 	return stream.Send(reply)
 }
 
-// signLater sends the header of a reply after a moment, unless the returned function is
-// called before. Once that has returned, nothing is being sent.
-func signLater(stream grpc.ServerStream) (stop func()) {
-	var mu sync.Mutex
-	done := false
-	timer := time.AfterFunc(signAfter, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if !done {
-			// It fails with the stream, whose handler hears of that itself.
-			_ = stream.SendHeader(metadata.MD{})
-		}
-	})
-	return func() {
-		timer.Stop()
-		mu.Lock()
-		defer mu.Unlock()
-		done = true
-	}
-}
-
 // Observe implements mtwire.ForwarderServer.
 func (s *server) Observe(_ context.Context, w *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
 	s.news.Hear(readNews(w.GetNews()), 0)
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -100,7 +100,6 @@
 // choice chooses among the servers of one service.
 type choice struct {
 	policy *mtchoice.Least
-	luck   mtchoice.Luck
 	known  bool
 	roll   uint64 // of the view whose members it knows
 	at     mtclock.Instant
@@ -119,7 +118,6 @@
 type sending struct {
 	tried     []mtid.Holder // daemons that can't or won't take it
 	bounced   int
-	looks     int             // at servers beside the first that may be asked for room
 	redirects int             // other owners asked, or the same one again
 	waits     int             // for news of another owner
 	movedAt   mtclock.Instant // when the key was first not held where it was asked for
@@ -159,7 +157,7 @@
 			return nil, state.verdict(err)
 		}
 		begun := s.Clock.Now()
-		answer, err := s.try(ctx, call, member, state.bounced > 0)
+		answer, err := s.try(ctx, call, member)
 		if err == nil {
 			s.Host.Prove(mark)
 			return answer, nil
@@ -246,23 +244,13 @@
 	}
 	state.tried = append(state.tried, holder(member))
 	state.bounced++
-	if state.bounced == 1 {
-		state.looks = s.looks(call.Service)
-	}
 	// A call that is late already isn't worth looking for room in other zones: it
 	// would take the slots of calls that are still in time, and the bytes cost more
 	// than a late answer is worth.
 	if full(refused.Cause) && call.Late(s.Clock.Now(), call.Usual) {
 		return false
 	}
-	return state.bounced <= state.looks || !full(refused.Cause) && state.bounced <= bounces
-}
-
-// looks returns at how many other servers a call looks for one that takes it.
-func (s *Sender) looks(service mtid.Service) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.choices[service].luck.Looks(bounces)
+	return state.bounced <= bounces
 }
 
 // awaitOwner waits until another owner of the call's key is known, or until it is time to
@@ -394,8 +382,8 @@
 	return !ok || now.Sub(max(up, m.Since)) < lapsedUse
 }
 
-// try sends the call to a member, once. looked says that another server had no room for it.
-func (s *Sender) try(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, looked bool) (*mtcall.Answer, error) {
+// try sends the call to a member, once.
+func (s *Sender) try(ctx context.Context, call *mtcall.Call, member mtdirectory.Member) (*mtcall.Answer, error) {
 	chosen := holder(member)
 	if !call.Keyed {
 		s.mu.Lock()
@@ -405,11 +393,7 @@
 	answer, err := s.pass(ctx, call, member)
 	if !call.Keyed {
 		s.mu.Lock()
-		c := s.choices[call.Service]
-		c.policy.Ended(s.Clock.Now(), chosen, kind(err), s.report(member))
-		if looked {
-			c.luck.Note(kind(err) != mtchoice.Busy)
-		}
+		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, kind(err), s.report(member))
 		s.mu.Unlock()
 	}
 	return answer, err
