--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -137,7 +137,11 @@
 		return
 	}
 	if !g.hand(r, low, high, to, warmth) {
-		g.abandon(r, low, high)
+		// In a shutdown the move may be in doubt: taken back into service, the keys could be
+		// granted by this daemon's last look.
+		if g.stopping.Err() == nil {
+			g.abandon(r, low, high)
+		}
 		return
 	}
 	g.Host.Forget(low, high)
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -148,6 +148,8 @@
 	port      *port
 	grants    *mtgrant.Grants
 
+	closeGrants func()
+
 	mu       sync.Mutex
 	inform   func(to mtid.Daemon, a mtdirectory.Assignment, since mtid.Epoch)
 	standing mtrange.Standing
@@ -220,8 +222,9 @@
 		Delegate: f.delegate,
 	})
 	f.grants = grants
+	f.closeGrants = sync.OnceFunc(closeGrants)
 	f.t.Cleanup(func() {
-		closeGrants()
+		f.closeGrants()
 		closeDirectory()
 	})
 }
@@ -682,3 +685,29 @@
 	watch.deaf.Store(false)
 	f.until("the move is heard of", func() bool { return f.owner(0) == "b" })
 }
+
+// The daemon is told to stop with a move in another daemon's hands. It gave the move up and
+// took the keys back into service on its last steps, and the other one wrote it after that.
+func TestAMoveInDoubtIsNotTakenBackInAShutdown(t *testing.T) {
+	for range 10 {
+		f := newFleet(t, "a", "b")
+		asked := make(chan struct{})
+		told := sync.OnceFunc(func() { close(asked) })
+		f.delegate = func(ctx context.Context, _ mtrange.Batch) ([]mtrange.Outcome, bool) {
+			told()
+			<-ctx.Done()
+			return []mtrange.Outcome{mtrange.Doubtful}, true
+		}
+		f.start()
+		f.until("own range is granted", func() bool { return f.port.count("grant") == 1 })
+		f.mu.Lock()
+		f.standing = mtrange.Standing{Owner: ownerOf("a"), Slots: 10, Demand: 30, Keys: 100, Known: true}
+		f.others = []mtrange.Standing{{Owner: ownerOf("b"), Slots: 10, Demand: 1, Keys: 100, Known: true}}
+		f.mu.Unlock()
+		f.clock.advance(mtrange.MovePause)
+		<-asked
+		before := f.port.count("grant")
+		f.closeGrants()
+		assert.Equal(t, f.port.count("grant"), before, "granted after its release: %v", f.port.seen())
+	}
+}
