--- a/io/mtmesh/learn.go
+++ b/io/mtmesh/learn.go
@@ -29,6 +29,13 @@
 	// teacherPause is how long a daemon that could not be learned from is passed
 	// over.
 	teacherPause = time.Second
+	// mostTeachers is how many daemons are asked in turn before the store is. When the first
+	// of a zone is restarted, all others of the zone need somebody else for a second.
+	mostTeachers = 2
+	// learnPause is the least time between two questions that bring no changes. A teacher
+	// that is certain of a configuration which this daemon does not have yet would answer
+	// each of them at once.
+	learnPause = 50 * time.Millisecond
 	// deferPause is how long a daemon that is to learn from others waits for them when
 	// the whole system starts, and mostDeferred how often.
 	deferPause   = 300 * time.Millisecond
@@ -115,12 +122,13 @@
 
 // Watch implements mtwatch.Source.
 func (l *learner) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
-	if teacher, ok := l.teacher(time.Now()); ok {
-		changes, err := l.learn(ctx, teacher, after, min(wait, learnWait))
-		if err == nil {
-			return changes, nil
+	for range mostTeachers {
+		teacher, ok := l.teacher(time.Now())
+		if !ok {
+			break
 		}
-		if ctx.Err() != nil {
+		changes, err := l.learn(ctx, teacher, after, min(wait, learnWait))
+		if err == nil || ctx.Err() != nil {
 			return changes, err
 		}
 		l.paused[teacher] = time.Now().Add(teacherPause)
@@ -165,7 +173,6 @@
 
 // readAll reads everything from the store.
 func (l *learner) readAll(ctx context.Context, prefix string) (mtstore.Changes, error) {
-	l.move(0)
 	begun := l.clock.Now()
 	changes, err := l.store.Watch(ctx, prefix, 0, 0)
 	if err == nil {
@@ -203,12 +210,16 @@
 	if after != 0 {
 		q.Epochs, q.Wait = view.Epochs(), wait
 	}
+	begun := l.clock.Now()
 	lesson, err := l.peers.Learn(ctx, teacher, q)
 	if err != nil {
 		l.move(0)
 		return lesson.Changes, err
 	}
 	l.move(lesson.Hops + 1)
+	if took := l.clock.Now().Sub(begun); len(lesson.Changes.Entries) == 0 && took < learnPause {
+		mtduty.Sleep(ctx, learnPause-took)
+	}
 	if after == 0 && lesson.Changes.Revision <= view.Revision {
 		return lesson.Changes, &mtstore.UnavailableError{Op: "learn", Err: notWatching{}}
 	}
