--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -40,7 +40,7 @@
 	assignment, assigned := view.Assignments[g.Service]
 	var lost []mtrange.Owner
 	if assigned && !g.allStand(view, assignment) {
-		lost = g.lost(view, assignment, now, up)
+		lost = g.lost(view, now, up)
 	}
 	if assigned && len(lost) == 0 {
 		g.noticed = nil
@@ -135,7 +135,7 @@
 }
 
 // lost returns the owners whose keys may be given to others.
-func (g *Grants) lost(view *mtdirectory.View, a mtdirectory.Assignment, now, up mtclock.Instant) []mtrange.Owner {
+func (g *Grants) lost(view *mtdirectory.View, now, up mtclock.Instant) []mtrange.Owner {
 	var lost []mtrange.Owner
 	for _, owner := range g.owners {
 		m, known := view.Members[owner.Daemon]
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"magnoliaturn/core/mtclock"
-	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/io/mtdirectory"
