--- a/io/mtgate/mtgate_test.go
+++ b/io/mtgate/mtgate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
@@ -26,16 +27,22 @@
 	assert.NilError(t, err)
 	defer end()
 	refused := make(chan time.Duration)
-	waits := []time.Duration{300 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}
-	for _, wait := range waits {
+	waits := []time.Duration{900 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
+	for i, wait := range waits {
 		go func() {
 			_, err := door.Admit(context.Background(), mtgate.Ticket{Deadline: clock.Now().Add(wait)})
 			var refusal *mtreply.RefusedError
 			assert.Check(t, errors.As(err, &refusal), "%v", err)
 			refused <- wait
 		}()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if _, waiting := door.Busy(); waiting > i {
+				return poll.Success()
+			}
+			return poll.Continue("it does not wait yet")
+		}, poll.WithDelay(time.Millisecond))
 	}
-	for _, want := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond} {
+	for _, want := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
 		assert.Equal(t, <-refused, want)
 	}
 }
