--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -617,8 +617,10 @@
 		time.Sleep(250 * time.Millisecond) // the duty looks once at least, or the test asks for less
 	}
 	assert.Assert(t, f.surveys.Load() <= looks/2, "asked %d times", f.surveys.Load())
+	idle := busy
+	idle.Demand = 1
 	f.mu.Lock()
-	f.others[0].Demand = 1
+	f.others = []mtrange.Standing{idle}
 	f.mu.Unlock()
 	f.until("keys have gone to the other server", func() bool {
 		f.clock.advance(mtrange.MovePause)
--- a/io/mtmesh/learn_test.go
+++ b/io/mtmesh/learn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 type school struct {
 	t     *testing.T
 	store *mtstandin.Revisions
-	open  map[string]mtmesh.Learner // by address
+	open  sync.Map // of mtmesh.Learner, by address
 	// starting says that no configuration is known yet.
 	starting bool
 }
@@ -35,18 +36,18 @@
 func (s *school) Learn(ctx context.Context, address string, q mtforward.Question) (mtforward.Lesson, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.Wait+time.Second)
 	defer cancel()
-	learner, ok := s.open[address]
+	learner, ok := s.open.Load(address)
 	if !ok {
 		return mtforward.Lesson{}, &mtstore.UnavailableError{Op: "learn"}
 	}
-	return learner.Teach(ctx, q)
+	return learner.(mtmesh.Learner).Teach(ctx, q)
 }
 
 // join adds a daemon that goes by a tree, and returns its directory.
 func (s *school) join(n mtspread.Node, tree *mtspread.Tree) *mtdirectory.Directory {
 	var directory atomic.Pointer[mtdirectory.Directory]
 	learner := mtmesh.NewLearner(n, tree, s.store, s, directory.Load, !s.starting)
-	s.open[n.Address] = learner
+	s.open.Store(n.Address, learner)
 	d, cleanUp := mtdirectory.New(mtdirectory.Config{
 		Self: n.Daemon, Store: s.store, Clock: mttime.New(), Lease: time.Minute, Log: slog.New(slog.DiscardHandler), Source: learner,
 	})
@@ -73,7 +74,7 @@
 func TestTwoThatTakeEachOtherForTheSourceStillHear(t *testing.T) {
 	for name, zone := range map[string]mtid.Zone{"of two zones": "zone-2", "of one zone": "zone-1"} {
 		t.Run(name, func(t *testing.T) {
-			s := &school{t: t, store: mtstandin.NewRevisions(time.Now), open: make(map[string]mtmesh.Learner)}
+			s := &school{t: t, store: mtstandin.NewRevisions(time.Now)}
 			a, b := node("a", "zone-1"), node("b", zone)
 			others := []mtspread.Node{node("0", "zone-0"), node("00", "zone-00")}
 			alone := func(n, not mtspread.Node) *mtspread.Tree {
@@ -102,7 +103,7 @@
 // the others watched the store meanwhile, each woken by every record that was written.
 func TestThoseWhoAreToLearnDoNotWatchAtAStart(t *testing.T) {
 	var watches atomic.Int32
-	s := &school{t: t, store: mtstandin.NewRevisions(time.Now), open: make(map[string]mtmesh.Learner), starting: true}
+	s := &school{t: t, store: mtstandin.NewRevisions(time.Now), starting: true}
 	s.write("first")
 	s.store.Fail(func(op, _ string) error {
 		if op == "watch" {
