--- a/io/mtcommit/mtcommit.go
+++ b/io/mtcommit/mtcommit.go
@@ -1,11 +1,11 @@
 // Package mtcommit writes changes of owners into the assignments in the platform's store.
 //
 // An assignment is one value that is written under the condition that it has not changed.
-// With 155 servers under hot keys all owners wrote it, three hundred times a second, and
-// nine in ten writes were beaten by another one; keys on their way were unserved meanwhile.
-// So all daemons leave their writes to one that gathers them: it has made the last change
-// itself mostly, so that its copy is the newest. Who that is need not be agreed: two that
-// write at the same time beat each other, and nothing else happens.
+// Where many owners give keys away at once and each writes it itself, nearly every write is
+// beaten by another one and made again, and the keys are unserved meanwhile. So all daemons
+// leave their writes to one that gathers them. Mostly it has made the last change itself, so
+// that its copy is the newest. Who that is need not be agreed: two that write at the same
+// time beat each other, and nothing else happens.
 //
 // # Usage
 //
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -292,8 +292,8 @@
 }
 
 // patch takes in an assignment of which only the changes were told. Its entry is kept
-// without a value, which is made when another daemon asks for all of it: made for each
-// move, it took each daemon as long as all else about the move.
+// without a value, which is made when another daemon asks for all of it, and not for each
+// move.
 func (d *Directory) patch(v *View, e mtstore.Entry, told Assignment) {
 	e.Version, e.Value = told.Version, nil
 	d.entries[e.Name] = e
--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -9,8 +9,7 @@
 //	defer end()
 //
 // A Door is safe for concurrent use. It wakes by itself when somebody has waited too
-// long: asked for that a hundred times a second, it took an idle daemon most of its
-// processor time.
+// long; a timer that looks for that would keep an idle daemon busy.
 package mtgate
 
 import (
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -96,8 +96,8 @@
 
 // reliefPause returns how long an owner waits after a relief that was in vain so often:
 // beaten by other owners' writes, each of which the store is paid for, or given up since
-// nobody had room. Each asks a dozen others first, and where all are overloaded, 155 owners
-// asked each other two and a half thousand times a second.
+// nobody had room. Each asks a dozen others first; where all are overloaded, they would ask
+// each other all the time.
 func reliefPause(inVain int) time.Duration {
 	return min(mtrange.MovePause*time.Duration(1+inVain), maxReliefPause)
 }
--- a/io/mtgrant/take.go
+++ b/io/mtgrant/take.go
@@ -116,9 +116,8 @@
 	return due
 }
 
-// allStand reports whether the records of all owners stand. Until a record or the table
-// changes, that is so; looked at anew five times a second, it took an idle daemon an
-// eightieth of its processor time.
+// allStand reports whether the records of all owners stand. They are looked through only
+// when a record or the table has changed, which is far more seldom than the duty looks.
 func (g *Grants) allStand(view *mtdirectory.View, a mtdirectory.Assignment) bool {
 	if g.owned == a.Table && g.roll == view.Roll {
 		return g.stand
--- a/io/mtgrant/transfer.go
+++ b/io/mtgrant/transfer.go
@@ -16,9 +16,8 @@
 }
 
 // gatherTransfers is how long the first transfer waits for others. Releases of one
-// relief are answered at about the same time. Written one by one, each of them is
-// a change that all daemons are told of, and most conflict with another: of 835
-// writes in 50 s of 39 servers with hot keys 604 did.
+// relief are answered at about the same time, and written one by one, each of them is
+// a change that all daemons are told of.
 const gatherTransfers = 15 * time.Millisecond
 
 // commit has a transfer written, in one step with others that are ready.
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -47,8 +47,8 @@
 	bounces = 5
 	// moved is how long the ingress waits for news of a key's new owner before it asks
 	// again for the first time, and movedGrowth by how much longer each time after that.
-	// Mostly it hears of the owner first. Asked every 15 ms, two daemons spent more on
-	// calls for keys on their way than on all others.
+	// Mostly it hears of the owner first; calls for keys on their way are two daemons'
+	// work for nothing.
 	moved       = 15 * time.Millisecond
 	movedGrowth = 1.6
 	// movedFor is for how long it does so: as long as another daemon's word that
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -28,14 +28,12 @@
 	doubtAfter = 150 * time.Millisecond
 	// recordsDoubt is the same for newer records and assignments. Another daemon
 	// learns of its own write at once, others over two hops, and reading
-	// everything anew costs the store a call and the link a hundred kilobytes:
-	// with the shorter time 75 daemons did so 500 times in ten seconds.
+	// everything anew costs the store a call and the link a hundred kilobytes.
 	recordsDoubt = 700 * time.Millisecond
 	// doubtPart is by how much longer those doubt whom others tell, one over it of the time
 	// in which a configuration has to be in force: once for those who tell others in turn,
-	// twice for all others. Where a watch is deaf it is a source's,
-	// and once that one has read everything anew, nobody else needs to: when each did,
-	// three hundred daemons asked the store 700 times in two seconds.
+	// twice for all others. Where a watch is deaf it is mostly a source's, and once that
+	// one has read everything anew, nobody else needs to.
 	doubtPart = 8
 	// tellTimeout bounds the telling of one other daemon.
 	tellTimeout = 500 * time.Millisecond
