Take availability zones out of service, and spare servers that are cold

Cause: the product had no notion of either. Ruled out: shares of the cold rate for each sender, a watch of its own for the orders, a version in each message (an end has none). Change: mtzone (which zones are out, until when a server there begins work), mtbackend.Warmth (is the server cold, or may it be), a pace at the gate (no second holds more starts), keys of a zone dealt evenly to the others (mtrange.Spill). Orders come by the shared copy and by one reading of all that operators wrote; a digest of them goes with the news, so that certainty covers both.

--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -120,6 +120,9 @@
 	serverRetryAfter = time.Second
 	// movingRetryAfter is for a shard on its way to another owner.
 	movingRetryAfter = 100 * time.Millisecond
+	// closedRetryAfter is for a server that takes no work for the time being: about the
+	// time in which all others hear of it.
+	closedRetryAfter = 200 * time.Millisecond
 )
 
 // loneShare is how long ordinary requests run between two that run alone, as a
@@ -137,8 +140,11 @@
 	loneRuns bool
 	loneGate loneWindow
 	stops    []*stop
+	pacer    pacer
 	draining bool
+	closed   bool // for the time being
 	idle     bool
+	now      mtclock.Instant // of the present call
 	soonest  mtclock.Instant // no waiting entry gives up before it
 	counts   Counts
 	out      []Effect
@@ -261,10 +267,13 @@
 		return 0, false
 	}
 	// A lone request that only waits for the others' time to end has no event
-	// of its own to wake it.
-	if len(g.lone) > 0 && g.free() && !g.loneGate.held {
+	// of its own to wake it, and neither has one that waits for the pace.
+	if len(g.lone) > 0 && g.free(g.now) && !g.loneGate.held {
 		return min(g.soonest, g.loneGate.until), true
 	}
+	if next := g.pacer.at(g.now, 1); next.After(g.now) && g.order.Len() > 0 {
+		return min(g.soonest, next), true
+	}
 	return g.soonest, true
 }
 
@@ -277,10 +286,26 @@
 	return g.end(now)
 }
 
+// Close refuses all that waits and all that comes until Reopen: the server takes no work
+// for the time being, and others do.
+func (g *Gate[O]) Close(now mtclock.Instant) []Effect {
+	g.begin(now)
+	g.closed = true
+	g.refuseWaiting(mtreply.CauseZoneOut, closedRetryAfter)
+	return g.end(now)
+}
+
+// Reopen ends what Close began.
+func (g *Gate[O]) Reopen(now mtclock.Instant) []Effect {
+	g.begin(now)
+	g.closed = false
+	return g.end(now)
+}
+
 // begin starts the effects of one call. What has expired goes first, so that
 // nothing which follows can start it.
 func (g *Gate[O]) begin(now mtclock.Instant) {
-	g.out = nil
+	g.now, g.out = now, nil
 	g.expire(now)
 }
 
@@ -299,6 +324,8 @@
 		return refusal(mtreply.CauseExpired, -1, "")
 	case g.draining:
 		return refusal(mtreply.CauseDraining, 0, "")
+	case g.closed:
+		return refusal(mtreply.CauseZoneOut, closedRetryAfter, "")
 	case g.capacity() == 0:
 		return refusal(mtreply.CauseNoServer, serverRetryAfter, "")
 	}
@@ -323,11 +350,11 @@
 		g.enterLone(e)
 		return
 	}
-	if g.free() && g.order.Len() == 0 && !g.loneFirst(now) && g.order.Admits(now, e, g.capacity()) {
+	if g.free(now) && g.order.Len() == 0 && !g.loneFirst(now) && g.order.Admits(now, e, g.capacity()) {
 		g.start(now, e)
 		return
 	}
-	wait := g.order.Wait(now, e, g.capacity())
+	wait := max(g.order.Wait(now, e, g.capacity()), g.held(now, e))
 	if !e.GiveUp.After(now) || g.order.TooLate(now, e, wait) {
 		g.refuse(e, refusal(mtreply.CauseShed, clampRetry(g.order.Retry(e, wait)), "the queue is longer than its time allows"))
 		return
@@ -391,7 +418,7 @@
 
 // fill starts waiting requests while there are free slots.
 func (g *Gate[O]) fill(now mtclock.Instant) {
-	for g.free() {
+	for g.free(now) {
 		if g.loneFirst(now) {
 			g.startLone(now)
 			return
@@ -431,6 +458,7 @@
 // start sends e to the backend server.
 func (g *Gate[O]) start(now mtclock.Instant, e *Entry) {
 	e.Started = now
+	g.pacer.note(now)
 	g.running[e.Ticket.Number] = e
 	e.Flow.started(now, e)
 	g.order.Started(now, e)
@@ -499,8 +527,8 @@
 func (g *Gate[O]) capacity() int { return min(g.limits.Slots, g.limits.Connections) }
 
 // free reports whether one more request may be in flight.
-func (g *Gate[O]) free() bool {
-	return !g.loneRuns && len(g.running) < g.capacity()
+func (g *Gate[O]) free(now mtclock.Instant) bool {
+	return !g.loneRuns && len(g.running) < g.capacity() && g.pacer.allows(now)
 }
 
 // flow returns the flow with that key, which it makes if need be.
--- a/core/mtgate/order.go
+++ b/core/mtgate/order.go
@@ -30,6 +30,8 @@
 	// Wait estimates how long e would wait if it were pushed now, at a server
 	// that runs so many requests at once.
 	Wait(now mtclock.Instant, e *Entry, slots int) time.Duration
+	// Ahead returns how many of the waiting would start before e if it were pushed now.
+	Ahead(now mtclock.Instant, e *Entry) int
 	// GiveUp returns when e, which arrives now, is refused if it hasn't started;
 	// patient is until when its caller's time allows it to wait.
 	GiveUp(now mtclock.Instant, e *Entry, patient mtclock.Instant) mtclock.Instant
@@ -124,6 +126,9 @@
 	return patient
 }
 
+// Ahead implements Order.
+func (o *FIFO) Ahead(mtclock.Instant, *Entry) int { return len(o.queue) }
+
 // Len implements Order.
 func (o *FIFO) Len() int { return len(o.queue) }
 
@@ -324,5 +329,9 @@
 	return inTime(e, patient)
 }
 
+// Ahead implements Order. Shares divide the starts of others too evenly for any of them to
+// be sure to come first.
+func (o *Fair) Ahead(mtclock.Instant, *Entry) int { return o.waiting }
+
 // Len implements Order.
 func (o *Fair) Len() int { return o.waiting }
--- a/core/mtgate/urgent.go
+++ b/core/mtgate/urgent.go
@@ -172,6 +172,17 @@
 	return (ahead + e.service()) / time.Duration(max(slots, 1))
 }
 
+// Ahead implements Order.
+func (o *Urgent) Ahead(now mtclock.Instant, e *Entry) int {
+	ahead := 0
+	for _, w := range o.waiting {
+		if before(now, w, e) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 const (
 	// leastQueue is the part of its service time, one over it, that a request may
 	// be expected to wait although it can't meet its objective any more: on a
--- a/core/mtheader/names.go
+++ b/core/mtheader/names.go
@@ -12,6 +12,7 @@
 	Answerer  string // life of the server that answers
 	Signature string // the server's mark on its answers
 	NotRun    string // present if the server did not run the request
+	Cold      string // in answers to health checks: milliseconds for which the server stays cold
 }
 
 // Passed are the names of the product's own.
--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -57,6 +57,7 @@
 	CauseSkew        Cause = "skew"        // identifier from further in the future than allowed
 	CauseTooLarge    Cause = "too-large"   // body over the limit
 	CauseStopping    Cause = "stopping"    // this daemon is shutting down
+	CauseZoneOut     Cause = "zone-out"    // the server's availability zone is out of service
 )
 
 // The causes of an Unknown outcome.
--- a/core/mtroute/mtroute.go
+++ b/core/mtroute/mtroute.go
@@ -60,6 +60,9 @@
 	Health      string // path of the health check
 	Connections int    // that one server takes
 	Keyed       bool   // each key has one server
+	// ColdRate is how many requests a second one server takes while it is cold; zero is
+	// no limit.
+	ColdRate float64
 }
 
 // Limits bound what a caller may send. Zero fields are no limit.
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -184,23 +184,45 @@
 	return !success || response.Header.Get(c.Names.Signature) != ""
 }
 
-// Identify asks the server at an address which life of it answers there.
-func (c *Client) Identify(ctx context.Context, address, path string) (mtid.Server, error) {
+// Health is what a server's answer to a health check tells.
+type Health struct {
+	Server mtid.Server   // the life that answers, where it says so
+	Cold   time.Duration // for which it stays cold
+}
+
+// Identify asks the server at an address which life of it answers there, and how it is.
+func (c *Client) Identify(ctx context.Context, address, path string) (Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return "", &mtreply.RefusedError{Cause: mtreply.CauseMalformed, Detail: err.Error()}
+		return Health{}, &mtreply.RefusedError{Cause: mtreply.CauseMalformed, Detail: err.Error()}
 	}
 	request.Close = true
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
-		return "", &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
+		return Health{}, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
 	_ = response.Body.Close()
-	return mtid.Server(response.Header.Get(c.Names.Answerer)), nil
+	return Health{Server: mtid.Server(response.Header.Get(c.Names.Answerer)), Cold: c.cold(response.Header)}, nil
 }
 
+// cold returns for how long a server says that it stays cold. One that says nothing that
+// can be read is as warm as its beats tell.
+func (c *Client) cold(h http.Header) time.Duration {
+	if c.Names.Cold == "" {
+		return 0
+	}
+	ms, err := strconv.ParseFloat(h.Get(c.Names.Cold), 64)
+	if err != nil || ms < 0 || ms > mostCold {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// mostCold bounds what a server is believed of how long it stays cold, in milliseconds.
+const mostCold = 60_000
+
 // identifyTimeout bounds the question which life of a server answers. It waits
 // for a slot like any other request.
 const identifyTimeout = time.Second
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -46,6 +46,9 @@
 	}
 	var gone []mtstore.Entry
 	for name, e := range d.entries {
+		if e.Revision > u.Changes.Revision {
+			continue // heard of since the reading began
+		}
 		if present[name] || e.Version == 0 && !strings.HasPrefix(name, mtstore.Backend) {
 			continue
 		}
@@ -56,7 +59,7 @@
 	return gone
 }
 
-// rolled makes Members and Foreign those of a view that is being made, before the first
+// rolled makes Members, Foreign and Out those of a view that is being made, before the first
 // change of them: until then they are shared with the view before.
 func (d *Directory) rolled(v *View) {
 	if old := d.view.Load(); v.Roll == old.Roll {
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -31,6 +31,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtzone"
 	"magnoliaturn/io/mtwatch"
 )
 
@@ -86,20 +87,24 @@
 	// wrote, while nothing else is known of them. It names no server to use, and it
 	// proves no end either.
 	Foreign map[mtid.Daemon]bool
+	// Out are the availability zones that the operators have taken out of service. It is
+	// known up to the revision at least.
+	Out mtzone.Out
 	// Revision is that of the store up to which the copy is complete; zero if
 	// nothing was read yet.
 	Revision mtid.Revision
-	// Roll counts the changes of Members and Foreign. What is derived from these alone
+	// Roll counts the changes of Members, Foreign and Out. What is derived from these alone
 	// need not be derived again after each move of a key.
 	Roll   uint64
 	newest mtid.Version // of all of these
 }
 
-// Serving returns the members whose servers take new work for a service.
+// Serving returns the members whose servers take new work for a service, in zones that
+// are in service.
 func (v *View) Serving(service mtid.Service) []Member {
 	var serving []Member
 	for _, m := range v.Members {
-		if m.Service == service && m.Takes() && !m.Lapsed {
+		if m.Service == service && m.Takes() && !m.Lapsed && !v.Out.Has(m.Zone) {
 			serving = append(serving, m)
 		}
 	}
@@ -260,6 +265,9 @@
 			d.take(v, now, e)
 		}
 		for _, e := range u.Changes.Entries {
+			if d.known(e) {
+				continue
+			}
 			told, err := v.told(e)
 			if err != nil {
 				d.Log.Warn("patch of an assignment passed over", "name", e.Name, "error", err)
@@ -332,13 +340,15 @@
 	return mtid.Service(service), ok
 }
 
-// take takes in one entry, and reports whether it is a record or an assignment.
+// take takes in one entry, and reports whether it is of the product's own kinds.
 func (d *Directory) take(v *View, now mtclock.Instant, e mtstore.Entry) bool {
 	switch {
 	case strings.HasPrefix(e.Name, mtstore.Backend):
 		d.takeMember(v, now, e)
 	case strings.HasPrefix(e.Name, mtstore.Range):
 		d.takeAssignment(v, e)
+	case strings.HasPrefix(e.Name, mtstore.Zone):
+		d.takeZone(v, e)
 	default:
 		return false
 	}
@@ -429,6 +439,7 @@
 		Members:     old.Members,
 		Assignments: maps.Clone(old.Assignments),
 		Foreign:     old.Foreign,
+		Out:         old.Out,
 		Revision:    old.Revision,
 		Roll:        old.Roll,
 	}
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -34,6 +34,7 @@
 	"magnoliaturn/core/mtsilence"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
+	"magnoliaturn/core/mtzone"
 	"magnoliaturn/io/mtconn"
 	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtduty"
@@ -84,7 +85,9 @@
 type News struct {
 	Config mtid.Version // of the configuration in force
 	Seen   mtid.Version // the newest of all records and assignments
-	// Age is how long ago the configuration certainly was the newest.
+	Zones  mtzone.Digest
+	// Age is how long ago the configuration certainly was the newest, and the zones
+	// certainly those that are out of service.
 	Age time.Duration
 }
 
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -17,6 +17,7 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
+	"magnoliaturn/core/mtzone"
 )
 
 // host runs calls on the backend server of this VM.
@@ -142,11 +143,11 @@
 }
 
 func wireNews(n News) *mtwire.News {
-	return &mtwire.News{Config: uint64(n.Config), Seen: uint64(n.Seen), AgeUs: n.Age.Microseconds()}
+	return &mtwire.News{Config: uint64(n.Config), Seen: uint64(n.Seen), Zones: uint64(n.Zones), AgeUs: n.Age.Microseconds()}
 }
 
 func readNews(w *mtwire.News) News {
-	return News{Config: mtid.Version(w.GetConfig()), Seen: mtid.Version(w.GetSeen()), Age: micros(w.GetAgeUs())}
+	return News{Config: mtid.Version(w.GetConfig()), Seen: mtid.Version(w.GetSeen()), Zones: mtzone.Digest(w.GetZones()), Age: micros(w.GetAgeUs())}
 }
 
 // Times travel as what is left of them: clocks of two VMs are not compared.
--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -24,7 +24,12 @@
 	"magnoliaturn/core/mtreply"
 )
 
-type clock interface{ Now() mtclock.Instant }
+// clock has an elapsed time that may run ahead but never late, and one that never runs
+// ahead.
+type clock interface {
+	Now() mtclock.Instant
+	Steady() mtclock.Instant
+}
 
 // Door drives the admission to one backend server.
 type Door[O mtgate.Order] struct {
@@ -37,6 +42,8 @@
 	waiters map[mtgate.Number]chan *mtreply.RefusedError
 	slots   int
 	conns   int
+	pace    mtgate.Pace
+	ahead   time.Duration // of Now before Steady, when it was looked last
 	alarm   *time.Timer
 	armed   bool
 	rings   mtclock.Instant // the alarm, if it is armed
@@ -77,7 +84,44 @@
 		return
 	}
 	d.slots, d.conns = slots, conns
-	d.run(d.core.Resize(d.clock.Now(), slots, conns))
+	d.run(d.core.Resize(d.now(), slots, conns))
+}
+
+// Limit bounds how many requests are started in a second; zero is no limit. It is called
+// often, and costs a comparison when nothing changed.
+func (d *Door[O]) Limit(pace mtgate.Pace) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pace == pace {
+		return
+	}
+	d.pace = pace
+	d.ahead = d.clock.Now().Sub(d.clock.Steady())
+	d.run(d.core.Limit(d.now(), pace))
+}
+
+// Unseen says that requests may have been started a moment ago that the Door knows nothing
+// of.
+func (d *Door[O]) Unseen() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Unseen(d.now())
+}
+
+// now returns the present time. While starts are limited it looks whether the clock has
+// jumped ahead, since a second seemed to be over then that had just begun. It is called
+// with mu held.
+func (d *Door[O]) now() mtclock.Instant {
+	now := d.clock.Now()
+	if d.pace == 0 {
+		return now
+	}
+	ahead := now.Sub(d.clock.Steady())
+	if jump := ahead - d.ahead; jump > 0 {
+		d.core.Jumped(jump)
+	}
+	d.ahead = ahead
+	return now
 }
 
 // Admit waits until the request may start and returns the function that ends
@@ -88,7 +132,7 @@
 	d.next++
 	t.Number = d.next
 	d.waiters[t.Number] = verdict
-	d.run(d.core.Offer(d.clock.Now(), t))
+	d.run(d.core.Offer(d.now(), t))
 	d.mu.Unlock()
 	var refused *mtreply.RefusedError
 	select {
@@ -108,13 +152,13 @@
 func (d *Door[O]) done(n mtgate.Number) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.run(d.core.Done(d.clock.Now(), n))
+	d.run(d.core.Done(d.now(), n))
 }
 
 func (d *Door[O]) cancel(n mtgate.Number) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.run(d.core.Cancel(d.clock.Now(), n))
+	d.run(d.core.Cancel(d.now(), n))
 }
 
 // arm sets the alarm for the next request that will have waited too long, unless it
@@ -138,35 +182,49 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.armed = false
-	d.run(d.core.Expire(d.clock.Now()))
+	d.run(d.core.Expire(d.now()))
 }
 
 // Stop holds new work for a range; quiet is called once none is in flight.
 func (d *Door[O]) Stop(low, high mtid.Point) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.run(d.core.Stop(d.clock.Now(), low, high, mtgate.HoldNew))
+	d.run(d.core.Stop(d.now(), low, high, mtgate.HoldNew))
 }
 
 // Resume admits the held work of a range here.
 func (d *Door[O]) Resume(low, high mtid.Point) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.run(d.core.Resume(d.clock.Now(), low, high))
+	d.run(d.core.Resume(d.now(), low, high))
 }
 
 // Release refuses the held work of a range, for its new owner to serve.
 func (d *Door[O]) Release(low, high mtid.Point) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.run(d.core.Release(d.clock.Now(), low, high))
+	d.run(d.core.Release(d.now(), low, high))
 }
 
 // Drain refuses all new work; Idle is closed once none is in flight.
 func (d *Door[O]) Drain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.run(d.core.Drain(d.clock.Now()))
+	d.run(d.core.Drain(d.now()))
+}
+
+// Close refuses all that waits and all that comes until Reopen.
+func (d *Door[O]) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.run(d.core.Close(d.now()))
+}
+
+// Reopen ends what Close began.
+func (d *Door[O]) Reopen() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.run(d.core.Reopen(d.now()))
 }
 
 // Idle is closed once nothing is in flight after Drain.
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -33,6 +33,8 @@
 		// While a daemon is restarted its server can't be reached, for longer
 		// than a warm move takes.
 		g.empty(ctx, owned)
+	case g.Directory.Now().Out.Has(record.Zone):
+		g.spill(ctx, owner, owned)
 	case record.Takes():
 		g.relieve(ctx, owned)
 	}
@@ -53,6 +55,35 @@
 	g.moveAll(ctx, owned, runs, "server is leaving")
 }
 
+// spill moves all keys of a server whose zone is out of service to servers in other zones.
+func (g *Grants) spill(ctx context.Context, owner mtrange.Owner, owned []mtrange.Range) {
+	g.Survey(ctx)
+	_, others := g.Standings()
+	runs := g.Host.Spill(owned, g.turn(owner), others)
+	if len(runs) == 0 {
+		g.Log.Warn("server keeps its keys: no other zone is in service", "ranges", len(owned))
+		return
+	}
+	g.moveAll(ctx, owned, runs, "zone is out of service")
+}
+
+// turn returns the place of this server among those of its service that give all their keys
+// away, as their zones are out of service.
+func (g *Grants) turn(owner mtrange.Owner) mtrange.Turn {
+	view := g.Directory.Now()
+	var turn mtrange.Turn
+	for _, m := range view.Members {
+		if m.Service != g.Service || !view.Out.Has(m.Zone) {
+			continue
+		}
+		turn.Of++
+		if m.Owner().Compare(owner) < 0 {
+			turn.Place++
+		}
+	}
+	return turn
+}
+
 // relieve moves some keys if this server has too much work. It returns at once:
 // releases wait for what runs, and meanwhile the server may begin to leave.
 func (g *Grants) relieve(ctx context.Context, owned []mtrange.Range) {
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -93,6 +93,7 @@
 	Resume(low, high mtid.Number)
 	Release(low, high mtid.Number)
 	Cut(ranges []mtrange.Range, gifts []mtrange.Gift) []mtrange.Run
+	Spill(ranges []mtrange.Range, turn mtrange.Turn, others []mtrange.Standing) []mtrange.Run
 	Forget(low, high mtid.Number)
 	Gain(low, high mtid.Number)
 	Suspect(life mtid.Life)
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -83,6 +83,17 @@
 func (*host) Suspect(mtid.Life)                {}
 func (h *host) Bound(mtid.Life) bool           { return !h.unbound.Load() }
 
+// Spill gives each range to one of the others, in turn.
+func (*host) Spill(ranges []mtrange.Range, _ mtrange.Turn, others []mtrange.Standing) []mtrange.Run {
+	var runs []mtrange.Run
+	for i, r := range ranges {
+		if len(others) > 0 {
+			runs = append(runs, mtrange.Run{Low: r.Low, High: r.High, To: others[i%len(others)].Owner})
+		}
+	}
+	return runs
+}
+
 // Cut gives a hundred keys for each gift.
 func (*host) Cut(ranges []mtrange.Range, gifts []mtrange.Gift) []mtrange.Run {
 	var runs []mtrange.Run
--- a/io/mthost/life.go
+++ b/io/mthost/life.go
@@ -100,7 +100,8 @@
 	h.askAgain = now.Add(askPause)
 	beat := h.stranger
 	go func() {
-		server, err := h.Client.Identify(context.Background(), beat.Address, path)
+		health, err := h.Client.Identify(context.Background(), beat.Address, path)
+		server := health.Server
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.identifying = false
@@ -136,6 +137,8 @@
 	if h.tether != nil && h.tether.opened.Before(b.Connected) {
 		h.confirm(h.tether)
 	}
+	h.warmth.Hear(h.Clock.Steady(), b)
+	h.fitWarmth()
 	h.sequence = b.Sequence
 	h.address = b.Address
 	h.record.Slots = b.Slots
@@ -209,8 +212,10 @@
 		h.over[h.record.Life] = true
 		h.Log.Info("server has another life", "former", h.record.Life.String(), "server", b.Life.String())
 		h.door.Drain()
-		h.door = h.newDoor()
+		h.door, h.shut = h.newDoor(), false
 	}
+	h.warmth = mtbackend.Warmth{}
+	h.fitZone(h.Clock.Now())
 	h.stranger = mtbackend.Beat{}
 	h.record.Life = b.Life
 	h.record.Service = b.Service
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -83,6 +83,13 @@
 	return mtrange.CutAll(h.Clock.Now(), ranges, h.meter, gifts)
 }
 
+// Spill divides all work of the ranges among other servers.
+func (h *Host) Spill(ranges []mtrange.Range, turn mtrange.Turn, others []mtrange.Standing) []mtrange.Run {
+	h.meterMu.Lock()
+	defer h.meterMu.Unlock()
+	return mtrange.Spill(h.Clock.Now(), ranges, h.meter, turn, others)
+}
+
 // Forget drops the measured work of keys that have gone to another owner.
 func (h *Host) Forget(low, high mtid.Number) {
 	h.meterMu.Lock()
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -34,18 +34,24 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtzone"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtduty"
 	iogate "magnoliaturn/io/mtgate"
 )
 
-type clock interface{ Now() mtclock.Instant }
+// clock has an elapsed time that is never too short, and a steady one that never runs
+// ahead.
+type clock interface {
+	Now() mtclock.Instant
+	Steady() mtclock.Instant
+}
 
 // runner sends one call to the server.
 type runner interface {
 	Do(ctx context.Context, target iobackend.Target, call *mtcall.Call) (*mtcall.Answer, error)
-	// Identify asks which life of the server answers at an address.
-	Identify(ctx context.Context, address, path string) (mtid.Server, error)
+	// Identify asks which life of the server answers at an address, and how it is.
+	Identify(ctx context.Context, address, path string) (iobackend.Health, error)
 }
 
 const (
@@ -95,6 +101,8 @@
 	Publish func(mtbackend.Record)
 	// Named reports whether the configuration in force declares a service.
 	Named func(service mtid.Service) bool
+	// Keyed reports whether the service is divided by key.
+	Keyed func() bool
 	// Holds reports whether the server has been granted the key; it fails with
 	// a *mtreply.RefusedError. It is called for keyed calls.
 	Holds func(life mtid.Life, key mtid.Number) error
@@ -142,6 +150,11 @@
 	tieAgain    mtclock.Instant      // none is opened before
 	recognised  mtid.Life            // that was known to be at the end of a tether
 	denied      map[mtid.Number]bool // keys that the server said not to hold, since its last beat
+	zone        mtzone.Door
+	shut        bool // the gate is closed for the zone
+	warmth      mtbackend.Warmth
+	most        mtgate.Pace // while the server is cold; zero is no limit
+	cold        bool        // the gate is limited to it
 
 	runMu   sync.Mutex
 	running map[mtcall.ID]int // calls at the server, by identifier
@@ -178,6 +191,9 @@
 	}
 	h.beaten = config.Clock.Now()
 	h.door = h.newDoor()
+	// The process before this one may have sent requests until just now.
+	h.door.Unseen()
+	h.warmth.Doubt(h.beaten)
 	config.Publish(h.record)
 	stop := mtduty.Every(lookEvery, func(context.Context) { h.tick(h.Clock.Now()) })
 	return h, func() {
@@ -230,6 +246,7 @@
 	if drain {
 		h.drains = 0
 	}
+	h.fit(now)
 	h.mu.Unlock()
 	if drain {
 		door.Drain()
@@ -363,14 +380,14 @@
 }
 
 // left returns the refusal of a call, with the time after which its key can be elsewhere
-// if the server is leaving. Without one the caller asks again at once, and nothing can
+// if the server is leaving or its zone is out of service. Without one the caller asks again at once, and nothing can
 // have changed.
 func left(call *mtcall.Call, err error) error {
 	var refused *mtreply.RefusedError
-	if !call.Keyed || !errors.As(err, &refused) || refused.Cause != mtreply.CauseDraining {
+	if !call.Keyed || !errors.As(err, &refused) || refused.Cause != mtreply.CauseDraining && refused.Cause != mtreply.CauseZoneOut {
 		return err
 	}
-	return &mtreply.RefusedError{Cause: mtreply.CauseDraining, RetryAfter: elsewhereRetry, Detail: refused.Detail}
+	return &mtreply.RefusedError{Cause: refused.Cause, RetryAfter: elsewhereRetry, Detail: refused.Detail}
 }
 
 // track notes that a call runs at the server, until the returned function is
@@ -406,6 +423,7 @@
 func (h *Host) ready(call *mtcall.Call) (mtbackend.Record, *iogate.Door[*mtgate.Urgent], error) {
 	h.mu.Lock()
 	record, door := h.record, h.door
+	open := h.zone.Open(h.Clock.Now(), call.Keyed)
 	h.mu.Unlock()
 	switch {
 	case record.Service != call.Service:
@@ -416,6 +434,8 @@
 		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseStopping}
 	case record.State == mtbackend.Draining && !call.Keyed:
 		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseDraining}
+	case !open:
+		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseZoneOut, RetryAfter: elsewhereRetry}
 	}
 	if call.Keyed {
 		if err := h.Holds(record.Life, call.Key); err != nil {
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -26,6 +26,7 @@
 type server struct {
 	mu     sync.Mutex
 	runs   mtid.Server // the life that answers
+	cold   time.Duration
 	calls  int
 	answer func(ctx context.Context) (*mtcall.Answer, error)
 }
@@ -38,13 +39,13 @@
 	return answer(ctx)
 }
 
-func (s *server) Identify(context.Context, string, string) (mtid.Server, error) {
+func (s *server) Identify(context.Context, string, string) (iobackend.Health, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.runs == "" {
-		return "", &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: errors.New("no answer")}
+		return iobackend.Health{}, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: errors.New("no answer")}
 	}
-	return s.runs, nil
+	return iobackend.Health{Server: s.runs, Cold: s.cold}, nil
 }
 
 // stand is a host with what it has told.
@@ -57,6 +58,7 @@
 	told   mtbackend.Record
 	holds  error
 	clear  func() error
+	keyed  atomic.Bool
 	path   string // of the health check; empty while no configuration is known
 }
 
@@ -76,6 +78,7 @@
 			defer s.mu.Unlock()
 			s.told = r
 		},
+		Keyed: func() bool { return s.keyed.Load() },
 		Named: func(service mtid.Service) bool { return service == "desk" },
 		Holds: func(mtid.Life, mtid.Number) error {
 			s.mu.Lock()
--- a/io/mthost/tether.go
+++ b/io/mthost/tether.go
@@ -121,6 +121,8 @@
 	}
 	h.tether = nil
 	h.tieAgain = 0
+	// The server may have started again, under the name that it had.
+	h.doubtWarmth()
 	h.Log.Info("connection that tells the server's lives apart has ended", "server", t.life.String(), "error", err)
 	go h.check(t.life)
 }
@@ -135,7 +137,8 @@
 	}
 	address := h.address
 	go func() {
-		server, err := h.Client.Identify(context.Background(), address, path)
+		health, err := h.Client.Identify(context.Background(), address, path)
+		server := health.Server
 		if err != nil || server != t.life.Server {
 			h.Log.Info("life of the server waits for its next beat", "server", t.life.String(), "answers", string(server), "error", err)
 			return
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -361,7 +361,7 @@
 	c.known, c.roll, c.at = true, view.Roll, now
 	var candidates []mtchoice.Candidate
 	for _, m := range view.Members {
-		if m.Service == service && s.usable(m, now) {
+		if m.Service == service && !view.Out.Has(m.Zone) && s.usable(m, now) {
 			candidates = append(candidates, mtchoice.Candidate{Holder: holder(m), Zone: m.Zone, Slots: m.Slots})
 		}
 	}
@@ -434,7 +434,7 @@
 			return mtchoice.Busy
 		}
 		switch refused.Cause {
-		case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseRefused, mtreply.CauseDraining:
+		case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseRefused, mtreply.CauseDraining, mtreply.CauseZoneOut:
 			return mtchoice.Bad
 		}
 		return mtchoice.Other
--- a/io/mtmesh/certainty.go
+++ b/io/mtmesh/certainty.go
@@ -49,6 +49,12 @@
 	return c.core.Fresher(c.core.At(), theirs)
 }
 
+func (c *certainty) at() mtclock.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.At()
+}
+
 func (c *certainty) age(now mtclock.Instant) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -40,6 +40,7 @@
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtstore"
+	"magnoliaturn/core/mtzone"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtcommit"
 	"magnoliaturn/io/mtdial"
@@ -93,10 +94,15 @@
 	// stands for mtroute.Within.
 	Within time.Duration
 	Log    *slog.Logger
-	// Refresh makes the configuration be read anew: another daemon has a newer
-	// one, or the store is to be asked in case its watches have gone deaf.
+	// Close is within which time a zone that is taken out of service gets no new work;
+	// zero stands for mtzone.Within.
+	Close time.Duration
+	// Warmup is by how much the rate of a cold server may be exceeded.
+	Warmup mtbackend.Allowance
+	// Refresh reads anew all that operators have written: another daemon has a newer
+	// configuration, or the store is to be asked in case its watches have gone deaf.
 	// It fails if the store did not answer.
-	Refresh func() error
+	Refresh func() (mtstore.Changes, error)
 	// Other is told of every entry of the store that is not the product's own.
 	Other func(mtstore.Entry)
 	// Calls returns how often the store was called since it was last asked for, by what
@@ -119,6 +125,7 @@
 	doubting  atomic.Bool
 	learner   *learner
 	former    former
+	zone      zone
 	host      atomic.Pointer[mthost.Host]
 	// The news go with each message, and the kernel's lookups are not for that.
 	directory atomic.Pointer[mtdirectory.Directory]
@@ -131,6 +138,9 @@
 	if config.Within <= 0 {
 		config.Within = mtroute.Within
 	}
+	if config.Close <= 0 {
+		config.Close = mtzone.Within
+	}
 	m := &Mesh{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
 		m.addClock, m.addMetrics, m.addPeers, m.addDirectory, m.addCommitter, m.addHost, m.addIngress, m.addNews, m.addSums, m.listen,
@@ -243,6 +253,7 @@
 		Log:     m.config.Log,
 		Health:  m.health,
 		Named:   m.named,
+		Keyed:   m.keyed,
 		Publish: directory.Publish,
 		Holds:   func(life mtid.Life, key mtid.Number) error { return grants.Load().Holds(life, key) },
 		Fenced:  func(key mtid.Number) { grants.Load().Fenced(key) },
@@ -279,6 +290,9 @@
 	for _, member := range directory.Now().Members {
 		host.Heard(member.Record)
 	}
+	directory.OnChange(m.zones)
+	m.zones()
+	m.Metrics().Gauge("host", "standing", func() any { return host.Standing() })
 	if err := mtkernel.Register(m.kernel, NameHost, host, closeHost); err != nil {
 		return err
 	}
--- a/io/mtmesh/news.go
+++ b/io/mtmesh/news.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/io/mtdirectory"
@@ -49,6 +50,7 @@
 	var news mtforward.News
 	if directory := m.directory.Load(); directory != nil {
 		news.Seen = directory.Seen()
+		news.Zones = directory.Now().Out.Digest()
 	}
 	if c := m.configuration(); c != nil {
 		news.Config = c.Version
@@ -61,7 +63,7 @@
 // watches don't bring it soon.
 func (m *Mesh) hear(theirs mtforward.News, sent mtclock.Instant) {
 	own := m.tell()
-	if sent != 0 {
+	if sent != 0 && own.Zones == theirs.Zones {
 		m.certainty.hear(own.Config, theirs.Config, theirs.Age, sent)
 	}
 	if own.Config < theirs.Config {
@@ -104,17 +106,25 @@
 	}
 }
 
-// refresh asks the store for the configuration. If it has one that the watch has not
-// brought, the watch is deaf, and others that learn from it with it.
+// refresh asks the store for the configuration and the zones that are out of service. If
+// it has what the watch has not brought, the watch is deaf, and others that learn from it
+// with it.
 func (m *Mesh) refresh() {
+	directory := mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory)
 	begun, before := m.steady(), m.tell().Config
-	if err := m.config.Refresh(); err != nil {
+	read, err := m.config.Refresh()
+	if err != nil {
 		m.config.Log.Warn("configuration could not be asked for", "error", err)
 		return
 	}
+	for _, e := range read.Entries {
+		m.config.Other(e)
+	}
+	news := directory.Recheck(read)
 	m.certainty.confirm(begun)
-	if m.tell().Config > before && before != 0 && m.learner.turn() != mtroute.Last {
-		mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory).Resync()
+	newer := m.tell().Config > before && before != 0
+	if (newer || news) && m.learner.turn() != mtroute.Last {
+		directory.Resync()
 	}
 }
 
@@ -162,6 +172,7 @@
 		return
 	}
 	m.Host().Declare(c.Routes())
+	m.Host().Warmup(mtgate.Pace(m.config.Warmup.Most(c.Services[m.config.Service].ColdRate)))
 	if m.learner.tree().Source(m.config.Daemon) {
 		go m.spread()
 	}
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -40,6 +40,7 @@
 
 type clock interface {
 	Now() mtclock.Instant
+	Steady() mtclock.Instant
 	Boot() int64
 	Wall() time.Time
 }
--- a/io/mtowner/recent_test.go
+++ b/io/mtowner/recent_test.go
@@ -72,6 +72,8 @@
 
 func (*clock) Now() mtclock.Instant { return 1 }
 
+func (*clock) Steady() mtclock.Instant { return 1 }
+
 func (*clock) Boot() int64 { return 1 }
 
 func (c *clock) Wall() time.Time {
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -11,6 +11,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtini"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtzone"
 )
 
 // Mesh are the settings of a daemon that stands beside a backend server on a
@@ -32,6 +33,9 @@
 	Drain   time.Duration
 	Grace   time.Duration
 	Config  time.Duration // within which a configuration has to be in force
+	Close   time.Duration // within which a zone that is taken out of service gets no new work
+	// Warmup is by how much the rate of a cold server may be exceeded.
+	Warmup mtbackend.Allowance
 }
 
 // Bounds and defaults of the times. The platform names its own.
@@ -56,7 +60,7 @@
 // ParseMesh checks the text of a settings file of a Mesh.
 func ParseMesh(file string, text []byte) (*Mesh, Faults) {
 	f := mtini.Read(file, text)
-	f.Known(map[string]int{"daemon": 0, "listen": 0, "store": 0, "times": 0})
+	f.Known(map[string]int{"daemon": 0, "listen": 0, "store": 0, "times": 0, "warmup": 0})
 	s := &Mesh{}
 	daemon := f.Only("daemon")
 	s.Name = mtid.Daemon(daemon.Name("name"))
@@ -76,12 +80,23 @@
 	s.Drain = times.Duration("drain", defaultDrain, minTime, maxTime)
 	s.Grace = times.Duration("grace", defaultGrace, minTime, maxTime)
 	s.Config = times.Duration("config", mtroute.Within, minConfig, maxTime)
+	s.Close = times.Duration("close", mtzone.Within, minConfig, maxTime)
+	if warmup, ok := f.Optional("warmup"); ok {
+		s.Warmup.Factor = warmup.Float("factor", 1, 1, maxFactor)
+		s.Warmup.Extra = warmup.Float("extra", 0, 0, maxExtra)
+	}
 	if faults := f.Faults(); len(faults) > 0 {
 		return nil, faults
 	}
 	return s, nil
 }
 
+// Bounds of how far the rate of a cold server may be exceeded.
+const (
+	maxFactor = 100
+	maxExtra  = 10_000
+)
+
 // host returns the address of the VM.
 func host(s *mtini.Section) string {
 	v := s.Text("host", "")
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/io/mtsetting"
 )
 
@@ -33,6 +34,11 @@
 drain = 2.5s
 grace = 6s
 config = 3s
+close = 4s
+
+[warmup]
+factor = 1.5
+extra = 8
 `
 
 func TestMeshSettings(t *testing.T) {
@@ -43,6 +49,7 @@
 		Callers: "10.1.0.38:8147", Ready: "10.1.0.38:8141", Beats: "10.1.0.38:8144",
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
 		Hold: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, Config: 3 * time.Second,
+		Close: 4 * time.Second, Warmup: mtbackend.Allowance{Factor: 1.5, Extra: 8},
 	})
 }
 
@@ -74,9 +81,21 @@
 		"{{listen.outbound}}", "10.1.0.38:8147", "{{listen.ready}}", "10.1.0.38:8141", "{{listen.control}}", "10.1.0.38:8144",
 		"{{port_range}}", "7380,7395", "{{provider.address}}", "10.200.1.7:8142",
 		"{{bounds.hold_max_s}}", "10", "{{bounds.drain_s}}", "2.5", "{{bounds.grace_s}}", "6", "{{bounds.config_s}}", "3",
+		"{{bounds.evacuate_s}}", "4", "{{bounds.cold_excess}}", "1.5", "{{bounds.cold_extra}}", "8",
+		"{{#bounds.evacuate_s}}", "", "{{/bounds.evacuate_s}}", "", "{{#bounds.cold_excess}}", "", "{{/bounds.cold_excess}}", "",
+		"{{#bounds.cold_extra}}", "", "{{/bounds.cold_extra}}", "",
 	).Replace(string(template))
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(filled))
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	want, _ := mtsetting.ParseMesh("daemon.ini", []byte(meshText))
 	assert.DeepEqual(t, got, want)
 }
+
+// A platform that names no bounds of warm-up and of zones leaves their fields out.
+func TestMeshSettingsWithoutWarmup(t *testing.T) {
+	text := strings.NewReplacer("close = 4s\n", "", "factor = 1.5\nextra = 8\n", "").Replace(meshText)
+	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(text))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	assert.Equal(t, got.Close, 5*time.Second)
+	assert.Equal(t, got.Warmup.Most(10), 9)
+}
