--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,10 +27,11 @@
 	lasts := flag.Duration("time", 20*time.Second, "how long faults are injected in each run")
 	vms := flag.Int("vms", 6, "how many VMs")
 	logs := flag.String("logs", "", "directory for the logs of the daemons")
+	zones := flag.Bool("zones", true, "take zones out of service, with servers that are cold")
 	flag.Parse()
 	broken := 0
 	for i := range uint64(*runs) {
-		config := soak.Config{Program: *program, Seed: *seed + i, Time: *lasts, VMs: *vms, Logs: *logs}
+		config := soak.Config{Program: *program, Seed: *seed + i, Time: *lasts, VMs: *vms, Zones: *zones, Logs: *logs}
 		result, err := soak.Run(context.Background(), config)
 		if !report(config.Seed, result, err) {
 			broken++
