Begin no moves of keys while the store is away

Cause: owners went on to release keys for relief during the outage. Nobody could be written as their owner, so that nobody served them, and each move in doubt was tried five times a second. Ruled out: leases that ran out (renewals were back within the second). Change: no move begins while the watch or the keeping of the own record fails; a move that was refused and is not in doubt is given up at once; one in doubt is tried every 1.5 to 3 s, and as soon as the store answers. Test first: TestNoKeysAreReleasedWhileTheStoreIsAway failed before.

--- a/io/mtdirectory/keeper.go
+++ b/io/mtdirectory/keeper.go
@@ -53,6 +53,7 @@
 	standing atomic.Uint64 // version from which on the record has stood without a gap
 	foreign  atomic.Uint64 // version that another writer left under the own name
 	deleted  atomic.Uint64 // revision at which the record was seen deleted
+	away     atomic.Bool   // the last attempt to keep the record failed
 }
 
 func newKeeper(config Config) *keeper {
@@ -153,6 +154,7 @@
 	}
 	begun := k.Clock.Now()
 	err := k.keep(ctx, wanted)
+	k.away.Store(err != nil)
 	if err != nil {
 		if ctx.Err() == nil {
 			k.Log.Warn("own record can't be kept", "error", err, "certain", k.until().Sub(k.Clock.Now()))
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -191,6 +191,13 @@
 	return since, since != 0
 }
 
+// Answers reports whether the store has answered lately, the watch as well as the keeping
+// of the own record. What needs a write had better not be begun while it does not.
+func (d *Directory) Answers() bool {
+	_, up := d.Up()
+	return up && !d.keeper.away.Load()
+}
+
 // Seen returns the newest version that this daemon knows of anything, its own
 // writes included.
 func (d *Directory) Seen() mtid.Version { return max(d.keeper.seen(), d.Now().newest) }
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -29,6 +29,9 @@
 	owned := assignment.Owned(owner)
 	switch {
 	case len(owned) == 0:
+	case !g.Directory.Answers():
+		// Keys that are released now have no owner until the store is back, for seconds;
+		// here they are served until then. So even a server that leaves keeps them.
 	case record.State == mtbackend.Draining, record.Leaving:
 		// While a daemon is restarted its server can't be reached, for longer
 		// than a warm move takes.
@@ -214,12 +217,28 @@
 			g.mu.Unlock()
 		case mtrange.Refused:
 			direct = true
+			if !doubt && !g.Directory.Answers() {
+				return false // nobody writes it now, and it will not land
+			}
 		}
 		mtduty.Sleep(ctx, rand.N(pause))
+		g.awaitStore(ctx)
 	}
 	return false
 }
 
+// awaitStore waits until the store answers, but tries it from time to time: it may answer
+// this daemon's writes although other calls fail. Each of dozens of moves in doubt tried it
+// five times a second.
+func (g *Grants) awaitStore(ctx context.Context) {
+	end := g.Clock.Steady().Add(awayPause + rand.N(awayPause))
+	for !g.Directory.Answers() && g.Clock.Steady().Before(end) {
+		if !mtduty.Sleep(ctx, awayLook) {
+			return
+		}
+	}
+}
+
 // landed waits until this daemon's copy shows a move that was written, and reports whether
 // it does. Another daemon has written it mostly, and tells with its answer what has changed.
 // Where that did not fit, the copy still gives the keys to the server here: with the move
@@ -251,6 +270,10 @@
 	// conflictPause is the longest pause before the next try: about as long as a
 	// write takes, so that those who lost against the same write don't meet again.
 	conflictPause = 8 * time.Millisecond
+	// awayPause is the least pause between two writes of a move in doubt while the store is
+	// away, and awayLook how often it is looked whether it is back.
+	awayPause = 1500 * time.Millisecond
+	awayLook  = 50 * time.Millisecond
 	// refusedPause is the longest pause after a write that failed otherwise: the
 	// store is away, or turns this daemon away, for seconds.
 	refusedPause = 400 * time.Millisecond
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -724,3 +724,22 @@
 		assert.Equal(t, f.port.count("grant"), before, "granted after its release: %v", f.port.seen())
 	}
 }
+
+// The store goes away while an owner has more than it can do and others have room. It
+// released the keys that it wanted to give away, nobody could be written as their owner, and
+// they were served by nobody until the store was back, eight seconds later.
+func TestNoKeysAreReleasedWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.start()
+	f.until("the keys are granted", func() bool { return f.port.count("grant") >= 1 })
+	f.store.Fail(func(op, _ string) error { return &mtstore.UnavailableError{Op: op, Err: errors.New("away")} })
+	f.until("the outage is noticed", func() bool { return !f.directory.Answers() })
+	f.mu.Lock()
+	f.standing = mtrange.Standing{Owner: ownerOf("a"), Slots: 10, Demand: 25, Keys: 32768, Known: true}
+	f.others = []mtrange.Standing{{Owner: ownerOf("b"), Slots: 10, Demand: 1, Keys: 32768, Known: true}}
+	f.mu.Unlock()
+	f.turns()
+	assert.Equal(t, f.port.count("release"), 0)
+	f.store.Fail(nil)
+	f.until("keys are given away once it is back", func() bool { return f.port.count("release") > 0 })
+}
