Serve pipelined requests at the same time

Cause: their callers send further requests before the first is answered, and the server of net/http reads the next one when the one before is answered. Ruled out: the queues at the keyed service; floor-plan, which has the same servers, is in time. Change: io/mtpipeline serves the callers' listener: safe requests of one connection run at once and are answered in order; parsing and writing are those of net/http.

--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -17,10 +17,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"magnoliaturn/io/mtpipeline"
 )
 
 // Limits of every listener.
@@ -31,6 +35,8 @@
 	Grace       = 10 * time.Second
 
 	defaultConnections = 1024
+	// outstanding is how many requests of one connection are served at once.
+	outstanding = 32
 )
 
 // ListenError says that an address can't be listened on.
@@ -59,6 +65,10 @@
 	Write       time.Duration // for a whole reply; 0 is no limit
 	Grace       time.Duration // for requests that run at the end; 0 is Grace
 	TLS         *tls.Config
+	// Pipelined serves requests at the same time that were sent before the first of them
+	// was answered (mtpipeline). It goes without TLS, Read, Write and ConnContext.
+	Pipelined bool
+	Log       *slog.Logger // of a pipelined server
 	// ConnContext is that of net/http: it adds to the context of what comes on a new
 	// connection. It may be nil.
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
@@ -67,11 +77,18 @@
 // Server is an open listener.
 type Server struct {
 	listener net.Listener
-	http     *http.Server
+	engine   engine
 	failed   chan error
 	done     chan struct{}
 }
 
+// engine serves connections; *http.Server is one.
+type engine interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // Address returns where the server listens, with the port that was chosen if
 // the address named port 0.
 func (s *Server) Address() string { return s.listener.Addr().String() }
@@ -83,14 +100,14 @@
 // Shutdown takes no new connections, lets the requests that are being served
 // end, and cuts off what is left when ctx is done. It is called once.
 func (s *Server) Shutdown(ctx context.Context) {
-	if s.http.Shutdown(ctx) != nil {
-		_ = s.http.Close()
+	if s.engine.Shutdown(ctx) != nil {
+		_ = s.engine.Close()
 	}
 	<-s.done
 }
 
 // Close cuts everything off. It may be called at any time, also after Shutdown.
-func (s *Server) Close() { _ = s.http.Close() }
+func (s *Server) Close() { _ = s.engine.Close() }
 
 // Serve listens on address and serves handler until the clean-up, which is
 // graceful. It fails with a *ListenError.
@@ -115,33 +132,44 @@
 	if options.Connections == 0 {
 		options.Connections = defaultConnections
 	}
-	s := &Server{
-		listener: listener, failed: make(chan error, 1), done: make(chan struct{}),
-		http: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: HeaderTime,
-			ReadTimeout:       options.Read,
-			WriteTimeout:      options.Write,
-			IdleTimeout:       IdleTime,
-			MaxHeaderBytes:    HeaderBytes,
-			TLSConfig:         options.TLS,
-			ConnContext:       options.ConnContext,
-		},
-	}
+	s := &Server{listener: listener, failed: make(chan error, 1), done: make(chan struct{}), engine: newEngine(handler, options)}
 	bounded := Limit(listener, options.Connections)
 	go func() {
 		defer close(s.done)
-		serve := s.http.Serve
-		if options.TLS != nil {
-			serve = func(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
-		}
-		if err := serve(bounded); err != http.ErrServerClosed {
+		if err := s.engine.Serve(bounded); err != http.ErrServerClosed {
 			s.failed <- &ListenError{Address: s.Address(), Err: err}
 		}
 	}()
 	return s
 }
 
+func newEngine(handler http.Handler, options Options) engine {
+	if options.Pipelined {
+		limits := mtpipeline.Limits{Header: HeaderBytes, HeaderTime: HeaderTime, IdleTime: IdleTime, Outstanding: outstanding}
+		return &mtpipeline.Server{Handler: handler, Limits: limits, Log: options.Log}
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: HeaderTime,
+		ReadTimeout:       options.Read,
+		WriteTimeout:      options.Write,
+		IdleTimeout:       IdleTime,
+		MaxHeaderBytes:    HeaderBytes,
+		TLSConfig:         options.TLS,
+		ConnContext:       options.ConnContext,
+	}
+	if options.TLS != nil {
+		return &secured{Server: server}
+	}
+	return server
+}
+
+// secured serves over TLS.
+type secured struct{ *http.Server }
+
+// Serve implements engine.
+func (s *secured) Serve(l net.Listener) error { return s.ServeTLS(l, "", "") }
+
 // Limit returns a listener that closes connections past most at once. A
 // listener that stopped accepting instead would leave new clients waiting in
 // the kernel's queue behind silent ones; so they learn that they must go
@@ -177,6 +205,14 @@
 	release func()
 }
 
+// CloseWrite ends the sending half, where the connection has two.
+func (c *counted) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Close implements net.Conn.
 func (c *counted) Close() error {
 	defer c.release()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -425,7 +425,7 @@
 	router := echo.New()
 	router.HideBanner = true
 	router.Any("/*", m.Ingress().Handle)
-	m.callers = mtlisten.Start(callers, router, mtlisten.Options{Connections: connections})
+	m.callers = mtlisten.Start(callers, router, mtlisten.Options{Connections: connections, Pipelined: true, Log: m.config.Log})
 	return mtkernel.Register(m.kernel, NameListeners, m, func() {
 		m.callers.Close()
 		m.peers.Stop()
--- /dev/null
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -0,0 +1,273 @@
+package mtpipeline_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"magnoliaturn/io/mtpipeline"
+)
+
+// stand serves a handler and connects to it.
+type stand struct {
+	t      *testing.T
+	server *mtpipeline.Server
+	conn   net.Conn
+	reader *bufio.Reader
+	failed chan error
+}
+
+func newStand(t *testing.T, handler http.HandlerFunc) *stand {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &stand{t: t, failed: make(chan error, 1), server: &mtpipeline.Server{
+		Handler: handler, Log: slog.New(slog.DiscardHandler),
+		Limits: mtpipeline.Limits{Header: 4 << 10, HeaderTime: 10 * time.Second, IdleTime: 10 * time.Second, Outstanding: 8},
+	}}
+	go func() { s.failed <- s.server.Serve(listener) }()
+	s.conn, err = net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	s.reader = bufio.NewReader(s.conn)
+	t.Cleanup(func() {
+		_ = s.conn.Close()
+		assert.NilError(t, s.server.Close())
+	})
+	return s
+}
+
+func (s *stand) send(text string) {
+	s.t.Helper()
+	_, err := io.WriteString(s.conn, text)
+	assert.NilError(s.t, err)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// read reads the next answer.
+func (s *stand) read() (*http.Response, string) {
+	s.t.Helper()
+	assert.NilError(s.t, s.conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+	response, err := http.ReadResponse(s.reader, nil)
+	assert.NilError(s.t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(s.t, err)
+	return response, string(body)
+}
+
+// A caller sends three requests before the first is answered. They run at the same time, and
+// are answered in their order, whichever is ready first.
+func TestPipelinedRequestsRunAtOnceAndAreAnsweredInOrder(t *testing.T) {
+	var together sync.WaitGroup
+	together.Add(3)
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		together.Done()
+		together.Wait()
+		if r.URL.Path == "/1" {
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	s.send(get("/1") + get("/2") + get("/3"))
+	for _, want := range []string{"/1", "/2", "/3"} {
+		response, body := s.read()
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, body, want)
+	}
+}
+
+// What must not be run twice, or has a body, runs alone: after all that was sent before it,
+// and before all that was sent behind it.
+func TestAnUnsafeRequestRunsAlone(t *testing.T) {
+	var mu sync.Mutex
+	var events []string
+	note := func(e string) {
+		mu.Lock()
+		defer mu.Unlock()
+		events = append(events, e)
+	}
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		note("begin " + r.URL.Path)
+		time.Sleep(20 * time.Millisecond)
+		note("end " + r.URL.Path)
+		_, _ = w.Write(body)
+	})
+	s.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello" + get("/3"))
+	_, _ = s.read()
+	_, body := s.read()
+	assert.Equal(t, body, "hello")
+	_, _ = s.read()
+	mu.Lock()
+	defer mu.Unlock()
+	assert.DeepEqual(t, events, []string{"begin /1", "end /1", "begin /2", "end /2", "begin /3", "end /3"})
+}
+
+// An answer closes the connection while requests behind it are at work: they are answered,
+// and the last one says that the connection closes. Nothing that was read goes unanswered.
+func TestAClosingAnswerWaitsForThoseBehindIt(t *testing.T) {
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			time.Sleep(50 * time.Millisecond)
+			w.Header().Set("Connection", "close")
+		} else {
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	s.send(get("/1") + get("/2"))
+	first, _ := s.read()
+	second, body := s.read()
+	assert.Assert(t, !first.Close || body == "", "the first answer closes although a second one follows")
+	assert.Equal(t, body, "/2")
+	assert.Assert(t, second.Close)
+	_, err := s.reader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+}
+
+// A caller leaves while its requests are at work: they are told, with a body or without.
+func TestALeavingCallerIsNoticed(t *testing.T) {
+	for name, request := range map[string]string{
+		"safe": get("/1"), "two": get("/1") + get("/2"), "with a body": "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, told := make(chan struct{}, 2), make(chan struct{}, 2)
+			s := newStand(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				begun <- struct{}{}
+				<-r.Context().Done()
+				told <- struct{}{}
+			})
+			s.send(request)
+			<-begun
+			assert.NilError(t, s.conn.Close())
+			select {
+			case <-told:
+			case <-time.After(20 * time.Second):
+				t.Fatal("the handler was not told")
+			}
+		})
+	}
+}
+
+// A shutdown answers what was read, closes connections that rest, and takes nothing new.
+func TestShutdownAnswersWhatWasRead(t *testing.T) {
+	begun, end := make(chan struct{}), make(chan struct{})
+	s := newStand(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-end
+		_, _ = io.WriteString(w, "whole")
+	})
+	resting, err := net.Dial("tcp", s.conn.RemoteAddr().String())
+	assert.NilError(t, err)
+	s.send(get("/1"))
+	<-begun
+	stopped := make(chan error)
+	go func() { stopped <- s.server.Shutdown(context.Background()) }()
+	assert.Equal(t, <-s.failed, http.ErrServerClosed)
+	_, err = resting.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	close(end)
+	response, body := s.read()
+	assert.Equal(t, body, "whole")
+	assert.Assert(t, response.Close)
+	assert.NilError(t, <-stopped)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if conn, err := net.Dial("tcp", s.conn.RemoteAddr().String()); err == nil {
+			_ = conn.Close()
+			return poll.Continue("connections are taken")
+		}
+		return poll.Success()
+	})
+}
+
+// What is no request is refused once those before it are answered.
+func TestWhatIsNoRequestIsRefusedInItsTurn(t *testing.T) {
+	for name, test := range map[string]struct {
+		text string
+		want int
+	}{
+		"nonsense":     {"nonsense\r\n\r\n", http.StatusBadRequest},
+		"no host":      {"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"large header": {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "first") })
+			s.send(get("/1") + test.text)
+			_, body := s.read()
+			assert.Equal(t, body, "first")
+			response, _ := s.read()
+			assert.Equal(t, response.StatusCode, test.want)
+			assert.Assert(t, response.Close)
+		})
+	}
+}
+
+// Callers of net/http get along with it: lengths, chunks, HEAD, answers without a body, and
+// bodies that the handler leaves unread.
+func TestOrdinaryCallers(t *testing.T) {
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/none":
+			w.WriteHeader(http.StatusNoContent)
+		case "/unread":
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		default:
+			body, _ := io.ReadAll(r.Body)
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)+2))
+			_, _ = fmt.Fprintf(w, "%s!!", body)
+		}
+	})
+	base := "http://" + s.conn.RemoteAddr().String()
+	for _, test := range []struct {
+		method, path string
+		body         io.Reader
+		status       int
+		want         string
+	}{
+		{http.MethodPost, "/echo", strings.NewReader("hello"), http.StatusOK, "hello!!"},
+		{http.MethodPost, "/echo", io.MultiReader(strings.NewReader("in "), strings.NewReader("chunks")), http.StatusOK, "in chunks!!"},
+		{http.MethodHead, "/echo", nil, http.StatusOK, ""},
+		{http.MethodGet, "/none", nil, http.StatusNoContent, ""},
+		{http.MethodPost, "/unread", strings.NewReader(strings.Repeat("x", 1<<20)), http.StatusRequestEntityTooLarge, ""},
+		{http.MethodGet, "/echo", nil, http.StatusOK, "!!"},
+	} {
+		request, err := http.NewRequest(test.method, base+test.path, test.body)
+		assert.NilError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err, "%s %s", test.method, test.path)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, response.StatusCode, test.status)
+		assert.Equal(t, string(body), test.want)
+	}
+}
+
+// A handler that panics ends its connection, and no other one.
+func TestAFailingHandlerEndsItsConnection(t *testing.T) {
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/fails" {
+			panic("no")
+		}
+		_, _ = io.WriteString(w, "well")
+	})
+	s.send(get("/fails"))
+	_, err := s.reader.ReadByte()
+	assert.Assert(t, err != nil)
+	response, err := http.Get("http://" + s.conn.RemoteAddr().String() + "/")
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
