Let callers whom a server itself rejected come back at once

Cause: one retry time for a server that can't be reached and for one that rejects. The gate never sends a server more than its slots, so that a rejection says that something ails it, not that it is full: another one, or the same a moment later, mostly takes the call. Change: 50 ms for a rejection.

--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -119,6 +119,11 @@
 // about the time in which it is back or its keys have another owner.
 const unreachableRetry = 500 * time.Millisecond
 
+// rejectedRetry is when to ask again after the server itself has rejected a call, although
+// it has no more than its slots in hand: something ails it, and another server, or this one a
+// moment later, mostly takes the call.
+const rejectedRetry = 50 * time.Millisecond
+
 // dialCause tells a server whose process is gone, which the kernel of the VM
 // says at once, from one that does not answer.
 func dialCause(err error) mtreply.Cause {
@@ -334,7 +339,7 @@
 		return &mtreply.RefusedError{Cause: mtreply.CauseFenced, RetryAfter: unreachableRetry, Detail: "the server does not hold the key"}
 	}
 	if response.Header.Get(c.Names.NotRun) != "" {
-		return &mtreply.RefusedError{Cause: mtreply.CauseRefused, RetryAfter: unreachableRetry, Detail: response.Status}
+		return &mtreply.RefusedError{Cause: mtreply.CauseRefused, RetryAfter: rejectedRetry, Detail: response.Status}
 	}
 	return nil
 }
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -177,6 +177,18 @@
 	}
 }
 
+// A server that ails rejects half of what comes, although it has slots free. A caller who was
+// told to come back after half a second came back too late for its objective; one that asks
+// again at once is mostly taken.
+func TestARejectedCallMayComeBackAtOnce(t *testing.T) {
+	server := newRaw(t, say("HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nRequest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	c, clock := client(t)
+	_, err := c.Do(t.Context(), server.target(), call(clock, "7"))
+	var refused *mtreply.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Assert(t, refused.RetryAfter <= 100*time.Millisecond, "%s", refused.RetryAfter)
+}
+
 // Nothing listens: no byte of the call can have left, so it was not run.
 func TestARefusedConnectionIsNotRun(t *testing.T) {
 	server := newRaw(t, say(good))
