Let servers that leave release their keys also while the store is away

So only relief and zones wait for the store; moves in doubt are tried every 0.6 to 1.2 s instead of 1.5 to 3.

--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -29,13 +29,14 @@
 	owned := assignment.Owned(owner)
 	switch {
 	case len(owned) == 0:
-	case !g.Directory.Answers():
-		// Keys that are released now have no owner until the store is back, for seconds;
-		// here they are served until then. So even a server that leaves keeps them.
 	case record.State == mtbackend.Draining, record.Leaving:
 		// While a daemon is restarted its server can't be reached, for longer
 		// than a warm move takes.
 		g.empty(ctx, owned)
+	case !g.Directory.Answers():
+		// Keys that are released now have no owner until the store is back, for seconds;
+		// here they are served until then. Only a server that leaves can't wait: released
+		// before its end, its keys are warm at the next owner.
 	case g.Directory.Now().Out.Has(record.Zone):
 		g.spill(ctx, owner, owned)
 	case record.Takes():
@@ -217,7 +218,7 @@
 			g.mu.Unlock()
 		case mtrange.Refused:
 			direct = true
-			if !doubt && !g.Directory.Answers() {
+			if record, _ := g.Host.Record(); !doubt && record.Takes() && !g.Directory.Answers() {
 				return false // nobody writes it now, and it will not land
 			}
 		}
@@ -272,7 +273,7 @@
 	conflictPause = 8 * time.Millisecond
 	// awayPause is the least pause between two writes of a move in doubt while the store is
 	// away, and awayLook how often it is looked whether it is back.
-	awayPause = 1500 * time.Millisecond
+	awayPause = 600 * time.Millisecond
 	awayLook  = 50 * time.Millisecond
 	// refusedPause is the longest pause after a write that failed otherwise: the
 	// store is away, or turns this daemon away, for seconds.
