--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -271,3 +272,22 @@
 	assert.NilError(t, response.Body.Close())
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
+
+// Whatever a caller sends, its connection ends once it has sent all of it, and nothing panics.
+func FuzzConnection(f *testing.F) {
+	f.Add([]byte(get("/1") + get("/2")))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + get("/2")))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\nab"))
+	f.Add([]byte("HEAD / HTTP/1.0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s := newStand(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+		_, err := s.conn.Write(text)
+		assert.NilError(t, err)
+		assert.NilError(t, s.conn.(*net.TCPConn).CloseWrite())
+		assert.NilError(t, s.conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+		if _, err := io.Copy(io.Discard, s.conn); err != nil {
+			var timeout net.Error
+			assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the connection does not end")
+		}
+	})
+}
