--- a/io/mtdirectory/zone_test.go
+++ b/io/mtdirectory/zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtstandin"
+	"magnoliaturn/io/mttime"
 )
 
 // An operator takes a zone out of service and back: every daemon hears of both, and its
@@ -76,3 +78,32 @@
 		}
 	}
 }
+
+// scripted is a source of changes that a test makes up.
+type scripted struct{ changes chan mtstore.Changes }
+
+func (s *scripted) Watch(ctx context.Context, _ string, after mtid.Revision, _ time.Duration) (mtstore.Changes, error) {
+	select {
+	case c := <-s.changes:
+		return c, nil
+	case <-ctx.Done():
+		return mtstore.Changes{Revision: after}, ctx.Err()
+	}
+}
+
+// A daemon has read that a zone is out of service, and its teacher, which is behind, tells of
+// the end of the order before. The zone stays out.
+func TestALateLessonDoesNotPutAZoneBack(t *testing.T) {
+	source := &scripted{changes: make(chan mtstore.Changes)}
+	directory, closeDirectory := mtdirectory.New(mtdirectory.Config{
+		Self: "a", Store: mtstandin.NewRevisions(time.Now), Source: source, Clock: mttime.New(), Lease: time.Second, Log: slog.New(slog.DiscardHandler),
+	})
+	defer closeDirectory()
+	source.changes <- mtstore.Changes{Revision: 10}
+	name := mtstore.ZoneName("riga-a")
+	until(t, "the source is read", func() bool { return directory.Now().Revision == 10 })
+	assert.Assert(t, directory.Recheck(mtstore.Changes{Revision: 20, Entries: []mtstore.Entry{{Name: name, Version: 18, Revision: 18}}}))
+	source.changes <- mtstore.Changes{Revision: 14, Entries: []mtstore.Entry{{Name: name, Revision: 14}}}
+	until(t, "the lesson is taken in", func() bool { return directory.Now().Revision == 14 })
+	assert.Assert(t, directory.Now().Out.Has("riga-a"))
+}
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -105,14 +105,16 @@
 		note("end " + r.URL.Path)
 		_, _ = w.Write(body)
 	})
-	s.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello" + get("/3"))
+	s.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello" + get("/3") +
+		"DELETE /4 HTTP/1.1\r\nHost: h\r\n\r\n")
 	_, _ = s.read()
 	_, body := s.read()
 	assert.Equal(t, body, "hello")
 	_, _ = s.read()
+	_, _ = s.read()
 	mu.Lock()
 	defer mu.Unlock()
-	assert.DeepEqual(t, events, []string{"begin /1", "end /1", "begin /2", "end /2", "begin /3", "end /3"})
+	assert.DeepEqual(t, events, []string{"begin /1", "end /1", "begin /2", "end /2", "begin /3", "end /3", "begin /4", "end /4"})
 }
 
 // An answer closes the connection while requests behind it are at work: they are answered,
