Judge by how slow the server's machine is at the moment

Servers of the shifted site tell with each answer how long work takes on their machine, which other work shares: three times as long for a fifth of the time, and it changes several times a second. Two ways: the mean of what calls took (which stood), and the mean times the last word, which fades within 0.3 s: at the gate, which then refuses at once what can't be in time there, so that it goes to another server, and in the pace that is reported to those who choose. Elsewhere servers tell nothing of it.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -116,4 +116,7 @@
 	Body   []byte
 	Queued time.Duration // at the gate of the server
 	Served time.Duration // at the server
+	// Slowness is how long work takes on the server's machine at the moment, as a multiple
+	// of what is usual; zero if the server does not tell. It is known beside the server only.
+	Slowness float64
 }
--- a/core/mtgate/flow.go
+++ b/core/mtgate/flow.go
@@ -37,8 +37,11 @@
 	// stands in for it until one has ended.
 	service time.Duration
 	usual   time.Duration
-	finish  float64 // start-time fair queuing: finish tag of the last start
-	tenant  *tenant // its business, under Fair
+	// slow is how much longer requests take at the moment than they do on average, as a
+	// multiple; zero stands for one.
+	slow   float64
+	finish float64 // start-time fair queuing: finish tag of the last start
+	tenant *tenant // its business, under Fair
 }
 
 // Entry is one request at the gate.
@@ -54,10 +57,15 @@
 
 // service returns how long the entry is expected to run.
 func (e *Entry) service() time.Duration {
-	if e.Flow.service > 0 {
-		return e.Flow.service
+	f := e.Flow
+	service := f.service
+	if service == 0 {
+		service = f.usual
 	}
-	return e.Flow.usual
+	if f.slow == 0 {
+		return service
+	}
+	return time.Duration(float64(service) * f.slow)
 }
 
 // FlowCounts are the counters of a flow, for load reports and metrics. They
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -141,6 +141,7 @@
 	loneGate loneWindow
 	stops    []*stop
 	pacer    pacer
+	slow     float64
 	draining bool
 	closed   bool // for the time being
 	idle     bool
@@ -536,6 +537,7 @@
 	f, ok := g.flows[key]
 	if !ok {
 		f = newFlow(key)
+		f.slow = g.slow
 		g.flows[key] = f
 		g.order.Join(f)
 	}
--- a/core/mtgate/pace.go
+++ b/core/mtgate/pace.go
@@ -90,3 +90,14 @@
 	}
 	return g.pacer.at(now, g.order.Ahead(now, e)+1).Sub(now)
 }
+
+// Slow sets how much longer requests take at the server at the moment than they do on
+// average, as a multiple: whether they can be in time is judged by that.
+func (g *Gate[O]) Slow(now mtclock.Instant, multiple float64) []Effect {
+	g.begin(now)
+	g.slow = multiple
+	for _, f := range g.flows {
+		f.slow = multiple
+	}
+	return g.end(now)
+}
--- a/core/mtgate/pace_test.go
+++ b/core/mtgate/pace_test.go
@@ -133,3 +133,20 @@
 	}
 	return n
 }
+
+// A server's machine becomes slow for a moment, three times as slow as usual. What waits
+// behind others there can't be in time any more and is refused at once, while it can go
+// elsewhere; judged by the mean it was found late only when its time was over.
+func TestAMomentOfSlownessRefusesWhatItMakesLate(t *testing.T) {
+	gate := urgentGate(1)
+	gate.Expect("", "look", 200*time.Millisecond)
+	ticket := func(n mtgate.Number) mtgate.Ticket {
+		return mtgate.Ticket{Number: n, Class: "look", Objective: at(900 * time.Millisecond), Deadline: at(2500 * time.Millisecond)}
+	}
+	gate.Offer(0, ticket(1))
+	assert.Equal(t, refusals(gate.Offer(0, ticket(2))), 0, "in time as usual")
+	gate.Slow(0, 3)
+	assert.Equal(t, refusals(gate.Offer(0, ticket(3))), 1)
+	gate.Slow(0, 1)
+	assert.Equal(t, refusals(gate.Offer(0, ticket(4))), 0)
+}
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -54,6 +54,9 @@
 type Config struct {
 	Names mtheader.Names
 	Clock clock
+	// Slowness reads how long work takes on the server's machine from an answer's header, as
+	// a multiple of what is usual; zero if it is not told. It may be nil.
+	Slowness func(http.Header) float64
 }
 
 // Target is the backend server that is meant.
@@ -168,6 +171,9 @@
 		if refused := c.refusal(response, target); refused != nil {
 			return nil, false, refused
 		}
+		if c.Slowness != nil {
+			answer.Slowness = c.Slowness(response.Header)
+		}
 		return answer, reusable && sendErr == nil, nil
 	}
 	return nil, false, &foreignError{}
--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -43,6 +44,7 @@
 	slots   int
 	conns   int
 	pace    mtgate.Pace
+	slow    float64       // the multiple that the gate was told
 	ahead   time.Duration // of Now before Steady, when it was looked last
 	alarm   *time.Timer
 	armed   bool
@@ -58,6 +60,7 @@
 		idle:    make(chan struct{}),
 		core:    mtgate.New(order, limits),
 		waiters: make(map[mtgate.Number]chan *mtreply.RefusedError),
+		slow:    1,
 	}
 }
 
@@ -100,6 +103,21 @@
 	d.run(d.core.Limit(d.now(), pace))
 }
 
+// leastSlower is by how much the multiple has to differ until the gate is told.
+const leastSlower = 0.05
+
+// Slow sets how much longer requests take at the moment than on average, as a multiple. It
+// is called often, and costs a comparison when hardly anything changed.
+func (d *Door[O]) Slow(multiple float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if math.Abs(multiple-d.slow) < leastSlower {
+		return
+	}
+	d.slow = multiple
+	d.run(d.core.Slow(d.now(), multiple))
+}
+
 // Unseen says that requests may have been started a moment ago that the Door knows nothing
 // of.
 func (d *Door[O]) Unseen() {
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -50,12 +50,31 @@
 	}
 }
 
+// noteSlowness takes in what an answer tells of the server's machine.
+func (h *Host) noteSlowness(now mtclock.Instant, multiple float64) {
+	if multiple == 0 {
+		return
+	}
+	h.meterMu.Lock()
+	h.slowness.Note(now, multiple)
+	h.meterMu.Unlock()
+	h.slowGate(now)
+}
+
+// slowGate lets the gate judge by how slow the server is now.
+func (h *Host) slowGate(now mtclock.Instant) {
+	h.meterMu.Lock()
+	slow := h.slowness.Now(now)
+	h.meterMu.Unlock()
+	h.gate().Slow(slow)
+}
+
 // service returns how long a call takes here that is usual to take a tenth of a
 // second. Were it the mean of all calls, a server would pass for fast that has
 // many short ones. It is called with meterMu held.
 func (h *Host) service() time.Duration {
 	const tenth = 100 * time.Millisecond
-	return time.Duration(h.pace * float64(tenth))
+	return time.Duration(h.pace * h.slowness.Now(h.Clock.Now()) * float64(tenth))
 }
 
 // average returns the moving average with one more value in it.
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -162,11 +162,12 @@
 	crashMu   sync.Mutex
 	recurring *mtpoison.Recurring
 
-	meterMu sync.Mutex
-	meter   *mtrange.Meter
-	pace    float64 // mean time of calls, as a multiple of what is usual for them
-	times   map[mtid.Class]time.Duration
-	usual   map[mtid.Class]time.Duration // by the configuration
+	meterMu  sync.Mutex
+	meter    *mtrange.Meter
+	slowness mtbackend.Slowness
+	pace     float64 // mean time of calls, as a multiple of what is usual for them
+	times    map[mtid.Class]time.Duration
+	usual    map[mtid.Class]time.Duration // by the configuration
 }
 
 // New returns a Host whose server has not been heard of, and its clean-up
@@ -251,6 +252,7 @@
 	if drain {
 		door.Drain()
 	}
+	h.slowGate(now)
 	h.listen(now)
 	h.settle(now)
 }
@@ -374,7 +376,9 @@
 		return nil, err
 	}
 	answer.Queued = started.Sub(arrived)
-	answer.Served = h.Clock.Now().Sub(started)
+	ended := h.Clock.Now()
+	answer.Served = ended.Sub(started)
+	h.noteSlowness(ended, answer.Slowness)
 	h.served(call.Route, answer.Served)
 	return answer, nil
 }
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -83,6 +83,9 @@
 	Store   mtstore.Guarded
 	Port    mtgrant.Port
 	Names   mtheader.Names
+	// Slowness reads from an answer of the server how long work takes on its machine; it may
+	// be nil.
+	Slowness func(http.Header) float64
 	// Lease is how long the daemon's record in the store outlives it, and Hold
 	// how long a grant lasts. Their sum bounds for how long keys of a lost VM
 	// are unavailable, and for how long the store may be away.
@@ -235,7 +238,7 @@
 func (m *Mesh) addHost() error {
 	clock := mtkernel.Need[*mttime.Clock](m.kernel, NameClock)
 	directory := mtkernel.Need[*mtdirectory.Directory](m.kernel, NameDirectory)
-	client, closeClient := iobackend.New(iobackend.Config{Names: m.config.Names, Clock: clock})
+	client, closeClient := iobackend.New(iobackend.Config{Names: m.config.Names, Clock: clock, Slowness: m.config.Slowness})
 	if err := mtkernel.Register(m.kernel, NameClient, client, closeClient); err != nil {
 		return err
 	}
