--- a/core/mtzone/door.go
+++ b/core/mtzone/door.go
@@ -46,12 +46,8 @@
 	d.version, d.shut = version, until
 }
 
-// Reopen notes that the zone is in service, and reports whether it was not.
-func (d *Door) Reopen() bool {
-	was := d.version != 0
-	*d = Door{}
-	return was
-}
+// Reopen notes that the zone is in service.
+func (d *Door) Reopen() { *d = Door{} }
 
 // Closed reports whether the zone is out of service.
 func (d *Door) Closed() bool { return d.version != 0 }
--- a/core/mtzone/mtzone.go
+++ b/core/mtzone/mtzone.go
@@ -50,9 +50,6 @@
 // Digest returns what tells this set from others.
 func (o Out) Digest() Digest { return o.digest }
 
-// Len returns how many zones are out of service.
-func (o Out) Len() int { return len(o.zones) }
-
 // Changed returns the revision of the store at which a zone was last taken out of service
 // or back, as far as is known.
 func (o Out) Changed(zone mtid.Zone) mtid.Revision { return o.changed[zone] }
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -384,8 +384,8 @@
 }
 
 // left returns the refusal of a call, with the time after which its key can be elsewhere
-// if the server is leaving or its zone is out of service. Without one the caller asks again at once, and nothing can
-// have changed.
+// if the server is leaving or its zone is out of service. Without one the caller asks again
+// at once, and nothing can have changed.
 func left(call *mtcall.Call, err error) error {
 	var refused *mtreply.RefusedError
 	if !call.Keyed || !errors.As(err, &refused) || refused.Cause != mtreply.CauseDraining && refused.Cause != mtreply.CauseZoneOut {
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -71,6 +71,8 @@
 	h.fitWarmth()
 }
 
+// fitZone closes the gate while the zone is out of service, and opens it again. It is called
+// with mu held.
 func (h *Host) fitZone(now mtclock.Instant) {
 	shut := h.zone.Closed() && !h.zone.Open(now, h.Keyed())
 	if shut == h.shut {
@@ -86,14 +88,15 @@
 	h.Log.Info("server takes no work: its zone is out of service", "zone", h.Zone)
 }
 
+// fitWarmth limits the gate while the server is cold, or may be. It is called with mu held.
 func (h *Host) fitWarmth() {
 	now := h.Clock.Steady()
 	cold := h.most > 0 && h.warmth.Cold(now)
+	var pace mtgate.Pace
 	if cold {
-		h.door.Limit(h.most)
-	} else {
-		h.door.Limit(0)
+		pace = h.most
 	}
+	h.door.Limit(pace)
 	if cold == h.cold {
 		return
 	}
@@ -101,17 +104,17 @@
 	h.Log.Info("server's warmth", "server", h.record.Life.String(), "cold", cold, "left", h.warmth.Left(now), "most", int(h.most))
 }
 
-// Standing is how the server stands, for operators.
-type Standing struct {
+// Status is how the server does, for operators.
+type Status struct {
 	Server  string `json:"server"`
 	State   string `json:"state"`
 	Cold    bool   `json:"cold"`    // it is given few requests a second
 	ZoneOut bool   `json:"zoneOut"` // its availability zone is out of service
 }
 
-// Standing returns how the server stands now.
-func (h *Host) Standing() Standing {
+// Status returns how the server does now.
+func (h *Host) Status() Status {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Standing{Server: h.record.Life.String(), State: string(h.record.State), Cold: h.cold, ZoneOut: h.zone.Closed()}
+	return Status{Server: h.record.Life.String(), State: string(h.record.State), Cold: h.cold, ZoneOut: h.zone.Closed()}
 }
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -295,7 +295,7 @@
 	}
 	directory.OnChange(m.zones)
 	m.zones()
-	m.Metrics().Gauge("host", "standing", func() any { return host.Standing() })
+	m.Metrics().Gauge("host", "status", func() any { return host.Status() })
 	if err := mtkernel.Register(m.kernel, NameHost, host, closeHost); err != nil {
 		return err
 	}
