--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -88,10 +88,12 @@
 	h.Log.Info("server takes no work: its zone is out of service", "zone", h.Zone)
 }
 
-// fitWarmth limits the gate while the server is cold, or may be. It is called with mu held.
+// fitWarmth limits the gate while the server is cold, or may be. While its zone is out of
+// service it may become cold at any moment, at the end at the latest, and has work only for
+// keys that have not moved yet. It is called with mu held.
 func (h *Host) fitWarmth() {
 	now := h.Clock.Steady()
-	cold := h.most > 0 && h.warmth.Cold(now)
+	cold := h.most > 0 && (h.warmth.Cold(now) || h.zone.Closed())
 	var pace mtgate.Pace
 	if cold {
 		pace = h.most
