Take a server for cold after a pause of its daemon

Soak (kept as a test): a daemon was paused for 4.5 s while its zone went out of service and came back, and the store was away when it went on. It gave its server, cold by then, up to 44 calls in a second until the next beat. Cause: nothing told the daemon that it had been paused. Change: a gap of a second between two looks of the host, or calls, is a reason to doubt, like the end of a zone's order; the server is asked at once. Where no cold rate is configured nothing changes.

--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -153,8 +153,9 @@
 	zone        mtzone.Door
 	shut        bool // the gate is closed for the zone
 	warmth      mtbackend.Warmth
-	most        mtgate.Pace // while the server is cold; zero is no limit
-	cold        bool        // the gate is limited to it
+	most        mtgate.Pace     // while the server is cold; zero is no limit
+	cold        bool            // the gate is limited to it
+	awake       mtclock.Instant // this process ran then
 
 	runMu   sync.Mutex
 	running map[mtcall.ID]int // calls at the server, by identifier
@@ -195,6 +196,7 @@
 	// The process before this one may have sent requests until just now.
 	h.door.Unseen()
 	h.warmth.Doubt(h.beaten)
+	h.awake = h.beaten
 	config.Publish(h.record)
 	stop := mtduty.Every(lookEvery, func(context.Context) { h.tick(h.Clock.Now()) })
 	return h, func() {
@@ -247,6 +249,7 @@
 	if drain {
 		h.drains = 0
 	}
+	h.ran(now)
 	h.fit(now)
 	h.mu.Unlock()
 	if drain {
@@ -426,8 +429,10 @@
 // ready returns the server if it takes the call.
 func (h *Host) ready(call *mtcall.Call) (mtbackend.Record, *iogate.Door[*mtgate.Urgent], error) {
 	h.mu.Lock()
+	now := h.Clock.Now()
+	h.ran(now)
 	record, door := h.record, h.door
-	open := h.zone.Open(h.Clock.Now(), call.Keyed)
+	open := h.zone.Open(now, call.Keyed)
 	h.mu.Unlock()
 	switch {
 	case record.Service != call.Service:
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -14,6 +14,7 @@
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
@@ -48,12 +49,21 @@
 	return iobackend.Health{Server: s.runs, Cold: s.cold}, nil
 }
 
+// clock goes on by itself, and by what a test lets pass.
+type clock struct {
+	*mttime.Clock
+	passed atomic.Int64
+}
+
+func (c *clock) Now() mtclock.Instant    { return c.Clock.Now() + mtclock.Instant(c.passed.Load()) }
+func (c *clock) Steady() mtclock.Instant { return c.Clock.Steady() + mtclock.Instant(c.passed.Load()) }
+
 // stand is a host with what it has told.
 type stand struct {
 	t      *testing.T
 	host   *mthost.Host
 	server *server
-	clock  *mttime.Clock
+	clock  *clock
 	mu     sync.Mutex
 	told   mtbackend.Record
 	holds  error
@@ -64,7 +74,7 @@
 
 func newStand(t *testing.T, address string) *stand {
 	t.Helper()
-	s := &stand{t: t, clock: mttime.New(), server: &server{}, path: "/health"}
+	s := &stand{t: t, clock: &clock{Clock: mttime.New()}, server: &server{}, path: "/health"}
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) { return &mtcall.Answer{Status: 200}, nil }
 	host, cleanUp := mthost.New(mthost.Config{
 		Daemon: "a", Service: "maps", Address: address, Drain: 300 * time.Millisecond, Clock: s.clock, Client: s.server,
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
@@ -39,6 +40,21 @@
 	h.fitWarmth()
 }
 
+// pausedFor is how long this process has not run at least when it may have missed that the
+// server became cold: an order about its zone that came and went, or a beat.
+const pausedFor = time.Second
+
+// ran notes that this process runs. One that was paused goes on as though nothing had
+// happened, and gave a server that had become cold meanwhile what it gave before, until the
+// next beat. It is called with mu held.
+func (h *Host) ran(now mtclock.Instant) {
+	paused := now.Sub(h.awake) > pausedFor
+	h.awake = now
+	if paused {
+		h.doubtWarmth()
+	}
+}
+
 // doubtWarmth takes the server for cold, since it may have become so, until it says
 // otherwise. It is asked at once, where that matters: its next beat takes up to a second.
 // It is called with mu held.
--- a/io/mthost/zone_test.go
+++ b/io/mthost/zone_test.go
@@ -147,3 +147,16 @@
 	s.host.ZoneOut(7, s.clock.Now().Add(time.Hour))
 	assert.Assert(t, s.burstOf(true, 12, 500*time.Millisecond) <= 3)
 }
+
+// A daemon is paused while its server's zone is taken out of service and put back, and goes on
+// as though nothing had happened: its server is cold by then, and no beat has said so.
+func TestADaemonThatWasPausedTakesItsServerForCold(t *testing.T) {
+	s := newStand(t, "server")
+	s.host.Warmup(3)
+	s.ready("i-1")
+	s.server.mu.Lock()
+	s.server.cold = 5 * time.Second
+	s.server.mu.Unlock()
+	s.clock.passed.Add(int64(4 * time.Second))
+	assert.Assert(t, s.burst(12, 500*time.Millisecond) <= 3)
+}
--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtspread"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtforward"
@@ -29,3 +30,15 @@
 func (l Learner) Teach(ctx context.Context, q mtforward.Question) (mtforward.Lesson, error) {
 	return l.teach(ctx, q)
 }
+
+// HearsCertainty reports whether a daemon that knows of no configuration and of no zone out of
+// service becomes certain by another one's news, which answer what was sent a moment ago.
+func HearsCertainty(theirs mtforward.News) (bool, error) {
+	m := &Mesh{kernel: mtkernel.New()}
+	if err := m.addClock(); err != nil {
+		return false, err
+	}
+	before := m.certainty.at()
+	m.hear(theirs, m.steady())
+	return m.certainty.at() > before, nil
+}
