Take no refused move back while the own copy may be old

Test first: TestARefusedMoveIsNotTakenBackByAnOldCopy failed before (a grant of the released keys at their old epoch), passes after.

--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -218,12 +218,11 @@
 			g.mu.Unlock()
 		case mtrange.Refused:
 			direct = true
-			if record, _ := g.Host.Record(); !doubt && record.Takes() && !g.Directory.Answers() {
-				return false // nobody writes it now, and it will not land
-			}
 		}
 		mtduty.Sleep(ctx, rand.N(pause))
-		g.awaitStore(ctx)
+		if doubt {
+			g.awaitStore(ctx)
+		}
 	}
 	return false
 }
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -743,3 +743,33 @@
 	f.store.Fail(nil)
 	f.until("keys are given away once it is back", func() bool { return f.port.count("release") > 0 })
 }
+
+// The store turns a daemon away while its move is left to another one, whose table is newer: the
+// keys have changed hands, and the move is refused. Taken back at once by the own copy, which does
+// not show it yet, they were granted here again beside their new owner.
+func TestARefusedMoveIsNotTakenBackByAnOldCopy(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	refused := make(chan struct{})
+	f.delegate = func(_ context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool) {
+		f.store.Fail(func(op, _ string) error { return &mtstore.UnavailableError{Op: op, Err: errors.New("turned away")} })
+		for f.directory.Answers() {
+			time.Sleep(time.Millisecond)
+		}
+		close(refused)
+		outcomes := make([]mtrange.Outcome, len(b.Transfers))
+		for i := range outcomes {
+			outcomes[i] = mtrange.Refused
+		}
+		return outcomes, true
+	}
+	f.start()
+	f.until("the keys are granted", func() bool { return f.port.count("grant") >= 1 })
+	granted := f.port.count("grant")
+	f.mu.Lock()
+	f.standing = mtrange.Standing{Owner: ownerOf("a"), Slots: 10, Demand: 25, Keys: 32768, Known: true}
+	f.others = []mtrange.Standing{{Owner: ownerOf("b"), Slots: 10, Demand: 1, Keys: 32768, Known: true}}
+	f.mu.Unlock()
+	<-refused
+	f.turns()
+	assert.Equal(t, f.port.count("grant"), granted, "%v", f.port.seen())
+}
