Announce the close on every response that is written during a shutdown

Callers saw the last response of a connection without "Connection: close" while the daemon shut down, kept the connection and lost their next request.

Cause: Shutdown marks its connections as closing one after the other, and a response asked only for the mark of its own connection. The new test TestResponseDuringShutdownAnnouncesClose holds the shutdown before it reaches the connection and failed each time before ("assertion failed: response.Close"). Ruled out: a miscount of pending requests; there was one, and it was the last read. Change: a response asks the server's mark too, which is set before the first connection is reached. The listener is closed outside the server's mutex. Conclusion: no response after the mark can miss it.

--- a/io/mtpipeline/exchange.go
+++ b/io/mtpipeline/exchange.go
@@ -121,12 +121,15 @@
 }
 
 // announceClose reports whether the response of e announces that the connection closes, which
-// only the response to the last request that was read does. If closeWanted is set, no further
-// request is read.
+// only the response to the last request that was read does. If closeWanted is set or the
+// server is closing, no further request is read.
 func (c *conn) announceClose(e *exchange, closeWanted bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if closeWanted {
+	// Shutdown reaches the connections one after the other. A response that was written
+	// before its connection was reached did not announce the close, and the caller lost the
+	// next request that it sent.
+	if closeWanted || c.server.isClosing() {
 		c.closing = true
 	}
 	return c.closing && c.last == e && !c.reading
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -16,6 +16,7 @@
 //
 // A response with "Connection: close" closes its connection. Requests that have been read by
 // then are still answered, and only the last response announces that the connection closes.
+// Once Shutdown has been called, every connection closes in this way.
 package mtpipeline
 
 import (
@@ -107,18 +108,20 @@
 	return s.closing
 }
 
-// beginClose closes the listener and returns the open connections.
+// beginClose closes the listener and returns the open connections. From here on every
+// response announces the close, also on connections that have not been told to close yet.
 func (s *Server) beginClose() []*conn {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closing = true
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
+	listener := s.listener
 	var open []*conn
 	for c := range s.conns {
 		open = append(open, c)
 	}
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
 	return open
 }
 
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -33,11 +33,18 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	return startTestConn(t, listener, handler)
+}
+
+// startTestConn is newTestConn with a listener of the test.
+func startTestConn(t *testing.T, listener net.Listener, handler http.HandlerFunc) *testConn {
+	t.Helper()
 	s := &testConn{t: t, served: make(chan error, 1), server: &mtpipeline.Server{
 		Handler: handler, Log: slog.New(slog.DiscardHandler),
 		Limits: mtpipeline.Limits{MaxHeaderBytes: 4 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, MaxConcurrent: 8},
 	}}
 	go func() { s.served <- s.server.Serve(listener) }()
+	var err error
 	s.conn, err = net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	s.reader = bufio.NewReader(s.conn)
@@ -197,6 +204,42 @@
 	})
 }
 
+// hookedListener calls onClose before it is closed.
+type hookedListener struct {
+	net.Listener
+	onClose func()
+}
+
+func (l *hookedListener) Close() error {
+	l.onClose()
+	return l.Listener.Close()
+}
+
+// A response that is written while Shutdown has not reached its connection yet must announce
+// the close. Otherwise the caller sends its next request on a connection that is closed.
+func TestResponseDuringShutdownAnnouncesClose(t *testing.T) {
+	begun, end, answered := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := startTestConn(t, &hookedListener{Listener: listener, onClose: sync.OnceFunc(func() {
+		close(end)
+		<-answered
+	})}, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-end
+		_, _ = io.WriteString(w, "whole")
+	})
+	s.send(get("/1"))
+	<-begun
+	stopped := make(chan error)
+	go func() { stopped <- s.server.Shutdown(context.Background()) }()
+	response, body := s.read()
+	close(answered)
+	assert.Equal(t, body, "whole")
+	assert.Assert(t, response.Close)
+	assert.NilError(t, <-stopped)
+}
+
 // An invalid request must be rejected after the previous one has been answered.
 func TestInvalidRequestIsRejectedInOrder(t *testing.T) {
 	for name, test := range map[string]struct {
