End connections that wait to be accepted instead of resetting them

Callers that connected just before a daemon stopped saw "connection reset by peer".

Cause: closing a listener makes the kernel reset the connections that Accept has not returned yet. Beside load Accept runs late. The new test TestShutdownEndsConnectionsThatWaitToBeAccepted failed each time before. Ruled out: unread input on accepted connections (the idle one had sent nothing). Change: mtdial.AcceptPending takes what waits, without blocking, just before the listener is closed; mtpipeline ends these like its other connections.

--- a/io/mtdial/mtdial.go
+++ b/io/mtdial/mtdial.go
@@ -9,6 +9,7 @@
 //
 //	conn, err := mtdial.Dial(ctx, "tcp", address)
 //	listener, err := mtdial.Listen(ctx, address)
+//	pending, err := mtdial.AcceptPending(listener) // before closing it
 package mtdial
 
 import (
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -22,8 +22,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtpipeline"
 )
 
@@ -200,6 +202,34 @@
 	}
 }
 
+// Close implements net.Listener. It first ends the connections that wait to be accepted, which
+// the kernel would reset, and waits until their clients have read that.
+func (l *limitedListener) Close() error {
+	pending, err := mtdial.AcceptPending(l.Listener)
+	if err != nil {
+		slog.Warn("connections that wait to be accepted are reset", "address", l.Addr().String(), "error", err)
+	}
+	err = l.Listener.Close()
+	var ending sync.WaitGroup
+	for _, conn := range pending {
+		ending.Go(func() {
+			mtdial.Linger(conn)
+			_ = conn.Close()
+		})
+	}
+	ending.Wait()
+	return err
+}
+
+// SyscallConn implements syscall.Conn. It fails with errors.ErrUnsupported if the limited
+// listener does not implement it.
+func (l *limitedListener) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := l.Listener.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // countedConn is a connection that returns its token when it is first closed.
 type countedConn struct {
 	net.Conn
--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"magnoliaturn/io/mtdial"
 )
 
 // bufferSize is the size of the read and write buffers of a connection, in bytes.
@@ -75,22 +77,7 @@
 	}
 	<-previous
 	c.cancel()
-	c.linger()
-}
-
-// lingerTime is how long a caller has to read the last response.
-const lingerTime = 500 * time.Millisecond
-
-// linger closes the write side and discards input for a while, so that the caller can read
-// the last response. Closing a connection with unread requests would reset it, and responses
-// in transit would be lost.
-func (c *conn) linger() {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.Conn)
+	mtdial.Linger(c.Conn)
 }
 
 // setIdleDeadline sets the read deadline of an idle connection, so that it ends if no request
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -26,6 +26,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"magnoliaturn/io/mtdial"
 )
 
 // Limits bounds the resources that a caller may use.
@@ -47,20 +49,17 @@
 	listener net.Listener
 	conns    map[*conn]struct{}
 	closing  bool
-	active   sync.WaitGroup // counts the open connections
+	active   sync.WaitGroup // counts the open connections, and Serve while it accepts
 }
 
 // Serve accepts and serves connections until Shutdown or Close is called, and returns
 // http.ErrServerClosed then. If the listener fails, it returns the error of the listener.
 func (s *Server) Serve(l net.Listener) error {
-	s.mu.Lock()
-	s.listener = l
-	closing := s.closing
-	s.mu.Unlock()
-	if closing {
+	if !s.begin(l) {
 		_ = l.Close()
 		return http.ErrServerClosed
 	}
+	defer s.active.Done()
 	for {
 		accepted, err := l.Accept()
 		if err != nil {
@@ -69,22 +68,29 @@
 			}
 			return err
 		}
-		if c := s.track(accepted); c != nil {
-			go c.serve()
-		}
+		go s.track(accepted).serve()
 	}
 }
 
-// track registers a connection. If the server is closing, it closes the connection and
-// returns nil.
-func (s *Server) track(accepted net.Conn) *conn {
+// begin registers the listener, unless the server is closing.
+func (s *Server) begin(l net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing {
-		_ = accepted.Close()
-		return nil
+		return false
 	}
+	s.listener = l
+	s.active.Add(1)
+	return true
+}
+
+// track registers a connection. If the server is closing, the connection reads no request
+// and ends in an orderly way.
+func (s *Server) track(accepted net.Conn) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	c := newConn(s, accepted)
+	c.closing = s.closing
 	if s.conns == nil {
 		s.conns = make(map[*conn]struct{})
 	}
@@ -120,11 +126,24 @@
 	}
 	s.mu.Unlock()
 	if listener != nil {
+		s.endPending(listener)
 		_ = listener.Close()
 	}
 	return open
 }
 
+// endPending ends the connections that the kernel has established and that Serve has not
+// accepted yet. Closing the listener would reset them.
+func (s *Server) endPending(listener net.Listener) {
+	pending, err := mtdial.AcceptPending(listener)
+	if err != nil {
+		s.Log.Warn("connections that wait to be accepted are reset", "error", err)
+	}
+	for _, accepted := range pending {
+		go s.track(accepted).serve()
+	}
+}
+
 // Shutdown accepts no new connections, reads no further requests, and waits until those that
 // have been read are answered. If ctx ends first, it returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -240,6 +241,56 @@
 	assert.NilError(t, <-stopped)
 }
 
+// idleListener accepts its first connection only.
+type idleListener struct {
+	*net.TCPListener
+	accepted atomic.Bool
+	closed   chan struct{}
+	close    func()
+}
+
+func (l *idleListener) Accept() (net.Conn, error) {
+	if l.accepted.CompareAndSwap(false, true) {
+		return l.TCPListener.Accept()
+	}
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+func (l *idleListener) Close() error {
+	l.close()
+	return l.TCPListener.Close()
+}
+
+// Callers connect just before a shutdown, and the server has not accepted their connections
+// yet. They must see the end of the connection, and not a reset.
+func TestShutdownEndsConnectionsThatWaitToBeAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := make(chan struct{})
+	s := startTestConn(t, &idleListener{
+		TCPListener: listener.(*net.TCPListener), closed: closed, close: sync.OnceFunc(func() { close(closed) }),
+	}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	s.send(get("/1"))
+	_, _ = s.read()
+	var waiting []net.Conn
+	for _, text := range []string{"", get("/2")} {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, text)
+		assert.NilError(t, err)
+		waiting = append(waiting, conn)
+	}
+	stopped := make(chan error)
+	go func() { stopped <- s.server.Shutdown(context.Background()) }()
+	for _, conn := range waiting {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+		_, err := conn.Read(make([]byte, 1))
+		assert.Equal(t, err, io.EOF)
+	}
+	assert.NilError(t, <-stopped)
+}
+
 // An invalid request must be rejected after the previous one has been answered.
 func TestInvalidRequestIsRejectedInOrder(t *testing.T) {
 	for name, test := range map[string]struct {
