Respect the unanswered commands of a daemon's previous process

Callers could reach two owners of a key: a server took keys back, under an old epoch, after they had moved to another.

Cause: keys with an unanswered grant don't move until it must have expired, but which grants were unanswered lay in the memory of the process. A daemon that was killed and restarted beside its living server knew of none and moved the keys; the server then executed a grant of the previous process. TestLateGrantOfPreviousProcessTakesNoMovedKey failed before ("keys from 0 at epoch 1, assigned to b at 3"), and so did three tests for leaving servers beside it. Ruled out: commands of the successor (logged), takeovers, moves taken back. Change: uncertainty is kept for each range. A range assigned before the process started begins with the time of the last command that its predecessor can have sent; the epoch tells, compared with the first assignment as new as the own record. Relief waits for it. Keys of a leaving server, or of a zone that is out, get a new epoch under the same owner, so that the server refuses the earlier commands, and move at once. Config.RunningSince is by when the previous process had ended; tests of daemons that have run for long set it, and TestLastExpiryIncludesGrantsOfPreviousProcess now says that its daemon has restarted. Checks are unchanged. Conclusion: the guard no longer depends on the life of a process.

--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -97,7 +97,7 @@
 			held.renewedEarly = false
 		}
 		switch {
-		case held.grantedAt == 0 || age > g.GrantDuration/renewalsPerGrant:
+		case held.grantedAt == 0 || age > g.GrantDuration/renewalsPerGrant || now.Before(held.earlierUntil):
 		case certain <= lastRenewalWindow && !held.renewedEarly:
 			held.renewedEarly = true
 		default:
@@ -123,7 +123,7 @@
 	if !g.maySendGrants(sent) {
 		return
 	}
-	until := sent.Add(commandTimeout + g.maxGrantDuration())
+	until := g.commandExpiry(sent)
 	g.mu.Lock()
 	if held.moving || !slices.Contains(g.grants, held) {
 		// The range has started to move since it was found due. A command sent now could
@@ -148,17 +148,24 @@
 	g.inFlight = nil
 	g.lastExpiry = max(g.lastExpiry, until)
 	if err != nil {
-		g.uncertainUntil[held.incarnation] = max(g.uncertainUntil[held.incarnation], until)
+		held.until = max(held.until, until)
 		g.Log.Warn("grant failed", "server", held.incarnation.String(), "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "error", err)
 		return
 	}
 	held.grantedAt = sent
+	held.earlierUntil = 0
 	if first {
 		g.Host.AddKeys(r.Low, r.High)
 		g.Log.Info("granted", "server", held.incarnation.String(), "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "hold", g.GrantDuration, "warm", r.WarmupState != "")
 	}
 }
 
+// commandExpiry returns until when a command that is sent now may be in effect, answered or
+// not.
+func (g *Grants) commandExpiry(now mtclock.Instant) mtclock.Instant {
+	return now.Add(commandTimeout + g.maxGrantDuration())
+}
+
 // maxGrantDuration returns how long a grant can last, by an accurate clock.
 func (g *Grants) maxGrantDuration() time.Duration {
 	return time.Duration(float64(g.GrantDuration) * (1 + maxClockError))
--- a/io/mtgrant/command_test.go
+++ b/io/mtgrant/command_test.go
@@ -178,6 +178,7 @@
 // over the keys of one that was still running.
 func TestLastExpiryIncludesGrantsOfPreviousProcess(t *testing.T) {
 	f := newFleet(t, "a", "b")
+	f.restarted = true
 	f.host.disconnected.Store(true) // this process sends no grants
 	started := f.clock.Now()
 	f.start()
--- /dev/null
+++ b/io/mtgrant/late_test.go
@@ -0,0 +1,284 @@
+package mtgrant_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtgrant"
+)
+
+// lateServer is a backend server that leaves grants unanswered while delaying is set, and
+// executes them when the test calls executeLate. It refuses a grant if it has seen a higher
+// epoch on one of the keys.
+type lateServer struct {
+	fleet *fleet
+
+	mu       sync.Mutex
+	delaying bool
+	delayed  []delayedGrant
+	seen     []mtrange.Range // all grants that were executed
+	held     []mtrange.Range
+	releases int
+}
+
+// delayedGrant is a grant that was not answered. Its duration counts from its arrival.
+type delayedGrant struct {
+	mtrange.Range
+	until mtclock.Instant
+}
+
+func (s *lateServer) Grant(_ context.Context, _ string, r mtrange.Range, duration time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.delaying {
+		s.delayed = append(s.delayed, delayedGrant{Range: r, until: s.fleet.clock.Now().Add(duration)})
+		return context.DeadlineExceeded
+	}
+	return s.execute(r)
+}
+
+// execute executes a grant. It is called with mu held.
+func (s *lateServer) execute(r mtrange.Range) error {
+	for _, earlier := range s.seen {
+		if earlier.Epoch > r.Epoch && earlier.Low <= r.High && r.Low <= earlier.High {
+			return &mtgrant.SupersededError{Epoch: r.Epoch}
+		}
+	}
+	s.seen = append(s.seen, r)
+	s.held = append(s.held, r)
+	return nil
+}
+
+func (s *lateServer) Release(_ context.Context, _ string, low, high mtid.KeyNumber, _ mtid.Epoch) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releases++
+	var kept []mtrange.Range
+	for _, r := range s.held {
+		before, after := r, r
+		before.High = min(r.High, low-1)
+		after.Low = max(r.Low, high+1)
+		if r.Low < low {
+			kept = append(kept, before)
+		}
+		if r.High > high {
+			kept = append(kept, after)
+		}
+	}
+	s.held = kept
+	return "warm", nil
+}
+
+func (s *lateServer) setDelaying(delaying bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delaying = delaying
+}
+
+func (s *lateServer) delayedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.delayed)
+}
+
+// executeLate executes the delayed grants whose time has not passed.
+func (s *lateServer) executeLate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, late := range s.delayed {
+		if s.fleet.clock.Now().Before(late.until) {
+			_ = s.execute(late.Range)
+		}
+	}
+	s.delayed = nil
+}
+
+// executeIfMoved executes the delayed grants once the store assigns the first key to another
+// owner, at the first moment at which that could do harm.
+func (s *lateServer) executeIfMoved() {
+	if s.fleet.storedOwner(0) != "a" {
+		s.executeLate()
+	}
+}
+
+// storedOwner returns the daemon of the owner of a key by the assignment in the store.
+func (f *fleet) storedOwner(key mtid.KeyNumber) mtid.Daemon {
+	r, _ := f.storedTable().Lookup(key)
+	return r.Owner.Daemon
+}
+
+func (f *fleet) storedTable() *mtrange.Table {
+	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
+	assert.NilError(f.t, err)
+	table, err := mtrange.Decode(entry.Value)
+	assert.NilError(f.t, err)
+	return table
+}
+
+// violations returns the ranges that the server holds although the store assigns their first
+// key to another owner.
+func (s *lateServer) violations() []string {
+	table := s.fleet.storedTable()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []string
+	for _, r := range s.held {
+		if assigned, _ := table.Lookup(r.Low); assigned.Owner != ownerOf("a") {
+			found = append(found, fmt.Sprintf("keys from %d at epoch %d, assigned to %s at %d", r.Low, r.Epoch, assigned.Owner.Daemon, assigned.Epoch))
+		}
+	}
+	return slices.Compact(found)
+}
+
+// overload makes the server of daemon a overloaded, while that of b has spare capacity.
+func (f *fleet) overload() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ownLoad = mtrange.LoadReport{Owner: ownerOf("a"), Slots: 10, Demand: 25, Keys: 32768, Known: true}
+	f.otherLoads = []mtrange.LoadReport{{Owner: ownerOf("b"), Slots: 10, Demand: 1, Keys: 32768, Known: true}}
+}
+
+// untilMoved waits until the first keys have moved to b, which must take less than the
+// time until an unanswered command expires.
+func (f *fleet) untilMoved() {
+	f.t.Helper()
+	began := f.clock.Now()
+	f.until("keys have moved", func() bool {
+		f.clock.advance(5 * time.Millisecond)
+		return f.owner(0) == "b"
+	})
+	took := f.clock.Now().Sub(began)
+	assert.Assert(f.t, took < grantDuration/2, "moved after %v", took)
+}
+
+func newLateFleet(t *testing.T) (*fleet, *lateServer) {
+	f := newFleet(t, "a", "b")
+	server := &lateServer{fleet: f}
+	f.client = server
+	f.start()
+	f.until("the own range is granted", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
+	return f, server
+}
+
+// delayRenewal makes the server leave a renewal of its keys unanswered.
+func (f *fleet) delayRenewal(server *lateServer) {
+	server.setDelaying(true)
+	f.clock.advance(grantDuration / 2)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.grants.Wake()
+	f.until("a renewal is unanswered", func() bool { return server.delayedCount() > 0 })
+}
+
+// checkLateGrant checks that an overloaded server moves keys only once an unanswered grant must
+// have expired, and holds no key alongside its new owner if it executes the grant after that.
+func (f *fleet) checkLateGrant(server *lateServer) {
+	f.t.Helper()
+	f.overload()
+	began := f.clock.Now()
+	f.until("keys have moved", func() bool {
+		f.clock.advance(20 * time.Millisecond)
+		f.directory.Publish(record("a", mtbackend.Ready))
+		server.executeIfMoved()
+		return f.owner(0) == "b"
+	})
+	assert.DeepEqual(f.t, server.violations(), []string(nil))
+	took := f.clock.Now().Sub(began)
+	assert.Assert(f.t, took > grantDuration, "moved after %v, while the grant could still take effect", took)
+}
+
+// A grant of a daemon's previous process is executed after its successor has moved the keys.
+// The server must not hold them alongside their new owner.
+func TestLateGrantOfPreviousProcessTakesNoMovedKey(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	f.stop()
+	server.setDelaying(false)
+	f.restarted = true
+	f.start()
+	f.until("the successor has granted the keys", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
+	f.checkLateGrant(server)
+}
+
+// A daemon moves keys after one of its own grants was not answered, and the grant is executed
+// after the move. The server must not hold the keys alongside their new owner.
+func TestLateGrantTakesNoMovedKey(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	server.setDelaying(false)
+	f.checkLateGrant(server)
+}
+
+// A server leaves while one of its daemon's grants is unanswered. Its keys must move soon, and
+// the late grant must not give them back.
+func TestKeysOfLeavingServerMoveSoonDespiteUnansweredGrant(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	server.setDelaying(false)
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	f.untilMoved()
+	server.executeLate()
+	assert.DeepEqual(t, server.violations(), []string(nil))
+}
+
+// A server leaves just after its daemon was restarted. Its keys must not wait until every
+// command of the previous process must have expired: the server has ended by then, and the
+// keys would be unserved for seconds.
+func TestKeysOfLeavingServerMoveSoonAfterRestart(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	f.stop()
+	server.setDelaying(false)
+	f.restarted = true
+	f.start()
+	f.until("the successor has granted the keys", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	f.untilMoved()
+	server.executeLate()
+	assert.DeepEqual(t, server.violations(), []string(nil))
+}
+
+// A server is leaving when its daemon restarts. It is granted nothing more, so that nothing
+// makes it refuse the commands of the previous process: its keys must move only once these
+// have expired.
+func TestKeysOfLeavingServerWaitForCommandsOfPreviousProcess(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	f.stop()
+	server.setDelaying(false)
+	f.host.set(mtbackend.Draining)
+	f.restarted = true
+	f.start()
+	f.until("the assignment is read", func() bool { return f.owner(0) == "a" })
+	f.letLoopsRun()
+	assert.Equal(t, f.owner(0), mtid.Daemon("a"), "moved while a command of the previous process may be executed")
+	f.clock.advance(grantDuration + time.Second)
+	f.until("the keys have moved", func() bool { return f.owner(0) == "b" })
+}
+
+// Commands go unanswered while a server is leaving. Its daemon must not write a new
+// epoch again and again in the hope of an answer.
+func TestEpochIsRenewedRarelyWhileCommandsGoUnanswered(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	before := f.directory.View().Assignments[service].Next
+	const seconds = 4
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	for range 2 * seconds {
+		f.clock.advance(500 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond) // at least one run of the loop; fewer would make the test weaker
+	}
+	written := f.directory.View().Assignments[service].Next - before
+	assert.Assert(t, written <= 2, "%d epochs written in %d s", written, seconds)
+	assert.Equal(t, server.releases, 0)
+}
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -17,6 +17,18 @@
 // and moves the keys of a leaving one.
 const balancePeriod = 200 * time.Millisecond
 
+// moveReason is why keys move away from this server.
+type moveReason string
+
+const (
+	leaving  moveReason = "server is leaving"
+	zoneOut  moveReason = "zone is out of service"
+	overload moveReason = "relief"
+)
+
+// urgent reports whether the keys are not served for long if they don't move soon.
+func (r moveReason) urgent() bool { return r != overload }
+
 // balance moves keys away from this server: all of them if it is leaving or its zone is out
 // of service, some if it is overloaded and other servers are not.
 func (g *Grants) balance(ctx context.Context) {
@@ -57,7 +69,7 @@
 	for i, r := range owned {
 		runs = append(runs, mtrange.KeyMove{Low: r.Low, High: r.High, To: survivors[i%len(survivors)]})
 	}
-	g.moveAll(ctx, owned, runs, "server is leaving")
+	g.moveAll(ctx, owned, runs, leaving)
 }
 
 // spill moves all keys of a server whose zone is out of service to servers in other zones.
@@ -69,7 +81,7 @@
 		g.Log.Warn("server keeps its keys: no other zone is in service", "ranges", len(owned))
 		return
 	}
-	g.moveAll(ctx, owned, runs, "zone is out of service")
+	g.moveAll(ctx, owned, runs, zoneOut)
 }
 
 // spillPosition returns the position of this server among the servers of its service that
@@ -119,7 +131,7 @@
 	}
 	g.Log.Info("relief", "demand", self.Demand, "slots", self.Slots, "service", self.ServiceTime.String(), "runs", len(runs), "others", len(others))
 	g.offloads.Go(func() {
-		g.moveAll(ctx, owned, runs, "relief")
+		g.moveAll(ctx, owned, runs, overload)
 		g.mu.Lock()
 		g.offloading, g.lastOffload = false, g.Clock.Now()
 		g.mu.Unlock()
@@ -139,7 +151,7 @@
 }
 
 // moveAll moves runs of keys in the owned ranges concurrently and waits for all of them.
-func (g *Grants) moveAll(ctx context.Context, owned []mtrange.Range, runs []mtrange.KeyMove, why string) {
+func (g *Grants) moveAll(ctx context.Context, owned []mtrange.Range, runs []mtrange.KeyMove, why moveReason) {
 	var moves sync.WaitGroup
 	for _, run := range runs {
 		i := slices.IndexFunc(owned, func(r mtrange.Range) bool { return r.Covers(run.Low) })
@@ -157,12 +169,16 @@
 // move releases keys of a range from the server and makes another server their owner. New
 // calls for the keys wait at the gate in the meantime, and go to the new owner once the
 // assignment names it.
-func (g *Grants) move(ctx context.Context, r mtrange.Range, low, high mtid.KeyNumber, to mtrange.Owner, why string) {
+func (g *Grants) move(ctx context.Context, r mtrange.Range, low, high mtid.KeyNumber, to mtrange.Owner, why moveReason) {
 	record, address := g.Host.Record()
-	if !g.beginMove(r, low, high, record.State == mtbackend.Draining) {
+	begun, uncertain := g.beginMove(r, low, high, record.State == mtbackend.Draining)
+	if uncertain && why.urgent() {
+		g.renewEpoch(r) // the keys move in a later run of the loop
+	}
+	if !begun {
 		return
 	}
-	begun := g.Clock.Now()
+	started := g.Clock.Now()
 	g.Host.Stop(low, high)
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
@@ -183,7 +199,7 @@
 	g.Host.Forget(low, high)
 	g.Host.Release(low, high)
 	g.endMove(low)
-	g.Log.Info("moved", "why", why, "low", low, "high", high, "to", to.Daemon, "took", g.Clock.Now().Sub(begun))
+	g.Log.Info("moved", "why", why, "low", low, "high", high, "to", to.Daemon, "took", g.Clock.Now().Sub(started))
 }
 
 // writeTransfer writes the new owner of released keys. It returns false only if it is
@@ -281,20 +297,23 @@
 	refusedPause = 400 * time.Millisecond
 )
 
-// beginMove marks keys as moving. They may be part of a larger grant, which is then split,
-// and other parts of it may move at the same time. It returns false while an unanswered
-// grant could put a released key back into effect. It also returns false for keys that have
-// not been granted yet, unless the server is leaving: a leaving server is never granted
-// them.
-func (g *Grants) beginMove(r mtrange.Range, low, high mtid.KeyNumber, leaving bool) bool {
+// beginMove marks keys as moving, and reports whether it did. They may be part of a larger
+// grant, which is then split, and other parts of it may move at the same time. Keys don't
+// start to move while an unanswered command could put them back into effect after their
+// release; uncertain reports that this is the reason. Nor do keys that have not been granted
+// yet, unless the server is leaving: a leaving server is never granted them.
+func (g *Grants) beginMove(r mtrange.Range, low, high mtid.KeyNumber, leaving bool) (begun, uncertain bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, held := range g.grants {
 		if held.Epoch != r.Epoch || !held.Covers(low) || !held.Covers(high) || held.moving || held.grantedAt == 0 && !leaving {
 			continue
 		}
-		if held == g.inFlight || g.Clock.Now().Before(g.uncertainUntil[held.incarnation]) {
-			return false
+		if held == g.inFlight {
+			return false, false
+		}
+		if held.uncertain(g.Clock.Now()) {
+			return false, true
 		}
 		parts := []*grant{}
 		for _, p := range []struct {
@@ -309,9 +328,9 @@
 			parts = append(parts, &part)
 		}
 		g.grants = slices.Concat(g.grants[:i:i], parts, g.grants[i+1:])
-		return true
+		return true, false
 	}
-	return false
+	return false, false
 }
 
 // endMove removes the grant of keys that have moved.
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -116,7 +116,10 @@
 	Host          host
 	Client        ServerClient
 	Clock         clock
-	Log           *slog.Logger
+	// RunningSince is a time at which the daemon's previous process had ended; zero stands
+	// for the time of New.
+	RunningSince mtclock.Instant
+	Log          *slog.Logger
 	// LoadReports returns the known load of this server and of the other servers of its
 	// service.
 	LoadReports func() (self mtrange.LoadReport, others []mtrange.LoadReport)
@@ -136,11 +139,14 @@
 // grant is the state of one range of keys that is assigned to the server.
 type grant struct {
 	mtrange.Range
-	incarnation  mtid.ServerIncarnation // of the server
-	grantedAt    mtclock.Instant        // when the last answered command was sent; zero if none
-	attempted    bool                   // a command was sent, answered or not
-	moving       bool                   // stopped at the gate while it moves to another owner
-	renewedEarly bool                   // was renewed because the record is about to expire
+	incarnation mtid.ServerIncarnation // of the server
+	// grantedAt is when the last answered command was sent; zero if none. The command may
+	// have been for an earlier epoch of the same owner.
+	grantedAt    mtclock.Instant
+	attempted    bool // a command was sent, answered or not
+	moving       bool // stopped at the gate while it moves to another owner
+	renewedEarly bool // was renewed because the record is about to expire
+	uncertainty
 }
 
 // Grants manages the grants of one server. See the package comment.
@@ -155,11 +161,8 @@
 	grants []*grant
 	// inFlight is the grant that has been sent and not answered yet. Its keys can't start
 	// to move until the answer arrives.
-	inFlight *grant
-	// uncertainUntil is, by incarnation of the server, the time until which a grant that
-	// was not answered may be in effect. If a key were released while such a grant is on
-	// its way, the server would hold it again.
-	uncertainUntil     map[mtid.ServerIncarnation]mtclock.Instant
+	inFlight           *grant
+	previous           previousProcess
 	lastExpiry         mtclock.Instant // until when any command may be in effect
 	staleSince         mtclock.Instant // since when the copy is older than this daemon's record; zero if it is not
 	lastOffload        mtclock.Instant // when the last offload ended, or was last considered without a result
@@ -187,10 +190,14 @@
 
 // New starts the background loops and returns the Grants and its clean-up function.
 func New(config Config) (*Grants, func()) {
-	g := &Grants{Config: config, wake: make(chan struct{}, 1), uncertainUntil: make(map[mtid.ServerIncarnation]mtclock.Instant)}
+	g := &Grants{Config: config, wake: make(chan struct{}, 1)}
 	config.Directory.OnChange(g.Wake)
+	if g.RunningSince == 0 {
+		g.RunningSince = config.Clock.Now()
+	}
 	// The daemon's previous process may have sent a grant just before it ended.
-	g.lastExpiry = config.Clock.Now().Add(commandTimeout + g.maxGrantDuration())
+	g.previous.expiry = g.commandExpiry(g.RunningSince)
+	g.lastExpiry = g.previous.expiry
 	ctx, cancel := context.WithCancel(context.Background())
 	g.baseCtx = ctx
 	closeCommitter := func() {}
@@ -280,6 +287,7 @@
 	record, address := g.Host.Record()
 	owner := record.Owner()
 	g.refreshStaleCopy(g.Clock.Now())
+	g.observePreviousEpochs()
 	if owner.Incarnation.IsZero() || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
 		return
 	}
@@ -350,7 +358,9 @@
 		next = append(next, g.grantsOf(owner.Incarnation, r)...)
 	}
 	for _, held := range g.grants {
-		assigned := slices.ContainsFunc(next, func(n *grant) bool { return n.Epoch == held.Epoch && n.Covers(held.Low) })
+		assigned := slices.ContainsFunc(next, func(n *grant) bool {
+			return n.Covers(held.Low) && (n.Epoch == held.Epoch || n.renewedFrom == held.Epoch)
+		})
 		if !assigned && !held.moving && held.attempted && held.incarnation == owner.Incarnation {
 			unassigned = append(unassigned, held)
 		}
@@ -363,7 +373,7 @@
 }
 
 // grantsOf returns the grants for a range: the existing ones, the remaining part of a wider
-// one, or a new one.
+// one, one that continues existing ones under a new epoch, or a new one.
 func (g *Grants) grantsOf(incarnation mtid.ServerIncarnation, r mtrange.Range) []*grant {
 	var inside []*grant
 	keys := 0
@@ -385,7 +395,10 @@
 	if keys == r.Keys() {
 		return inside
 	}
-	return []*grant{{Range: r, incarnation: incarnation}}
+	if renewed := g.renewedGrant(incarnation, r); renewed != nil {
+		return []*grant{renewed}
+	}
+	return []*grant{{Range: r, incarnation: incarnation, uncertainty: g.previous.uncertainty(r.Epoch)}}
 }
 
 // TakeMovedCount returns how many keys have moved from this server to others since the last
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -157,9 +157,14 @@
 	directory *mtdirectory.Directory
 	host      *host
 	server    *fakeServer
+	client    mtgrant.ServerClient // nil means server
+	// restarted makes daemon a the successor of a process that has just ended. Otherwise it
+	// has run for long.
+	restarted bool
 	grants    *mtgrant.Grants
 
-	closeGrants func()
+	closeGrants    func()
+	closeDirectory func()
 
 	mu         sync.Mutex
 	notify     func(to mtid.Daemon, a mtdirectory.Assignment, since mtid.Epoch)
@@ -221,9 +226,17 @@
 	f.directory = directory
 	r, _ := f.host.Record()
 	directory.Publish(r)
+	client := f.client
+	if client == nil {
+		client = f.server
+	}
+	runningSince := f.clock.Now().Add(-time.Minute)
+	if f.restarted {
+		runningSince = f.clock.Now()
+	}
 	grants, closeGrants := mtgrant.New(mtgrant.Config{
-		Self: "a", Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
-		Store: f.store, Host: f.host, Client: f.server, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
+		Self: "a", RunningSince: runningSince, Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
+		Store: f.store, Host: f.host, Client: client, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
 		LoadReports: func() (mtrange.LoadReport, []mtrange.LoadReport) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -235,10 +248,14 @@
 	})
 	f.grants = grants
 	f.closeGrants = sync.OnceFunc(closeGrants)
-	f.t.Cleanup(func() {
-		f.closeGrants()
-		closeDirectory()
-	})
+	f.closeDirectory = sync.OnceFunc(closeDirectory)
+	f.t.Cleanup(f.stop)
+}
+
+// stop ends daemon a. Its server keeps running.
+func (f *fleet) stop() {
+	f.closeGrants()
+	f.closeDirectory()
 }
 
 // until polls until a condition holds.
