Give a move up only after a new read of the assignment

Callers could reach two owners of a key, for up to the two seconds for which a record is certain.

Cause: a move that was refused twelve times was given up by this daemon's copy, which may be behind: another daemon refuses a move if the keys have changed hands. The tries were thought to outlast the record, but twelve conflicts take some 50 ms. Ruled out: outcomes that are unknown; those are retried until they are known. Change: before a move is given up, the assignment is read from the store. Without an answer the keys stay stopped and the move is tried on. Conclusion: no keys come back into service by a copy older than the last refusal.

--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -10,6 +10,8 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
 )
 
@@ -205,7 +207,9 @@
 // writeTransfer writes the new owner of released keys. It returns false only if it is
 // certain that the keys stay here, or if the Grants is shutting down. A write whose outcome
 // is unknown is retried until the outcome is known: if the keys were granted here in the
-// meantime, the write could still take effect, and two servers would hold them.
+// meantime, the write could still take effect, and two servers would hold them. For the same
+// reason a move is given up only after a new read of the assignment: a refusal may mean that
+// the keys have changed hands, which this daemon's copy may not show yet.
 func (g *Grants) writeTransfer(r mtrange.Range, low, high mtid.KeyNumber, to mtrange.Owner, warmupState string) bool {
 	ctx := g.baseCtx
 	uncertain, direct := false, false
@@ -215,7 +219,11 @@
 			return true // the move was written, or the keys were taken over by another server
 		}
 		if tries >= maxConflicts && !uncertain {
-			return false
+			if g.readAssignment(ctx) {
+				return !g.Directory.View().Assignments[g.Service].CanApply(wanted)
+			}
+			g.awaitStore(ctx)
+			continue
 		}
 		t := &pendingTransfer{Transfer: wanted, retry: tries > 0, direct: direct, result: make(chan mtrange.Outcome, 1)}
 		pause := refusedPause
@@ -244,6 +252,25 @@
 	return false
 }
 
+// readAssignment reads the assignment from the store into this daemon's copy, and reports
+// whether it did.
+func (g *Grants) readAssignment(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entry, err := g.Store.Get(ctx, mtstore.RangeName(g.Service))
+	if err != nil {
+		g.Log.Warn("assignment could not be read", "error", err)
+		return false
+	}
+	table, err := mtrange.Decode(entry.Value)
+	if err != nil {
+		g.Log.Error("assignment in the store is invalid", "error", err)
+		return false
+	}
+	g.Directory.ApplyAssignment(mtdirectory.Assignment{Table: table, Version: entry.Version})
+	return true
+}
+
 // awaitStore waits until the store is available, but not for long, since it may accept this
 // daemon's writes although other calls fail. Without the wait, each of dozens of moves with
 // an unknown outcome tried the store five times a second.
@@ -281,6 +308,8 @@
 	// visibleTimeout is how long awaitWritten waits. After that the move is written again
 	// from here, and the conflict returns the current assignment.
 	visibleTimeout = 300 * time.Millisecond
+	// readTimeout bounds a read of the assignment.
+	readTimeout = time.Second
 	// maxConflicts is how often a move is tried while other changes of the assignment win.
 	// A conflict returns the assignment that won, so the next try needs no read.
 	maxConflicts = 12
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -798,3 +798,40 @@
 	f.letLoopsRun()
 	assert.Equal(t, f.server.count("grant"), granted, "granted again after the refusal: %v", f.server.sent())
 }
+
+// The daemon that writes for all others reports conflicts only, since the keys have changed
+// hands, and the own copy does not show that. If the move were given up by that copy, the
+// keys would be granted here again alongside their new owner.
+func TestMoveIsNotGivenUpByStaleCopy(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	var takeOver sync.Once
+	var tries atomic.Int32
+	f.delegate = func(ctx context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool) {
+		takeOver.Do(func() {
+			f.store.SuppressWatchEvents(true)
+			entry, err := f.store.Get(ctx, mtstore.RangeName(service))
+			assert.Check(t, err)
+			table, err := mtrange.Decode(entry.Value)
+			assert.Check(t, err)
+			next, err := table.Move(0, mtid.LastKeyNumber/2, ownerOf("b"), "")
+			assert.Check(t, err)
+			value, err := next.Encode()
+			assert.Check(t, err)
+			f.store.Put(entry.Name, value)
+		})
+		tries.Add(1)
+		outcomes := make([]mtrange.Outcome, len(b.Transfers))
+		for i := range outcomes {
+			outcomes[i] = mtrange.Conflicted
+		}
+		return outcomes, true
+	}
+	f.start()
+	f.until("the keys are granted", func() bool { return f.server.count("grant") >= 1 })
+	granted := f.server.count("grant 0-")
+	f.overload()
+	f.clock.advance(mtrange.MoveCooldown)
+	f.until("the move was tried", func() bool { return tries.Load() >= 12 })
+	f.letLoopsRun()
+	assert.Equal(t, f.server.count("grant 0-"), granted, "granted again by a stale copy: %v", f.server.sent())
+}
