Run a suspect only when another daemon knows that it runs

A request that crashes its servers took a third VM, two being allowed (TestPoisonRequestCrashesTwoVMsAtMost, beside load).

Cause: that a suspect runs alone was known to its owner and, by a response header that nobody waited for, to the ingress. The request could reach the server and end the VM before the header was sent, more often beside load. The loss then proved nothing, and the request ran a third time. Ruled out: the bounds of 50, 100 and 200 ms (every question was answered and all evidence sent within them); a second run at one server (one crash for each run). Change: Detector.Observe. A suspect, wherever it came from, runs only after the observer, until now used for direct requests, has confirmed it; the next daemon is tried if one is gone. Without a confirmation in 250 ms it is refused as unconfirmed, not run, with Retry-After 1 s. Opening the stream to a frozen observer hung for 20 s whatever the bound said (found by TestSuspectDoesNotRunUnconfirmed, which took 40 s); it is bounded now. The test is unchanged. Conclusion: the bound of time fails closed; others than suspects pay nothing.

--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -54,6 +54,7 @@
 	CauseFenced      Cause = "fenced"      // the backend server refused the epoch or start-by time
 	CauseRefused     Cause = "refused"     // the backend server reported that it was not run
 	CauseQuarantined Cause = "quarantined" // found to crash backend servers
+	CauseUnconfirmed Cause = "unconfirmed" // may crash its server, and no other daemon could record its run
 	CauseRecentFull  Cause = "recent-full" // no capacity left to remember the request identifier
 	CauseSkew        Cause = "skew"        // the identifier's time is too far in the future
 	CauseTooLarge    Cause = "too-large"   // the body exceeds the size limit
--- a/io/mtowner/mtowner.go
+++ b/io/mtowner/mtowner.go
@@ -311,6 +311,10 @@
 		defer o.track(&activeRun{holder: f.holder, cancel: cancel})()
 	}
 	boot := o.Clock.Boot()
+	observed, err := o.Poison.Observe(ctx, r)
+	if err != nil {
+		return nil, err
+	}
 	ended := o.Poison.TrackRun(r, server.Announcement().Address)
 	reply, err := server.Do(ctx, mtserver.Call{
 		Request:  r,
@@ -319,6 +323,7 @@
 		Deadline: boot + int64(r.Deadline.Sub(now)),
 	})
 	took := o.Clock.Now().Sub(now)
+	observed(err)
 	ended(err)
 	if service.Kind == mtbundle.Keyed {
 		o.Meter(r.Service).Finish(took)
--- a/io/mtpoison/mtpoison.go
+++ b/io/mtpoison/mtpoison.go
@@ -12,8 +12,9 @@
 //	detector, cleanUp := mtpoison.New(config)
 //	detector.Register(grpcServer)
 //	verdict := detector.Classify(request)           // ingress and owner
-//	end := detector.TrackRun(request, address)      // owner, before the request runs
-//	defer func() { end(err) }()
+//	observed, err := detector.Observe(ctx, request) // owner, before the request runs
+//	end := detector.TrackRun(request, address)      // owner, when it runs
+//	defer func() { observed(err); end(err) }()
 //	relayed := detector.TrackRelay(request, holder) // ingress, before the request is relayed
 //	defer func() { relayed.End(err, answered) }()
 //
@@ -179,23 +180,12 @@
 	return ok && record.Holder == holder && record.MayHoldLease()
 }
 
-// TrackRun records that a request is sent to the backend server at that address. The
-// caller must call the returned function with the result before it answers the
+// TrackRun records that a request is sent to the backend server at that address, after
+// Observe. The caller must call the returned function with the result before it answers the
 // request.
-//
-// If a request arrived at its owner directly, no other daemon would have evidence of
-// it if the whole VM were lost. If it is a suspect or its key was recently taken
-// over, it is therefore reported to an observer first.
 func (d *Detector) TrackRun(r *mtrequest.Request, address string) func(error) {
-	ended := func(error) {}
-	if r.Ingress == d.Self() && (r.RecentTakeover || r.Suspect) {
-		ended = d.observe(r)
-	}
 	id := d.started(r)
-	return func(err error) {
-		ended(err)
-		d.ended(id, r.Service, address, err)
-	}
+	return func(err error) { d.ended(id, r.Service, address, err) }
 }
 
 // started records that the request is sent, and notifies the ingress if it is a
--- a/io/mtpoison/mtpoison_test.go
+++ b/io/mtpoison/mtpoison_test.go
@@ -1,6 +1,7 @@
 package mtpoison_test
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -40,6 +42,7 @@
 	name    string
 	address string
 	view    *mtview.View
+	lose    func() // ends the daemon and its connections
 }
 
 func holder(name string) mtid.Holder {
@@ -63,6 +66,10 @@
 		d.address = listener.Addr().String()
 		server := grpc.NewServer()
 		d.Register(server)
+		d.lose = func() {
+			server.Stop()
+			cleanUp()
+		}
 		go func() { _ = server.Serve(listener) }()
 		t.Cleanup(server.Stop)
 		daemons = append(daemons, d)
@@ -182,3 +189,60 @@
 	other.put(t, 2, 9, &mtroster.Record{Holder: holder("c"), RelayAddress: daemons[2].address, RevokedBelow: 2})
 	assert.Equal(t, other.Classify(request("room-1")), mtpoison.Quarantined)
 }
+
+// A whole VM is lost as soon as a suspect runs there, before its ingress hears that it runs
+// alone. Another daemon must know by then, or a third server would be lost to the request.
+func TestSuspectIsKnownElsewhereBeforeItRuns(t *testing.T) {
+	daemons := fleet(t, "ingress", "b", "c")
+	ingress, other, owner := daemons[0], daemons[1], daemons[2]
+	suspect := request("room-1")
+	suspect.Suspect, suspect.Ingress = true, holder("ingress")
+	relayed := ingress.TrackRelay(suspect, holder("c"))
+	_, err := owner.Observe(t.Context(), suspect)
+	assert.NilError(t, err)
+	owner.lose()
+	relayed.End(broken, false)
+	for _, d := range []*daemon{ingress, other} {
+		d.put(t, 2, 9, &mtroster.Record{Holder: holder("c"), RelayAddress: owner.address, RevokedBelow: 2})
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ingress.Classify(request("room-1")) == mtpoison.Quarantined || other.Classify(request("room-1")) == mtpoison.Quarantined {
+			return poll.Success()
+		}
+		return poll.Continue("neither daemon knows that the request ran alone")
+	})
+}
+
+// The daemons that could record the run of a suspect don't answer. It must be refused, since
+// nobody would know of its run if the VM were lost; a request that is no suspect must run.
+func TestSuspectDoesNotRunUnconfirmed(t *testing.T) {
+	silent := listeningAddress(t)
+	owner := fleet(t, "c")[0]
+	owner.put(t, 1, 2, &mtroster.Record{Holder: holder("b"), RelayAddress: silent, Offers: []mtroster.Offer{{Service: dispatch, Slots: 1}}})
+	suspect := request("room-1")
+	suspect.Suspect = true
+	_, err := owner.Observe(t.Context(), suspect)
+	var refused *mtreply.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Cause, mtreply.CauseUnconfirmed)
+	direct := request("room-2")
+	direct.Ingress, direct.RecentTakeover = holder("c"), true
+	_, err = owner.Observe(t.Context(), direct)
+	assert.NilError(t, err)
+}
+
+// An observer can't be reached. The next daemon must record the suspect instead.
+func TestSuspectIsObservedByNextDaemonIfOneIsGone(t *testing.T) {
+	daemons := fleet(t, "c", "b")
+	owner := daemons[0]
+	for i, name := range []string{"x", "y", "z"} {
+		owner.put(t, 1, mtid.Revision(9+i), &mtroster.Record{
+			Holder: holder(name), RelayAddress: closedAddress(t), Offers: []mtroster.Offer{{Service: dispatch, Slots: 1}},
+		})
+	}
+	suspect := request("room-1")
+	suspect.Suspect = true
+	ended, err := owner.Observe(t.Context(), suspect)
+	assert.NilError(t, err)
+	ended(nil)
+}
--- a/io/mtpoison/observer.go
+++ b/io/mtpoison/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,34 +10,95 @@
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtroster"
 	"magnoliaturn/core/mtwire"
 )
 
-// observeTimeout bounds how long a request waits for the observer to confirm it. If
-// the observer is too slow, the request runs unobserved: the observer guards against
-// a rare loss only and must not block requests itself.
-const observeTimeout = 50 * time.Millisecond
+const (
+	// observeTimeout bounds how long a request that is no suspect waits for the observer to
+	// confirm it. If the observer is too slow, the request runs unobserved: the observer
+	// guards against a rare loss only and must not block requests itself.
+	observeTimeout = 50 * time.Millisecond
+	// suspectTimeout bounds the same wait of a suspect, which does not run unobserved. It
+	// holds the server alone in the meantime.
+	suspectTimeout = 250 * time.Millisecond
+	// unconfirmedRetry is when to retry a suspect that was not confirmed: about when an
+	// observer that was lost has left the roster.
+	unconfirmedRetry = time.Second
+)
 
 // observerStream is the stream to the observer, the peer that records requests in
 // flight at this daemon in case the whole VM is lost.
 type observerStream struct {
-	mu        sync.Mutex
-	address   string
-	stream    grpc.BidiStreamingClient[mtwire.Flight, mtwire.Attended]
-	cancel    context.CancelFunc
-	next      uint64
-	confirmed map[uint64]chan struct{} // closed when the observer confirms the request
+	mu      sync.Mutex
+	address string
+	stream  grpc.BidiStreamingClient[mtwire.Flight, mtwire.Attended]
+	cancel  context.CancelFunc
+	next    uint64
+	// confirmed receives true when the observer confirms the request, and false when the
+	// stream ends before that.
+	confirmed map[uint64]chan bool
 }
 
-// observe reports the start of a request to the observer, waits for its confirmation,
-// and returns a function that reports the end of the request.
-func (d *Detector) observe(r *mtrequest.Request) func(error) {
-	address := d.observerAddress()
-	if address == "" {
-		return func(error) {}
+// Observe reports to another daemon that a request is about to run, and returns a function
+// that reports its end. The caller must call that function with the result before it answers
+// the request.
+//
+// If the whole VM is lost, the observer is what remains. A suspect must be observed: the
+// ingress hears of its start with the response header, which a VM that is lost at once may
+// never send. A third server was then lost to the request, because nobody knew that it had
+// run alone at the second. Observe fails with a *mtreply.RefusedError if no daemon confirms a
+// suspect in time. Other requests are observed only if they arrived at their owner directly
+// and their key was recently taken over, and run in any case.
+func (d *Detector) Observe(ctx context.Context, r *mtrequest.Request) (func(error), error) {
+	ended := func(error) {}
+	if r.Suspect {
+		return d.observeSuspect(ctx, r)
+	}
+	if r.Ingress == d.Self() && r.RecentTakeover {
+		if address := d.observerAddress(nil); address != "" {
+			ended, _ = d.observeAt(ctx, address, r, observeTimeout)
+		}
 	}
+	return ended, nil
+}
+
+// observeSuspect observes a suspect. If an observer can't be reached, the next one is tried;
+// if there is none at all, nobody is left who could need to know.
+func (d *Detector) observeSuspect(ctx context.Context, r *mtrequest.Request) (func(error), error) {
+	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+	defer cancel()
+	var tried []string
+	for {
+		address := d.observerAddress(tried)
+		if address == "" && len(tried) == 0 {
+			return func(error) {}, nil
+		}
+		if address == "" {
+			return nil, unconfirmedError()
+		}
+		ended, confirmed := d.observeAt(ctx, address, r, suspectTimeout)
+		if confirmed {
+			return ended, nil
+		}
+		ended(unconfirmedError())
+		if ctx.Err() != nil {
+			return nil, unconfirmedError()
+		}
+		tried = append(tried, address)
+	}
+}
+
+func unconfirmedError() error {
+	return &mtreply.RefusedError{Cause: mtreply.CauseUnconfirmed, RetryAfter: unconfirmedRetry}
+}
+
+// observeAt reports the start of a request to an observer and waits for its confirmation. It
+// returns a function that reports the end of the request, and whether the observer has
+// confirmed it.
+func (d *Detector) observeAt(ctx context.Context, address string, r *mtrequest.Request, timeout time.Duration) (func(error), bool) {
 	flight := &mtwire.Flight{
 		Holder:   mtroster.HolderToWire(d.Self()),
 		Print:    r.Fingerprint(),
@@ -44,30 +106,34 @@
 		Service:  string(r.Service.Service),
 		Alone:    r.Suspect,
 	}
-	confirmed, ok := d.observer.begin(d.Conns, address, flight)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	confirmed, ok := d.observer.begin(ctx, d.Conns, address, flight)
 	if !ok {
 		d.Count("attend.failed")
-		return func(error) {}
+		return func(error) {}, false
 	}
-	timer := time.NewTimer(observeTimeout)
-	defer timer.Stop()
+	ended := func(err error) { d.observer.end(flight.GetNumber(), classifyResult(err)) }
 	select {
-	case <-confirmed:
-	case <-timer.C:
+	case ok = <-confirmed:
+	case <-ctx.Done():
+		ok = false
+	}
+	if !ok {
 		d.Count("attend.failed")
 	}
-	return func(err error) { d.observer.end(flight.GetNumber(), classifyResult(err)) }
+	return ended, ok
 }
 
-// observerAddress returns the relay address of the observer, or "" if there is no
-// peer. It is chosen by rendezvous hashing, so that it changes only if it is lost or
-// a new daemon ranks higher.
-func (d *Detector) observerAddress() string {
+// observerAddress returns the relay address of the observer, or "" if there is no peer
+// except those to leave out. It is chosen by rendezvous hashing, so that it changes only if
+// it is lost or a new daemon ranks higher.
+func (d *Detector) observerAddress(except []string) string {
 	self := d.Self()
 	var best *mtroster.Record
 	var bestRank uint64
 	for _, record := range d.View.Snapshot().Roster() {
-		if !record.MayHoldLease() || record.Holder.Daemon == self.Daemon {
+		if !record.MayHoldLease() || record.Holder.Daemon == self.Daemon || slices.Contains(except, record.RelayAddress) {
 			continue
 		}
 		rank := mtid.Rank(record.Holder.Daemon, mtid.Ref{}.Point(mtid.Key(self.Daemon)))
@@ -82,19 +148,20 @@
 }
 
 // begin reports the start of a request, on a new stream if there is none to that
-// address. The returned channel is closed when the observer confirms it.
-func (o *observerStream) begin(conns conns, address string, flight *mtwire.Flight) (<-chan struct{}, bool) {
+// address, which must be open before ctx ends. The returned channel receives whether the
+// observer has confirmed it.
+func (o *observerStream) begin(ctx context.Context, conns conns, address string, flight *mtwire.Flight) (<-chan bool, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.address != address {
 		o.reset()
 	}
-	if o.stream == nil && !o.open(conns, address) {
+	if o.stream == nil && !o.open(ctx, conns, address) {
 		return nil, false
 	}
 	o.next++
 	flight.Number = o.next
-	confirmed := make(chan struct{})
+	confirmed := make(chan bool, 1)
 	o.confirmed[o.next] = confirmed
 	if err := o.stream.Send(flight); err != nil {
 		o.reset()
@@ -103,21 +170,24 @@
 	return confirmed, true
 }
 
-// open opens a stream and starts a goroutine that reads the confirmations. The caller
-// must hold mu.
-func (o *observerStream) open(conns conns, address string) bool {
+// open opens a stream before ctx ends and starts a goroutine that reads the confirmations.
+// The caller must hold mu.
+func (o *observerStream) open(ctx context.Context, conns conns, address string) bool {
 	conn, err := conns.Conn(address)
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	stream, err := mtwire.NewSuspicionClient(conn).Attend(ctx)
-	if err != nil {
+	// The stream outlives the request that opens it. A peer that is frozen accepts the
+	// connection and lets the opening hang.
+	streamCtx, cancel := context.WithCancel(context.Background())
+	stop := context.AfterFunc(ctx, cancel)
+	stream, err := mtwire.NewSuspicionClient(conn).Attend(streamCtx)
+	if err != nil || !stop() {
 		cancel()
 		return false
 	}
 	o.address, o.stream, o.cancel = address, stream, cancel
-	o.confirmed = make(map[uint64]chan struct{})
+	o.confirmed = make(map[uint64]chan bool)
 	go func() {
 		for {
 			confirmation, err := stream.Recv()
@@ -136,7 +206,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if confirmed, ok := o.confirmed[number]; ok {
-		close(confirmed)
+		confirmed <- true
 		delete(o.confirmed, number)
 	}
 }
@@ -172,6 +242,9 @@
 	if o.cancel != nil {
 		o.cancel()
 	}
+	for _, confirmed := range o.confirmed {
+		confirmed <- false
+	}
 	o.address, o.stream, o.cancel, o.confirmed = "", nil, nil, nil
 }
 
