--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -28,7 +28,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -282,38 +281,6 @@
 	g.Wake()
 }
 
-// reconcile makes the grants match the assignment and sends those that are due.
-func (g *Grants) reconcile(ctx context.Context) {
-	record, address := g.Host.Record()
-	owner := record.Owner()
-	g.refreshStaleCopy(g.Clock.Now())
-	g.observePreviousEpochs()
-	if owner.Incarnation.IsZero() || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
-		return
-	}
-	assignment, ok := g.Directory.View().Assignments[g.Service]
-	if !ok {
-		return
-	}
-	g.releaseUnassigned(ctx, address, g.syncGrants(owner, assignment.Owned(owner)))
-	for _, held := range g.dueGrants(record) {
-		g.sendGrant(ctx, address, held)
-	}
-}
-
-// releaseUnassigned releases keys that the assignment has given to another server although
-// this process did not move them.
-func (g *Grants) releaseUnassigned(ctx context.Context, address string, unassigned []*grant) {
-	for _, held := range unassigned {
-		g.Log.Warn("grant is no longer assigned here", "server", held.incarnation.String(), "low", held.Low, "high", held.High, "epoch", uint64(held.Epoch))
-		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-		if _, err := g.Client.Release(ctx, address, held.Low, held.High, held.Epoch); err != nil {
-			g.Log.Warn("release failed", "low", held.Low, "high", held.High, "error", err)
-		}
-		cancel()
-	}
-}
-
 // ReleaseUnowned revokes all keys from an incarnation of the server that owns none. A
 // command for the previous incarnation at the same address may have reached it.
 func (g *Grants) ReleaseUnowned(ctx context.Context, incarnation mtid.ServerIncarnation, address string) error {
@@ -347,60 +314,6 @@
 	return g.inFlight != nil
 }
 
-// syncGrants updates the grants to the ranges that the assignment gives to the server. It
-// returns the grants that are no longer assigned to the server and were not moved by this
-// daemon.
-func (g *Grants) syncGrants(owner mtrange.Owner, owned []mtrange.Range) (unassigned []*grant) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var next []*grant
-	for _, r := range owned {
-		next = append(next, g.grantsOf(owner.Incarnation, r)...)
-	}
-	for _, held := range g.grants {
-		assigned := slices.ContainsFunc(next, func(n *grant) bool {
-			return n.Covers(held.Low) && (n.Epoch == held.Epoch || n.renewedFrom == held.Epoch)
-		})
-		if !assigned && !held.moving && held.attempted && held.incarnation == owner.Incarnation {
-			unassigned = append(unassigned, held)
-		}
-		if !assigned && held.moving {
-			next = append(next, held) // removed when its move ends
-		}
-	}
-	g.grants = next
-	return unassigned
-}
-
-// grantsOf returns the grants for a range: the existing ones, the remaining part of a wider
-// one, one that continues existing ones under a new epoch, or a new one.
-func (g *Grants) grantsOf(incarnation mtid.ServerIncarnation, r mtrange.Range) []*grant {
-	var inside []*grant
-	keys := 0
-	for _, held := range g.grants {
-		if held.incarnation != incarnation || held.Epoch != r.Epoch {
-			continue
-		}
-		if r.Covers(held.Low) && r.Covers(held.High) {
-			inside = append(inside, held)
-			keys += held.Keys()
-			continue
-		}
-		if held.Covers(r.Low) && held.Covers(r.High) && !held.moving {
-			rest := *held
-			rest.Low, rest.High = r.Low, r.High
-			return []*grant{&rest}
-		}
-	}
-	if keys == r.Keys() {
-		return inside
-	}
-	if renewed := g.renewedGrant(incarnation, r); renewed != nil {
-		return []*grant{renewed}
-	}
-	return []*grant{{Range: r, incarnation: incarnation, uncertainty: g.previous.uncertainty(r.Epoch)}}
-}
-
 // TakeMovedCount returns how many keys have moved from this server to others since the last
 // call.
 func (g *Grants) TakeMovedCount() int {
--- /dev/null
+++ b/io/mtmesh/run.go
@@ -0,0 +1,127 @@
+package mtmesh
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/grpc"
+
+	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/io/mtdial"
+	"magnoliaturn/io/mtforward"
+	"magnoliaturn/io/mtlisten"
+	"magnoliaturn/io/mttime"
+)
+
+const (
+	// retireDelay is how long callers are served after the request to stop. By then they
+	// have been notified at least twice, one second apart, to use another daemon.
+	retireDelay = 2600 * time.Millisecond
+	// cleanupReserve is reserved for the clean-up functions before the process is killed.
+	// They may have to wait for a store that does not answer.
+	cleanupReserve = 700 * time.Millisecond
+	// finalReplyMargin is how long before the end of the grace period, less cleanupReserve,
+	// the final replies are sent.
+	finalReplyMargin = 200 * time.Millisecond
+	// maxCallerConnections limits the connections of callers, and maxPeerStreams the
+	// concurrent calls of one other daemon.
+	maxCallerConnections = 3000
+	maxPeerStreams       = 4096
+)
+
+// listen opens the listeners for callers and for other daemons.
+func (m *Mesh) listen() error {
+	peers, err := mtdial.Listen(context.Background(), m.config.PeerAddress)
+	if err != nil {
+		return &mtlisten.ListenError{Purpose: "other daemons", Address: m.config.PeerAddress, Err: err}
+	}
+	callers, err := net.Listen("tcp", m.config.CallerAddress)
+	if err != nil {
+		_ = peers.Close()
+		return &mtlisten.ListenError{Purpose: "callers", Address: m.config.CallerAddress, Err: err}
+	}
+	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(maxPeerStreams),
+		grpc.InitialWindowSize(mtforward.FlowWindow), grpc.InitialConnWindowSize(mtforward.FlowWindow),
+		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
+	mtforward.Register(m.peers, mtforward.Server{
+		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveAssignment: m.directory.Load().ApplyPushedAssignment, Commit: m.commitFor,
+	})
+	go func() {
+		if err := m.peers.Serve(peers); err != nil {
+			m.config.Log.Error("listener for other daemons failed", "error", err)
+		}
+	}()
+	router := echo.New()
+	router.HideBanner = true
+	router.Any("/*", m.Ingress().Handle)
+	m.callers = mtlisten.Start(callers, router, mtlisten.Options{MaxConnections: maxCallerConnections, Pipelined: true, Log: m.config.Log})
+	return mtkernel.Register(m.kernel, NameListeners, m, func() {
+		m.callers.Close()
+		m.peers.Stop()
+	})
+}
+
+// peerBufferSize is the size in bytes of the read and write buffers of a connection from
+// another daemon.
+const peerBufferSize = 8 << 10
+
+// Run serves until ctx ends, and then shuts down gracefully.
+func (m *Mesh) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m.kernel.AddTask(func() error {
+		select {
+		case <-ctx.Done():
+			m.shutdown()
+			return nil
+		case err := <-m.callers.Failed():
+			return err
+		case <-inner.Done():
+			return nil
+		}
+	}, func(error) { cancel() })
+	return m.kernel.Run(inner)
+}
+
+// shutdown gives callers and other daemons time to switch to another daemon, and then
+// closes the remaining connections.
+func (m *Mesh) shutdown() {
+	clock := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock)
+	remaining := m.config.Grace - cleanupReserve
+	end := time.Now().Add(remaining)
+	m.config.Log.Info("stopping", "grace", m.config.Grace)
+	m.ready.Store(false)
+	m.Ingress().BeginShutdown(clock.Now().Add(remaining - finalReplyMargin))
+	m.Host().Retire()
+	time.Sleep(min(retireDelay, remaining/2))
+	m.Host().Close()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	m.callers.Shutdown(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		m.peers.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		m.config.Log.Warn("calls of other daemons were still in flight at the shutdown deadline")
+	}
+	m.recorder.logTotals()
+	m.config.Log.Info("stopped")
+}
+
+// Handler returns a readiness check: 200 if the daemon is ready, 503 otherwise.
+func (m *Mesh) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if m.Ready() {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
