Cover the guards on late commands and suspects that no test held

Cause: of six faults planted by hand in the new guards three were caught by no test: the first assignment taken for current while the copy is behind, new epochs without a pause, and a suspect that runs when no observer can be reached. Change: TestCommandsOfPreviousProcessAreKnownDespiteStaleCopy, TestEpochIsRenewedRarely and a second case in TestSuspectDoesNotRunUnconfirmed.

--- a/io/mtgrant/late_test.go
+++ b/io/mtgrant/late_test.go
@@ -16,6 +16,7 @@
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtgrant"
+	"magnoliaturn/io/mtwatch"
 )
 
 // lateServer is a backend server that leaves grants unanswered while delaying is set, and
@@ -26,10 +27,13 @@
 
 	mu       sync.Mutex
 	delaying bool
-	delayed  []delayedGrant
-	seen     []mtrange.Range // all grants that were executed
-	held     []mtrange.Range
-	releases int
+	// delayFirst leaves the first grant under each epoch unanswered, and answers the others.
+	delayFirst bool
+	epochs     map[mtid.Epoch]bool // seen while delayFirst was set
+	delayed    []delayedGrant
+	seen       []mtrange.Range // all grants that were executed
+	held       []mtrange.Range
+	releases   int
 }
 
 // delayedGrant is a grant that was not answered. Its duration counts from its arrival.
@@ -41,7 +45,11 @@
 func (s *lateServer) Grant(_ context.Context, _ string, r mtrange.Range, duration time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.delaying {
+	first := s.delayFirst && !s.epochs[r.Epoch]
+	if first {
+		s.epochs[r.Epoch] = true
+	}
+	if s.delaying || first {
 		s.delayed = append(s.delayed, delayedGrant{Range: r, until: s.fleet.clock.Now().Add(duration)})
 		return context.DeadlineExceeded
 	}
@@ -164,7 +172,7 @@
 
 func newLateFleet(t *testing.T) (*fleet, *lateServer) {
 	f := newFleet(t, "a", "b")
-	server := &lateServer{fleet: f}
+	server := &lateServer{fleet: f, epochs: make(map[mtid.Epoch]bool)}
 	f.client = server
 	f.start()
 	f.until("the own range is granted", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
@@ -266,6 +274,82 @@
 	f.until("the keys have moved", func() bool { return f.owner(0) == "b" })
 }
 
+// A server leaves the first grant under each epoch unanswered while it is leaving. Its daemon
+// must not write a new epoch several times a second in the hope of better luck.
+func TestEpochIsRenewedRarely(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	server.mu.Lock()
+	server.delaying, server.delayFirst = false, true
+	server.mu.Unlock()
+	before := f.storedTable().Next
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	for range 8 {
+		f.clock.advance(500 * time.Millisecond)
+		f.grants.Wake()
+		time.Sleep(450 * time.Millisecond) // at least one run of each loop; fewer would make the test weaker
+	}
+	written := f.storedTable().Next - before
+	assert.Assert(t, written <= 3, "%d epochs written in 4 s", written)
+}
+
+// staleSource delivers an earlier state until it is released.
+type staleSource struct {
+	mtwatch.Source
+	state    mtstore.Changes
+	released chan struct{}
+}
+
+func (s *staleSource) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	select {
+	case <-s.released:
+		return s.Source.Watch(ctx, prefix, after, wait)
+	default:
+	}
+	if after == 0 {
+		return s.state, nil
+	}
+	select {
+	case <-s.released:
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return mtstore.Changes{Revision: after}, ctx.Err()
+}
+
+// A restarted daemon first receives a copy from before its previous process was given some keys.
+// If it took these for new, they would move although a command of that process may be executed.
+func TestCommandsOfPreviousProcessAreKnownDespiteStaleCopy(t *testing.T) {
+	f, server := newLateFleet(t)
+	stale, err := f.store.Watch(t.Context(), "", 0, 0)
+	assert.NilError(t, err)
+	table, err := f.storedTable().Move(mtid.LastKeyNumber-99, mtid.LastKeyNumber, ownerOf("a"), "")
+	assert.NilError(t, err)
+	value, err := table.Encode()
+	assert.NilError(t, err)
+	f.store.Put(mtstore.RangeName(service), value)
+	f.until("the new keys are granted", func() bool { return f.grants.CheckGranted(incarnationOf("a"), mtid.LastKeyNumber) == nil })
+	f.delayRenewal(server)
+	f.until("both renewals are unanswered", func() bool { return server.delayedCount() > 1 })
+	f.stop()
+	server.setDelaying(false)
+	f.restarted = true
+	source := &staleSource{Source: f.store, state: stale, released: make(chan struct{})}
+	f.source = source
+	f.start()
+	f.until("the stale copy is read", func() bool { return f.owner(0) == "a" })
+	f.letLoopsRun()
+	close(source.released)
+	f.until("the keys are granted", func() bool { return f.grants.CheckGranted(incarnationOf("a"), mtid.LastKeyNumber) == nil })
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	f.until("the new keys have moved", func() bool {
+		f.clock.advance(5 * time.Millisecond)
+		return f.owner(mtid.LastKeyNumber) == "b"
+	})
+	server.executeLate()
+	assert.DeepEqual(t, server.violations(), []string(nil))
+}
+
 // Commands go unanswered while a server is leaving. Its daemon must not write a new
 // epoch again and again in the hope of an answer.
 func TestEpochIsRenewedRarelyWhileCommandsGoUnanswered(t *testing.T) {
--- a/io/mtpoison/mtpoison_test.go
+++ b/io/mtpoison/mtpoison_test.go
@@ -213,22 +213,26 @@
 	})
 }
 
-// The daemons that could record the run of a suspect don't answer. It must be refused, since
-// nobody would know of its run if the VM were lost; a request that is no suspect must run.
+// The daemons that could record the run of a suspect don't answer, or can't be reached. It must
+// be refused, since nobody would know of its run if the VM were lost; a request that is no
+// suspect must run.
 func TestSuspectDoesNotRunUnconfirmed(t *testing.T) {
-	silent := listeningAddress(t)
-	owner := fleet(t, "c")[0]
-	owner.put(t, 1, 2, &mtroster.Record{Holder: holder("b"), RelayAddress: silent, Offers: []mtroster.Offer{{Service: dispatch, Slots: 1}}})
-	suspect := request("room-1")
-	suspect.Suspect = true
-	_, err := owner.Observe(t.Context(), suspect)
-	var refused *mtreply.RefusedError
-	assert.Assert(t, errors.As(err, &refused), "%v", err)
-	assert.Equal(t, refused.Cause, mtreply.CauseUnconfirmed)
-	direct := request("room-2")
-	direct.Ingress, direct.RecentTakeover = holder("c"), true
-	_, err = owner.Observe(t.Context(), direct)
-	assert.NilError(t, err)
+	for name, address := range map[string]string{"silent": listeningAddress(t), "gone": closedAddress(t)} {
+		t.Run(name, func(t *testing.T) {
+			owner := fleet(t, "c")[0]
+			owner.put(t, 1, 2, &mtroster.Record{Holder: holder("b"), RelayAddress: address, Offers: []mtroster.Offer{{Service: dispatch, Slots: 1}}})
+			suspect := request("room-1")
+			suspect.Suspect = true
+			_, err := owner.Observe(t.Context(), suspect)
+			var refused *mtreply.RefusedError
+			assert.Assert(t, errors.As(err, &refused), "%v", err)
+			assert.Equal(t, refused.Cause, mtreply.CauseUnconfirmed)
+			direct := request("room-2")
+			direct.Ingress, direct.RecentTakeover = holder("c"), true
+			_, err = owner.Observe(t.Context(), direct)
+			assert.NilError(t, err)
+		})
+	}
 }
 
 // An observer can't be reached. The next daemon must record the suspect instead.
