Keep the uncertainty of an earlier epoch for every range

Cause: a range under a new epoch took over the uncertainty of the earlier one only if all of it was granted at that moment. If its server had denied a key just before, the range began as certain; a leaving server's keys move without a grant, and a command under the earlier epoch could give them back. Change: a range inherits the uncertainty of every earlier grant of the same server that it overlaps; whether it stays in service meanwhile is decided apart from that. Conclusion: only an answer under the new epoch ends the uncertainty of the earlier one.

--- a/io/mtgrant/late_test.go
+++ b/io/mtgrant/late_test.go
@@ -293,6 +293,28 @@
 	assert.Assert(t, written <= 3, "%d epochs written in 4 s", written)
 }
 
+// The keys of a leaving server get a new epoch, and the server denies holding one of them before
+// that is written, so that nothing more is granted to it. Its keys must not move while an
+// unanswered grant under the earlier epoch may still be executed.
+func TestNewEpochKeepsUncertaintyOfEarlierOne(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	server := &lateServer{fleet: f, epochs: make(map[mtid.Epoch]bool)}
+	f.client = server
+	f.delegate = func(context.Context, mtrange.Batch) ([]mtrange.Outcome, bool) {
+		f.grants.Regrant(0)
+		return nil, false
+	}
+	f.start()
+	f.until("the own range is granted", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
+	f.delayRenewal(server)
+	server.setDelaying(false)
+	f.directory.Publish(f.host.set(mtbackend.Draining))
+	f.until("the epoch is renewed", func() bool { return f.storedTable().Next > 3 })
+	f.letLoopsRun()
+	server.executeIfMoved()
+	assert.DeepEqual(t, server.violations(), []string(nil))
+}
+
 // staleSource delivers an earlier state until it is released.
 type staleSource struct {
 	mtwatch.Source
--- a/io/mtgrant/sync.go
+++ b/io/mtgrant/sync.go
@@ -67,7 +67,7 @@
 }
 
 // grantsOf returns the grants for a range: the existing ones, the remaining part of a wider
-// one, one that continues existing ones under a new epoch, or a new one.
+// one, or a new one.
 func (g *Grants) grantsOf(incarnation mtid.ServerIncarnation, r mtrange.Range) []*grant {
 	var inside []*grant
 	keys := 0
@@ -89,8 +89,5 @@
 	if keys == r.Keys() {
 		return inside
 	}
-	if renewed := g.renewedGrant(incarnation, r); renewed != nil {
-		return []*grant{renewed}
-	}
-	return []*grant{{Range: r, incarnation: incarnation, uncertainty: g.previous.uncertainty(r.Epoch)}}
+	return []*grant{g.newGrant(incarnation, r)}
 }
--- a/io/mtgrant/uncertainty.go
+++ b/io/mtgrant/uncertainty.go
@@ -67,31 +67,40 @@
 	}
 }
 
-// renewedGrant returns a grant that continues existing ones under a later epoch of the same
-// owner, or nil if they don't cover the range. The keys stay in service under the previous
-// epoch until the server has answered a command under the new one.
-func (g *Grants) renewedGrant(incarnation mtid.ServerIncarnation, r mtrange.Range) *grant {
-	renewed := &grant{Range: r, incarnation: incarnation, attempted: true}
-	keys := 0
+// newGrant returns the grant for a range that is first seen under its epoch. If the server held
+// all of its keys under one earlier epoch, they stay in service under that one until the
+// server has answered a command under the new one.
+func (g *Grants) newGrant(incarnation mtid.ServerIncarnation, r mtrange.Range) *grant {
+	created := &grant{Range: r, incarnation: incarnation, uncertainty: g.previous.uncertainty(r.Epoch)}
+	var earlier []*grant
 	for _, held := range g.grants {
-		if held.incarnation != incarnation || held.Epoch >= r.Epoch || !r.Covers(held.Low) || !r.Covers(held.High) {
-			continue
+		if held.incarnation == incarnation && held.Epoch < r.Epoch && held.Low <= r.High && r.Low <= held.High {
+			earlier = append(earlier, held)
+			created.earlierUntil = max(created.earlierUntil, held.until, held.earlierUntil)
 		}
-		if held.moving || held.grantedAt == 0 || renewed.renewedFrom != 0 && renewed.renewedFrom != held.Epoch {
-			return nil
+	}
+	if grantedAt, ok := grantedThroughout(earlier, r); ok {
+		created.grantedAt, created.attempted = grantedAt, true
+		created.renewedFrom, created.renewedAt = earlier[0].Epoch, g.Clock.Now()
+	}
+	return created
+}
+
+// grantedThroughout reports whether grants under one epoch cover a range, none of them moving,
+// and returns when the oldest of them was granted.
+func grantedThroughout(grants []*grant, r mtrange.Range) (mtclock.Instant, bool) {
+	keys := 0
+	var grantedAt mtclock.Instant
+	for _, held := range grants {
+		if held.Epoch != grants[0].Epoch || held.moving || held.grantedAt == 0 || !r.Covers(held.Low) || !r.Covers(held.High) {
+			return 0, false
 		}
-		if keys == 0 || held.grantedAt < renewed.grantedAt {
-			renewed.grantedAt = held.grantedAt
+		if keys == 0 || held.grantedAt < grantedAt {
+			grantedAt = held.grantedAt
 		}
-		renewed.renewedFrom = held.Epoch
-		renewed.earlierUntil = max(renewed.earlierUntil, held.until, held.earlierUntil)
 		keys += held.Keys()
 	}
-	if keys != r.Keys() {
-		return nil
-	}
-	renewed.renewedAt = g.Clock.Now()
-	return renewed
+	return grantedAt, keys == r.Keys()
 }
 
 // epochRenewalPause is the minimum time between two new epochs of a range, each of which is
