Close listeners of net/http without waiting for callers that linger

A listener that was closed twice, as at every shutdown, logged a warning. Change: those connections end in the background, and a closed listener has none.

--- a/io/mtdial/pending.go
+++ b/io/mtdial/pending.go
@@ -1,6 +1,7 @@
 package mtdial
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -14,7 +15,7 @@
 // Accept has returned yet. The kernel resets them when the listener is closed: a client that
 // connects during a shutdown, or has sent its first request, sees a reset instead of an
 // orderly close. It returns what it could accept, with the first error, and nothing for a
-// listener that does not implement syscall.Conn.
+// listener that is closed already or does not implement syscall.Conn.
 func AcceptPending(listener net.Listener) ([]net.Conn, error) {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
@@ -35,6 +36,9 @@
 			accepted = append(accepted, conn)
 		}
 	})
+	if errors.Is(controlErr, net.ErrClosed) {
+		return nil, nil
+	}
 	if controlErr != nil {
 		return accepted, controlErr
 	}
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -203,22 +203,20 @@
 }
 
 // Close implements net.Listener. It first ends the connections that wait to be accepted, which
-// the kernel would reset, and waits until their clients have read that.
+// the kernel would reset. It does not wait for their clients: http.Server closes its listeners
+// while it holds its mutex.
 func (l *limitedListener) Close() error {
 	pending, err := mtdial.AcceptPending(l.Listener)
 	if err != nil {
 		slog.Warn("connections that wait to be accepted are reset", "address", l.Addr().String(), "error", err)
 	}
-	err = l.Listener.Close()
-	var ending sync.WaitGroup
 	for _, conn := range pending {
-		ending.Go(func() {
+		go func() {
 			mtdial.Linger(conn)
 			_ = conn.Close()
-		})
+		}()
 	}
-	ending.Wait()
-	return err
+	return l.Listener.Close()
 }
 
 // SyscallConn implements syscall.Conn. It fails with errors.ErrUnsupported if the limited
