Answer the requests that arrive while a daemon stops

Besides, a move whose refusal could not be checked asked the store again without a pause. Ruled out: the pause; what net/http's listeners do. Change: the server connects to itself, so that all connections before it have been accepted, in place of accepting by system calls of its own; a connection that is told to close while it is idle may read one more request.

--- a/io/mtdial/mtdial.go
+++ b/io/mtdial/mtdial.go
@@ -9,7 +9,7 @@
 //
 //	conn, err := mtdial.Dial(ctx, "tcp", address)
 //	listener, err := mtdial.Listen(ctx, address)
-//	pending, err := mtdial.AcceptPending(listener) // before closing it
+//	mtdial.Linger(conn) // before closing it
 package mtdial
 
 import (
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -222,6 +222,7 @@
 			if g.readAssignment(ctx) {
 				return !g.Directory.View().Assignments[g.Service].CanApply(wanted)
 			}
+			mtduty.Sleep(ctx, rand.N(refusedPause))
 			g.awaitStore(ctx)
 			continue
 		}
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -22,10 +22,8 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtpipeline"
 )
 
@@ -202,32 +200,6 @@
 	}
 }
 
-// Close implements net.Listener. It first ends the connections that wait to be accepted, which
-// the kernel would reset. It does not wait for their clients: http.Server closes its listeners
-// while it holds its mutex.
-func (l *limitedListener) Close() error {
-	pending, err := mtdial.AcceptPending(l.Listener)
-	if err != nil {
-		slog.Warn("connections that wait to be accepted are reset", "address", l.Addr().String(), "error", err)
-	}
-	for _, conn := range pending {
-		go func() {
-			mtdial.Linger(conn)
-			_ = conn.Close()
-		}()
-	}
-	return l.Listener.Close()
-}
-
-// SyscallConn implements syscall.Conn. It fails with errors.ErrUnsupported if the limited
-// listener does not implement it.
-func (l *limitedListener) SyscallConn() (syscall.RawConn, error) {
-	if socket, ok := l.Listener.(syscall.Conn); ok {
-		return socket.SyscallConn()
-	}
-	return nil, errors.ErrUnsupported
-}
-
 // countedConn is a connection that returns its token when it is first closed.
 type countedConn struct {
 	net.Conn
--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -33,9 +33,17 @@
 	pending int       // number of requests that have been read but not answered
 	last    *exchange // the last request that was read
 	reading bool      // whether the next request is being read
-	closing bool      // whether no further request is to be read
+	closing bool      // whether no further request is to be read, except a final one
+	// finalRead allows a connection that is told to close while it is idle to read one more
+	// request, which may have arrived already.
+	finalRead bool
 }
 
+// finalReadTimeout is how long a connection that is told to close while it is idle waits for a
+// request that is on its way. If such a request were discarded, its caller would get no answer
+// although the server had received it.
+const finalReadTimeout = 50 * time.Millisecond
+
 func newConn(s *Server, accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, server: s, limit: &io.LimitedReader{R: accepted, N: math.MaxInt64}}
 	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
@@ -58,7 +66,7 @@
 	previous := answered
 	c.setIdleDeadline()
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
+		if c.awaitRequest() != nil {
 			// The caller has disconnected, or the connection was idle for too long. Pending
 			// requests are canceled, because nobody receives their responses.
 			c.cancel()
@@ -92,6 +100,8 @@
 func (c *conn) setIdleDeadlineLocked() {
 	switch {
 	case c.pending > 0 || c.reading:
+	case c.finalRead:
+		_ = c.SetReadDeadline(time.Now().Add(finalReadTimeout))
 	case c.closing:
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	default:
@@ -99,13 +109,33 @@
 	}
 }
 
+// awaitRequest waits for the first byte of the next request.
+func (c *conn) awaitRequest() error {
+	_, err := c.reader.Peek(1)
+	if err == nil || !c.awaitsFinalRead() {
+		return err
+	}
+	// On a busy machine the deadline may pass before it is noticed that the request is there.
+	c.setIdleDeadline()
+	_, err = c.reader.Peek(1)
+	return err
+}
+
+// awaitsFinalRead reports whether the connection may still read a final request.
+func (c *conn) awaitsFinalRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.finalRead && c.pending == 0
+}
+
 // beginRead reports whether to read the next request, and sets the timeout for its header.
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing && !c.finalRead {
 		return false
 	}
+	c.finalRead = false
 	c.reading = true
 	_ = c.SetReadDeadline(time.Now().Add(c.server.Limits.HeaderTimeout))
 	return true
@@ -198,11 +228,12 @@
 	}
 }
 
-// closeWhenAnswered makes the connection read no further request, and end as soon as those
-// that have been read are answered.
+// closeWhenAnswered makes the connection end as soon as the requests that have been read are
+// answered. If it is idle, it reads one more request if that arrives in time.
 func (c *conn) closeWhenAnswered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.finalRead = !c.closing && c.pending == 0 && !c.reading
 	c.closing = true
 	c.setIdleDeadlineLocked()
 }
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -84,13 +84,13 @@
 	return true
 }
 
-// track registers a connection. If the server is closing, the connection reads no request
-// and ends in an orderly way.
+// track registers a connection. If the server is closing, the connection reads a final
+// request at most.
 func (s *Server) track(accepted net.Conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := newConn(s, accepted)
-	c.closing = s.closing
+	c.closing, c.finalRead = s.closing, s.closing
 	if s.conns == nil {
 		s.conns = make(map[*conn]struct{})
 	}
@@ -114,40 +114,65 @@
 	return s.closing
 }
 
-// beginClose closes the listener and returns the open connections. From here on every
-// response announces the close, also on connections that have not been told to close yet.
-func (s *Server) beginClose() []*conn {
+// beginClose marks the server as closing. From here on every response announces the close, also
+// on connections that have not been told to close yet.
+func (s *Server) beginClose() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closing = true
+}
+
+// closeListener closes the listener and returns the open connections.
+func (s *Server) closeListener() []*conn {
+	s.mu.Lock()
 	listener := s.listener
-	var open []*conn
-	for c := range s.conns {
-		open = append(open, c)
-	}
 	s.mu.Unlock()
 	if listener != nil {
-		s.endPending(listener)
 		_ = listener.Close()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var open []*conn
+	for c := range s.conns {
+		open = append(open, c)
+	}
 	return open
 }
 
-// endPending ends the connections that the kernel has established and that Serve has not
-// accepted yet. Closing the listener would reset them.
-func (s *Server) endPending(listener net.Listener) {
-	pending, err := mtdial.AcceptPending(listener)
-	if err != nil {
-		s.Log.Warn("connections that wait to be accepted are reset", "error", err)
+// acceptTimeout bounds the wait for the connections that were established before a shutdown.
+const acceptTimeout = time.Second
+
+// awaitAccepted waits until Serve has accepted the connections that the kernel has established.
+// Closing the listener would reset those that wait, and their callers would lose the requests
+// that they have sent. Connections are accepted in their order, so the server opens one to
+// itself and waits for its end.
+func (s *Server) awaitAccepted(ctx context.Context) {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener == nil {
+		return
 	}
-	for _, accepted := range pending {
-		go s.track(accepted).serve()
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	last, err := dialer.DialContext(ctx, listener.Addr().Network(), listener.Addr().String())
+	if err != nil {
+		s.Log.Warn("connections that wait to be accepted may be reset", "error", err)
+		return
 	}
+	defer func() { _ = last.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = last.Close() })()
+	mtdial.Linger(last)
 }
 
-// Shutdown accepts no new connections, reads no further requests, and waits until those that
-// have been read are answered. If ctx ends first, it returns the error of ctx.
+// Shutdown accepts no new connections, reads no further requests than those that are just
+// arriving on idle connections, and waits until those that have been read are answered. If ctx
+// ends first, it returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
-	for _, c := range s.beginClose() {
+	s.beginClose()
+	s.awaitAccepted(ctx)
+	for _, c := range s.closeListener() {
 		c.closeWhenAnswered()
 	}
 	answered := make(chan struct{})
@@ -165,7 +190,8 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
-	for _, c := range s.beginClose() {
+	s.beginClose()
+	for _, c := range s.closeListener() {
 		c.abort()
 	}
 	return nil
