Ask the next observer when one is silent

Cause: the first observer in rank had the whole 250 ms, and was asked first again by the next suspect: a daemon that is cut off from the owner alone stays in the roster. Each such suspect also held the server alone for that time. Change: each observer has a third of the time, and one that did not confirm is passed over for a second, after which refused callers come back. Conclusion: it still fails closed; the refusal is rarer.

--- a/io/mtpoison/mtpoison_test.go
+++ b/io/mtpoison/mtpoison_test.go
@@ -250,3 +250,26 @@
 	assert.NilError(t, err)
 	ended(nil)
 }
+
+// The daemons that should observe a suspect first are cut off from its owner, and stay in the
+// roster. Another one must observe it, or the owner would refuse all suspects until the path is
+// back.
+func TestSuspectIsObservedByNextDaemonIfOthersAreSilent(t *testing.T) {
+	daemons := fleet(t, "c", "b")
+	owner := daemons[0]
+	for i, name := range []string{"u", "v", "w", "x", "y", "z"} {
+		owner.put(t, 1, mtid.Revision(9+i), &mtroster.Record{
+			Holder: holder(name), RelayAddress: listeningAddress(t), Offers: []mtroster.Offer{{Service: dispatch, Slots: 1}},
+		})
+	}
+	suspect := request("room-1")
+	suspect.Suspect = true
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ended, err := owner.Observe(t.Context(), suspect)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		ended(nil)
+		return poll.Success()
+	})
+}
--- a/io/mtpoison/observer.go
+++ b/io/mtpoison/observer.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/grpc"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
@@ -21,12 +22,18 @@
 	// confirm it. If the observer is too slow, the request runs unobserved: the observer
 	// guards against a rare loss only and must not block requests itself.
 	observeTimeout = 50 * time.Millisecond
-	// suspectTimeout bounds the same wait of a suspect, which does not run unobserved. It
-	// holds the server alone in the meantime.
+	// suspectTimeout bounds the wait of a suspect, which does not run unobserved, for all
+	// observers together. It holds the server alone in the meantime.
 	suspectTimeout = 250 * time.Millisecond
-	// unconfirmedRetry is when to retry a suspect that was not confirmed: about when an
-	// observer that was lost has left the roster.
-	unconfirmedRetry = time.Second
+	// confirmTimeout bounds its wait for one observer, after which the next one is tried.
+	confirmTimeout = suspectTimeout / 3
+	// silentPeriod is how long a daemon that did not confirm in time is not asked again. A
+	// daemon that is cut off from this one only stays in the roster, and would be asked first
+	// each time.
+	silentPeriod = time.Second
+	// unconfirmedRetry is when to retry a suspect that was not confirmed: when daemons that
+	// were silent are asked again.
+	unconfirmedRetry = silentPeriod
 )
 
 // observerStream is the stream to the observer, the peer that records requests in
@@ -40,6 +47,7 @@
 	// confirmed receives true when the observer confirms the request, and false when the
 	// stream ends before that.
 	confirmed map[uint64]chan bool
+	silent    map[string]mtclock.Instant // when daemons last did not confirm in time, by address
 }
 
 // Observe reports to another daemon that a request is about to run, and returns a function
@@ -70,16 +78,16 @@
 func (d *Detector) observeSuspect(ctx context.Context, r *mtrequest.Request) (func(error), error) {
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
 	defer cancel()
-	var tried []string
+	if d.observerAddress(nil) == "" {
+		return func(error) {}, nil
+	}
+	tried := d.observer.silentSince(d.Clock.Now().Add(-silentPeriod))
 	for {
 		address := d.observerAddress(tried)
-		if address == "" && len(tried) == 0 {
-			return func(error) {}, nil
-		}
 		if address == "" {
 			return nil, unconfirmedError()
 		}
-		ended, confirmed := d.observeAt(ctx, address, r, suspectTimeout)
+		ended, confirmed := d.observeAt(ctx, address, r, confirmTimeout)
 		if confirmed {
 			return ended, nil
 		}
@@ -111,6 +119,7 @@
 	confirmed, ok := d.observer.begin(ctx, d.Conns, address, flight)
 	if !ok {
 		d.Count("attend.failed")
+		d.observer.markSilent(d.Clock.Now(), address)
 		return func(error) {}, false
 	}
 	ended := func(err error) { d.observer.end(flight.GetNumber(), classifyResult(err)) }
@@ -121,10 +130,36 @@
 	}
 	if !ok {
 		d.Count("attend.failed")
+		d.observer.markSilent(d.Clock.Now(), address)
 	}
 	return ended, ok
 }
 
+// markSilent records that a daemon did not confirm in time.
+func (o *observerStream) markSilent(now mtclock.Instant, address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.silent == nil {
+		o.silent = make(map[string]mtclock.Instant)
+	}
+	o.silent[address] = now
+}
+
+// silentSince returns the daemons that did not confirm in time since then, and forgets others.
+func (o *observerStream) silentSince(then mtclock.Instant) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var addresses []string
+	for address, at := range o.silent {
+		if at.Before(then) {
+			delete(o.silent, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
 // observerAddress returns the relay address of the observer, or "" if there is no peer
 // except those to leave out. It is chosen by rendezvous hashing, so that it changes only if
 // it is lost or a new daemon ranks higher.
