Wait for waiting connections for as long as the shutdown may, on all listeners

Callers that connected just before a stop were still reset on a busy machine, and on the listeners of net/http always; there their answers did not announce the close either.

Change: mtdial.AwaitAccepted waits until the context of the shutdown ends and returns why; both servers use it, and net/http's announces the close from the start.

--- a/io/mtdaemon/admin.go
+++ b/io/mtdaemon/admin.go
@@ -52,6 +52,7 @@
 		Logger:       d.config.Log,
 	})
 	options := mtadmin.Options(mtkernel.MustLookup[*credentialSet](d.kernel, NameKeys).admin())
+	options.Log = d.config.Log
 	listener := mtlisten.Start(mtkernel.MustLookup[*sockets](d.kernel, NameSockets).admin, server.Handler(), options)
 	return mtkernel.Register(d.kernel, NameAdmin, server, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), mtlisten.DefaultGrace)
--- a/io/mtdaemon/listen.go
+++ b/io/mtdaemon/listen.go
@@ -116,7 +116,7 @@
 // listen starts the servers for callers, other daemons and the backend server.
 func (d *Daemon) listen() error {
 	s := mtkernel.MustLookup[*sockets](d.kernel, NameSockets)
-	options := mtlisten.Options{MaxConnections: maxConnections, ReadTimeout: readTimeout}
+	options := mtlisten.Options{MaxConnections: maxConnections, ReadTimeout: readTimeout, Log: d.config.Log}
 	l := &listeners{
 		callers: mtlisten.Start(s.callers, d.callers(), options),
 		local:   mtlisten.Start(s.local, d.local(), options),
--- a/io/mtdial/mtdial.go
+++ b/io/mtdial/mtdial.go
@@ -9,7 +9,8 @@
 //
 //	conn, err := mtdial.Dial(ctx, "tcp", address)
 //	listener, err := mtdial.Listen(ctx, address)
-//	mtdial.Linger(conn) // before closing it
+//	err = mtdial.AwaitAccepted(ctx, listener) // before closing it
+//	mtdial.Linger(conn)                       // before closing it
 package mtdial
 
 import (
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -22,8 +22,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtpipeline"
 )
 
@@ -68,7 +70,7 @@
 	// Pipelined processes pipelined requests concurrently, with package mtpipeline. TLS,
 	// ReadTimeout, WriteTimeout and ConnContext are ignored then.
 	Pipelined bool
-	Log       *slog.Logger // used by a pipelined server
+	Log       *slog.Logger // nil means slog.Default()
 	// ConnContext modifies the context of the requests on a new connection, as in
 	// net/http. It may be nil.
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
@@ -82,7 +84,7 @@
 	done     chan struct{}
 }
 
-// engine is an HTTP server, either *http.Server or *mtpipeline.Server.
+// engine is an HTTP server, either *httpServer or *mtpipeline.Server.
 type engine interface {
 	Serve(l net.Listener) error
 	Shutdown(ctx context.Context) error
@@ -133,6 +135,9 @@
 	if options.MaxConnections == 0 {
 		options.MaxConnections = defaultConnections
 	}
+	if options.Log == nil {
+		options.Log = slog.Default()
+	}
 	s := &Server{listener: listener, failed: make(chan error, 1), done: make(chan struct{}), engine: newEngine(handler, options)}
 	bounded := LimitConnections(listener, options.MaxConnections)
 	go func() {
@@ -159,17 +164,37 @@
 		TLSConfig:         options.TLS,
 		ConnContext:       options.ConnContext,
 	}
-	if options.TLS != nil {
-		return &tlsServer{Server: server}
-	}
-	return server
+	return &httpServer{Server: server, tls: options.TLS != nil, log: options.Log}
 }
 
-// tlsServer is an engine that serves HTTP over TLS.
-type tlsServer struct{ *http.Server }
+// httpServer is an engine that is a server of net/http.
+type httpServer struct {
+	*http.Server
+	tls      bool
+	log      *slog.Logger
+	listener atomic.Pointer[net.Listener]
+}
 
 // Serve implements engine.
-func (s *tlsServer) Serve(l net.Listener) error { return s.ServeTLS(l, "", "") }
+func (s *httpServer) Serve(l net.Listener) error {
+	s.listener.Store(&l)
+	if s.tls {
+		return s.ServeTLS(l, "", "")
+	}
+	return s.Server.Serve(l)
+}
+
+// Shutdown implements engine. It first lets the server accept the connections that wait, whose
+// responses announce the close.
+func (s *httpServer) Shutdown(ctx context.Context) error {
+	s.SetKeepAlivesEnabled(false)
+	if listener := s.listener.Load(); listener != nil {
+		if err := mtdial.AwaitAccepted(ctx, *listener); err != nil {
+			s.log.Info("connections that wait to be accepted may be reset", "address", (*listener).Addr().String(), "error", err)
+		}
+	}
+	return s.Server.Shutdown(ctx)
+}
 
 // LimitConnections returns a listener that accepts at most maxConnections concurrent
 // connections and closes any further one immediately. If it stopped accepting instead, new
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -1,11 +1,15 @@
 package mtlisten_test
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -85,3 +89,40 @@
 	var failed *mtlisten.ListenError
 	assert.Assert(t, errors.As(err, &failed))
 }
+
+// slowListener accepts a connection some time after it has been told to.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(100 * time.Millisecond)
+	return l.Listener.Accept()
+}
+
+// A client connects just before a shutdown, and its connection has not been accepted yet. Its
+// request must be answered, with either server.
+func TestShutdownServesConnectionThatWaitsToBeAccepted(t *testing.T) {
+	for name, pipelined := range map[string]bool{"net/http": false, "pipelined": true} {
+		t.Run(name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+			server := mtlisten.Start(slowListener{inner}, handler, mtlisten.Options{Pipelined: pipelined, Log: slog.New(slog.DiscardHandler)})
+			conn, err := net.Dial("tcp", inner.Addr().String())
+			assert.NilError(t, err)
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+			assert.NilError(t, err)
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				server.Shutdown(context.Background())
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Assert(t, response.Close)
+			assert.NilError(t, response.Body.Close())
+			assert.NilError(t, conn.Close())
+			<-stopped
+		})
+	}
+}
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -139,13 +139,7 @@
 	return open
 }
 
-// acceptTimeout bounds the wait for the connections that were established before a shutdown.
-const acceptTimeout = time.Second
-
-// awaitAccepted waits until Serve has accepted the connections that the kernel has established.
-// Closing the listener would reset those that wait, and their callers would lose the requests
-// that they have sent. Connections are accepted in their order, so the server opens one to
-// itself and waits for its end.
+// awaitAccepted waits until Serve has accepted the connections that wait for it.
 func (s *Server) awaitAccepted(ctx context.Context) {
 	s.mu.Lock()
 	listener := s.listener
@@ -153,17 +147,9 @@
 	if listener == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	last, err := dialer.DialContext(ctx, listener.Addr().Network(), listener.Addr().String())
-	if err != nil {
-		s.Log.Warn("connections that wait to be accepted may be reset", "error", err)
-		return
+	if err := mtdial.AwaitAccepted(ctx, listener); err != nil {
+		s.Log.Info("connections that wait to be accepted may be reset", "error", err)
 	}
-	defer func() { _ = last.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = last.Close() })()
-	mtdial.Linger(last)
 }
 
 // Shutdown accepts no new connections, reads no further requests than those that are just
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -257,7 +257,7 @@
 func TestShutdownServesConnectionsThatWaitToBeAccepted(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := startTestConn(t, &slowListener{Listener: listener, pause: 50 * time.Millisecond},
+	s := startTestConn(t, &slowListener{Listener: listener, pause: 250 * time.Millisecond},
 		func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
 	dial := func(text string) *testConn {
 		conn, err := net.Dial("tcp", listener.Addr().String())
