Count the time of an unanswered grant from the end of its call

Cause: the time for which keys wait after an unanswered grant began with the decision to send it. A process that was paused in between sends it after the pause, and it is in effect from its arrival, so that the keys moved too early by the length of the pause.

--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -123,7 +123,6 @@
 	if !g.maySendGrants(sent) {
 		return
 	}
-	until := g.commandExpiry(sent)
 	g.mu.Lock()
 	if held.moving || !slices.Contains(g.grants, held) {
 		// The range has started to move since it was found due. A command sent now could
@@ -138,6 +137,9 @@
 	held.attempted = true
 	g.mu.Unlock()
 	err := g.Client.Grant(ctx, address, r, g.GrantDuration)
+	// The time counts from here: if this process was paused in the meantime, the command may
+	// have left only after the pause, and it is in effect from its arrival.
+	until := g.commandExpiry(g.Clock.Now())
 	var unreachable *UnreachableError
 	if errors.As(err, &unreachable) {
 		g.Host.CheckServer(held.incarnation)
--- a/io/mtgrant/late_test.go
+++ b/io/mtgrant/late_test.go
@@ -27,6 +27,8 @@
 
 	mu       sync.Mutex
 	delaying bool
+	// pause is for how long the daemon is paused before a delayed grant leaves it.
+	pause time.Duration
 	// delayFirst leaves the first grant under each epoch unanswered, and answers the others.
 	delayFirst bool
 	epochs     map[mtid.Epoch]bool // seen while delayFirst was set
@@ -50,6 +52,7 @@
 		s.epochs[r.Epoch] = true
 	}
 	if s.delaying || first {
+		s.fleet.clock.advance(s.pause)
 		s.delayed = append(s.delayed, delayedGrant{Range: r, until: s.fleet.clock.Now().Add(duration)})
 		return context.DeadlineExceeded
 	}
@@ -227,6 +230,18 @@
 	f.checkLateGrant(server)
 }
 
+// A daemon is paused between its decision to send a grant and the sending. The grant takes effect
+// from its arrival, after the pause, so that its keys must wait for that much longer.
+func TestGrantThatLeavesAfterPauseTakesNoMovedKey(t *testing.T) {
+	f, server := newLateFleet(t)
+	server.mu.Lock()
+	server.pause = grantDuration / 2
+	server.mu.Unlock()
+	f.delayRenewal(server)
+	server.setDelaying(false)
+	f.checkLateGrant(server)
+}
+
 // A server leaves while one of its daemon's grants is unanswered. Its keys must move soon, and
 // the late grant must not give them back.
 func TestKeysOfLeavingServerMoveSoonDespiteUnansweredGrant(t *testing.T) {
