Show the rate limit that a server names, and how much it is sent

Change: the headers are decoded in platform/ into mtbackend.Signals, for each answer to a call, refusals and replies to health checks included; mtbackend.LimitTracker knows which of two answers counts that overtake each other; the host logs begin, change and end of a limit with the kind of answer that bore it, the line of each second has the calls started and the limit, host.status too. Nothing decides by it yet. X-Instance-Load goes the same way now.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -116,8 +116,4 @@
 	Body   []byte
 	Queued time.Duration // time in the gate's queue
 	Served time.Duration // time at the server
-	// Slowness is how long work currently takes on the server's machine, as a multiple
-	// of the usual time; zero if the server doesn't report it. Only the daemon beside
-	// the server knows it.
-	Slowness float64
 }
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -31,6 +31,7 @@
 	"syscall"
 	"time"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
@@ -54,16 +55,18 @@
 type Config struct {
 	Names mtheader.Names
 	Clock clock
-	// Slowness reads from an answer's header how long work takes on the server's machine,
-	// as a multiple of what is usual; zero if the header does not contain it. It may be
-	// nil.
-	Slowness func(http.Header) float64
+	// ReadSignals reads from the header of an answer what the server reports about itself,
+	// all but the source. It may be nil.
+	ReadSignals func(http.Header) mtbackend.Signals
 }
 
 // Target identifies the backend server to which a call is sent.
 type Target struct {
 	Address string
 	Server  mtid.Server // a server with another name refuses the call
+	// Observe is called with the signals of each answer of the server to the call, also of
+	// one that refuses it. It may be nil.
+	Observe func(mtbackend.Signals)
 }
 
 // Client sends calls to the backend server of a daemon.
@@ -170,17 +173,39 @@
 		default:
 			continue // a second answer to an earlier call
 		}
-		if refused := c.refusal(response, target); refused != nil {
+		refused := c.refusal(response, target)
+		c.observe(response, target, refused)
+		if refused != nil {
 			return nil, false, refused
 		}
-		if c.Slowness != nil {
-			answer.Slowness = c.Slowness(response.Header)
-		}
 		return answer, reusable && sendErr == nil, nil
 	}
 	return nil, false, &mismatchError{}
 }
 
+// observe passes on what the server reports about itself with an answer. An answer of
+// another server, which has taken over the address, says nothing about the target.
+func (c *Client) observe(response *http.Response, target Target, refused *mtreply.RefusedError) {
+	if target.Observe == nil || refused != nil && refused.Cause == mtreply.CauseNoServer {
+		return
+	}
+	source := mtbackend.SourceAnswer
+	if refused != nil || response.Header.Get(c.Names.Signature) == "" {
+		source = mtbackend.SourceRefusal
+	}
+	target.Observe(c.signals(response.Header, source))
+}
+
+// signals reads the signals of an answer.
+func (c *Client) signals(h http.Header, source mtbackend.SignalSource) mtbackend.Signals {
+	var s mtbackend.Signals
+	if c.ReadSignals != nil {
+		s = c.ReadSignals(h)
+	}
+	s.Source = source
+	return s
+}
+
 // untrustedError reports an answer that is not the server's own: a success without its
 // signature, or encoded content.
 type untrustedError struct{}
@@ -204,6 +229,8 @@
 type Health struct {
 	Server mtid.Server   // name of the incarnation that answers, if it reports one
 	Cold   time.Duration // how much longer it stays cold
+	// Signals are what the server reports about itself besides.
+	Signals mtbackend.Signals
 }
 
 // Identify queries which incarnation of the server answers at an address, and its warm-up
@@ -221,7 +248,11 @@
 		return Health{}, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
 	_ = response.Body.Close()
-	return Health{Server: mtid.Server(response.Header.Get(c.Names.AnsweringServer)), Cold: c.parseCold(response.Header)}, nil
+	return Health{
+		Server:  mtid.Server(response.Header.Get(c.Names.AnsweringServer)),
+		Cold:    c.parseCold(response.Header),
+		Signals: c.signals(response.Header, mtbackend.SourceHealthCheck),
+	}, nil
 }
 
 // parseCold returns how much longer a server stays cold, as its header reports. If the
@@ -343,7 +374,7 @@
 // refusal returns the error for an answer in which the server refuses the call, or nil.
 // Only the server's not-run header, or the status for a request to another server, shows
 // with certainty that the call was not run.
-func (c *Client) refusal(response *http.Response, target Target) error {
+func (c *Client) refusal(response *http.Response, target Target) *mtreply.RefusedError {
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		if other := response.Header.Get(c.Names.AnsweringServer); other != "" && other != string(target.Server) {
 			return &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: unreachableRetry, Detail: "another server has the address"}
--- a/io/mtexplain/mtexplain.go
+++ b/io/mtexplain/mtexplain.go
@@ -48,7 +48,7 @@
 var stateMessages = map[string]bool{
 	"configuration in force": true, "assignment": true, "server state": true, "own record written": true,
 	"own record can't be kept": true, "own record stands again": true, "watch failed": true, "watch works again": true,
-	"starting": true, "stopping": true,
+	"starting": true, "stopping": true, "server's rate limit": true, "server is leaving": true,
 }
 
 // Read collects the lines about the request with the given ID from the logs. It
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -119,6 +119,7 @@
 			// Of two incarnations with this name the later one is running, and earlier ones
 			// are not queried.
 			h.startIncarnation(h.unconfirmed)
+			h.applySignals(now, health.Signals)
 		case h.record.Incarnation.Server == server:
 			// The known incarnation is running, and the heartbeat is an old one.
 		default:
@@ -222,6 +223,8 @@
 		h.admission, h.zoneClosed = h.newAdmission(), false
 	}
 	h.warmup = mtbackend.WarmupTracker{}
+	h.limit = mtbackend.LimitTracker{}
+	h.logLimit("new incarnation")
 	h.updateZone(h.Clock.Now())
 	h.unconfirmed = mtbackend.Heartbeat{}
 	h.record.Incarnation = b.Incarnation
--- a/io/mthost/liveness.go
+++ b/io/mthost/liveness.go
@@ -138,6 +138,7 @@
 	}
 	address := h.address
 	go func() {
+		sent := h.Clock.Now()
 		health, err := h.Client.Identify(context.Background(), address, path)
 		server := health.Server
 		if err != nil || server != t.incarnation.Server {
@@ -147,6 +148,9 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.confirmLiveness(t)
+		if h.record.Incarnation == t.incarnation {
+			h.applySignals(sent, health.Signals)
+		}
 	}()
 }
 
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -21,6 +21,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"magnoliaturn/core/mtbackend"
@@ -156,6 +157,11 @@
 	startLimit        mtgate.StartRate // for a cold server; zero means no limit
 	startLimited      bool             // startLimit is in force at the gate
 	lastRun           mtclock.Instant  // when this process was last seen running
+	limit             mtbackend.LimitTracker
+	loggedLimit       mtbackend.Rate // limit that was logged last
+	invalidSignals    string         // last text of signals that could not be read
+
+	startedCalls atomic.Int64 // calls sent to the server
 
 	inFlightMu sync.Mutex
 	inFlight   map[mtcall.ID]int // calls in flight at the server
@@ -182,6 +188,7 @@
 		deniedKeys:      make(map[mtid.KeyNumber]bool),
 		inFlight:        make(map[mtcall.ID]int),
 		relativeTime:    1,
+		loggedLimit:     mtbackend.Unlimited,
 		serviceTimes:    make(map[mtid.Class]time.Duration),
 		configuredTimes: make(map[mtid.Class]time.Duration),
 		meter:           mtrange.NewMeter(config.Clock.Now()),
@@ -379,7 +386,11 @@
 	defer h.track(call.ID)()
 	_, address := h.Record()
 	h.requestStarted(fingerprint)
-	answer, err := h.Client.Do(ctx, iobackend.Target{Address: address, Server: record.Incarnation.Server}, call)
+	h.startedCalls.Add(1)
+	answer, err := h.Client.Do(ctx, iobackend.Target{
+		Address: address, Server: record.Incarnation.Server,
+		Observe: func(s mtbackend.Signals) { h.observeSignals(record.Incarnation, started, s) },
+	}, call)
 	h.requestEnded(fingerprint, err)
 	if err != nil {
 		h.handleFailure(record.Incarnation, call, err)
@@ -388,7 +399,6 @@
 	answer.Queued = started.Sub(arrived)
 	ended := h.Clock.Now()
 	answer.Served = ended.Sub(started)
-	h.recordSlowness(ended, answer.Slowness)
 	h.recordServiceTime(call.Route, answer.Served)
 	return answer, nil
 }
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -77,6 +77,7 @@
 			h.Log.Info("warm-up state of the server could not be determined", "server", incarnation.String(), "answers", string(health.Server), "error", err)
 			return
 		}
+		h.applySignals(connected, health.Signals)
 		h.warmup.ObserveHeartbeat(h.Clock.Steady(), mtbackend.Heartbeat{Cold: health.Cold, Connected: connected})
 		h.updateStartLimit()
 	}()
@@ -131,11 +132,18 @@
 	State   string `json:"state"`
 	Cold    bool   `json:"cold"`    // its request rate is limited
 	ZoneOut bool   `json:"zoneOut"` // its availability zone is out of service
+	// Limit is the number of calls per second that the server takes; null means that it
+	// names no limit.
+	Limit   any   `json:"limit"`
+	Started int64 `json:"started"` // calls sent to it by this process
 }
 
 // Status returns the current state of the server.
 func (h *Host) Status() Status {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Status{Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed()}
+	return Status{
+		Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed(),
+		Limit: limitText(h.limit.Rate()), Started: h.startedCalls.Load(),
+	}
 }
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -80,9 +80,9 @@
 	Store         mtstore.ConditionalStore
 	Port          mtgrant.ServerClient
 	Names         mtheader.Names
-	// Slowness returns the slowdown of the server's machine that a response reports, as a
-	// multiple of the usual processing time; zero if none is reported. It may be nil.
-	Slowness func(http.Header) float64
+	// ReadSignals reads from the header of a response what the backend server reports about
+	// itself. It may be nil.
+	ReadSignals func(http.Header) mtbackend.Signals
 	// Lease is how long the daemon's record in the store outlives the daemon, and
 	// GrantDuration is how long a grant lasts. Their sum limits how long the keys of a lost
 	// VM are unserved, and how long the store may be unavailable.
@@ -236,7 +236,7 @@
 func (m *Mesh) addHost() error {
 	clock := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock)
 	directory := mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory)
-	client, closeClient := iobackend.New(iobackend.Config{Names: m.config.Names, Clock: clock, Slowness: m.config.Slowness})
+	client, closeClient := iobackend.New(iobackend.Config{Names: m.config.Names, Clock: clock, ReadSignals: m.config.ReadSignals})
 	if err := mtkernel.Register(m.kernel, NameClient, client, closeClient); err != nil {
 		return err
 	}
@@ -376,7 +376,9 @@
 // addSummary adds the task that logs a summary of the requests in each interval.
 func (m *Mesh) addSummary() error {
 	grants := mtkernel.MustLookup[*mtgrant.Grants](m.kernel, NameGrants)
-	stop := mtduty.Every(summaryInterval, func(context.Context) { m.recorder.logSummary(m.Host().Load(), grants.TakeMovedCount(), m.storeCalls()) })
+	stop := mtduty.Every(summaryInterval, func(context.Context) {
+		m.recorder.logSummary(m.Host().Load(), m.Host().Status(), grants.TakeMovedCount(), m.storeCalls())
+	})
 	return mtkernel.Register(m.kernel, NameSummary, stop, stop)
 }
 
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -31,6 +31,8 @@
 	service  mtid.Service // on this VM
 	log      *slog.Logger
 	versions func() (configuration, seen mtid.Version)
+
+	startedBefore int64 // calls sent to the server until the previous summary
 }
 
 type clock interface{ Now() mtclock.Instant }
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -8,6 +8,7 @@
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/io/mthost"
 	"magnoliaturn/io/mtmetric"
 )
 
@@ -81,9 +82,12 @@
 	return result
 }
 
-// logSummary logs the results of requests on this daemon, the load of the server, and the
-// calls to the store since the previous summary. It logs nothing if there were none.
-func (r *recorder) logSummary(load mtcall.Load, moved int, calls map[string]int) {
+// logSummary logs the results of requests on this daemon, the load of the server, how many
+// calls were sent to it and its rate limit, and the calls to the store since the previous
+// summary. It logs nothing if there were none.
+func (r *recorder) logSummary(load mtcall.Load, server mthost.Status, moved int, calls map[string]int) {
+	started := server.Started - r.startedBefore
+	r.startedBefore = server.Started
 	counts := r.tally.reset()
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
@@ -92,6 +96,6 @@
 		return
 	}
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
-		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "pace", load.ServiceTime.String(),
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", started, "limit", server.Limit, "pace", load.ServiceTime.String(),
 		"demand", load.Demand, "moved", moved, "store", calls)
 }
