Keep to the rate limit that a server names

Callers of a server in need: it was sent as many requests as before, 223 in 4 s where 127 are allowed, since nothing decided by what its answers say.

Cause: the header was passed on to callers as one of many and read by nobody. Class: what a server says of itself reaches one process only, or none that decides. Change: - the gate beside the server, which every call passes, starts no more than the rate and a burst of a quarter second of it (mtgate quota, a cell rate algorithm); what can't start in time is refused at once (cause quota), also what waits when the limit is lowered; the times to return after are one interval apart; - LimitTracker decides which of two overtaking answers counts; an answer to a call that the server ran, sent after the last one that named a limit had arrived, ends it; 0 and below count as one call in 4 s, since a server without calls could never end its limit; one that can't be read counts as the limit before it, or a call per slot and second; - the daemon beside the server reports limit and capacity with the load: choosers and plans of keys go by the capacity, so that work goes elsewhere before it is refused; - other daemons send the limit back with their calls (mtbackend.Notice). The rule counts the requests of just those that have passed it on, so that a restarted daemon knows it before the first request that counts. Ways weighed: a field in the stored record (a write for each change, none while the store is away), one request at a time after a start (every start would pay). Conclusion: a limit is kept where all calls pass, and what a restart forgets is told by those who are bound by it.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
@@ -58,6 +59,9 @@
 	Priority       int // the lowest value is the most urgent
 	Objective      mtclock.Instant
 	Deadline       mtclock.Instant
+	// Notice is what the daemon that sends the call knows of the server beside the daemon
+	// that receives it.
+	Notice mtbackend.Notice
 	// The following fields are known only at the ingress.
 	TypicalService time.Duration // typical service time of the route
 	Arrived        mtclock.Instant
@@ -107,6 +111,10 @@
 	// of a second. Only its ratio to that of other servers is significant.
 	ServiceTime time.Duration
 	Demand      float64 // offered load, in slots
+	// Capacity is the number of slots that the server's rate limit lets it use on average;
+	// zero without a limit.
+	Capacity float64
+	Report   mtbackend.Report // what the server reports about itself
 }
 
 // Answer is the response of the backend server.
--- a/core/mtchoice/least.go
+++ b/core/mtchoice/least.go
@@ -13,6 +13,7 @@
 type LoadReport struct {
 	Requests    int             // requests that run at the server or wait for it
 	ServiceTime time.Duration   // service time of a typical request; only ratios between servers matter
+	Capacity    float64         // slots that its rate limit lets the server use; zero for all
 	ReceivedAt  mtclock.Instant // when the report was received; zero means no report
 }
 
@@ -176,7 +177,7 @@
 	}
 	reportWeight := 1 / (1 + float64(now.Sub(s.report.ReceivedAt))/float64(reportHalfAge))
 	load := max(float64(s.report.Requests)*reportWeight+float64(s.sentSinceReport), float64(s.inFlight))
-	slots := float64(max(s.Slots, 1))
+	slots := s.capacity(now)
 	excess := max(load+1-slots, 0)
 	cost := math.Sqrt(slowness)*(1+min(load, slots)/slots) + slowness*excess/slots
 	if s.Zone != p.zone {
@@ -186,6 +187,19 @@
 	return cost * (1 + costJitter*p.random.Float64())
 }
 
+// capacityDuration is how long the capacity in a report is used. A server whose limit has
+// ended meanwhile gets requests again, whose answers report that.
+const capacityDuration = 2 * time.Second
+
+// capacity returns how many requests the server can run at once.
+func (s *leastServer) capacity(now mtclock.Instant) float64 {
+	slots := float64(max(s.Slots, 1))
+	if s.report.Capacity <= 0 || now.Sub(s.report.ReceivedAt) > capacityDuration {
+		return slots
+	}
+	return min(slots, s.report.Capacity)
+}
+
 // Started records that a request is sent to the server.
 func (p *LeastLoaded) Started(holder mtid.Holder) {
 	if s, ok := p.byName[holder]; ok {
@@ -209,7 +223,7 @@
 	case Success:
 		s.estimate.Observe(true)
 		s.failures, s.avoidUntil = 0, 0
-		if s.report.Requests < s.Slots {
+		if float64(s.report.Requests) < s.capacity(now) {
 			s.fullUntil = 0
 		}
 	case Failure:
--- a/core/mtchoice/least_test.go
+++ b/core/mtchoice/least_test.go
@@ -45,6 +45,32 @@
 	assert.Assert(t, got["slow"] > 0, "the slow server got no request although the fast one is full")
 }
 
+// Guards against requests that a server with a rate limit refuses while others have room: the
+// limit counts as capacity, until the report is old.
+func TestLeastLoadedSendsLessToServerWithLimit(t *testing.T) {
+	limited, other := server("limited", "near"), server("other", "near")
+	p := newLeast(limited, other)
+	now := mtclock.Instant(time.Second)
+	p.Ended(now, limited.Holder, mtchoice.Success, mtchoice.LoadReport{ServiceTime: 100 * time.Millisecond, Capacity: 1.2, ReceivedAt: now})
+	p.Ended(now, other.Holder, mtchoice.Success, mtchoice.LoadReport{ServiceTime: 100 * time.Millisecond, ReceivedAt: now})
+	count := func(now mtclock.Instant) map[mtid.Daemon]int {
+		got := map[mtid.Daemon]int{}
+		for range 10 {
+			h, _ := p.Pick(now, nil)
+			p.Started(h)
+			got[h.Daemon]++
+		}
+		for name, n := range got {
+			for range n {
+				p.Ended(now, mtid.Holder{Daemon: name, Incarnation: 1}, mtchoice.Inconclusive, mtchoice.LoadReport{})
+			}
+		}
+		return got
+	}
+	assert.Assert(t, count(now)["limited"] <= 2)
+	assert.Assert(t, count(now)["other"] >= 8)
+}
+
 func TestLeastLoadedAvoidsFailingServers(t *testing.T) {
 	good, bad := server("good", "far"), server("bad", "near")
 	p := newLeast(good, bad)
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -140,6 +140,7 @@
 	aloneWindow  aloneWindow
 	stopped      []*stoppedRange
 	starts       startLimiter
+	quota        quota
 	slowdown     float64
 	draining     bool
 	closed       bool // between Close and Reopen
@@ -271,7 +272,7 @@
 	if len(g.alone) > 0 && g.canStart(g.now) && !g.aloneWindow.blocking {
 		return min(g.nextGiveUp, g.aloneWindow.sharedUntil), true
 	}
-	if next := g.starts.at(g.now, 1); next.After(g.now) && g.order.Len() > 0 {
+	if next := g.startableAt(g.now, 1); next.After(g.now) && g.order.Len()+len(g.alone) > 0 {
 		return min(g.nextGiveUp, next), true
 	}
 	return g.nextGiveUp, true
@@ -354,7 +355,11 @@
 		g.start(now, e)
 		return
 	}
-	wait := max(g.order.Wait(now, e, g.capacity()), g.startDelay(now, e))
+	wait, delay := max(g.order.Wait(now, e, g.capacity()), g.startDelay(now, e)), g.quotaDelay(now, e)
+	if delay > wait && g.order.TooLate(now, e, delay) {
+		g.refuse(e, g.quotaRefusal(now, e, delay))
+		return
+	}
 	if !e.GiveUp.After(now) || g.order.TooLate(now, e, wait) {
 		g.refuse(e, refusal(mtreply.CauseShed, clampRetry(g.order.Retry(e, wait)), "the queue is longer than its time allows"))
 		return
@@ -460,6 +465,7 @@
 func (g *Gate[O]) start(now mtclock.Instant, e *Entry) {
 	e.Started = now
 	g.starts.record(now)
+	g.quota.record(now)
 	g.running[e.Ticket.Number] = e
 	e.Flow.started(now, e)
 	g.order.Started(now, e)
@@ -513,6 +519,9 @@
 	if e.heldBy != nil {
 		return refusal(mtreply.CauseMoving, movingRetryAfter, "")
 	}
+	if g.quota.at(now, 1).After(now) {
+		return g.quotaRefusal(now, e, now.Sub(e.Arrival))
+	}
 	return refusal(mtreply.CauseShed, clampRetry(g.order.Retry(e, now.Sub(e.Arrival))), "waited too long")
 }
 
@@ -529,7 +538,13 @@
 
 // canStart reports whether one more request may start now.
 func (g *Gate[O]) canStart(now mtclock.Instant) bool {
-	return !g.aloneRunning && len(g.running) < g.capacity() && g.starts.allows(now)
+	return !g.aloneRunning && len(g.running) < g.capacity() && !g.startableAt(now, 1).After(now)
+}
+
+// startableAt returns the earliest time at which the limits of the start rate let the nth
+// request from now start.
+func (g *Gate[O]) startableAt(now mtclock.Instant, n int) mtclock.Instant {
+	return max(g.starts.at(now, n), g.quota.at(now, n))
 }
 
 // flow returns the flow for key and creates it if necessary.
--- a/core/mtgate/startrate.go
+++ b/core/mtgate/startrate.go
@@ -40,9 +40,6 @@
 	l.starts = slices.Delete(l.starts, 0, recent)
 }
 
-// allows reports whether a request may start now.
-func (l *startLimiter) allows(now mtclock.Instant) bool { return !l.at(now, 1).After(now) }
-
 // at returns the earliest time at which the nth request from now may start.
 func (l *startLimiter) at(now mtclock.Instant, n int) mtclock.Instant {
 	if l.rate <= 0 {
@@ -83,7 +80,10 @@
 }
 
 // ClockJumped corrects the recorded starts after the clock jumped ahead by some time.
-func (g *Gate[O]) ClockJumped(by time.Duration) { g.starts.shift(by) }
+func (g *Gate[O]) ClockJumped(by time.Duration) {
+	g.starts.shift(by)
+	g.quota.usedUntil = g.quota.usedUntil.Add(by)
+}
 
 // startDelay returns how long the start rate limit would delay e if e waited now.
 func (g *Gate[O]) startDelay(now mtclock.Instant, e *Entry) time.Duration {
--- a/core/mtrange/offload.go
+++ b/core/mtrange/offload.go
@@ -42,13 +42,27 @@
 type LoadReport struct {
 	Owner       Owner
 	Slots       int
+	Capacity    float64       // slots that its rate limit lets the server use; zero for all
 	Demand      float64       // offered work, in slots
 	ServiceTime time.Duration // service time of a standard request; 0 if not known
 	Keys        int           // number of keys that it owns
 	Known       bool          // whether a recent report of the load is available
 }
 
-func (r LoadReport) slots() float64 { return float64(max(r.Slots, 1)) }
+func (r LoadReport) slots() float64 {
+	if r.Capacity > 0 {
+		return r.Capacity
+	}
+	return float64(max(r.Slots, 1))
+}
+
+// minOffload returns the least work that the owner offloads to one server.
+func (r LoadReport) minOffload() float64 {
+	if r.Capacity > 0 {
+		return min(minOffload, r.Capacity*minLoadGap)
+	}
+	return minOffload
+}
 
 // load returns the offered work relative to the slots.
 func (r LoadReport) load() float64 { return r.Demand / r.slots() }
@@ -89,7 +103,7 @@
 		if !o.empty() && self.load()-level < minLoadGap {
 			continue
 		}
-		if amount := o.offloadAmount(self, level, len(others)); amount >= minOffload {
+		if amount := o.offloadAmount(self, level, len(others)); amount >= self.minOffload() {
 			offloads = append(offloads, Offload{To: o.Owner, Amount: amount})
 		}
 	}
--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -59,6 +59,7 @@
 	CauseSkew        Cause = "skew"        // the identifier's time is too far in the future
 	CauseTooLarge    Cause = "too-large"   // the body exceeds the size limit
 	CauseStopping    Cause = "stopping"    // this daemon is shutting down
+	CauseQuota       Cause = "quota"       // over the rate limit that the backend server names
 	CauseZoneOut     Cause = "zone-out"    // the server's availability zone is out of service
 )
 
--- a/core/mtretry/mtretry.go
+++ b/core/mtretry/mtretry.go
@@ -236,7 +236,7 @@
 		mtreply.CauseMoving, mtreply.CauseUnreachable, mtreply.CauseFenced,
 		mtreply.CauseStopping, mtreply.CauseDraining, mtreply.CauseNoServer:
 		return true
-	case mtreply.CauseQueueFull, mtreply.CauseShed, mtreply.CauseRefused,
+	case mtreply.CauseQueueFull, mtreply.CauseShed, mtreply.CauseQuota, mtreply.CauseRefused,
 		mtreply.CauseRecentFull:
 		return elsewhere
 	}
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -26,6 +26,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -112,6 +113,7 @@
 	probes   sync.WaitGroup
 	mu       sync.Mutex
 	reports  map[mtid.Daemon]LoadReport
+	notices  map[mtid.Daemon]*mtbackend.NoticeTracker
 	detector *mtsilence.Detector
 }
 
@@ -132,7 +134,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	client := &Client{
 		clock: c, exchange: exchange, pool: pool, ctx: ctx,
-		reports: make(map[mtid.Daemon]LoadReport), detector: mtsilence.New(),
+		reports: make(map[mtid.Daemon]LoadReport), notices: make(map[mtid.Daemon]*mtbackend.NoticeTracker), detector: mtsilence.New(),
 	}
 	return client, func() {
 		cancel()
@@ -211,14 +213,33 @@
 	return r, ok
 }
 
-// recordLoad stores the load report of a reply, if the reply has one.
-func (c *Client) recordLoad(daemon mtid.Daemon, w *mtwire.ForwardLoad) {
+// recordLoad stores the load report of a reply to a message that was sent at the given time,
+// if the reply has one.
+func (c *Client) recordLoad(daemon mtid.Daemon, sent mtclock.Instant, w *mtwire.ForwardLoad) {
 	if w == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reports[daemon] = LoadReport{Load: loadFromWire(w), ReceivedAt: c.clock.Now()}
+	now := c.clock.Now()
+	load := loadFromWire(w)
+	c.reports[daemon] = LoadReport{Load: load, ReceivedAt: now}
+	notice := c.notices[daemon]
+	if notice == nil {
+		notice = &mtbackend.NoticeTracker{}
+		c.notices[daemon] = notice
+	}
+	notice.Observe(now, sent, load.Report)
+}
+
+// notice returns what is known of the server beside a daemon by its answers.
+func (c *Client) notice(daemon mtid.Daemon) mtbackend.Notice {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.notices[daemon]; t != nil {
+		return t.Notice()
+	}
+	return mtbackend.Notice{}
 }
 
 // QueryLoad requests the load of a daemon, stores it for LoadReport and exchanges
@@ -234,7 +255,7 @@
 		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
 	c.recordResponse(address, sent)
-	c.recordLoad(daemon, load)
+	c.recordLoad(daemon, sent, load)
 	c.exchange.Receive(summaryFromWire(load.GetNews()), sent)
 	return nil
 }
@@ -331,7 +352,7 @@
 	watched, sent := mtconn.TrackSend(ctx)
 	inner, cancelCall := context.WithCancel(watched)
 	defer cancelCall()
-	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, c.forwardRequest(now, call))
+	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, c.forwardRequest(now, daemon, call))
 	if err != nil {
 		return nil, mtconn.ClassifyError(ctx, err, sent, unreachableRetry)
 	}
@@ -342,14 +363,16 @@
 	if err != nil {
 		return nil, mtconn.ClassifyError(ctx, err, sent, unreachableRetry)
 	}
-	c.recordLoad(daemon, w.GetLoad())
+	c.recordLoad(daemon, now, w.GetLoad())
 	c.exchange.Receive(summaryFromWire(w.GetNews()), now)
 	return replyFromWire(w)
 }
 
-// forwardRequest encodes a call, together with this daemon's summary of the shared state.
-func (c *Client) forwardRequest(now mtclock.Instant, call *mtcall.Call) *mtwire.ForwardRequest {
+// forwardRequest encodes a call, together with this daemon's summary of the shared state and
+// what it knows of the server beside the other daemon.
+func (c *Client) forwardRequest(now mtclock.Instant, daemon mtid.Daemon, call *mtcall.Call) *mtwire.ForwardRequest {
 	w := callToWire(now, call)
+	w.Notice = noticeToWire(c.notice(daemon))
 	w.News = summaryToWire(c.exchange.Summarize())
 	return w
 }
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -25,15 +26,16 @@
 
 // host answers calls with the test's run function and reports a fixed load.
 type host struct {
-	run func(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error)
+	run    func(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error)
+	report mtbackend.Report
 }
 
 func (h *host) Run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error) {
 	return h.run(ctx, call)
 }
 
-func (*host) Load() mtcall.Load {
-	return mtcall.Load{Running: 3, Waiting: 2, Slots: 10, ServiceTime: time.Second, Demand: 1.5}
+func (h *host) Load() mtcall.Load {
+	return mtcall.Load{Running: 3, Waiting: 2, Slots: 10, ServiceTime: time.Second, Demand: 1.5, Capacity: 0.5, Report: h.report}
 }
 
 // summaryLog records the summaries that a daemon receives.
@@ -98,10 +100,40 @@
 	report, ok := c.LoadReport("b")
 	assert.Assert(t, ok)
 	assert.Equal(t, report.Waiting, 2)
+	assert.Equal(t, report.Capacity, 0.5)
 	assert.Equal(t, (<-serverLog.received).NewestVersion, mtid.Version(50))
 	assert.Equal(t, (<-clientLog.received).NewestVersion, mtid.Version(70))
 }
 
+// Guards against a restarted daemon that has forgotten what its server reports: what it reported
+// to another daemon before comes back with the next call, also after a reply in which it knows
+// nothing.
+func TestNoticeComesBackWithCalls(t *testing.T) {
+	h := &host{}
+	var got mtbackend.Notice
+	h.run = func(_ context.Context, c *mtcall.Call) (*mtcall.Answer, error) {
+		got = c.Notice
+		return &mtcall.Answer{Status: 200}, nil
+	}
+	address, _ := serve(t, h)
+	c, clock, _ := client(t)
+	forward := func(r mtbackend.Report) {
+		h.report = r
+		_, err := c.Forward(t.Context(), "b", address, call(clock))
+		assert.NilError(t, err)
+	}
+	known := mtbackend.Notice{Incarnation: mtid.ServerIncarnation{Server: "i-1", Started: 7}, Limited: true, Limit: 20.5, Leaving: true}
+	forward(mtbackend.Report{Notice: known})
+	assert.DeepEqual(t, got, mtbackend.Notice{})
+	forward(mtbackend.Report{Unheard: true})
+	assert.DeepEqual(t, got, known)
+	forward(mtbackend.Report{})
+	assert.DeepEqual(t, got, known)
+	forward(mtbackend.Report{})
+	known.Limited, known.Limit = false, 0 // the server has answered and names none
+	assert.DeepEqual(t, got, known)
+}
+
 func TestErrorTypesArePreserved(t *testing.T) {
 	for _, want := range []error{
 		&mtreply.RefusedError{Cause: mtreply.CauseShed, RetryAfter: time.Second, Detail: "full"},
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -198,6 +199,23 @@
 		Objective:      now.Add(micros(w.GetObjectiveUs())),
 		Deadline:       now.Add(micros(w.GetDeadlineUs())),
 		Caller:         mtid.Service(w.GetCaller()),
+		Notice:         noticeFromWire(w.GetNotice()),
+	}
+}
+
+func noticeToWire(n mtbackend.Notice) *mtwire.Notice {
+	if n.IsZero() {
+		return nil
+	}
+	return &mtwire.Notice{
+		Server: string(n.Incarnation.Server), Started: int64(n.Incarnation.Started), Limited: n.Limited, Limit: float64(n.Limit), Leaving: n.Leaving,
+	}
+}
+
+func noticeFromWire(w *mtwire.Notice) mtbackend.Notice {
+	return mtbackend.Notice{
+		Incarnation: mtid.ServerIncarnation{Server: mtid.Server(w.GetServer()), Started: mtid.StartTime(w.GetStarted())},
+		Limited:     w.GetLimited(), Limit: mtbackend.Rate(w.GetLimit()), Leaving: w.GetLeaving(),
 	}
 }
 
@@ -222,14 +240,16 @@
 func loadToWire(l mtcall.Load) *mtwire.ForwardLoad {
 	return &mtwire.ForwardLoad{
 		Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots),
-		ServiceUs: l.ServiceTime.Microseconds(), Demand: float32(l.Demand),
+		ServiceUs: l.ServiceTime.Microseconds(), Demand: float32(l.Demand), Capacity: float32(l.Capacity),
+		Notice: noticeToWire(l.Report.Notice), Unheard: l.Report.Unheard,
 	}
 }
 
 func loadFromWire(w *mtwire.ForwardLoad) mtcall.Load {
 	return mtcall.Load{
 		Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots()),
-		ServiceTime: micros(w.GetServiceUs()), Demand: float64(w.GetDemand()),
+		ServiceTime: micros(w.GetServiceUs()), Demand: float64(w.GetDemand()), Capacity: float64(w.GetCapacity()),
+		Report: mtbackend.Report{Notice: noticeFromWire(w.GetNotice()), Unheard: w.GetUnheard()},
 	}
 }
 
--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
@@ -44,6 +45,7 @@
 	slots       int
 	conns       int
 	startLimit  mtgate.StartRate
+	rate        mtbackend.Rate
 	slowness    float64       // last multiple passed to the gate
 	clockLead   time.Duration // lead of Now over Steady at the last check
 	timer       *time.Timer
@@ -60,6 +62,7 @@
 		idle:        make(chan struct{}),
 		gate:        mtgate.New(order, limits),
 		waiters:     make(map[mtgate.Number]chan *mtreply.RefusedError),
+		rate:        mtbackend.Unlimited,
 		slowness:    1,
 	}
 }
@@ -103,6 +106,19 @@
 	c.apply(c.gate.LimitStartRate(c.now(), limit))
 }
 
+// LimitRate sets the number of requests per second that the server takes. It is called for each
+// answer, and costs a comparison if nothing changed.
+func (c *AdmissionController[O]) LimitRate(rate mtbackend.Rate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rate == rate {
+		return
+	}
+	c.rate = rate
+	c.clockLead = c.clock.Now().Sub(c.clock.Steady())
+	c.apply(c.gate.LimitRate(c.now(), rate))
+}
+
 // minSlownessChange is the smallest change of the multiple that is passed to the gate.
 const minSlownessChange = 0.05
 
@@ -131,7 +147,7 @@
 // with mu held.
 func (c *AdmissionController[O]) now() mtclock.Instant {
 	now := c.clock.Now()
-	if c.startLimit == 0 {
+	if c.startLimit == 0 && c.rate == mtbackend.Unlimited {
 		return now
 	}
 	lead := now.Sub(c.clock.Steady())
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -223,11 +223,11 @@
 		h.admission, h.zoneClosed = h.newAdmission(), false
 	}
 	h.warmup = mtbackend.WarmupTracker{}
-	h.limit = mtbackend.LimitTracker{}
-	h.logLimit("new incarnation")
 	h.updateZone(h.Clock.Now())
 	h.unconfirmed = mtbackend.Heartbeat{}
 	h.record.Incarnation = b.Incarnation
+	h.signals = signals{logged: h.signals.logged}
+	h.applyRateLimit("new incarnation")
 	h.record.Service = b.Service
 	h.record.State = mtbackend.Unknown
 	h.sequence = 0
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -46,6 +46,7 @@
 	h.meterMu.Lock()
 	defer h.meterMu.Unlock()
 	h.serviceTimes[route] = average(h.serviceTimes[route], took)
+	h.meanTime = average(h.meanTime, took)
 	if usual := h.configuredTimes[route]; usual > 0 {
 		h.relativeTime += (float64(took)/float64(usual) - h.relativeTime) / averageWindow
 	}
@@ -121,8 +122,10 @@
 
 // Load returns the current load of the server.
 func (h *Host) Load() mtcall.Load {
-	record, _ := h.Record()
-	running, waiting := h.currentAdmission().Busy()
+	h.mu.Lock()
+	record, admission, report, limit := h.record, h.admission, h.report(), h.signals.limit.Rate()
+	h.mu.Unlock()
+	running, waiting := admission.Busy()
 	h.meterMu.Lock()
 	defer h.meterMu.Unlock()
 	now := h.Clock.Now()
@@ -132,5 +135,7 @@
 		Slots:       record.Slots,
 		ServiceTime: h.referenceTime(now),
 		Demand:      h.meter.Demand(now),
+		Capacity:    capacity(limit, record.Slots, h.meanTime),
+		Report:      report,
 	}
 }
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -157,11 +157,10 @@
 	startLimit        mtgate.StartRate // for a cold server; zero means no limit
 	startLimited      bool             // startLimit is in force at the gate
 	lastRun           mtclock.Instant  // when this process was last seen running
-	limit             mtbackend.LimitTracker
-	loggedLimit       mtbackend.Rate // limit that was logged last
-	invalidSignals    string         // last text of signals that could not be read
+	signals           signals
 
 	startedCalls atomic.Int64 // calls sent to the server
+	quotaRefused atomic.Int64 // calls refused because of its rate limit
 
 	inFlightMu sync.Mutex
 	inFlight   map[mtcall.ID]int // calls in flight at the server
@@ -172,7 +171,8 @@
 	meterMu         sync.Mutex
 	meter           *mtrange.Meter
 	slowness        mtbackend.Slowness
-	relativeTime    float64 // average service time, as a multiple of the configured one
+	relativeTime    float64       // average service time, as a multiple of the configured one
+	meanTime        time.Duration // average service time of all calls
 	serviceTimes    map[mtid.Class]time.Duration
 	configuredTimes map[mtid.Class]time.Duration // by the configuration
 }
@@ -188,7 +188,7 @@
 		deniedKeys:      make(map[mtid.KeyNumber]bool),
 		inFlight:        make(map[mtcall.ID]int),
 		relativeTime:    1,
-		loggedLimit:     mtbackend.Unlimited,
+		signals:         signals{logged: mtbackend.Unlimited},
 		serviceTimes:    make(map[mtid.Class]time.Duration),
 		configuredTimes: make(map[mtid.Class]time.Duration),
 		meter:           mtrange.NewMeter(config.Clock.Now()),
@@ -252,22 +252,25 @@
 // changed limits to the gate, and retries pending work.
 func (h *Host) tick(now mtclock.Instant) {
 	h.mu.Lock()
-	admission := h.admission
-	drain := h.drainAt != 0 && !now.Before(h.drainAt)
-	if drain {
-		h.drainAt = 0
-	}
+	h.drainIfDue(now)
 	h.detectPause(now)
 	h.updateLimits(now)
 	h.mu.Unlock()
-	if drain {
-		admission.Drain()
-	}
 	h.updateSlowness(now)
 	h.checkHeartbeat(now)
 	h.retryPending(now)
 }
 
+// drainIfDue stops new work to a leaving server once its time is over. It is called with mu
+// held.
+func (h *Host) drainIfDue(now mtclock.Instant) {
+	if h.drainAt == 0 || now.Before(h.drainAt) {
+		return
+	}
+	h.drainAt = 0
+	h.admission.Drain()
+}
+
 // Retire publishes that this daemon shuts down while its server continues to run. Other
 // daemons may not be notified while the store is unavailable, so calls that can go to
 // another server are refused from now on.
@@ -323,6 +326,9 @@
 // others.
 func (h *Host) logUnanswered(call *mtcall.Call, err error) {
 	reply := mtrequest.FromError(err)
+	if reply.Cause == mtreply.CauseQuota {
+		h.quotaRefused.Add(1)
+	}
 	h.Log.Info("call "+string(reply.Outcome)+": "+string(reply.Cause), slog.Any("", unanswered{host: h, call: call, err: err}))
 }
 
@@ -353,6 +359,7 @@
 
 func (h *Host) run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error) {
 	arrived := h.Clock.Now()
+	h.applyNotice(call.Notice)
 	record, admission, err := h.checkAccepts(call)
 	if err != nil {
 		return nil, err
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -30,14 +30,18 @@
 	cold        time.Duration
 	calls       int
 	answer      func(ctx context.Context) (*mtcall.Answer, error)
+	signals     mtbackend.Signals // reported with each answer to a call
+	health      mtbackend.Signals // reported with each reply to a health check
 }
 
-func (s *server) Do(ctx context.Context, _ iobackend.Target, _ *mtcall.Call) (*mtcall.Answer, error) {
+func (s *server) Do(ctx context.Context, target iobackend.Target, _ *mtcall.Call) (*mtcall.Answer, error) {
 	s.mu.Lock()
 	s.calls++
-	answer := s.answer
+	answer, signals := s.answer, s.signals
 	s.mu.Unlock()
-	return answer(ctx)
+	response, err := answer(ctx)
+	target.Observe(signals)
+	return response, err
 }
 
 func (s *server) Identify(context.Context, string, string) (iobackend.Health, error) {
@@ -46,7 +50,7 @@
 	if s.incarnation == "" {
 		return iobackend.Health{}, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: errors.New("no answer")}
 	}
-	return iobackend.Health{Server: s.incarnation, Cold: s.cold}, nil
+	return iobackend.Health{Server: s.incarnation, Cold: s.cold, Signals: s.health}, nil
 }
 
 // clock runs in real time, plus an offset that a test adds.
@@ -152,8 +156,11 @@
 	return &mtcall.Call{ID: "1", Service: "maps", Route: "plans", Keyed: keyed, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
 }
 
-func (s *fixture) refusalCause(keyed bool) mtreply.Cause {
-	_, err := s.host.Run(context.Background(), s.call(keyed))
+func (s *fixture) refusalCause(keyed bool) mtreply.Cause { return s.causeOf(s.call(keyed)) }
+
+// causeOf runs a call and returns the cause of its refusal.
+func (s *fixture) causeOf(call *mtcall.Call) mtreply.Cause {
+	_, err := s.host.Run(context.Background(), call)
 	var refused *mtreply.RefusedError
 	if errors.As(err, &refused) {
 		return refused.Cause
--- a/io/mthost/signals.go
+++ b/io/mthost/signals.go
@@ -2,12 +2,26 @@
 
 import (
 	"math"
+	"time"
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 )
 
+// A server reports with its answers how many calls per second it takes. Only this daemon reads
+// those answers first, and only it sees all calls to the server, so that it enforces the limit. The other daemons pass the answers on to their callers and are
+// bound by that even after this process has been replaced. So they send what they know back
+// with their calls.
+
+// signals is what the current incarnation of the server has reported with its answers.
+type signals struct {
+	limit   mtbackend.LimitTracker
+	heard   bool           // it has answered a call of this process
+	logged  mtbackend.Rate // limit that was logged last
+	invalid string         // last text that could not be read
+}
+
 // observeSignals processes what an incarnation of the server reports about itself with the
 // answer to a call that was sent at the given time.
 func (h *Host) observeSignals(incarnation mtid.ServerIncarnation, sent mtclock.Instant, s mtbackend.Signals) {
@@ -21,28 +35,50 @@
 
 // applySignals processes the signals of the current incarnation. It is called with mu held.
 func (h *Host) applySignals(sent mtclock.Instant, s mtbackend.Signals) {
-	if s.Invalid != "" && s.Invalid != h.invalidSignals {
+	if s.Invalid != "" && s.Invalid != h.signals.invalid {
 		h.Log.Warn("server reports what can't be read", "server", h.record.Incarnation.String(), "text", s.Invalid, "on", string(s.Source))
 	}
-	h.invalidSignals = s.Invalid
-	h.limit.Observe(h.Clock.Now(), sent, s, mtbackend.Rate(h.record.Slots))
-	h.logLimit(s.Source)
+	h.signals.invalid = s.Invalid
+	h.signals.heard = h.signals.heard || s.Source == mtbackend.SourceAnswer
+	// A limit that can't be read means that the server is in need: one call per slot and
+	// second burdens it little, and shows when the limit has ended.
+	h.signals.limit.Observe(h.Clock.Now(), sent, s, mtbackend.Rate(h.record.Slots))
+	h.applyRateLimit(string(s.Source))
+}
+
+// applyNotice processes what another daemon knows of the server, before a call of that daemon
+// is admitted. What it knows of a rate limit counts only until the server has answered this
+// process.
+func (h *Host) applyNotice(n mtbackend.Notice) {
+	if n.IsZero() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n.Incarnation != h.record.Incarnation {
+		return
+	}
+	if n.Limited && !h.signals.heard {
+		s := mtbackend.Signals{Source: mtbackend.SourcePeer, Limit: mtbackend.RateLimit{Named: true, Rate: n.Limit}}
+		h.signals.limit.Observe(h.Clock.Now(), 0, s, mtbackend.Unlimited)
+		h.applyRateLimit(string(s.Source))
+	}
 }
 
 // limitLogStep is the ratio of two limits from which a change is logged: a server may name
 // another limit with each answer.
 const limitLogStep = 1.25
 
-// logLimit logs the server's rate limit if it begins, ends or has changed by much. It is
-// called with mu held.
-func (h *Host) logLimit(on mtbackend.SignalSource) {
-	rate, logged := h.limit.Rate(), h.loggedLimit
-	began, ended := logged == mtbackend.Unlimited && rate != logged, rate == mtbackend.Unlimited && rate != logged
-	if !began && !ended && rate <= logged*limitLogStep && logged <= rate*limitLogStep {
+// applyRateLimit applies the server's rate limit to the gate, and logs it if it begins, ends or
+// has changed by much. It is called with mu held.
+func (h *Host) applyRateLimit(on string) {
+	rate, logged := h.signals.limit.Rate(), h.signals.logged
+	h.admission.LimitRate(rate)
+	if rate <= logged*limitLogStep && logged <= rate*limitLogStep {
 		return
 	}
-	h.loggedLimit = rate
-	h.Log.Info("server's rate limit", "server", h.record.Incarnation.String(), "limit", limitText(rate), "on", string(on), "started", h.startedCalls.Load())
+	h.signals.logged = rate
+	h.Log.Info("server's rate limit", "server", h.record.Incarnation.String(), "limit", limitText(rate), "on", on, "started", h.startedCalls.Load())
 }
 
 // limitText returns a rate limit for logs and metrics: the rate per second, or null.
@@ -53,5 +89,26 @@
 	return math.Round(float64(rate)*1000) / 1000
 }
 
-// StartedCalls returns the number of calls that have been sent to the server.
-func (h *Host) StartedCalls() int64 { return h.startedCalls.Load() }
+// report returns what the server has reported about itself, for other daemons. It is called with
+// mu held.
+func (h *Host) report() mtbackend.Report {
+	rate := h.signals.limit.Rate()
+	n := mtbackend.Notice{Incarnation: h.record.Incarnation, Limited: rate < mtbackend.Unlimited, Leaving: h.record.State == mtbackend.Draining}
+	if n.Limited {
+		n.Limit = rate
+	}
+	return mtbackend.Report{Notice: n, Unheard: !h.signals.heard}
+}
+
+// minCapacity is the least capacity of a server with a rate limit, in slots: none at all would
+// make every load infinite.
+const minCapacity = 0.05
+
+// capacity returns the number of slots that a rate limit lets a server use on average, if a call
+// takes the given time; zero without a limit.
+func capacity(limit mtbackend.Rate, slots int, service time.Duration) float64 {
+	if limit >= mtbackend.Unlimited || service <= 0 {
+		return 0
+	}
+	return max(min(float64(limit)*service.Seconds(), float64(slots)), minCapacity)
+}
--- /dev/null
+++ b/io/mthost/signals_test.go
@@ -0,0 +1,101 @@
+package mthost_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
+)
+
+// report makes the server report this with its answers to calls from now on.
+func (s *fixture) report(signals mtbackend.Signals) {
+	signals.Source = mtbackend.SourceAnswer
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	s.server.signals = signals
+}
+
+func limited(rate mtbackend.Rate) mtbackend.Signals {
+	return mtbackend.Signals{Limit: mtbackend.RateLimit{Named: true, Rate: rate}}
+}
+
+// notice returns what another daemon knows of an incarnation of the server.
+func notice(server mtid.Server, n mtbackend.Notice) mtbackend.Notice {
+	n.Incarnation = mtid.ServerIncarnation{Server: server}
+	return n
+}
+
+// runWith runs a call of a daemon that knows this of the server, and returns the cause of its
+// refusal.
+func (s *fixture) runWith(n mtbackend.Notice, keyed bool) mtreply.Cause {
+	call := s.call(keyed)
+	call.Notice = n
+	return s.causeOf(call)
+}
+
+// Guards against a server that gets more calls than it takes, and against a limit that outlasts
+// what the server says.
+func TestServersLimitHoldsAsLongAsItIsNamed(t *testing.T) {
+	s := newFixture(t, "server")
+	s.startServer("i-1")
+	s.report(limited(1))
+	assert.Equal(t, s.refusalCause(false), mtreply.Cause(""))
+	assert.Assert(t, s.burst(12, 300*time.Millisecond) <= 2)
+	s.report(mtbackend.Signals{})
+	assert.Equal(t, s.burst(1, 3*time.Second), 1) // its answer ends the limit
+	assert.Equal(t, s.burst(12, 20*time.Second), 12)
+}
+
+// A limit that a health check names holds from the first call, and a health check that names
+// none does not end it.
+func TestHealthCheckNamesLimit(t *testing.T) {
+	s := newFixture(t, "server")
+	s.server.health = limited(1)
+	s.server.signals = limited(1)
+	s.server.health.Source, s.server.signals.Source = mtbackend.SourceHealthCheck, mtbackend.SourceAnswer
+	s.startServer("i-1")
+	assert.Assert(t, s.burst(12, 300*time.Millisecond) <= 2)
+}
+
+// Guards against a restarted daemon that has forgotten the limit of its server: what other
+// daemons send with their calls counts until the server has answered.
+func TestLimitKnownByOtherDaemonHoldsUntilServerAnswers(t *testing.T) {
+	s := newFixture(t, "server")
+	s.startServer("i-1")
+	known := notice("i-1", mtbackend.Notice{Limited: true, Limit: 0.5})
+	assert.Equal(t, s.runWith(notice("i-0", mtbackend.Notice{Limited: true, Limit: 0.5}), false), mtreply.Cause("")) // of another incarnation
+	assert.Equal(t, s.runWith(known, false), mtreply.Cause(""))                                                      // the server has answered
+	s.startServer("i-2")
+	known.Incarnation.Server = "i-2"
+	s.report(limited(0.5))
+	assert.Equal(t, s.runWith(known, false), mtreply.Cause(""))
+	assert.Equal(t, s.runWith(known, false), mtreply.CauseQuota)
+}
+
+// The limit of a server ends with its incarnation.
+func TestLimitEndsWithIncarnation(t *testing.T) {
+	s := newFixture(t, "server")
+	s.startServer("i-1")
+	s.report(limited(0.5))
+	assert.Equal(t, s.refusalCause(false), mtreply.Cause(""))
+	s.report(mtbackend.Signals{})
+	s.startServer("i-2")
+	assert.Equal(t, s.burst(12, 20*time.Second), 12)
+}
+
+// The other daemons receive the limit as capacity, so that they send calls elsewhere before they
+// are refused, and what they need after a restart of this daemon.
+func TestLoadReportsLimit(t *testing.T) {
+	s := newFixture(t, "server")
+	s.startServer("i-1")
+	assert.Assert(t, s.host.Load().Report.Unheard)
+	s.report(limited(0.5))
+	assert.Equal(t, s.refusalCause(false), mtreply.Cause(""))
+	load := s.host.Load()
+	assert.Equal(t, load.Report, mtbackend.Report{Notice: notice("i-1", mtbackend.Notice{Limited: true, Limit: 0.5})})
+	assert.Assert(t, load.Capacity > 0 && load.Capacity < 1, "capacity %v", load.Capacity)
+}
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -136,6 +136,7 @@
 	// names no limit.
 	Limit   any   `json:"limit"`
 	Started int64 `json:"started"` // calls sent to it by this process
+	Quota   int64 `json:"quota"`   // calls refused by this process because of the limit
 }
 
 // Status returns the current state of the server.
@@ -144,6 +145,6 @@
 	defer h.mu.Unlock()
 	return Status{
 		Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed(),
-		Limit: limitText(h.limit.Rate()), Started: h.startedCalls.Load(),
+		Limit: limitText(h.signals.limit.Rate()), Started: h.startedCalls.Load(), Quota: h.quotaRefused.Load(),
 	}
 }
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -128,17 +128,33 @@
 	// later try proves that the call was not run.
 	uncertain error
 	last      error // error of the last try
+	// soonest is the refusal by a full server that allows the earliest return.
+	soonest *mtreply.RefusedError
 }
 
 // finalError returns the error for the caller, given the error of the last try.
 func (s *sending) finalError(last error) error {
 	var refused *mtreply.RefusedError
-	if s.uncertain != nil && errors.As(last, &refused) {
+	isRefused := errors.As(last, &refused)
+	switch {
+	case isRefused && s.uncertain != nil:
 		return s.uncertain
+	case isRefused && refused.Cause == mtreply.CauseQuota && s.soonest != nil:
+		// The other servers have room again long before one with a rate limit.
+		return s.soonest
 	}
 	return last
 }
 
+// recordRefusal remembers the refusal of a full server if it allows an earlier return than
+// those before.
+func (s *sending) recordRefusal(err error) {
+	var refused *mtreply.RefusedError
+	if errors.As(err, &refused) && full(refused.Cause) && (s.soonest == nil || refused.RetryAfter < s.soonest.RetryAfter) {
+		s.soonest = refused
+	}
+}
+
 // Send sends a call to a backend server and returns the response. It sends it to at most
 // attempts servers one after the other; refusals before a server was reached don't count.
 func (s *Sender) Send(ctx context.Context, call *mtcall.Call, attempts int) (*mtcall.Answer, error) {
@@ -165,6 +181,7 @@
 			Daemon: member.Daemon, Cause: mtrequest.FromError(err).Cause, Took: s.Clock.Now().Sub(begun),
 		})
 		state.last = err
+		state.recordRefusal(err)
 		var unknown *mtreply.UnknownError
 		if errors.As(err, &unknown) {
 			state.uncertain = err
@@ -246,8 +263,9 @@
 	state.bounces++
 	// Don't look for spare capacity in other zones for a call that is late already: it
 	// would occupy slots that calls in time need, and the traffic between zones costs
-	// more than a late response is worth.
-	if full(refused.Cause) && call.Late(s.Clock.Now(), call.TypicalService) {
+	// more than a late response is worth. The rate limit of one server shows no overload of
+	// the others.
+	if full(refused.Cause) && refused.Cause != mtreply.CauseQuota && call.Late(s.Clock.Now(), call.TypicalService) {
 		return false
 	}
 	return state.bounces <= maxBounces
@@ -305,7 +323,7 @@
 
 // full reports whether a server refused a call because of its load.
 func full(cause mtreply.Cause) bool {
-	return cause == mtreply.CauseShed || cause == mtreply.CauseQueueFull
+	return cause == mtreply.CauseShed || cause == mtreply.CauseQueueFull || cause == mtreply.CauseQuota
 }
 
 // holder identifies a member for the choice policy. The policy needs no incarnations.
@@ -415,13 +433,13 @@
 func (s *Sender) report(member mtdirectory.Member) mtchoice.LoadReport {
 	if member.Daemon == s.Self {
 		load := s.Host.Load()
-		return mtchoice.LoadReport{Requests: load.Running + load.Waiting, ServiceTime: load.ServiceTime, ReceivedAt: s.Clock.Now()}
+		return mtchoice.LoadReport{Requests: load.Running + load.Waiting, ServiceTime: load.ServiceTime, Capacity: load.Capacity, ReceivedAt: s.Clock.Now()}
 	}
 	r, ok := s.Peers.LoadReport(member.Daemon)
 	if !ok {
 		return mtchoice.LoadReport{}
 	}
-	return mtchoice.LoadReport{Requests: r.Running + r.Waiting, ServiceTime: r.ServiceTime, ReceivedAt: r.ReceivedAt}
+	return mtchoice.LoadReport{Requests: r.Running + r.Waiting, ServiceTime: r.ServiceTime, Capacity: r.Capacity, ReceivedAt: r.ReceivedAt}
 }
 
 // resultKind classifies the result of a try by what it shows about the server.
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -109,6 +109,34 @@
 	return call
 }
 
+// Guards against callers that are told to return after seconds because the last of several full
+// servers has a rate limit, and against late calls that are lost at it while others have room.
+func TestRateLimitOfOneServerDoesNotDecideForAll(t *testing.T) {
+	quota := &mtreply.RefusedError{Cause: mtreply.CauseQuota, RetryAfter: 4 * time.Second}
+	p := &fakePeers{answer: func(n int) (*mtcall.Answer, error) {
+		if n == 1 {
+			return nil, shed
+		}
+		return nil, quota
+	}}
+	s, clock := newSender(t, p)
+	_, err := s.Send(t.Context(), newCall(clock.Now(), true), 2)
+	assert.Equal(t, err, error(shed))
+
+	p = &fakePeers{answer: func(n int) (*mtcall.Answer, error) {
+		if n == 1 {
+			return nil, quota
+		}
+		return answerOK, nil
+	}}
+	s, clock = newSender(t, p)
+	late := newCall(clock.Now(), true)
+	late.Objective = clock.Now().Add(-time.Second)
+	answer, err := s.Send(t.Context(), late, 2)
+	assert.NilError(t, err)
+	assert.Equal(t, answer, answerOK)
+}
+
 // A key range has moved, and its update arrives here a tenth of a second later. Guards
 // against trying the previous owner every 15 ms until then, by which time a lookup with a
 // deadline of 200 ms has failed. The refusal names the new owner, which must get the call
--- a/io/mtmesh/survey.go
+++ b/io/mtmesh/survey.go
@@ -46,12 +46,12 @@
 		}
 		if member.Daemon == m.config.Daemon {
 			load := m.Host().Load()
-			report.Demand, report.ServiceTime, report.Known = load.Demand, load.ServiceTime, true
+			report.Demand, report.ServiceTime, report.Capacity, report.Known = load.Demand, load.ServiceTime, load.Capacity, true
 			self = report
 			continue
 		}
 		if r, ok := peers.LoadReport(member.Daemon); ok && now.Sub(r.ReceivedAt) < reportTTL {
-			report.Demand, report.ServiceTime, report.Known = r.Demand, r.ServiceTime, true
+			report.Demand, report.ServiceTime, report.Capacity, report.Known = r.Demand, r.ServiceTime, r.Capacity, true
 		}
 		others = append(others, report)
 	}
--- a/io/mtrouter/spread.go
+++ b/io/mtrouter/spread.go
@@ -84,7 +84,7 @@
 		r.Kind = mtchoice.Success
 	}
 	switch reply.Cause {
-	case mtreply.CauseQueueFull, mtreply.CauseShed, mtreply.CauseRefused:
+	case mtreply.CauseQueueFull, mtreply.CauseShed, mtreply.CauseQuota, mtreply.CauseRefused:
 		r.Kind = mtchoice.Overloaded
 	case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseDraining, mtreply.CauseStopping,
 		mtreply.CauseLost, mtreply.CauseTimeout, mtreply.CauseTruncated:
