Give a server that leaves by its answers no new work

Callers could reach a server for as long as it served after it had said in its answers that it leaves: requests sent 1.004 s and more after the daemon that they were sent to had passed that on (bound 1 s in the test).

Cause: the header was read by nobody; leaving was known from heartbeats and deregistrations alone, which come late or, from some servers, not at all. What another daemon has passed on comes with its calls and counts as leaving for long, so that a restarted daemon with the store away gives nothing more. The end of that time is checked for each call, not only by the tick every 50 ms, which may come after the first calls that follow a pause of the process. Conclusion: all of a service's requests pass the daemon beside the server, which stops them before any daemon's time is over; it needs neither store nor heartbeat for that.

--- a/core/mtbackend/signals.go
+++ b/core/mtbackend/signals.go
@@ -78,8 +78,17 @@
 	if !s.Limit.Named {
 		return
 	}
-	l.named = slices.DeleteFunc(l.named, func(n namedLimit) bool { return n.rate >= rate })
-	l.named = append(l.named, namedLimit{rate: rate, arrivedAt: now})
+	l.add(namedLimit{rate: rate, arrivedAt: now})
+}
+
+// Assume puts a limit in force that the server named to a previous process. Any answer to a
+// call of this process is newer.
+func (l *LimitTracker) Assume(rate Rate) { l.add(namedLimit{rate: rate}) }
+
+// add adds a limit. The higher ones before it count no more.
+func (l *LimitTracker) add(n namedLimit) {
+	l.named = slices.DeleteFunc(l.named, func(o namedLimit) bool { return o.rate >= n.rate })
+	l.named = append(l.named, n)
 }
 
 // Rate returns the limit in force, or Unlimited.
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -453,6 +453,8 @@
 func (h *Host) checkAccepts(call *mtcall.Call) (mtbackend.Record, *iogate.AdmissionController[*mtgate.Urgent], error) {
 	h.mu.Lock()
 	now := h.Clock.Now()
+	// After a pause of this process, calls may be next before the tick is.
+	h.drainIfDue(now)
 	h.detectPause(now)
 	record, admission := h.record, h.admission
 	zoneOpen := h.zone.Admits(now, call.Keyed)
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -78,7 +78,7 @@
 
 func newFixture(t *testing.T, address string) *fixture {
 	t.Helper()
-	s := &fixture{t: t, clock: &clock{Clock: mttime.New()}, server: &server{}, path: "/health"}
+	s := &fixture{t: t, clock: &clock{Clock: mttime.New()}, server: &server{signals: mtbackend.Signals{Source: mtbackend.SourceAnswer}}, path: "/health"}
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) { return &mtcall.Answer{Status: 200}, nil }
 	host, cleanUp := mthost.New(mthost.Config{
 		Daemon: "a", Service: "maps", Address: address, DrainPeriod: 300 * time.Millisecond, Clock: s.clock, Client: s.server,
--- a/io/mthost/signals.go
+++ b/io/mthost/signals.go
@@ -9,8 +9,9 @@
 	"magnoliaturn/core/mtid"
 )
 
-// A server reports with its answers how many calls per second it takes. Only this daemon reads
-// those answers first, and only it sees all calls to the server, so that it enforces the limit. The other daemons pass the answers on to their callers and are
+// A server reports with its answers how many calls per second it takes, and that it is
+// leaving. Only this daemon reads those answers first, and only it sees all calls to the server,
+// so that it enforces both. The other daemons pass the answers on to their callers and are
 // bound by that even after this process has been replaced. So they send what they know back
 // with their calls.
 
@@ -44,11 +45,23 @@
 	// second burdens it little, and shows when the limit has ended.
 	h.signals.limit.Observe(h.Clock.Now(), sent, s, mtbackend.Rate(h.record.Slots))
 	h.applyRateLimit(string(s.Source))
+	if s.Leaving {
+		h.leaveByAnswer(h.Clock.Now(), string(s.Source))
+	}
+}
+
+// leaveByAnswer makes the current incarnation of the server drain, because an answer reports
+// that it is leaving. It is called with mu held.
+func (h *Host) leaveByAnswer(at mtclock.Instant, on string) {
+	h.acknowledgeLeaving(h.record.Incarnation, at)
+	if h.record.State == mtbackend.Ready {
+		h.startDraining(h.Clock.Now(), on)
+	}
 }
 
 // applyNotice processes what another daemon knows of the server, before a call of that daemon
-// is admitted. What it knows of a rate limit counts only until the server has answered this
-// process.
+// is admitted. The other daemon may have passed the leaving on long ago. What it knows of a rate
+// limit counts only until the server has answered this process.
 func (h *Host) applyNotice(n mtbackend.Notice) {
 	if n.IsZero() {
 		return
@@ -58,10 +71,12 @@
 	if n.Incarnation != h.record.Incarnation {
 		return
 	}
+	if n.Leaving && h.record.State != mtbackend.Draining && h.record.State != mtbackend.Ended {
+		h.leaveByAnswer(h.Clock.Now().Add(-h.DrainPeriod), string(mtbackend.SourcePeer))
+	}
 	if n.Limited && !h.signals.heard {
-		s := mtbackend.Signals{Source: mtbackend.SourcePeer, Limit: mtbackend.RateLimit{Named: true, Rate: n.Limit}}
-		h.signals.limit.Observe(h.Clock.Now(), 0, s, mtbackend.Unlimited)
-		h.applyRateLimit(string(s.Source))
+		h.signals.limit.Assume(n.Limit)
+		h.applyRateLimit(string(mtbackend.SourcePeer))
 	}
 }
 
--- a/io/mthost/signals_test.go
+++ b/io/mthost/signals_test.go
@@ -1,12 +1,14 @@
 package mthost_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 )
@@ -71,9 +73,20 @@
 	assert.Equal(t, s.runWith(known, false), mtreply.Cause(""))                                                      // the server has answered
 	s.startServer("i-2")
 	known.Incarnation.Server = "i-2"
-	s.report(limited(0.5))
-	assert.Equal(t, s.runWith(known, false), mtreply.Cause(""))
-	assert.Equal(t, s.runWith(known, false), mtreply.CauseQuota)
+	answers := make(chan struct{})
+	s.server.mu.Lock()
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		<-answers
+		return &mtcall.Answer{Status: 200}, nil
+	}
+	s.server.mu.Unlock()
+	first := make(chan mtreply.Cause, 1)
+	go func() { first <- s.runWith(known, false) }()
+	s.waitForLoad(1, 0)
+	time.AfterFunc(3*time.Second, func() { close(answers) })     // the second call must not wait for it
+	assert.Equal(t, s.runWith(known, false), mtreply.CauseQuota) // although a slot is free
+	assert.Equal(t, <-first, mtreply.Cause(""))
+	assert.Equal(t, s.burst(4, 20*time.Second), 4) // the server has answered without a limit
 }
 
 // The limit of a server ends with its incarnation.
@@ -99,3 +112,55 @@
 	assert.Equal(t, load.Report, mtbackend.Report{Notice: notice("i-1", mtbackend.Notice{Limited: true, Limit: 0.5})})
 	assert.Assert(t, load.Capacity > 0 && load.Capacity < 1, "capacity %v", load.Capacity)
 }
+
+// Guards against new work for a server that reports that it is leaving only in its answers, or in
+// the replies to its health check.
+func TestLeavingByAnswerIsBinding(t *testing.T) {
+	for name, leave := range map[string]func(s *fixture){
+		"answer": func(s *fixture) {
+			s.report(mtbackend.Signals{Leaving: true})
+			assert.Equal(t, s.refusalCause(true), mtreply.Cause(""))
+		},
+		"health check": func(s *fixture) {
+			s.server.mu.Lock()
+			s.server.health.Leaving = true
+			s.server.mu.Unlock()
+			s.host.ZoneOut(7, s.clock.Now())
+			s.host.ZoneBack() // queries whether the server is cold
+			s.waitFor("the server drains", func(r mtbackend.Record) bool { return r.State == mtbackend.Draining })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, "server")
+			s.host.Warmup(100)
+			s.startServer("i-1")
+			leave(s)
+			assert.Equal(t, s.record().State, mtbackend.Draining)
+			assert.Assert(t, s.host.Load().Report.Notice.Leaving)
+			assert.Equal(t, s.refusalCause(false), mtreply.CauseDraining)
+			s.waitFor("keyed calls are refused too", func(mtbackend.Record) bool { return s.refusalCause(true) == mtreply.CauseDraining })
+		})
+	}
+}
+
+// Guards against a restarted daemon that has forgotten that its server is leaving: another daemon
+// that has passed it on says so with its calls, which must not run, nor any later ones.
+func TestLeavingKnownByOtherDaemonIsBinding(t *testing.T) {
+	s := newFixture(t, "server")
+	s.startServer("i-1")
+	assert.Equal(t, s.runWith(notice("i-0", mtbackend.Notice{Leaving: true}), true), mtreply.Cause("")) // another incarnation
+	assert.Equal(t, s.runWith(notice("i-1", mtbackend.Notice{Leaving: true}), true), mtreply.CauseDraining)
+	assert.Equal(t, s.refusalCause(true), mtreply.CauseDraining)
+	assert.Equal(t, s.record().State, mtbackend.Draining)
+}
+
+// Guards against a process that was paused while the time for new work ended: its first call
+// afterwards may be next before its tick is.
+func TestPauseEndsWorkForLeavingServer(t *testing.T) {
+	s := newFixture(t, "server")
+	s.startServer("i-1")
+	s.report(mtbackend.Signals{Leaving: true})
+	assert.Equal(t, s.refusalCause(true), mtreply.Cause(""))
+	s.clock.offset.Add(int64(5 * time.Second))
+	assert.Equal(t, s.refusalCause(true), mtreply.CauseDraining)
+}
