Answer the request behind a response that has not announced the close

A caller lost its request at a shutdown: the connection ended with EOF or a reset although the response before had not announced that it closes.

Cause: closeWhenAnswered allowed one more request only for a connection that was idle at that moment. A response that had reached its caller without the notice, and whose write had not returned yet at the server, counted as one that could still announce it. Change: a connection that is to end reads on until a response has announced that, unless one that can is still to be composed; the end of the wait for such a request is not taken for the caller's leaving.

--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -33,15 +33,16 @@
 	pending int       // number of requests that have been read but not answered
 	last    *exchange // the last request that was read
 	reading bool      // whether the next request is being read
-	closing bool      // whether no further request is to be read, except a final one
-	// finalRead allows a connection that is told to close while it is idle to read one more
-	// request, which may have arrived already.
-	finalRead bool
+	closing bool      // whether the connection is to end; see mayRead
+	// unanswered is the number of requests whose responses have not been composed yet. It goes
+	// down before the caller can see the response, and pending after that.
+	unanswered int
+	announced  bool // a response has announced the close
 }
 
-// finalReadTimeout is how long a connection that is told to close while it is idle waits for a
-// request that is on its way. If such a request were discarded, its caller would get no answer
-// although the server had received it.
+// finalReadTimeout is how long a connection that is to end, and has not told its caller, waits
+// for a request that is on its way. If such a request were discarded, its caller would get no
+// answer although the server had received it.
 const finalReadTimeout = 50 * time.Millisecond
 
 func newConn(s *Server, accepted net.Conn) *conn {
@@ -100,7 +101,7 @@
 func (c *conn) setIdleDeadlineLocked() {
 	switch {
 	case c.pending > 0 || c.reading:
-	case c.finalRead:
+	case c.closing && !c.announced:
 		_ = c.SetReadDeadline(time.Now().Add(finalReadTimeout))
 	case c.closing:
 		_ = c.SetReadDeadline(time.Unix(1, 0))
@@ -121,21 +122,27 @@
 	return err
 }
 
-// awaitsFinalRead reports whether the connection may still read a final request.
+// awaitsFinalRead reports whether the connection is to end and may still read a final request.
 func (c *conn) awaitsFinalRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.finalRead && c.pending == 0
+	return c.closing && c.pending == 0 && c.mayRead()
+}
+
+// mayRead reports whether the next request may be read. A connection that is to end reads on
+// until a response announces that, unless there is one left to do so: a caller that was not
+// told sends its next request. It is called with mu held.
+func (c *conn) mayRead() bool {
+	return !c.closing || !c.announced && c.unanswered == 0
 }
 
 // beginRead reports whether to read the next request, and sets the timeout for its header.
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing && !c.finalRead {
+	if !c.mayRead() {
 		return false
 	}
-	c.finalRead = false
 	c.reading = true
 	_ = c.SetReadDeadline(time.Now().Add(c.server.Limits.HeaderTimeout))
 	return true
@@ -183,6 +190,7 @@
 	}
 	c.mu.Lock()
 	c.pending++
+	c.unanswered++
 	c.last, c.reading = e, false
 	atLimit := c.pending >= c.server.Limits.MaxConcurrent
 	_ = c.SetReadDeadline(time.Time{})
@@ -193,7 +201,7 @@
 		// The next read detects when the caller disconnects. It must wait until the body is
 		// consumed, and the next request must wait until this one is answered.
 		<-e.consumed
-		if _, err := c.reader.Peek(1); err != nil {
+		if _, err := c.reader.Peek(1); err != nil && !c.awaitsFinalRead() {
 			c.cancel()
 		}
 		<-e.done
@@ -229,11 +237,11 @@
 }
 
 // closeWhenAnswered makes the connection end as soon as the requests that have been read are
-// answered. If it is idle, it reads one more request if that arrives in time.
+// answered. If none of their responses can announce that, it reads one more request if that
+// arrives in time.
 func (c *conn) closeWhenAnswered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.finalRead = !c.closing && c.pending == 0 && !c.reading
 	c.closing = true
 	c.setIdleDeadlineLocked()
 }
--- a/io/mtpipeline/exchange.go
+++ b/io/mtpipeline/exchange.go
@@ -132,7 +132,9 @@
 	if closeWanted || c.server.isClosing() {
 		c.closing = true
 	}
-	return c.closing && c.last == e && !c.reading
+	c.unanswered--
+	c.announced = c.closing && c.last == e && !c.reading
+	return c.announced
 }
 
 // finish records that the request has been answered, and lets the next response be written.
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -90,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := newConn(s, accepted)
-	c.closing, c.finalRead = s.closing, s.closing
+	c.closing = s.closing
 	if s.conns == nil {
 		s.conns = make(map[*conn]struct{})
 	}
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -280,6 +280,59 @@
 	assert.NilError(t, <-stopped)
 }
 
+// heldListener accepts connections whose writes return only when they are released.
+type heldListener struct {
+	net.Listener
+	released chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &heldConn{Conn: conn, released: l.released}, err
+}
+
+type heldConn struct {
+	net.Conn
+	released chan struct{}
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	<-c.released
+	return n, err
+}
+
+// A response has reached its caller without announcing the close, and is not finished at the
+// server when Shutdown closes its connection. The next request of the caller must be answered,
+// whether the first one ran alone or not.
+func TestShutdownAnswersRequestBehindUnannouncedResponse(t *testing.T) {
+	for name, request := range map[string]string{"safe": get("/1"), "unsafe": "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			released, closed := make(chan struct{}), make(chan struct{})
+			hooked := &hookedListener{Listener: &heldListener{Listener: listener, released: released}, onClose: sync.OnceFunc(func() { close(closed) })}
+			s := startTestConn(t, hooked, func(w http.ResponseWriter, r *http.Request) {
+				assert.Check(t, r.Context().Err())
+				_, _ = io.WriteString(w, r.URL.Path)
+			})
+			s.send(request)
+			first, _ := s.read()
+			assert.Assert(t, !first.Close)
+			stopped := make(chan error)
+			go func() { stopped <- s.server.Shutdown(context.Background()) }()
+			<-closed
+			time.Sleep(50 * time.Millisecond) // until the connections are told to close; less would make the test weaker
+			s.send(get("/2"))
+			close(released)
+			second, body := s.read()
+			assert.Equal(t, body, "/2")
+			assert.Assert(t, second.Close)
+			assert.NilError(t, <-stopped)
+		})
+	}
+}
+
 // A request arrives on a kept connection while Shutdown is closing it. The server has received
 // it, so that it must be answered, and the answer must announce the close.
 func TestShutdownAnswersRequestThatJustArrives(t *testing.T) {
