Soak: servers name rate limits and leave by their answers

Change: with -signals (the default) servers name limits from 0.3 to 60 calls a second for up to seven seconds and leave by their answers alone, while the daemons beside them are killed, stopped or left; the stand-in checks both rules all the while.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,10 +29,11 @@
 	logs := flag.String("logs", "", "directory for the logs of the daemons")
 	zones := flag.Bool("zones", true, "take zones out of service, with servers that are cold")
 	late := flag.Bool("late", true, "servers execute grants late, while their daemons are killed")
+	signals := flag.Bool("signals", true, "servers name rate limits, and leave, by their answers")
 	flag.Parse()
 	failed := 0
 	for i := range uint64(*runs) {
-		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Logs: *logs}
+		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Logs: *logs}
 		result, err := soak.Run(context.Background(), config)
 		if !report(config.Seed, result, err) {
 			failed++
