--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -124,10 +124,6 @@
 	closedRetryAfter = 200 * time.Millisecond
 )
 
-// sharedTimeFactor is the time for which ordinary requests run between two requests
-// that run alone, as a multiple of the time that the last one blocked the others.
-const sharedTimeFactor = 4
-
 // Gate is the admission control of one backend server. See the package comment.
 type Gate[O Order] struct {
 	order        O
@@ -151,14 +147,6 @@
 	effects      []Effect
 }
 
-// aloneWindow records since when a request that is to run alone has blocked the
-// others, and until when the others take precedence afterwards.
-type aloneWindow struct {
-	blockedSince mtclock.Instant
-	blocking     bool
-	sharedUntil  mtclock.Instant
-}
-
 // New returns a gate that admits requests in the given order. If Waiting or
 // MaxWaitFraction is zero, it takes the default.
 func New[O Order](order O, limits Limits) *Gate[O] {
@@ -388,17 +376,6 @@
 	return true
 }
 
-// queueAlone queues a request that has to run alone. The queue is short because
-// each such request blocks all others while it runs.
-func (g *Gate[O]) queueAlone(e *Entry) {
-	if len(g.alone) >= e.Flow.Queue || len(g.waiting) >= g.limits.Waiting {
-		g.refuse(e, refusal(mtreply.CauseQueueFull, maxRetryAfter, ""))
-		return
-	}
-	g.addWaiting(e)
-	g.alone = append(g.alone, e)
-}
-
 // addWaiting adds e to the waiting requests.
 func (g *Gate[O]) addWaiting(e *Entry) {
 	if len(g.waiting) == 0 || e.GiveUp.Before(g.nextGiveUp) {
@@ -437,30 +414,6 @@
 	}
 }
 
-// aloneNext reports whether a request that has to run alone is next. From then on
-// no other request starts, so that those in flight can end.
-func (g *Gate[O]) aloneNext(now mtclock.Instant) bool {
-	return len(g.alone) > 0 && !now.Before(g.aloneWindow.sharedUntil)
-}
-
-// startAlone starts the oldest request that has to run alone, once nothing is in
-// flight.
-func (g *Gate[O]) startAlone(now mtclock.Instant) {
-	if !g.aloneWindow.blocking {
-		g.aloneWindow.blocking = true
-		g.aloneWindow.blockedSince = now
-	}
-	if len(g.running) > 0 {
-		return
-	}
-	e := g.alone[0]
-	g.alone = g.alone[1:]
-	delete(g.waiting, e.Ticket.Number)
-	g.aloneWindow.blocking = false
-	g.aloneRunning = true
-	g.start(now, e)
-}
-
 // start emits a Start for e.
 func (g *Gate[O]) start(now mtclock.Instant, e *Entry) {
 	e.Started = now
--- /dev/null
+++ b/io/mthost/run.go
@@ -0,0 +1,184 @@
+package mthost
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"time"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtgate"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
+	iobackend "magnoliaturn/io/mtbackend"
+	iogate "magnoliaturn/io/mtgate"
+)
+
+// Run runs a call on the server.
+func (h *Host) Run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error) {
+	answer, err := h.run(ctx, call)
+	if err != nil {
+		h.logUnanswered(call, err)
+	}
+	return answer, err
+}
+
+// logUnanswered logs why a call was not answered. The message contains the cause, because
+// the log limits the number of lines per message: a frequent cause must not suppress the
+// others.
+func (h *Host) logUnanswered(call *mtcall.Call, err error) {
+	reply := mtrequest.FromError(err)
+	if reply.Cause == mtreply.CauseQuota {
+		h.quotaRefused.Add(1)
+	}
+	h.Log.Info("call "+string(reply.Outcome)+": "+string(reply.Cause), slog.Any("", unanswered{host: h, call: call, err: err}))
+}
+
+// unanswered is the log value of a call that was not answered. Its attributes are collected
+// only if the line is written: under load most lines are left out.
+type unanswered struct {
+	host *Host
+	call *mtcall.Call
+	err  error
+}
+
+// LogValue implements slog.LogValuer.
+func (u unanswered) LogValue() slog.Value {
+	load := u.host.Load()
+	record, _ := u.host.Record()
+	attrs := []slog.Attr{
+		slog.String("id", string(u.call.ID)), slog.String("route", string(u.call.Route)),
+		slog.String("server", record.Incarnation.String()), slog.String("state", string(record.State)),
+		slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Int("slots", load.Slots),
+		slog.String("service", load.ServiceTime.String()),
+		slog.String("left", u.call.Deadline.Sub(u.host.Clock.Now()).String()), slog.String("error", u.err.Error()),
+	}
+	if u.call.Keyed {
+		attrs = append(attrs, slog.Int("key", int(u.call.Key)))
+	}
+	return slog.GroupValue(attrs...)
+}
+
+func (h *Host) run(ctx context.Context, call *mtcall.Call) (*mtcall.Answer, error) {
+	arrived := h.Clock.Now()
+	h.applyNotice(call.Notice)
+	record, admission, err := h.checkAccepts(call)
+	if err != nil {
+		return nil, err
+	}
+	fingerprint := call.Fingerprint()
+	if err := h.refusePoison(arrived, fingerprint, call.AnsweredBefore); err != nil {
+		return nil, err
+	}
+	h.recordArrival(arrived, call)
+	ticket := mtgate.Ticket{
+		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Nested: call.Nested,
+	}
+	if call.Keyed {
+		ticket.Point = call.Key.Point()
+	}
+	end, err := admission.Admit(ctx, ticket)
+	if err != nil {
+		return nil, withKeyMoveRetry(call, err)
+	}
+	defer end()
+	// The key may have moved while the call waited.
+	if call.Keyed {
+		if err := h.CheckGrant(record.Incarnation, call.Key); err != nil {
+			return nil, err
+		}
+	}
+	started := h.Clock.Now()
+	if err := h.refusePoison(started, fingerprint, call.AnsweredBefore); err != nil {
+		return nil, err
+	}
+	defer h.track(call.ID)()
+	_, address := h.Record()
+	h.requestStarted(fingerprint)
+	h.startedCalls.Add(1)
+	answer, err := h.Client.Do(ctx, iobackend.Target{
+		Address: address, Server: record.Incarnation.Server,
+		Observe: func(s mtbackend.Signals) { h.observeSignals(record.Incarnation, started, s) },
+	}, call)
+	h.requestEnded(fingerprint, err)
+	if err != nil {
+		h.handleFailure(record.Incarnation, call, err)
+		return nil, err
+	}
+	answer.Queued = started.Sub(arrived)
+	ended := h.Clock.Now()
+	answer.Served = ended.Sub(started)
+	h.recordServiceTime(call.Route, answer.Served)
+	return answer, nil
+}
+
+// withKeyMoveRetry returns the refusal of a call. For a key whose server is leaving, or is
+// in a zone out of service, it sets the time after which the key can have another owner.
+// Without it the caller would retry at once, when nothing can have changed.
+func withKeyMoveRetry(call *mtcall.Call, err error) error {
+	var refused *mtreply.RefusedError
+	if !call.Keyed || !errors.As(err, &refused) || refused.Cause != mtreply.CauseDraining && refused.Cause != mtreply.CauseZoneOut {
+		return err
+	}
+	return &mtreply.RefusedError{Cause: refused.Cause, RetryAfter: keyMoveRetry, Detail: refused.Detail}
+}
+
+// track records a call as in flight at the server until the returned function is called.
+func (h *Host) track(id mtcall.ID) func() {
+	h.inFlightMu.Lock()
+	defer h.inFlightMu.Unlock()
+	h.inFlight[id]++
+	return func() {
+		h.inFlightMu.Lock()
+		defer h.inFlightMu.Unlock()
+		h.inFlight[id]--
+		if h.inFlight[id] == 0 {
+			delete(h.inFlight, id)
+		}
+	}
+}
+
+// Parent reports whether an identifier is derived from that of a call in flight at this
+// VM's server, by appending a dot and a suffix. If so, the server sends that request as
+// part of the call.
+func (h *Host) Parent(id mtcall.ID) bool {
+	dot := strings.LastIndexByte(string(id), '.')
+	if dot < 0 {
+		return false
+	}
+	h.inFlightMu.Lock()
+	defer h.inFlightMu.Unlock()
+	return h.inFlight[id[:dot]] > 0
+}
+
+// checkAccepts returns the server's record and gate if the server accepts the call.
+func (h *Host) checkAccepts(call *mtcall.Call) (mtbackend.Record, *iogate.AdmissionController[*mtgate.Urgent], error) {
+	h.mu.Lock()
+	now := h.Clock.Now()
+	// After a pause of this process, calls may be next before the tick is.
+	h.drainIfDue(now)
+	h.detectPause(now)
+	record, admission := h.record, h.admission
+	zoneOpen := h.zone.Admits(now, call.Keyed)
+	h.mu.Unlock()
+	switch {
+	case record.Service != call.Service:
+		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseStaleRoute, Detail: "another service runs here"}
+	case record.State == mtbackend.Unknown || record.State == mtbackend.Ended:
+		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: time.Second}
+	case record.Leaving && !call.Keyed:
+		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseStopping}
+	case record.State == mtbackend.Draining && !call.Keyed:
+		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseDraining}
+	case !zoneOpen:
+		return record, nil, &mtreply.RefusedError{Cause: mtreply.CauseZoneOut, RetryAfter: keyMoveRetry}
+	}
+	if call.Keyed {
+		if err := h.CheckGrant(record.Incarnation, call.Key); err != nil {
+			return record, nil, err
+		}
+	}
+	return record, admission, nil
+}
