Keep the returns of refused requests apart while a server's limit changes

Callers that were refused for a server's limit would all have been told the same time to return if the server names another limit with each answer.

Cause: each change of the limit forgot the times that had been given out. Evidence: found in the reading; TestReturnsStayApartWhileLimitChanges failed before ("returns after 400ms and 400ms") and passes now. Change: a change of the rate keeps the next time to return. Conclusion: the returns fit the room there is, also then.

--- a/core/mtgate/quota.go
+++ b/core/mtgate/quota.go
@@ -31,7 +31,7 @@
 	if used := q.usedUntil.Sub(now); used > 0 && q.interval > 0 {
 		q.usedUntil = now.Add(time.Duration(float64(used) * float64(interval) / float64(q.interval)))
 	}
-	q.interval, q.nextReturn = interval, 0
+	q.interval = interval
 }
 
 // quotaInterval returns the time between two starts at a rate. For a rate at which it is less
--- a/core/mtgate/quota_test.go
+++ b/core/mtgate/quota_test.go
@@ -157,3 +157,22 @@
 	assert.DeepEqual(t, started(gate.LimitRate(0, mtbackend.Unlimited)), []mtgate.Number{2})
 	assert.DeepEqual(t, started(gate.Offer(0, lookup(3, 0, time.Second))), []mtgate.Number{3})
 }
+
+// Guards against callers that all return at once because the server names another limit with each
+// answer.
+func TestReturnsStayApartWhileLimitChanges(t *testing.T) {
+	gate := urgentGate(9)
+	last := time.Duration(0)
+	for n := mtgate.Number(1); n <= 9; n++ {
+		gate.LimitRate(0, 2-mtbackend.Rate(n)/100)
+		refused := refusalErrors(gate.Offer(0, lookup(n, 0, 100*time.Millisecond)))
+		if len(refused) == 0 {
+			continue // it runs
+		}
+		if last > 0 {
+			assert.Assert(t, refused[0].RetryAfter >= min(last+500*time.Millisecond, 5*time.Second), "returns after %s and %s", last, refused[0].RetryAfter)
+		}
+		last = refused[0].RetryAfter
+	}
+	assert.Assert(t, last > 3*time.Second, "the last one returns after %s", last)
+}
