Count a jump of the clock between two limits of a server

A server in need could get a burst more than it takes after a jump of the clock.

Cause: each change of a limit took the present lead of the clock for the usual one, so that a jump since the last check was not made up for; a server may name another limit with each answer. Change: the lead is taken only when the first of the two limits begins. The limit for cold servers is called LimitStartRate there too, as in core. Besides, TestLimitKnownByOtherDaemonHoldsUntilServerAnswers failed once beside load (3 of 4 calls): it let its first call run for 3 s, so that the gate expected three seconds of each. Conclusion: same rule for both limits.

--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -93,16 +93,16 @@
 	c.apply(c.gate.Resize(c.now(), slots, conns))
 }
 
-// Limit sets the maximum number of requests started in a second; zero means no limit. It is
+// LimitStartRate sets the maximum number of requests started in a second; zero means no limit. It is
 // called often, and costs a comparison if nothing changed.
-func (c *AdmissionController[O]) Limit(limit mtgate.StartRate) {
+func (c *AdmissionController[O]) LimitStartRate(limit mtgate.StartRate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.startLimit == limit {
 		return
 	}
+	c.beginLimit()
 	c.startLimit = limit
-	c.clockLead = c.clock.Now().Sub(c.clock.Steady())
 	c.apply(c.gate.LimitStartRate(c.now(), limit))
 }
 
@@ -114,11 +114,24 @@
 	if c.rate == rate {
 		return
 	}
+	c.beginLimit()
 	c.rate = rate
-	c.clockLead = c.clock.Now().Sub(c.clock.Steady())
 	c.apply(c.gate.LimitRate(c.now(), rate))
 }
 
+// limited reports whether a limit of starts is in force. It is called with mu held.
+func (c *AdmissionController[O]) limited() bool {
+	return c.startLimit != 0 || c.rate != mtbackend.Unlimited
+}
+
+// beginLimit begins to watch the clock for jumps, before a limit is set. If one is in force
+// already, a jump since the last check still has to be counted. It is called with mu held.
+func (c *AdmissionController[O]) beginLimit() {
+	if !c.limited() {
+		c.clockLead = c.clock.Now().Sub(c.clock.Steady())
+	}
+}
+
 // minSlownessChange is the smallest change of the multiple that is passed to the gate.
 const minSlownessChange = 0.05
 
@@ -147,7 +160,7 @@
 // with mu held.
 func (c *AdmissionController[O]) now() mtclock.Instant {
 	now := c.clock.Now()
-	if c.startLimit == 0 && c.rate == mtbackend.Unlimited {
+	if !c.limited() {
 		return now
 	}
 	lead := now.Sub(c.clock.Steady())
--- a/io/mthost/signals_test.go
+++ b/io/mthost/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,6 +75,7 @@
 	s.startServer("i-2")
 	known.Incarnation.Server = "i-2"
 	answers := make(chan struct{})
+	answer := sync.OnceFunc(func() { close(answers) })
 	s.server.mu.Lock()
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
 		<-answers
@@ -83,8 +85,9 @@
 	first := make(chan mtreply.Cause, 1)
 	go func() { first <- s.runWith(known, false) }()
 	s.waitForLoad(1, 0)
-	time.AfterFunc(3*time.Second, func() { close(answers) })     // the second call must not wait for it
+	time.AfterFunc(3*time.Second, answer)                        // if the second call waits as well
 	assert.Equal(t, s.runWith(known, false), mtreply.CauseQuota) // although a slot is free
+	answer()
 	assert.Equal(t, <-first, mtreply.Cause(""))
 	assert.Equal(t, s.burst(4, 20*time.Second), 4) // the server has answered without a limit
 }
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -118,7 +118,7 @@
 	if cold {
 		limit = h.startLimit
 	}
-	h.admission.Limit(limit)
+	h.admission.LimitStartRate(limit)
 	if cold == h.startLimited {
 		return
 	}
