Cover the kinds of answers that carry a server's reports, and log callers' deadlines

Cause: no test held which answers count (an answer, a refusal, one of another server at the address). Change: TestSignalsOfEachKindOfAnswer; `allowed` in the lines of requests that were not answered and of the sampled ones. Comments speak of overloaded servers.

--- a/core/mtgate/quota_test.go
+++ b/core/mtgate/quota_test.go
@@ -29,7 +29,7 @@
 	return out
 }
 
-// Guards against a server in need that gets more than it takes: for any sequence of calls and
+// Guards against an overloaded server that gets more than it takes: for any sequence of calls and
 // limits, the starts in each four seconds under a limit stay below it and a short burst.
 func TestStartsStayWithinServersLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -14,10 +14,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtreply"
-	"magnoliaturn/io/mtbackend"
+	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mttime"
 )
 
@@ -67,8 +68,8 @@
 	}
 }
 
-func (s *rawServer) target() mtbackend.Target {
-	return mtbackend.Target{Address: s.listener.Addr().String(), Server: "server-1"}
+func (s *rawServer) target() iobackend.Target {
+	return iobackend.Target{Address: s.listener.Addr().String(), Server: "server-1"}
 }
 
 // replyWith answers with a text in which ID is replaced, and closes the connection if the
@@ -82,10 +83,10 @@
 
 const goodAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Signature: s\r\nContent-Length: 5\r\n\r\nwhole"
 
-func client(t *testing.T) (*mtbackend.Client, *mttime.Clock) {
+func client(t *testing.T) (*iobackend.Client, *mttime.Clock) {
 	t.Helper()
 	clock := mttime.New()
-	c, cleanUp := mtbackend.New(mtbackend.Config{Names: mtheader.DefaultNames, Clock: clock})
+	c, cleanUp := iobackend.New(iobackend.Config{Names: mtheader.DefaultNames, Clock: clock})
 	t.Cleanup(cleanUp)
 	return c, clock
 }
@@ -142,6 +143,35 @@
 	}
 }
 
+// What a server reports about itself counts on each of its answers, with the kind of answer, but
+// not on that of another server at the address.
+func TestSignalsOfEachKindOfAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		want   []mtbackend.SignalSource
+	}{
+		"answer":         {goodAnswer, []mtbackend.SignalSource{mtbackend.SourceAnswer}},
+		"refusal":        {"HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nRequest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", []mtbackend.SignalSource{mtbackend.SourceRefusal}},
+		"unsigned":       {"HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n", []mtbackend.SignalSource{mtbackend.SourceRefusal}},
+		"other server":   {"HTTP/1.1 421 No\r\nRequest-Id: ID\r\nServer-Answering: server-2\r\nContent-Length: 0\r\n\r\n", nil},
+		"of other calls": {strings.ReplaceAll(goodAnswer, "ID", "other") + goodAnswer, []mtbackend.SignalSource{mtbackend.SourceAnswer}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newRawServer(t, replyWith(test.answer))
+			c, clock := client(t)
+			c.ReadSignals = func(http.Header) mtbackend.Signals { return mtbackend.Signals{Leaving: true} }
+			var got []mtbackend.SignalSource
+			target := server.target()
+			target.Observe = func(s mtbackend.Signals) {
+				assert.Check(t, s.Leaving)
+				got = append(got, s.Source)
+			}
+			_, _ = c.Do(t.Context(), target, call(clock, "7"))
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
 // Bytes after a complete answer belong to no call. If the connection were reused, the next
 // caller would receive them as its answer.
 func TestConnectionWithStrayBytesIsNotReused(t *testing.T) {
--- a/io/mtgate/mtgate_test.go
+++ b/io/mtgate/mtgate_test.go
@@ -23,7 +23,7 @@
 func (c *jumpingClock) Now() mtclock.Instant    { return c.now + c.lead }
 func (c *jumpingClock) Steady() mtclock.Instant { return c.now }
 
-// Guards against a server in need that gets more than it takes because the clock jumps ahead
+// Guards against an overloaded server that gets more than it takes because the clock jumps ahead
 // just before it names another limit.
 func TestClockJumpBetweenTwoLimitsStartsNothing(t *testing.T) {
 	clock := &jumpingClock{now: mtclock.Instant(time.Hour)}
--- a/io/mthost/signals.go
+++ b/io/mthost/signals.go
@@ -41,7 +41,7 @@
 	}
 	h.signals.invalid = s.Invalid
 	h.signals.heard = h.signals.heard || s.Source == mtbackend.SourceAnswer
-	// A limit that can't be read means that the server is in need: one call per slot and
+	// A limit that can't be read means that the server is overloaded: one call per slot and
 	// second burdens it little, and shows when the limit has ended.
 	h.signals.limit.Observe(h.Clock.Now(), sent, s, mtbackend.Rate(h.record.Slots))
 	h.applyRateLimit(string(s.Source))
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -120,6 +120,9 @@
 	if e.call.Nested {
 		attrs = append(attrs, slog.Bool("nested", true))
 	}
+	if e.call.CallerDeadline != 0 {
+		attrs = append(attrs, slog.String("allowed", e.call.CallerDeadline.Sub(e.call.Arrived).String()))
+	}
 	if len(e.call.Tries) > 0 {
 		attrs = append(attrs, slog.Any("tries", e.call.Tries))
 	}
