Do not count the time for new work anew after a restart beside a leaving server

Cause: the daemon beside the server was killed 0.4 s after the server had begun to leave by its answers. Its successor learned it from its first answer, counted the drain time from then, and took the notices of others, who knew it for longer, for what it knew already. Log of vm-1: leaving at 21.932, starting 22.353, ready 22.464, leaving again "why answer" 22.501, so that keyed calls went on until 23.10; the request was sent after 22.94. Ruled out: the notice that did not come: the caller's daemon had not been restarted since. Change: leaving counts from now only if it is news, that is if an answer to this process did not report it before; else the time counts as over. A notice brings the end of new work forward where the process knows the leaving from a heartbeat alone. Conclusion: whoever passed the leaving on did so after this process heard it, or the server gets nothing more.

--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -51,14 +51,26 @@
 		return
 	}
 	h.Log.Info("server is leaving", "server", h.record.Incarnation.String(), "why", why, "since", now.Sub(at))
-	h.drainAt = at.Add(time.Duration(float64(h.DrainPeriod) * drainFraction))
-	if !now.Before(h.drainAt) {
-		h.drainAt = 0
-		h.admission.Drain()
-	}
+	h.drainAt = h.endOfWork(at)
+	h.drainIfDue(now)
 	h.setState(mtbackend.Draining)
 }
 
+// endOfWork returns when new work ends for a server whose leaving was acknowledged.
+func (h *Host) endOfWork(acknowledged mtclock.Instant) mtclock.Instant {
+	return acknowledged.Add(time.Duration(float64(h.DrainPeriod) * drainFraction))
+}
+
+// advanceDrain ends new work for a draining server earlier, if its leaving turns out to have been
+// acknowledged earlier. It is called with mu held.
+func (h *Host) advanceDrain(now mtclock.Instant) {
+	if h.drainAt == 0 {
+		return
+	}
+	h.drainAt = min(h.drainAt, h.endOfWork(h.leavingSince[h.record.Incarnation]))
+	h.drainIfDue(now)
+}
+
 // Deregister records that the server deregisters itself: it serves for a while longer and
 // then exits. If the server does not report its start time, the current incarnation is
 // meant. The answer acknowledges the leaving, which binds this daemon.
--- a/io/mthost/signals.go
+++ b/io/mthost/signals.go
@@ -19,6 +19,7 @@
 type signals struct {
 	limit   mtbackend.LimitTracker
 	heard   bool           // it has answered a call of this process
+	staying bool           // one of these answers did not report that it leaves
 	logged  mtbackend.Rate // limit that was logged last
 	invalid string         // last text that could not be read
 }
@@ -45,23 +46,38 @@
 	// second burdens it little, and shows when the limit has ended.
 	h.signals.limit.Observe(h.Clock.Now(), sent, s, mtbackend.Rate(h.record.Slots))
 	h.applyRateLimit(string(s.Source))
+	h.signals.staying = h.signals.staying || s.Source == mtbackend.SourceAnswer && !s.Leaving
 	if s.Leaving {
-		h.leaveByAnswer(h.Clock.Now(), string(s.Source))
+		h.leaveByAnswer(h.signals.staying, string(s.Source))
 	}
 }
 
 // leaveByAnswer makes the current incarnation of the server drain, because an answer reports
 // that it is leaving. It is called with mu held.
-func (h *Host) leaveByAnswer(at mtclock.Instant, on string) {
+//
+// The time for new work counts from now only if the leaving is news: if an answer to this
+// process did not report it before. Otherwise a previous process may have passed it on, and the
+// time counts as over: a restarted daemon that counted it anew, from its first answer, sent calls
+// to the server a second after another daemon had passed the leaving on.
+func (h *Host) leaveByAnswer(news bool, on string) {
+	now := h.Clock.Now()
+	at := now
+	if !news {
+		at = now.Add(-h.DrainPeriod)
+	}
 	h.acknowledgeLeaving(h.record.Incarnation, at)
-	if h.record.State == mtbackend.Ready {
-		h.startDraining(h.Clock.Now(), on)
+	switch h.record.State {
+	case mtbackend.Ready:
+		h.startDraining(now, on)
+	case mtbackend.Draining:
+		h.advanceDrain(now)
 	}
 }
 
 // applyNotice processes what another daemon knows of the server, before a call of that daemon
-// is admitted. The other daemon may have passed the leaving on long ago. What it knows of a rate
-// limit counts only until the server has answered this process.
+// is admitted. It may come from answers to a previous process: a rate limit counts only until
+// the server has answered this one, and leaving that this one knows since it was news is not
+// counted from before that.
 func (h *Host) applyNotice(n mtbackend.Notice) {
 	if n.IsZero() {
 		return
@@ -71,8 +87,8 @@
 	if n.Incarnation != h.record.Incarnation {
 		return
 	}
-	if n.Leaving && h.record.State != mtbackend.Draining && h.record.State != mtbackend.Ended {
-		h.leaveByAnswer(h.Clock.Now().Add(-h.DrainPeriod), string(mtbackend.SourcePeer))
+	if n.Leaving && (h.record.State != mtbackend.Draining || !h.signals.staying) {
+		h.leaveByAnswer(false, string(mtbackend.SourcePeer))
 	}
 	if n.Limited && !h.signals.heard {
 		h.signals.limit.Assume(n.Limit)
--- a/io/mthost/signals_test.go
+++ b/io/mthost/signals_test.go
@@ -157,6 +157,26 @@
 	assert.Equal(t, s.record().State, mtbackend.Draining)
 }
 
+// Guards against a restarted daemon that counts the time for new work from its own first answer,
+// or from a heartbeat, although another daemon has passed the leaving on long before.
+func TestTimeForNewWorkIsNotCountedAnew(t *testing.T) {
+	t.Run("answer", func(t *testing.T) {
+		s := newFixture(t, "server")
+		s.startServer("i-1")
+		s.report(mtbackend.Signals{Leaving: true})
+		assert.Equal(t, s.refusalCause(true), mtreply.Cause(""))
+		assert.Equal(t, s.refusalCause(true), mtreply.CauseDraining)
+	})
+	t.Run("heartbeat", func(t *testing.T) {
+		s := newFixture(t, "server")
+		s.startServer("i-1")
+		draining := s.newHeartbeat("i-1", 2)
+		draining.Draining = true
+		s.heartbeat(draining)
+		assert.Equal(t, s.runWith(notice("i-1", mtbackend.Notice{Leaving: true}), true), mtreply.CauseDraining)
+	})
+}
+
 // Guards against a process that was paused while the time for new work ended: its first call
 // afterwards may be next before its tick is.
 func TestPauseEndsWorkForLeavingServer(t *testing.T) {
