Split the directory by what its parts are about

Change: whole declarations moved, nothing edited; view.go has the View, assignment.go the assignments and their patches, changes.go what other daemons read; mtdirectory.go keeps the Directory and the watch's updates.

--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -18,10 +18,8 @@
 package mtdirectory
 
 import (
-	"cmp"
 	"log/slog"
 	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,9 +28,7 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
-	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtstore"
-	"magnoliaturn/core/mtzone"
 	"magnoliaturn/io/mtwatch"
 )
 
@@ -70,53 +66,6 @@
 	OnUpdate func(mtwatch.Update)
 }
 
-// Assignment is a table with its version in the store.
-type Assignment struct {
-	*mtrange.Table
-	Version mtid.Version
-}
-
-// NextEpoch returns the next epoch of the table, or 0 if there is no table.
-func (a Assignment) NextEpoch() mtid.Epoch {
-	if a.Table == nil {
-		return 0
-	}
-	return a.Next
-}
-
-// View is an immutable snapshot of the copy.
-type View struct {
-	Members     map[mtid.Daemon]Member
-	Assignments map[mtid.Service]Assignment
-	// InvalidRecords contains the daemons under whose names there is an entry that no
-	// daemon wrote, if no valid record of them is known. Such an entry identifies no
-	// usable server, and it does not prove that a server has terminated.
-	InvalidRecords map[mtid.Daemon]bool
-	// OutOfService contains the availability zones that the operators have taken out of
-	// service. It is complete up to Revision, and may be newer.
-	OutOfService mtzone.OutOfService
-	// Revision is the store revision up to which the copy is complete; zero if nothing
-	// has been read yet.
-	Revision mtid.Revision
-	// MembershipVersion counts the changes of Members, InvalidRecords and
-	// OutOfService. Values that are derived only from these need not be recomputed
-	// after each move of a key.
-	MembershipVersion uint64
-	newestVersion     mtid.Version // of all members and assignments
-}
-
-// Serving returns the members whose servers accept new work for a service, in zones
-// that are in service.
-func (v *View) Serving(service mtid.Service) []Member {
-	var serving []Member
-	for _, m := range v.Members {
-		if m.Service == service && m.AcceptsWork() && !m.Expired && !v.OutOfService.Has(m.Zone) {
-			serving = append(serving, m)
-		}
-	}
-	return serving
-}
-
 // Directory maintains the copy. See the package comment.
 type Directory struct {
 	Config
@@ -240,40 +189,6 @@
 	d.storeUpSince.CompareAndSwap(0, int64(d.Clock.Steady()))
 }
 
-// ApplyAssignment applies an assignment that was written or read outside the watch, so
-// that this daemon uses its own writes immediately.
-func (d *Directory) ApplyAssignment(a Assignment) {
-	d.update(func(v *View) bool {
-		if old, ok := v.Assignments[a.Service]; ok && old.Version >= a.Version {
-			return false
-		}
-		v.Assignments[a.Service] = a
-		return true
-	})
-}
-
-// ApplyPushedAssignment applies an assignment that another daemon has written and
-// pushed. If it does not fit the known one, it is ignored; the watch will deliver the
-// change.
-func (d *Directory) ApplyPushedAssignment(e mtstore.Entry) {
-	pushed, err := d.View().applyPatch(e)
-	service, isAssignment := assignmentService(e)
-	if err == nil && pushed == nil && isAssignment && e.Version != 0 {
-		// An assignment that has not changed often is sent as a whole.
-		var table *mtrange.Table
-		if table, err = mtrange.Decode(e.Value); err == nil && table.Service == service {
-			pushed = &Assignment{Table: table, Version: e.Version}
-		}
-	}
-	if err != nil {
-		d.Log.Info("pushed assignment ignored", "name", e.Name, "error", err)
-		return
-	}
-	if pushed != nil {
-		d.ApplyAssignment(*pushed)
-	}
-}
-
 // apply applies an update that the watch delivered.
 func (d *Directory) apply(u mtwatch.Update) {
 	now := d.Clock.Steady()
@@ -318,49 +233,6 @@
 	}
 }
 
-// setPatched stores an assignment that was received as a patch. Its entry is stored
-// without a value. The value is encoded when another daemon requests the whole
-// assignment, not for each move.
-func (d *Directory) setPatched(v *View, e mtstore.Entry, assignment Assignment) {
-	e.Version, e.Value = assignment.Version, nil
-	d.entries[e.Name] = e
-	v.Assignments[assignment.Service] = assignment
-}
-
-// applyPatch returns the assignment that results from the patch in an entry, or the
-// known assignment if that is not older. It returns nil if the entry contains no
-// patch, and fails with a *mtrange.PatchError if the patch cannot be applied to the
-// known assignment.
-func (v *View) applyPatch(e mtstore.Entry) (*Assignment, error) {
-	service, isAssignment := assignmentService(e)
-	if !isAssignment || e.Version == 0 {
-		return nil, nil
-	}
-	patch, err := mtrange.DecodePatch(e.Value)
-	if err != nil || patch == nil {
-		return nil, err
-	}
-	own, known := v.Assignments[service]
-	if !known {
-		return nil, &mtrange.PatchError{Service: patch.Service, Since: patch.Since}
-	}
-	if own.Version >= e.Version {
-		return &own, nil
-	}
-	table, err := own.Apply(patch)
-	if err != nil {
-		return nil, err
-	}
-	return &Assignment{Table: table, Version: e.Version}, nil
-}
-
-// assignmentService returns the service of an assignment entry, or false for other
-// entries.
-func assignmentService(e mtstore.Entry) (mtid.Service, bool) {
-	service, ok := strings.CutPrefix(e.Name, mtstore.RangePrefix)
-	return mtid.Service(service), ok
-}
-
 // applyEntry applies an entry, and reports whether it is a record, an assignment or an
 // order about a zone.
 func (d *Directory) applyEntry(v *View, now mtclock.Instant, e mtstore.Entry) bool {
@@ -377,84 +249,6 @@
 	return true
 }
 
-// ChangesSince returns the changes after a revision, like a watch of the store, and a
-// channel that is closed at the next change. Other daemons call it, so that not all of
-// them have to watch the store. An assignment that the caller knows up to an epoch is
-// returned as a patch. If there are no changes, the returned revision is not lower
-// than the requested one.
-func (d *Directory) ChangesSince(after mtid.Revision, epochs Epochs) (mtstore.Changes, <-chan struct{}) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	changes := mtstore.Changes{Revision: d.View().Revision}
-	if changes.Revision <= after {
-		changes.Revision = after
-		return changes, d.nextChange
-	}
-	for _, e := range d.entries {
-		if e.Revision > after {
-			changes.Entries = append(changes.Entries, d.encodeFor(e, epochs))
-		}
-	}
-	slices.SortFunc(changes.Entries, func(a, b mtstore.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
-	return changes, d.nextChange
-}
-
-// Epochs maps the entry names of the assignments that a daemon knows to their next
-// epochs.
-type Epochs map[string]mtid.Epoch
-
-// Epochs returns the next epochs of the assignments in this view.
-func (v *View) Epochs() Epochs {
-	epochs := make(Epochs, len(v.Assignments))
-	for service, a := range v.Assignments {
-		epochs[mtstore.RangeName(service)] = a.Next
-	}
-	return epochs
-}
-
-// encodeFor returns the entry of an assignment in the form that another daemon needs:
-// a patch, if that daemon knows the assignment up to an epoch, or the whole assignment
-// otherwise.
-func (d *Directory) encodeFor(e mtstore.Entry, epochs Epochs) mtstore.Entry {
-	service, isAssignment := assignmentService(e)
-	if !isAssignment || e.Version == 0 {
-		return e
-	}
-	a, ok := d.View().Assignments[service]
-	if !ok || a.Version < e.Version {
-		return e // undecodable; the other daemons detect that themselves
-	}
-	encode := a.Encode
-	if epoch, known := epochs[e.Name]; known && epoch <= a.Next {
-		encode = a.Since(epoch).Encode
-	}
-	value, err := encode()
-	if err != nil {
-		d.Log.Error("assignment can't be encoded", "service", service, "error", err)
-		return e
-	}
-	e.Value, e.Version = value, a.Version
-	return e
-}
-
-func (d *Directory) applyAssignmentEntry(v *View, e mtstore.Entry) {
-	service, _ := assignmentService(e)
-	if e.Version == 0 {
-		d.Log.Error("assignment was deleted from the store", "service", service)
-		return
-	}
-	table, err := mtrange.Decode(e.Value)
-	if err != nil {
-		d.Log.Error("assignment passed over", "service", service, "error", err)
-		return
-	}
-	if old, ok := v.Assignments[service]; ok && old.Version >= e.Version {
-		return
-	}
-	d.Log.Info("assignment", "service", service, "version", uint64(e.Version), "epoch", uint64(table.Next), "ranges", len(table.Ranges))
-	v.Assignments[service] = Assignment{Table: table, Version: e.Version}
-}
-
 // update creates a new view and calls the listeners if f reports a difference.
 func (d *Directory) update(f func(v *View) bool) {
 	d.mu.Lock()
@@ -483,15 +277,3 @@
 		f()
 	}
 }
-
-// newestVersion returns the highest version of all members and assignments in a view.
-func newestVersion(v *View) mtid.Version {
-	var newest mtid.Version
-	for _, m := range v.Members {
-		newest = max(newest, m.Version)
-	}
-	for _, a := range v.Assignments {
-		newest = max(newest, a.Version)
-	}
-	return newest
-}
