Give the policy simulations one subcommand type

Cause: five subcommands of cmd/policies each had the same type, flags and frame of a table. Change: simulation holds name, texts, flags and frame; each file keeps the comparison.

--- a/cmd/policies/admission.go
+++ b/cmd/policies/admission.go
@@ -2,16 +2,12 @@
 
 import (
 	"container/heap"
-	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/subcommands"
 
 	"magnoliaturn/core/mtbundle"
 	"magnoliaturn/core/mtclock"
@@ -19,43 +15,22 @@
 	"magnoliaturn/core/mtid"
 )
 
-func init() { commands = append(commands, &admission{}) }
-
-// admission compares queueing disciplines of the gate in front of one backend
-// server.
-type admission struct {
-	seed    uint64
-	seconds int
-}
-
-// Name implements subcommands.Command.
-func (*admission) Name() string { return "admission" }
-
-// Synopsis implements subcommands.Command.
-func (*admission) Synopsis() string { return "compare queueing disciplines of the gate under load" }
-
-// Usage implements subcommands.Command.
-func (*admission) Usage() string { return "admission [-seed n] [-seconds n]\n" }
-
-// SetFlags implements subcommands.Command.
-func (c *admission) SetFlags(f *flag.FlagSet) {
-	f.Uint64Var(&c.seed, "seed", 1, "seed of arrivals and service times")
-	f.IntVar(&c.seconds, "seconds", 60, "length of each run in virtual seconds")
+func init() {
+	commands = append(commands, &simulation{
+		name: "admission", synopsis: "compare queueing disciplines of the gate under load",
+		seedOf: "arrivals and service times", length: time.Minute, compare: compareOrders,
+	})
 }
 
-// Execute implements subcommands.Command.
-func (c *admission) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
-	length := time.Duration(c.seconds) * time.Second
+// compareOrders compares queueing disciplines of the gate in front of one backend
+// server.
+func compareOrders(w *tabwriter.Writer, seed uint64, length time.Duration) {
 	for _, l := range admissionLoads {
-		_, _ = fmt.Fprintf(w, "\n%s, seed %d, %v\n", l.name, c.seed, length)
-		_, _ = fmt.Fprintln(w, "order\tgoodput\tclass\toffered/s\tin time %\trefused %\tlate %\tp99 ms\tdeadline ms\trefusal p99 ms\t")
+		printHeading(w, l.name, seed, length, "order\tgoodput\tclass\toffered/s\tin time %\trefused %\tlate %\tp99 ms\tdeadline ms\trefusal p99 ms\t")
 		for _, o := range disciplines {
-			printTrial(w, o.name, o.run(l, c.seed, length))
+			printTrial(w, o.name, o.run(l, seed, length))
 		}
 	}
-	_ = w.Flush()
-	return subcommands.ExitSuccess
 }
 
 // The simulated backend server has the slots and connections of a dispatch
--- a/cmd/policies/choice.go
+++ b/cmd/policies/choice.go
@@ -1,60 +1,35 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/subcommands"
 
 	"magnoliaturn/core/mtchoice"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 )
 
-func init() { commands = append(commands, &choice{}) }
-
-// choice compares policies that select a server of a spread service, and
-// estimators of a server's availability.
-type choice struct {
-	seed    uint64
-	seconds int
-}
-
-// Name implements subcommands.Command.
-func (*choice) Name() string { return "choice" }
-
-// Synopsis implements subcommands.Command.
-func (*choice) Synopsis() string { return "compare policies that select a server of a spread service" }
-
-// Usage implements subcommands.Command.
-func (*choice) Usage() string { return "choice [-seed n] [-seconds n]\n" }
-
-// SetFlags implements subcommands.Command.
-func (c *choice) SetFlags(f *flag.FlagSet) {
-	f.Uint64Var(&c.seed, "seed", 1, "seed of arrivals, failures and choices")
-	f.IntVar(&c.seconds, "seconds", 60, "length of each run in virtual seconds")
+func init() {
+	commands = append(commands, &simulation{
+		name: "choice", synopsis: "compare policies that select a server of a spread service",
+		seedOf: "arrivals, failures and choices", length: time.Minute, compare: compareChoices,
+	})
 }
 
-// Execute implements subcommands.Command.
-func (c *choice) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
-	printPatterns(w, c.seed)
-	length := time.Duration(c.seconds) * time.Second
+// compareChoices compares policies that select a server of a spread service, and
+// estimators of a server's availability.
+func compareChoices(w *tabwriter.Writer, seed uint64, length time.Duration) {
+	printPatterns(w, seed)
 	for _, l := range choiceLoads {
-		_, _ = fmt.Fprintf(w, "\n%s, seed %d, %v\n", l.name, c.seed, length)
-		_, _ = fmt.Fprintln(w, "policy\timbalance\tfar %\tanswered %\tfailed %\tleft out needlessly %\tp50 ms\tp99 ms\t")
+		printHeading(w, l.name, seed, length, "policy\timbalance\tfar %\tanswered %\tfailed %\tleft out needlessly %\tp50 ms\tp99 ms\t")
 		for _, p := range choicePolicies {
-			printChoice(w, p.name, runChoice(p.make, l, c.seed, length))
+			printChoice(w, p.name, runChoice(p.make, l, seed, length))
 		}
 	}
-	_ = w.Flush()
-	return subcommands.ExitSuccess
 }
 
 // choiceLoad is a load offered to the servers, with the faults they have.
--- a/cmd/policies/poison.go
+++ b/cmd/policies/poison.go
@@ -2,61 +2,35 @@
 
 import (
 	"cmp"
-	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"text/tabwriter"
 	"time"
 
-	"github.com/google/subcommands"
-
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
 )
 
-func init() { commands = append(commands, &poison{}) }
-
-// poison compares rules that detect and quarantine requests that crash servers.
-type poison struct {
-	seed    uint64
-	seconds int
-}
-
-// Name implements subcommands.Command.
-func (*poison) Name() string { return "poison" }
-
-// Synopsis implements subcommands.Command.
-func (*poison) Synopsis() string { return "compare rules that quarantine requests that crash servers" }
-
-// Usage implements subcommands.Command.
-func (*poison) Usage() string { return "poison [-seed n] [-seconds n]\n" }
-
-// SetFlags implements subcommands.Command.
-func (c *poison) SetFlags(f *flag.FlagSet) {
-	f.Uint64Var(&c.seed, "seed", 1, "seed of arrivals and service times")
-	f.IntVar(&c.seconds, "seconds", 60, "length of each run in virtual seconds")
+func init() {
+	commands = append(commands, &simulation{
+		name: "poison", synopsis: "compare rules that quarantine requests that crash servers",
+		seedOf: "arrivals and service times", length: time.Minute, compare: compareRules,
+	})
 }
 
-// Execute implements subcommands.Command.
-func (c *poison) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
-	length := time.Duration(c.seconds) * time.Second
+// compareRules compares rules that detect and quarantine requests that crash servers.
+func compareRules(w *tabwriter.Writer, seed uint64, length time.Duration) {
 	for _, l := range poisonLoads {
-		_, _ = fmt.Fprintf(w, "\n%s, seed %d, %v\n", l.name, c.seed, length)
-		_, _ = fmt.Fprintln(w, "rule\tservers lost\tinnocent in quarantine\tinnocent answered %\tserver time kept for lone runs s\tunavailable s\t")
+		printHeading(w, l.name, seed, length, "rule\tservers lost\tinnocent in quarantine\tinnocent answered %\tserver time kept for lone runs s\tunavailable s\t")
 		for _, r := range poisonRules {
-			t := r.run(l, c.seed, length)
+			t := r.run(l, seed, length)
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%.2f\t%.1f\t\n", r.name, t.crashes, len(t.wronglyQuarantined),
 				100*float64(t.answered)/float64(max(t.offered, 1)), t.aloneTime.Seconds(), t.unavailable.Seconds())
 		}
 	}
-	_ = w.Flush()
-	return subcommands.ExitSuccess
 }
 
 // poisonLoad describes the poison requests and the effect of a crash.
--- a/cmd/policies/recent.go
+++ b/cmd/policies/recent.go
@@ -1,18 +1,14 @@
 package main
 
 import (
-	"context"
 	"encoding/binary"
 	"errors"
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"text/tabwriter"
 	"time"
 
-	"github.com/google/subcommands"
 	"github.com/google/uuid"
 
 	"magnoliaturn/core/mtclock"
@@ -21,44 +17,23 @@
 	"magnoliaturn/core/mtreply"
 )
 
-func init() { commands = append(commands, &recent{}) }
-
-// recent compares deduplicators of request identifiers while owners are lost
-// and shards move.
-type recent struct {
-	seed    uint64
-	seconds int
-}
-
-// Name implements subcommands.Command.
-func (*recent) Name() string { return "recent" }
-
-// Synopsis implements subcommands.Command.
-func (*recent) Synopsis() string { return "compare deduplicators of request identifiers under faults" }
-
-// Usage implements subcommands.Command.
-func (*recent) Usage() string { return "recent [-seed n] [-seconds n]\n" }
-
-// SetFlags implements subcommands.Command.
-func (c *recent) SetFlags(f *flag.FlagSet) {
-	f.Uint64Var(&c.seed, "seed", 1, "seed of orders, losses and clocks")
-	f.IntVar(&c.seconds, "seconds", 300, "length of each run in virtual seconds")
+func init() {
+	commands = append(commands, &simulation{
+		name: "recent", synopsis: "compare deduplicators of request identifiers under faults",
+		seedOf: "orders, losses and clocks", length: 5 * time.Minute, compare: compareDeduplicators,
+	})
 }
 
-// Execute implements subcommands.Command.
-func (c *recent) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
-	length := time.Duration(c.seconds) * time.Second
+// compareDeduplicators compares deduplicators of request identifiers while owners are lost
+// and shards move.
+func compareDeduplicators(w *tabwriter.Writer, seed uint64, length time.Duration) {
 	for _, l := range recentLoads {
-		_, _ = fmt.Fprintf(w, "\n%s, seed %d, %v\n", l.name, c.seed, length)
-		_, _ = fmt.Fprintln(w, "memory\torders\tran twice\ttold not run of one that ran\tnever ran, told unknown\trefused, full\tnot served for want of an owner\t")
+		printHeading(w, l.name, seed, length, "memory\torders\tran twice\ttold not run of one that ran\tnever ran, told unknown\trefused, full\tnot served for want of an owner\t")
 		for _, m := range deduplicators {
-			t := runRecent(m.make, l, c.seed, length)
+			t := runRecent(m.make, l, seed, length)
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", m.name, len(t.orders), t.ranTwice(), t.wronglyNotRun, t.unknownNeverRan(), t.full, t.ownerless)
 		}
 	}
-	_ = w.Flush()
-	return subcommands.ExitSuccess
 }
 
 // recentLoad sets the rates of the faults in a trial.
--- a/cmd/policies/retry.go
+++ b/cmd/policies/retry.go
@@ -1,62 +1,37 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/subcommands"
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtretry"
 )
 
-func init() { commands = append(commands, &retries{}) }
-
-// retries compares the retry policies while servers fail.
-type retries struct {
-	seed    uint64
-	seconds int
-}
-
-// Name implements subcommands.Command.
-func (*retries) Name() string { return "retry" }
-
-// Synopsis implements subcommands.Command.
-func (*retries) Synopsis() string { return "compare retry policies while servers fail" }
-
-// Usage implements subcommands.Command.
-func (*retries) Usage() string { return "retry [-seed n] [-seconds n]\n" }
-
-// SetFlags implements subcommands.Command.
-func (c *retries) SetFlags(f *flag.FlagSet) {
-	f.Uint64Var(&c.seed, "seed", 1, "seed of arrivals, choices and jitter")
-	f.IntVar(&c.seconds, "seconds", 60, "length of each run in virtual seconds")
+func init() {
+	commands = append(commands, &simulation{
+		name: "retry", synopsis: "compare retry policies while servers fail",
+		seedOf: "arrivals, choices and jitter", length: time.Minute, compare: compareRetries,
+	})
 }
 
-// Execute implements subcommands.Command.
-func (c *retries) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
-	length := time.Duration(c.seconds) * time.Second
+// compareRetries compares the retry policies while servers fail.
+func compareRetries(w *tabwriter.Writer, seed uint64, length time.Duration) {
 	for _, failure := range failures {
-		_, _ = fmt.Fprintf(w, "\n%s, seed %d, %v\n", failure.name, c.seed, length)
-		_, _ = fmt.Fprintln(w, "policy\ttries per request\tanswered %\tnot run %\tunknown %\tp99 ms\t")
+		printHeading(w, failure.name, seed, length, "policy\ttries per request\tanswered %\tnot run %\tunknown %\tp99 ms\t")
 		for _, p := range retryPolicies {
-			r := runRetries(p.make, failure, c.seed, length)
+			r := runRetries(p.make, failure, seed, length)
 			percent := func(n int) float64 { return 100 * float64(n) / float64(r.requests) }
 			_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.2f\t%.2f\t%.2f\t%.1f\t\n", p.name, r.triesPerRequest(),
 				percent(r.outcomes[mtreply.Answered]), percent(r.outcomes[mtreply.NotRun]), percent(r.outcomes[mtreply.Unknown]),
 				float64(r.latency.ValueAtQuantile(99))/1000)
 		}
 	}
-	_ = w.Flush()
-	return subcommands.ExitSuccess
 }
 
 // The simulated service has ten servers, three of which fail.
