Join the loops over fleet sizes of cmd/capacity

Cause: fleet and loss had the same loop, from the parsing of -sizes to the exit codes. Change: measureSizes in main.go, with the smallest size and the columns as arguments. Measured: build, vet, gofumpt, revive clean (no tests in this package); help, flags and the refusals of -sizes 1, 7 and x with their exit codes are the same as before; capacity fleet -sizes 2 -settle 3s -rest 2s -changes 2 prints its row, exit 0. loss was run with refused sizes only. Conclusion: same messages and exit codes.

--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -6,12 +6,8 @@
 	"expvar"
 	"flag"
 	"fmt"
-	"log/slog"
-	"os"
 	"runtime"
 	"slices"
-	"strconv"
-	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -68,23 +64,7 @@
 
 // Execute implements subcommands.Command.
 func (c *fleetCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	slog.SetDefault(slog.New(slog.DiscardHandler))
-	const padding = 2
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "daemons\tUDP B/s\tUDP msg/s\tCPU %\theap MB\tgoroutines\tstore calls/h\twatching\tin force p50 ms\tmax ms\tpulls/change\t")
-	for _, text := range strings.Split(c.sizes, ",") {
-		size, err := strconv.Atoi(text)
-		if err != nil || size < 2 {
-			fmt.Fprintf(os.Stderr, "sizes: %q: want an integer of at least 2\n", text)
-			return subcommands.ExitUsageError
-		}
-		if err := c.measure(w, size); err != nil {
-			fmt.Fprintln(os.Stderr, "fleet:", err)
-			return subcommands.ExitFailure
-		}
-	}
-	_ = w.Flush()
-	return subcommands.ExitSuccess
+	return measureSizes("fleet", c.sizes, 2, "daemons\tUDP B/s\tUDP msg/s\tCPU %\theap MB\tgoroutines\tstore calls/h\twatching\tin force p50 ms\tmax ms\tpulls/change\t", c.measure)
 }
 
 // deployment returns a fleet of the given size, distributed over the zones of the
--- a/cmd/capacity/loss.go
+++ b/cmd/capacity/loss.go
@@ -4,11 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
-	"log/slog"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -49,23 +45,7 @@
 
 // Execute implements subcommands.Command.
 func (c *lossCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	slog.SetDefault(slog.New(slog.DiscardHandler))
-	const padding = 2
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "daemons\tVM lost, median s\tlongest s\tzone: VMs lost\tzone lost s\t")
-	for _, text := range strings.Split(c.sizes, ",") {
-		size, err := strconv.Atoi(text)
-		if err != nil || size < 8 {
-			fmt.Fprintf(os.Stderr, "sizes: %q: want an integer of at least 8\n", text)
-			return subcommands.ExitUsageError
-		}
-		if err := c.measure(w, size); err != nil {
-			fmt.Fprintln(os.Stderr, "loss:", err)
-			return subcommands.ExitFailure
-		}
-	}
-	_ = w.Flush()
-	return subcommands.ExitSuccess
+	return measureSizes("loss", c.sizes, 8, "daemons\tVM lost, median s\tlongest s\tzone: VMs lost\tzone lost s\t", c.measure)
 }
 
 func (c *lossCommand) measure(w *tabwriter.Writer, size int) error {
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -15,7 +15,12 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"log/slog"
 	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
 
 	"github.com/google/subcommands"
 )
@@ -29,3 +34,25 @@
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
+
+// measureSizes prints a table with the results of measure for each of the fleet sizes,
+// which are comma-separated.
+func measureSizes(command, sizes string, smallest int, columns string, measure func(w *tabwriter.Writer, size int) error) subcommands.ExitStatus {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	const padding = 2
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, columns)
+	for _, text := range strings.Split(sizes, ",") {
+		size, err := strconv.Atoi(text)
+		if err != nil || size < smallest {
+			fmt.Fprintf(os.Stderr, "sizes: %q: want an integer of at least %d\n", text, smallest)
+			return subcommands.ExitUsageError
+		}
+		if err := measure(w, size); err != nil {
+			fmt.Fprintln(os.Stderr, command+":", err)
+			return subcommands.ExitFailure
+		}
+	}
+	_ = w.Flush()
+	return subcommands.ExitSuccess
+}
