Group by key in one place of the audit

Cause: the checks of owners and of outages each built a map by key and the order of its keys. Change: groupByKey; the order of the keys remains that of their first item. Conclusion: same findings and outages, in the same order.

--- a/core/mtaudit/mtaudit.go
+++ b/core/mtaudit/mtaudit.go
@@ -167,6 +167,29 @@
 	key     mtid.Key
 }
 
+// keyGroup holds the runs or calls of one key.
+type keyGroup[T any] struct {
+	at    keyRef
+	items []T
+}
+
+// groupByKey groups items by key, in the order in which the keys first occur.
+func groupByKey[T interface{ keyRef() keyRef }](items []T) []keyGroup[T] {
+	var groups []keyGroup[T]
+	index := make(map[keyRef]int)
+	for _, item := range items {
+		at := item.keyRef()
+		i, known := index[at]
+		if !known {
+			i = len(groups)
+			index[at] = i
+			groups = append(groups, keyGroup[T]{at: at})
+		}
+		groups[i].items = append(groups[i].items, item)
+	}
+	return groups
+}
+
 // Audit checks the records for violated guarantees and summarizes the calls by
 // phase.
 func Audit(in Input) Report {
@@ -237,22 +260,13 @@
 
 // checkOwners finds keys that were owned by more than one server at a time.
 func checkOwners(runs []*run, spread map[mtid.Ref]bool) []Finding {
-	byKey := make(map[keyRef][]*run)
-	var order []keyRef
-	for _, r := range runs {
-		at := r.keyRef()
-		if spread[at.service] {
+	var findings []Finding
+	for _, group := range groupByKey(runs) {
+		if spread[group.at.service] {
 			continue
 		}
-		if byKey[at] == nil {
-			order = append(order, at)
-		}
-		byKey[at] = append(byKey[at], r)
-	}
-	var findings []Finding
-	for _, at := range order {
-		findings = append(findings, checkOverlaps(at, byKey[at])...)
-		findings = append(findings, checkEpochs(at, byKey[at])...)
+		findings = append(findings, checkOverlaps(group.at, group.items)...)
+		findings = append(findings, checkEpochs(group.at, group.items)...)
 	}
 	return findings
 }
--- a/core/mtaudit/phase.go
+++ b/core/mtaudit/phase.go
@@ -118,21 +118,10 @@
 // outages returns the outages of all keys, leaving out calls that were refused
 // because of the caller's own error.
 func outages(calls []tries) []Outage {
-	byKey := make(map[keyRef][]tries)
-	var order []keyRef
-	for _, t := range calls {
-		if slices.Contains(callerErrors, t.last().Cause) {
-			continue
-		}
-		at := t.keyRef()
-		if byKey[at] == nil {
-			order = append(order, at)
-		}
-		byKey[at] = append(byKey[at], t)
-	}
+	counted := slices.DeleteFunc(slices.Clone(calls), func(t tries) bool { return slices.Contains(callerErrors, t.last().Cause) })
 	var found []Outage
-	for _, at := range order {
-		found = append(found, outagesOf(at, byKey[at])...)
+	for _, group := range groupByKey(counted) {
+		found = append(found, outagesOf(group.at, group.items)...)
 	}
 	return found
 }
