--- a/core/mtpoison/limits.go
+++ b/core/mtpoison/limits.go
@@ -1,6 +1,9 @@
 package mtpoison
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits bound the size of a Table and the age of its evidence. Zero fields take
 // the defaults.
@@ -23,18 +26,10 @@
 
 // withDefaults returns l with its zero fields set to the defaults.
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.Crashes, DefaultCrashes)
-	setDefault(&l.Fingerprints, DefaultFingerprints)
-	setDefault(&l.Quarantined, DefaultQuarantined)
-	setDefault(&l.Suspicion, DefaultSuspicion)
-	setDefault(&l.Quarantine, DefaultQuarantine)
+	l.Crashes = cmp.Or(l.Crashes, DefaultCrashes)
+	l.Fingerprints = cmp.Or(l.Fingerprints, DefaultFingerprints)
+	l.Quarantined = cmp.Or(l.Quarantined, DefaultQuarantined)
+	l.Suspicion = cmp.Or(l.Suspicion, DefaultSuspicion)
+	l.Quarantine = cmp.Or(l.Quarantine, DefaultQuarantine)
 	return l
 }
-
-// setDefault sets a zero field to value.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/core/mtrecent/mtrecent.go
+++ b/core/mtrecent/mtrecent.go
@@ -43,6 +43,7 @@
 package mtrecent
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/google/uuid"
@@ -170,23 +171,15 @@
 
 // withDefaults returns l with its zero fields set to the defaults.
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.Retention, DefaultRetention)
-	setDefault(&l.Skew, DefaultSkew)
-	setDefault(&l.Entries, DefaultEntries)
-	setDefault(&l.AnswerBytes, DefaultAnswerBytes)
-	setDefault(&l.TotalAnswerBytes, DefaultTotalAnswerBytes)
-	setDefault(&l.Waiters, DefaultWaiters)
+	l.Retention = cmp.Or(l.Retention, DefaultRetention)
+	l.Skew = cmp.Or(l.Skew, DefaultSkew)
+	l.Entries = cmp.Or(l.Entries, DefaultEntries)
+	l.AnswerBytes = cmp.Or(l.AnswerBytes, DefaultAnswerBytes)
+	l.TotalAnswerBytes = cmp.Or(l.TotalAnswerBytes, DefaultTotalAnswerBytes)
+	l.Waiters = cmp.Or(l.Waiters, DefaultWaiters)
 	return l
 }
 
-// setDefault sets a zero field to value.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Len returns the number of entries.
 func (t *Table) Len() int { return len(t.entries) }
 
