Enter a phase of a move in one place

Cause: three places set the phase and its start in two lines each. Change: (*move).enter. Writes that are repeated set only the phase, as before: the time of a phase counts for stopping and handing over alone. Measured: build, vet, gofumpt, revive clean; go test -race ./core/mtmove ok. Conclusion: same transitions.

--- a/core/mtmove/mtmove.go
+++ b/core/mtmove/mtmove.go
@@ -144,6 +144,11 @@
 	outcomeUnknown bool
 }
 
+// enter starts a phase, and with it the time that the phase may take.
+func (mv *move) enter(now mtclock.Instant, next phase) {
+	mv.phase, mv.phaseSince = next, now
+}
+
 // chunkID identifies a chunk of a service.
 type chunkID struct {
 	service mtid.Ref
@@ -228,8 +233,7 @@
 	if mv == nil || mv.phase != stopping {
 		return nil
 	}
-	mv.phase = handingOver
-	mv.phaseSince = now
+	mv.enter(now, handingOver)
 	m.emit(Handover{Shard: id, High: mv.high, To: mv.to})
 	return m.effects
 }
@@ -241,8 +245,7 @@
 	if mv == nil || mv.phase != handingOver {
 		return nil
 	}
-	mv.phase = ready
-	mv.phaseSince = now
+	mv.enter(now, ready)
 	m.startWrite(m.chunkOf(id))
 	return m.effects
 }
@@ -288,8 +291,7 @@
 		// and the table is authoritative.
 		mv.outcomeUnknown = false
 		if m.stillValid(mv) {
-			mv.phase = ready
-			mv.phaseSince = now
+			mv.enter(now, ready)
 		}
 	case Unavailable:
 		if mv.outcomeUnknown {
