Name the locals of the split files after what they hold

Cause: a reader of one of the new files met r.p for the planner, a for a pending move, n for a flight's id, c for both a crash and a pending quarantine, given for load received, own for the copy known, and one f that hid another. Change: planner, pending, id, received, current, edit. Local names, a parameter and a field that stays inside; nothing leaves the process under them.

--- a/core/mtplan/balance.go
+++ b/core/mtplan/balance.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		util := r.util(i)
-		if util > r.mean*urgentFactor || r.outOfBandLongEnough(r.p.aboveSince, i) {
+		if util > r.mean*urgentFactor || r.outOfBandLongEnough(r.planner.aboveSince, i) {
 			donors = append(donors, i)
 		}
 	}
@@ -56,7 +56,7 @@
 	if point < s.High {
 		r.split(s.Chunk, point+1)
 	}
-	r.p.splitAt[s.Low] = r.now
+	r.planner.splitAt[s.Low] = r.now
 }
 
 // splittable reports whether a shard may be split in this round. A shard with a
@@ -73,7 +73,7 @@
 func (r *round) split(chunk int, at mtid.Point) {
 	r.addOp(chunk, mtshard.Split{Point: at})
 	r.shards++
-	r.p.splitAt[at] = r.now
+	r.planner.splitAt[at] = r.now
 }
 
 func (r *round) addOp(chunk int, op mtshard.Op) {
@@ -121,7 +121,7 @@
 
 // splitThisRound reports whether the shard was split in this round, so that its
 // bounds and load are about to change.
-func (r *round) splitThisRound(i int) bool { return r.p.splitAt[r.state.Shards[i].Low] == r.now }
+func (r *round) splitThisRound(i int) bool { return r.planner.splitAt[r.state.Shards[i].Low] == r.now }
 
 // maxOvershoot is the factor by which a single shard may exceed the excess load
 // and still be preferred to several smaller ones.
@@ -168,7 +168,7 @@
 // the exchange, a server with several hot keys would stay overloaded as long as
 // no other server had a gap the size of a whole key.
 func (r *round) exchange(candidates []int, donor int, excess float64) bool {
-	since, above := r.p.aboveSince[r.state.Servers[donor].Holder]
+	since, above := r.planner.aboveSince[r.state.Servers[donor].Holder]
 	if !above || r.now.Sub(since) < exchangeDelay || r.util(donor) <= r.mean*urgentFactor {
 		return false
 	}
@@ -267,7 +267,7 @@
 		}
 		if r.splittable(i) {
 			r.split(s.Chunk, s.Low+(s.High-s.Low)/2+1)
-			r.p.splitAt[s.Low] = r.now
+			r.planner.splitAt[s.Low] = r.now
 		}
 		return
 	}
@@ -283,10 +283,10 @@
 }
 
 func (r *round) spend(load float64) bool {
-	if r.p.budget < load {
+	if r.planner.budget < load {
 		return false
 	}
-	r.p.budget -= load
+	r.planner.budget -= load
 	return true
 }
 
@@ -298,7 +298,7 @@
 		if r.capacity[i] == 0 || !r.state.Servers[i].LoadKnown {
 			continue
 		}
-		if r.util(i) < r.mean*idleShare || r.outOfBandLongEnough(r.p.belowSince, i) {
+		if r.util(i) < r.mean*idleShare || r.outOfBandLongEnough(r.planner.belowSince, i) {
 			recipients = append(recipients, i)
 		}
 	}
@@ -379,7 +379,7 @@
 		}
 		if r.owner[i-1] == r.owner[i] {
 			r.addOp(r.state.Shards[i].Chunk, mtshard.Merge{Low: r.state.Shards[i].Low})
-			delete(r.p.movedAt, r.state.Shards[i].Low)
+			delete(r.planner.movedAt, r.state.Shards[i].Low)
 			surplus--
 			i++ // the bounds of the pair have changed: skip the next shard
 			continue
@@ -409,7 +409,7 @@
 	if r.hot[i] || !r.movable(i) || s.Owner != r.owner[i] {
 		return false
 	}
-	_, recent := r.p.splitAt[s.Low]
+	_, recent := r.planner.splitAt[s.Low]
 	return !recent
 }
 
--- a/core/mtplan/move.go
+++ b/core/mtplan/move.go
@@ -11,10 +11,10 @@
 	if s.Pinned {
 		return false
 	}
-	if _, ok := r.p.pending[s.Low]; ok {
+	if _, ok := r.planner.pending[s.Low]; ok {
 		return false
 	}
-	_, ok := r.p.movedAt[s.Low]
+	_, ok := r.planner.movedAt[s.Low]
 	return !ok
 }
 
@@ -23,7 +23,7 @@
 	s := &r.state.Shards[i]
 	from := r.owner[i]
 	pending := pendingMove{from: r.state.Servers[s.Owner].Holder, to: r.state.Servers[to].Holder, until: r.now.Add(moveTimeout)}
-	r.p.pending[s.Low] = pending
+	r.planner.pending[s.Low] = pending
 	r.plan.Moves = append(r.plan.Moves, Move{Low: s.Low, From: pending.from, To: pending.to})
 	r.load[from] -= s.Load
 	r.load[to] += s.Load
@@ -33,9 +33,9 @@
 	k := slices.Index(r.owned[from], i)
 	r.owned[from] = slices.Delete(r.owned[from], k, k+1)
 	r.owned[to] = append(r.owned[to], i)
-	given := r.p.intakes[pending.to]
-	given.load += s.Load
-	r.p.intakes[pending.to] = given
+	received := r.planner.intakes[pending.to]
+	received.load += s.Load
+	r.planner.intakes[pending.to] = received
 }
 
 // accepts reports whether a server may receive load: it is not leaving, its
@@ -45,7 +45,7 @@
 	if r.capacity[server] == 0 || !s.LoadKnown {
 		return false
 	}
-	received := r.p.intakes[s.Holder].load
+	received := r.planner.intakes[s.Holder].load
 	return received == 0 || received+load <= intakeShare*r.fairLoad(server)
 }
 
@@ -85,7 +85,7 @@
 		if r.full() {
 			return
 		}
-		if _, ok := r.p.pending[r.state.Shards[i].Low]; ok && r.state.Shards[i].Owner != r.owner[i] {
+		if _, ok := r.planner.pending[r.state.Shards[i].Low]; ok && r.state.Shards[i].Owner != r.owner[i] {
 			// The shard has a pending move to a server that is also leaving:
 			// wait for it to end.
 			continue
--- a/core/mtplan/planner.go
+++ b/core/mtplan/planner.go
@@ -145,8 +145,8 @@
 
 // expire drops timed-out moves, cooldowns that have ended and old split times.
 func (p *Planner) expire(now mtclock.Instant) {
-	for low, a := range p.pending {
-		if now.After(a.until) {
+	for low, move := range p.pending {
+		if now.After(move.until) {
 			p.Refused(now, low)
 		}
 	}
--- a/core/mtplan/round.go
+++ b/core/mtplan/round.go
@@ -10,11 +10,11 @@
 
 // round is the working state of one call of Plan.
 type round struct {
-	p     *Planner
-	now   mtclock.Instant
-	state *State
-	band  band
-	plan  Plan
+	planner *Planner
+	now     mtclock.Instant
+	state   *State
+	band    band
+	plan    Plan
 
 	total    float64
 	mean     float64   // load per usable slot
@@ -44,7 +44,7 @@
 	p.expire(now)
 	n := len(state.Servers)
 	r := &round{
-		p: p, now: now, state: state,
+		planner: p, now: now, state: state,
 		band:     bandOf(state.Weights),
 		owner:    make([]int, len(state.Shards)),
 		owned:    make([][]int, n),
@@ -78,9 +78,9 @@
 			r.capacity[i] = server.Slots * server.WarmShare
 			r.zones[zone].capacity += r.capacity[i]
 		}
-		given := r.p.intakes[server.Holder]
-		if given.reportedAt != server.LastReport || r.now.Sub(given.since) > intakeTime {
-			r.p.intakes[server.Holder] = intake{reportedAt: server.LastReport, since: r.now}
+		received := r.planner.intakes[server.Holder]
+		if received.reportedAt != server.LastReport || r.now.Sub(received.since) > intakeTime {
+			r.planner.intakes[server.Holder] = intake{reportedAt: server.LastReport, since: r.now}
 		}
 	}
 }
@@ -116,27 +116,27 @@
 // countedOwner returns the owner that a shard's load counts for. It drops a
 // pending move that is completed or obsolete.
 func (r *round) countedOwner(s *Shard) int {
-	a, ok := r.p.pending[s.Low]
+	pending, ok := r.planner.pending[s.Low]
 	if !ok || s.Owner < 0 {
 		return s.Owner
 	}
-	if r.state.Servers[s.Owner].Holder != a.from {
-		delete(r.p.pending, s.Low)
-		r.p.movedAt[s.Low] = r.now
+	if r.state.Servers[s.Owner].Holder != pending.from {
+		delete(r.planner.pending, s.Low)
+		r.planner.movedAt[s.Low] = r.now
 		return s.Owner
 	}
-	if to := serverIndex(r.state, a.to); to >= 0 {
+	if to := serverIndex(r.state, pending.to); to >= 0 {
 		return to
 	}
-	delete(r.p.pending, s.Low)
+	delete(r.planner.pending, s.Low)
 	return s.Owner
 }
 
 // markHotShards marks the shards that hold a hot key.
 func (r *round) markHotShards() {
 	r.hot = make([]bool, len(r.state.Shards))
-	for _, point := range r.state.HotKeys {
-		if i := r.shardAt(point.Point); i >= 0 && point.Load > hotShare/4*r.fairLoad(r.owner[i]) {
+	for _, key := range r.state.HotKeys {
+		if i := r.shardAt(key.Point); i >= 0 && key.Load > hotShare/4*r.fairLoad(r.owner[i]) {
 			r.hot[i] = true
 		}
 	}
@@ -171,8 +171,8 @@
 func (r *round) trackBand() {
 	for i := range r.state.Servers {
 		holder := r.state.Servers[i].Holder
-		trackSince(r.p.aboveSince, holder, r.now, r.capacity[i] > 0 && r.util(i) > r.mean*(1+r.band.enter))
-		trackSince(r.p.belowSince, holder, r.now, r.capacity[i] > 0 && r.util(i) < r.mean*(1-r.band.enter))
+		trackSince(r.planner.aboveSince, holder, r.now, r.capacity[i] > 0 && r.util(i) > r.mean*(1+r.band.enter))
+		trackSince(r.planner.belowSince, holder, r.now, r.capacity[i] > 0 && r.util(i) < r.mean*(1-r.band.enter))
 	}
 }
 
--- a/core/mtpoison/evidence.go
+++ b/core/mtpoison/evidence.go
@@ -112,8 +112,8 @@
 	for p, requested := range t.quarantined {
 		d.Quarantines = append(d.Quarantines, Quarantine{Fingerprint: p, LastRequest: requested})
 	}
-	for p, c := range t.pending {
-		d.Quarantines = append(d.Quarantines, Quarantine{Fingerprint: p, LastRequest: c.at, IfLost: c.holder})
+	for p, pending := range t.pending {
+		d.Quarantines = append(d.Quarantines, Quarantine{Fingerprint: p, LastRequest: pending.at, IfLost: pending.holder})
 	}
 	slices.SortFunc(d.Quarantines, func(a, b Quarantine) int {
 		return cmp.Or(cmp.Compare(b.LastRequest, a.LastRequest), cmp.Compare(a.Fingerprint, b.Fingerprint))
--- a/core/mtpoison/flight.go
+++ b/core/mtpoison/flight.go
@@ -40,15 +40,15 @@
 
 // Started records that a request is sent to the server beside this daemon. alone
 // is set if the gate admits no other request until it ends.
-func (t *Table[R]) Started(n FlightID, p Fingerprint, alone bool) {
-	t.local[n] = &flight{fingerprint: p, alone: alone}
+func (t *Table[R]) Started(id FlightID, p Fingerprint, alone bool) {
+	t.local[id] = &flight{fingerprint: p, alone: alone}
 }
 
 // Ended records how a started request ended. It returns true if how is Broken and
 // the cause may be a crash that is not recorded yet: the caller then probes the
 // server and calls ServerLost if the server is down.
-func (t *Table[R]) Ended(now mtclock.Instant, n FlightID, how RunResult) bool {
-	f, ok := t.local[n]
+func (t *Table[R]) Ended(now mtclock.Instant, id FlightID, how RunResult) bool {
+	f, ok := t.local[id]
 	if !ok {
 		return false
 	}
@@ -56,7 +56,7 @@
 		f.detachedAt = now
 		return true
 	}
-	delete(t.local, n)
+	delete(t.local, id)
 	if how == Answered && f.alone {
 		t.markClear(now, f.fingerprint)
 	}
@@ -67,8 +67,8 @@
 // recorded crash. The caller checks it again right before ServerLost: all requests
 // that one crash interrupted probe the server concurrently, and only the first of
 // them may report the crash.
-func (t *Table[R]) Unattributed(n FlightID) bool {
-	_, ok := t.local[n]
+func (t *Table[R]) Unattributed(id FlightID) bool {
+	_, ok := t.local[id]
 	return ok
 }
 
@@ -77,8 +77,8 @@
 func (t *Table[R]) ServerLost(now mtclock.Instant) {
 	t.localLosses++
 	c := &Crash{ID: CrashID{Holder: t.self, Count: t.localLosses}, At: now, Complete: true}
-	for n, f := range t.local {
-		delete(t.local, n)
+	for id, f := range t.local {
+		delete(t.local, id)
 		if f.detachedAt != 0 && now.Sub(f.detachedAt) > breakWindow {
 			continue
 		}
--- a/core/mtpoison/mtpoison.go
+++ b/core/mtpoison/mtpoison.go
@@ -160,26 +160,26 @@
 
 // Expire removes evidence that is too old. It is called periodically.
 func (t *Table[R]) Expire(now mtclock.Instant) {
-	for loss, c := range t.crashes {
+	for id, c := range t.crashes {
 		if now.Sub(c.At) >= t.limits.Suspicion {
-			delete(t.crashes, loss)
+			delete(t.crashes, id)
 		}
 	}
-	for p, c := range t.pending {
-		if now.Sub(c.at) >= t.limits.Suspicion {
+	for p, pending := range t.pending {
+		if now.Sub(pending.at) >= t.limits.Suspicion {
 			delete(t.pending, p)
 		}
 	}
 	removeOlder(t.suspects, now, t.limits.Suspicion)
 	removeOlder(t.cleared, now, t.limits.Suspicion)
-	for n, f := range t.local {
+	for id, f := range t.local {
 		if f.detachedAt != 0 && now.Sub(f.detachedAt) > breakWindow {
-			delete(t.local, n)
+			delete(t.local, id)
 		}
 	}
-	for n, f := range t.relays {
+	for id, f := range t.relays {
 		if f.detachedAt != 0 && now.Sub(f.detachedAt) > abandonedTTL {
-			delete(t.relays, n)
+			delete(t.relays, id)
 		}
 	}
 	for p, requested := range t.quarantined {
--- a/io/mtdirectory/assignment.go
+++ b/io/mtdirectory/assignment.go
@@ -78,14 +78,14 @@
 	if err != nil || patch == nil {
 		return nil, err
 	}
-	own, known := v.Assignments[service]
+	current, known := v.Assignments[service]
 	if !known {
 		return nil, &mtrange.PatchError{Service: patch.Service, Since: patch.Since}
 	}
-	if own.Version >= e.Version {
-		return &own, nil
+	if current.Version >= e.Version {
+		return &current, nil
 	}
-	table, err := own.Apply(patch)
+	table, err := current.Apply(patch)
 	if err != nil {
 		return nil, err
 	}
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -249,8 +249,8 @@
 	return true
 }
 
-// update creates a new view and calls the listeners if f reports a difference.
-func (d *Directory) update(f func(v *View) bool) {
+// update creates a new view and calls the listeners if edit reports a difference.
+func (d *Directory) update(edit func(v *View) bool) {
 	d.mu.Lock()
 	old := d.view.Load()
 	next := &View{
@@ -261,7 +261,7 @@
 		Revision:          old.Revision,
 		MembershipVersion: old.MembershipVersion,
 	}
-	differs := f(next)
+	differs := edit(next)
 	if differs {
 		next.newestVersion = newestVersion(next)
 		d.view.Store(next)
