Say what the fields of the in-memory store and the poison table hold

Cause: which fields the lock guards, what late is sorted by and whose flights local and relays hold had to be found in the code. Change: comments only. Measured: build, vet, gofumpt, revive clean; go test -race ./io/mtstore ./core/mtpoison ok. Conclusion: no code.

--- a/core/mtpoison/mtpoison.go
+++ b/core/mtpoison/mtpoison.go
@@ -72,14 +72,14 @@
 	rule        R
 	limits      Limits
 	self        mtid.Holder
-	localLosses uint32 // crashes of the server beside this daemon
-	local       map[FlightID]*flight
-	relays      map[FlightID]*flight
+	localLosses uint32               // crashes of the server beside this daemon
+	local       map[FlightID]*flight // at the server beside this daemon
+	relays      map[FlightID]*flight // at the daemons of other owners
 	crashes     map[CrashID]*Crash
-	suspects    map[Fingerprint]mtclock.Instant // time of the last crash at which each was in flight
-	cleared     map[Fingerprint]mtclock.Instant // time of the answer that cleared each
-	quarantined map[Fingerprint]mtclock.Instant // time of the last request for each
-	pending     map[Fingerprint]pendingQuarantine
+	suspects    map[Fingerprint]mtclock.Instant   // time of the last crash at which each was in flight
+	cleared     map[Fingerprint]mtclock.Instant   // time of the answer that cleared each
+	quarantined map[Fingerprint]mtclock.Instant   // time of the last request for each
+	pending     map[Fingerprint]pendingQuarantine // quarantines that a lost holder would confirm
 }
 
 // New returns an empty Table for the daemon self.
--- a/io/mtstore/admit.go
+++ b/io/mtstore/admit.go
@@ -12,11 +12,11 @@
 
 // callFaults are the faults that apply to one call.
 type callFaults struct {
-	slow       time.Duration
+	slow       time.Duration // how long the call is delayed
 	hang       bool
 	loseAnswer bool
 	dropped    bool
-	late       time.Duration
+	late       time.Duration // how long after the call the write is attempted; 0 if not late
 }
 
 // admitLeaseCall applies the faults to a lease call and reports whether its response
--- a/io/mtstore/memory.go
+++ b/io/mtstore/memory.go
@@ -27,12 +27,12 @@
 	clock  func() time.Time
 	counts counts
 
-	mu       sync.Mutex
+	mu       sync.Mutex // guards the fields below
 	items    map[string]*item
 	revision mtid.Revision
 	leases   map[mtstore.LeaseID]*lease
 	grants   uint64
-	late     []lateWrite
+	late     []lateWrite // by due time
 	faults   Faults
 	writes   *rate.Limiter
 	reads    *rate.Limiter
--- a/io/mtstore/state.go
+++ b/io/mtstore/state.go
@@ -31,6 +31,8 @@
 	lease    mtstore.LeaseID
 }
 
+// lateWrite is a write whose caller was told that its outcome is unknown, and that is
+// attempted when it is due.
 type lateWrite struct {
 	write write
 	due   time.Time
@@ -50,7 +52,8 @@
 	m.notifyWatches()
 }
 
-// applyDue expires leases and applies late writes that are due.
+// applyDue expires leases and applies late writes that are due. Like all that follows
+// here, it is called with the lock held.
 func (m *Memory) applyDue(now time.Time) {
 	for id, l := range m.leases {
 		if !l.expires.After(now) {
