Join the set-up that two tests of mtgrant and two of mtowner share

Cause: the restart with an unanswered grant and the handover from another owner each stood twice, line by line. Change: restartWithUnansweredGrant and handOverFromOther do the same steps in the same order, the checks of the set-up included; no check of a test is changed. Conclusion: the same tests.

--- a/io/mtgrant/late_test.go
+++ b/io/mtgrant/late_test.go
@@ -191,6 +191,17 @@
 	f.until("a renewal is unanswered", func() bool { return server.delayedCount() > 0 })
 }
 
+// restartWithUnansweredGrant restarts the daemon while a renewal is unanswered, and waits until
+// the next process has granted the keys.
+func (f *fleet) restartWithUnansweredGrant(server *lateServer) {
+	f.delayRenewal(server)
+	f.stop()
+	server.setDelaying(false)
+	f.restarted = true
+	f.start()
+	f.until("the successor has granted the keys", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
+}
+
 // checkLateGrant checks that an overloaded server moves keys only once an unanswered grant must
 // have expired, and holds no key alongside its new owner if it executes the grant after that.
 func (f *fleet) checkLateGrant(server *lateServer) {
@@ -212,12 +223,7 @@
 // The server must not hold them alongside their new owner.
 func TestLateGrantOfPreviousProcessTakesNoMovedKey(t *testing.T) {
 	f, server := newLateFleet(t)
-	f.delayRenewal(server)
-	f.stop()
-	server.setDelaying(false)
-	f.restarted = true
-	f.start()
-	f.until("the successor has granted the keys", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
+	f.restartWithUnansweredGrant(server)
 	f.checkLateGrant(server)
 }
 
@@ -259,12 +265,7 @@
 // keys would be unserved for seconds.
 func TestKeysOfLeavingServerMoveSoonAfterRestart(t *testing.T) {
 	f, server := newLateFleet(t)
-	f.delayRenewal(server)
-	f.stop()
-	server.setDelaying(false)
-	f.restarted = true
-	f.start()
-	f.until("the successor has granted the keys", func() bool { return f.grants.CheckGranted(incarnationOf("a"), 0) == nil })
+	f.restartWithUnansweredGrant(server)
 	f.directory.Publish(f.host.set(mtbackend.Draining))
 	f.untilMoved()
 	server.executeLate()
--- a/io/mtowner/recent_test.go
+++ b/io/mtowner/recent_test.go
@@ -208,6 +208,19 @@
 	}
 }
 
+// handOverFromOther imports the deduplication entries that the other owner hands over for the
+// range from low to the end of the ring, and returns its table, still without entries.
+func (b *harness) handOverFromOther(low mtid.Point) *mtrecent.Table {
+	b.t.Helper()
+	high := ^mtid.Point(0)
+	otherTable := mtrecent.New(mtrecent.Limits{})
+	assert.NilError(b.t, otherTable.Grant(low, high, time.Time{}))
+	value, err := mtrecent.Encode(otherTable.Export(1, low, high))
+	assert.NilError(b.t, err)
+	assert.NilError(b.t, b.Import(dispatch, low, high, other, value))
+	return otherTable
+}
+
 // A planned move of a shard is abandoned after the handover. Its owner continues to
 // serve, runs a request and is lost, and the shard arrives here by failover. Its new
 // epoch equals that of a shard in another chunk that is owned here. The resent
@@ -220,12 +233,7 @@
 	b.clock.advance(time.Second)
 	b.Serve(context.Background(), b.sendRequest(0)) // makes the deduplicator cover chunk 0
 
-	low, high := second.Shards[0].Low, ^mtid.Point(0)
-	otherTable := mtrecent.New(mtrecent.Limits{})
-	assert.NilError(t, otherTable.Grant(low, high, time.Time{}))
-	value, err := mtrecent.Encode(otherTable.Export(1, low, high))
-	assert.NilError(t, err)
-	assert.NilError(t, b.Import(dispatch, low, high, other, value))
+	otherTable := b.handOverFromOther(second.Shards[0].Low)
 
 	b.clock.advance(time.Second)
 	request := b.sendRequest(1)
@@ -249,12 +257,8 @@
 	b.apply(mtshard.New(dispatch, 0, 2), mtshard.Create{Shards: 1, Holders: []mtid.Holder{self}})
 	table := b.apply(mtshard.New(dispatch, 1, 2), mtshard.Create{Shards: 1, Holders: []mtid.Holder{other}})
 	request := b.sendRequest(1)
-	middle, high := request.Point(), ^mtid.Point(0)
-	otherTable := mtrecent.New(mtrecent.Limits{})
-	assert.NilError(t, otherTable.Grant(middle, high, time.Time{}))
-	value, err := mtrecent.Encode(otherTable.Export(1, middle, high))
-	assert.NilError(t, err)
-	assert.NilError(t, b.Import(dispatch, middle, high, other, value))
+	middle := request.Point()
+	b.handOverFromOther(middle)
 
 	// The other owner runs the request now, and is lost.
 	b.clock.advance(2 * time.Second)
