Log which limit ended a request

Cause: a request that ended with 504 could have met the deadline of its caller, the timeout of its route or the end of the grace period, or its caller had left. The log did not say which. Change: the line of a request that failed says what ended it, and how much of its time was left.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -71,8 +71,21 @@
 	Caller mtid.Service
 	// Tries are the failed tries so far, for the logs of the ingress.
 	Tries []Try
+	// EndedBy is what ended the call, for the logs of the ingress; empty if no limit did.
+	EndedBy Limit
 }
 
+// Limit is what may end a call before it is answered.
+type Limit string
+
+// The limits of a call.
+const (
+	LimitCallerLeft     Limit = "caller left"
+	LimitCallerDeadline Limit = "deadline of the caller"
+	LimitRouteTimeout   Limit = "timeout of the route"
+	LimitGracePeriod    Limit = "end of the grace period"
+)
+
 // Try describes a failed try of a call.
 type Try struct {
 	Daemon mtid.Daemon   `json:"daemon"`
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -156,6 +156,7 @@
 	if err == nil {
 		err = in.writeAnswer(w, call, answer)
 	} else {
+		call.EndedBy = in.endedBy(ctx, r.Context(), call, route)
 		in.writeError(w, call, err)
 	}
 	in.recordFailure(call, w.Status)
@@ -163,6 +164,24 @@
 	return nil
 }
 
+// endedBy returns the limit that ended a call with the context ctx, whose caller is there as
+// long as the context caller is not canceled, or an empty limit if none did.
+func (in *Ingress) endedBy(ctx, caller context.Context, call *mtcall.Call, route *mtroute.Route) mtcall.Limit {
+	switch {
+	case caller.Err() != nil:
+		return mtcall.LimitCallerLeft
+	case in.lifetime.Err() != nil:
+		return mtcall.LimitGracePeriod
+	case ctx.Err() == nil && in.Clock.Now().Before(call.Deadline):
+		return ""
+	case call.Deadline == call.CallerDeadline:
+		return mtcall.LimitCallerDeadline
+	case call.Deadline == call.Arrived.Add(route.Timeout):
+		return mtcall.LimitRouteTimeout
+	}
+	return mtcall.LimitGracePeriod
+}
+
 // parseRequest converts a request to a call. If it fails, the call holds what is known.
 func (in *Ingress) parseRequest(now mtclock.Instant, r *http.Request) (*mtcall.Call, *mtroute.Route, error) {
 	call := &mtcall.Call{
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -123,6 +123,9 @@
 	if e.call.CallerDeadline != 0 {
 		attrs = append(attrs, slog.String("allowed", e.call.CallerDeadline.Sub(e.call.Arrived).String()))
 	}
+	if e.call.EndedBy != "" {
+		attrs = append(attrs, slog.String("ended-by", string(e.call.EndedBy)), slog.String("left", e.call.Deadline.Sub(e.call.Arrived.Add(e.took)).String()))
+	}
 	if len(e.call.Tries) > 0 {
 		attrs = append(attrs, slog.Any("tries", e.call.Tries))
 	}
