Refuse at once what a stopping daemon may have to break off

Cause: a daemon that stops takes requests for 2.6 s, and ends all of them 5.1 s after SIGTERM, whatever time they have left. A request with 4 s that is taken after 1.1 s may be broken off.

Change: core/mtshutdown holds the times of a shutdown and decides. A request that may last beyond the last answers is refused at once, not run, with the time until its caller has been told twice to use another daemon. Calls that other daemons pass on, and those that waited for a slot at SIGTERM, are checked before they are sent to the server. Nested calls of a request that was accepted get the time that is left, as before. The last answers are due 5.3 s after SIGTERM, not 5.1: the clean-up needs 0.3 s at most for a store that does not answer.

TestCallInFlightAtEndOfShutdownIsAnswered waits for its call to be in flight now: one that comes after SIGTERM is refused. Conclusion: nothing that is taken after SIGTERM outlasts the daemon. What was taken before with more time than the grace period is still ended by it.

--- /dev/null
+++ b/core/mtshutdown/mtshutdown_test.go
@@ -0,0 +1,55 @@
+package mtshutdown_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtshutdown"
+)
+
+const begun = mtclock.Instant(time.Hour)
+
+// Guards against runs that are broken off: a request taken 1.5 s after SIGTERM may last 4 s, and its daemon is killed 6 s after SIGTERM.
+func TestOnlyWhatEndsInTimeIsAccepted(t *testing.T) {
+	const grace = 6 * time.Second
+	for _, test := range []struct {
+		after, lasts time.Duration
+		retry        time.Duration // zero if the call is accepted
+	}{
+		{after: 0, lasts: 4 * time.Second},
+		{after: time.Second, lasts: 4 * time.Second},
+		{after: 1500 * time.Millisecond, lasts: 4 * time.Second, retry: 500 * time.Millisecond},
+		{after: 2500 * time.Millisecond, lasts: 4 * time.Second, retry: 100 * time.Millisecond},
+		{after: 2500 * time.Millisecond, lasts: 2500 * time.Millisecond},
+		{after: 0, lasts: 12 * time.Second, retry: 2 * time.Second},
+	} {
+		now := begun.Add(test.after)
+		err := mtshutdown.New(begun, grace).Check(now, now.Add(test.lasts))
+		var refused *mtreply.RefusedError
+		assert.Equal(t, errors.As(err, &refused), test.retry != 0, "%+v", test)
+		if refused != nil {
+			assert.Equal(t, refused.Cause, mtreply.CauseStopping)
+			assert.Equal(t, refused.RetryAfter, test.retry, "%+v", test)
+		}
+	}
+}
+
+// The times of a shutdown are in order for each grace period, and what is accepted ends before
+// the last answers are due.
+func TestScheduleIsInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(int64(time.Second), int64(time.Minute)).Draw(t, "grace"))
+		s := mtshutdown.New(begun, grace)
+		assert.Assert(t, begun.Before(s.CallersMoved) && s.CallersMoved <= s.Retire && s.Retire <= s.LastAnswers)
+		assert.Assert(t, s.LastAnswers.Before(s.Close) && s.Close.Before(begun.Add(grace)))
+		now := begun.Add(time.Duration(rapid.Int64Range(0, int64(grace)).Draw(t, "after")))
+		deadline := now.Add(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "lasts")))
+		assert.Equal(t, s.Check(now, deadline) == nil, deadline <= s.LastAnswers)
+	})
+}
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -31,6 +31,7 @@
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/core/mtzone"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtduty"
@@ -75,6 +76,9 @@
 	// but whose keys have not moved yet: a move takes 0.1 to 0.3 s while the store is
 	// available, and a record is written again 0.6 s after an outage.
 	keyMoveRetry = 500 * time.Millisecond
+	// stoppingRetry is the time after which to retry a call for a key of this daemon, which
+	// shuts down: its keys begin to move at once.
+	stoppingRetry = 200 * time.Millisecond
 )
 
 // Config holds the settings and dependencies of a Host.
@@ -154,6 +158,7 @@
 	startLimited      bool             // startLimit is in force at the gate
 	lastRun           mtclock.Instant  // when this process was last seen running
 	signals           signals
+	shutdown          *mtshutdown.Schedule // nil before the daemon shuts down
 
 	startedCalls atomic.Int64 // calls sent to the server
 	quotaRefused atomic.Int64 // calls refused because of its rate limit
@@ -269,10 +274,12 @@
 
 // Retire publishes that this daemon shuts down while its server continues to run. Other
 // daemons may not be notified while the store is unavailable, so calls that can go to
-// another server are refused from now on.
-func (h *Host) Retire() {
+// another server are refused from now on. Calls that could outlast the daemon are not sent to
+// the server.
+func (h *Host) Retire(s mtshutdown.Schedule) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.shutdown = &s
 	h.record.Leaving = true
 	h.Publish(h.record)
 }
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -18,6 +18,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtshutdown"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mthost"
 	"magnoliaturn/io/mttime"
@@ -254,6 +255,41 @@
 	assert.Equal(t, s.host.Load().Demand, 0.0)
 }
 
+// Guards against runs that are cut because this daemon, which stops, takes calls that may outlast it.
+func TestStoppingDaemonRefusesCallsThatMayOutlastIt(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	s.startServer("server-1")
+	fits, outlasts := s.call(true), s.call(true)
+	s.host.Retire(mtshutdown.Schedule{LastAnswers: fits.Deadline})
+	outlasts.Deadline++
+	assert.Equal(t, s.causeOf(fits), mtreply.Cause(""))
+	assert.Equal(t, s.causeOf(outlasts), mtreply.CauseNoLease)
+}
+
+// Guards against the same for a call that waited for a slot when the daemon was told to stop.
+func TestWaitingCallThatMayOutlastDaemonIsRefused(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	release := make(chan struct{})
+	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+		<-release
+		return &mtcall.Answer{Status: 200}, nil
+	}
+	s.startServer("server-1")
+	var others sync.WaitGroup
+	for range 2 {
+		others.Go(func() { assert.Check(t, s.refusalCause(true) == "") })
+	}
+	s.waitFor("both slots are in use", func(mtbackend.Record) bool { return s.host.Load().Running == 2 })
+	waiting := make(chan mtreply.Cause)
+	call := s.call(true)
+	go func() { waiting <- s.causeOf(call) }()
+	s.waitFor("the third call waits", func(mtbackend.Record) bool { return s.host.Load().Waiting == 1 })
+	s.host.Retire(mtshutdown.Schedule{LastAnswers: call.Deadline.Add(-time.Millisecond)})
+	close(release)
+	assert.Equal(t, <-waiting, mtreply.CauseNoLease)
+	others.Wait()
+}
+
 // A key moves away while a call for it waits at the gate, which only the check after the
 // wait detects. Without it the server was sent calls for keys that it had released.
 func TestWaitingCallIsRefusedAfterItsKeyMoved(t *testing.T) {
@@ -360,7 +396,7 @@
 func TestStoppingDaemonRefusesCallsWithoutKey(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
-	s.host.Retire()
+	s.host.Retire(mtshutdown.New(s.clock.Now(), time.Minute))
 	assert.Equal(t, s.refusalCause(false), mtreply.CauseStopping)
 	assert.Equal(t, s.refusalCause(true), mtreply.Cause(""))
 	s.host.Close()
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -90,6 +90,9 @@
 			return nil, err
 		}
 	}
+	if err := h.checkShutdown(call); err != nil {
+		return nil, err
+	}
 	started := h.Clock.Now()
 	if err := h.refusePoison(started, fingerprint, call.AnsweredBefore); err != nil {
 		return nil, err
@@ -182,3 +185,20 @@
 	}
 	return record, admission, nil
 }
+
+// checkShutdown refuses a call that could outlast this daemon, before it is sent to the server.
+// The keys of a daemon that shuts down move, so that a keyed call is sent again to their next
+// owner.
+func (h *Host) checkShutdown(call *mtcall.Call) error {
+	h.mu.Lock()
+	schedule := h.shutdown
+	h.mu.Unlock()
+	if schedule == nil {
+		return nil
+	}
+	err := schedule.Check(h.Clock.Now(), call.Deadline)
+	if err != nil && call.Keyed {
+		return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: stoppingRetry, Detail: err.Error()}
+	}
+	return err
+}
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -36,6 +36,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtshutdown"
 )
 
 type clock interface{ Now() mtclock.Instant }
@@ -82,12 +83,12 @@
 	mu       sync.Mutex // protects splitter and attempts
 	splitter *mtroute.Splitter
 	attempts *mtattempt.Attempts
-	closing  atomic.Bool
-	// lifetime is canceled when the grace period of a shutdown ends. Calls that are still
+	// shutdown is the schedule of the shutdown, or nil before it begins.
+	shutdown atomic.Pointer[mtshutdown.Schedule]
+	// lifetime is canceled when the last answers of a shutdown are due. Calls that are still
 	// in flight get their final responses then.
 	lifetime    context.Context
 	endLifetime context.CancelFunc
-	end         atomic.Int64
 }
 
 // New returns an Ingress without a configuration. It answers all requests with 503 until
@@ -117,13 +118,13 @@
 // Configuration returns the configuration in force, or nil if there is none yet.
 func (in *Ingress) Configuration() *mtroute.Config { return in.config.Load() }
 
-// BeginShutdown begins a shutdown: each response from now on closes its connection. Calls that
-// are still in flight when the time end is reached get their final responses then, because
-// a caller whose connection closes without a response can't know whether its call was run.
-func (in *Ingress) BeginShutdown(end mtclock.Instant) {
-	in.end.Store(int64(end))
-	in.closing.Store(true)
-	time.AfterFunc(end.Sub(in.Clock.Now()), in.endLifetime)
+// BeginShutdown begins a shutdown: each response from now on closes its connection, and calls
+// that could outlast the daemon are refused. Calls that are still in flight when the last
+// answers are due get their final responses then, because a caller whose connection closes
+// without a response can't know whether its call was run.
+func (in *Ingress) BeginShutdown(s mtshutdown.Schedule) {
+	in.shutdown.Store(&s)
+	time.AfterFunc(s.LastAnswers.Sub(in.Clock.Now()), in.endLifetime)
 }
 
 // callContext returns the context of a call, which is canceled when the time left has
@@ -141,7 +142,7 @@
 func (in *Ingress) Handle(c echo.Context) error {
 	arrived := in.Clock.Now()
 	r, w := c.Request(), c.Response()
-	if in.closing.Load() {
+	if in.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	call, route, err := in.parseRequest(arrived, r)
@@ -211,12 +212,12 @@
 		call.CallerDeadline = now.Add(given)
 	}
 	call.Deadline = now.Add(left)
-	if in.closing.Load() {
-		call.Deadline = min(call.Deadline, mtclock.Instant(in.end.Load()))
-	}
 	in.mu.Lock()
 	call.Service = in.splitter.Pick(route)
 	in.mu.Unlock()
+	if err := in.checkShutdown(now, call); err != nil {
+		return call, nil, err
+	}
 	if err := in.readKey(call, config, r); err != nil {
 		return call, nil, err
 	}
@@ -228,6 +229,20 @@
 	return call, route, nil
 }
 
+// checkShutdown refuses a call that could outlast the daemon. A nested call gets the time that
+// is left instead: the call that waits for it was accepted, and would fail.
+func (in *Ingress) checkShutdown(now mtclock.Instant, call *mtcall.Call) error {
+	s := in.shutdown.Load()
+	if s == nil {
+		return nil
+	}
+	if call.Nested {
+		call.Deadline = min(call.Deadline, s.LastAnswers)
+		return nil
+	}
+	return s.Check(now, call.Deadline)
+}
+
 // adjustObjective counts the objective of a retried call from its caller's first try.
 // Nested calls are not retried by their callers.
 func (in *Ingress) adjustObjective(now mtclock.Instant, call *mtcall.Call) {
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtforward"
@@ -288,11 +290,15 @@
 	answer *mtcall.Answer
 	err    error
 	hang   bool
+	sent   chan struct{} // receives a value for each call that hangs, unless it is nil
 }
 
 func (s *fakeSender) Send(ctx context.Context, call *mtcall.Call, _ int) (*mtcall.Answer, error) {
 	s.call = call
 	if s.hang {
+		if s.sent != nil {
+			s.sent <- struct{}{}
+		}
 		<-ctx.Done()
 		return nil, &mtreply.UnknownError{Cause: mtreply.CauseGone, Err: ctx.Err()}
 	}
@@ -415,7 +421,8 @@
 // A daemon stops while a server still processes a request. Guards against closing the
 // connection at the end of the grace period without a response.
 func TestCallInFlightAtEndOfShutdownIsAnswered(t *testing.T) {
-	ingress, clock, handler := newIngress(t, &fakeSender{hang: true})
+	sender := &fakeSender{hang: true, sent: make(chan struct{}, 1)}
+	ingress, clock, handler := newIngress(t, sender)
 	ingress.Configure(configuration(t, 1))
 	done := make(chan *httptest.ResponseRecorder)
 	go func() {
@@ -423,11 +430,54 @@
 		handler.ServeHTTP(w, newRequest("/desk/1", "1"))
 		done <- w
 	}()
-	ingress.BeginShutdown(clock.Now().Add(50 * time.Millisecond))
+	<-sender.sent
+	ingress.BeginShutdown(mtshutdown.Schedule{LastAnswers: clock.Now().Add(50 * time.Millisecond)})
 	w := <-done
 	assert.Equal(t, w.Code, http.StatusGatewayTimeout)
 }
 
+// Guards against a request that a stopping daemon takes although it may have to break it off: the caller must come back when another daemon serves it.
+func TestStoppingDaemonRefusesWhatMayOutlastIt(t *testing.T) {
+	sender := &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}}
+	ingress, clock, handler := newIngress(t, sender)
+	ingress.Configure(configuration(t, 1))
+	now := clock.Now()
+	ingress.BeginShutdown(mtshutdown.Schedule{CallersMoved: now.Add(time.Minute), LastAnswers: now.Add(time.Minute)})
+	exchange := func(header ...string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, newRequest("/desk/1", "1", header...))
+		return w
+	}
+	fits := exchange()
+	assert.Equal(t, fits.Code, http.StatusOK)
+
+	ingress.BeginShutdown(mtshutdown.Schedule{CallersMoved: now.Add(time.Minute), LastAnswers: clock.Now().Add(time.Second)})
+	sender.call = nil
+	outlasts := exchange()
+	assert.Equal(t, outlasts.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, outlasts.Header().Get("Connection"), "close")
+	assert.Assert(t, sender.call == nil, "a refused request must not run")
+	retry, err := strconv.ParseFloat(outlasts.Header().Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, retry > 50 && retry <= 60, "%g", retry)
+	// The caller's own deadline is earlier than the route's timeout.
+	assert.Equal(t, exchange(mtheader.DefaultNames.Deadline, "100").Code, http.StatusOK)
+}
+
+// Guards against refusing what a call waits for that the daemon has accepted.
+func TestStoppingDaemonServesNestedCallsForTheTimeLeft(t *testing.T) {
+	sender := &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}}
+	ingress, clock, handler := newIngress(t, sender)
+	ingress.Configure(configuration(t, 1))
+	ingress.IsNested = func(mtcall.ID) bool { return true }
+	end := clock.Now().Add(time.Second)
+	ingress.BeginShutdown(mtshutdown.Schedule{CallersMoved: end, LastAnswers: end})
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, newRequest("/desk/1", "1"))
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, sender.call.Deadline, end)
+}
+
 // fakeClock is a clock that a test advances.
 type fakeClock struct{ now mtclock.Instant }
 
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -4,28 +4,20 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/labstack/echo/v4"
 	"google.golang.org/grpc"
 
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/io/mtdial"
+	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtforward"
 	"magnoliaturn/io/mtlisten"
 	"magnoliaturn/io/mttime"
 )
 
 const (
-	// retireDelay is how long callers are served after the request to stop. By then they
-	// have been notified at least twice, one second apart, to use another daemon.
-	retireDelay = 2600 * time.Millisecond
-	// cleanupReserve is reserved for the clean-up functions before the process is killed.
-	// They may have to wait for a store that does not answer.
-	cleanupReserve = 700 * time.Millisecond
-	// finalReplyMargin is how long before the end of the grace period, less cleanupReserve,
-	// the final replies are sent.
-	finalReplyMargin = 200 * time.Millisecond
 	// maxCallerConnections limits the connections of callers, and maxPeerStreams the
 	// concurrent calls of one other daemon.
 	maxCallerConnections = 3000
@@ -90,16 +82,16 @@
 // closes the remaining connections.
 func (m *Mesh) shutdown() {
 	clock := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock)
-	remaining := m.config.Grace - cleanupReserve
-	end := time.Now().Add(remaining)
+	now := clock.Now()
+	schedule := mtshutdown.New(now, m.config.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), schedule.Close.Sub(now))
+	defer cancel()
 	m.config.Log.Info("stopping", "grace", m.config.Grace)
 	m.ready.Store(false)
-	m.Ingress().BeginShutdown(clock.Now().Add(remaining - finalReplyMargin))
-	m.Host().Retire()
-	time.Sleep(min(retireDelay, remaining/2))
+	m.Ingress().BeginShutdown(schedule)
+	m.Host().Retire(schedule)
+	mtduty.Sleep(ctx, schedule.Retire.Sub(now))
 	m.Host().Close()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
 	m.callers.Shutdown(ctx)
 	stopped := make(chan struct{})
 	go func() {
