Hear a server that stops work at its deadline

Callers got 504 from the daemon up to a millisecond before their own deadline, and the server's run was cut just before it would have said itself that its time is over.

Cause: a request names whole milliseconds, and its caller waits a fraction longer. The daemons end it by timers that are set to exactly the time named: at the caller, between the daemons and at the server. The server counts the same time from later, and what it says still has to travel. Found by the trace with a forced order of events of the shutdown's fault.

Change: the daemon beside the server awaits the answer 50 ms longer than the deadline, the caller's daemon 100 ms. The time that the server is given stays. No try begins after the deadline, as before. What a full server refuses at the deadline is now told as not run, where the caller got 504. Ways weighed: naming the server a shorter time takes it from the callers.

Conclusion: the last word is the server's where it has one.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -15,6 +15,7 @@
 package mtcall
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,17 @@
 // MaxID is the maximum length of an identifier, in bytes.
 const MaxID = 128
 
+// Times after the deadline of a call until which its answer is awaited. A server stops work at
+// the deadline and says so, and that answer has to travel. Whoever waits only until the deadline
+// breaks off a server that is at work, and answers its caller up to a millisecond before the
+// caller's own deadline, which a request names in whole milliseconds.
+const (
+	// ServerAnswerMargin is for the daemon beside the server.
+	ServerAnswerMargin = 50 * time.Millisecond
+	// CallerAnswerMargin is for the daemon that the caller sent the request to.
+	CallerAnswerMargin = 100 * time.Millisecond
+)
+
 // Field is an HTTP header field.
 type Field struct{ Name, Value string }
 
@@ -138,3 +150,6 @@
 	Queued time.Duration // time in the gate's queue
 	Served time.Duration // time at the server
 }
+
+// OutOfTime reports whether the server stopped work on the call at its deadline.
+func (a *Answer) OutOfTime() bool { return a.Status == http.StatusGatewayTimeout }
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -87,7 +87,7 @@
 	if remaining < time.Millisecond {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1}
 	}
-	ctx, cancel := context.WithTimeout(ctx, remaining)
+	ctx, cancel := context.WithTimeout(ctx, remaining+mtcall.ServerAnswerMargin)
 	defer cancel()
 	conn, err := c.connect(ctx, target, call)
 	if err != nil {
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -16,6 +16,7 @@
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtreply"
 	iobackend "magnoliaturn/io/mtbackend"
@@ -253,3 +254,32 @@
 	assert.Equal(t, unknown.Cause, mtreply.CauseGone)
 	<-ended
 }
+
+// frozenClock is a clock at which a call has exactly the time left that it names.
+type frozenClock mtclock.Instant
+
+func (c frozenClock) Now() mtclock.Instant { return mtclock.Instant(c) }
+
+// Guards against a run that is cut at the moment at which its server answers that its time is over.
+func TestServerThatStopsAtItsDeadlineIsHeard(t *testing.T) {
+	const granted = 50 * time.Millisecond
+	server := newRawServer(t, func(_ int, c net.Conn, id string) bool {
+		time.Sleep(granted)
+		_, _ = c.Write([]byte("HTTP/1.1 504 Late\r\nRequest-Id: " + id + "\r\nReply-Signature: s\r\nContent-Length: 0\r\n\r\n"))
+		return true
+	})
+	c, cleanUp := iobackend.New(iobackend.Config{Names: mtheader.DefaultNames, Clock: frozenClock(time.Hour)})
+	t.Cleanup(cleanUp)
+	const calls = 20
+	heard := 0
+	for range calls {
+		answer, err := c.Do(t.Context(), server.target(), &mtcall.Call{
+			ID: "7", Method: http.MethodGet, Target: "/plans/7", Host: "maps.example", Idempotent: true, Deadline: mtclock.Instant(time.Hour + granted),
+		})
+		if err == nil && answer.Status == http.StatusGatewayTimeout {
+			heard++
+		}
+	}
+	// A busy machine may hold up a few of the answers.
+	assert.Assert(t, heard > calls/2, "%d of %d answers were heard", heard, calls)
+}
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -347,7 +347,7 @@
 		return nil, err
 	}
 	now := c.clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(now))
+	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(now)+mtcall.CallerAnswerMargin)
 	defer cancel()
 	watched, sent := mtconn.TrackSend(ctx)
 	inner, cancelCall := context.WithCancel(watched)
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -113,7 +113,9 @@
 	answer.Queued = started.Sub(arrived)
 	ended := h.Clock.Now()
 	answer.Served = ended.Sub(started)
-	h.recordServiceTime(call.Route, answer.Served)
+	if !answer.OutOfTime() {
+		h.recordServiceTime(call.Route, answer.Served)
+	}
 	return answer, nil
 }
 
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -124,13 +124,13 @@
 // without a response can't know whether its call was run.
 func (in *Ingress) BeginShutdown(s mtshutdown.Schedule) {
 	in.shutdown.Store(&s)
-	time.AfterFunc(s.LastAnswers.Sub(in.Clock.Now()), in.endLifetime)
+	time.AfterFunc(s.LastAnswers.Sub(in.Clock.Now())+mtcall.CallerAnswerMargin, in.endLifetime)
 }
 
-// callContext returns the context of a call, which is canceled when the time left has
-// passed, and at the end of a shutdown.
+// callContext returns the context of a call, which is canceled when its answer is no longer
+// awaited after the time left, and at the end of a shutdown.
 func (in *Ingress) callContext(ctx context.Context, left time.Duration) (context.Context, func()) {
-	ctx, cancel := context.WithTimeout(ctx, left)
+	ctx, cancel := context.WithTimeout(ctx, left+mtcall.CallerAnswerMargin)
 	stop := context.AfterFunc(in.lifetime, cancel)
 	return ctx, func() {
 		stop()
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -195,7 +195,7 @@
 // prepareRetry reports whether to send a call again after an error, and waits before that if
 // necessary.
 func (s *Sender) prepareRetry(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, state *sending, attempts int, err error) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !s.Clock.Now().Before(call.Deadline) {
 		return false
 	}
 	if !mayHaveReachedServer(err) {
@@ -272,11 +272,12 @@
 }
 
 // awaitOwner waits until an update changes the ownership of the call's key, or until it is
-// time for the next try. It returns false if the context ends first.
+// time for the next try. It returns false if the context or the call's time ends first.
 func (s *Sender) awaitOwner(ctx context.Context, call *mtcall.Call, state *sending) bool {
 	pause := time.Duration(float64(ownerWait) * math.Pow(ownerWaitGrowth, float64(state.waits)))
 	state.waits++
-	waitCtx, cancel := context.WithTimeout(ctx, pause)
+	left := call.Deadline.Sub(s.Clock.Now())
+	waitCtx, cancel := context.WithTimeout(ctx, min(pause, left))
 	defer cancel()
 	before := s.epoch(call)
 	for {
@@ -287,7 +288,7 @@
 		select {
 		case <-changed:
 		case <-waitCtx.Done():
-			return ctx.Err() == nil
+			return ctx.Err() == nil && pause < left
 		}
 	}
 }
@@ -412,7 +413,7 @@
 	answer, err := s.send(ctx, call, member)
 	if !call.Keyed {
 		s.mu.Lock()
-		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, resultKind(err), s.report(member))
+		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, resultKind(answer, err), s.report(member))
 		s.mu.Unlock()
 	}
 	return answer, err
@@ -443,8 +444,11 @@
 }
 
 // resultKind classifies the result of a try by what it shows about the server.
-func resultKind(err error) mtchoice.ResultKind {
+func resultKind(answer *mtcall.Answer, err error) mtchoice.ResultKind {
 	var refused *mtreply.RefusedError
+	if err == nil && answer.OutOfTime() {
+		return mtchoice.Failure
+	}
 	if err == nil {
 		return mtchoice.Success
 	}
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -512,3 +512,21 @@
 	assert.Equal(t, request("1500"), time.Second)
 	assert.Equal(t, request("1500"), time.Second, "no retry follows a success")
 }
+
+// Guards against an answer of the daemon's own up to a millisecond before its caller stops waiting: a request names whole milliseconds.
+func TestOwnAnswerWaitsForLastMillisecondOfCaller(t *testing.T) {
+	ingress, _, handler := newIngress(t, &fakeSender{hang: true})
+	ingress.Configure(configuration(t, 1))
+	const (
+		named = 50 * time.Millisecond
+		waits = named + 990*time.Microsecond
+	)
+	for range 20 {
+		sent := time.Now()
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, newRequest("/desk/1", "1", mtheader.DefaultNames.Deadline, "50"))
+		early := waits - time.Since(sent)
+		assert.Equal(t, w.Code, http.StatusGatewayTimeout)
+		assert.Assert(t, early <= 0, "answered %s before the caller's deadline", early)
+	}
+}
