Probe a server with a rate limit that gets no calls

Callers of a keyed service: a server whose rate limit had ended stayed unused for 15 s, 30 s and longer while another owner was above its slots (demand 3.4 to 7 of 4, up to 11 calls waiting).

Cause: only an answer to a call ends a limit. Under it the server's keys move away, until it has a few left that nobody asks for (1 and 271 of 65,536 in two traces). Its capacity stays what the limit allows (0.10 and 0.15 slots), so that what it can take is below the least work that an overloaded owner offloads, one slot, in each of its plans: it gets no key, so no call, so the limit has no end but by chance.

Servers that were limited when last heard of are asked for their load first. Its answers then end the limit, or it stays, within what it takes. The gate beside it keeps to the limit as before. Weighed: a health check by the daemon beside the server. Whether that names the limit is open (docs/PLATFORM.md), and an answer without one must not end it. Forgetting the capacity after some time: overloaded owners then send a slot's work or more to a server that may still mean its limit.

Conclusion: the end of a limit is heard on keyed services. Keys come back from owners above 0.85 of their slots only, as before; services without keys are not changed.

--- /dev/null
+++ b/core/mtrange/probe.go
@@ -0,0 +1,82 @@
+package mtrange
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliaturn/core/mtclock"
+)
+
+// Parameters of probes.
+const (
+	// probeBelow is the share of the calls that a rate limit allows below which a server gets
+	// too few to report soon that the limit has ended.
+	probeBelow = 0.03
+	// probeShare is the share of the calls that the limit allows which a server gets after a
+	// probe. It has to be far below one, since the measured work of few keys is uncertain, and
+	// calls beyond the limit are refused.
+	probeShare = 0.3
+	// probeTurn is how long one owner is the only one that probes a server.
+	probeTurn = 2 * time.Second
+)
+
+// PlanAll returns what the owner offloads because it is overloaded, and its probes.
+func PlanAll(now mtclock.Instant, self LoadReport, others []LoadReport) []Offload {
+	offloads := PlanOffload(self, others)
+	for _, probe := range PlanProbe(now, self, others) {
+		if !slices.ContainsFunc(offloads, func(o Offload) bool { return o.To == probe.To }) {
+			offloads = append(offloads, probe)
+		}
+	}
+	return offloads
+}
+
+// PlanProbe decides which servers with a rate limit the owner offloads a little work to, however
+// loaded it is itself. Only an answer to a call ends a limit: a server whose keys have moved away
+// would keep its limit, and get no keys, for as long as nobody asks for one of those that it has
+// left. It gets less work than the limit allows, so that the probe costs nothing if the limit is
+// still in force.
+//
+// The owners take turns, so that not all of them probe a server at once. Their clocks differ: on
+// average it is the turn of one of them.
+func PlanProbe(now mtclock.Instant, self LoadReport, others []LoadReport) []Offload {
+	if self.Capacity > 0 {
+		return nil
+	}
+	var offloads []Offload
+	for _, o := range others {
+		if !o.Known || o.Capacity <= 0 || o.load() >= probeBelow || !isProber(now, self, o, others) {
+			continue
+		}
+		offloads = append(offloads, Offload{To: o.Owner, Amount: o.spareCapacity(self, probeShare)})
+	}
+	return offloads
+}
+
+// ProbeDue reports whether it is the owner's turn to probe a server that had a rate limit when it
+// was last heard of, so that it is worth querying its load.
+func ProbeDue(now mtclock.Instant, self LoadReport, others []LoadReport) bool {
+	return self.Capacity <= 0 && slices.ContainsFunc(others, func(o LoadReport) bool {
+		return o.Limited && isProber(now, self, o, others)
+	})
+}
+
+// isProber reports whether it is the owner's turn among all owners to probe the server.
+func isProber(now mtclock.Instant, self, server LoadReport, others []LoadReport) bool {
+	own := probeDraw(now, self.Owner, server.Owner)
+	return !slices.ContainsFunc(others, func(o LoadReport) bool {
+		return o.Owner != server.Owner && !o.empty() && !o.Limited && probeDraw(now, o.Owner, server.Owner) > own
+	})
+}
+
+// probeDraw returns a pseudo-random number for an owner and a server, which changes with each
+// turn.
+func probeDraw(now mtclock.Instant, owner, server Owner) float64 {
+	turn := strconv.FormatInt(int64(now)/int64(probeTurn), 10)
+	sum := xxhash.Sum64String(owner.Incarnation.String() + "\x00" + server.Incarnation.String() + "\x00" + turn)
+	return float64(sum) / math.MaxUint64
+}
--- a/core/mtrange/spread_test.go
+++ b/core/mtrange/spread_test.go
@@ -23,6 +23,8 @@
 	owners      []mtrange.Owner
 	speed       map[mtrange.Owner]float64
 	meters      map[mtrange.Owner]*mtrange.Meter
+	capacity    map[mtrange.Owner]float64 // of the owners with a rate limit
+	arrived     map[mtrange.Owner]int     // requests so far
 	last        map[mtrange.Owner]mtclock.Instant
 	movingUntil map[mtrange.Owner]mtclock.Instant // end of the moves of an owner
 	pending     []pendingMove
@@ -51,6 +53,7 @@
 	f := &fleetSim{
 		random: rand.New(rand.NewPCG(seed, seed)), owners: owners(servers),
 		speed: map[mtrange.Owner]float64{}, meters: map[mtrange.Owner]*mtrange.Meter{},
+		capacity: map[mtrange.Owner]float64{}, arrived: map[mtrange.Owner]int{},
 		last: map[mtrange.Owner]mtclock.Instant{}, movingUntil: map[mtrange.Owner]mtclock.Instant{},
 	}
 	f.now = mtclock.Instant(time.Minute)
@@ -90,6 +93,7 @@
 	return mtrange.LoadReport{
 		Owner: o, Slots: simSlots, Demand: f.meters[o].Demand(f.now),
 		ServiceTime: time.Duration(float64(simWork) / f.speed[o]), Keys: f.table.Keys(o), Known: true,
+		Capacity: f.capacity[o], Limited: f.capacity[o] > 0,
 	}
 }
 
@@ -100,6 +104,7 @@
 	for range int(n) + map[bool]int{true: 1}[f.random.Float64() < n-math.Floor(n)] {
 		key := f.randomKey()
 		r, _ := f.table.Lookup(key)
+		f.arrived[r.Owner]++
 		work := f.random.ExpFloat64()*0.3 + 0.7
 		f.meters[r.Owner].RecordArrival(f.now, key, time.Duration(work*float64(simWork)/f.speed[r.Owner]))
 	}
@@ -120,7 +125,7 @@
 			others = append(others, f.report(f.owners[i]))
 		}
 	}
-	offloads := mtrange.PlanOffload(f.report(o), others)
+	offloads := mtrange.PlanAll(f.now, f.report(o), others)
 	for _, run := range mtrange.SelectMoves(f.now, f.table.Owned(o), f.meters[o], offloads) {
 		r, _ := f.table.Lookup(run.Low)
 		duration := time.Duration(f.random.ExpFloat64() * float64(300*time.Millisecond))
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -114,11 +114,11 @@
 		return
 	}
 	self, others := g.LoadReports()
-	if self.Overloaded() {
+	if self.Overloaded() || mtrange.ProbeDue(now, self, others) {
 		g.QueryLoads(ctx)
 		self, others = g.LoadReports()
 	}
-	runs := g.Host.SelectMoves(owned, mtrange.PlanOffload(self, others))
+	runs := g.Host.SelectMoves(owned, mtrange.PlanAll(now, self, others))
 	g.mu.Lock()
 	g.lastOffload = now
 	g.offloading = len(runs) > 0
--- a/io/mtmesh/survey.go
+++ b/io/mtmesh/survey.go
@@ -50,7 +50,9 @@
 			self = report
 			continue
 		}
-		if r, ok := peers.LoadReport(member.Daemon); ok && now.Sub(r.ReceivedAt) < reportTTL {
+		r, ok := peers.LoadReport(member.Daemon)
+		report.Limited = ok && r.Report.Notice.Limited
+		if ok && now.Sub(r.ReceivedAt) < reportTTL {
 			report.Demand, report.ServiceTime, report.Capacity, report.Known = r.Demand, r.ServiceTime, r.Capacity, true
 		}
 		others = append(others, report)
@@ -62,17 +64,22 @@
 func (m *Mesh) survey(ctx context.Context) {
 	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
 	now := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock).Now()
-	var stale []mtdirectory.Member
+	var stale, limited []mtdirectory.Member
 	for _, member := range mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory).View().Serving(m.config.Service) {
 		if member.Daemon == m.config.Daemon {
 			continue
 		}
-		if r, ok := peers.LoadReport(member.Daemon); ok && now.Sub(r.ReceivedAt) < surveyMaxAge {
-			continue
+		r, ok := peers.LoadReport(member.Daemon)
+		switch {
+		case ok && now.Sub(r.ReceivedAt) < surveyMaxAge:
+		case ok && r.Report.Notice.Limited:
+			limited = append(limited, member) // hardly any call's reply brings its report
+		default:
+			stale = append(stale, member)
 		}
-		stale = append(stale, member)
 	}
 	rand.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
+	stale = append(limited, stale...)
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	var queries sync.WaitGroup
