Read the assignment under the lock by which moves end

A server was granted keys that had just moved to another one: two owners until the grant expired.

Cause: reconcile read the assignment, and compared the grants with it later, under the lock. If a move ended in between, its keys were assigned by the old copy and had no grant: a new grant for the whole former range was made, under its old epoch, and sent at once. Change: the assignment is read with the lock held. A move ends, with it held, only once the copy includes it. A test that fails before without a pause in the code is missing.

--- a/io/mtgrant/sync.go
+++ b/io/mtgrant/sync.go
@@ -18,11 +18,10 @@
 	if owner.Incarnation.IsZero() || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
 		return
 	}
-	assignment, ok := g.Directory.View().Assignments[g.Service]
-	if !ok {
+	if _, ok := g.Directory.View().Assignments[g.Service]; !ok {
 		return
 	}
-	g.releaseUnassigned(ctx, address, g.syncGrants(owner, assignment.Owned(owner)))
+	g.releaseUnassigned(ctx, address, g.syncGrants(owner))
 	for _, held := range g.dueGrants(record) {
 		g.sendGrant(ctx, address, held)
 	}
@@ -44,9 +43,14 @@
 // syncGrants updates the grants to the ranges that the assignment gives to the server. It
 // returns the grants that are no longer assigned to the server and were not moved by this
 // daemon.
-func (g *Grants) syncGrants(owner mtrange.Owner, owned []mtrange.Range) (unassigned []*grant) {
+//
+// It reads the assignment with mu held: a move ends, with mu held, only once this daemon's copy
+// includes it. With a copy from before that, keys that have just moved away would seem to be
+// assigned but not granted, and would be granted here again.
+func (g *Grants) syncGrants(owner mtrange.Owner) (unassigned []*grant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	owned := g.Directory.View().Assignments[g.Service].Owned(owner)
 	var next []*grant
 	for _, r := range owned {
 		next = append(next, g.grantsOf(owner.Incarnation, r)...)
