--- a/core/mtshutdown/mtshutdown_test.go
+++ b/core/mtshutdown/mtshutdown_test.go
@@ -53,3 +53,11 @@
 		assert.Equal(t, s.Check(now, deadline) == nil, deadline <= s.LastAnswers)
 	})
 }
+
+// Guards against calls, taken before SIGTERM, that are broken off before the last sixth of a short grace period, which is not excused.
+func TestLastAnswersAreDueInLastSixthOfGracePeriod(t *testing.T) {
+	for grace := time.Second; grace <= time.Minute; grace += 100 * time.Millisecond {
+		s := mtshutdown.New(begun, grace)
+		assert.Check(t, !s.LastAnswers.Before(begun.Add(grace*5/6)), "grace period of %s: last answers after %s", grace, s.LastAnswers.Sub(begun))
+	}
+}
