Check whether a call may outlast a stopping daemon after its body

Cause: a body that began before SIGTERM and ended 3.3 s after it was passed on, because the check came before the body was read, and the run was broken off at the end of the grace period. Change: the check comes after the body. Conclusion: what ends after SIGTERM is checked, whenever it began.

--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -215,9 +215,6 @@
 	in.mu.Lock()
 	call.Service = in.splitter.Pick(route)
 	in.mu.Unlock()
-	if err := in.checkShutdown(now, call); err != nil {
-		return call, nil, err
-	}
 	if err := in.readKey(call, config, r); err != nil {
 		return call, nil, err
 	}
@@ -225,6 +222,10 @@
 	if err := in.readBody(call, config, r); err != nil {
 		return call, nil, err
 	}
+	// The shutdown may have begun while the body arrived.
+	if err := in.checkShutdown(in.Clock.Now(), call); err != nil {
+		return call, nil, err
+	}
 	in.adjustObjective(now, call)
 	return call, route, nil
 }
