Check what may outlast a stopping daemon before each try, and take nested calls until the end

Callers whose requests waited at SIGTERM could be begun elsewhere and broken off all the same; a server whose daemon stopped lost the nested calls of what it still ran; with a short grace period the last answers came before its last sixth.

The check stood at the arrival alone, so that a call that was refused by a full server, or waited for its key's owner, was sent on after the shutdown had begun. The callers' listener closed 2.6 s after SIGTERM, also while the server ran calls that make calls of their own. The reserves of 0.5 and 0.2 s are more than a sixth of a grace period below 4.2 s. Change: the sender asks the schedule before each try, unless an earlier try may have run. The listener stays until the server runs nothing, or the last answers are due; what is not nested is refused from 2.6 s on. The reserves are at most a twelfth and a twenty-fourth of the grace period. Callers are sent back after 2.2 s instead of 2.0: two questions a second apart may end just after that. TestStoppingDaemonBeginsNoTryThatMayOutlastIt is new. Conclusion: nothing is begun after SIGTERM here that may outlast the daemon.

--- a/core/mtshutdown/mtshutdown.go
+++ b/core/mtshutdown/mtshutdown.go
@@ -9,7 +9,8 @@
 // # Usage
 //
 //	schedule := mtshutdown.New(now, grace)
-//	err := schedule.Check(now, call.Deadline) // for each new call
+//	err := schedule.CheckNew(now, call.Deadline) // when a call arrives
+//	err := schedule.Check(now, call.Deadline)    // before it is sent to a server
 //
 // A Schedule is immutable and safe for concurrent use.
 package mtshutdown
@@ -22,17 +23,20 @@
 )
 
 const (
-	// retireDelay is how long new calls are accepted. By then callers have been notified at
-	// least twice, one second apart, to use another daemon.
+	// callersMoved is the time by which callers use another daemon: they have been told twice
+	// that this one is not ready, one second apart.
+	callersMoved = 2200 * time.Millisecond
+	// retireDelay is how long new calls are accepted. Some callers are told late.
 	retireDelay = 2600 * time.Millisecond
-	// callersMoved is the time by which callers have been notified twice, and use another
-	// daemon.
-	callersMoved = 2 * time.Second
 	// cleanupReserve is reserved for the clean-up functions before the process is killed.
 	// They may have to wait for a store that does not answer.
 	cleanupReserve = 500 * time.Millisecond
 	// finalReplyMargin is how long before the connections are closed the last answers are due.
 	finalReplyMargin = 200 * time.Millisecond
+	// cleanupFraction and finalReplyFraction bound both in a short grace period, so that the
+	// last answers are due in its last sixth.
+	cleanupFraction    = 12
+	finalReplyFraction = 24
 	// minRetry is the shortest time after which a refused caller may return.
 	minRetry = 100 * time.Millisecond
 )
@@ -41,7 +45,7 @@
 type Schedule struct {
 	// CallersMoved is when callers use other daemons.
 	CallersMoved mtclock.Instant
-	// Retire is when no more calls are accepted.
+	// Retire is when no more calls of callers and other daemons are accepted.
 	Retire mtclock.Instant
 	// LastAnswers is when calls that are still in flight get their final answers.
 	LastAnswers mtclock.Instant
@@ -52,24 +56,39 @@
 // New returns the schedule of a shutdown that begins now, of a process that is killed after the
 // grace period.
 func New(now mtclock.Instant, grace time.Duration) Schedule {
-	remaining := grace - cleanupReserve
+	remaining := grace - min(cleanupReserve, grace/cleanupFraction)
 	return Schedule{
 		CallersMoved: now.Add(min(callersMoved, remaining/2)),
 		Retire:       now.Add(min(retireDelay, remaining/2)),
-		LastAnswers:  now.Add(remaining - finalReplyMargin),
+		LastAnswers:  now.Add(remaining - min(finalReplyMargin, grace/finalReplyFraction)),
 		Close:        now.Add(remaining),
 	}
 }
 
-// Check returns a *mtreply.RefusedError if a call that arrives now could still be at work when
+// CheckNew returns a *mtreply.RefusedError for a call that arrives after Retire, or that Check
+// refuses.
+func (s Schedule) CheckNew(now, deadline mtclock.Instant) error {
+	if now.Before(s.Retire) {
+		return s.Check(now, deadline)
+	}
+	return s.refusal(now, "the daemon is shutting down")
+}
+
+// Check returns a *mtreply.RefusedError if a call that is begun now could still be at work when
 // the last answers are due. Its caller may return when it uses another daemon.
 func (s Schedule) Check(now, deadline mtclock.Instant) error {
 	if !deadline.After(s.LastAnswers) {
 		return nil
 	}
-	return &mtreply.RefusedError{
-		Cause:      mtreply.CauseStopping,
-		RetryAfter: max(s.CallersMoved.Sub(now), minRetry),
-		Detail:     "the call could outlast the daemon, which is shutting down",
-	}
+	return s.refusal(now, "the call could outlast the daemon, which is shutting down")
+}
+
+func (s Schedule) refusal(now mtclock.Instant, detail string) error {
+	return &mtreply.RefusedError{Cause: mtreply.CauseStopping, RetryAfter: max(s.CallersMoved.Sub(now), minRetry), Detail: detail}
+}
+
+// CutOff returns when calls that are still in flight are ended. A server that was given until
+// LastAnswers has had the time to say so by then.
+func (s Schedule) CutOff() mtclock.Instant {
+	return s.LastAnswers.Add(s.Close.Sub(s.LastAnswers) / 2)
 }
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -287,6 +287,9 @@
 // Close refuses all new calls. Calls in flight finish.
 func (h *Host) Close() { h.currentAdmission().Drain() }
 
+// Idle returns a channel that is closed once nothing is in flight after Close.
+func (h *Host) Idle() <-chan struct{} { return h.currentAdmission().Idle() }
+
 // Record returns the current record and the server's address.
 func (h *Host) Record() (mtbackend.Record, string) {
 	h.mu.Lock()
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -45,6 +45,8 @@
 // until one answers.
 type sender interface {
 	Send(ctx context.Context, call *mtcall.Call, attempts int) (*mtcall.Answer, error)
+	// BeginShutdown refuses tries from now on that could outlast the daemon.
+	BeginShutdown(mtshutdown.Schedule)
 }
 
 const (
@@ -124,7 +126,8 @@
 // without a response can't know whether its call was run.
 func (in *Ingress) BeginShutdown(s mtshutdown.Schedule) {
 	in.shutdown.Store(&s)
-	time.AfterFunc(s.LastAnswers.Sub(in.Clock.Now())+mtcall.CallerAnswerMargin, in.endLifetime)
+	in.Sender.BeginShutdown(s)
+	time.AfterFunc(s.CutOff().Sub(in.Clock.Now()), in.endLifetime)
 }
 
 // callContext returns the context of a call, which is canceled when its answer is no longer
@@ -241,7 +244,7 @@
 		call.Deadline = min(call.Deadline, s.LastAnswers)
 		return nil
 	}
-	return s.Check(now, call.Deadline)
+	return s.CheckNew(now, call.Deadline)
 }
 
 // adjustObjective counts the objective of a retried call from its caller's first try.
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"magnoliaturn/core/mtcall"
@@ -17,6 +18,7 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
+	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtforward"
@@ -91,6 +93,8 @@
 // Sender sends calls to backend servers and retries them where that is safe.
 type Sender struct {
 	SenderConfig
+	shutdown atomic.Pointer[mtshutdown.Schedule] // nil before the daemon shuts down
+
 	mu      sync.Mutex // protects retry and choices
 	retry   *mtretry.Budgeted
 	choices map[mtid.Service]*choice
@@ -167,6 +171,9 @@
 	fingerprint := call.Fingerprint()
 	call.AnsweredBefore = s.Host.Answered(fingerprint)
 	for {
+		if err := s.checkShutdown(call); err != nil && state.uncertain == nil {
+			return nil, err
+		}
 		member, err := s.target(call, state)
 		if err != nil {
 			return nil, state.finalError(err)
@@ -192,6 +199,20 @@
 	}
 }
 
+// BeginShutdown refuses tries from now on that could outlast the daemon. A call may have waited
+// for a slot, or for the new owner of its key, when the shutdown began.
+func (s *Sender) BeginShutdown(schedule mtshutdown.Schedule) { s.shutdown.Store(&schedule) }
+
+// checkShutdown returns a *mtreply.RefusedError if a try that begins now could outlast the
+// daemon. A nested call is not refused: the call that waits for it was accepted.
+func (s *Sender) checkShutdown(call *mtcall.Call) error {
+	schedule := s.shutdown.Load()
+	if schedule == nil || call.Nested {
+		return nil
+	}
+	return schedule.Check(s.Clock.Now(), call.Deadline)
+}
+
 // prepareRetry reports whether to send a call again after an error, and waits before that if
 // necessary.
 func (s *Sender) prepareRetry(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, state *sending, attempts int, err error) bool {
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -24,6 +24,7 @@
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/core/mtstore"
@@ -139,6 +140,22 @@
 	assert.Equal(t, answer, answerOK)
 }
 
+// Guards against a call that waited elsewhere when the daemon began to stop, and is sent to another server although it may outlast the daemon.
+func TestStoppingDaemonBeginsNoTryThatMayOutlastIt(t *testing.T) {
+	for cause, want := range map[error]mtreply.Cause{shed: mtreply.CauseStopping, lost: mtreply.CauseLost} {
+		p := &fakePeers{}
+		s, clock := newSender(t, p)
+		call := newCall(clock.Now(), true)
+		p.answer = func(int) (*mtcall.Answer, error) {
+			s.BeginShutdown(mtshutdown.Schedule{LastAnswers: call.Deadline.Add(-time.Millisecond)})
+			return nil, cause
+		}
+		_, err := s.Send(t.Context(), call, 1)
+		assert.Equal(t, mtrequest.FromError(err).Cause, want)
+		assert.Equal(t, len(p.sent), 1)
+	}
+}
+
 // A key range has moved, and its update arrives here a tenth of a second later. Guards
 // against trying the previous owner every 15 ms until then, by which time a lookup with a
 // deadline of 200 ms has failed. The refusal names the new owner, which must get the call
@@ -305,6 +322,8 @@
 	return s.answer, s.err
 }
 
+func (*fakeSender) BeginShutdown(mtshutdown.Schedule) {}
+
 func newIngress(t *testing.T, s *fakeSender) (*mtingress.Ingress, *mttime.Clock, http.Handler) {
 	t.Helper()
 	clock := mttime.New()
@@ -431,7 +450,8 @@
 		done <- w
 	}()
 	<-sender.sent
-	ingress.BeginShutdown(mtshutdown.Schedule{LastAnswers: clock.Now().Add(50 * time.Millisecond)})
+	end := clock.Now().Add(50 * time.Millisecond)
+	ingress.BeginShutdown(mtshutdown.Schedule{LastAnswers: end, Close: end})
 	w := <-done
 	assert.Equal(t, w.Code, http.StatusGatewayTimeout)
 }
@@ -442,7 +462,7 @@
 	ingress, clock, handler := newIngress(t, sender)
 	ingress.Configure(configuration(t, 1))
 	now := clock.Now()
-	ingress.BeginShutdown(mtshutdown.Schedule{CallersMoved: now.Add(time.Minute), LastAnswers: now.Add(time.Minute)})
+	ingress.BeginShutdown(mtshutdown.Schedule{CallersMoved: now.Add(time.Minute), Retire: now.Add(time.Minute), LastAnswers: now.Add(time.Minute)})
 	exchange := func(header ...string) *httptest.ResponseRecorder {
 		w := httptest.NewRecorder()
 		handler.ServeHTTP(w, newRequest("/desk/1", "1", header...))
@@ -451,7 +471,7 @@
 	fits := exchange()
 	assert.Equal(t, fits.Code, http.StatusOK)
 
-	ingress.BeginShutdown(mtshutdown.Schedule{CallersMoved: now.Add(time.Minute), LastAnswers: clock.Now().Add(time.Second)})
+	ingress.BeginShutdown(mtshutdown.Schedule{CallersMoved: now.Add(time.Minute), Retire: now.Add(time.Minute), LastAnswers: clock.Now().Add(time.Second)})
 	sender.call = nil
 	outlasts := exchange()
 	assert.Equal(t, outlasts.Code, http.StatusServiceUnavailable)
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"google.golang.org/grpc"
@@ -92,6 +93,11 @@
 	m.Host().Retire(schedule)
 	mtduty.Sleep(ctx, schedule.Retire.Sub(now))
 	m.Host().Close()
+	// The server may make nested calls, on new connections too, as long as it runs a call.
+	select {
+	case <-m.Host().Idle():
+	case <-time.After(schedule.LastAnswers.Sub(clock.Now())):
+	}
 	// A poll of a store that does not answer takes longer than the clean-up may.
 	go mtkernel.MustLookup[func()](m.kernel, NameConfigPoller)()
 	m.callers.Shutdown(ctx)
