Let the soak stop daemons again while they stop, and judge what callers lose by it

Cause: the soak sends each daemon one SIGTERM, and its callers neither outlast it nor are judged by what they lose; runs that a daemon broke off around its stop were seen only by the users. Change: Config.Stops (-stops): SIGTERM in series that overlap on two VMs, also on those that take the requests, beside draining servers and changing timeouts of the routes, from a random source of its own (stops.go), under pipelined callers. Each of their requests that got no whole answer of a server is judged by the users' rule (judge.go); Result counts each excuse. Config.Planned (-planned) leaves the other faults out.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -14,7 +14,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"magnoliaturn/platform/soak"
@@ -30,10 +32,12 @@
 	zones := flag.Bool("zones", true, "take zones out of service, with servers that are cold")
 	late := flag.Bool("late", true, "servers execute grants late, while their daemons are killed")
 	signals := flag.Bool("signals", true, "servers name rate limits, and leave, by their answers")
+	stops := flag.Bool("stops", true, "stop daemons by series of SIGTERMs that overlap, under pipelined callers")
+	planned := flag.Bool("planned", false, "inject no faults but those of the options")
 	flag.Parse()
 	failed := 0
 	for i := range uint64(*runs) {
-		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Logs: *logs}
+		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Planned: *planned, Logs: *logs}
 		result, err := soak.Run(context.Background(), config)
 		if !report(config.Seed, result, err) {
 			failed++
@@ -54,6 +58,12 @@
 	}
 	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d faults injected, recovered in %s\n",
 		seed, result.Served, result.Refused, result.Failed, len(result.Injected), result.RecoveryTime.Round(time.Millisecond))
+	if result.Pipelined > 0 {
+		fmt.Printf("  %d pipelined requests ended\n", result.Pipelined)
+	}
+	for _, excuse := range slices.Sorted(maps.Keys(result.Excused)) {
+		fmt.Printf("  %6d excused: %s\n", result.Excused[excuse], excuse)
+	}
 	if err == nil && len(result.Violations) == 0 {
 		return true
 	}
