--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -367,6 +367,12 @@
 func (g *Grants) endMove(low mtid.KeyNumber) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.removeMoved(low)
+	g.Wake()
+}
+
+// removeMoved is called with mu held.
+func (g *Grants) removeMoved(low mtid.KeyNumber) {
 	g.grants = slices.DeleteFunc(g.grants, func(held *grant) bool {
 		if !held.moving || held.Low != low {
 			return false
@@ -374,7 +380,6 @@
 		g.movedKeys += held.Keys()
 		return true
 	})
-	g.Wake()
 }
 
 // abortMove puts keys back into service here after a failed move. They are granted again,
