End only the move whose epoch has ended

Cause: endMove removed every moving grant from a key on. If the keys had come back and moved again before their first move ended, its end removed the grant of the second move too. The keys then seemed assigned but not granted, and were granted again while that move could be written. Change: endMove compares the epoch as well, as abortMove does. Conclusion: the end of a move leaves a later one alone.

--- a/io/mtgrant/export_test.go
+++ b/io/mtgrant/export_test.go
@@ -13,7 +13,7 @@
 // is about to compare the grants: that run waits for the lock, which is held here, while apply
 // makes this daemon's copy include the move and the grant is removed. It returns false, and
 // changes nothing, if no run came to the comparison.
-func (g *Grants) EndMoveDuringReconcile(low mtid.KeyNumber, apply func()) bool {
+func (g *Grants) EndMoveDuringReconcile(low mtid.KeyNumber, epoch mtid.Epoch, apply func()) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.Wake()
@@ -21,7 +21,7 @@
 		time.Sleep(2 * time.Millisecond) // a run that waits for longer than 1 ms gets the lock first
 		if inStack("mtgrant.(*Grants).syncGrants(", "[sync.Mutex.Lock") {
 			apply()
-			g.removeMoved(low)
+			g.removeMoved(low, epoch)
 			return true
 		}
 		g.mu.Unlock() // it may wait for the lock earlier in reconcile
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -200,7 +200,7 @@
 	}
 	g.Host.Forget(low, high)
 	g.Host.Release(low, high)
-	g.endMove(low)
+	g.endMove(low, r.Epoch)
 	g.Log.Info("moved", "why", why, "low", low, "high", high, "to", to.Daemon, "took", g.Clock.Now().Sub(started))
 }
 
@@ -364,17 +364,18 @@
 }
 
 // endMove removes the grant of keys that have moved.
-func (g *Grants) endMove(low mtid.KeyNumber) {
+func (g *Grants) endMove(low mtid.KeyNumber, epoch mtid.Epoch) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.removeMoved(low)
+	g.removeMoved(low, epoch)
 	g.Wake()
 }
 
-// removeMoved is called with mu held.
-func (g *Grants) removeMoved(low mtid.KeyNumber) {
+// removeMoved is called with mu held. The epoch tells the move from a later one: its keys may
+// have come back and have started to move again.
+func (g *Grants) removeMoved(low mtid.KeyNumber, epoch mtid.Epoch) {
 	g.grants = slices.DeleteFunc(g.grants, func(held *grant) bool {
-		if !held.moving || held.Low != low {
+		if !held.moving || held.Low != low || held.Epoch != epoch {
 			return false
 		}
 		g.movedKeys += held.Keys()
--- a/io/mtgrant/oldcopy_test.go
+++ b/io/mtgrant/oldcopy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -49,7 +50,7 @@
 	f.ownLoad = mtrange.LoadReport{}
 	f.mu.Unlock()
 	f.until("the move ends during reconcile", func() bool {
-		return f.grants.EndMoveDuringReconcile(0, func() { f.assign(0, 99, "b") })
+		return f.grants.EndMoveDuringReconcile(0, 1, func() { f.assign(0, 99, "b") })
 	})
 	f.until("that run has ended", func() bool { return !mtgrant.Reconciling() })
 	close(ended)
@@ -60,3 +61,51 @@
 	f.until("the remaining keys are renewed", func() bool { return f.server.count("grant 100-32767") > 0 })
 	assert.DeepEqual(t, f.server.sent(), []string{"grant 0-32767 at 1", "release 0-99 at 1", "grant 100-32767 at 1"})
 }
+
+// Keys come back and move again before their first move has ended: its end removes the grant of
+// the second move, and the keys are granted again while that move may be written.
+func TestEndOfMoveLeavesLaterMoveOfSameKeys(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	asked, answered := make(chan struct{}), make(chan struct{})
+	var calls atomic.Int32
+	f.delegate = func(ctx context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool) {
+		outcomes := make([]mtrange.Outcome, len(b.Transfers))
+		if calls.Add(1) > 1 {
+			<-ctx.Done()
+			for i := range outcomes {
+				outcomes[i] = mtrange.OutcomeUnknown
+			}
+			return outcomes, true
+		}
+		close(asked)
+		select {
+		case <-answered:
+		case <-ctx.Done():
+		}
+		outcomes[0] = mtrange.Written
+		return outcomes, true
+	}
+	f.start()
+	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
+	f.overload()
+	<-asked
+	f.mu.Lock()
+	f.ownLoad = mtrange.LoadReport{}
+	f.mu.Unlock()
+	f.assign(0, 99, "b")
+	f.assign(0, 99, "a")
+	f.until("the keys are granted again", func() bool { return f.server.count("grant 0-99") == 1 })
+	f.host.mu.Lock()
+	f.host.record.Leaving = true
+	f.host.mu.Unlock()
+	f.until("the keys are released again", func() bool { return f.server.count("release 0-99") == 2 })
+	close(answered)
+	moved := 0
+	f.until("the first move has ended", func() bool {
+		moved += f.grants.TakeMovedCount()
+		return moved > 0
+	})
+	f.letLoopsRun()
+	assert.Equal(t, moved, 100)
+	assert.Equal(t, f.server.count("grant 0-99"), 1, "granted while they move: %v", f.server.sent())
+}
