Send no grant that the copy no longer assigns

Cause: reconcile compares the grants with the copy once, and then sends those that are due one after another, each of which may take 0.4 s. If the copy changed in between, for example by a takeover while the record was missing, a grant of the older copy was sent. Found by reading; no run has shown it to a caller. Change: sendGrant looks the range up in the copy before it sends, after the check that the copy is current. Conclusion: a change of the copy applies to the next command.

--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -124,6 +124,12 @@
 		return
 	}
 	g.mu.Lock()
+	// The copy may have changed since the grants were compared with it.
+	assigned, _ := g.Directory.View().Assignments[g.Service].Lookup(held.Low)
+	if assigned.Owner != held.Owner || assigned.Epoch != held.Epoch || !assigned.Covers(held.High) {
+		g.mu.Unlock()
+		return
+	}
 	if held.moving || !slices.Contains(g.grants, held) {
 		// The range has started to move since it was found due. A command sent now could
 		// reach the server after the release, and the server would hold the keys alongside
--- a/io/mtgrant/oldcopy_test.go
+++ b/io/mtgrant/oldcopy_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -62,6 +64,29 @@
 	assert.DeepEqual(t, f.server.sent(), []string{"grant 0-32767 at 1", "release 0-99 at 1", "grant 100-32767 at 1"})
 }
 
+// The copy changes while reconcile sends one grant after another: a range that the newer copy
+// assigns to another server is granted by the older one.
+func TestGrantFoundDueByOldCopyIsNotSent(t *testing.T) {
+	f := newFleet(t, "a", "b", "a")
+	f.start()
+	f.until("both ranges are granted", func() bool { return f.server.count("grant") == 2 })
+	var once sync.Once
+	f.server.mu.Lock()
+	f.server.before = func(command string) {
+		if strings.HasPrefix(command, "grant 0-") {
+			once.Do(func() { f.assign(mtid.LastKeyNumber-99, mtid.LastKeyNumber, "b") })
+		}
+	}
+	f.server.mu.Unlock()
+	last := f.server.sent()[1]
+	f.clock.advance(grantDuration / 2)
+	f.directory.Publish(record("a", mtbackend.Ready))
+	f.grants.Wake()
+	f.until("the first range is granted", func() bool { return f.server.count("grant 0-") == 2 })
+	f.until("that run has ended", func() bool { return !mtgrant.Reconciling() })
+	assert.Equal(t, f.server.count(last), 1, "granted by an old copy: %v", f.server.sent())
+}
+
 // Keys come back and move again before their first move has ended: its end removes the grant of
 // the second move, and the keys are granted again while that move may be written.
 func TestEndOfMoveLeavesLaterMoveOfSameKeys(t *testing.T) {
