--- a/core/mtshutdown/mtshutdown_test.go
+++ b/core/mtshutdown/mtshutdown_test.go
@@ -40,8 +40,7 @@
 	}
 }
 
-// The times of a shutdown are in order for each grace period, and what is accepted ends before
-// the last answers are due.
+// Guards against a schedule whose times are out of order, or that accepts what ends after the last answers are due.
 func TestScheduleIsInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		grace := time.Duration(rapid.Int64Range(int64(time.Second), int64(time.Minute)).Draw(t, "grace"))
--- a/io/mtgrant/oldcopy_test.go
+++ b/io/mtgrant/oldcopy_test.go
@@ -31,8 +31,7 @@
 	f.directory.ApplyAssignment(mtdirectory.Assignment{Table: next, Version: version})
 }
 
-// A move ends between reconcile's read of the assignment and its comparison with the grants: the
-// keys that have moved are granted again by the old copy, alongside their new owner.
+// Guards against keys that are granted again, alongside their new owner, when their move ends between reconcile's read of the assignment and its comparison with the grants.
 func TestKeysThatJustMovedAreNotGrantedAgain(t *testing.T) {
 	f := newFleet(t, "a", "b")
 	asked, ended := make(chan struct{}), make(chan struct{})
@@ -64,8 +63,7 @@
 	assert.DeepEqual(t, f.server.sent(), []string{"grant 0-32767 at 1", "release 0-99 at 1", "grant 100-32767 at 1"})
 }
 
-// The copy changes while reconcile sends one grant after another: a range that the newer copy
-// assigns to another server is granted by the older one.
+// Guards against a range that is granted by an old copy of the assignment after the copy has changed while reconcile sends one grant after another.
 func TestGrantFoundDueByOldCopyIsNotSent(t *testing.T) {
 	f := newFleet(t, "a", "b", "a")
 	f.start()
@@ -87,8 +85,7 @@
 	assert.Equal(t, f.server.count(last), 1, "granted by an old copy: %v", f.server.sent())
 }
 
-// Keys come back and move again before their first move has ended: its end removes the grant of
-// the second move, and the keys are granted again while that move may be written.
+// Guards against the end of a move that removes the grant of a later move of the same keys, so that they are granted again while they move.
 func TestEndOfMoveLeavesLaterMoveOfSameKeys(t *testing.T) {
 	f := newFleet(t, "a", "b")
 	asked, answered := make(chan struct{}), make(chan struct{})
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -266,7 +266,7 @@
 	assert.Equal(t, s.causeOf(outlasts), mtreply.CauseNoLease)
 }
 
-// Guards against the same for a call that waited for a slot when the daemon was told to stop.
+// Guards against a run that is cut because its call waited for a slot when the daemon was told to stop.
 func TestWaitingCallThatMayOutlastDaemonIsRefused(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	release := make(chan struct{})
