Refuse fewer callers of a stopping daemon, and send them back to one that serves

Cause: callers come back to the same VM, 2.2 s after SIGTERM, where the daemon still stops (logs: the same key again after the Retry-After, at the same daemon, refused at 2.2 s). And 0.7 s of the grace period were not used. Change: they are sent back 3.6 s after SIGTERM, when the next process of the daemon mostly serves or the VM is out; half a second is the least. Ruled out: refusing by what the work has been taking; it leaves the slow tail to be broken off.

--- a/core/mtshutdown/mtshutdown.go
+++ b/core/mtshutdown/mtshutdown.go
@@ -23,28 +23,29 @@
 )
 
 const (
-	// callersMoved is the time by which callers use another daemon: they have been told twice
-	// that this one is not ready, one second apart.
-	callersMoved = 2200 * time.Millisecond
-	// retireDelay is how long new calls are accepted. Some callers are told late.
+	// retireDelay is how long new calls are accepted. By then callers have been told at least
+	// twice, one second apart, that this daemon is not ready.
 	retireDelay = 2600 * time.Millisecond
+	// returnDelay is how long refused callers stay away. Callers that don't know another
+	// daemon come back to this one, whose next process mostly serves by then.
+	returnDelay = 3600 * time.Millisecond
 	// cleanupReserve is reserved for the clean-up functions before the process is killed.
 	// They may have to wait for a store that does not answer.
-	cleanupReserve = 500 * time.Millisecond
+	cleanupReserve = 350 * time.Millisecond
 	// finalReplyMargin is how long before the connections are closed the last answers are due.
-	finalReplyMargin = 200 * time.Millisecond
+	finalReplyMargin = 150 * time.Millisecond
 	// cleanupFraction and finalReplyFraction bound both in a short grace period, so that the
 	// last answers are due in its last sixth.
 	cleanupFraction    = 12
 	finalReplyFraction = 24
 	// minRetry is the shortest time after which a refused caller may return.
-	minRetry = 100 * time.Millisecond
+	minRetry = 500 * time.Millisecond
 )
 
 // Schedule holds the times of a shutdown.
 type Schedule struct {
-	// CallersMoved is when callers use other daemons.
-	CallersMoved mtclock.Instant
+	// Return is when refused callers may come back.
+	Return mtclock.Instant
 	// Retire is when no more calls of callers and other daemons are accepted.
 	Retire mtclock.Instant
 	// LastAnswers is when calls that are still in flight get their final answers.
@@ -58,10 +59,10 @@
 func New(now mtclock.Instant, grace time.Duration) Schedule {
 	remaining := grace - min(cleanupReserve, grace/cleanupFraction)
 	return Schedule{
-		CallersMoved: now.Add(min(callersMoved, remaining/2)),
-		Retire:       now.Add(min(retireDelay, remaining/2)),
-		LastAnswers:  now.Add(remaining - min(finalReplyMargin, grace/finalReplyFraction)),
-		Close:        now.Add(remaining),
+		Return:      now.Add(min(returnDelay, grace)),
+		Retire:      now.Add(min(retireDelay, remaining/2)),
+		LastAnswers: now.Add(remaining - min(finalReplyMargin, grace/finalReplyFraction)),
+		Close:       now.Add(remaining),
 	}
 }
 
@@ -75,7 +76,7 @@
 }
 
 // Check returns a *mtreply.RefusedError if a call that is begun now could still be at work when
-// the last answers are due. Its caller may return when it uses another daemon.
+// the last answers are due.
 func (s Schedule) Check(now, deadline mtclock.Instant) error {
 	if !deadline.After(s.LastAnswers) {
 		return nil
@@ -84,7 +85,7 @@
 }
 
 func (s Schedule) refusal(now mtclock.Instant, detail string) error {
-	return &mtreply.RefusedError{Cause: mtreply.CauseStopping, RetryAfter: max(s.CallersMoved.Sub(now), minRetry), Detail: detail}
+	return &mtreply.RefusedError{Cause: mtreply.CauseStopping, RetryAfter: max(s.Return.Sub(now), minRetry), Detail: detail}
 }
 
 // CutOff returns when calls that are still in flight are ended. A server that was given until
