Log what counts as evidence of a crash, and what a refused request is held for

A request's fingerprint was logged only as a suspect, a loss without suspects was not logged at all, and neither was how a call ended for the search.

Each loss is logged with the number of requests in flight, broken and answered before, also if nobody is suspected. Daemons log suspects that they receive. A refusal names the losses that count against the request.

Conclusion: one grep of a fingerprint leads from a refused request to the losses that it is held for.

--- a/core/mtpoison/flight.go
+++ b/core/mtpoison/flight.go
@@ -21,6 +21,11 @@
 	Abandoned                  // it was abandoned; the state of the server is unknown
 )
 
+// String returns the name of the result, for logs.
+func (r RunResult) String() string {
+	return [...]string{"answered", "not-run", "broken", "abandoned"}[r]
+}
+
 // breakWindow bounds how long it takes until all connections to a lost server have
 // broken. A request whose connection broke within that time before the loss was
 // detected counts as in flight.
--- a/core/mtpoison/mtpoison.go
+++ b/core/mtpoison/mtpoison.go
@@ -42,6 +42,7 @@
 package mtpoison
 
 import (
+	"strconv"
 	"time"
 
 	"magnoliaturn/core/mtclock"
@@ -52,6 +53,9 @@
 // path, query and body, computed by (*mtrequest.Request).Fingerprint.
 type Fingerprint uint64
 
+// String returns the fingerprint as suspects list it, in hexadecimal.
+func (p Fingerprint) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // Verdict is the state of a fingerprint.
 type Verdict uint8
 
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -128,13 +128,13 @@
 	return r.own
 }
 
-// MergeSuspects adds the suspects that a daemon published. A loss that is already recorded is
-// ignored.
-func (r *RecurrenceDetector) MergeSuspects(now mtclock.Instant, daemon mtid.Daemon, s Suspects) {
+// MergeSuspects adds the suspects that a daemon published, and reports whether they were
+// unknown. A loss that is already recorded is ignored.
+func (r *RecurrenceDetector) MergeSuspects(now mtclock.Instant, daemon mtid.Daemon, s Suspects) bool {
 	key := lossKey{daemon: daemon, suspects: s}
 	fingerprints := s.Fingerprints()
 	if _, known := r.losses[key]; known || len(fingerprints) == 0 {
-		return
+		return false
 	}
 	r.losses[key] = loss{at: now, fingerprints: fingerprints}
 	r.order = append(r.order, key)
@@ -142,6 +142,43 @@
 		delete(r.losses, r.order[0])
 		r.order = slices.Delete(r.order, 0, 1)
 	}
+	return true
+}
+
+// Evidence counts the requests that count against the server's loss if it is lost now.
+type Evidence struct {
+	Running  int // in flight
+	Broken   int // whose connections broke shortly before
+	Answered int // of both, those that a server is known to have answered
+}
+
+// Evidence returns the evidence for a loss of the server beside this daemon.
+func (r *RecurrenceDetector) Evidence(now mtclock.Instant) Evidence {
+	e := Evidence{Running: len(r.running)}
+	for p := range r.running {
+		if r.Answered(p) {
+			e.Answered++
+		}
+	}
+	for _, b := range r.recentlyBroken(now) {
+		e.Broken++
+		if r.Answered(b.fingerprint) {
+			e.Answered++
+		}
+	}
+	return e
+}
+
+// LossesOf returns the losses that count against a request, oldest first, each as the daemon
+// beside the lost server and the number of the loss within its incarnation.
+func (r *RecurrenceDetector) LossesOf(now mtclock.Instant, p Fingerprint) []string {
+	var out []string
+	for _, key := range r.order {
+		if l := r.losses[key]; now.Sub(l.at) < lossTTL && slices.Contains(l.fingerprints, p) {
+			out = append(out, string(key.daemon)+" "+strconv.Itoa(key.suspects.lossNumber()))
+		}
+	}
+	return out
 }
 
 // RefusedFor returns for how much longer a request is refused, or zero if it is not. answered
--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
@@ -24,7 +25,8 @@
 	if left == 0 {
 		return nil
 	}
-	return &mtreply.RefusedError{Cause: mtreply.CauseQuarantined, RetryAfter: left, Detail: "servers were lost each time that the request ran"}
+	h.poisonRefused.Add(1)
+	return &mtreply.RefusedError{Cause: mtreply.CauseQuarantined, RetryAfter: left, Detail: fmt.Sprintf("servers were lost each time that the request %s ran: %v", p, h.recurring.LossesOf(now, p))}
 }
 
 // requestStarted records that a request is sent to the server.
@@ -60,12 +62,15 @@
 func (h *Host) serverLost() {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	suspects := h.recurring.ServerLost(h.Clock.Now(), h.Daemon)
+	now := h.Clock.Now()
+	evidence := h.recurring.Evidence(now)
+	suspects := h.recurring.ServerLost(now, h.Daemon)
 	if suspects == h.record.Suspects {
+		h.Log.Warn("no request is suspected of the loss of the server", "server", h.record.Incarnation.String(), "running", evidence.Running, "broken", evidence.Broken, "answered", evidence.Answered)
 		return
 	}
 	h.record.Suspects = suspects
-	h.Log.Warn("requests in flight when the server was lost are suspected", "server", h.record.Incarnation.String(), "suspects", string(suspects))
+	h.Log.Warn("requests in flight when the server was lost are suspected", "server", h.record.Incarnation.String(), "suspects", string(suspects), "running", evidence.Running, "broken", evidence.Broken, "answered", evidence.Answered)
 }
 
 // MergeSuspects merges the suspects that another daemon published in its record.
@@ -75,7 +80,9 @@
 	}
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	h.recurring.MergeSuspects(h.Clock.Now(), r.Daemon, r.Suspects)
+	if h.recurring.MergeSuspects(h.Clock.Now(), r.Daemon, r.Suspects) {
+		h.Log.Info("another server was lost", "peer", string(r.Daemon), "suspects", string(r.Suspects))
+	}
 }
 
 // Answered reports whether a server is known to have answered the same request before.
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -134,7 +134,7 @@
 		attrs = append(attrs, slog.String("retry", refused.RetryAfter.String()))
 	}
 	if e.err != nil {
-		attrs = append(attrs, slog.String("error", e.err.Error()))
+		attrs = append(attrs, slog.String("error", e.err.Error()), slog.String("fingerprint", e.call.Fingerprint().String()))
 	}
 	return slog.GroupValue(attrs...)
 }
