Count a run without an answer as in flight at a loss, however it ended

Cause: the end of a process closes its connections in order. net/http reports an end before the first byte as io.ErrUnexpectedEOF, the client of the server called that truncated, and the detector dropped what wasn't a reset. When the loss was detected 0.2 s later, nothing was in flight any more. The class: a classification by error value where only one of several values of the same event was listed, checked by tests whose fake returns just that one.

Change: a run without an answer counts as in flight at a loss until an answer to a later call, or a heartbeat on a later connection, shows that the server's process outlived it; one that this daemon gave up, until its deadline has passed. So neither the kind of the end nor a fixed 3 s decide. A server that cuts answers and lives brings no suspicion on them, one that leaves and ends after its time neither. The check of the process follows each end by the server, unless the liveness connection is open, which ends with it. Runs at a lost server no longer count against its next incarnation.

Replaced: TestConnectionsBrokenJustBeforeLossAreSuspected held that an abandoned run is never suspected. With a server that hangs, abandoned runs are all there is. TestRunsThatServerOutlivedAreNotSuspected says instead when each kind is suspected, and when no more.

--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -17,10 +17,8 @@
 	// lossTTL is how long a loss counts against the requests that were in flight. A
 	// harmless request that was refused runs again after that.
 	lossTTL = 10 * time.Minute
-	// detectionDelay bounds the time between the first broken connection to a lost
-	// server and the detection of the loss, which the first heartbeat of the server's
-	// next incarnation shows at the latest.
-	detectionDelay = 3 * time.Second
+	// maxEnded is the number of unanswered runs retained, the newest ones.
+	maxEnded = 256
 	// maxAnswered is the number of answered requests retained: those of some tens of
 	// seconds of a busy server.
 	maxAnswered = 1024
@@ -39,25 +37,33 @@
 // every server never gets.
 //
 // The daemon beside a server tracks the requests in flight there (Started, Ended,
-// ServerLost). It publishes its suspects in its record (Suspects), from which all other
+// ServerAlive, ServerLost). How a run ended doesn't tell whether the server crashed: its
+// connections may close in order, be reset or fall silent, and the caller may have left
+// before. So each run without an answer counts as in flight at a loss until the server is
+// known to have run after it. The daemon publishes its suspects in its record (Suspects), from which all other
 // daemons merge them (MergeSuspects). The daemon that sends a request reports whether
 // the same request was answered before (Answered), since a daemon that has just started
 // has no record of answers.
 //
 // A RecurrenceDetector isn't safe for concurrent use.
 type RecurrenceDetector struct {
-	running  map[Fingerprint]int
-	broken   []brokenRequest // oldest first
+	running  map[*Run]bool
+	ended    []*Run // ended without an answer, oldest first
 	answered fingerprintRing
 	losses   map[lossKey]loss
 	order    []lossKey // keys of losses, oldest first
 	own      Suspects
 }
 
-// brokenRequest is a request whose connection to the server broke.
-type brokenRequest struct {
+// Run is a request that was sent to the server beside this daemon.
+type Run struct {
 	fingerprint Fingerprint
-	at          mtclock.Instant
+	started     mtclock.Instant
+	deadline    mtclock.Instant // after which the server no longer works on it
+	// until is the latest time at which an unanswered run may have been in progress. The
+	// server's process has survived it if it was running later.
+	until mtclock.Instant
+	lost  bool // the server was lost during it
 }
 
 // lossKey identifies a loss of a daemon's server. The suspects contain the number of
@@ -75,29 +81,49 @@
 
 // NewRecurrenceDetector returns a RecurrenceDetector without any evidence.
 func NewRecurrenceDetector() *RecurrenceDetector {
-	return &RecurrenceDetector{running: make(map[Fingerprint]int), answered: fingerprintRing{known: make(map[Fingerprint]bool)}, losses: make(map[lossKey]loss)}
+	return &RecurrenceDetector{running: make(map[*Run]bool), answered: fingerprintRing{known: make(map[Fingerprint]bool)}, losses: make(map[lossKey]loss)}
 }
 
-// Started records that a request is sent to the server beside this daemon.
-func (r *RecurrenceDetector) Started(p Fingerprint) { r.running[p]++ }
+// Started records that a request is sent to the server beside this daemon, which works on it
+// until the deadline at most.
+func (r *RecurrenceDetector) Started(now mtclock.Instant, p Fingerprint, deadline mtclock.Instant) *Run {
+	run := &Run{fingerprint: p, started: now, deadline: deadline}
+	r.running[run] = true
+	return run
+}
 
 // Ended records how a request that was sent to the server ended.
-func (r *RecurrenceDetector) Ended(now mtclock.Instant, p Fingerprint, how RunResult) {
-	r.running[p]--
-	if r.running[p] <= 0 {
-		delete(r.running, p)
+func (r *RecurrenceDetector) Ended(now mtclock.Instant, run *Run, how RunResult) {
+	delete(r.running, run)
+	switch {
+	case how == Answered:
+		r.MarkAnswered(run.fingerprint)
+		if !run.lost {
+			r.ServerAlive(run.started)
+		}
+	case how == NotRun || run.lost:
+	case how == Broken:
+		r.keepEnded(run, now)
+	default:
+		r.keepEnded(run, max(now, run.deadline))
 	}
-	switch how {
-	case Answered:
-		r.MarkAnswered(p)
-	case Broken:
-		r.broken = append(r.recentlyBroken(now), brokenRequest{fingerprint: p, at: now})
+}
+
+// keepEnded keeps a run that ended without an answer, and may have been in progress until the
+// given time, as a possible cause of a loss of the server.
+func (r *RecurrenceDetector) keepEnded(run *Run, until mtclock.Instant) {
+	run.until = until
+	r.ended = append(r.ended, run)
+	if len(r.ended) > maxEnded {
+		r.ended = slices.Delete(r.ended, 0, 1)
 	}
 }
 
-// recentlyBroken returns the requests whose connections broke within detectionDelay.
-func (r *RecurrenceDetector) recentlyBroken(now mtclock.Instant) []brokenRequest {
-	return slices.DeleteFunc(r.broken, func(b brokenRequest) bool { return now.Sub(b.at) > detectionDelay })
+// ServerAlive records that the server's process, which has not been lost since, was running at
+// the given time. What ended before that has not crashed it: a server that cuts answers and
+// lives brings no suspicion on requests.
+func (r *RecurrenceDetector) ServerAlive(at mtclock.Instant) {
+	r.ended = slices.DeleteFunc(r.ended, func(run *Run) bool { return run.until.Before(at) })
 }
 
 // MarkAnswered records that a server has answered a request.
@@ -110,14 +136,8 @@
 // ServerLost records that the server beside this daemon was lost, and returns the suspects
 // that the daemon publishes from now on.
 func (r *RecurrenceDetector) ServerLost(now mtclock.Instant, self mtid.Daemon) Suspects {
-	var fingerprints []Fingerprint
-	for _, b := range r.recentlyBroken(now) {
-		fingerprints = append(fingerprints, b.fingerprint)
-	}
-	for p := range r.running {
-		fingerprints = append(fingerprints, p)
-	}
-	r.broken = nil
+	fingerprints := r.inFlight()
+	r.ForgetRuns()
 	slices.Sort(fingerprints)
 	fingerprints = slices.DeleteFunc(slices.Compact(fingerprints), r.Answered)
 	if len(fingerprints) == 0 {
@@ -128,6 +148,27 @@
 	return r.own
 }
 
+// inFlight returns the fingerprints of all requests that may have been in progress at a loss.
+func (r *RecurrenceDetector) inFlight() []Fingerprint {
+	var fingerprints []Fingerprint
+	for _, run := range r.ended {
+		fingerprints = append(fingerprints, run.fingerprint)
+	}
+	for run := range r.running {
+		fingerprints = append(fingerprints, run.fingerprint)
+	}
+	return fingerprints
+}
+
+// ForgetRuns drops all runs, because the server's process has ended: a later end of theirs says
+// nothing about its next one.
+func (r *RecurrenceDetector) ForgetRuns() {
+	for run := range r.running {
+		run.lost = true
+	}
+	r.ended = nil
+}
+
 // MergeSuspects adds the suspects that a daemon published, and reports whether they were
 // unknown. A loss that is already recorded is ignored.
 func (r *RecurrenceDetector) MergeSuspects(now mtclock.Instant, daemon mtid.Daemon, s Suspects) bool {
@@ -145,27 +186,21 @@
 	return true
 }
 
-// Evidence counts the requests that count against the server's loss if it is lost now.
+// Evidence counts the requests that count against the server if it is lost now.
 type Evidence struct {
 	Running  int // in flight
-	Broken   int // whose connections broke shortly before
+	Ended    int // ended without an answer since the server was last known to run
 	Answered int // of both, those that a server is known to have answered
 }
 
 // Evidence returns the evidence for a loss of the server beside this daemon.
-func (r *RecurrenceDetector) Evidence(now mtclock.Instant) Evidence {
-	e := Evidence{Running: len(r.running)}
-	for p := range r.running {
+func (r *RecurrenceDetector) Evidence() Evidence {
+	e := Evidence{Running: len(r.running), Ended: len(r.ended)}
+	for _, p := range r.inFlight() {
 		if r.Answered(p) {
 			e.Answered++
 		}
 	}
-	for _, b := range r.recentlyBroken(now) {
-		e.Broken++
-		if r.Answered(b.fingerprint) {
-			e.Answered++
-		}
-	}
 	return e
 }
 
--- a/core/mtpoison/recurring_test.go
+++ b/core/mtpoison/recurring_test.go
@@ -33,12 +33,13 @@
 // lose terminates the server of a daemon while the requests are in flight there, and
 // sends the daemon's suspects to all others.
 func (f *recurringFleet) lose(i int, fingerprints ...mtpoison.Fingerprint) mtpoison.Suspects {
+	var runs []*mtpoison.Run
 	for _, p := range fingerprints {
-		f.daemons[i].Started(p)
+		runs = append(runs, f.daemons[i].Started(f.now, p, f.now.Add(time.Second)))
 	}
 	suspects := f.daemons[i].ServerLost(f.now, name(i))
-	for _, p := range fingerprints {
-		f.daemons[i].Ended(f.now, p, mtpoison.Broken)
+	for _, run := range runs {
+		f.daemons[i].Ended(f.now, run, mtpoison.Broken)
 	}
 	for j, other := range f.daemons {
 		if j != i {
@@ -86,8 +87,7 @@
 	assert.Assert(t, f.refused(100, 101, harmless), "not answered anywhere yet")
 	f.daemons[101].MarkAnswered(harmless)
 	assert.Assert(t, !f.refused(100, 101, harmless), "answered at the ingress")
-	f.daemons[100].Started(harmless)
-	f.daemons[100].Ended(f.now, harmless, mtpoison.Answered)
+	f.daemons[100].Ended(f.now, f.daemons[100].Started(f.now, harmless, f.now.Add(time.Second)), mtpoison.Answered)
 	assert.Assert(t, !f.refused(100, 102, harmless), "answered at the host")
 	assert.Equal(t, len(f.lose(101, harmless).Fingerprints()), 0, "suspected after a later loss")
 }
@@ -110,25 +110,38 @@
 	assert.Assert(t, !f.refused(3, 3, harmless), "still refused after the time returned to callers")
 }
 
-// A server's process exits, and its daemon detects this shortly after the connections
-// broke. Requests whose connection broke long before, or that were answered, not run or
-// abandoned, must not become suspects.
-func TestConnectionsBrokenJustBeforeLossAreSuspected(t *testing.T) {
+// Guards against a suspicion of requests after which the server lived on, and against an end of a
+// run that brings none although the server is not known to have outlived it.
+func TestRunsThatServerOutlivedAreNotSuspected(t *testing.T) {
 	r := mtpoison.NewRecurrenceDetector()
 	now := mtclock.Instant(time.Hour)
-	end := func(p mtpoison.Fingerprint, how mtpoison.RunResult) {
-		r.Started(p)
-		r.Ended(now, p, how)
+	run := func(p mtpoison.Fingerprint, how mtpoison.RunResult) {
+		r.Ended(now, r.Started(now, p, now.Add(time.Second)), how)
 	}
-	end(10, mtpoison.Broken)
+	run(10, mtpoison.Broken)
+	run(11, mtpoison.Abandoned)
+	now = now.Add(500 * time.Millisecond)
+	run(12, mtpoison.Answered) // outlives 10; 11 may still run
+	run(13, mtpoison.Broken)
+	now = now.Add(time.Second)
+	run(14, mtpoison.Answered) // outlives 11 and 13
+	run(15, mtpoison.Abandoned)
 	now = now.Add(5 * time.Second)
-	end(11, mtpoison.Broken)
-	end(12, mtpoison.Answered)
-	end(13, mtpoison.NotRun)
-	end(14, mtpoison.Abandoned)
-	r.Started(15)
-	now = now.Add(300 * time.Millisecond)
-	assert.DeepEqual(t, r.ServerLost(now, "a").Fingerprints(), []mtpoison.Fingerprint{11, 15})
+	run(16, mtpoison.Broken)
+	run(17, mtpoison.NotRun)
+	r.Started(now, 18, now.Add(time.Second))
+	now = now.Add(time.Minute) // silence
+	assert.DeepEqual(t, r.ServerLost(now, "a").Fingerprints(), []mtpoison.Fingerprint{15, 16, 18})
+}
+
+// Guards against runs at a lost server that count against its next incarnation.
+func TestRunsAtLostServerDoNotCountAgain(t *testing.T) {
+	r := mtpoison.NewRecurrenceDetector()
+	first := r.Started(0, 10, 1)
+	assert.DeepEqual(t, r.ServerLost(0, "a").Fingerprints(), []mtpoison.Fingerprint{10})
+	r.Started(0, 11, 1)
+	r.Ended(0, first, mtpoison.Broken)
+	assert.DeepEqual(t, r.ServerLost(0, "a").Fingerprints(), []mtpoison.Fingerprint{11})
 }
 
 // A record stays short however many requests were in flight, and malformed suspects in a
@@ -136,7 +149,7 @@
 func TestSuspectsAreBoundedAndValidated(t *testing.T) {
 	r := mtpoison.NewRecurrenceDetector()
 	for p := range mtpoison.Fingerprint(5000) {
-		r.Started(^p)
+		r.Started(0, ^p, 1)
 	}
 	suspects := r.ServerLost(0, "a")
 	assert.Equal(t, len(suspects.Fingerprints()), 16)
@@ -158,7 +171,7 @@
 		for i := range rapid.IntRange(1, 8).Draw(t, "losses") {
 			source := mtpoison.NewRecurrenceDetector()
 			for range rapid.IntRange(1, 4).Draw(t, "in flight") {
-				source.Started(mtpoison.Fingerprint(rapid.IntRange(1, 5).Draw(t, "fingerprint")))
+				source.Started(0, mtpoison.Fingerprint(rapid.IntRange(1, 5).Draw(t, "fingerprint")), 1)
 			}
 			reports = append(reports, report{daemon: name(i), suspects: source.ServerLost(0, name(i))})
 		}
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -320,9 +320,13 @@
 	return out.Bytes()
 }
 
-// readResponse reads the head of the final response.
+// readResponse reads the head of the final response. It fails with io.EOF if the connection
+// ends before the first byte, which net/http does not tell from an incomplete head.
 func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
+		if _, err := r.Peek(1); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(r, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// Guards against a server that ends in order, with no byte of an answer, and is taken for one that
+// has begun to answer.
+func TestCloseBeforeAnswerIsLost(t *testing.T) {
+	c, clock := client(t)
+	s := newRawServer(t, func(int, net.Conn, string) bool { return false })
+	_, err := c.Do(context.Background(), s.target(), call(clock, "1"))
+	var unknown *mtreply.UnknownError
+	assert.Assert(t, errors.As(err, &unknown), "%v", err)
+	assert.Equal(t, unknown.Cause, mtreply.CauseLost)
+}
+
 const goodAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Signature: s\r\nContent-Length: 5\r\n\r\nwhole"
 
 func client(t *testing.T) (*iobackend.Client, *mttime.Clock) {
--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
@@ -30,17 +31,17 @@
 }
 
 // requestStarted records that a request is sent to the server.
-func (h *Host) requestStarted(p mtpoison.Fingerprint) {
+func (h *Host) requestStarted(now mtclock.Instant, p mtpoison.Fingerprint, deadline mtclock.Instant) *mtpoison.Run {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	h.recurring.Started(p)
+	return h.recurring.Started(now, p, deadline)
 }
 
 // requestEnded records how a request that was sent to the server ended.
-func (h *Host) requestEnded(p mtpoison.Fingerprint, err error) {
+func (h *Host) requestEnded(run *mtpoison.Run, err error) {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	h.recurring.Ended(h.Clock.Now(), p, runResult(err))
+	h.recurring.Ended(h.Clock.Now(), run, runResult(err))
 }
 
 // runResult classifies how a request ended at the server.
@@ -49,7 +50,7 @@
 	switch {
 	case err == nil:
 		return mtpoison.Answered
-	case errors.As(err, &unknown) && unknown.Cause == mtreply.CauseLost:
+	case errors.As(err, &unknown) && endedByServer(unknown):
 		return mtpoison.Broken
 	case errors.As(err, &unknown):
 		return mtpoison.Abandoned
@@ -57,20 +58,44 @@
 	return mtpoison.NotRun
 }
 
+// endedByServer reports whether the server ended the connection of a request before its whole
+// answer, as a process that ends does.
+func endedByServer(err *mtreply.UnknownError) bool {
+	return err.Cause == mtreply.CauseLost || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// serverAlive records that the server's process was running at the given time.
+func (h *Host) serverAlive(at mtclock.Instant) {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	h.recurring.ServerAlive(at)
+}
+
 // serverLost records that the server's process has terminated. It is called with mu held,
 // before the record that reports the end is published.
 func (h *Host) serverLost() {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
 	now := h.Clock.Now()
-	evidence := h.recurring.Evidence(now)
+	if h.leftInTime(now) {
+		h.recurring.ForgetRuns()
+		return
+	}
+	evidence := h.recurring.Evidence()
 	suspects := h.recurring.ServerLost(now, h.Daemon)
 	if suspects == h.record.Suspects {
-		h.Log.Warn("no request is suspected of the loss of the server", "server", h.record.Incarnation.String(), "running", evidence.Running, "broken", evidence.Broken, "answered", evidence.Answered)
+		h.Log.Warn("no request is suspected of the loss of the server", "server", h.record.Incarnation.String(), "running", evidence.Running, "ended", evidence.Ended, "answered", evidence.Answered)
 		return
 	}
 	h.record.Suspects = suspects
-	h.Log.Warn("requests in flight when the server was lost are suspected", "server", h.record.Incarnation.String(), "suspects", string(suspects), "running", evidence.Running, "broken", evidence.Broken, "answered", evidence.Answered)
+	h.Log.Warn("requests in flight when the server was lost are suspected", "server", h.record.Incarnation.String(), "suspects", string(suspects), "running", evidence.Running, "ended", evidence.Ended, "answered", evidence.Answered)
+}
+
+// leftInTime reports whether the server has been leaving for longer than it promises to serve: its
+// end shows nothing about what it was still at work on. It is called with mu held.
+func (h *Host) leftInTime(now mtclock.Instant) bool {
+	since, leaving := h.leavingSince[h.record.Incarnation]
+	return leaving && now.Sub(since) >= h.DrainPeriod
 }
 
 // MergeSuspects merges the suspects that another daemon published in its record.
--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -125,11 +125,20 @@
 		return
 	}
 	var unknown *mtreply.UnknownError
-	if errors.As(err, &unknown) && unknown.Cause == mtreply.CauseLost {
+	// The end of the process ends the liveness connection too, and that starts a check. A
+	// server that cuts answers and lives would get a new connection for each of them.
+	if errors.As(err, &unknown) && endedByServer(unknown) && !h.watchesLiveness(incarnation) {
 		h.checkProcess(incarnation)
 	}
 }
 
+// watchesLiveness reports whether a liveness connection to the incarnation is open.
+func (h *Host) watchesLiveness(incarnation mtid.ServerIncarnation) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.liveness != nil && h.liveness.incarnation == incarnation
+}
+
 // recordDenial records that the server denies holding a key that it was granted: a release
 // command may have been executed late, or the server has restarted under its name. The new
 // incarnation must not be granted the keys of the previous one under the same epoch, so
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -134,6 +134,7 @@
 func (h *Host) applyHeartbeat(b mtbackend.Heartbeat) {
 	now := h.Clock.Now()
 	h.lastHeartbeat = now
+	h.serverAlive(b.Connected)
 	if b.Sequence < h.sequence {
 		return
 	}
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -100,13 +100,13 @@
 	}
 	defer h.track(call.ID)()
 	_, address := h.Record()
-	h.requestStarted(fingerprint)
+	run := h.requestStarted(started, fingerprint, call.Deadline)
 	h.startedCalls.Add(1)
 	answer, err := h.Client.Do(ctx, iobackend.Target{
 		Address: address, Server: record.Incarnation.Server,
 		Observe: func(s mtbackend.Signals) { h.observeSignals(record.Incarnation, started, s) },
 	}, call)
-	h.requestEnded(fingerprint, err)
+	h.requestEnded(run, err)
 	if err != nil {
 		h.handleFailure(record.Incarnation, call, err)
 		return nil, err
