Leave services out of the fingerprint of a request

What callers saw: a request that crashes its servers was refused only for those who sent it through daemons of one service; through others it crashed three more.

Cause: the fingerprint held the service of the daemon that took the request, which the daemon sets itself, and the one of its route, which a configuration may change or split. The class: an identity built from what the system adds, not from what the caller sends.

Change: method, host, target and body. The other user, the recognition of callers' retries, works within one daemon, where the service of its VM is the same for all.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -105,12 +105,13 @@
 	Took   time.Duration `json:"took"`
 }
 
-// Fingerprint returns a hash of the call's services, method, host, target and body. All
-// tries of one request share it, whatever their identifiers.
+// Fingerprint returns a hash of the call's method, host, target and body. All tries of one
+// request share it, whatever their identifiers, the daemons that took them and the services
+// that their route leads to.
 func (c *Call) Fingerprint() mtpoison.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{string(c.Service), string(c.Caller), c.Method, c.Host, c.Target} {
+	for _, part := range []string{c.Method, c.Host, c.Target} {
 		_, _ = d.WriteString(part)
 		_, _ = d.WriteString("\x00")
 	}
