Clear a request of crashes only by an answer of a finished run

What callers saw: a request that had crashed two servers crashed four more, because one of its runs in between ended at its caller's deadline.

Cause: any answer of the server cleared the request, also a 500 or 504 that says that the run was given up, at the server's daemon and at the one that took the request. The class: an event that shows that something ended is taken for one that shows that it ended well.

Change: only an answer below 500 clears. One of 500 and above still shows that the server's process outlived what ended before it.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -152,5 +152,9 @@
 	Served time.Duration // time at the server
 }
 
+// Finished reports whether the server finished the call. An error of its own only says that it
+// gave the run up, for its deadline, a lost lease or a nested call that failed.
+func (a *Answer) Finished() bool { return a.Status < http.StatusInternalServerError }
+
 // OutOfTime reports whether the server stopped work on the call at its deadline.
 func (a *Answer) OutOfTime() bool { return a.Status == http.StatusGatewayTimeout }
--- a/core/mtpoison/flight.go
+++ b/core/mtpoison/flight.go
@@ -19,11 +19,12 @@
 	NotRun                     // the server did not run it
 	Broken                     // the connection to the server broke
 	Abandoned                  // it was abandoned; the state of the server is unknown
+	GivenUp                    // the server answered that it stopped work on it
 )
 
 // String returns the name of the result, for logs.
 func (r RunResult) String() string {
-	return [...]string{"answered", "not-run", "broken", "abandoned"}[r]
+	return [...]string{"answered", "not-run", "broken", "abandoned", "given-up"}[r]
 }
 
 // breakWindow bounds how long it takes until all connections to a lost server have
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -96,8 +96,10 @@
 func (r *RecurrenceDetector) Ended(now mtclock.Instant, run *Run, how RunResult) {
 	delete(r.running, run)
 	switch {
-	case how == Answered:
-		r.MarkAnswered(run.fingerprint)
+	case how == Answered || how == GivenUp:
+		if how == Answered {
+			r.MarkAnswered(run.fingerprint)
+		}
 		if !run.lost {
 			r.ServerAlive(run.started)
 		}
@@ -126,7 +128,7 @@
 	r.ended = slices.DeleteFunc(r.ended, func(run *Run) bool { return run.until.Before(at) })
 }
 
-// MarkAnswered records that a server has answered a request.
+// MarkAnswered records that a server has finished a request.
 func (r *RecurrenceDetector) MarkAnswered(p Fingerprint) { r.answered.add(p) }
 
 // Answered reports whether a server is known to have answered the same request. Only the
--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
@@ -38,10 +39,14 @@
 }
 
 // requestEnded records how a request that was sent to the server ended.
-func (h *Host) requestEnded(run *mtpoison.Run, err error) {
+func (h *Host) requestEnded(run *mtpoison.Run, answer *mtcall.Answer, err error) {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	h.recurring.Ended(h.Clock.Now(), run, runResult(err))
+	how := runResult(err)
+	if how == mtpoison.Answered && !answer.Finished() {
+		how = mtpoison.GivenUp
+	}
+	h.recurring.Ended(h.Clock.Now(), run, how)
 }
 
 // runResult classifies how a request ended at the server.
@@ -110,14 +115,14 @@
 	}
 }
 
-// Answered reports whether a server is known to have answered the same request before.
+// Answered reports whether a server is known to have finished the same request before.
 func (h *Host) Answered(p mtpoison.Fingerprint) bool {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
 	return h.recurring.Answered(p)
 }
 
-// MarkAnswered records that a server, on this VM or another, has answered a request.
+// MarkAnswered records that a server, on this VM or another, has finished a request.
 func (h *Host) MarkAnswered(p mtpoison.Fingerprint) {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -106,7 +106,7 @@
 		Address: address, Server: record.Incarnation.Server,
 		Observe: func(s mtbackend.Signals) { h.observeSignals(record.Incarnation, started, s) },
 	}, call)
-	h.requestEnded(run, err)
+	h.requestEnded(run, answer, err)
 	if err != nil {
 		h.handleFailure(record.Incarnation, call, err)
 		return nil, err
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -181,7 +181,9 @@
 		begun := s.Clock.Now()
 		answer, err := s.try(ctx, call, member)
 		if err == nil {
-			s.Host.MarkAnswered(fingerprint)
+			if answer.Finished() {
+				s.Host.MarkAnswered(fingerprint)
+			}
 			return answer, nil
 		}
 		call.Tries = append(call.Tries, mtcall.Try{
