Keep losses of servers in the store for ten minutes, each under its own name

What callers saw: a request that crashes its servers was refused until the daemons were restarted, and crashed three more then.

Cause: a loss was known to the daemons of that moment only. A daemon's record held its last loss; the next process wrote a record without it, and numbered its losses anew, so that '1:FINGERPRINT' of the next process was taken for known.

Ruled out: a successor that takes its predecessor's losses on: a daemon that stops ends its lease, a power failure outlasts it, a VM may be gone for good.

Change: each loss is an entry of the store, named after the daemon and the server's incarnation, under a lease of ten minutes that nobody renews. It is written before the record that says that the server has ended, so that who takes over its keys for that knows the suspects. Two calls of the store for a loss with suspects. The field of the record is gone, and with it the callback for records. A loss counts once for a request, however often it lists it. What a request is held for is found by its fingerprint, not by a search of all losses.

Replaced: TestSuspectsReachOtherDaemons by one that also checks the order and a daemon that starts later; the table of malformed texts by one of malformed entries.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -21,7 +21,6 @@
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
-	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 )
 
@@ -59,8 +58,6 @@
 	// Leaving reports that the daemon itself shuts down, so that nothing should be
 	// sent to it although its server keeps running.
 	Leaving bool `json:"leaving"`
-	// Suspects are the requests that may have caused the last crash of the server.
-	Suspects mtpoison.Suspects `json:"suspects,omitempty"`
 }
 
 // Heartbeat is the status that a backend server reports to the daemon beside it, about
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -2,28 +2,26 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"magnoliaturn/core/mtclock"
-	"magnoliaturn/core/mtid"
 )
 
 const (
 	// lossesToRefuse is the number of server losses with a request in flight after
 	// which that request is refused as their cause.
 	lossesToRefuse = 3
-	// lossTTL is how long a loss counts against the requests that were in flight. A
+	// LossTTL is how long a loss counts against the requests that were in flight. A
 	// harmless request that was refused runs again after that.
-	lossTTL = 10 * time.Minute
+	LossTTL = 10 * time.Minute
 	// maxEnded is the number of unanswered runs retained, the newest ones.
 	maxEnded = 256
 	// maxAnswered is the number of answered requests retained: those of some tens of
 	// seconds of a busy server.
 	maxAnswered = 1024
-	// maxLosses is the number of losses retained, the newest ones.
-	maxLosses = 512
+	// maxLosses is the number of losses retained, the newest ones: all servers of a large
+	// fleet may be lost at once.
+	maxLosses = 1024
 )
 
 // RecurrenceDetector detects requests that crash every backend server that runs them, by
@@ -40,19 +38,19 @@
 // ServerAlive, ServerLost). How a run ended doesn't tell whether the server crashed: its
 // connections may close in order, be reset or fall silent, and the caller may have left
 // before. So each run without an answer counts as in flight at a loss until the server is
-// known to have run after it. The daemon publishes its suspects in its record (Suspects), from which all other
-// daemons merge them (MergeSuspects). The daemon that sends a request reports whether
-// the same request was answered before (Answered), since a daemon that has just started
-// has no record of answers.
+// known to have run after it. Losses are stored where they outlive all daemons, and each
+// daemon merges them (MergeLoss). The daemon that sends a request reports whether the same
+// request was answered before (Answered), since a daemon that has just started has no record
+// of answers.
 //
 // A RecurrenceDetector isn't safe for concurrent use.
 type RecurrenceDetector struct {
 	running  map[*Run]bool
 	ended    []*Run // ended without an answer, oldest first
 	answered fingerprintRing
-	losses   map[lossKey]loss
-	order    []lossKey // keys of losses, oldest first
-	own      Suspects
+	losses   map[LossID][]Fingerprint
+	order    []LossID                 // keys of losses, oldest first
+	charges  map[Fingerprint][]charge // by suspect, oldest first
 }
 
 // Run is a request that was sent to the server beside this daemon.
@@ -66,22 +64,18 @@
 	lost  bool // the server was lost during it
 }
 
-// lossKey identifies a loss of a daemon's server. The suspects contain the number of
-// the loss within the daemon's incarnation.
-type lossKey struct {
-	daemon   mtid.Daemon
-	suspects Suspects
-}
-
-// loss holds the requests that were in flight at the loss of a server.
-type loss struct {
-	at           mtclock.Instant // when this daemon received the report
-	fingerprints []Fingerprint
+// charge is a loss that counts against a request.
+type charge struct {
+	loss LossID
+	at   mtclock.Instant // when this daemon received the report
 }
 
 // NewRecurrenceDetector returns a RecurrenceDetector without any evidence.
 func NewRecurrenceDetector() *RecurrenceDetector {
-	return &RecurrenceDetector{running: make(map[*Run]bool), answered: fingerprintRing{known: make(map[Fingerprint]bool)}, losses: make(map[lossKey]loss)}
+	return &RecurrenceDetector{
+		running: make(map[*Run]bool), answered: fingerprintRing{known: make(map[Fingerprint]bool)},
+		losses: make(map[LossID][]Fingerprint), charges: make(map[Fingerprint][]charge),
+	}
 }
 
 // Started records that a request is sent to the server beside this daemon, which works on it
@@ -135,19 +129,19 @@
 // newest answers are retained.
 func (r *RecurrenceDetector) Answered(p Fingerprint) bool { return r.answered.known[p] }
 
-// ServerLost records that the server beside this daemon was lost, and returns the suspects
-// that the daemon publishes from now on.
-func (r *RecurrenceDetector) ServerLost(now mtclock.Instant, self mtid.Daemon) Suspects {
+// ServerLost records that the server beside this daemon was lost. It returns the loss to publish,
+// or false if no request is suspected.
+func (r *RecurrenceDetector) ServerLost(now mtclock.Instant, id LossID) (Loss, bool) {
 	fingerprints := r.inFlight()
 	r.ForgetRuns()
 	slices.Sort(fingerprints)
 	fingerprints = slices.DeleteFunc(slices.Compact(fingerprints), r.Answered)
 	if len(fingerprints) == 0 {
-		return r.own
+		return Loss{}, false
 	}
-	r.own = newSuspects(r.own.lossNumber()+1, fingerprints)
-	r.MergeSuspects(now, self, r.own)
-	return r.own
+	loss := Loss{ID: id, Suspects: fingerprints[:min(len(fingerprints), maxSuspects)]}
+	r.MergeLoss(now, loss)
+	return loss, true
 }
 
 // inFlight returns the fingerprints of all requests that may have been in progress at a loss.
@@ -171,23 +165,36 @@
 	r.ended = nil
 }
 
-// MergeSuspects adds the suspects that a daemon published, and reports whether they were
-// unknown. A loss that is already recorded is ignored.
-func (r *RecurrenceDetector) MergeSuspects(now mtclock.Instant, daemon mtid.Daemon, s Suspects) bool {
-	key := lossKey{daemon: daemon, suspects: s}
-	fingerprints := s.Fingerprints()
-	if _, known := r.losses[key]; known || len(fingerprints) == 0 {
+// MergeLoss adds a loss that a daemon published, and reports whether it was unknown.
+func (r *RecurrenceDetector) MergeLoss(now mtclock.Instant, l Loss) bool {
+	if _, known := r.losses[l.ID]; known {
 		return false
 	}
-	r.losses[key] = loss{at: now, fingerprints: fingerprints}
-	r.order = append(r.order, key)
+	r.losses[l.ID] = l.Suspects
+	r.order = append(r.order, l.ID)
+	for _, p := range l.Suspects {
+		if n := len(r.charges[p]); n == 0 || r.charges[p][n-1].loss != l.ID {
+			r.charges[p] = append(r.charges[p], charge{loss: l.ID, at: now})
+		}
+	}
 	if len(r.order) > maxLosses {
-		delete(r.losses, r.order[0])
+		r.forgetLoss(r.order[0])
 		r.order = slices.Delete(r.order, 0, 1)
 	}
 	return true
 }
 
+// forgetLoss removes a loss and what it counts for.
+func (r *RecurrenceDetector) forgetLoss(id LossID) {
+	for _, p := range r.losses[id] {
+		r.charges[p] = slices.DeleteFunc(r.charges[p], func(c charge) bool { return c.loss == id })
+		if len(r.charges[p]) == 0 {
+			delete(r.charges, p)
+		}
+	}
+	delete(r.losses, id)
+}
+
 // Evidence counts the requests that count against the server if it is lost now.
 type Evidence struct {
 	Running  int // in flight
@@ -206,13 +213,12 @@
 	return e
 }
 
-// LossesOf returns the losses that count against a request, oldest first, each as the daemon
-// beside the lost server and the number of the loss within its incarnation.
-func (r *RecurrenceDetector) LossesOf(now mtclock.Instant, p Fingerprint) []string {
-	var out []string
-	for _, key := range r.order {
-		if l := r.losses[key]; now.Sub(l.at) < lossTTL && slices.Contains(l.fingerprints, p) {
-			out = append(out, string(key.daemon)+" "+strconv.Itoa(key.suspects.lossNumber()))
+// LossesOf returns the losses that count against a request, oldest first.
+func (r *RecurrenceDetector) LossesOf(now mtclock.Instant, p Fingerprint) []LossID {
+	var out []LossID
+	for _, c := range r.charges[p] {
+		if now.Sub(c.at) < LossTTL {
+			out = append(out, c.loss)
 		}
 	}
 	return out
@@ -221,70 +227,12 @@
 // RefusedFor returns for how much longer a request is refused, or zero if it is not. answered
 // is set if the daemon that sends it has had an answer to the same request.
 func (r *RecurrenceDetector) RefusedFor(now mtclock.Instant, p Fingerprint, answered bool) time.Duration {
-	if answered || len(r.losses) < lossesToRefuse || r.Answered(p) {
-		return 0
-	}
-	var left []time.Duration
-	for _, l := range r.losses {
-		if age := now.Sub(l.at); age < lossTTL && slices.Contains(l.fingerprints, p) {
-			left = append(left, lossTTL-age)
-		}
-	}
-	if len(left) < lossesToRefuse {
+	charges := r.charges[p]
+	if answered || len(charges) < lossesToRefuse || r.Answered(p) {
 		return 0
 	}
 	// It runs again once fewer than lossesToRefuse losses count against it.
-	slices.Sort(left)
-	return left[len(left)-lossesToRefuse]
-}
-
-// Suspects lists the requests in flight at the last loss of a daemon's server, without those
-// that a server is known to have answered, encoded for the daemon's record: the number of the
-// loss within the daemon's incarnation, then the fingerprints, all in hexadecimal and
-// separated by colons.
-type Suspects string
-
-// maxSuspects is the number of fingerprints that Suspects can hold, about as many as a
-// server has slots. Other daemons have no evidence against the requests beyond that.
-const maxSuspects = 16
-
-// newSuspects encodes the suspects of the loss with that number.
-func newSuspects(number int, fingerprints []Fingerprint) Suspects {
-	text := strconv.AppendInt(nil, int64(number), 16)
-	for _, p := range fingerprints[:min(len(fingerprints), maxSuspects)] {
-		text = append(text, ':')
-		text = strconv.AppendUint(text, uint64(p), 16)
-	}
-	return Suspects(text)
-}
-
-// lossNumber returns the number of the loss within the daemon's incarnation, from 1. It
-// returns 0 if there was no loss or s is malformed.
-func (s Suspects) lossNumber() int {
-	text, _, _ := strings.Cut(string(s), ":")
-	number, err := strconv.ParseInt(text, 16, 32)
-	if err != nil {
-		return 0
-	}
-	return int(number)
-}
-
-// Fingerprints returns the fingerprints, or none if s is malformed: the record is input from
-// another writer and may hold anything.
-func (s Suspects) Fingerprints() []Fingerprint {
-	fields := strings.Split(string(s), ":")
-	if s.lossNumber() <= 0 || len(fields) > 1+maxSuspects {
-		return nil
-	}
-	fingerprints := make([]Fingerprint, 0, len(fields)-1)
-	for _, field := range fields[1:] {
-		p, err := strconv.ParseUint(field, 16, 64)
-		if err != nil {
-			return nil
-		}
-		fingerprints = append(fingerprints, Fingerprint(p))
-	}
-	return fingerprints
+	return max(LossTTL-now.Sub(charges[len(charges)-lossesToRefuse].at), 0)
 }
 
 // fingerprintRing holds the maxAnswered fingerprints added last.
--- a/core/mtpoison/recurring_test.go
+++ b/core/mtpoison/recurring_test.go
@@ -1,8 +1,10 @@
 package mtpoison_test
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,10 +16,11 @@
 	"magnoliaturn/core/mtpoison"
 )
 
-// recurringFleet simulates daemons that exchange their suspects through records.
+// recurringFleet simulates daemons that exchange their suspects through the store.
 type recurringFleet struct {
 	daemons []*mtpoison.RecurrenceDetector
 	now     mtclock.Instant
+	losses  int
 }
 
 func newRecurringFleet(size int) *recurringFleet {
@@ -30,23 +33,29 @@
 
 func name(i int) mtid.Daemon { return mtid.Daemon(fmt.Sprintf("vm-%03d", i)) }
 
+// lossID returns the identity of a new loss of a daemon's server.
+func (f *recurringFleet) lossID(i int) mtpoison.LossID {
+	f.losses++
+	return mtpoison.LossID{Daemon: name(i), Server: mtid.ServerIncarnation{Server: "server", Started: mtid.StartTime(f.losses)}}
+}
+
 // lose terminates the server of a daemon while the requests are in flight there, and
-// sends the daemon's suspects to all others.
-func (f *recurringFleet) lose(i int, fingerprints ...mtpoison.Fingerprint) mtpoison.Suspects {
+// sends the loss to all others. It returns the suspects.
+func (f *recurringFleet) lose(i int, fingerprints ...mtpoison.Fingerprint) []mtpoison.Fingerprint {
 	var runs []*mtpoison.Run
 	for _, p := range fingerprints {
 		runs = append(runs, f.daemons[i].Started(f.now, p, f.now.Add(time.Second)))
 	}
-	suspects := f.daemons[i].ServerLost(f.now, name(i))
+	loss, suspected := f.daemons[i].ServerLost(f.now, f.lossID(i))
 	for _, run := range runs {
 		f.daemons[i].Ended(f.now, run, mtpoison.Broken)
 	}
 	for j, other := range f.daemons {
-		if j != i {
-			other.MergeSuspects(f.now, name(i), suspects)
+		if j != i && suspected {
+			other.MergeLoss(f.now, loss)
 		}
 	}
-	return suspects
+	return loss.Suspects
 }
 
 // refused reports whether host refuses a request that ingress sends to it.
@@ -89,7 +98,7 @@
 	assert.Assert(t, !f.refused(100, 101, harmless), "answered at the ingress")
 	f.daemons[100].Ended(f.now, f.daemons[100].Started(f.now, harmless, f.now.Add(time.Second)), mtpoison.Answered)
 	assert.Assert(t, !f.refused(100, 102, harmless), "answered at the host")
-	assert.Equal(t, len(f.lose(101, harmless).Fingerprints()), 0, "suspected after a later loss")
+	assert.Equal(t, len(f.lose(101, harmless)), 0, "suspected after a later loss")
 }
 
 // A harmless request was in flight at three losses by chance. It must run again when fewer
@@ -110,6 +119,12 @@
 	assert.Assert(t, !f.refused(3, 3, harmless), "still refused after the time returned to callers")
 }
 
+// suspectsOf returns the suspects if a server is lost now.
+func suspectsOf(r *mtpoison.RecurrenceDetector, now mtclock.Instant) []mtpoison.Fingerprint {
+	loss, _ := r.ServerLost(now, mtpoison.LossID{Daemon: "a"})
+	return loss.Suspects
+}
+
 // Guards against a suspicion of requests after which the server lived on, and against an end of a
 // run that brings none although the server is not known to have outlived it.
 func TestRunsThatServerOutlivedAreNotSuspected(t *testing.T) {
@@ -131,54 +146,76 @@
 	run(17, mtpoison.NotRun)
 	r.Started(now, 18, now.Add(time.Second))
 	now = now.Add(time.Minute) // silence
-	assert.DeepEqual(t, r.ServerLost(now, "a").Fingerprints(), []mtpoison.Fingerprint{15, 16, 18})
+	assert.DeepEqual(t, suspectsOf(r, now), []mtpoison.Fingerprint{15, 16, 18})
 }
 
 // Guards against runs at a lost server that count against its next incarnation.
 func TestRunsAtLostServerDoNotCountAgain(t *testing.T) {
 	r := mtpoison.NewRecurrenceDetector()
 	first := r.Started(0, 10, 1)
-	assert.DeepEqual(t, r.ServerLost(0, "a").Fingerprints(), []mtpoison.Fingerprint{10})
+	assert.DeepEqual(t, suspectsOf(r, 0), []mtpoison.Fingerprint{10})
 	r.Started(0, 11, 1)
 	r.Ended(0, first, mtpoison.Broken)
-	assert.DeepEqual(t, r.ServerLost(0, "a").Fingerprints(), []mtpoison.Fingerprint{11})
+	assert.DeepEqual(t, suspectsOf(r, 0), []mtpoison.Fingerprint{11})
 }
 
-// A record stays short however many requests were in flight, and malformed suspects in a
-// record yield no fingerprints and take no memory.
-func TestSuspectsAreBoundedAndValidated(t *testing.T) {
+// A loss stays short however many requests were in flight, and a malformed entry of the store
+// yields no suspects and takes no memory.
+func TestLossIsBoundedAndValidated(t *testing.T) {
 	r := mtpoison.NewRecurrenceDetector()
 	for p := range mtpoison.Fingerprint(5000) {
 		r.Started(0, ^p, 1)
 	}
-	suspects := r.ServerLost(0, "a")
-	assert.Equal(t, len(suspects.Fingerprints()), 16)
-	assert.Assert(t, len(suspects) < 300)
-	for _, malformed := range []mtpoison.Suspects{"", "x", "0:1", "1:x", "-1:2", "1:", "1:10000000000000000", mtpoison.Suspects("1" + string(make([]byte, 1<<20)))} {
-		assert.Equal(t, len(malformed.Fingerprints()), 0, "%.20q", string(malformed))
+	loss, _ := r.ServerLost(0, mtpoison.LossID{Daemon: "a"})
+	assert.Equal(t, len(loss.Suspects), 16)
+	value, err := loss.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) < 500)
+	decoded, err := mtpoison.DecodeLoss(value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, loss)
+	for _, malformed := range []string{"", "x", "{}", `{"daemon":"a"}`, `{"daemon":"a","suspects":[]}`, `{"daemon":"a","suspects":["x"]}`, `{"daemon":"a","suspects":["-1"]}`, `{"daemon":"a","suspects":["10000000000000000"]}`, `{"suspects":["1"]}`, `{"daemon":"a","suspects":["1` + strings.Repeat(`","1`, 5000) + `"]}`} {
+		_, err := mtpoison.DecodeLoss([]byte(malformed))
+		var invalid *mtpoison.LossError
+		assert.Assert(t, errors.As(err, &invalid), "%.60q", malformed)
 	}
 }
 
+// Guards against a loss that counts twice because it lists a request twice.
+func TestLossCountsOnceForEachSuspect(t *testing.T) {
+	r := mtpoison.NewRecurrenceDetector()
+	r.MergeLoss(0, mtpoison.Loss{ID: mtpoison.LossID{Daemon: "a"}, Suspects: []mtpoison.Fingerprint{harmless, harmless, harmless}})
+	assert.Equal(t, r.RefusedFor(0, harmless, false), time.Duration(0))
+}
+
+// Guards against losses that a restarted daemon publishes and others take for known ones: the
+// same request alone was in flight each time.
+func TestLossesOfRestartedDaemonsCount(t *testing.T) {
+	f := newRecurringFleet(2)
+	for range 3 {
+		f.daemons[0] = mtpoison.NewRecurrenceDetector()
+		f.lose(0, poison)
+	}
+	assert.Assert(t, f.refused(1, 1, poison))
+}
+
 // Daemons that received the same records must refuse the same requests, whatever the
 // order and however often each record arrived.
 func TestSuspectsMergeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		type report struct {
-			daemon   mtid.Daemon
-			suspects mtpoison.Suspects
-		}
-		var reports []report
+		var reports []mtpoison.Loss
 		for i := range rapid.IntRange(1, 8).Draw(t, "losses") {
 			source := mtpoison.NewRecurrenceDetector()
 			for range rapid.IntRange(1, 4).Draw(t, "in flight") {
 				source.Started(0, mtpoison.Fingerprint(rapid.IntRange(1, 5).Draw(t, "fingerprint")), 1)
 			}
-			reports = append(reports, report{daemon: name(i), suspects: source.ServerLost(0, name(i))})
+			loss, _ := source.ServerLost(0, mtpoison.LossID{Daemon: name(i)})
+			reports = append(reports, loss)
 		}
 		refusals := func(order []int) [6]time.Duration {
 			r := mtpoison.NewRecurrenceDetector()
 			for _, i := range order {
-				r.MergeSuspects(0, reports[i].daemon, reports[i].suspects)
+				r.MergeLoss(0, reports[i])
 			}
 			var left [6]time.Duration
 			for p := range left {
--- /dev/null
+++ b/io/mtdirectory/loss.go
@@ -0,0 +1,98 @@
+package mtdirectory
+
+import (
+	"context"
+	"errors"
+
+	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtstore"
+)
+
+// PublishLoss publishes the loss of a backend server. It is written in the background, before any
+// record that is published later: who takes over the keys of the server because of that record
+// knows which requests were in flight.
+func (d *Directory) PublishLoss(l mtpoison.Loss) { d.publisher.publishLoss(l) }
+
+// applyLossEntry passes on a loss. Nothing is passed on when an entry expires: those who know the
+// loss count its age themselves.
+func (d *Directory) applyLossEntry(e mtstore.Entry) {
+	if e.Version == 0 || d.OnLoss == nil {
+		return
+	}
+	loss, err := mtpoison.DecodeLoss(e.Value)
+	if err != nil {
+		d.Log.Error("loss of a server passed over", "name", e.Name, "error", err)
+		return
+	}
+	d.OnLoss(loss)
+}
+
+// pendingLoss is a loss that the store may not contain yet.
+type pendingLoss struct {
+	loss  mtpoison.Loss
+	lease mtstore.LeaseID // empty until it is granted
+}
+
+// maxPendingLosses is the number of losses that wait for the store, the newest ones.
+const maxPendingLosses = 64
+
+// publishLoss adds a loss to those to write.
+func (p *publisher) publishLoss(l mtpoison.Loss) {
+	p.mu.Lock()
+	p.losses = append(p.losses, &pendingLoss{loss: l})
+	if len(p.losses) > maxPendingLosses {
+		p.Log.Error("loss of a server is not published: too many wait for the store", "loss", p.losses[0].loss.ID.String())
+		p.losses = p.losses[1:]
+	}
+	p.mu.Unlock()
+	p.runNow()
+}
+
+// writeLosses writes the pending losses, oldest first.
+func (p *publisher) writeLosses(ctx context.Context) error {
+	for {
+		p.mu.Lock()
+		if len(p.losses) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		first := p.losses[0]
+		p.mu.Unlock()
+		if err := p.writeLoss(ctx, first); err != nil {
+			return err
+		}
+		p.mu.Lock()
+		if len(p.losses) > 0 && p.losses[0] == first {
+			p.losses = p.losses[1:]
+		}
+		p.mu.Unlock()
+	}
+}
+
+// writeLoss writes one loss. It succeeds if the store contains it already, or will never accept
+// it: the record must not wait for that.
+func (p *publisher) writeLoss(ctx context.Context, l *pendingLoss) error {
+	value, err := l.loss.Encode()
+	if err != nil {
+		return err
+	}
+	if l.lease == "" {
+		if l.lease, err = p.Store.Grant(ctx, mtpoison.LossTTL); err != nil {
+			return err
+		}
+	}
+	_, err = p.Store.Swap(ctx, mtstore.LossName(l.loss.ID), 0, value, l.lease)
+	var conflict *mtstore.ConflictError
+	var rejected *mtstore.RejectedError
+	var expired *mtstore.LeaseExpiredError
+	switch {
+	case errors.As(err, &conflict):
+		return nil
+	case errors.As(err, &rejected):
+		p.Log.Error("loss of a server is not published", "loss", l.loss.ID.String(), "error", err)
+		return nil
+	case errors.As(err, &expired):
+		l.lease = ""
+	}
+	return err
+}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -116,9 +116,6 @@
 			"state", record.State, "leaving", record.Leaving, "version", uint64(e.Version))
 	}
 	v.Members[name] = Member{Record: record, Version: e.Version}
-	if d.OnRecord != nil && name != d.Self {
-		d.OnRecord(record)
-	}
 }
 
 // nameMismatchError reports that a record is stored under the name of another daemon.
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -28,6 +28,7 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtwatch"
 )
@@ -58,9 +59,9 @@
 	// a previous incarnation wrote it, or this one did and the response was lost. It
 	// may be nil.
 	OnPreviousRecord func(mtbackend.Record)
-	// OnRecord is called with each record of another daemon. It may be nil, and must
-	// not block.
-	OnRecord func(mtbackend.Record)
+	// OnLoss is called with each loss of a backend server in the store, also those that
+	// this daemon has published. It may be nil, and must not block.
+	OnLoss func(mtpoison.Loss)
 	// OnUpdate is called with each update after it has been applied. It may be nil, and
 	// must not block.
 	OnUpdate func(mtwatch.Update)
@@ -233,8 +234,8 @@
 	}
 }
 
-// applyEntry applies an entry, and reports whether it is a record, an assignment or an
-// order about a zone.
+// applyEntry applies an entry, and reports whether it is a record, an assignment, an order about
+// a zone or the loss of a server.
 func (d *Directory) applyEntry(v *View, now mtclock.Instant, e mtstore.Entry) bool {
 	switch {
 	case strings.HasPrefix(e.Name, mtstore.BackendPrefix):
@@ -243,6 +244,8 @@
 		d.applyAssignmentEntry(v, e)
 	case strings.HasPrefix(e.Name, mtstore.ZonePrefix):
 		d.applyZoneEntry(v, e)
+	case strings.HasPrefix(e.Name, mtstore.LossPrefix):
+		d.applyLossEntry(e)
 	default:
 		return false
 	}
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -13,6 +13,7 @@
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
@@ -358,19 +359,34 @@
 	assert.Equal(t, b.NewestVersion(), mtid.Version(9))
 }
 
-// A daemon's server was lost, and its record contains the requests that were in
-// flight. Other daemons must receive them with the record, or the same requests crash
-// the next server.
-func TestSuspectsReachOtherDaemons(t *testing.T) {
+// Guards against a request that crashes servers and is known only to the daemons of that moment:
+// each loss must reach the others before the record that says so, and those that start later.
+func TestLossReachesOtherDaemonsBeforeRecordAndLater(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
-	received := make(chan mtbackend.Record, 8)
-	_, cleanUp := mtdirectory.New(mtdirectory.Config{
-		Self: "b", Store: store, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.DiscardHandler),
-		OnRecord: func(r mtbackend.Record) { received <- r },
-	})
-	t.Cleanup(cleanUp)
+	loss := mtpoison.Loss{ID: mtpoison.LossID{Daemon: "a", Server: mtid.ServerIncarnation{Server: "s", Started: 7}}, Suspects: []mtpoison.Fingerprint{0x2a, 0x2b}}
+	observe := func(self mtid.Daemon) (*mtdirectory.Directory, chan mtpoison.Loss) {
+		received := make(chan mtpoison.Loss, 8)
+		d, cleanUp := mtdirectory.New(mtdirectory.Config{
+			Self: self, Store: store, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.DiscardHandler),
+			OnLoss: func(l mtpoison.Loss) { received <- l },
+		})
+		t.Cleanup(cleanUp)
+		return d, received
+	}
+	running, known := observe("b")
+	source := start(t, store, "a")
+	source.PublishLoss(loss)
 	lost := record("a")
-	lost.State, lost.Suspects = mtbackend.Ended, "1:2a:2b"
-	start(t, store, "a").Publish(lost)
-	assert.DeepEqual(t, <-received, lost)
+	lost.State = mtbackend.Ended
+	source.Publish(lost)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if running.View().Members["a"].State == mtbackend.Ended {
+			return poll.Success()
+		}
+		return poll.Continue("the record has not arrived")
+	})
+	assert.Equal(t, len(known), 1, "the record arrived first")
+	assert.DeepEqual(t, <-known, loss)
+	_, later := observe("c")
+	assert.DeepEqual(t, <-later, loss)
 }
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -39,7 +39,8 @@
 
 	mu        sync.Mutex
 	wanted    mtbackend.Record
-	published bool // Publish was called
+	published bool           // Publish was called
+	losses    []*pendingLoss // oldest first
 
 	// State of the background goroutine.
 	lease     mtstore.LeaseID
@@ -194,6 +195,9 @@
 	if err := p.ensureLease(ctx, sent); err != nil {
 		return err
 	}
+	if err := p.writeLosses(ctx); err != nil {
+		return err
+	}
 	if foreign := mtid.Version(p.foreignVersion.Swap(0)); p.version != 0 && foreign > p.version {
 		p.Log.Warn("own record was written over", "own", uint64(p.version), "by", uint64(foreign))
 		p.version, p.written = foreign, mtbackend.Record{}
--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 
-	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtpoison"
@@ -14,9 +13,8 @@
 
 // A request may crash every server that runs it, and its caller resends it through any
 // daemon to any server. Each crash makes the keys of a server unavailable for some seconds
-// and loses whatever else was in flight there. So the daemons publish in their records
-// which requests were in flight at a crash, and refuse a request that was in flight at too
-// many.
+// and loses whatever else was in flight there. So the daemons publish which requests were in
+// flight at a crash, and refuse a request that was in flight at too many.
 
 // refusePoison refuses a request that is suspected of crashing its servers. It fails with a
 // *mtreply.RefusedError.
@@ -87,13 +85,23 @@
 		return
 	}
 	evidence := h.recurring.Evidence()
-	suspects := h.recurring.ServerLost(now, h.Daemon)
-	if suspects == h.record.Suspects {
-		h.Log.Warn("no request is suspected of the loss of the server", "server", h.record.Incarnation.String(), "running", evidence.Running, "ended", evidence.Ended, "answered", evidence.Answered)
+	log := h.Log.With("server", h.record.Incarnation.String(), "running", evidence.Running, "ended", evidence.Ended, "answered", evidence.Answered)
+	loss, suspected := h.recurring.ServerLost(now, mtpoison.LossID{Daemon: h.Daemon, Server: h.record.Incarnation})
+	if !suspected {
+		log.Warn("no request is suspected of the loss of the server")
 		return
 	}
-	h.record.Suspects = suspects
-	h.Log.Warn("requests in flight when the server was lost are suspected", "server", h.record.Incarnation.String(), "suspects", string(suspects), "running", evidence.Running, "ended", evidence.Ended, "answered", evidence.Answered)
+	log.Warn("requests in flight when the server was lost are suspected", "suspects", suspectTexts(loss))
+	h.PublishLoss(loss)
+}
+
+// suspectTexts returns the suspects of a loss for logs.
+func suspectTexts(l mtpoison.Loss) []string {
+	var texts []string
+	for _, p := range l.Suspects {
+		texts = append(texts, p.String())
+	}
+	return texts
 }
 
 // leftInTime reports whether the server has been leaving for longer than it promises to serve: its
@@ -103,15 +111,12 @@
 	return leaving && now.Sub(since) >= h.DrainPeriod
 }
 
-// MergeSuspects merges the suspects that another daemon published in its record.
-func (h *Host) MergeSuspects(r mtbackend.Record) {
-	if r.Suspects == "" {
-		return
-	}
+// MergeLoss merges the loss of a server that a daemon has published.
+func (h *Host) MergeLoss(l mtpoison.Loss) {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	if h.recurring.MergeSuspects(h.Clock.Now(), r.Daemon, r.Suspects) {
-		h.Log.Info("another server was lost", "peer", string(r.Daemon), "suspects", string(r.Suspects))
+	if h.recurring.MergeLoss(h.Clock.Now(), l) {
+		h.Log.Info("a server was lost", "loss", l.ID.String(), "suspects", suspectTexts(l))
 	}
 }
 
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -100,6 +100,9 @@
 	Health func() string
 	// Publish is called with the record whenever it changes.
 	Publish func(mtbackend.Record)
+	// PublishLoss is called with each loss of the server that a request may have caused,
+	// before the record that reports the end.
+	PublishLoss func(mtpoison.Loss)
 	// IsDeclared reports whether the configuration in force declares a service.
 	IsDeclared func(service mtid.Service) bool
 	// Keyed reports whether the service is divided by key.
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -16,6 +16,7 @@
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtshutdown"
@@ -93,8 +94,9 @@
 			defer s.mu.Unlock()
 			s.published = r
 		},
-		Keyed:      func() bool { return s.keyed.Load() },
-		IsDeclared: func(service mtid.Service) bool { return service == "desk" },
+		PublishLoss: func(mtpoison.Loss) {},
+		Keyed:       func() bool { return s.keyed.Load() },
+		IsDeclared:  func(service mtid.Service) bool { return service == "desk" },
 		CheckGrant: func(mtid.ServerIncarnation, mtid.KeyNumber) error {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -35,6 +35,7 @@
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtzone"
@@ -125,7 +126,8 @@
 	freshness          *freshness
 	recordCheckPending atomic.Bool
 	feed               *changeFeed
-	previous           previousRecord
+	previous           deferred[mtbackend.Record] // of previous incarnations of this daemon, for the host
+	losses             deferred[mtpoison.Loss]    // for the host
 	zoneState          zoneState
 	host               atomic.Pointer[mthost.Host]
 	// These are read for each message between daemons, for which lookups in the kernel are
@@ -224,7 +226,7 @@
 		Source:           m.feed,
 		OnOtherEntry:     m.config.OnOtherEntry,
 		OnPreviousRecord: m.previous.receive,
-		OnRecord:         m.receiveRecord,
+		OnLoss:           m.losses.receive,
 		OnUpdate:         m.feed.applied,
 	})
 	m.directory.Store(directory)
@@ -256,6 +258,7 @@
 		IsDeclared:  m.declares,
 		Keyed:       m.keyed,
 		Publish:     directory.Publish,
+		PublishLoss: directory.PublishLoss,
 		CheckGrant: func(incarnation mtid.ServerIncarnation, key mtid.KeyNumber) error {
 			return grants.Load().CheckGranted(incarnation, key)
 		},
@@ -288,11 +291,9 @@
 		Delegate:      m.delegate,
 	})
 	grants.Store(created)
-	m.previous.attach(host)
+	m.previous.attach(host.ProcessPreviousRecord)
 	m.host.Store(host)
-	for _, member := range directory.View().Members {
-		host.MergeSuspects(member.Record)
-	}
+	m.losses.attach(host.MergeLoss)
 	directory.OnChange(m.applyZone)
 	m.applyZone()
 	m.Metrics().Gauge("host", "status", func() any { return host.Status() })
@@ -302,14 +303,6 @@
 	return mtkernel.Register(m.kernel, NameGrants, created, closeGrants)
 }
 
-// receiveRecord passes the suspects in another daemon's record to the host. Records that
-// arrive before the host exists are passed on by addHost.
-func (m *Mesh) receiveRecord(r mtbackend.Record) {
-	if host := m.host.Load(); host != nil {
-		host.MergeSuspects(r)
-	}
-}
-
 // configuration returns the configuration in force. It returns nil if there is none, or if
 // the daemon is still being assembled.
 func (m *Mesh) configuration() *mtroute.Config {
