Send the loss of a server to all daemons if the store doesn't accept it

What callers saw: while the store was away, a request that crashes its servers crashed three beside each daemon.

Cause: losses spread by the store alone. The class: a word that matters most in trouble goes the one way that the trouble cuts.

Ways weighed: with the load reports, which reach only those that still call the daemon, and its server is lost; an answer to the one that passed the request on waits 0.2 to 0.3 s for the check of the process, which all that were in flight would pay; to everybody each time, which is 479 calls at the size that we design for, for a case that the store serves.

Change: a loss that the store hasn't accepted within 200 ms is pushed to all daemons whose records are there or were a minute ago, by the call that pushes assignments. The store gets it when it is back.

Not measured: the cost in a large fleet.

--- a/io/mtdirectory/loss.go
+++ b/io/mtdirectory/loss.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtstore"
@@ -13,6 +14,13 @@
 // knows which requests were in flight.
 func (d *Directory) PublishLoss(l mtpoison.Loss) { d.publisher.publishLoss(l) }
 
+// LossPending reports whether a loss that this daemon has published is not in the store yet.
+func (d *Directory) LossPending(id mtpoison.LossID) bool {
+	d.publisher.mu.Lock()
+	defer d.publisher.mu.Unlock()
+	return slices.ContainsFunc(d.publisher.losses, func(l *pendingLoss) bool { return l.loss.ID == id })
+}
+
 // applyLossEntry passes on a loss. Nothing is passed on when an entry expires: those who know the
 // loss count its age themselves.
 func (d *Directory) applyLossEntry(e mtstore.Entry) {
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -305,8 +305,9 @@
 	return reply, nil
 }
 
-// PushAssignment pushes a write of an assignment to a daemon that it affects.
-func (c *Client) PushAssignment(ctx context.Context, address string, entry mtstore.Entry) error {
+// PushEntry pushes an entry to a daemon that it affects, before the store delivers it. It fails
+// with a *mtreply.UnknownError if the daemon did not acknowledge it.
+func (c *Client) PushEntry(ctx context.Context, address string, entry mtstore.Entry) error {
 	conn, err := c.pool.Conn(address)
 	if err != nil {
 		return err
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -36,9 +36,9 @@
 	// a *mtstore.UnavailableError if this daemon does not receive them itself: two
 	// daemons that were each other's upstream would both miss all changes.
 	ServeChanges changesFunc
-	// ReceiveAssignment receives writes of assignments that other daemons push, because they affect
-	// this daemon.
-	ReceiveAssignment func(mtstore.Entry)
+	// ReceiveEntry receives entries that other daemons push: writes of assignments that affect this
+	// daemon, and losses of servers that the store has not accepted yet.
+	ReceiveEntry func(mtstore.Entry)
 	// Commit writes ownership transfers on behalf of another daemon. It returns the
 	// outcome of each transfer and the changes of the assignment.
 	Commit func(context.Context, mtrange.Batch) ([]mtrange.Outcome, mtstore.Entry)
@@ -49,17 +49,17 @@
 // server implements mtwire.ForwarderServer.
 type server struct {
 	mtwire.UnimplementedForwarderServer
-	host              host
-	clock             clock
-	exchange          StateExchange
-	serveChanges      changesFunc
-	receiveAssignment func(mtstore.Entry)
-	commit            func(context.Context, mtrange.Batch) ([]mtrange.Outcome, mtstore.Entry)
+	host         host
+	clock        clock
+	exchange     StateExchange
+	serveChanges changesFunc
+	receiveEntry func(mtstore.Entry)
+	commit       func(context.Context, mtrange.Batch) ([]mtrange.Outcome, mtstore.Entry)
 }
 
 // Register registers the Forwarder service with a gRPC server.
 func Register(r grpc.ServiceRegistrar, s Server) {
-	mtwire.RegisterForwarderServer(r, &server{host: s.Host, clock: s.Clock, exchange: s.Exchange, serveChanges: s.ServeChanges, receiveAssignment: s.ReceiveAssignment, commit: s.Commit})
+	mtwire.RegisterForwarderServer(r, &server{host: s.Host, clock: s.Clock, exchange: s.Exchange, serveChanges: s.ServeChanges, receiveEntry: s.ReceiveEntry, commit: s.Commit})
 }
 
 // maxChangesWait limits how long a request for changes may wait, whatever it asks for.
@@ -106,7 +106,7 @@
 
 // Inform implements mtwire.ForwarderServer.
 func (s *server) Inform(_ context.Context, w *mtwire.LearnEntry) (*mtwire.InformReply, error) {
-	s.receiveAssignment(entryFromWire(w))
+	s.receiveEntry(entryFromWire(w))
 	return &mtwire.InformReply{}, nil
 }
 
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -307,7 +307,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
-		if err := peers.PushAssignment(ctx, member.Address, entry); err != nil {
+		if err := peers.PushEntry(ctx, member.Address, entry); err != nil {
 			m.config.Log.Info("sending an ownership update to a daemon failed", "peer", to, "error", err)
 		}
 	}()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -258,7 +258,7 @@
 		IsDeclared:  m.declares,
 		Keyed:       m.keyed,
 		Publish:     directory.Publish,
-		PublishLoss: directory.PublishLoss,
+		PublishLoss: m.publishLoss,
 		CheckGrant: func(incarnation mtid.ServerIncarnation, key mtid.KeyNumber) error {
 			return grants.Load().CheckGranted(incarnation, key)
 		},
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -40,7 +40,7 @@
 		grpc.InitialWindowSize(mtforward.FlowWindow), grpc.InitialConnWindowSize(mtforward.FlowWindow),
 		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
 	mtforward.Register(m.peers, mtforward.Server{
-		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveAssignment: m.directory.Load().ApplyPushedAssignment, Commit: m.commitFor,
+		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveEntry: m.receivePushed, Commit: m.commitFor,
 	})
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
