Publish the likeliest suspects of a loss, and four times as many

What callers could have seen: a request that crashes its servers is never suspected if its fingerprint is a large number and the servers are busy.

Cause: of all that was in flight or had broken in the last 3 s, the 16 smallest fingerprints were published. The class: a bounded list whose order says nothing of its purpose.

Change: what was running at the loss comes first, then what ended, the latest first; 64 at most, 1.2 KB, as a server of nine slots has up to a few dozen such requests while its callers leave.

Measured: TestLikeliestSuspectsArePublished; with the old order the request with the largest fingerprint of 202 was not among the suspects (by construction).

--- a/core/mtpoison/loss.go
+++ b/core/mtpoison/loss.go
@@ -21,13 +21,14 @@
 type Loss struct {
 	ID LossID
 	// Suspects are the requests that were in flight, without those that a server is known
-	// to have finished.
+	// to have finished, the likeliest cause first.
 	Suspects []Fingerprint
 }
 
-// maxSuspects is the number of suspects of a loss, about as many as a server has slots. Other
-// daemons have no evidence against the requests beyond that.
-const maxSuspects = 16
+// maxSuspects is the number of suspects of a loss: several times the slots of a server, since
+// requests that ended shortly before count too. Other daemons have no evidence against those
+// beyond that.
+const maxSuspects = 64
 
 // LossError reports that a stored loss is invalid.
 type LossError struct{ Err error }
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -1,6 +1,7 @@
 package mtpoison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -134,8 +135,7 @@
 func (r *RecurrenceDetector) ServerLost(now mtclock.Instant, id LossID) (Loss, bool) {
 	fingerprints := r.inFlight()
 	r.ForgetRuns()
-	slices.Sort(fingerprints)
-	fingerprints = slices.DeleteFunc(slices.Compact(fingerprints), r.Answered)
+	fingerprints = slices.DeleteFunc(fingerprints, r.Answered)
 	if len(fingerprints) == 0 {
 		return Loss{}, false
 	}
@@ -144,16 +144,24 @@
 	return loss, true
 }
 
-// inFlight returns the fingerprints of all requests that may have been in progress at a loss.
+// inFlight returns the fingerprints of all requests that may have been in progress at a loss,
+// each once: first those still running, then those that ended, the latest first.
 func (r *RecurrenceDetector) inFlight() []Fingerprint {
-	var fingerprints []Fingerprint
-	for _, run := range r.ended {
+	fingerprints := make([]Fingerprint, 0, len(r.running)+len(r.ended))
+	for run := range r.running {
 		fingerprints = append(fingerprints, run.fingerprint)
 	}
-	for run := range r.running {
+	slices.Sort(fingerprints)
+	byEnd := slices.SortedStableFunc(slices.Values(r.ended), func(a, b *Run) int { return cmp.Compare(b.until, a.until) })
+	for _, run := range byEnd {
 		fingerprints = append(fingerprints, run.fingerprint)
 	}
-	return fingerprints
+	seen := make(map[Fingerprint]bool, len(fingerprints))
+	return slices.DeleteFunc(fingerprints, func(p Fingerprint) bool {
+		known := seen[p]
+		seen[p] = true
+		return known
+	})
 }
 
 // ForgetRuns drops all runs, because the server's process has ended: a later end of theirs says
