Clear a request for good when a server has answered it

What callers could have seen: a harmless request that was in flight at three losses is refused for ten minutes although it has been answered since, as soon as 1024 newer answers have displaced the memory of that.

Change: an answer removes what counts against the request, at the daemon beside the server, at the one that took the request, and where that one says so.

Measured: TestAnswerClearsRequestForGood fails without the change, where the request was answered.

--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -123,8 +123,12 @@
 	r.ended = slices.DeleteFunc(r.ended, func(run *Run) bool { return run.until.Before(at) })
 }
 
-// MarkAnswered records that a server has finished a request.
-func (r *RecurrenceDetector) MarkAnswered(p Fingerprint) { r.answered.add(p) }
+// MarkAnswered records that a server has finished a request. No loss so far counts against it any
+// more.
+func (r *RecurrenceDetector) MarkAnswered(p Fingerprint) {
+	r.answered.add(p)
+	delete(r.charges, p)
+}
 
 // Answered reports whether a server is known to have answered the same request. Only the
 // newest answers are retained.
@@ -181,7 +185,7 @@
 	r.losses[l.ID] = l.Suspects
 	r.order = append(r.order, l.ID)
 	for _, p := range l.Suspects {
-		if n := len(r.charges[p]); n == 0 || r.charges[p][n-1].loss != l.ID {
+		if n := len(r.charges[p]); !r.Answered(p) && (n == 0 || r.charges[p][n-1].loss != l.ID) {
 			r.charges[p] = append(r.charges[p], charge{loss: l.ID, at: now})
 		}
 	}
@@ -233,10 +237,18 @@
 }
 
 // RefusedFor returns for how much longer a request is refused, or zero if it is not. answered
-// is set if the daemon that sends it has had an answer to the same request.
+// is set if the daemon that sends it has had an answer to the same request, which counts like an
+// answer here.
 func (r *RecurrenceDetector) RefusedFor(now mtclock.Instant, p Fingerprint, answered bool) time.Duration {
 	charges := r.charges[p]
-	if answered || len(charges) < lossesToRefuse || r.Answered(p) {
+	if len(charges) == 0 {
+		return 0
+	}
+	if answered {
+		r.MarkAnswered(p)
+		return 0
+	}
+	if len(charges) < lossesToRefuse {
 		return 0
 	}
 	// It runs again once fewer than lossesToRefuse losses count against it.
--- a/core/mtpoison/recurring_test.go
+++ b/core/mtpoison/recurring_test.go
@@ -101,6 +101,22 @@
 	assert.Equal(t, len(f.lose(101, harmless)), 0, "suspected after a later loss")
 }
 
+// Guards against a harmless request that was answered and is refused all the same, once newer
+// answers have displaced the memory of that.
+func TestAnswerClearsRequestForGood(t *testing.T) {
+	f := newRecurringFleet(5)
+	for i := range 3 {
+		f.lose(i, harmless)
+	}
+	f.daemons[3].MarkAnswered(harmless)
+	assert.Assert(t, !f.refused(4, 3, harmless))
+	for p := range mtpoison.Fingerprint(5000) {
+		f.daemons[3].MarkAnswered(1_000_000 + p)
+	}
+	assert.Assert(t, !f.refused(3, 0, harmless), "where it was answered")
+	assert.Assert(t, !f.refused(4, 0, harmless), "where an ingress told of the answer")
+}
+
 // A harmless request was in flight at three losses by chance. It must run again when fewer
 // than three of them are recent, without intervention and however often it was refused.
 func TestRefusalEndsWhenLossesExpire(t *testing.T) {
