--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -33,11 +33,12 @@
 	late := flag.Bool("late", true, "servers execute grants late, while their daemons are killed")
 	signals := flag.Bool("signals", true, "servers name rate limits, and leave, by their answers")
 	stops := flag.Bool("stops", true, "stop daemons by series of SIGTERMs that overlap, under pipelined callers")
+	crashes := flag.Bool("crashes", true, "requests crash the servers that run them, and servers cut answers and live")
 	planned := flag.Bool("planned", false, "inject no faults but those of the options")
 	flag.Parse()
 	failed := 0
 	for i := range uint64(*runs) {
-		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Planned: *planned, Logs: *logs}
+		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Crashes: *crashes, Planned: *planned, Logs: *logs}
 		result, err := soak.Run(context.Background(), config)
 		if !report(config.Seed, result, err) {
 			failed++
@@ -58,6 +59,9 @@
 	}
 	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d faults injected, recovered in %s\n",
 		seed, result.Served, result.Refused, result.Failed, len(result.Injected), result.RecoveryTime.Round(time.Millisecond))
+	if result.Barred > 0 {
+		fmt.Printf("  %d harmless requests were taken for the cause of crashes\n", result.Barred)
+	}
 	if result.Pipelined > 0 {
 		fmt.Printf("  %d pipelined requests ended\n", result.Pipelined)
 	}
