--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -59,6 +59,9 @@
 	}
 	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d faults injected, recovered in %s\n",
 		seed, result.Served, result.Refused, result.Failed, len(result.Injected), result.RecoveryTime.Round(time.Millisecond))
+	for _, c := range result.CrashCounts {
+		fmt.Printf("  %s crashed %d servers, %d of them late\n", c.Path, c.Crashes, c.Late)
+	}
 	if result.Barred > 0 {
 		fmt.Printf("  %d harmless requests were taken for the cause of crashes\n", result.Barred)
 	}
