Take a silent server for ended only when its commands have expired

Cause: after 2.5 s without a heartbeat, three connections that time out counted as the end of the process. A running server with a full queue of connections shows the same.

Change: such a server has ended once every command sent to it must have expired, as a leaving one. Until then it is sent no grants, which would prolong that, and it is checked again at that time.

--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -185,6 +185,8 @@
 //     connections but continues to work, and one that has deregistered sends no further
 //     notice. When it was considered terminated at once, two servers held its keys for
 //     half a second. Usually its keys have moved by then.
+//   - Connections time out and no heartbeats arrive: likewise, since a server with a full
+//     queue of connections does the same. It is sent no grants until it answers again.
 func (h *Host) checkProcess(incarnation mtid.ServerIncarnation) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -195,18 +197,23 @@
 	address := h.address
 	noHeartbeat := h.Clock.Now().Sub(h.lastHeartbeat) > heartbeatTimeout
 	go func() {
-		gone := processGone(address, noHeartbeat)
+		found := probeProcess(address, noHeartbeat)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.checking = false
-		if !gone || h.record.Incarnation != incarnation {
+		if found == processRuns || h.record.Incarnation != incarnation {
 			return
 		}
-		if h.record.State != mtbackend.Ready && !h.commandsExpired(h.Clock.Now()) {
-			h.Log.Info("server refuses connections but may still be running", "server", incarnation.String(), "state", h.record.State, "address", address)
+		proven := found == processRefuses && h.record.State == mtbackend.Ready
+		if !proven && !h.commandsExpired(h.Clock.Now()) {
+			h.Log.Info("server takes no connections but may still be running", "server", incarnation.String(), "state", h.record.State, "address", address, "silent", found == processSilent)
+			if found == processSilent {
+				h.closeLivenessLocked()
+				h.silent = true
+			}
 			return
 		}
-		h.Log.Warn("server process has terminated", "server", incarnation.String(), "address", address)
+		h.Log.Warn("server process has terminated", "server", incarnation.String(), "address", address, "silent", found == processSilent)
 		h.ended[incarnation] = true
 		h.drainAt = 0
 		h.serverLost()
@@ -220,23 +227,33 @@
 	return h.CommandExpiry != nil && !now.Before(h.CommandExpiry())
 }
 
-// processGone reports whether nothing listens at the address any more: the kernel of this
-// VM refuses each of several connections. If the server sends no heartbeats either,
-// connections that time out show the same: a running server accepts or resets connections
-// from its own VM immediately.
-func processGone(address string, noHeartbeat bool) bool {
+// processState is what several connections show about the server's process.
+type processState uint8
+
+const (
+	processRuns    processState = iota // or nothing is known
+	processRefuses                     // nothing listens: the kernel of this VM refuses each
+	processSilent                      // they time out, and no heartbeats arrive
+)
+
+// probeProcess opens several connections to the server.
+func probeProcess(address string, noHeartbeat bool) processState {
+	found := processRefuses
 	for i := range connectAttempts {
 		if i > 0 {
 			time.Sleep(connectPause)
 		}
 		conn, err := net.DialTimeout("tcp", address, connectPause)
-		if err == nil {
+		switch {
+		case err == nil:
 			_ = conn.Close()
-			return false
-		}
-		if !iobackend.ConnectionRefused(err) && !(noHeartbeat && iobackend.ConnectionTimedOut(err)) {
-			return false
+			return processRuns
+		case iobackend.ConnectionRefused(err):
+		case noHeartbeat && iobackend.ConnectionTimedOut(err):
+			found = processSilent
+		default:
+			return processRuns
 		}
 	}
-	return true
+	return found
 }
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -14,10 +14,11 @@
 // recently, or ever.
 func (h *Host) checkHeartbeat(now mtclock.Instant) {
 	h.mu.Lock()
-	overdue := now.Sub(h.lastHeartbeat) > heartbeatTimeout && now.Sub(h.lastCheck) > heartbeatTimeout
+	due := now.Sub(h.lastCheck) > heartbeatTimeout || h.silent && h.commandsExpired(now)
+	overdue := now.Sub(h.lastHeartbeat) > heartbeatTimeout && due
 	incarnation, state := h.record.Incarnation, h.record.State
 	if overdue {
-		h.lastCheck = now
+		h.lastCheck, h.silent = now, false
 	}
 	h.mu.Unlock()
 	if overdue && state != mtbackend.Ended {
@@ -133,7 +134,7 @@
 // held.
 func (h *Host) applyHeartbeat(b mtbackend.Heartbeat) {
 	now := h.Clock.Now()
-	h.lastHeartbeat = now
+	h.lastHeartbeat, h.silent = now, false
 	h.serverAlive(b.Connected)
 	if b.Sequence < h.sequence {
 		return
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -149,6 +149,7 @@
 	identifying       bool
 	lastHeartbeat     mtclock.Instant         // time of the latest heartbeat
 	lastCheck         mtclock.Instant         // time of the latest process check for lack of heartbeats
+	silent            bool                    // it answered nothing at the latest process check
 	liveness          *livenessConn           // nil if there is none
 	openingLiveness   bool                    // a liveness connection is being opened
 	openLivenessAfter mtclock.Instant         // no earlier attempt to open one
