Count losses by how they showed, and lead from a refused request to them

Change: each loss is counted and logged with how many requests were running, had been broken off by the server or abandoned, had been answered before, and were left out of the suspects; host.status has the totals and the refusals. The command explain lists, after the lines of a request, the losses of servers with the same request in flight, each once, from whichever daemon's log has it.

Measured: tests of core/mtpoison, io/mthost, io/mtexplain and io/mtmesh pass; the command was run on logs of a test only.

--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -61,8 +61,9 @@
 	deadline    mtclock.Instant // after which the server no longer works on it
 	// until is the latest time at which an unanswered run may have been in progress. The
 	// server's process has survived it if it was running later.
-	until mtclock.Instant
-	lost  bool // the server was lost during it
+	until  mtclock.Instant
+	broken bool // ended by the server
+	lost   bool // the server was lost during it
 }
 
 // charge is a loss that counts against a request.
@@ -100,6 +101,7 @@
 		}
 	case how == NotRun || run.lost:
 	case how == Broken:
+		run.broken = true
 		r.keepEnded(run, now)
 	default:
 		r.keepEnded(run, max(now, run.deadline))
@@ -134,18 +136,36 @@
 // newest answers are retained.
 func (r *RecurrenceDetector) Answered(p Fingerprint) bool { return r.answered.known[p] }
 
+// Evidence counts the requests that may have caused the loss of a server.
+type Evidence struct {
+	Running   int // in flight
+	Broken    int // ended by the server, which is not known to have run after that
+	Abandoned int // the same, but ended by this daemon or the caller
+	Answered  int // of all, requests that a server is known to have finished
+	LeftOut   int // not published as suspects, since there were too many
+}
+
 // ServerLost records that the server beside this daemon was lost. It returns the loss to publish,
-// or false if no request is suspected.
-func (r *RecurrenceDetector) ServerLost(now mtclock.Instant, id LossID) (Loss, bool) {
+// which has no suspects if there is no evidence.
+func (r *RecurrenceDetector) ServerLost(now mtclock.Instant, id LossID) (Loss, Evidence) {
+	evidence := Evidence{Running: len(r.running)}
+	for _, run := range r.ended {
+		if run.broken {
+			evidence.Broken++
+		} else {
+			evidence.Abandoned++
+		}
+	}
 	fingerprints := r.inFlight()
 	r.ForgetRuns()
-	fingerprints = slices.DeleteFunc(fingerprints, r.Answered)
-	if len(fingerprints) == 0 {
-		return Loss{}, false
+	suspects := slices.DeleteFunc(slices.Clone(fingerprints), r.Answered)
+	evidence.Answered = len(fingerprints) - len(suspects)
+	evidence.LeftOut = max(len(suspects)-maxSuspects, 0)
+	loss := Loss{ID: id, Suspects: suspects[:min(len(suspects), maxSuspects)]}
+	if len(loss.Suspects) > 0 {
+		r.MergeLoss(now, loss)
 	}
-	loss := Loss{ID: id, Suspects: fingerprints[:min(len(fingerprints), maxSuspects)]}
-	r.MergeLoss(now, loss)
-	return loss, true
+	return loss, evidence
 }
 
 // inFlight returns the fingerprints of all requests that may have been in progress at a loss,
@@ -207,24 +227,6 @@
 	delete(r.losses, id)
 }
 
-// Evidence counts the requests that count against the server if it is lost now.
-type Evidence struct {
-	Running  int // in flight
-	Ended    int // ended without an answer since the server was last known to run
-	Answered int // of both, those that a server is known to have answered
-}
-
-// Evidence returns the evidence for a loss of the server beside this daemon.
-func (r *RecurrenceDetector) Evidence() Evidence {
-	e := Evidence{Running: len(r.running), Ended: len(r.ended)}
-	for _, p := range r.inFlight() {
-		if r.Answered(p) {
-			e.Answered++
-		}
-	}
-	return e
-}
-
 // LossesOf returns the losses that count against a request, oldest first.
 func (r *RecurrenceDetector) LossesOf(now mtclock.Instant, p Fingerprint) []LossID {
 	var out []LossID
--- a/core/mtpoison/recurring_test.go
+++ b/core/mtpoison/recurring_test.go
@@ -46,12 +46,12 @@
 	for _, p := range fingerprints {
 		runs = append(runs, f.daemons[i].Started(f.now, p, f.now.Add(time.Second)))
 	}
-	loss, suspected := f.daemons[i].ServerLost(f.now, f.lossID(i))
+	loss, _ := f.daemons[i].ServerLost(f.now, f.lossID(i))
 	for _, run := range runs {
 		f.daemons[i].Ended(f.now, run, mtpoison.Broken)
 	}
 	for j, other := range f.daemons {
-		if j != i && suspected {
+		if j != i && len(loss.Suspects) > 0 {
 			other.MergeLoss(f.now, loss)
 		}
 	}
@@ -182,8 +182,9 @@
 	for p := range mtpoison.Fingerprint(5000) {
 		r.Started(0, ^p, 1)
 	}
-	loss, _ := r.ServerLost(0, mtpoison.LossID{Daemon: "a"})
+	loss, evidence := r.ServerLost(0, mtpoison.LossID{Daemon: "a"})
 	assert.Equal(t, len(loss.Suspects), 64)
+	assert.DeepEqual(t, evidence, mtpoison.Evidence{Running: 5000, LeftOut: 5000 - 64})
 	value, err := loss.Encode()
 	assert.NilError(t, err)
 	assert.Assert(t, len(value) < 1500)
@@ -202,7 +203,9 @@
 func TestLikeliestSuspectsArePublished(t *testing.T) {
 	const running, broken = ^mtpoison.Fingerprint(0), ^mtpoison.Fingerprint(1)
 	r := mtpoison.NewRecurrenceDetector()
-	at := func(n mtpoison.Fingerprint) mtclock.Instant { return mtclock.Instant(n) * mtclock.Instant(time.Millisecond) }
+	at := func(n mtpoison.Fingerprint) mtclock.Instant {
+		return mtclock.Instant(n) * mtclock.Instant(time.Millisecond)
+	}
 	r.Started(at(0), running, at(2000))
 	for n := range mtpoison.Fingerprint(200) {
 		r.Ended(at(n), r.Started(at(n), n, at(n+1000)), mtpoison.Broken)
--- a/io/mtexplain/mtexplain.go
+++ b/io/mtexplain/mtexplain.go
@@ -41,6 +41,8 @@
 	// PriorState holds the last state changes that the daemons involved logged
 	// before the first line of the request, one per daemon and message.
 	PriorState []Line
+	// Losses are the losses of servers that count against the request, one line each.
+	Losses []Line
 }
 
 // stateMessages are the log messages that report a change of the state a daemon
@@ -55,9 +57,11 @@
 // fails with the error of a reader.
 func Read(id string, logs ...io.Reader) (*Timeline, error) {
 	t := &Timeline{ID: id}
-	var stateLines []Line
+	var stateLines, lossLines []Line
 	err := Each(func(line Line) {
 		switch {
+		case line.Fields["suspects"] != nil:
+			lossLines = append(lossLines, line)
 		case t.matches(line):
 			t.Lines = append(t.Lines, line)
 		case stateMessages[line.Message]:
@@ -71,6 +75,8 @@
 	slices.SortStableFunc(t.Lines, byTime)
 	slices.SortStableFunc(stateLines, byTime)
 	t.PriorState = t.lastBefore(stateLines)
+	slices.SortStableFunc(lossLines, byTime)
+	t.Losses = t.lossesOf(lossLines)
 	return t, nil
 }
 
@@ -147,7 +153,42 @@
 	return out
 }
 
-// Print writes the lines of the request and the state before it, with times
+// lossesOf returns the first line about each loss that has the request among its suspects.
+func (t *Timeline) lossesOf(lossLines []Line) []Line {
+	fingerprints := map[string]bool{}
+	for _, l := range t.Lines {
+		if p, ok := l.Fields["fingerprint"].(string); ok {
+			fingerprints[p] = true
+		}
+	}
+	seen := map[string]bool{}
+	var out []Line
+	for _, l := range lossLines {
+		suspects, _ := l.Fields["suspects"].([]any)
+		suspected := slices.ContainsFunc(suspects, func(s any) bool {
+			p, _ := s.(string)
+			return fingerprints[p]
+		})
+		if loss := l.loss(); suspected && !seen[loss] {
+			seen[loss] = true
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// loss returns which loss of a server a line is about: "daemon/server". The daemon beside the
+// server logs the server, the others the loss.
+func (l Line) loss() string {
+	if loss, ok := l.Fields["loss"].(string); ok {
+		return loss
+	}
+	server, _ := l.Fields["server"].(string)
+	return l.Daemon + "/" + server
+}
+
+// Print writes the lines of the request, the state before it and the losses that count against
+// it, with times
 // relative to the first line of the request.
 func (t *Timeline) Print(w io.Writer) error {
 	if len(t.Lines) == 0 {
@@ -158,15 +199,24 @@
 	if _, err := fmt.Fprintf(w, "request %s\nbefore:\n", t.ID); err != nil {
 		return err
 	}
-	for _, l := range t.PriorState {
-		if err := l.print(w, first); err != nil {
-			return err
-		}
+	if err := printLines(w, t.PriorState, first); err != nil {
+		return err
 	}
 	if _, err := fmt.Fprintln(w, "then:"); err != nil {
 		return err
 	}
-	for _, l := range t.Lines {
+	if err := printLines(w, t.Lines, first); err != nil || len(t.Losses) == 0 {
+		return err
+	}
+	if _, err := fmt.Fprintln(w, "losses of servers with the same request in flight:"); err != nil {
+		return err
+	}
+	return printLines(w, t.Losses, first)
+}
+
+// printLines writes lines with times relative to first.
+func printLines(w io.Writer, lines []Line, first time.Time) error {
+	for _, l := range lines {
 		if err := l.print(w, first); err != nil {
 			return err
 		}
--- a/io/mtexplain/mtexplain_test.go
+++ b/io/mtexplain/mtexplain_test.go
@@ -43,3 +43,25 @@
 	assert.NilError(t, timeline.Print(&out))
 	assert.Assert(t, strings.Contains(out.String(), "no line of request 9"))
 }
+
+// Guards against a refused request whose operator can't find the crashes that it is refused for.
+func TestPrintShowsLossesHeldAgainstRequest(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:01Z","level":"WARN","msg":"requests in flight when the server was lost are suspected","daemon":"b","server":"s@1","suspects":["7f","2a"]}
+{"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"a server was lost","daemon":"a","loss":"b/s@1","suspects":["7f","2a"]}
+{"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"a server was lost","daemon":"a","loss":"c/s@2","suspects":["2a"]}
+{"time":"2026-01-01T00:00:04Z","level":"INFO","msg":"a server was lost","daemon":"a","loss":"d/s@3","suspects":["7f"]}
+{"time":"2026-01-01T00:00:05Z","level":"INFO","msg":"request not-run: quarantined","daemon":"a","id":"7","fingerprint":"2a"}
+`
+	timeline, err := mtexplain.Read("7", strings.NewReader(log))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, timeline.Print(&out))
+	assert.Equal(t, out.String(), `request 7
+before:
+then:
+     +0.000s a: request not-run: quarantined fingerprint="2a" id="7"
+losses of servers with the same request in flight:
+     -4.000s b: requests in flight when the server was lost are suspected server="s@1" suspects=["7f","2a"]
+     -2.000s a: a server was lost loss="c/s@2" suspects=["2a"]
+`)
+}
--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -25,7 +25,7 @@
 	if left == 0 {
 		return nil
 	}
-	h.poisonRefused.Add(1)
+	h.crashes.Refused++
 	return &mtreply.RefusedError{Cause: mtreply.CauseQuarantined, RetryAfter: left, Detail: fmt.Sprintf("servers were lost each time that the request %s ran: %v", p, h.recurring.LossesOf(now, p))}
 }
 
@@ -84,10 +84,10 @@
 		h.recurring.ForgetRuns()
 		return
 	}
-	evidence := h.recurring.Evidence()
-	log := h.Log.With("server", h.record.Incarnation.String(), "running", evidence.Running, "ended", evidence.Ended, "answered", evidence.Answered)
-	loss, suspected := h.recurring.ServerLost(now, mtpoison.LossID{Daemon: h.Daemon, Server: h.record.Incarnation})
-	if !suspected {
+	loss, e := h.recurring.ServerLost(now, mtpoison.LossID{Daemon: h.Daemon, Server: h.record.Incarnation})
+	h.crashes.add(loss, e)
+	log := h.Log.With("server", h.record.Incarnation.String(), "running", e.Running, "broken", e.Broken, "abandoned", e.Abandoned, "answered", e.Answered, "left-out", e.LeftOut)
+	if len(loss.Suspects) == 0 {
 		log.Warn("no request is suspected of the loss of the server")
 		return
 	}
@@ -95,6 +95,35 @@
 	h.PublishLoss(loss)
 }
 
+// CrashCounts counts the losses of this VM's server in this process, and how they showed.
+type CrashCounts struct {
+	Losses    int `json:"losses"`
+	Running   int `json:"running"`   // requests in flight when a loss was detected
+	Broken    int `json:"broken"`    // ended by the server shortly before
+	Abandoned int `json:"abandoned"` // ended by a deadline or the caller shortly before
+	Answered  int `json:"answered"`  // of all, those that a server had finished before
+	Suspects  int `json:"suspects"`  // published
+	LeftOut   int `json:"leftOut"`   // not published, since there were too many
+	Refused   int `json:"refused"`   // calls refused because servers were lost when they ran
+}
+
+// crashCounts returns the counts so far.
+func (h *Host) crashCounts() CrashCounts {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	return h.crashes
+}
+
+func (c *CrashCounts) add(l mtpoison.Loss, e mtpoison.Evidence) {
+	c.Losses++
+	c.Running += e.Running
+	c.Broken += e.Broken
+	c.Abandoned += e.Abandoned
+	c.Answered += e.Answered
+	c.Suspects += len(l.Suspects)
+	c.LeftOut += e.LeftOut
+}
+
 // suspectTexts returns the suspects of a loss for logs.
 func suspectTexts(l mtpoison.Loss) []string {
 	var texts []string
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -166,14 +166,13 @@
 
 	startedCalls atomic.Int64 // calls sent to the server
 	quotaRefused atomic.Int64 // calls refused because of its rate limit
-	// poisonRefused counts calls refused because servers were lost when they ran.
-	poisonRefused atomic.Int64
 
 	inFlightMu sync.Mutex
 	inFlight   map[mtcall.ID]int // calls in flight at the server
 
 	crashMu   sync.Mutex
 	recurring *mtpoison.RecurrenceDetector
+	crashes   CrashCounts
 
 	meterMu         sync.Mutex
 	meter           *mtrange.Meter
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -137,9 +137,8 @@
 	Limit   any   `json:"limit"`
 	Started int64 `json:"started"` // calls sent to it by this process
 	Quota   int64 `json:"quota"`   // calls refused by this process because of the limit
-	// Poison is the number of calls refused by this process because servers were lost when
-	// they ran.
-	Poison int64 `json:"poison"`
+	// Crashes counts the losses of the server.
+	Crashes CrashCounts `json:"crashes"`
 }
 
 // Status returns the current state of the server.
@@ -149,6 +148,6 @@
 	return Status{
 		Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed(),
 		Limit: limitText(h.signals.limit.Rate()), Started: h.startedCalls.Load(), Quota: h.quotaRefused.Load(),
-		Poison: h.poisonRefused.Load(),
+		Crashes: h.crashCounts(),
 	}
 }
