Split the sender of the ingress by what its parts decide

Change: the choice of a target and the wait for an owner have files of their own; moved unchanged, with their constants.

Measured: tests of io/mtingress pass.

--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -4,14 +4,11 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"magnoliaturn/core/mtcall"
-	"magnoliaturn/core/mtchoice"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
@@ -47,29 +44,6 @@
 	// full costs no server any work. The choice policy ends the search sooner if all
 	// other servers were full a moment ago.
 	maxBounces = 5
-	// ownerWait is how long the ingress waits for an ownership update before it sends a
-	// call for a moved key again, and ownerWaitGrowth the factor for each further wait.
-	// Usually the update arrives first. A call for a key that is being moved is wasted
-	// work for two daemons.
-	ownerWait       = 15 * time.Millisecond
-	ownerWaitGrowth = 1.6
-	// ownerWaitLimit bounds all waits of a call together: the time that a notification by
-	// another daemon and a read from the store take if this daemon's watch missed the update.
-	ownerWaitLimit = 300 * time.Millisecond
-	// ownerRetry is the Retry-After for keys whose owner can't be reached: about the time
-	// that a daemon needs to become available again.
-	ownerRetry = 800 * time.Millisecond
-	// emptyRetry is the Retry-After for a service without any server.
-	emptyRetry = 500 * time.Millisecond
-	// maxRedirects is how often a call is sent again because a daemon does not own its key.
-	maxRedirects = 20
-	// expiredMemberUse is how long a member is still used after its record has been removed from
-	// the store. While the store is unavailable leases may expire, and the records are
-	// written again within two seconds after it has become available.
-	expiredMemberUse = 3 * time.Second
-	// otherZoneCost is the extra cost of a server in another availability zone: as much as
-	// that of having all slots in use, because traffic between zones is billed.
-	otherZoneCost = 1.0
 )
 
 // RetryFraction is the fraction of a retry that each first try of a service adds to the retry
@@ -100,14 +74,6 @@
 	choices map[mtid.Service]*choice
 }
 
-// choice selects among the servers of one service.
-type choice struct {
-	policy            *mtchoice.LeastLoaded
-	initialized       bool            // whether the policy has candidates from a view
-	membershipVersion uint64          // of the view that the candidates come from
-	updatedAt         mtclock.Instant // when the candidates were last updated
-}
-
 // NewSender returns a Sender for the servers in the directory of config.
 func NewSender(config SenderConfig) *Sender {
 	return &Sender{
@@ -294,137 +260,11 @@
 	return state.bounces <= maxBounces
 }
 
-// awaitOwner waits until an update changes the ownership of the call's key, or until it is
-// time for the next try. It returns false if the context or the call's time ends first.
-func (s *Sender) awaitOwner(ctx context.Context, call *mtcall.Call, state *sending) bool {
-	pause := time.Duration(float64(ownerWait) * math.Pow(ownerWaitGrowth, float64(state.waits)))
-	state.waits++
-	left := call.Deadline.Sub(s.Clock.Now())
-	waitCtx, cancel := context.WithTimeout(ctx, min(pause, left))
-	defer cancel()
-	before := s.epoch(call)
-	for {
-		changed := s.Directory.Changed()
-		if s.epoch(call) != before {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-waitCtx.Done():
-			return ctx.Err() == nil && pause < left
-		}
-	}
-}
-
-// epoch returns the epoch of the ownership of the call's key in the local assignment, or 0
-// if there is no assignment.
-func (s *Sender) epoch(call *mtcall.Call) mtid.Epoch {
-	assignment, ok := s.Directory.View().Assignments[call.Service]
-	if !ok {
-		return 0
-	}
-	r, _ := assignment.Lookup(call.Key)
-	return r.Epoch
-}
-
-// redirected reports whether the refusal of a call names the owner of its key from a newer
-// assignment than the local one, so that the call is sent there at once. The update of a
-// moved key takes a tenth of a second to arrive, and without redirection one in ten lookups
-// was sent to the previous owner again and again until its deadline.
-func (s *Sender) redirected(call *mtcall.Call, state *sending, sentTo mtdirectory.Member, refused *mtreply.RefusedError) bool {
-	previous := state.owner
-	state.owner = ""
-	newer := refused.Epoch > s.Directory.View().Assignments[call.Service].NextEpoch()
-	if refused.Cause != mtreply.CauseStaleRoute || refused.Owner == "" || refused.Owner == sentTo.Daemon || !newer {
-		if refused.Cause == mtreply.CauseNoLease {
-			state.owner = previous // the key is about to be granted there
-		}
-		return false
-	}
-	state.owner = refused.Owner
-	return true
-}
-
 // full reports whether a server refused a call because of its load.
 func full(cause mtreply.Cause) bool {
 	return cause == mtreply.CauseShed || cause == mtreply.CauseQueueFull || cause == mtreply.CauseQuota
 }
 
-// holder identifies a member for the choice policy. The policy needs no incarnations.
-func holder(m mtdirectory.Member) mtid.Holder { return mtid.Holder{Daemon: m.Daemon, Incarnation: 1} }
-
-// target returns the member to send the call to next.
-func (s *Sender) target(call *mtcall.Call, state *sending) (mtdirectory.Member, error) {
-	view := s.Directory.View()
-	if call.Keyed {
-		return s.owner(view, call, state)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.choice(view, call.Service)
-	chosen, ok := c.policy.Pick(s.Clock.Now(), state.tried)
-	if !ok && state.last != nil {
-		return mtdirectory.Member{}, state.last // every server has been tried
-	}
-	if !ok {
-		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: emptyRetry, Detail: "no server takes calls of the service"}
-	}
-	return view.Members[chosen.Daemon], nil
-}
-
-// owner returns the member whose server owns the call's key.
-func (s *Sender) owner(view *mtdirectory.View, call *mtcall.Call, state *sending) (mtdirectory.Member, error) {
-	assignment, ok := view.Assignments[call.Service]
-	if !ok {
-		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: emptyRetry, Detail: "no assignment is known"}
-	}
-	r, _ := assignment.Lookup(call.Key)
-	owner := r.Owner.Daemon
-	if state.owner != "" {
-		owner = state.owner
-	}
-	member, ok := view.Members[owner]
-	if !ok || member.Service != call.Service {
-		return mtdirectory.Member{}, &mtreply.RefusedError{Cause: mtreply.CauseNoOwner, RetryAfter: ownerRetry, Detail: "the owner's daemon is away"}
-	}
-	return member, nil
-}
-
-// choice returns the choice of a service, with its candidates updated to the view.
-func (s *Sender) choice(view *mtdirectory.View, service mtid.Service) *choice {
-	c, ok := s.choices[service]
-	if !ok {
-		c = &choice{policy: mtchoice.NewLeastLoaded(s.Random, s.Zone, otherZoneCost)}
-		s.choices[service] = c
-	}
-	now := s.Steady()
-	if c.initialized && c.membershipVersion == view.MembershipVersion && now.Sub(c.updatedAt) < expiredMemberUse/4 {
-		return c
-	}
-	c.initialized, c.membershipVersion, c.updatedAt = true, view.MembershipVersion, now
-	var candidates []mtchoice.Candidate
-	for _, m := range view.Members {
-		if m.Service == service && !view.OutOfService.Has(m.Zone) && s.usable(m, now) {
-			candidates = append(candidates, mtchoice.Candidate{Holder: holder(m), Zone: m.Zone, Slots: m.Slots})
-		}
-	}
-	c.policy.Update(candidates)
-	return c
-}
-
-// usable reports whether calls may be sent to a member.
-func (s *Sender) usable(m mtdirectory.Member, now mtclock.Instant) bool {
-	if !m.AcceptsWork() {
-		return false
-	}
-	if !m.Expired {
-		return true
-	}
-	// While the store is unavailable, no daemon can renew its record.
-	up, ok := s.Directory.StoreUpSince()
-	return !ok || now.Sub(max(up, m.ExpiredSince)) < expiredMemberUse
-}
-
 // try sends the call to a member once, and informs the choice policy of its start and end.
 func (s *Sender) try(ctx context.Context, call *mtcall.Call, member mtdirectory.Member) (*mtcall.Answer, error) {
 	chosen := holder(member)
@@ -452,42 +292,3 @@
 	}
 	return s.Peers.Forward(ctx, member.Daemon, member.Address, call)
 }
-
-// report returns the last load report of a member, or the zero value if there is none.
-func (s *Sender) report(member mtdirectory.Member) mtchoice.LoadReport {
-	if member.Daemon == s.Self {
-		load := s.Host.Load()
-		return mtchoice.LoadReport{Requests: load.Running + load.Waiting, ServiceTime: load.ServiceTime, Capacity: load.Capacity, ReceivedAt: s.Clock.Now()}
-	}
-	r, ok := s.Peers.LoadReport(member.Daemon)
-	if !ok {
-		return mtchoice.LoadReport{}
-	}
-	return mtchoice.LoadReport{Requests: r.Running + r.Waiting, ServiceTime: r.ServiceTime, Capacity: r.Capacity, ReceivedAt: r.ReceivedAt}
-}
-
-// resultKind classifies the result of a try by what it shows about the server.
-func resultKind(answer *mtcall.Answer, err error) mtchoice.ResultKind {
-	var refused *mtreply.RefusedError
-	if err == nil && answer.OutOfTime() {
-		return mtchoice.Failure
-	}
-	if err == nil {
-		return mtchoice.Success
-	}
-	if errors.As(err, &refused) {
-		if full(refused.Cause) {
-			return mtchoice.Overloaded
-		}
-		switch refused.Cause {
-		case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseRefused, mtreply.CauseDraining, mtreply.CauseZoneOut:
-			return mtchoice.Failure
-		}
-		return mtchoice.Inconclusive
-	}
-	var unknown *mtreply.UnknownError
-	if errors.As(err, &unknown) && unknown.Cause == mtreply.CauseGone {
-		return mtchoice.Inconclusive
-	}
-	return mtchoice.Failure
-}
