Let a watcher that the store turns away pull from the other one

What callers saw: in a test, a request that crashes its servers crashed a fourth: its daemon, which the store turned away, hadn't heard of the losses elsewhere.

Cause: two daemons watch the store and the others pull from them; a watcher had nobody to pull from, so that one that is turned away learned nothing at all until the store took it back: no losses, configurations or moves.

Evidence: TestCrashesAreKnownWhileStoreTurnsDaemonAway: 4 crashes, the fourth through the daemon that was turned away.

Change: for 2 s after the store has failed it a watcher pulls from the other, and then tries the store again. Two watchers that are both turned away refuse each other, as before, since neither watches. Daemons that pull from it turn to the other, since it is further from the store.

--- a/core/mtspread/mtspread.go
+++ b/core/mtspread/mtspread.go
@@ -110,6 +110,11 @@
 	return t.watchers[0], true
 }
 
+// OtherWatchers returns the daemons from which a watcher pulls while the store turns it away.
+func (t *Tree) OtherWatchers(self mtid.Daemon) []Node {
+	return slices.DeleteFunc(slices.Clone(t.watchers), func(n Node) bool { return n.Daemon == self })
+}
+
 // Upstreams returns the daemons to pull updates from, the best one first. There
 // are none for a watcher, and none for a daemon in whose zone no daemon is
 // known.
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -27,6 +27,8 @@
 	// are served yet, and all daemons write their records at once when the whole system
 	// starts.
 	startupBatchDelay = 500 * time.Millisecond
+	// storePause is how long a watcher pulls from the other one before it tries the store again.
+	storePause = 2 * time.Second
 	// upstreamPause is how long an upstream is skipped after a failed pull.
 	upstreamPause = time.Second
 	// maxUpstreamAttempts is how many upstreams are tried before the store. While the
@@ -41,9 +43,9 @@
 	// upstream when the whole system starts, and maxStartupPauses how often it does.
 	startupPause     = 300 * time.Millisecond
 	maxStartupPauses = 8
-	// pullWait is how long a pull waits at the upstream for changes before it is repeated.
+	// maxPullWait is how long a pull waits at the upstream for changes before it is repeated.
 	// That is longer than it takes to detect a lost connection.
-	pullWait = 10 * time.Second
+	maxPullWait = 10 * time.Second
 	// maxServingHops is the maximum distance from the store of a daemon that serves pulls.
 	// Without the limit, two daemons could pull from each other, count ever more hops and
 	// receive nothing.
@@ -79,8 +81,11 @@
 	fullReadStarted atomic.Int64
 	// pausedUntil is until when upstreams are skipped, by address. Only the goroutine that
 	// calls Watch uses it.
-	pausedUntil   map[string]time.Time
-	startupPauses int // made so far, before a configuration was in force
+	pausedUntil map[string]time.Time
+	// storePausedUntil is until when a watcher pulls from the other one, because the store
+	// turned it away. Only the goroutine that calls Watch uses it.
+	storePausedUntil time.Time
+	startupPauses    int // made so far, before a configuration was in force
 }
 
 // cachedTree is the distribution tree for one version of the members.
@@ -130,7 +135,7 @@
 		if !ok {
 			break
 		}
-		changes, err := f.pull(ctx, upstream, after, min(wait, pullWait))
+		changes, err := f.pull(ctx, upstream, after, min(wait, f.pullWait()))
 		if err == nil || ctx.Err() != nil {
 			return changes, err
 		}
@@ -147,6 +152,7 @@
 	changes, err := f.store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		f.setHops(0)
+		f.storePausedUntil = time.Now().Add(storePause)
 		return changes, err
 	}
 	if len(changes.Entries) > 0 {
@@ -232,12 +238,18 @@
 }
 
 // upstream returns the address of the daemon to pull from, or false if this daemon has to
-// watch the store itself: it is a watcher, or no upstream is available.
+// watch the store itself: it is a watcher, or no upstream is available. A watcher that the store
+// has just turned away pulls from the other one.
 func (f *changeFeed) upstream(now time.Time) (string, bool) {
 	if view := f.view(); view == nil || view.Revision == 0 {
 		return "", false
 	}
-	for _, n := range f.tree().Upstreams(f.self, f.zone) {
+	tree := f.tree()
+	upstreams := tree.Upstreams(f.self, f.zone)
+	if now.Before(f.storePausedUntil) && tree.WatchesStore(f.self) {
+		upstreams = tree.OtherWatchers(f.self)
+	}
+	for _, n := range upstreams {
 		if now.After(f.pausedUntil[n.Address]) {
 			return n.Address, true
 		}
@@ -245,6 +257,14 @@
 	return "", false
 }
 
+// pullWait returns how long to wait at an upstream: a watcher tries the store again soon.
+func (f *changeFeed) pullWait() time.Duration {
+	if f.tree().WatchesStore(f.self) {
+		return storePause
+	}
+	return maxPullWait
+}
+
 // mayServe reports whether this daemon is close enough to the store to serve a daemon that
 // passes updates on (relays), or one that does not.
 func (f *changeFeed) mayServe(relays bool) bool {
