--- a/io/mthost/zone_test.go
+++ b/io/mthost/zone_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtreply"
 )
@@ -120,6 +121,28 @@
 	assert.Equal(t, s.burst(12, 20*time.Second), 12)
 }
 
+// Guards against a cold server that gets twice the calls that it may: it has restarted under its own
+// name, and calls for its previous incarnation have already reached it.
+func TestColdServerRestartedUnderItsNameGetsFewCalls(t *testing.T) {
+	s := newFixture(t, "server")
+	s.host.Warmup(3)
+	s.server.incarnation = "one"
+	start := func(at mtid.StartTime) {
+		cold := s.heartbeatStartedAt(at, 1)
+		cold.Cold, cold.Connected = 30*time.Second, s.clock.Now()
+		s.heartbeat(cold)
+		s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.Incarnation.Started == at && r.AcceptsWork() })
+	}
+	start(100)
+	first := 0
+	s.waitFor("the calls that a previous daemon may have sent no longer count", func(mtbackend.Record) bool {
+		first = s.burst(12, 10*time.Millisecond)
+		return first > 0
+	})
+	start(200)
+	assert.Assert(t, first+s.burst(12, 300*time.Millisecond) <= 3, "within a second")
+}
+
 // A zone comes back into service, and its servers have become cold without a heartbeat that
 // reports it yet: they are treated as cold until they report otherwise.
 func TestServerIsAssumedColdWhenZoneReturns(t *testing.T) {
