--- a/io/mthost/zone_test.go
+++ b/io/mthost/zone_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/poll"
 
 	"magnoliaturn/core/mtbackend"
-	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 )
 
