Drop the runs at a lost server at once

Cause: a run that had not returned when its server was lost stayed among those running, and counted against the next incarnation if that was lost before the run returned, as with a server that hangs. An innocent request could have counted twice for one loss.

Measured: TestRunsAtLostServerDoNotCountAgain, extended, fails without it.

--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -194,6 +194,7 @@
 	for run := range r.running {
 		run.lost = true
 	}
+	clear(r.running)
 	r.ended = nil
 }
 
--- a/core/mtpoison/recurring_test.go
+++ b/core/mtpoison/recurring_test.go
@@ -168,11 +168,13 @@
 // Guards against runs at a lost server that count against its next incarnation.
 func TestRunsAtLostServerDoNotCountAgain(t *testing.T) {
 	r := mtpoison.NewRecurrenceDetector()
-	first := r.Started(0, 10, 1)
-	assert.DeepEqual(t, suspectsOf(r, 0), []mtpoison.Fingerprint{10})
-	r.Started(0, 11, 1)
-	r.Ended(0, first, mtpoison.Broken)
-	assert.DeepEqual(t, suspectsOf(r, 0), []mtpoison.Fingerprint{11})
+	first, second := r.Started(0, 10, 1), r.Started(0, 11, 1)
+	assert.DeepEqual(t, suspectsOf(r, 0), []mtpoison.Fingerprint{10, 11})
+	r.Started(0, 12, 1)
+	r.Ended(0, first, mtpoison.Broken) // second has not returned yet
+	assert.DeepEqual(t, suspectsOf(r, 0), []mtpoison.Fingerprint{12})
+	r.Ended(0, second, mtpoison.Broken)
+	assert.DeepEqual(t, len(suspectsOf(r, 0)), 0)
 }
 
 // A loss stays short however many requests were in flight, and a malformed entry of the store
