Log fingerprints only where a request may have crashed its server

Change: only unknown outcomes and refusals for crashes name it.

Measured: tests pass; not measured apart.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -15,6 +15,7 @@
 package mtcall
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -119,6 +120,13 @@
 	return mtpoison.Fingerprint(d.Sum64())
 }
 
+// MayCrash reports whether a call that ended with an error may have crashed its server, or was
+// refused because it seems to: logs name its fingerprint then.
+func (c *Call) MayCrash(err error) bool {
+	var refused *mtreply.RefusedError
+	return err != nil && (!errors.As(err, &refused) || refused.Cause == mtreply.CauseQuarantined)
+}
+
 // IsRetry reports whether the call is known to be a retry that its caller made.
 func (c *Call) IsRetry() bool { return c.FirstArrived != 0 && c.FirstArrived < c.Arrived }
 
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -54,7 +54,9 @@
 		slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Int("slots", load.Slots),
 		slog.String("service", load.ServiceTime.String()),
 		slog.String("left", u.call.Deadline.Sub(u.host.Clock.Now()).String()), slog.String("error", u.err.Error()),
-		slog.String("fingerprint", u.call.Fingerprint().String()), slog.String("run", runResult(u.err).String()),
+	}
+	if u.call.MayCrash(u.err) {
+		attrs = append(attrs, slog.String("fingerprint", u.call.Fingerprint().String()), slog.String("run", runResult(u.err).String()))
 	}
 	if u.call.Keyed {
 		attrs = append(attrs, slog.Int("key", int(u.call.Key)))
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -134,7 +134,10 @@
 		attrs = append(attrs, slog.String("retry", refused.RetryAfter.String()))
 	}
 	if e.err != nil {
-		attrs = append(attrs, slog.String("error", e.err.Error()), slog.String("fingerprint", e.call.Fingerprint().String()))
+		attrs = append(attrs, slog.String("error", e.err.Error()))
+	}
+	if e.call.MayCrash(e.err) {
+		attrs = append(attrs, slog.String("fingerprint", e.call.Fingerprint().String()))
 	}
 	return slog.GroupValue(attrs...)
 }
