Count a grant on its way before a silent server is taken for ended

What callers saw: two servers owned the same keys.

Cause: LastExpiry counted a grant once its answer, or its timeout, was there. For the up to 0.4 s before that a silent server without other commands was taken for ended with a grant on its way. After the end its liveness connection stayed open, so that the rest of the grants that were due was still sent.

Change: a grant in flight counts as in force from now on, and it is in flight before the host is asked whether the server is there. The host ends a server and closes its liveness connection under the lock under which it answers that: either it sees the grant, or nothing is sent.

--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -114,9 +114,6 @@
 // sendGrant grants one range. A grant that is not answered may still be executed. It is in
 // effect until its duration has passed, counted from its arrival.
 func (g *Grants) sendGrant(ctx context.Context, address string, held *grant) {
-	if !g.Host.ConnectedTo(held.incarnation) {
-		return // another incarnation might execute it; the host wakes the loop
-	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	sent := g.Clock.Now()
@@ -140,6 +137,14 @@
 	g.inFlight = held
 	r := held.Range
 	first := held.grantedAt == 0
+	g.mu.Unlock()
+	// The command counts as in flight before this is asked: either the host sees it in
+	// LastExpiry and does not end the server, or it has ended the server and nothing is sent.
+	if !g.Host.ConnectedTo(held.incarnation) {
+		g.clearInFlight() // another incarnation might execute it; the host wakes the loop
+		return
+	}
+	g.mu.Lock()
 	held.attempted = true
 	g.mu.Unlock()
 	err := g.Client.Grant(ctx, address, r, g.GrantDuration)
@@ -168,6 +173,13 @@
 	}
 }
 
+// clearInFlight records that the grant in flight was not sent.
+func (g *Grants) clearInFlight() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight = nil
+}
+
 // commandExpiry returns until when a command that is sent now may be in effect, answered or
 // not.
 func (g *Grants) commandExpiry(now mtclock.Instant) mtclock.Instant {
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -325,9 +325,12 @@
 }
 
 // LastExpiry returns the time until which any command that was sent, answered or not, may
-// be in effect at the server.
+// be in effect at the server. A command that is in flight may arrive just now.
 func (g *Grants) LastExpiry() mtclock.Instant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.inFlight != nil {
+		return max(g.lastExpiry, g.commandExpiry(g.Clock.Now()))
+	}
 	return g.lastExpiry
 }
