Grant keys to a server that was taken for ended only by a copy that knows of it

What callers would see: two servers that own the same keys. A daemon restarts beside a server that hangs, hears nothing of it and publishes its end; others take its keys over; the server's heartbeat arrives, and its daemon, whose copy has not got the takeover yet, grants it what it had.

Cause: a copy counted as current if it was as new as the last return of the daemon's record. A record that reports the end of the server lets others take its keys over just as a missing one does, and did not count as a gap.

Evidence: TestServerTakenForEndedIsGrantedOnlyWhatIsLeftToIt failed on: "granted by a copy without the takeover".

Change: no copy is current from the moment at which the end is published, also if that write is lost, until a record that lets the server hold keys is written and the copy is as new as that one. A takeover that is written later fails by its condition on the record.

--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -132,7 +132,8 @@
 // daemon's record became valid. A claimant of the keys of this daemon's server writes the
 // takeover while the record is absent. So a daemon whose record has returned has received
 // every takeover only when its copy is at least as new as that record. With an older copy,
-// it granted keys that already had another owner.
+// it granted keys that already had another owner. It is false while the record reports the end
+// of the server, which lets others take over its keys.
 func (d *Directory) Current() bool {
 	validSince := d.publisher.recordValidSince()
 	return validSince != 0 && uint64(d.View().Revision) >= uint64(validSince)
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -51,7 +51,7 @@
 
 	validUntil     atomic.Int64
 	lastVersion    atomic.Uint64 // version of the last write
-	validSince     atomic.Uint64 // version since which the record has been present without a gap
+	validSince     atomic.Uint64 // version since which the record has been present without a gap, and has not reported the end of the server
 	foreignVersion atomic.Uint64 // version that another writer stored under this daemon's name
 	deletedAt      atomic.Uint64 // revision at which the record was reported as deleted
 	unavailable    atomic.Bool   // the last attempt to maintain the record failed
@@ -66,6 +66,12 @@
 	p.mu.Lock()
 	same := p.published && p.wanted == r
 	p.wanted, p.published = r, true
+	if reportsEnd(r) {
+		// Others may take over the keys from the next write on, even if its answer is lost. A
+		// server that runs after all gets only what is left to it then: with an older copy, it
+		// would be granted keys that have another owner.
+		p.validSince.Store(0)
+	}
 	p.mu.Unlock()
 	if same {
 		return
@@ -73,6 +79,25 @@
 	p.runNow()
 }
 
+// reportsEnd reports whether a record lets others take over the keys of the server it names.
+func reportsEnd(r mtbackend.Record) bool { return !r.MayHoldKeys(r.Incarnation) }
+
+// setValidSince records the version since which the record has let the server hold keys, unless
+// its end was published or written meanwhile.
+func (p *publisher) setValidSince(version mtid.Version) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !reportsEnd(p.wanted) && !reportsEnd(p.written) {
+		p.validSince.Store(uint64(version))
+	}
+}
+
+// needsWrite reports whether the record in the store differs from the wanted one, or may have
+// reported the end of a server that runs.
+func (p *publisher) needsWrite(wanted mtbackend.Record) bool {
+	return p.version == 0 || p.written != wanted || p.validSince.Load() == 0 && !reportsEnd(wanted)
+}
+
 // onOverwritten is called when an entry that no daemon wrote was found under this
 // daemon's name. The record is written again, because other daemons ignore the invalid
 // entry and would keep using the previous record. A record of another incarnation of
@@ -109,7 +134,8 @@
 func (p *publisher) recordValidUntil() mtclock.Instant { return mtclock.Instant(p.validUntil.Load()) }
 
 // recordValidSince returns the version since which the record has been present without
-// a gap, as far as this incarnation knows. Zero means that it is not present.
+// a gap, and has let the server hold keys, as far as this incarnation knows. Zero means that
+// it is not present, or reports the end of the server.
 func (p *publisher) recordValidSince() mtid.Version {
 	if p.recordValidUntil() == 0 {
 		return 0
@@ -206,7 +232,7 @@
 		p.Log.Warn("own record was deleted", "own", uint64(p.version), "revision", deleted)
 		p.version = 0
 	}
-	if p.version == 0 || p.written != wanted {
+	if p.needsWrite(wanted) {
 		if err := p.writeRecord(ctx, wanted); err != nil {
 			return err
 		}
@@ -256,7 +282,7 @@
 		return err
 	}
 	name := mtstore.BackendName(p.Self)
-	interrupted := p.version == 0
+	interrupted := p.version == 0 || p.validSince.Load() == 0
 	for range maxWriteAttempts {
 		version, err := p.Store.Swap(ctx, name, p.version, value, p.lease)
 		var conflict *mtstore.ConflictError
@@ -265,7 +291,7 @@
 		case err == nil:
 			p.version, p.written = version, wanted
 			if interrupted {
-				p.validSince.Store(uint64(version))
+				p.setValidSince(version)
 			}
 			p.lastVersion.Store(uint64(version))
 			p.Log.Info("own record written", "state", wanted.State, "server", wanted.Incarnation.String(), "leaving", wanted.Leaving, "version", uint64(version))
--- a/io/mtgrant/ended_test.go
+++ b/io/mtgrant/ended_test.go
@@ -1,10 +1,16 @@
 package mtgrant_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
 )
 
 // Guards against two servers that own the same keys: a silent server is taken for ended while a
@@ -39,3 +45,40 @@
 	f.letLoopsRun()
 	assert.Equal(t, f.server.count("grant"), 0)
 }
+
+// Guards against two servers that own the same keys: one is taken for ended, its keys are taken
+// over, it runs after all, and its daemon has not heard of the takeover.
+func TestServerTakenForEndedIsGrantedOnlyWhatIsLeftToIt(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	watch := &delayedWatch{Source: f.store}
+	f.source = watch
+	f.start()
+	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
+	f.directory.Publish(f.host.set(mtbackend.Ended))
+	f.until("the end is written", func() bool { return f.storedState("a") == mtbackend.Ended })
+	watch.delayed.Store(true)
+	table, err := mtrange.Spread(service, []mtrange.Owner{ownerOf("b")})
+	assert.NilError(t, err)
+	value, err := table.Encode()
+	assert.NilError(t, err)
+	f.store.Put(mtstore.RangeName(service), value)
+
+	f.directory.Publish(f.host.set(mtbackend.Ready))
+	f.until("the record is written again", func() bool { return f.storedState("a") == mtbackend.Ready })
+	f.grants.Regrant(0)
+	f.letLoopsRun()
+	assert.Equal(t, f.server.count("grant"), 1, "granted by a copy without the takeover")
+	watch.delayed.Store(false)
+	f.until("the takeover is known", func() bool { return f.owner(0) == "b" })
+	f.letLoopsRun()
+	assert.Equal(t, f.server.count("grant"), 1)
+}
+
+// storedState returns the state in a daemon's record in the store.
+func (f *fleet) storedState(daemon mtid.Daemon) mtbackend.State {
+	entry, err := f.store.Get(context.Background(), mtstore.BackendName(daemon))
+	assert.NilError(f.t, err)
+	r, err := mtbackend.Decode(entry.Value)
+	assert.NilError(f.t, err)
+	return r.State
+}
--- a/io/mtgrant/sync.go
+++ b/io/mtgrant/sync.go
@@ -13,9 +13,12 @@
 func (g *Grants) reconcile(ctx context.Context) {
 	record, address := g.Host.Record()
 	owner := record.Owner()
+	if record.State == mtbackend.Ended {
+		return // the record lets others take over the keys, and no copy is current
+	}
 	g.refreshStaleCopy(g.Clock.Now())
 	g.observePreviousEpochs()
-	if owner.Incarnation.IsZero() || record.State == mtbackend.Ended || record.State == mtbackend.Unknown {
+	if owner.Incarnation.IsZero() || record.State == mtbackend.Unknown {
 		return
 	}
 	if _, ok := g.Directory.View().Assignments[g.Service]; !ok {
