Take the end of a silent server back when it shows that it runs

What callers saw: a busy server that sent no heartbeat for 2.5 s, and at which three connections timed out, got no work for the rest of its life if it held no keys; its heartbeats were "heartbeat of a previous incarnation ignored". What it was running was published as suspected of a crash. By reading, a server with keys that hangs for longer than its grants ended the same way.

Cause: an end inferred from silence counted like a proven one. No command was ever sent to a server without keys, so that nothing was waited for.

Change: a heartbeat whose connection was opened after such an end takes it back. The server starts over as one that has just appeared, and gets the keys that the assignment leaves to it by then. A loss counts, and names suspects, once it is proven: by refused connections, or by the next incarnation. A process that refused connections stays ended.

--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -52,16 +52,20 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended[b.Incarnation] || b.Incarnation.Before(h.record.Incarnation) {
+	outlivedEnd := h.hasOutlivedEnd(b)
+	if !outlivedEnd && (h.ended[b.Incarnation] || b.Incarnation.Before(h.record.Incarnation)) {
 		h.Log.Info("heartbeat of a previous incarnation ignored", "server", b.Incarnation.String(), "sequence", b.Sequence)
 		return nil
 	}
 	if b.Draining {
 		h.acknowledgeLeaving(b.Incarnation, h.Clock.Now())
 	}
-	if h.record.Incarnation == b.Incarnation {
+	switch {
+	case outlivedEnd:
+		h.resumeIncarnation(b)
+	case h.record.Incarnation == b.Incarnation:
 		h.applyHeartbeat(b)
-	} else {
+	default:
 		h.handleUnconfirmed(b)
 	}
 	return nil
@@ -216,7 +220,7 @@
 // It is called with mu held.
 func (h *Host) startIncarnation(b mtbackend.Heartbeat) {
 	if !h.record.Incarnation.IsZero() {
-		if !h.ended[h.record.Incarnation] {
+		if !h.ended[h.record.Incarnation] || h.endInferredAt != 0 {
 			h.serverLost()
 		}
 		h.ended[h.record.Incarnation] = true
@@ -238,7 +242,7 @@
 	h.record.Service = b.Service
 	h.record.State = mtbackend.Unknown
 	h.sequence = 0
-	h.drainAt = 0
+	h.drainAt, h.endInferredAt = 0, 0
 	clear(h.deniedKeys)
 	h.closeLivenessLocked()
 	h.applyHeartbeat(b)
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -150,6 +150,7 @@
 	lastHeartbeat     mtclock.Instant         // time of the latest heartbeat
 	lastCheck         mtclock.Instant         // time of the latest process check for lack of heartbeats
 	silent            bool                    // it answered nothing at the latest process check
+	endInferredAt     mtclock.Instant         // when the current incarnation was taken for ended because of silence; zero if it was not
 	liveness          *livenessConn           // nil if there is none
 	openingLiveness   bool                    // a liveness connection is being opened
 	openLivenessAfter mtclock.Instant         // no earlier attempt to open one
--- a/io/mthost/process.go
+++ b/io/mthost/process.go
@@ -30,7 +30,8 @@
 //     notice. When it was considered terminated at once, two servers held its keys for
 //     half a second. Usually its keys have moved by then.
 //   - Connections time out and no heartbeats arrive: likewise, since a server with a full
-//     queue of connections does the same. It is sent no grants until it answers again.
+//     queue of connections does the same. It is sent no grants until it answers again. A
+//     heartbeat that its sender began after this takes the end back.
 func (h *Host) checkProcess(incarnation mtid.ServerIncarnation) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -70,12 +71,38 @@
 	log.Warn("server process has terminated")
 	h.ended[h.record.Incarnation] = true
 	h.drainAt = 0
-	h.serverLost()
+	h.endInferredAt = 0
+	if silent {
+		h.endInferredAt = now
+	} else {
+		h.serverLost()
+	}
 	h.closeLivenessLocked()
 	h.setState(mtbackend.Ended)
 	h.admission.Resize(0, 0)
 }
 
+// hasOutlivedEnd reports whether a heartbeat shows that the current incarnation runs although
+// it was taken for ended: its sender was running when it connected, which was after that. Only
+// an end inferred from silence is taken back; where connections were refused the process has
+// ended. It is called with mu held.
+func (h *Host) hasOutlivedEnd(b mtbackend.Heartbeat) bool {
+	return h.record.State == mtbackend.Ended && h.record.Incarnation == b.Incarnation &&
+		h.endInferredAt != 0 && b.Connected.After(h.endInferredAt)
+}
+
+// resumeIncarnation brings the current incarnation back that was taken for ended. Its keys may
+// have been taken over: it gets those that the assignment leaves to it once the record shows that
+// it runs, and this daemon's copy is as new as that record. It is called with mu held.
+func (h *Host) resumeIncarnation(b mtbackend.Heartbeat) {
+	h.Log.Warn("server was taken for ended and runs", "server", b.Incarnation.String(), "after", h.Clock.Now().Sub(h.endInferredAt))
+	delete(h.ended, b.Incarnation)
+	h.endInferredAt = 0
+	h.setState(mtbackend.Unknown)
+	h.applyHeartbeat(b)
+	h.openLiveness(h.Clock.Now())
+}
+
 // commandsLeft returns for how long commands may be in force at the server.
 func (h *Host) commandsLeft(now mtclock.Instant) time.Duration {
 	if h.CommandExpiry == nil {
--- a/io/mthost/process_test.go
+++ b/io/mthost/process_test.go
@@ -1,6 +1,7 @@
 package mthost_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -11,8 +12,11 @@
 	"gotest.tools/v3/assert"
 
 	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtreply"
 )
 
 // Guards against two servers that own the same keys: one whose queue of connections is full for
@@ -110,6 +114,82 @@
 	assert.Assert(t, !s.host.ConnectedTo(mtid.ServerIncarnation{Server: "one"}))
 }
 
+// Guards against a running server that gets no work for the rest of its life, since its daemon took
+// it for ended while it was silent.
+func TestServerTakenForEndedIsInServiceAfterItsNextHeartbeat(t *testing.T) {
+	s := newFixture(t, "server")
+	startSilentServer(t, s)
+	late := s.newHeartbeat("one", 2)
+	late.Connected = s.clock.Now().Add(-time.Second) // its sender may have ended since
+	s.heartbeat(late)
+	assert.Equal(t, s.record().State, mtbackend.Ended)
+	next := s.newHeartbeat("one", 3)
+	next.Connected = s.clock.Now()
+	s.heartbeat(next)
+	s.waitFor("the server is in service", func(r mtbackend.Record) bool { return r.AcceptsWork() })
+	assert.Equal(t, s.refusalCause(false), mtreply.Cause(""))
+}
+
+// Guards against a server whose process has ended and that comes back into service by a heartbeat.
+func TestServerThatRefusedConnectionsStaysEnded(t *testing.T) {
+	s := newFixture(t, "server")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	beat := s.newHeartbeat("one", 1)
+	beat.Address = listener.Addr().String()
+	s.server.incarnation = "one"
+	s.heartbeat(beat)
+	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
+	assert.NilError(t, listener.Close())
+	s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
+	s.waitFor("the end is published", func(r mtbackend.Record) bool { return r.State == mtbackend.Ended })
+	next := s.newHeartbeat("one", 2)
+	next.Connected = s.clock.Now()
+	s.heartbeat(next)
+	assert.Equal(t, s.record().State, mtbackend.Ended)
+}
+
+// Guards against innocent requests that are refused since they were running at servers that were
+// silent for a while. A loss counts once the next incarnation has proved the end.
+func TestSilenceBringsNoSuspicionBeforeEndIsProven(t *testing.T) {
+	s := newFixture(t, "server")
+	var losses atomic.Int32
+	s.host.PublishLoss = func(mtpoison.Loss) { losses.Add(1) }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	running := make(chan struct{})
+	s.server.answer = func(ctx context.Context) (*mtcall.Answer, error) {
+		close(running)
+		<-ctx.Done()
+		return nil, &mtreply.UnknownError{Cause: mtreply.CauseTimeout, Err: ctx.Err()}
+	}
+	ended := make(chan struct{})
+	s.server.mu.Lock()
+	s.server.incarnation = "one"
+	s.server.mu.Unlock()
+	go func() {
+		defer close(ended)
+		s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
+		_, _ = s.host.Run(ctx, s.call(false))
+	}()
+	s.host.CommandExpiry = func() mtclock.Instant { return 0 }
+	listener := newQuietListener(t)
+	beat := s.newHeartbeat("one", 1)
+	beat.Address = listener.address
+	s.heartbeat(beat)
+	<-running
+	s.silence(listener)
+	assert.Equal(t, losses.Load(), int32(0))
+	s.server.mu.Lock()
+	s.server.incarnation = "two"
+	s.server.mu.Unlock()
+	s.heartbeat(s.newHeartbeat("two", 1))
+	s.waitFor("the next incarnation is known", func(r mtbackend.Record) bool { return r.Incarnation.Server == "two" })
+	assert.Equal(t, losses.Load(), int32(1))
+	cancel()
+	<-ended
+}
+
 // quietListener accepts nothing by itself; the kernel completes the connections that fit into its
 // queue.
 type quietListener struct {
