Take no server for ended whose heartbeat arrives during the check

What callers saw: a busy server gets no work, and its keys go to others once its commands have expired, though it sends heartbeats.

Cause: whether heartbeats arrive was looked at before three connections were tried, 0.5 s and more before the conclusion. A server whose queue is full gets a heartbeat through at times, often just then.

TestHeartbeatDuringCheckRefutesEnd failed for connections that time out and for refused ones.

Change: a heartbeat that arrives during the check refutes silence; one whose connection was accepted during the check refutes refused connections too.

--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -15,7 +15,7 @@
 func (h *Host) checkHeartbeat(now mtclock.Instant) {
 	h.mu.Lock()
 	due := now.Sub(h.lastCheck) > heartbeatTimeout || h.silent && h.commandsExpired(now)
-	overdue := now.Sub(h.lastHeartbeat) > heartbeatTimeout && due
+	overdue := h.noHeartbeat(now) && due
 	incarnation, state := h.record.Incarnation, h.record.State
 	if overdue {
 		h.lastCheck, h.silent = now, false
@@ -138,7 +138,7 @@
 // held.
 func (h *Host) applyHeartbeat(b mtbackend.Heartbeat) {
 	now := h.Clock.Now()
-	h.lastHeartbeat, h.silent = now, false
+	h.lastHeartbeat, h.lastConnected, h.silent = now, max(h.lastConnected, b.Connected), false
 	h.serverAlive(b.Connected)
 	if b.Sequence < h.sequence {
 		return
--- a/io/mthost/process.go
+++ b/io/mthost/process.go
@@ -40,18 +40,32 @@
 	}
 	h.checking = true
 	address := h.address
-	noHeartbeat := h.Clock.Now().Sub(h.lastHeartbeat) > heartbeatTimeout
+	begun := h.Clock.Now()
+	noHeartbeat := h.noHeartbeat(begun)
 	go func() {
 		found := probeProcess(address, noHeartbeat)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.checking = false
-		if found != processRuns && h.record.Incarnation == incarnation {
+		if found != processRuns && h.record.Incarnation == incarnation && !h.heardSince(begun, found) {
 			h.handleUnreachable(found)
 		}
 	}()
 }
 
+// noHeartbeat reports whether no heartbeat has arrived recently. It is called with mu held.
+func (h *Host) noHeartbeat(now mtclock.Instant) bool {
+	return now.Sub(h.lastHeartbeat) > heartbeatTimeout
+}
+
+// heardSince reports whether a heartbeat has arrived during a check that found no connection, and
+// refutes it. A busy server that takes no connections gets one through at times: when that was
+// looked at before the check only, servers were taken for ended 0.1 s after their heartbeat. It is
+// called with mu held.
+func (h *Host) heardSince(begun mtclock.Instant, found processState) bool {
+	return h.lastConnected.After(begun) || found == processSilent && !h.noHeartbeat(h.Clock.Now())
+}
+
 // handleUnreachable ends the current incarnation of the server, at which no connection could be
 // opened, unless it may still be running with commands in force. It is called with mu held.
 func (h *Host) handleUnreachable(found processState) {
--- a/io/mthost/process_test.go
+++ b/io/mthost/process_test.go
@@ -114,6 +114,37 @@
 	assert.Assert(t, !s.host.ConnectedTo(mtid.ServerIncarnation{Server: "one"}))
 }
 
+// Guards against a running server that is taken for ended although its heartbeat arrives while the
+// connections to it time out.
+func TestHeartbeatDuringCheckRefutesEnd(t *testing.T) {
+	for name, address := range map[string]func(t *testing.T) string{"silent": listenWithFullQueue, "refused": refusingAddress} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, "server")
+			s.host.CommandExpiry = func() mtclock.Instant { return 0 }
+			s.server.incarnation = "one"
+			beat := s.newHeartbeat("one", 1)
+			beat.Address = address(t)
+			s.heartbeat(beat)
+			s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
+			s.clock.offset.Add(int64(3 * time.Second)) // no heartbeat for so long
+			s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
+			beat.Sequence, beat.Connected = 2, s.clock.Now()
+			s.heartbeat(beat)
+			time.Sleep(700 * time.Millisecond) // longer than the check takes
+			assert.Equal(t, s.record().State, mtbackend.Ready)
+		})
+	}
+}
+
+// refusingAddress returns an address that refuses connections.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return listener.Addr().String()
+}
+
 // Guards against a running server that gets no work for the rest of its life, since its daemon took
 // it for ended while it was silent.
 func TestServerTakenForEndedIsInServiceAfterItsNextHeartbeat(t *testing.T) {
