Split the sending of a grant by its steps

Change: beginCommand, the question to the host, the command and endCommand are separate steps; sendGrant had grown to sixty lines with four unlocks. That a command was attempted is recorded at its end, in the goroutine that reads it.

--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -117,37 +117,16 @@
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	sent := g.Clock.Now()
-	if !g.maySendGrants(sent) {
+	if !g.maySendGrants(sent) || !g.beginCommand(held) {
 		return
 	}
-	g.mu.Lock()
-	// The copy may have changed since the grants were compared with it.
-	assigned, _ := g.Directory.View().Assignments[g.Service].Lookup(held.Low)
-	if assigned.Owner != held.Owner || assigned.Epoch != held.Epoch || !assigned.Covers(held.High) {
-		g.mu.Unlock()
-		return
-	}
-	if held.moving || !slices.Contains(g.grants, held) {
-		// The range has started to move since it was found due. A command sent now could
-		// reach the server after the release, and the server would hold the keys alongside
-		// their new owner until the grant expires.
-		g.mu.Unlock()
-		return
-	}
-	g.inFlight = held
-	r := held.Range
-	first := held.grantedAt == 0
-	g.mu.Unlock()
 	// The command counts as in flight before this is asked: either the host sees it in
 	// LastExpiry and does not end the server, or it has ended the server and nothing is sent.
 	if !g.Host.ConnectedTo(held.incarnation) {
 		g.clearInFlight() // another incarnation might execute it; the host wakes the loop
 		return
 	}
-	g.mu.Lock()
-	held.attempted = true
-	g.mu.Unlock()
-	err := g.Client.Grant(ctx, address, r, g.GrantDuration)
+	err := g.Client.Grant(ctx, address, held.Range, g.GrantDuration)
 	// The time counts from here: if this process was paused in the meantime, the command may
 	// have left only after the pause, and it is in effect from its arrival.
 	until := g.commandExpiry(g.Clock.Now())
@@ -156,20 +135,46 @@
 		g.Host.CheckServer(held.incarnation)
 		until = 0 // nothing was delivered
 	}
+	g.endCommand(held, sent, until, err)
+}
+
+// beginCommand marks a grant as in flight, if it still matches the copy and its keys do not move.
+func (g *Grants) beginCommand(held *grant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// The copy may have changed since the grants were compared with it.
+	assigned, _ := g.Directory.View().Assignments[g.Service].Lookup(held.Low)
+	if assigned.Owner != held.Owner || assigned.Epoch != held.Epoch || !assigned.Covers(held.High) {
+		return false
+	}
+	if held.moving || !slices.Contains(g.grants, held) {
+		// The range has started to move since it was found due. A command sent now could
+		// reach the server after the release, and the server would hold the keys alongside
+		// their new owner until the grant expires.
+		return false
+	}
+	g.inFlight = held
+	return true
+}
+
+// endCommand records what became of the grant in flight, which may be in effect until a time.
+func (g *Grants) endCommand(held *grant, sent, until mtclock.Instant, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight = nil
 	g.lastExpiry = max(g.lastExpiry, until)
+	held.attempted = true
+	log := g.Log.With("server", held.incarnation.String(), "low", held.Low, "high", held.High, "epoch", uint64(held.Epoch))
 	if err != nil {
 		held.until = max(held.until, until)
-		g.Log.Warn("grant failed", "server", held.incarnation.String(), "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "error", err)
+		log.Warn("grant failed", "error", err)
 		return
 	}
-	held.grantedAt = sent
-	held.earlierUntil = 0
+	first := held.grantedAt == 0
+	held.grantedAt, held.earlierUntil = sent, 0
 	if first {
-		g.Host.AddKeys(r.Low, r.High)
-		g.Log.Info("granted", "server", held.incarnation.String(), "low", r.Low, "high", r.High, "epoch", uint64(r.Epoch), "hold", g.GrantDuration, "warm", r.WarmupState != "")
+		g.Host.AddKeys(held.Low, held.High)
+		log.Info("granted", "hold", g.GrantDuration, "warm", held.WarmupState != "")
 	}
 }
 
