Count the time of commands by the clock that never jumps ahead

What callers would see: two servers that own the same keys, for as long as the time of day has jumped ahead on one VM. The platform lists such jumps (2 s).

Cause: until when a command may be in force, and whether that has passed, was read from the clock that is never slow, which goes by the largest of three clocks, the time of day among them. That one is for whoever must stop in time; here it is waited for. A silent or leaving server was taken for ended, and keys with an unanswered grant moved, before the command had expired. Found by asking of each place that frees keys by whose clock it waits.

Change: these times are by the steady clock, as those of a takeover are. The tests that set such a time take it from that clock too: the two have different origins.

--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -80,7 +80,7 @@
 // grant them only to release them, and the server would get calls after it has stopped
 // accepting new work.
 func (g *Grants) dueGrants(record mtbackend.Record) []*grant {
-	now := g.Clock.Now()
+	now, steady := g.Clock.Now(), g.Clock.Steady()
 	if !g.maySendGrants(now) {
 		return nil
 	}
@@ -97,7 +97,7 @@
 			held.renewedEarly = false
 		}
 		switch {
-		case held.grantedAt == 0 || age > g.GrantDuration/renewalsPerGrant || now.Before(held.earlierUntil):
+		case held.grantedAt == 0 || age > g.GrantDuration/renewalsPerGrant || steady.Before(held.earlierUntil):
 		case certain <= lastRenewalWindow && !held.renewedEarly:
 			held.renewedEarly = true
 		default:
@@ -129,7 +129,7 @@
 	err := g.Client.Grant(ctx, address, held.Range, g.GrantDuration)
 	// The time counts from here: if this process was paused in the meantime, the command may
 	// have left only after the pause, and it is in effect from its arrival.
-	until := g.commandExpiry(g.Clock.Now())
+	until := g.commandExpiry(g.Clock.Steady())
 	var unreachable *UnreachableError
 	if errors.As(err, &unreachable) {
 		g.Host.CheckServer(held.incarnation)
@@ -186,7 +186,8 @@
 }
 
 // commandExpiry returns until when a command that is sent now may be in effect, answered or
-// not.
+// not, by the steady clock. By one that jumps ahead with the time of day, a command that is in
+// effect would seem to have expired.
 func (g *Grants) commandExpiry(now mtclock.Instant) mtclock.Instant {
 	return now.Add(commandTimeout + g.maxGrantDuration())
 }
--- a/io/mtgrant/fleet_test.go
+++ b/io/mtgrant/fleet_test.go
@@ -32,19 +32,31 @@
 	lease         = 3 * time.Second
 )
 
-// clock is a manual clock. Now and Steady return the same instant.
+// clock is a manual clock. Now and Steady return the same instant until Now jumps ahead.
 type clock struct {
-	mu  sync.Mutex
-	now mtclock.Instant
+	mu    sync.Mutex
+	now   mtclock.Instant
+	ahead time.Duration
 }
 
 func (c *clock) Now() mtclock.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now.Add(c.ahead)
+}
+
+func (c *clock) Steady() mtclock.Instant {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.now
 }
 
-func (c *clock) Steady() mtclock.Instant { return c.Now() }
+// jump makes Now jump ahead, as when the time of day is set.
+func (c *clock) jump(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead += d
+}
 
 func (c *clock) advance(d time.Duration) {
 	c.mu.Lock()
@@ -52,7 +64,7 @@
 	c.now = c.now.Add(d)
 }
 
-func (c *clock) time() time.Time { return time.Unix(0, int64(c.Now())) }
+func (c *clock) time() time.Time { return time.Unix(0, int64(c.Steady())) }
 
 // host is a fake of the component that manages the backend server.
 type host struct {
@@ -236,9 +248,9 @@
 	if client == nil {
 		client = f.server
 	}
-	runningSince := f.clock.Now().Add(-time.Minute)
+	runningSince := f.clock.Steady().Add(-time.Minute)
 	if f.restarted {
-		runningSince = f.clock.Now()
+		runningSince = f.clock.Steady()
 	}
 	grants, closeGrants := mtgrant.New(mtgrant.Config{
 		Self: "a", RunningSince: runningSince, Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
--- a/io/mtgrant/late_test.go
+++ b/io/mtgrant/late_test.go
@@ -53,7 +53,7 @@
 	}
 	if s.delaying || first {
 		s.fleet.clock.advance(s.pause)
-		s.delayed = append(s.delayed, delayedGrant{Range: r, until: s.fleet.clock.Now().Add(duration)})
+		s.delayed = append(s.delayed, delayedGrant{Range: r, until: s.fleet.clock.Steady().Add(duration)})
 		return context.DeadlineExceeded
 	}
 	return s.execute(r)
@@ -108,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, late := range s.delayed {
-		if s.fleet.clock.Now().Before(late.until) {
+		if s.fleet.clock.Steady().Before(late.until) {
 			_ = s.execute(late.Range)
 		}
 	}
@@ -404,3 +404,13 @@
 	assert.Assert(t, written <= 2, "%d epochs written in %d s", written, seconds)
 	assert.Equal(t, server.releases, 0)
 }
+
+// Guards against two servers that own the same keys: the time of day jumps ahead, keys with an
+// unanswered grant move, and the grant is executed after that.
+func TestClockThatJumpsAheadDoesNotExpireCommands(t *testing.T) {
+	f, server := newLateFleet(t)
+	f.delayRenewal(server)
+	server.setDelaying(false)
+	f.clock.jump(time.Hour)
+	f.checkLateGrant(server)
+}
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -342,7 +342,7 @@
 		if held == g.inFlight {
 			return false, false
 		}
-		if held.uncertain(g.Clock.Now()) {
+		if held.uncertain(g.Clock.Steady()) {
 			return false, true
 		}
 		parts := []*grant{}
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -116,7 +116,7 @@
 	Client        ServerClient
 	Clock         clock
 	// RunningSince is a time at which the daemon's previous process had ended; zero stands
-	// for the time of New.
+	// for the time of New. It is by the steady clock.
 	RunningSince mtclock.Instant
 	Log          *slog.Logger
 	// LoadReports returns the known load of this server and of the other servers of its
@@ -162,7 +162,7 @@
 	// to move until the answer arrives.
 	inFlight           *grant
 	previous           previousProcess
-	lastExpiry         mtclock.Instant // until when any command may be in effect
+	lastExpiry         mtclock.Instant // until when any command may be in effect, by the steady clock
 	staleSince         mtclock.Instant // since when the copy is older than this daemon's record; zero if it is not
 	lastOffload        mtclock.Instant // when the last offload ended, or was last considered without a result
 	offloading         bool
@@ -192,7 +192,7 @@
 	g := &Grants{Config: config, wake: make(chan struct{}, 1)}
 	config.Directory.OnChange(g.Wake)
 	if g.RunningSince == 0 {
-		g.RunningSince = config.Clock.Now()
+		g.RunningSince = config.Clock.Steady()
 	}
 	// The daemon's previous process may have sent a grant just before it ended.
 	g.previous.expiry = g.commandExpiry(g.RunningSince)
@@ -325,12 +325,13 @@
 }
 
 // LastExpiry returns the time until which any command that was sent, answered or not, may
-// be in effect at the server. A command that is in flight may arrive just now.
+// be in effect at the server, by the steady clock. A command that is in flight may arrive just
+// now.
 func (g *Grants) LastExpiry() mtclock.Instant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.inFlight != nil {
-		return max(g.lastExpiry, g.commandExpiry(g.Clock.Now()))
+		return max(g.lastExpiry, g.commandExpiry(g.Clock.Steady()))
 	}
 	return g.lastExpiry
 }
--- a/io/mtgrant/uncertainty.go
+++ b/io/mtgrant/uncertainty.go
@@ -16,7 +16,8 @@
 // new epoch under the same owner: once the server has answered a grant under that epoch, it
 // refuses all commands under earlier ones, and the keys can move.
 
-// uncertainty is what may become of the unanswered commands for a range of keys.
+// uncertainty is what may become of the unanswered commands for a range of keys. Its times are
+// by the steady clock.
 type uncertainty struct {
 	// until is until when an unanswered command under the current epoch may be in effect.
 	until mtclock.Instant
@@ -38,7 +39,7 @@
 // previousProcess describes the commands that the previous process of this daemon may have
 // left unanswered. Its successor must respect them too: it restarts beside the same server.
 type previousProcess struct {
-	expiry mtclock.Instant // until when any of them may be in effect
+	expiry mtclock.Instant // until when any of them may be in effect, by the steady clock
 	// next is the next epoch of the first assignment that includes everything that was
 	// written while the previous process ran. That process has sent no command under it or
 	// a later epoch. Zero until this process has that assignment.
@@ -81,7 +82,7 @@
 	}
 	if grantedAt, ok := grantedThroughout(earlier, r); ok {
 		created.grantedAt, created.attempted = grantedAt, true
-		created.renewedFrom, created.renewedAt = earlier[0].Epoch, g.Clock.Now()
+		created.renewedFrom, created.renewedAt = earlier[0].Epoch, g.Clock.Steady()
 	}
 	return created
 }
@@ -123,7 +124,7 @@
 // of the range is granted and none of it moves, and the last renewal was answered and is not
 // too recent.
 func (g *Grants) beginRenewal(r mtrange.Range) bool {
-	now := g.Clock.Now()
+	now := g.Clock.Steady()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	parts := g.partsOf(r)
@@ -141,7 +142,7 @@
 
 // endRenewal lets the grants of a range be renewed again if the new epoch was not written.
 func (g *Grants) endRenewal(r mtrange.Range) {
-	now := g.Clock.Now()
+	now := g.Clock.Steady()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, held := range g.partsOf(r) {
--- a/io/mthost/end_test.go
+++ b/io/mthost/end_test.go
@@ -214,12 +214,12 @@
 	assert.NilError(t, listener.Close())
 	s := newFixture(t, address)
 	var commandExpiry atomic.Int64
-	commandExpiry.Store(int64(s.clock.Now().Add(time.Hour)))
+	commandExpiry.Store(int64(s.clock.Steady().Add(time.Hour)))
 	s.host.CommandExpiry = func() mtclock.Instant { return mtclock.Instant(commandExpiry.Load()) }
 	s.host.CheckServer(mtid.ServerIncarnation{})
 	time.Sleep(400 * time.Millisecond) // longer than the checks take
 	assert.Equal(t, s.record().State, mtbackend.Unknown)
-	commandExpiry.Store(int64(s.clock.Now()))
+	commandExpiry.Store(int64(s.clock.Steady()))
 	s.waitFor("the end is published", func(r mtbackend.Record) bool {
 		s.host.CheckServer(mtid.ServerIncarnation{})
 		return r.State == mtbackend.Ended
@@ -232,7 +232,7 @@
 	s := newFixture(t, "server")
 	s.startServer("one")
 	var commandExpiry atomic.Int64
-	commandExpiry.Store(int64(s.clock.Now().Add(time.Hour)))
+	commandExpiry.Store(int64(s.clock.Steady().Add(time.Hour)))
 	s.host.CommandExpiry = func() mtclock.Instant { return mtclock.Instant(commandExpiry.Load()) }
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -243,7 +243,7 @@
 	s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
 	time.Sleep(400 * time.Millisecond) // longer than the checks take
 	assert.Equal(t, s.record().State, mtbackend.Draining)
-	commandExpiry.Store(int64(s.clock.Now()))
+	commandExpiry.Store(int64(s.clock.Steady()))
 	s.waitFor("the end is published", func(r mtbackend.Record) bool {
 		s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
 		return r.State == mtbackend.Ended
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -14,7 +14,7 @@
 // recently, or ever.
 func (h *Host) checkHeartbeat(now mtclock.Instant) {
 	h.mu.Lock()
-	due := now.Sub(h.lastCheck) > heartbeatTimeout || h.silent && h.commandsExpired(now)
+	due := now.Sub(h.lastCheck) > heartbeatTimeout || h.silent && h.commandsExpired()
 	overdue := h.noHeartbeat(now) && due
 	incarnation, state := h.record.Incarnation, h.record.State
 	if overdue {
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -115,8 +115,8 @@
 	// ClearGrants removes from a new incarnation of the server the grants that commands
 	// meant for a previous one may have given it. It may take a moment.
 	ClearGrants func(ctx context.Context, incarnation mtid.ServerIncarnation, address string) error
-	// CommandExpiry returns the time until which a command may be in force at the server.
-	// It may be nil if commands do not expire at a known time.
+	// CommandExpiry returns the time until which a command may be in force at the server, by
+	// the steady clock. It may be nil if commands do not expire at a known time.
 	CommandExpiry func() mtclock.Instant
 	// OnChange is called when the incarnation or the state of the server has changed. It
 	// must not block.
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -55,13 +55,16 @@
 	return iobackend.Health{Server: s.incarnation, Cold: s.cold, Signals: s.health}, nil
 }
 
-// clock runs in real time, plus an offset that a test adds.
+// clock runs in real time, plus an offset that a test adds; Now may be ahead.
 type clock struct {
 	*mttime.Clock
-	offset atomic.Int64
+	offset, ahead atomic.Int64
+}
+
+func (c *clock) Now() mtclock.Instant {
+	return c.Clock.Now() + mtclock.Instant(c.offset.Load()+c.ahead.Load())
 }
 
-func (c *clock) Now() mtclock.Instant    { return c.Clock.Now() + mtclock.Instant(c.offset.Load()) }
 func (c *clock) Steady() mtclock.Instant { return c.Clock.Steady() + mtclock.Instant(c.offset.Load()) }
 
 // fixture is a host with a fake server and the record that it published last.
--- a/io/mthost/process.go
+++ b/io/mthost/process.go
@@ -72,9 +72,9 @@
 	now := h.Clock.Now()
 	silent := found == processSilent
 	log := h.Log.With("server", h.record.Incarnation.String(), "state", h.record.State, "address", h.address,
-		"silent", silent, "heartbeat-age", now.Sub(h.lastHeartbeat), "commands-left", h.commandsLeft(now))
+		"silent", silent, "heartbeat-age", now.Sub(h.lastHeartbeat), "commands-left", h.commandsLeft())
 	proven := found == processRefuses && h.record.State == mtbackend.Ready
-	if !proven && !h.commandsExpired(now) {
+	if !proven && !h.commandsExpired() {
 		log.Info("server takes no connections but may still be running")
 		if silent {
 			h.closeLivenessLocked()
@@ -117,18 +117,17 @@
 	h.openLiveness(h.Clock.Now())
 }
 
-// commandsLeft returns for how long commands may be in force at the server.
-func (h *Host) commandsLeft(now mtclock.Instant) time.Duration {
+// commandsLeft returns for how long commands may be in force at the server. This takes the steady
+// clock: a time of day that jumps ahead must not end a server that holds keys.
+func (h *Host) commandsLeft() time.Duration {
 	if h.CommandExpiry == nil {
 		return 0
 	}
-	return max(h.CommandExpiry().Sub(now), 0)
+	return max(h.CommandExpiry().Sub(h.Clock.Steady()), 0)
 }
 
 // commandsExpired reports whether no command can be in force at the server any more.
-func (h *Host) commandsExpired(now mtclock.Instant) bool {
-	return h.CommandExpiry != nil && !now.Before(h.CommandExpiry())
-}
+func (h *Host) commandsExpired() bool { return h.CommandExpiry != nil && h.commandsLeft() == 0 }
 
 // processState is what several connections show about the server's process.
 type processState uint8
--- a/io/mthost/process_test.go
+++ b/io/mthost/process_test.go
@@ -31,7 +31,7 @@
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 	incarnation := mtid.ServerIncarnation{Server: "one"}
 	var commandExpiry atomic.Int64
-	commandExpiry.Store(int64(s.clock.Now().Add(time.Hour)))
+	commandExpiry.Store(int64(s.clock.Steady().Add(time.Hour)))
 	s.host.CommandExpiry = func() mtclock.Instant { return mtclock.Instant(commandExpiry.Load()) }
 	s.clock.offset.Add(int64(3 * time.Second)) // no heartbeat for so long
 	for range 4 {
@@ -40,10 +40,27 @@
 		assert.Equal(t, s.record().State, mtbackend.Ready)
 		assert.Assert(t, !s.host.ConnectedTo(incarnation), "it is sent grants, which prolong that")
 	}
-	commandExpiry.Store(int64(s.clock.Now()))
+	commandExpiry.Store(int64(s.clock.Steady()))
 	s.waitFor("the end is published", func(r mtbackend.Record) bool { return r.State == mtbackend.Ended })
 }
 
+// Guards against two servers that own the same keys: the time of day jumps ahead, and a server that
+// takes no connections is taken for ended before its commands have expired.
+func TestClockThatJumpsAheadDoesNotEndServer(t *testing.T) {
+	s := newFixture(t, "server")
+	s.server.incarnation = "one"
+	beat := s.newHeartbeat("one", 1)
+	beat.Address = listenWithFullQueue(t)
+	s.heartbeat(beat)
+	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
+	expiry := s.clock.Steady().Add(time.Minute)
+	s.host.CommandExpiry = func() mtclock.Instant { return expiry }
+	s.clock.ahead.Store(int64(time.Hour))
+	s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
+	time.Sleep(700 * time.Millisecond) // longer than the check takes
+	assert.Equal(t, s.record().State, mtbackend.Ready)
+}
+
 // listenWithFullQueue returns the address of a listener that accepts nothing and at which
 // connections time out.
 func listenWithFullQueue(t *testing.T) string {
