--- a/io/mtdirectory/assignment.go
+++ b/io/mtdirectory/assignment.go
@@ -111,6 +111,9 @@
 		return
 	}
 	if old, ok := v.Assignments[service]; ok && old.Version >= e.Version {
+		if old.Version > e.Version {
+			d.Log.Warn("older assignment passed over", "service", service, "version", uint64(e.Version), "epoch", uint64(table.Next), "known", uint64(old.Version), "known-epoch", uint64(old.Next))
+		}
 		return
 	}
 	d.Log.Info("assignment", "service", service, "version", uint64(e.Version), "epoch", uint64(table.Next), "ranges", len(table.Ranges))
--- a/io/mtstore/client.go
+++ b/io/mtstore/client.go
@@ -150,14 +150,14 @@
 		return &mtstore.RejectedError{Op: description.Op, Reason: err.Error()}
 	}
 	request.Header.Set("Content-Type", "application/json")
-	status, body, err := description.Exchange(c.http, request, maxBody)
+	response, err := description.Exchange(c.http, request, maxBody)
 	if err != nil {
 		return err
 	}
-	if status != http.StatusOK {
-		return description.rejectionError(status, body)
+	if response.Status != http.StatusOK {
+		return description.rejectionError(response.Status, response.Body)
 	}
-	if err := json.Unmarshal(body, out); err != nil {
+	if err := json.Unmarshal(response.Body, out); err != nil {
 		return description.OutcomeError(err)
 	}
 	return nil
--- a/io/mtstore/exchange.go
+++ b/io/mtstore/exchange.go
@@ -24,11 +24,18 @@
 	return &mtstore.UnknownError{Op: c.Op, Name: c.Name, Err: err}
 }
 
+// Response is the response of a store to one call.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Exchange sends the request of a call once and reads a response of at most limit
 // bytes. Whether a failed call may have taken effect depends only on whether it ever
 // had a connection. Without a connection, no byte of it can have been sent. With one,
 // only a response of the store proves that the call had no effect.
-func (c Call) Exchange(client *http.Client, request *http.Request, limit int64) (status int, body []byte, err error) {
+func (c Call) Exchange(client *http.Client, request *http.Request, limit int64) (*Response, error) {
 	var connected atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -36,19 +43,19 @@
 	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		if !connected.Load() {
-			return 0, nil, &mtstore.UnavailableError{Op: c.Op, Err: err}
+			return nil, &mtstore.UnavailableError{Op: c.Op, Err: err}
 		}
-		return 0, nil, c.OutcomeError(err)
+		return nil, c.OutcomeError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
-		return 0, nil, c.OutcomeError(err)
+		return nil, c.OutcomeError(err)
 	}
 	if int64(len(body)) > limit {
-		return 0, nil, c.OutcomeError(&ResponseError{Status: response.StatusCode, Reason: "too large"})
+		return nil, c.OutcomeError(&ResponseError{Status: response.StatusCode, Reason: "too large"})
 	}
-	return response.StatusCode, body, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
 // NeverRedirect prevents a client from following redirects. A redirect with status 307
--- a/io/mtwatch/mtwatch.go
+++ b/io/mtwatch/mtwatch.go
@@ -151,6 +151,7 @@
 	if changes.Revision < w.applied {
 		// The answer came from a replica that lags behind, and would revert what has been
 		// applied.
+		w.Log.Warn("older answer passed over", "revision", uint64(changes.Revision), "applied", uint64(w.applied))
 		return
 	}
 	w.applied = changes.Revision
