--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -22,6 +22,7 @@
 	clock func() time.Time
 
 	mu                    sync.Mutex
+	era                   mtid.Era
 	revision              uint64
 	items                 map[string]item
 	deleted               map[string]uint64 // revision of the deletion, by name
@@ -189,7 +190,7 @@
 	if err := s.failure("watch", prefix); err != nil {
 		return mtstore.Changes{}, nil, err
 	}
-	if after != 0 && after < s.compacted {
+	if after != 0 && after < s.compacted || after > s.revision {
 		return mtstore.Changes{}, nil, &mtstore.CompactedError{After: mtid.Revision(after)}
 	}
 	if s.watchEventsSuppressed && after != 0 {
