--- a/core/mtid/mtid.go
+++ b/core/mtid/mtid.go
@@ -48,14 +48,15 @@
 type Incarnation uint64
 
 // Epoch is the fencing token of a shard. It increases with every change of owner,
-// and no two owners of a key ever have the same epoch.
+// and no two owners of a key ever have the same epoch. The upper bits are the Era.
 type Epoch uint64
 
 // Version counts the successful writes of a value in the platform's store. Zero
-// means that the value does not exist.
+// means that the value does not exist. The upper bits are the Era.
 type Version uint64
 
-// Revision counts the successful writes to the platform's store as a whole.
+// Revision counts the successful writes to the platform's store as a whole. The upper
+// bits are the Era.
 type Revision uint64
 
 // Point is a position on the 64-bit hash ring of a service.
--- a/core/mtrange/codec.go
+++ b/core/mtrange/codec.go
@@ -52,26 +52,30 @@
 	if t.Service != p.Service || t.Next < p.Since || p.Next < t.Next {
 		return nil, &PatchError{Service: p.Service, Next: t.Next, Since: p.Since}
 	}
-	next := &Table{Service: t.Service, Next: p.Next}
-	changed := p.Ranges
-	for _, r := range t.Ranges {
+	return &Table{Service: t.Service, Next: p.Next, Ranges: overlay(t.Ranges, p.Ranges)}, nil
+}
+
+// overlay returns the ranges of a table with some replaced by changed ones, which are in order.
+func overlay(ranges, changed []Range) []Range {
+	var next []Range
+	for _, r := range ranges {
 		low := int(r.Low)
 		for len(changed) > 0 && int(changed[0].Low) <= int(r.High) {
 			if int(changed[0].Low) > low {
-				next.Ranges = append(next.Ranges, subrange(r, mtid.KeyNumber(low), changed[0].Low-1))
+				next = append(next, subrange(r, mtid.KeyNumber(low), changed[0].Low-1))
 			}
 			low = max(low, int(changed[0].High)+1)
 			if int(changed[0].High) > int(r.High) {
 				break // it extends into the next range
 			}
-			next.Ranges = append(next.Ranges, changed[0])
+			next = append(next, changed[0])
 			changed = changed[1:]
 		}
 		if low <= int(r.High) {
-			next.Ranges = append(next.Ranges, subrange(r, mtid.KeyNumber(low), r.High))
+			next = append(next, subrange(r, mtid.KeyNumber(low), r.High))
 		}
 	}
-	return next, nil
+	return next
 }
 
 // DecodeError reports that an encoded table, patch or batch is invalid.
--- a/core/mtrange/codec_test.go
+++ b/core/mtrange/codec_test.go
@@ -35,7 +35,7 @@
 // patch that starts before its own change. Applying it must not lose any change.
 func TestApplyPatchToLaterTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table, err := mtrange.Spread("maps", owners(5))
+		table, err := mtrange.Spread("maps", 0, owners(5))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -57,13 +57,13 @@
 // A patch that starts after the daemon's table would leave keys with previous owners,
 // and so would one that ends before it.
 func TestApplyRejectsPatchThatDoesNotFit(t *testing.T) {
-	first, err := mtrange.Spread("maps", owners(2))
+	first, err := mtrange.Spread("maps", 0, owners(2))
 	assert.NilError(t, err)
 	second, err := first.Move(0, 9, owner(1), "")
 	assert.NilError(t, err)
 	third, err := second.Move(20, 29, owner(1), "")
 	assert.NilError(t, err)
-	other, err := mtrange.Spread("orders", owners(2))
+	other, err := mtrange.Spread("orders", 0, owners(2))
 	assert.NilError(t, err)
 	for name, apply := range map[string]func() (*mtrange.Table, error){
 		"change missing": func() (*mtrange.Table, error) { return first.Apply(third.Since(second.Next)) },
@@ -122,7 +122,7 @@
 	f.Fuzz(func(t *testing.T, value []byte) {
 		patch, err := mtrange.DecodePatch(value)
 		if err == nil && patch != nil {
-			full, err := mtrange.Spread(patch.Service, owners(3))
+			full, err := mtrange.Spread(patch.Service, 0, owners(3))
 			assert.NilError(t, err)
 			if next, err := full.Apply(patch); err == nil {
 				checkCoverage(t, next)
--- a/core/mtrange/mtrange.go
+++ b/core/mtrange/mtrange.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	table, err := mtrange.Spread(service, owners)
+//	table, err := mtrange.Spread(service, era, owners)
 //	next, err := table.Move(low, high, to, warmup)
 //	r, ok := next.Lookup(key)
 //
@@ -61,7 +61,8 @@
 type Table struct {
 	Service mtid.Service
 	// Next is the epoch of the next change. It only grows, so no two owners of a
-	// key ever have the same epoch, and a later owner never has a lower one.
+	// key ever have the same epoch, and a later owner never has a lower one. It carries
+	// the era of the store, since the store alone remembers the newest one.
 	Next   mtid.Epoch
 	Ranges []Range // in order, without gaps, from 0 to mtid.LastKeyNumber
 }
@@ -77,13 +78,13 @@
 	return fmt.Sprintf("range %d to %d: %s", e.Low, e.High, e.Reason)
 }
 
-// Spread divides all keys evenly among the owners. It fails with a *RangeError if
-// there are no owners.
-func Spread(service mtid.Service, owners []Owner) (*Table, error) {
+// Spread divides all keys evenly among the owners, in an era of the store. It fails with a
+// *RangeError if there are no owners.
+func Spread(service mtid.Service, era mtid.Era, owners []Owner) (*Table, error) {
 	if len(owners) == 0 {
 		return nil, &RangeError{High: mtid.LastKeyNumber, Reason: "no owners to assign keys to"}
 	}
-	t := &Table{Service: service, Next: 1}
+	t := &Table{Service: service, Next: mtid.FirstEpoch(era)}
 	for i, part := range splitEvenly(0, mtid.LastKeyNumber, len(owners)) {
 		part.Owner = owners[i]
 		part.Epoch = t.Next
@@ -133,11 +134,13 @@
 	return owned
 }
 
-// Owners returns all owners in order, each once.
+// Owners returns the owners of all ranges that are not fallow, in order, each once.
 func (t *Table) Owners() []Owner {
 	var owners []Owner
 	for _, r := range t.Ranges {
-		owners = append(owners, r.Owner)
+		if !t.Fallow(r) {
+			owners = append(owners, r.Owner)
+		}
 	}
 	slices.SortFunc(owners, Owner.Compare)
 	return slices.Compact(owners)
@@ -208,14 +211,14 @@
 // the table stays small when many servers are lost one after another.
 const maxPieces = 8
 
-// TakeOver assigns all ranges of lost owners to the survivors. If a new incarnation of
+// TakeOver assigns all lost ranges to the survivors. If a new incarnation of
 // the same server is among them, it gets all ranges of the previous one, since these
 // were balanced by load before; otherwise the survivors with the fewest keys get the
 // most. Without the preference for the same server, the first server to come up
 // after a power loss of all VMs was assigned every key.
 //
 // It fails with a *RangeError if there are no survivors.
-func (t *Table) TakeOver(lost func(Owner) bool, survivors []Owner) (*Table, error) {
+func (t *Table) TakeOver(lost func(Range) bool, survivors []Owner) (*Table, error) {
 	if len(survivors) == 0 {
 		return nil, &RangeError{High: mtid.LastKeyNumber, Reason: "no surviving server to take over the keys"}
 	}
@@ -229,7 +232,7 @@
 	}
 	piecesPerRange := t.piecesPerRange(lost, len(survivors))
 	for _, r := range t.Ranges {
-		if !lost(r.Owner) {
+		if !lost(r) {
 			next.Ranges = append(next.Ranges, r)
 			continue
 		}
@@ -257,10 +260,10 @@
 // enough for every survivor to get one. If there are at least as many lost ranges as
 // survivors, they are not cut: with a cut each time, the ranges grew from 41 to 116 in
 // one takeover, and each range costs a command to a server every few seconds.
-func (t *Table) piecesPerRange(lost func(Owner) bool, survivors int) int {
+func (t *Table) piecesPerRange(lost func(Range) bool, survivors int) int {
 	ranges := 0
 	for _, r := range t.Ranges {
-		if lost(r.Owner) {
+		if lost(r) {
 			ranges++
 		}
 	}
--- a/core/mtrange/mtrange_test.go
+++ b/core/mtrange/mtrange_test.go
@@ -30,7 +30,7 @@
 // key that changes owner gets an epoch above all that were assigned before.
 func TestEveryKeyHasOneOwnerAndEpochsGrow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table, err := mtrange.Spread("maps", owners(rapid.IntRange(1, 9).Draw(t, "owners")))
+		table, err := mtrange.Spread("maps", 0, owners(rapid.IntRange(1, 9).Draw(t, "owners")))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -56,7 +56,7 @@
 	}
 	lost := rapid.SampledFrom(table.Owners()).Draw(t, "lost")
 	survivors := slices.DeleteFunc(owners(13), func(o mtrange.Owner) bool { return o == lost })
-	next, err := table.TakeOver(func(o mtrange.Owner) bool { return o == lost }, survivors)
+	next, err := table.TakeOver(func(r mtrange.Range) bool { return r.Owner == lost }, survivors)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -86,12 +86,12 @@
 // Servers are lost one after another. If each lost range were cut for every survivor,
 // the table would grow without bound.
 func TestTakeoversKeepTableSmall(t *testing.T) {
-	table, err := mtrange.Spread("maps", owners(6))
+	table, err := mtrange.Spread("maps", 0, owners(6))
 	assert.NilError(t, err)
 	for n := range 50 {
 		lost := owner(n)
 		survivors := owners(n + 7)[n+1:]
-		table, err = table.TakeOver(func(o mtrange.Owner) bool { return o == lost }, survivors)
+		table, err = table.TakeOver(func(r mtrange.Range) bool { return r.Owner == lost }, survivors)
 		assert.NilError(t, err)
 	}
 	assert.Assert(t, len(table.Ranges) < 60, "%d ranges", len(table.Ranges))
@@ -198,11 +198,11 @@
 // time. Each must get the keys of its previous incarnation: if the keys were spread
 // over the servers that are up, the first ones would get all of them.
 func TestNextIncarnationTakesOverItsOwnKeys(t *testing.T) {
-	table, err := mtrange.Spread("maps", owners(6))
+	table, err := mtrange.Spread("maps", 0, owners(6))
 	assert.NilError(t, err)
 	next := owner(2)
 	next.Incarnation.Started++
-	after, err := table.TakeOver(func(o mtrange.Owner) bool { return o == owner(2) }, []mtrange.Owner{owner(0), next, owner(5)})
+	after, err := table.TakeOver(func(r mtrange.Range) bool { return r.Owner == owner(2) }, []mtrange.Owner{owner(0), next, owner(5)})
 	assert.NilError(t, err)
 	assert.Equal(t, after.Keys(next), table.Keys(owner(2)))
 	assert.Equal(t, len(after.Ranges), len(table.Ranges))
--- a/core/mtrange/spread_test.go
+++ b/core/mtrange/spread_test.go
@@ -57,7 +57,7 @@
 		last: map[mtrange.Owner]mtclock.Instant{}, movingUntil: map[mtrange.Owner]mtclock.Instant{},
 	}
 	f.now = mtclock.Instant(time.Minute)
-	f.table, _ = mtrange.Spread("maps", f.owners)
+	f.table, _ = mtrange.Spread("maps", 0, f.owners)
 	for i, o := range f.owners {
 		f.speed[o] = []float64{0.6, 1, 1.4}[i%3]
 		f.meters[o] = mtrange.NewMeter(f.now)
--- a/core/mtrange/transfer.go
+++ b/core/mtrange/transfer.go
@@ -16,12 +16,24 @@
 
 // CanApply reports whether the keys of a transfer still have the owner and epoch that
 // they had when it began. If not, the transfer has been written, or the keys have
-// been reassigned.
+// been reassigned. In a later era of the store only claims of fallow keys can be applied.
 func (t *Table) CanApply(tr Transfer) bool {
+	if tr.Epoch.Era() < t.Era() {
+		return tr.Claims(t.Era()) && t.allFallow(tr.Low, tr.High)
+	}
 	at, _ := t.Lookup(tr.Low)
 	return at.Owner == tr.From && at.Epoch == tr.Epoch
 }
 
+// Transfer returns the table with a transfer applied. It fails with a *RangeError if the
+// transfer does not fit the table.
+func (t *Table) Transfer(tr Transfer) (*Table, error) {
+	if tr.Claims(t.Era()) {
+		return t.claim(tr.Low, tr.High, tr.To), nil
+	}
+	return t.Move(tr.Low, tr.High, tr.To, tr.WarmupState)
+}
+
 // Batch is a group of transfers that one daemon requests to be written in one step.
 type Batch struct {
 	Service mtid.Service
--- a/core/mtrange/transfer_test.go
+++ b/core/mtrange/transfer_test.go
@@ -50,7 +50,7 @@
 // when it began: the keys may have returned to the same owner under a new epoch.
 func TestTransferAppliesUnderItsEpochOnly(t *testing.T) {
 	a, b := mtrange.Owner{Daemon: "a"}, mtrange.Owner{Daemon: "b"}
-	table, err := mtrange.Spread("maps", []mtrange.Owner{a, b})
+	table, err := mtrange.Spread("maps", 0, []mtrange.Owner{a, b})
 	assert.NilError(t, err)
 	r := table.Owned(a)[0]
 	tr := mtrange.Transfer{From: a, Epoch: r.Epoch, Low: r.Low, High: r.High, To: b}
--- a/core/mtstore/mesh.go
+++ b/core/mtstore/mesh.go
@@ -1,6 +1,9 @@
 package mtstore
 
 import (
+	"strconv"
+	"strings"
+
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
 )
@@ -18,12 +21,50 @@
 	LossPrefix    = LivePrefix + "loss/"
 )
 
-// BackendName returns the name of the record of the backend server that runs on
-// the VM of a daemon.
-func BackendName(d mtid.Daemon) string { return BackendPrefix + string(d) }
+// BackendName returns the name, in an era of the store, of the record of the backend server that
+// runs on the VM of a daemon.
+//
+// Records and assignments have other names in each era. After the store has come back from an
+// older copy, a write that was sent before may still be executed, and its condition may hold by
+// accident, since versions are given out again. Under a name of an earlier era it does no harm.
+func BackendName(era mtid.Era, d mtid.Daemon) string {
+	return BackendPrefix + eraPart(era) + string(d)
+}
+
+// RangeName returns the name, in an era of the store, of the assignment of a service with
+// numbered keys.
+func RangeName(era mtid.Era, s mtid.Service) string {
+	return RangePrefix + eraPart(era) + string(s)
+}
+
+func eraPart(era mtid.Era) string { return strconv.FormatUint(uint64(era), 10) + "/" }
+
+// SplitBackendName returns the era and the daemon of the name of a record, or false for another
+// name.
+func SplitBackendName(name string) (mtid.Era, mtid.Daemon, bool) {
+	era, daemon, ok := splitName(name, BackendPrefix)
+	return era, mtid.Daemon(daemon), ok
+}
+
+// SplitRangeName returns the era and the service of the name of an assignment, or false for
+// another name.
+func SplitRangeName(name string) (mtid.Era, mtid.Service, bool) {
+	era, service, ok := splitName(name, RangePrefix)
+	return era, mtid.Service(service), ok
+}
 
-// RangeName returns the name of the assignment of a service with numbered keys.
-func RangeName(s mtid.Service) string { return RangePrefix + string(s) }
+func splitName(name, prefix string) (mtid.Era, string, bool) {
+	rest, ok := strings.CutPrefix(name, prefix)
+	if !ok {
+		return 0, "", false
+	}
+	number, rest, ok := strings.Cut(rest, "/")
+	era, err := strconv.ParseUint(number, 10, 32)
+	if !ok || err != nil || mtid.Era(era) > mtid.MaxEra {
+		return 0, "", false
+	}
+	return mtid.Era(era), rest, true
+}
 
 // ZoneName returns the name of the entry that takes an availability zone out of
 // service.
--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -92,8 +92,15 @@
 //
 // A ConditionalStore uses its revisions as versions, so that versions of different
 // names can be compared: the higher one was written later.
+//
+// It may come back from an older copy, which begins an era. Versions and revisions carry the era
+// of the answer that named them: all entries have higher ones in the next era. A condition, a
+// lease or a watch of an earlier era fails with a *ConflictError, a *LeaseExpiredError or a
+// *CompactedError, and an answer of an earlier era is none.
 type ConditionalStore interface {
 	Store
+	// Era returns the newest era that any answer has named.
+	Era() mtid.Era
 	// SwapIf is Swap with up to MaxConditions additional conditions. It fails like
 	// Swap. A *ConflictError names the first condition that does not hold.
 	SwapIf(ctx context.Context, conditions []Condition, name string, expected mtid.Version, value []byte, lease LeaseID) (mtid.Version, error)
--- a/io/mtcommit/mtcommit.go
+++ b/io/mtcommit/mtcommit.go
@@ -103,7 +103,7 @@
 	// daemon terminates now, its next incarnation writes the record before it grants
 	// anything, so that a write that is still on its way fails. Otherwise it would move
 	// keys that the next incarnation has granted again.
-	condition := mtstore.Condition{Name: mtstore.BackendName(b.Daemon), Version: b.RecordVersion}
+	condition := mtstore.Condition{Name: mtstore.BackendName(b.RecordVersion.Era(), b.Daemon), Version: b.RecordVersion}
 	for _, t := range b.Transfers {
 		batch = append(batch, &pendingTransfer{Transfer: t, condition: condition, result: make(chan mtrange.Outcome, 1)})
 	}
@@ -180,12 +180,14 @@
 // writeBatch writes transfers in one step, and retries after conflicting writes.
 func (c *Committer) writeBatch(service mtid.Service, batch []*pendingTransfer) {
 	for try := 1; ; try++ {
-		assignment := c.Directory.View().Assignments[service]
-		next, applicable := c.apply(assignment.Table, batch)
+		view := c.Directory.View()
+		assignment := view.Assignments[service]
+		table, version := assignment.Basis(view.Era())
+		next, applicable := c.apply(table, batch)
 		if len(applicable) == 0 {
 			return
 		}
-		outcome, stale := c.write(c.baseCtx, conditions(applicable), next, assignment.Version, "moves")
+		outcome, stale := c.write(c.baseCtx, conditions(applicable), next, version, "moves")
 		if stale != "" {
 			batch = slices.DeleteFunc(applicable, func(p *pendingTransfer) bool {
 				refused := p.condition.Name == stale
@@ -226,11 +228,11 @@
 func (c *Committer) apply(table *mtrange.Table, batch []*pendingTransfer) (next *mtrange.Table, applicable []*pendingTransfer) {
 	next = table
 	for _, p := range batch {
-		if table == nil || !table.CanApply(p.Transfer) {
+		if table == nil || p.condition.Version.Era() != table.Era() || !next.CanApply(p.Transfer) {
 			p.result <- mtrange.Refused
 			continue
 		}
-		moved, err := next.Move(p.Low, p.High, p.To, p.WarmupState)
+		moved, err := next.Transfer(p.Transfer)
 		if err != nil {
 			c.Log.Error("move does not fit the assignment", "low", p.Low, "high", p.High, "error", err)
 			p.result <- mtrange.Refused
@@ -277,14 +279,18 @@
 		c.Log.Error("can't encode the assignment", "error", err)
 		return mtrange.Refused, ""
 	}
-	name := mtstore.RangeName(next.Service)
+	name := mtstore.RangeName(next.Era(), next.Service)
 	version, err := c.Store.SwapIf(ctx, conditions, name, expected, value, "")
+	if err == nil && version.Era() != next.Era() {
+		c.Log.Warn("assignment written in another era of the store", "why", why, "name", name, "era", version.Era())
+		return mtrange.OutcomeUnknown, ""
+	}
 	if err == nil {
-		c.Log.Info("assignment written", "why", why, "service", next.Service, "version", uint64(version), "epoch", uint64(next.Next), "conditions", len(conditions))
+		c.Log.Info("assignment written", "why", why, "service", next.Service, "era", next.Era(), "version", version.Number(), "epoch", uint64(next.Next), "conditions", len(conditions))
 		c.Directory.ApplyAssignment(mtdirectory.Assignment{Table: next, Version: version})
 		return mtrange.Written, ""
 	}
-	c.Log.Warn("assignment not written", "why", why, "expected", uint64(expected), "error", err)
+	c.Log.Warn("assignment not written", "why", why, "name", name, "expected", expected.Number(), "error", err)
 	var unknown *mtstore.UnknownError
 	if errors.As(err, &unknown) {
 		return mtrange.OutcomeUnknown, ""
--- a/io/mtcommit/mtcommit_test.go
+++ b/io/mtcommit/mtcommit_test.go
@@ -49,12 +49,12 @@
 		Daemon: daemonName(i), Address: "x:1", Service: service, Incarnation: ownerOf(i).Incarnation, Slots: 10, State: mtbackend.Ready,
 	}.Encode()
 	assert.NilError(f.t, err)
-	entry, err := f.store.Get(context.Background(), mtstore.BackendName(daemonName(i)))
+	entry, err := f.store.Get(context.Background(), mtstore.BackendName(0, daemonName(i)))
 	var missing *mtstore.NotFoundError
 	if !errors.As(err, &missing) {
 		assert.NilError(f.t, err)
 	}
-	version, err := f.store.Swap(context.Background(), mtstore.BackendName(daemonName(i)), entry.Version, value, "")
+	version, err := f.store.Swap(context.Background(), mtstore.BackendName(0, daemonName(i)), entry.Version, value, "")
 	assert.NilError(f.t, err)
 	return version
 }
@@ -66,11 +66,11 @@
 		all = append(all, ownerOf(i))
 		f.recordVersions = append(f.recordVersions, f.writeRecord(i))
 	}
-	table, err := mtrange.Spread(service, all)
+	table, err := mtrange.Spread(service, 0, all)
 	assert.NilError(t, err)
 	value, err := table.Encode()
 	assert.NilError(t, err)
-	_, err = f.store.Swap(context.Background(), mtstore.RangeName(service), 0, value, "")
+	_, err = f.store.Swap(context.Background(), mtstore.RangeName(0, service), 0, value, "")
 	assert.NilError(t, err)
 	log := slog.New(slog.DiscardHandler)
 	directory, stop := mtdirectory.New(mtdirectory.Config{Self: "writer", Store: f.store, Clock: mttime.New(), Lease: time.Minute, Log: log})
@@ -104,7 +104,7 @@
 
 // storedTable returns the assignment in the store.
 func (f *fleet) storedTable() *mtrange.Table {
-	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
+	entry, err := f.store.Get(context.Background(), mtstore.RangeName(0, service))
 	assert.NilError(f.t, err)
 	table, err := mtrange.Decode(entry.Value)
 	assert.NilError(f.t, err)
@@ -159,13 +159,13 @@
 func TestConflictingWriteIsRetried(t *testing.T) {
 	f := newFleet(t)
 	own, other := f.batch(3), f.batch(4).Transfers[0]
-	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
+	entry, err := f.store.Get(context.Background(), mtstore.RangeName(0, service))
 	assert.NilError(t, err)
 	table, err := f.storedTable().Move(other.Low, other.High, other.To, "")
 	assert.NilError(t, err)
 	value, err := table.Encode()
 	assert.NilError(t, err)
-	_, err = f.store.Swap(context.Background(), mtstore.RangeName(service), entry.Version, value, "")
+	_, err = f.store.Swap(context.Background(), mtstore.RangeName(0, service), entry.Version, value, "")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, f.committer.Commit(context.Background(), own), []mtrange.Outcome{mtrange.Written})
 	for _, want := range []mtrange.Transfer{own.Transfers[0], other} {
--- a/io/mtdirectory/changes.go
+++ b/io/mtdirectory/changes.go
@@ -38,7 +38,7 @@
 func (v *View) Epochs() Epochs {
 	epochs := make(Epochs, len(v.Assignments))
 	for service, a := range v.Assignments {
-		epochs[mtstore.RangeName(service)] = a.Next
+		epochs[mtstore.RangeName(a.Era(), service)] = a.Next
 	}
 	return epochs
 }
@@ -47,12 +47,12 @@
 // a patch, if that daemon knows the assignment up to an epoch, or the whole assignment
 // otherwise.
 func (d *Directory) encodeFor(e mtstore.Entry, epochs Epochs) mtstore.Entry {
-	service, isAssignment := assignmentService(e)
+	era, service, isAssignment := mtstore.SplitRangeName(e.Name)
 	if !isAssignment || e.Version == 0 {
 		return e
 	}
 	a, ok := d.View().Assignments[service]
-	if !ok || a.Version < e.Version {
+	if !ok || a.Era() != era || a.Version < e.Version {
 		return e // undecodable; the other daemons detect that themselves
 	}
 	encode := a.Encode
--- a/io/mtdirectory/invalid_test.go
+++ b/io/mtdirectory/invalid_test.go
@@ -56,7 +56,7 @@
 			b.Publish(record("b"))
 			waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
 			before := a.View().Members["b"]
-			store.Put(mtstore.BackendName("b"), []byte(text))
+			store.Put(mtstore.BackendName(0, "b"), []byte(text))
 			waitFor(t, "b's record is valid again", func() bool { return a.View().Members["b"].Version > before.Version })
 			assert.DeepEqual(t, a.View().Members["b"].Record, before.Record)
 		})
@@ -69,7 +69,7 @@
 	for name, text := range invalidRecords(t) {
 		t.Run(name, func(t *testing.T) {
 			store := mtstandin.NewRevisionStore(time.Now)
-			store.Put(mtstore.BackendName("b"), []byte(text))
+			store.Put(mtstore.BackendName(0, "b"), []byte(text))
 			store.Put(mtstore.BackendPrefix, []byte("no name at all"))
 			store.Put(mtstore.RangePrefix+"maps", []byte("no assignment"))
 			a := start(t, store, "a")
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -20,6 +20,9 @@
 	// latest time at which it can have disappeared, by the steady clock of this daemon.
 	Expired      bool
 	ExpiredSince mtclock.Instant
+	// Former reports that the record is of an earlier era of the store and has not been written in
+	// this one. It proves nothing, and serves to reach the daemon until it has written its record.
+	Former bool
 	// deletedAt is the store revision at which the record was last known to be absent.
 	deletedAt mtid.Revision
 }
@@ -72,8 +75,16 @@
 
 // applyRecordEntry applies a written or deleted record of a daemon.
 func (d *Directory) applyRecordEntry(v *View, now mtclock.Instant, e mtstore.Entry) {
+	era, name, ok := mtstore.SplitBackendName(e.Name)
+	if !ok {
+		d.Log.Error("record of backend server passed over", "name", e.Name, "version", e.Version.Number())
+		return
+	}
+	if era != v.Era() {
+		d.applyFormerRecord(name, e)
+		return
+	}
 	d.copyMembersOnce(v)
-	name := mtid.Daemon(strings.TrimPrefix(e.Name, mtstore.BackendPrefix))
 	delete(v.InvalidRecords, name)
 	if e.Version == 0 {
 		// A deletion is also stored for an unknown record. The record may have been
@@ -91,7 +102,7 @@
 			return
 		}
 		v.Members[name] = m.markExpired(now, e.Revision)
-		d.Log.Info("record of backend server gone", "peer", name, "server", m.Incarnation.String(), "known", ok, "revision", uint64(e.Revision))
+		d.Log.Info("record of backend server gone", "peer", name, "server", m.Incarnation.String(), "known", ok, "revision", e.Revision.Number())
 		return
 	}
 	old, known := v.Members[name]
@@ -102,7 +113,7 @@
 	if err != nil {
 		// The last valid record remains in effect. A takeover is conditional on its
 		// version, so it fails while this entry exists.
-		d.Log.Error("record of backend server passed over", "name", e.Name, "version", uint64(e.Version), "error", err)
+		d.Log.Error("record of backend server passed over", "name", e.Name, "version", e.Version.Number(), "error", err)
 		if !known {
 			v.InvalidRecords[name] = true
 		}
@@ -113,11 +124,20 @@
 	}
 	if !known || old.Record != record || old.Expired {
 		d.Log.Info("backend server", "peer", name, "server", record.Incarnation.String(), "service", record.Service,
-			"state", record.State, "leaving", record.Leaving, "version", uint64(e.Version))
+			"state", record.State, "leaving", record.Leaving, "version", e.Version.Number())
 	}
 	v.Members[name] = Member{Record: record, Version: e.Version}
 }
 
+// applyFormerRecord applies a record that was written in an earlier era of the store. That of this
+// daemon shows what its previous process knew; others count as absent until they are written anew.
+func (d *Directory) applyFormerRecord(name mtid.Daemon, e mtstore.Entry) {
+	delete(d.entries, e.Name)
+	if name == d.Self && e.Version != 0 {
+		d.publisher.reportPrevious(e)
+	}
+}
+
 // nameMismatchError reports that a record is stored under the name of another daemon.
 type nameMismatchError struct{ name, daemon mtid.Daemon }
 
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -62,6 +62,9 @@
 	// OnLoss is called with each loss of a backend server in the store, also those that
 	// this daemon has published. It may be nil, and must not block.
 	OnLoss func(mtpoison.Loss)
+	// OnEra is called when a call of the publisher has shown that the store has begun a new era. It
+	// may be nil.
+	OnEra func(mtid.Era)
 	// OnUpdate is called with each update after it has been applied. It may be nil, and
 	// must not block.
 	OnUpdate func(mtwatch.Update)
@@ -133,10 +136,11 @@
 // takeover while the record is absent. So a daemon whose record has returned has received
 // every takeover only when its copy is at least as new as that record. With an older copy,
 // it granted keys that already had another owner. It is false while the record reports the end
-// of the server, which lets others take over its keys.
+// of the server, which lets others take over its keys, and while the record and the copy are of
+// different eras of the store.
 func (d *Directory) Current() bool {
-	validSince := d.publisher.recordValidSince()
-	return validSince != 0 && uint64(d.View().Revision) >= uint64(validSince)
+	validSince, revision := d.publisher.recordValidSince(), d.View().Revision
+	return validSince != 0 && validSince.Era() == revision.Era() && uint64(revision) >= uint64(validSince)
 }
 
 // RecordVersion returns the version of this daemon's record that this incarnation wrote
@@ -197,6 +201,7 @@
 	var others []mtstore.Entry
 	patchFailed := false
 	d.update(func(v *View) bool {
+		d.enterEra(v, u.Changes.Revision, now)
 		for _, e := range d.deletedEntries(u, v) {
 			d.applyEntry(v, now, e)
 		}
@@ -264,6 +269,9 @@
 		OutOfService:      old.OutOfService,
 		Revision:          old.Revision,
 		MembershipVersion: old.MembershipVersion,
+		Former:            old.Former,
+		EraSince:          old.EraSince,
+		FormerRevision:    old.FormerRevision,
 	}
 	differs := edit(next)
 	if differs {
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -78,7 +78,7 @@
 	assert.NilError(t, err)
 	value, err := record("a").Encode()
 	assert.NilError(t, err)
-	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, lease)
+	_, err = store.Swap(context.Background(), mtstore.BackendName(0, "a"), 0, value, lease)
 	assert.NilError(t, err)
 	return lease
 }
@@ -123,7 +123,7 @@
 	assert.NilError(t, err)
 	value, err := record("a").Encode()
 	assert.NilError(t, err)
-	_, err = store.Swap(context.Background(), mtstore.BackendName("a"), 0, value, old)
+	_, err = store.Swap(context.Background(), mtstore.BackendName(0, "a"), 0, value, old)
 	assert.NilError(t, err)
 	a := start(t, store, "a")
 	next := record("a")
@@ -132,7 +132,7 @@
 	waitFor(t, "the record of the new incarnation is present", func() bool { return a.View().Members["a"].Incarnation.Server == "next" })
 	time.Sleep(400 * time.Millisecond)
 	store.ExpireLeases()
-	entry, err := store.Get(context.Background(), mtstore.BackendName("a"))
+	entry, err := store.Get(context.Background(), mtstore.BackendName(0, "a"))
 	assert.NilError(t, err)
 	got, err := mtbackend.Decode(entry.Value)
 	assert.NilError(t, err)
@@ -232,9 +232,9 @@
 	a.Publish(record("a"))
 	waitFor(t, "a's record is valid", func() bool { return knowsRecord(a, "a", false) && a.RecordValidUntil() != 0 })
 	before := a.RecordVersion()
-	store.Delete(mtstore.BackendName("a"))
+	store.Delete(mtstore.BackendName(0, "a"))
 	waitFor(t, "a's record is valid again", func() bool { return a.RecordVersion() > before && knowsRecord(a, "a", false) })
-	_, err := store.Get(context.Background(), mtstore.BackendName("a"))
+	_, err := store.Get(context.Background(), mtstore.BackendName(0, "a"))
 	assert.NilError(t, err)
 }
 
@@ -245,11 +245,11 @@
 	store := mtstandin.NewRevisionStore(time.Now)
 	b := start(t, store, "b")
 	lease := writeLeasedRecord(t, store)
-	table, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Incarnation: mtid.ServerIncarnation{Server: "s"}}})
+	table, err := mtrange.Spread("maps", 0, []mtrange.Owner{{Daemon: "a", Incarnation: mtid.ServerIncarnation{Server: "s"}}})
 	assert.NilError(t, err)
 	value, err := table.Encode()
 	assert.NilError(t, err)
-	store.Put(mtstore.RangeName("maps"), value)
+	store.Put(mtstore.RangeName(0, "maps"), value)
 	waitFor(t, "b has read everything", func() bool { return knowsRecord(b, "a", false) && len(b.View().Assignments) == 1 })
 	all := waitForChanges(t.Context(), b, 0, nil, time.Second)
 	assert.Equal(t, len(all.Entries), 2)
@@ -261,7 +261,7 @@
 	assert.NilError(t, store.End(context.Background(), lease))
 	deleted := waitForChanges(t.Context(), b, all.Revision, nil, 10*time.Second)
 	assert.Equal(t, len(deleted.Entries), 1)
-	assert.Equal(t, deleted.Entries[0].Name, mtstore.BackendName("a"))
+	assert.Equal(t, deleted.Entries[0].Name, mtstore.BackendName(0, "a"))
 	assert.Equal(t, deleted.Entries[0].Version, mtid.Version(0))
 }
 
@@ -294,12 +294,12 @@
 func TestAssignmentsPropagateAsPatches(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
 	upstream := start(t, store, "a")
-	table, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Incarnation: mtid.ServerIncarnation{Server: "s"}}, {Daemon: "b", Incarnation: mtid.ServerIncarnation{Server: "t"}}})
+	table, err := mtrange.Spread("maps", 0, []mtrange.Owner{{Daemon: "a", Incarnation: mtid.ServerIncarnation{Server: "s"}}, {Daemon: "b", Incarnation: mtid.ServerIncarnation{Server: "t"}}})
 	assert.NilError(t, err)
 	put := func() {
 		value, err := table.Encode()
 		assert.NilError(t, err)
-		store.Put(mtstore.RangeName("maps"), value)
+		store.Put(mtstore.RangeName(0, "maps"), value)
 	}
 	put()
 	source := &upstreamSource{store: store, upstream: upstream}
@@ -349,7 +349,7 @@
 func TestOlderAssignmentIsIgnored(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
 	b := start(t, store, "b")
-	first, err := mtrange.Spread("maps", []mtrange.Owner{{Daemon: "a", Incarnation: mtid.ServerIncarnation{Server: "s"}}})
+	first, err := mtrange.Spread("maps", 0, []mtrange.Owner{{Daemon: "a", Incarnation: mtid.ServerIncarnation{Server: "s"}}})
 	assert.NilError(t, err)
 	second, err := first.Move(0, 9, mtrange.Owner{Daemon: "b", Incarnation: mtid.ServerIncarnation{Server: "t"}}, "")
 	assert.NilError(t, err)
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,9 @@
 	written   mtbackend.Record
 	renewedAt mtclock.Instant
 	failing   bool
+	era       mtid.Era // of the store, in which the lease was granted
+	tenure    Tenure   // the current one; without Until, and zero if there is none
+	former    atomic.Pointer[Tenure]
 
 	validUntil     atomic.Int64
 	lastVersion    atomic.Uint64 // version of the last write
@@ -89,6 +93,7 @@
 	defer p.mu.Unlock()
 	if !reportsEnd(p.wanted) && !reportsEnd(p.written) {
 		p.validSince.Store(uint64(version))
+		p.tenure = Tenure{Incarnation: p.written.Incarnation, Since: version}
 	}
 }
 
@@ -217,6 +222,7 @@
 func (p *publisher) maintain(ctx context.Context, wanted mtbackend.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	p.enterEra()
 	sent := p.Clock.Now()
 	if err := p.ensureLease(ctx, sent); err != nil {
 		return err
@@ -225,11 +231,11 @@
 		return err
 	}
 	if foreign := mtid.Version(p.foreignVersion.Swap(0)); p.version != 0 && foreign > p.version {
-		p.Log.Warn("own record was written over", "own", uint64(p.version), "by", uint64(foreign))
+		p.Log.Warn("own record was written over", "own", p.version.Number(), "by", foreign.Number())
 		p.version, p.written = foreign, mtbackend.Record{}
 	}
 	if deleted := p.deletedAt.Swap(0); p.version != 0 && deleted > uint64(p.version) {
-		p.Log.Warn("own record was deleted", "own", uint64(p.version), "revision", deleted)
+		p.Log.Warn("own record was deleted", "own", p.version.Number(), "revision", mtid.Revision(deleted).Number())
 		p.version = 0
 	}
 	if p.needsWrite(wanted) {
@@ -247,6 +253,39 @@
 	p.validUntil.Store(int64(p.renewedAt.Add(time.Duration(float64(p.Lease) * (1 - maxClockDrift)))))
 }
 
+// enterEra reports whether the store has begun another era than that of the lease. The lease and
+// the record are lost then: the store gives out their names again.
+func (p *publisher) enterEra() bool {
+	era := p.Store.Era()
+	if p.lease == "" || era <= p.era {
+		return false
+	}
+	p.Log.Warn("own record and lease are lost: the store has begun a new era", "era", era, "before", p.era, "own", p.version.Number())
+	if p.tenure.Since != 0 {
+		ended := p.tenure
+		ended.Until = p.recordValidUntil()
+		p.former.Store(&ended)
+	}
+	p.era, p.tenure = era, Tenure{}
+	p.lease, p.version, p.written, p.renewedAt = "", 0, mtbackend.Record{}, 0
+	p.validUntil.Store(0)
+	p.validSince.Store(0)
+	p.foreignVersion.Store(0)
+	p.deletedAt.Store(0)
+	if p.OnEra != nil {
+		p.OnEra(era)
+	}
+	return true
+}
+
+// offer records that a record is about to be written, which lets others take over the keys of the
+// incarnation that holds them so far: from now on they may have been taken.
+func (p *publisher) offer(r mtbackend.Record) {
+	if !r.MayHoldKeys(p.tenure.Incarnation) {
+		p.tenure = Tenure{}
+	}
+}
+
 // ensureLease requests a lease or renews the current one.
 func (p *publisher) ensureLease(ctx context.Context, sent mtclock.Instant) error {
 	if p.lease != "" {
@@ -261,15 +300,17 @@
 			}
 			return err
 		}
-		p.Log.Warn("own lease has expired", "lease", p.lease)
-		p.lease, p.version = "", 0
-		p.validUntil.Store(0)
+		if !p.enterEra() {
+			p.Log.Warn("own lease has expired", "lease", p.lease)
+			p.lease, p.version, p.tenure = "", 0, Tenure{}
+			p.validUntil.Store(0)
+		}
 	}
 	lease, err := p.Store.Grant(ctx, p.Lease)
 	if err != nil {
 		return err
 	}
-	p.lease, p.renewedAt = lease, sent
+	p.lease, p.renewedAt, p.era = lease, sent, p.Store.Era()
 	return nil
 }
 
@@ -281,20 +322,25 @@
 	if err != nil {
 		return err
 	}
-	name := mtstore.BackendName(p.Self)
+	name := mtstore.BackendName(p.era, p.Self)
 	interrupted := p.version == 0 || p.validSince.Load() == 0
+	p.offer(wanted)
 	for range maxWriteAttempts {
 		version, err := p.Store.Swap(ctx, name, p.version, value, p.lease)
 		var conflict *mtstore.ConflictError
 		var expired *mtstore.LeaseExpiredError
 		switch {
+		case err == nil && version.Era() != p.era:
+			return &eraError{Name: name, Era: version.Era()} // written under a name that counts no more
 		case err == nil:
 			p.version, p.written = version, wanted
 			if interrupted {
 				p.setValidSince(version)
+			} else if !reportsEnd(wanted) {
+				p.tenure = Tenure{Incarnation: wanted.Incarnation, Since: mtid.Version(p.validSince.Load())}
 			}
 			p.lastVersion.Store(uint64(version))
-			p.Log.Info("own record written", "state", wanted.State, "server", wanted.Incarnation.String(), "leaving", wanted.Leaving, "version", uint64(version))
+			p.Log.Info("own record written", "state", wanted.State, "server", wanted.Incarnation.String(), "leaving", wanted.Leaving, "version", version.Number())
 			return nil
 		case errors.As(err, &conflict):
 			// This daemon did not know the current entry, or that there is none: the
@@ -321,12 +367,23 @@
 	}
 	record, err := mtbackend.Decode(e.Value)
 	if err != nil {
-		p.Log.Warn("record of a previous incarnation of this daemon can't be decoded", "version", uint64(e.Version), "error", err)
+		p.Log.Warn("record of a previous incarnation of this daemon can't be decoded", "version", e.Version.Number(), "error", err)
 		return
 	}
 	p.OnPreviousRecord(record)
 }
 
+// eraError reports that the store has begun a new era while the record was written.
+type eraError struct {
+	Name string
+	Era  mtid.Era
+}
+
+// Error implements error.
+func (e *eraError) Error() string {
+	return fmt.Sprintf("directory: %s was written in era %d of the store", e.Name, e.Era)
+}
+
 // maxWriteAttempts is the number of attempts to write the record over conflicting
 // entries.
 const maxWriteAttempts = 3
--- a/io/mtdirectory/view.go
+++ b/io/mtdirectory/view.go
@@ -1,14 +1,25 @@
 package mtdirectory
 
 import (
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtzone"
 )
 
 // View is an immutable snapshot of the copy.
 type View struct {
-	Members     map[mtid.Daemon]Member
+	Members map[mtid.Daemon]Member
+	// Assignments holds the newest known assignment of each service. While the store's era has
+	// none yet, it is the last one of an earlier era.
 	Assignments map[mtid.Service]Assignment
+	// Former holds, for each service, the last assignment of the era before that of Assignments.
+	Former map[mtid.Service]Assignment
+	// EraSince is when this daemon first knew of the store's era, by the steady clock. Whatever
+	// was lost with the era before was written earlier.
+	EraSince mtclock.Instant
+	// FormerRevision is the revision up to which the copy was complete at the end of the last era
+	// that it has seen; zero if it has seen one only.
+	FormerRevision mtid.Revision
 	// InvalidRecords contains the daemons under whose names there is an entry that no
 	// daemon wrote, if no valid record of them is known. Such an entry identifies no
 	// usable server, and it does not prove that a server has terminated.
@@ -26,6 +37,20 @@
 	newestVersion     mtid.Version // of all members and assignments
 }
 
+// Era returns the era of the store that the copy is from.
+func (v *View) Era() mtid.Era { return v.Revision.Era() }
+
+// RevisionIn returns the revision up to which the copy was complete in an era, or zero if it is
+// not known.
+func (v *View) RevisionIn(era mtid.Era) mtid.Revision {
+	for _, revision := range []mtid.Revision{v.Revision, v.FormerRevision} {
+		if revision.Era() == era {
+			return revision
+		}
+	}
+	return 0
+}
+
 // Serving returns the members whose servers accept new work for a service, in zones
 // that are in service.
 func (v *View) Serving(service mtid.Service) []Member {
--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -70,12 +70,13 @@
 	case since == 0:
 		g.Directory.RetryWatch()
 	case now.Sub(since) >= maxStaleness:
-		g.Log.Warn("copy stays older than the own record: reading everything", "own", uint64(g.Directory.RecordVersion()), "copy", uint64(g.Directory.View().Revision))
+		g.Log.Warn("copy stays older than the own record: reading everything", "era", g.Directory.RecordVersion().Era(), "own", g.Directory.RecordVersion().Number(), "copy-era", g.Directory.View().Era(), "copy", g.Directory.View().Revision.Number())
 		g.Directory.Resync()
 	}
 }
 
-// dueGrants returns the grants to send now. A server that is leaving is granted no keys
+// dueGrants returns the grants to send now. None is sent under an epoch of an earlier era of the
+// store: a higher one may be lost, under which another server has the keys. A server that is leaving is granted no keys
 // that it does not hold already. Otherwise a daemon that has just been restarted would
 // grant them only to release them, and the server would get calls after it has stopped
 // accepting new work.
@@ -85,11 +86,12 @@
 		return nil
 	}
 	certain := g.Directory.RecordValidUntil().Sub(now)
+	era := g.Directory.View().Era()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var due []*grant
 	for _, held := range g.grants {
-		if held.moving || held.grantedAt == 0 && record.State == mtbackend.Draining {
+		if held.moving || held.Epoch.Era() != era || held.grantedAt == 0 && record.State == mtbackend.Draining {
 			continue
 		}
 		age := now.Sub(held.grantedAt)
@@ -143,8 +145,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// The copy may have changed since the grants were compared with it.
-	assigned, _ := g.Directory.View().Assignments[g.Service].Lookup(held.Low)
-	if assigned.Owner != held.Owner || assigned.Epoch != held.Epoch || !assigned.Covers(held.High) {
+	view := g.Directory.View()
+	assigned, _ := view.Assignments[g.Service].Lookup(held.Low)
+	if held.Epoch.Era() != view.Era() || assigned.Owner != held.Owner || assigned.Epoch != held.Epoch || !assigned.Covers(held.High) {
 		return false
 	}
 	if held.moving || !slices.Contains(g.grants, held) {
--- a/io/mtgrant/command_test.go
+++ b/io/mtgrant/command_test.go
@@ -35,13 +35,13 @@
 	})
 	f.clock.advance(lease + grantDuration)
 	f.store.ExpireLeases()
-	table, err := mtrange.Spread(service, []mtrange.Owner{ownerOf("a"), ownerOf("b")})
+	table, err := mtrange.Spread(service, 0, []mtrange.Owner{ownerOf("a"), ownerOf("b")})
 	assert.NilError(t, err)
 	reassigned, err := table.Move(0, mtid.LastKeyNumber/2, ownerOf("b"), "")
 	assert.NilError(t, err)
 	value, err := reassigned.Encode()
 	assert.NilError(t, err)
-	f.store.Put(mtstore.RangeName(service), value)
+	f.store.Put(mtstore.RangeName(0, service), value)
 	f.store.Fail(nil)
 	f.until("the record is written again", func() bool { return f.directory.RecordValidUntil().Sub(f.clock.Now()) > lease/2 })
 	f.grants.Wake()
@@ -117,7 +117,7 @@
 	f.start()
 	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
 	f.store.Fail(func(op, name string) error {
-		if op != "swap" || name != mtstore.RangeName(service) {
+		if op != "swap" || name != mtstore.RangeName(0, service) {
 			return nil
 		}
 		return &mtstore.UnavailableError{Op: op, Err: context.DeadlineExceeded}
--- a/io/mtgrant/ended_test.go
+++ b/io/mtgrant/ended_test.go
@@ -57,11 +57,11 @@
 	f.directory.Publish(f.host.set(mtbackend.Ended))
 	f.until("the end is written", func() bool { return f.storedState("a") == mtbackend.Ended })
 	watch.delayed.Store(true)
-	table, err := mtrange.Spread(service, []mtrange.Owner{ownerOf("b")})
+	table, err := mtrange.Spread(service, 0, []mtrange.Owner{ownerOf("b")})
 	assert.NilError(t, err)
 	value, err := table.Encode()
 	assert.NilError(t, err)
-	f.store.Put(mtstore.RangeName(service), value)
+	f.store.Put(mtstore.RangeName(0, service), value)
 
 	f.directory.Publish(f.host.set(mtbackend.Ready))
 	f.until("the record is written again", func() bool { return f.storedState("a") == mtbackend.Ready })
@@ -76,7 +76,7 @@
 
 // storedState returns the state in a daemon's record in the store.
 func (f *fleet) storedState(daemon mtid.Daemon) mtbackend.State {
-	entry, err := f.store.Get(context.Background(), mtstore.BackendName(daemon))
+	entry, err := f.store.Get(context.Background(), mtstore.BackendName(0, daemon))
 	assert.NilError(f.t, err)
 	r, err := mtbackend.Decode(entry.Value)
 	assert.NilError(f.t, err)
--- a/io/mtgrant/fleet_test.go
+++ b/io/mtgrant/fleet_test.go
@@ -211,7 +211,7 @@
 func (f *fleet) write(r mtbackend.Record) {
 	value, err := r.Encode()
 	assert.NilError(f.t, err)
-	f.store.Put(mtstore.BackendName(r.Daemon), value)
+	f.store.Put(mtstore.BackendName(0, r.Daemon), value)
 }
 
 // newFleet sets up a store in which the keys are divided among the owners. It does not
@@ -228,11 +228,11 @@
 		}
 	}
 	if len(owners) > 0 {
-		table, err := mtrange.Spread(service, owners)
+		table, err := mtrange.Spread(service, 0, owners)
 		assert.NilError(t, err)
 		value, err := table.Encode()
 		assert.NilError(t, err)
-		f.store.Put(mtstore.RangeName(service), value)
+		f.store.Put(mtstore.RangeName(0, service), value)
 	}
 	return f
 }
@@ -253,7 +253,7 @@
 		runningSince = f.clock.Steady()
 	}
 	grants, closeGrants := mtgrant.New(mtgrant.Config{
-		Self: "a", RunningSince: runningSince, Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
+		Self: "a", Bootstrap: true, RunningSince: runningSince, Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
 		Store: f.store, Host: f.host, Client: client, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
 		LoadReports: func() (mtrange.LoadReport, []mtrange.LoadReport) {
 			f.mu.Lock()
@@ -303,7 +303,7 @@
 func (f *fleet) expireRecordOfB() {
 	lease, err := f.store.Grant(context.Background(), time.Hour)
 	assert.NilError(f.t, err)
-	entry, err := f.store.Get(context.Background(), mtstore.BackendName("b"))
+	entry, err := f.store.Get(context.Background(), mtstore.BackendName(0, "b"))
 	assert.NilError(f.t, err)
 	_, err = f.store.Swap(context.Background(), entry.Name, entry.Version, entry.Value, lease)
 	assert.NilError(f.t, err)
--- a/io/mtgrant/late_test.go
+++ b/io/mtgrant/late_test.go
@@ -130,7 +130,7 @@
 }
 
 func (f *fleet) storedTable() *mtrange.Table {
-	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
+	entry, err := f.store.Get(context.Background(), mtstore.RangeName(0, service))
 	assert.NilError(f.t, err)
 	table, err := mtrange.Decode(entry.Value)
 	assert.NilError(f.t, err)
@@ -365,7 +365,7 @@
 	assert.NilError(t, err)
 	value, err := table.Encode()
 	assert.NilError(t, err)
-	f.store.Put(mtstore.RangeName(service), value)
+	f.store.Put(mtstore.RangeName(0, service), value)
 	f.until("the new keys are granted", func() bool { return f.grants.CheckGranted(incarnationOf("a"), mtid.LastKeyNumber) == nil })
 	f.delayRenewal(server)
 	f.until("both renewals are unanswered", func() bool { return server.delayedCount() > 1 })
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -209,12 +209,18 @@
 // is unknown is retried until the outcome is known: if the keys were granted here in the
 // meantime, the write could still take effect, and two servers would hold them. For the same
 // reason a move is given up only after a new read of the assignment: a refusal may mean that
-// the keys have changed hands, which this daemon's copy may not show yet.
+// the keys have changed hands, which this daemon's copy may not show yet. When the store has
+// begun a new era, nobody can tell any more whether the move was written: the keys are left to
+// whoever has them, and to the time after which nobody can.
 func (g *Grants) writeTransfer(r mtrange.Range, low, high mtid.KeyNumber, to mtrange.Owner, warmupState string) bool {
 	ctx := g.baseCtx
 	uncertain, direct := false, false
 	wanted := mtrange.Transfer{From: r.Owner, Epoch: r.Epoch, Low: low, High: high, To: to, WarmupState: warmupState}
 	for tries := 0; ctx.Err() == nil; tries++ {
+		if r.Epoch.Era() != g.Directory.View().Era() {
+			g.forgo(wanted)
+			return true
+		}
 		if !g.Directory.View().Assignments[g.Service].CanApply(wanted) {
 			return true // the move was written, or the keys were taken over by another server
 		}
@@ -258,7 +264,7 @@
 func (g *Grants) readAssignment(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	entry, err := g.Store.Get(ctx, mtstore.RangeName(g.Service))
+	entry, err := g.Store.Get(ctx, mtstore.RangeName(g.Directory.View().Era(), g.Service))
 	if err != nil {
 		g.Log.Warn("assignment could not be read", "error", err)
 		return false
@@ -335,6 +341,9 @@
 func (g *Grants) beginMove(r mtrange.Range, low, high mtid.KeyNumber, leaving bool) (begun, uncertain bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r.Epoch.Era() != g.Directory.View().Era() {
+		return false, false
+	}
 	for i, held := range g.grants {
 		if held.Epoch != r.Epoch || !held.Covers(low) || !held.Covers(high) || held.moving || held.grantedAt == 0 && !leaving {
 			continue
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -9,6 +9,11 @@
 // grant lasts longer than the store's usual outages, so that an outage alone makes no key
 // unavailable.
 //
+// When the store comes back from an older copy, a new era of it begins. A daemon whose record had
+// let its server hold keys all the while claims them: they get an epoch of the new era under the
+// same owner. All other keys are granted to nobody until no grant of an earlier era can be in
+// force, since the newest changes of owners may be lost.
+//
 // A daemon that has just started, or whose record was missing, grants nothing until its
 // copy of the assignment is as new as its record: the copy then includes every takeover
 // that happened while the record was missing. A server that is leaving is granted nothing;
@@ -115,6 +120,9 @@
 	Host          host
 	Client        ServerClient
 	Clock         clock
+	// Bootstrap reports that the whole system starts for the first time. Otherwise a missing
+	// assignment may have been lost by the store, while grants by it are in force.
+	Bootstrap bool
 	// RunningSince is a time at which the daemon's previous process had ended; zero stands
 	// for the time of New. It is by the steady clock.
 	RunningSince mtclock.Instant
@@ -172,15 +180,22 @@
 	transfers          []*pendingTransfer // waiting to be written
 	survivorCount      int                // number of survivors since survivorCountSince
 	survivorCountSince mtclock.Instant    // by the steady clock
+	claims             []claim            // not settled yet
+	claimedEra         mtid.Era           // era of the last tenure from which claims were made
+	claiming           bool               // claims are being written
+	claimFailed        bool               // the last attempt to write them failed
+	claimedFirst       bool               // claims were made from some tenure
+	forgone            []mtrange.Range    // moves whose outcome is lost with their era
 
 	offloads sync.WaitGroup // running ones
 	// lostSince holds when each lost owner was first found lost, by the steady clock. Only
 	// the takeover loop uses it.
 	lostSince map[mtrange.Owner]mtclock.Instant
-	// owners are the owners in ownersTable. They are cached because the table changes far
-	// less often than the takeover loop runs.
+	// owners are the owners in ownersTable of ranges that are not fallow in ownersEra. They are
+	// cached because the table changes far less often than the takeover loop runs.
 	owners      []mtrange.Owner
 	ownersTable *mtrange.Table
+	ownersEra   mtid.Era
 	// recordsValid is the result of allRecordsValid for ownersTable and a view whose
 	// MembershipVersion is recordsVersion.
 	recordsValid   bool
--- a/io/mtgrant/mtgrant_test.go
+++ b/io/mtgrant/mtgrant_test.go
@@ -58,7 +58,7 @@
 	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
 	var writes atomic.Int64
 	f.store.LoseReplies(func(_, name string) error {
-		if name == mtstore.RangeName(service) {
+		if name == mtstore.RangeName(0, service) {
 			writes.Add(1)
 		}
 		return nil
--- a/io/mtgrant/oldcopy_test.go
+++ b/io/mtgrant/oldcopy_test.go
@@ -20,7 +20,7 @@
 // assign gives keys to another owner in the store and in the copy of daemon a.
 func (f *fleet) assign(low, high mtid.KeyNumber, to mtid.Daemon) {
 	f.t.Helper()
-	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
+	entry, err := f.store.Get(context.Background(), mtstore.RangeName(0, service))
 	assert.Check(f.t, err)
 	next, err := f.storedTable().Move(low, high, ownerOf(to), "")
 	assert.Check(f.t, err)
--- a/io/mtgrant/sync.go
+++ b/io/mtgrant/sync.go
@@ -17,6 +17,7 @@
 		return // the record lets others take over the keys, and no copy is current
 	}
 	g.refreshStaleCopy(g.Clock.Now())
+	g.updateClaims(ctx)
 	g.observePreviousEpochs()
 	if owner.Incarnation.IsZero() || record.State == mtbackend.Unknown {
 		return
@@ -62,12 +63,13 @@
 		assigned := slices.ContainsFunc(next, func(n *grant) bool {
 			return n.Covers(held.Low) && (n.Epoch == held.Epoch || n.renewedFrom == held.Epoch)
 		})
-		if !assigned && !held.moving && held.attempted && held.incarnation == owner.Incarnation {
+		switch {
+		case assigned:
+		case held.moving, g.claimed(held.Range):
+			next = append(next, held) // removed when its move ends, or its claim is refused
+		case held.attempted && held.incarnation == owner.Incarnation:
 			unassigned = append(unassigned, held)
 		}
-		if !assigned && held.moving {
-			next = append(next, held) // removed when its move ends
-		}
 	}
 	g.grants = next
 	return unassigned
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -42,6 +42,9 @@
 	if assigned && !g.allRecordsValid(view, assignment) {
 		lost = g.lostOwners(view, now, upSince)
 	}
+	if assigned && g.fallowDue(view, assignment, now) {
+		lost = append(lost, fallow)
+	}
 	if assigned && len(lost) == 0 {
 		g.lostSince = nil
 		return
@@ -53,7 +56,7 @@
 	}
 	delay := time.Duration(rank) * rankDelay
 	if !assigned {
-		g.writeFirst(ctx, now, survivors, delay)
+		g.writeFirst(ctx, view, now, survivors, delay)
 		return
 	}
 	lost = g.dueLosses(now, lost, delay)
@@ -66,6 +69,17 @@
 	g.takeOver(ctx, view, assignment, lost, survivors)
 }
 
+// fallow stands for the owners of fallow ranges among lost ones: the newest changes of owners were
+// lost with an era of the store, so it is not known who they were.
+var fallow = mtrange.Owner{}
+
+// fallowDue reports whether fallow ranges of an assignment may be given to servers: no grant of an
+// earlier era of the store can be in force. A daemon sends grants for up to a lease after the era
+// has ended, as after the loss of its record.
+func (g *Grants) fallowDue(view *mtdirectory.View, a mtdirectory.Assignment, now mtclock.Instant) bool {
+	return now.Sub(view.EraSince) >= g.grantsExpireAfter() && (a.Era() < view.Era() || a.HasFallow())
+}
+
 // survivors returns the servers of the service that can be given keys, in the same order on
 // all daemons.
 func (g *Grants) survivors(view *mtdirectory.View) []mtrange.Owner {
@@ -78,7 +92,14 @@
 }
 
 // writeFirst writes the first assignment once no further servers appear.
-func (g *Grants) writeFirst(ctx context.Context, now mtclock.Instant, survivors []mtrange.Owner, delay time.Duration) {
+//
+// Where the store has come back from an older copy, or may have, an assignment may have been
+// written and lost. Then nobody is granted keys before the grants by it must have expired.
+func (g *Grants) writeFirst(ctx context.Context, view *mtdirectory.View, now mtclock.Instant, survivors []mtrange.Owner, delay time.Duration) {
+	mayBeLost := !g.Bootstrap || view.FormerRevision != 0
+	if mayBeLost && now.Sub(view.EraSince) < g.grantsExpireAfter() {
+		return
+	}
 	g.mu.Lock()
 	if len(survivors) != g.survivorCount {
 		g.survivorCount, g.survivorCountSince = len(survivors), now
@@ -88,7 +109,7 @@
 	if !settled {
 		return
 	}
-	table, err := mtrange.Spread(g.Service, survivors)
+	table, err := mtrange.Spread(g.Service, view.Era(), survivors)
 	if err != nil {
 		g.Log.Warn("can't create the first assignment", "service", g.Service, "error", err)
 		return
@@ -120,11 +141,13 @@
 // keys. The result is cached until a record or the table changes, which is far less often
 // than the takeover loop runs.
 func (g *Grants) allRecordsValid(view *mtdirectory.View, a mtdirectory.Assignment) bool {
-	if g.ownersTable == a.Table && g.recordsVersion == view.MembershipVersion {
+	sameOwners := g.ownersTable == a.Table && g.ownersEra == view.Era()
+	if sameOwners && g.recordsVersion == view.MembershipVersion {
 		return g.recordsValid
 	}
-	if g.ownersTable != a.Table {
-		g.ownersTable, g.owners = a.Table, a.Owners()
+	if !sameOwners {
+		base, _ := a.Basis(view.Era())
+		g.ownersTable, g.ownersEra, g.owners = a.Table, view.Era(), base.Owners()
 	}
 	g.recordsVersion, g.recordsValid = view.MembershipVersion, true
 	for _, owner := range g.owners {
@@ -177,14 +200,24 @@
 // have not changed since the decision: a daemon that has become available again in the
 // meantime has written its record before granting anything.
 func (g *Grants) takeOver(ctx context.Context, view *mtdirectory.View, a mtdirectory.Assignment, lost, survivors []mtrange.Owner) {
-	next, err := a.TakeOver(func(o mtrange.Owner) bool { return slices.Contains(lost, o) }, survivors)
+	base, expected := a.Basis(view.Era())
+	isLost := func(r mtrange.Range) bool {
+		if base.Fallow(r) {
+			return slices.Contains(lost, fallow)
+		}
+		return slices.Contains(lost, r.Owner)
+	}
+	next, err := base.TakeOver(isLost, survivors)
 	if err != nil {
 		g.Log.Warn("can't reassign the keys of lost servers", "service", g.Service, "lost", len(lost), "error", err)
 		return
 	}
 	var conditions []mtstore.Condition
 	for _, owner := range lost {
-		c := mtstore.Condition{Name: mtstore.BackendName(owner.Daemon)}
+		if owner == fallow {
+			continue
+		}
+		c := mtstore.Condition{Name: mtstore.BackendName(view.Era(), owner.Daemon)}
 		if m, ok := view.Members[owner.Daemon]; ok && !m.Expired {
 			c.Version = m.Version
 		}
@@ -193,7 +226,10 @@
 		}
 	}
 	for _, owner := range lost {
-		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Incarnation.String(), "keys", a.Keys(owner), "survivors", len(survivors))
+		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Incarnation.String(), "keys", a.Keys(owner), "fallow", owner == fallow, "survivors", len(survivors))
+	}
+	if next.Next == base.Next {
+		return // all ranges of the lost owners are fallow
 	}
-	g.Committer.Write(ctx, conditions, next, a.Version, "takeover")
+	g.Committer.Write(ctx, conditions, next, expected, "takeover")
 }
--- a/io/mtgrant/takeover_test.go
+++ b/io/mtgrant/takeover_test.go
@@ -94,7 +94,7 @@
 // owners.
 func TestNoTakeoverWhileRecordIsOverwritten(t *testing.T) {
 	f := newFleet(t, "a", "b")
-	f.store.Put(mtstore.BackendName("b"), []byte(`{"daemon":"b","state":"resting"}`))
+	f.store.Put(mtstore.BackendName(0, "b"), []byte(`{"daemon":"b","state":"resting"}`))
 	f.start()
 	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
 	f.clock.advance(grantDuration + lease + time.Minute)
--- a/io/mtgrant/transfer_test.go
+++ b/io/mtgrant/transfer_test.go
@@ -46,7 +46,7 @@
 	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
 	f.store.SuppressWatchEvents(true) // the watch does not show the move either
 	f.store.LoseReplies(func(op, name string) error {
-		if name != mtstore.RangeName(service) {
+		if name != mtstore.RangeName(0, service) {
 			return nil
 		}
 		return &mtstore.UnknownError{Op: op, Name: name, Err: context.DeadlineExceeded}
@@ -63,9 +63,9 @@
 func TestLateMoveOfPreviousIncarnationIsRejected(t *testing.T) {
 	f := newFleet(t, "a", "b")
 	f.write(record("a", mtbackend.Ready))
-	previous, err := f.store.Get(context.Background(), mtstore.BackendName("a"))
+	previous, err := f.store.Get(context.Background(), mtstore.BackendName(0, "a"))
 	assert.NilError(t, err)
-	entry, err := f.store.Get(context.Background(), mtstore.RangeName(service))
+	entry, err := f.store.Get(context.Background(), mtstore.RangeName(0, service))
 	assert.NilError(t, err)
 	f.start()
 	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
@@ -89,7 +89,7 @@
 	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
 	var written atomic.Bool
 	f.store.LoseReplies(func(_, name string) error {
-		if name == mtstore.RangeName(service) {
+		if name == mtstore.RangeName(0, service) {
 			written.Store(true)
 		}
 		return nil
@@ -121,7 +121,7 @@
 	var unavailable atomic.Bool
 	unavailable.Store(true)
 	f.store.Fail(func(op, name string) error {
-		if unavailable.Load() && name == mtstore.RangeName(service) {
+		if unavailable.Load() && name == mtstore.RangeName(0, service) {
 			return &mtstore.UnavailableError{Op: op, Err: errors.New("busy")}
 		}
 		return nil
@@ -148,7 +148,7 @@
 	wrote := make(chan struct{})
 	signalWritten := sync.OnceFunc(func() { close(wrote) })
 	f.delegate = func(ctx context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool) {
-		entry, err := f.store.Get(ctx, mtstore.RangeName(service))
+		entry, err := f.store.Get(ctx, mtstore.RangeName(0, service))
 		assert.Check(t, err)
 		table, err := mtrange.Decode(entry.Value)
 		assert.Check(t, err)
@@ -251,7 +251,7 @@
 	f.delegate = func(ctx context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool) {
 		takeOver.Do(func() {
 			f.store.SuppressWatchEvents(true)
-			entry, err := f.store.Get(ctx, mtstore.RangeName(service))
+			entry, err := f.store.Get(ctx, mtstore.RangeName(0, service))
 			assert.Check(t, err)
 			table, err := mtrange.Decode(entry.Value)
 			assert.Check(t, err)
--- a/io/mtgrant/uncertainty.go
+++ b/io/mtgrant/uncertainty.go
@@ -57,10 +57,12 @@
 // observePreviousEpochs records which epochs the previous process may have used, once this
 // daemon's copy is as new as the record of this process.
 func (g *Grants) observePreviousEpochs() {
-	if !g.Directory.Current() {
-		return
+	view := g.Directory.View()
+	assignment := view.Assignments[g.Service]
+	if !g.Directory.Current() || assignment.Table != nil && assignment.Era() != view.Era() {
+		return // in an earlier era it may have used epochs that are lost
 	}
-	next := max(g.Directory.View().Assignments[g.Service].NextEpoch(), 1)
+	next := max(assignment.NextEpoch(), 1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.previous.next == 0 {
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -73,7 +73,7 @@
 	for _, d := range []mtid.Daemon{"b", "c", "d"} {
 		value, err := mtbackend.Record{Daemon: d, Address: string(d) + ":1", Service: "desk", Incarnation: mtid.ServerIncarnation{Server: "s"}, Slots: 10, State: mtbackend.Ready}.Encode()
 		assert.NilError(t, err)
-		store.Put(mtstore.BackendName(d), value)
+		store.Put(mtstore.BackendName(0, d), value)
 	}
 	directory, cleanUp := mtdirectory.New(mtdirectory.Config{
 		Self: "a", Store: store, Clock: clock, Lease: time.Minute, Log: slog.New(slog.DiscardHandler),
@@ -105,7 +105,7 @@
 // withKey gives the call a key, and makes daemon b the owner of all keys of its service.
 func withKey(t *testing.T, sender *mtingress.Sender, call *mtcall.Call) *mtcall.Call {
 	t.Helper()
-	table, err := mtrange.Spread("desk", []mtrange.Owner{{Daemon: "b", Incarnation: mtid.ServerIncarnation{Server: "s"}}})
+	table, err := mtrange.Spread("desk", 0, []mtrange.Owner{{Daemon: "b", Incarnation: mtid.ServerIncarnation{Server: "s"}}})
 	assert.NilError(t, err)
 	sender.Directory.ApplyAssignment(mtdirectory.Assignment{Table: table, Version: 1})
 	call.Keyed = true
--- a/io/mtmesh/commit.go
+++ b/io/mtmesh/commit.go
@@ -73,5 +73,5 @@
 // patchEntry returns an entry with the changes of an assignment since an epoch.
 func patchEntry(a mtdirectory.Assignment, since mtid.Epoch) (mtstore.Entry, error) {
 	value, err := a.Since(since).Encode()
-	return mtstore.Entry{Name: mtstore.RangeName(a.Service), Value: value, Version: a.Version}, err
+	return mtstore.Entry{Name: mtstore.RangeName(a.Era(), a.Service), Value: value, Version: a.Version}, err
 }
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -46,6 +46,9 @@
 	// maxPullWait is how long a pull waits at the upstream for changes before it is repeated.
 	// That is longer than it takes to detect a lost connection.
 	maxPullWait = 10 * time.Second
+	// formerUse is how long after the beginning of an era of the store daemons count as present
+	// that have not written their records in it.
+	formerUse = 3 * time.Second
 	// maxServingHops is the maximum distance from the store of a daemon that serves pulls.
 	// Without the limit, two daemons could pull from each other, count ever more hops and
 	// receive nothing.
@@ -91,6 +94,7 @@
 // cachedTree is the distribution tree for one version of the members.
 type cachedTree struct {
 	membership uint64 // MembershipVersion of the view
+	former     bool   // it contains members whose records are of an earlier era of the store
 	tree       *mtspread.Tree
 }
 
@@ -109,16 +113,19 @@
 	if view == nil {
 		return mtspread.New(nil)
 	}
-	if p := f.cached.Load(); p != nil && p.membership == view.MembershipVersion {
+	// Until the daemons have written their records in a new era of the store, they are where they
+	// were. If they counted as absent, all of them would read the store themselves.
+	useFormer := f.clock.Steady().Sub(view.EraSince) < formerUse
+	if p := f.cached.Load(); p != nil && p.membership == view.MembershipVersion && p.former == useFormer {
 		return p.tree
 	}
 	nodes := make([]mtspread.Node, 0, len(view.Members))
 	for _, m := range view.Members {
-		if !m.Expired && !m.Leaving {
+		if present := !m.Expired || m.Former && useFormer; present && !m.Leaving {
 			nodes = append(nodes, mtspread.Node{Daemon: m.Daemon, Zone: m.Zone, Address: m.Address, Link: m.Link})
 		}
 	}
-	p := &cachedTree{membership: view.MembershipVersion, tree: mtspread.New(nodes)}
+	p := &cachedTree{membership: view.MembershipVersion, former: useFormer, tree: mtspread.New(nodes)}
 	f.cached.Store(p)
 	return p.tree
 }
--- a/io/mtmesh/feed_test.go
+++ b/io/mtmesh/feed_test.go
@@ -60,7 +60,7 @@
 func (c *cluster) write(name mtid.Daemon) {
 	value, err := mtbackend.Record{Daemon: name, Address: "x:1", Service: "maps", State: mtbackend.Unknown}.Encode()
 	assert.NilError(c.t, err)
-	_, err = c.store.Swap(context.Background(), mtstore.BackendName(name), 0, value, "")
+	_, err = c.store.Swap(context.Background(), mtstore.BackendName(0, name), 0, value, "")
 	assert.NilError(c.t, err)
 }
 
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -98,6 +98,8 @@
 	// ZoneOutDeadline is the time within which a zone that is taken out of service must
 	// receive no new requests; zero stands for mtzone.DefaultCloseTime.
 	ZoneOutDeadline time.Duration
+	// Bootstrap reports that the whole system starts for the first time.
+	Bootstrap bool
 	// Warmup defines by how much the rate of a cold server may be exceeded.
 	Warmup mtbackend.Allowance
 	// Refresh reads everything again that operators have written. It is called if another
@@ -228,11 +230,22 @@
 		OnPreviousRecord: m.previous.receive,
 		OnLoss:           m.losses.receive,
 		OnUpdate:         m.feed.applied,
+		OnEra:            m.enterEra,
 	})
 	m.directory.Store(directory)
 	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
 }
 
+// enterEra makes a daemon that watches the store read everything again once the store has begun a
+// new era. Its watch may wait for changes after a revision that has been given out again. Daemons
+// that pull from it follow.
+func (m *Mesh) enterEra(mtid.Era) {
+	directory := m.directory.Load()
+	if directory != nil && m.feed.tree().WatchesStore(m.config.Daemon) {
+		directory.Resync()
+	}
+}
+
 // addHost adds the host of the backend server on this VM and the grants of its keys, which
 // depend on each other.
 func (m *Mesh) addHost() error {
@@ -275,6 +288,7 @@
 	})
 	created, closeGrants := mtgrant.New(mtgrant.Config{
 		Self:          m.config.Daemon,
+		Bootstrap:     m.config.Bootstrap,
 		Service:       m.config.Service,
 		Keyed:         m.keyed,
 		GrantDuration: m.config.GrantDuration,
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -35,7 +35,10 @@
 	startedBefore int64 // calls sent to the server until the previous summary
 }
 
-type clock interface{ Now() mtclock.Instant }
+type clock interface {
+	Now() mtclock.Instant
+	Steady() mtclock.Instant
+}
 
 func newRecorder(m *mtmetric.Metrics, c clock, service mtid.Service, log *slog.Logger, versions func() (configuration, seen mtid.Version)) *recorder {
 	return &recorder{
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -186,7 +186,7 @@
 func (m *Mesh) notifyPeers() {
 	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
 	for name, member := range mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory).View().Members {
-		if name == m.config.Daemon || member.Expired {
+		if name == m.config.Daemon || member.Expired && !member.Former {
 			continue
 		}
 		go func() {
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -34,6 +34,9 @@
 	Grace           time.Duration       // from the request to stop until the process is killed
 	ConfigDeadline  time.Duration       // time within which a configuration must be in force
 	ZoneOutDeadline time.Duration       // time until a zone taken out of service gets no new work
+	// Bootstrap reports that the whole system starts for the first time, so that the store
+	// cannot have lost anything yet.
+	Bootstrap bool
 	// Warmup bounds how far the rate of a cold server may be exceeded.
 	Warmup mtbackend.Allowance
 }
@@ -68,6 +71,7 @@
 	s.Zone = mtid.Zone(daemon.Name("zone"))
 	s.Service = mtid.Service(daemon.Name("service"))
 	s.Link = mtbackend.Bandwidth(daemon.Float("link", defaultLink, 0, maxLink))
+	s.Bootstrap = daemon.Bool("first", false)
 	s.Host = parseHost(daemon)
 	s.Server = daemon.Address("server")
 	listen := f.RequiredSection("listen")
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -16,6 +16,7 @@
 name = vm-1
 zone = old-town
 link = 200
+first = yes
 service = maps
 host = 10.1.0.38
 server = 10.1.0.38:8145
@@ -45,7 +46,7 @@
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(meshText))
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	assert.DeepEqual(t, got, &mtsetting.Mesh{
-		Name: "vm-1", Zone: "old-town", Link: 200, Service: "maps", Host: "10.1.0.38", Server: "10.1.0.38:8145",
+		Name: "vm-1", Zone: "old-town", Link: 200, Bootstrap: true, Service: "maps", Host: "10.1.0.38", Server: "10.1.0.38:8145",
 		Callers: "10.1.0.38:8147", Ready: "10.1.0.38:8141", Heartbeats: "10.1.0.38:8144",
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
 		GrantDuration: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigDeadline: 3 * time.Second,
@@ -82,7 +83,7 @@
 		"{{port_range}}", "7380,7395", "{{provider.address}}", "10.200.1.7:8142",
 		"{{bounds.hold_max_s}}", "10", "{{bounds.drain_s}}", "2.5", "{{bounds.grace_s}}", "6", "{{bounds.config_s}}", "3",
 		"{{bounds.evacuate_s}}", "4", "{{bounds.cold_excess}}", "1.5", "{{bounds.cold_extra}}", "8",
-		"{{#bounds.evacuate_s}}", "", "{{/bounds.evacuate_s}}", "", "{{#bounds.cold_excess}}", "", "{{/bounds.cold_excess}}", "",
+		"{{#bootstrap}}", "", "{{/bootstrap}}", "", "{{#bounds.evacuate_s}}", "", "{{/bounds.evacuate_s}}", "", "{{#bounds.cold_excess}}", "", "{{/bounds.cold_excess}}", "",
 		"{{#bounds.cold_extra}}", "", "{{/bounds.cold_extra}}", "",
 	).Replace(string(template))
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(filled))
--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -100,7 +100,7 @@
 func (s *RevisionStore) Put(name string, value []byte) mtid.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(name, value, "")
+	return s.versionOf(s.put(name, value, ""))
 }
 
 // Delete removes a name unconditionally, as another writer may. The lease it was
@@ -124,7 +124,7 @@
 	if !ok {
 		return mtstore.Entry{}, &mtstore.NotFoundError{Name: name}
 	}
-	return i.entry(name), nil
+	return s.entry(name, i), nil
 }
 
 // Swap implements mtstore.Store.
@@ -147,15 +147,15 @@
 		return 0, &mtstore.LeaseExpiredError{Lease: lease}
 	}
 	for _, c := range append([]mtstore.Condition{{Name: name, Version: expected}}, conditions...) {
-		if now := s.items[c.Name]; now.revision != uint64(c.Version) {
+		if now := s.items[c.Name]; s.versionOf(now.revision) != c.Version {
 			conflict := &mtstore.ConflictError{Name: c.Name, Expected: c.Version}
 			if now.revision != 0 {
-				conflict.Current = now.entry(c.Name)
+				conflict.Current = s.entry(c.Name, now)
 			}
 			return 0, conflict
 		}
 	}
-	version := s.put(name, value, lease)
+	version := s.versionOf(s.put(name, value, lease))
 	if s.failAfter != nil {
 		if err := s.failAfter("swap", name); err != nil {
 			return 0, err
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		changes, changed, err := s.changesAfter(prefix, uint64(after))
+		changes, changed, err := s.changesAfter(prefix, after)
 		if err != nil || after == 0 || len(changes.Entries) > 0 {
 			return changes, err
 		}
@@ -183,28 +183,29 @@
 
 // changesAfter returns the changes under the prefix after a revision, and a channel
 // that is closed at the next change.
-func (s *RevisionStore) changesAfter(prefix string, after uint64) (mtstore.Changes, <-chan struct{}, error) {
+func (s *RevisionStore) changesAfter(prefix string, known mtid.Revision) (mtstore.Changes, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if err := s.failure("watch", prefix); err != nil {
 		return mtstore.Changes{}, nil, err
 	}
-	if after != 0 && after < s.compacted || after > s.revision {
-		return mtstore.Changes{}, nil, &mtstore.CompactedError{After: mtid.Revision(after)}
+	after := known.Number()
+	if after != 0 && (after < s.compacted || known.Era() != s.era) || after > s.revision {
+		return mtstore.Changes{}, nil, &mtstore.CompactedError{After: known}
 	}
 	if s.watchEventsSuppressed && after != 0 {
-		return mtstore.Changes{Revision: mtid.Revision(after)}, s.changed, nil
+		return mtstore.Changes{Revision: known}, s.changed, nil
 	}
-	changes := mtstore.Changes{Revision: mtid.Revision(s.revision)}
+	changes := mtstore.Changes{Revision: mtid.RevisionOf(s.era, s.revision)}
 	for name, i := range s.items {
 		if strings.HasPrefix(name, prefix) && i.revision > after {
-			changes.Entries = append(changes.Entries, i.entry(name))
+			changes.Entries = append(changes.Entries, s.entry(name, i))
 		}
 	}
 	for name, revision := range s.deleted {
 		if strings.HasPrefix(name, prefix) && revision > after && after != 0 {
-			changes.Entries = append(changes.Entries, mtstore.Entry{Name: name, Revision: mtid.Revision(revision)})
+			changes.Entries = append(changes.Entries, mtstore.Entry{Name: name, Revision: mtid.RevisionOf(s.era, revision)})
 		}
 	}
 	slices.SortFunc(changes.Entries, func(a, b mtstore.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
@@ -277,12 +278,12 @@
 	return s.failBefore(op, name)
 }
 
-func (s *RevisionStore) put(name string, value []byte, lease mtstore.LeaseID) mtid.Version {
+func (s *RevisionStore) put(name string, value []byte, lease mtstore.LeaseID) uint64 {
 	s.revision++
 	s.items[name] = item{value: slices.Clone(value), revision: s.revision, lease: lease}
 	delete(s.deleted, name)
 	s.notifyWatchers()
-	return mtid.Version(s.revision)
+	return s.revision
 }
 
 func (s *RevisionStore) expire() {
@@ -316,8 +317,12 @@
 	s.changed = make(chan struct{})
 }
 
-func (i item) entry(name string) mtstore.Entry {
-	return mtstore.Entry{Name: name, Value: slices.Clone(i.value), Version: mtid.Version(i.revision), Revision: mtid.Revision(i.revision)}
+func (s *RevisionStore) entry(name string, i item) mtstore.Entry {
+	return mtstore.Entry{Name: name, Value: slices.Clone(i.value), Version: s.versionOf(i.revision), Revision: mtid.RevisionOf(s.era, i.revision)}
+}
+
+func (s *RevisionStore) versionOf(revision uint64) mtid.Version {
+	return mtid.VersionOf(s.era, revision)
 }
 
 var _ mtstore.ConditionalStore = (*RevisionStore)(nil)
