Write the losses of servers again that the store has lost

Cause: what was in flight at a loss of a server lasts only in the store; a daemon that starts after a step back knows no losses, so a request that crashes servers may crash three more. Change: each daemon keeps the last 64 losses that it has written, for as long as they last, and writes them again in a new era.

--- a/io/mtdirectory/loss.go
+++ b/io/mtdirectory/loss.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtstore"
 )
@@ -41,6 +42,25 @@
 	lease mtstore.LeaseID // empty until it is granted
 }
 
+// writtenLoss is a loss that the store has contained.
+type writtenLoss struct {
+	loss mtpoison.Loss
+	at   mtclock.Instant
+}
+
+// rewriteLosses has the losses written again that the store may have lost with an era.
+func (p *publisher) rewriteLosses(now mtclock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.writtenLosses {
+		if now.Sub(w.at) < mtpoison.LossTTL {
+			p.losses = append(p.losses, &pendingLoss{loss: w.loss})
+		}
+	}
+	p.writtenLosses = nil
+	p.losses = p.losses[max(len(p.losses)-maxPendingLosses, 0):]
+}
+
 // maxPendingLosses is the number of losses that wait for the store, the newest ones.
 const maxPendingLosses = 64
 
@@ -73,6 +93,8 @@
 		if len(p.losses) > 0 && p.losses[0] == first {
 			p.losses = p.losses[1:]
 		}
+		p.writtenLosses = append(p.writtenLosses, writtenLoss{loss: first.loss, at: p.Clock.Now()})
+		p.writtenLosses = p.writtenLosses[max(len(p.writtenLosses)-maxPendingLosses, 0):]
 		p.mu.Unlock()
 	}
 }
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -42,6 +42,8 @@
 	wanted    mtbackend.Record
 	published bool           // Publish was called
 	losses    []*pendingLoss // oldest first
+	// writtenLosses are the last ones that are in the store, oldest first.
+	writtenLosses []writtenLoss
 
 	// State of the background goroutine.
 	lease     mtstore.LeaseID
@@ -266,6 +268,7 @@
 		ended.Until = p.recordValidUntil()
 		p.former.Store(&ended)
 	}
+	p.rewriteLosses(p.Clock.Now())
 	p.era, p.tenure = era, Tenure{}
 	p.lease, p.version, p.written, p.renewedAt = "", 0, mtbackend.Record{}, 0
 	p.validUntil.Store(0)
