Let operators' orders outlive a step back of the store

Cause: an order about a zone that the copy doesn't have was dropped until the operators had written it again, and one that had been withdrawn came back. Change: at the beginning of an era, an entry of the copy that contradicts a later one comes into force only after two seconds in which nothing newer has arrived; the same order under the new era's version extends no time for keyed work. Tests of the records, the tenure, the assignment, the losses and the orders across eras. Measured: go test ./io/mtdirectory; TestUnconfirmedOrderEnds found that a copy of revision 1 was not compared at all (mended here). Conclusion: daemons that run on never revert an order; one that starts between the return and the rewrite believes the store.

--- a/core/mtzone/admission.go
+++ b/core/mtzone/admission.go
@@ -39,8 +39,9 @@
 // work may start. If the same order is received again, that time can only become
 // earlier, because it counts from the order and not from its receipt.
 func (a *Admission) Close(version mtid.Version, until mtclock.Instant) {
-	if a.version == version {
-		a.keyedUntil = min(a.keyedUntil, until)
+	if a.version == version || a.version != 0 && a.version.Era() != version.Era() {
+		// In a new era of the store the same order has another version.
+		a.version, a.keyedUntil = version, min(a.keyedUntil, until)
 		return
 	}
 	a.version, a.keyedUntil = version, until
--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -29,16 +30,17 @@
 }
 
 // enterEra begins the era of a revision, if it is later than that of the copy: all records count
-// as absent until they are written in it. It is called with mu held.
-func (d *Directory) enterEra(v *View, revision mtid.Revision, now mtclock.Instant) {
+// as absent until they are written in it. It reports whether an earlier era has ended. It is called
+// with mu held.
+func (d *Directory) enterEra(v *View, revision mtid.Revision, now mtclock.Instant) bool {
 	era := revision.Era()
 	if v.Revision != 0 && era <= v.Era() {
-		return
+		return false
 	}
 	v.EraSince = now
 	if v.Revision == 0 {
 		v.Revision = mtid.RevisionOf(era, 1) // the copy is empty, and complete up to the first one
-		return
+		return false
 	}
 	v.FormerRevision = v.Revision
 	d.Log.Warn("copy enters a new era of the store", "era", era, "before", v.Era(), "revision", revision.Number(), "known", v.Revision.Number())
@@ -56,5 +58,73 @@
 			delete(d.entries, name) // names of the era that has ended
 		}
 	}
+	clear(d.doubtful)
 	d.publisher.runNow()
+	return true
+}
+
+// settleTime is how long after the beginning of an era of the store the operators' last known
+// orders and configuration remain in force where the copy has older ones. The operators write
+// again what was lost.
+const settleTime = 2 * time.Second
+
+// settling reports whether the operators may not have written everything again.
+func (d *Directory) settling(now mtclock.Instant, v *View) bool {
+	return v.FormerRevision != 0 && now.Sub(v.EraSince) < settleTime
+}
+
+// doubt reports whether an operators' entry that was read at the beginning of an era contradicts a
+// later one that is known from the era before: then it is only the copy's. If nothing newer
+// arrives, it is applied after a while. It is called with mu held.
+func (d *Directory) doubt(e mtstore.Entry) bool {
+	known, ok := d.entries[e.Name]
+	switch {
+	case !ok || strings.HasPrefix(e.Name, mtstore.LivePrefix) && !strings.HasPrefix(e.Name, mtstore.ZonePrefix):
+		return false // nothing that operators write
+	case known.Version != 0 && e.Version != 0 && strings.HasPrefix(e.Name, mtstore.ZonePrefix):
+		return false // the order stands, by either
+	case e.Version != 0 && e.Revision.Number() >= known.Revision.Number():
+		return false // written later
+	case e.Version == 0 && known.Version == 0:
+		return false
+	}
+	d.Log.Warn("entry of the copy contradicts a later one, which stays in force for now", "name", e.Name, "present", e.Version != 0, "revision", e.Revision.Number(), "known", known.Revision.Number())
+	d.doubtful[e.Name] = e
+	if d.settleTimer != nil {
+		d.settleTimer.Stop()
+	}
+	d.settleTimer = time.AfterFunc(settleTime, d.applyDoubtful)
+	return true
+}
+
+// applyDoubtful applies the entries of the copy that nothing newer has replaced.
+func (d *Directory) applyDoubtful() {
+	now := d.Clock.Steady()
+	var others []mtstore.Entry
+	d.update(func(v *View) bool {
+		for name, e := range d.doubtful {
+			d.Log.Warn("entry of the copy comes into force", "name", name, "present", e.Version != 0, "revision", e.Revision.Number())
+			d.entries[name] = e
+			if !d.applyEntry(v, now, e) {
+				others = append(others, e)
+			}
+		}
+		changed := len(d.doubtful) > 0
+		clear(d.doubtful)
+		return changed
+	})
+	for _, e := range others {
+		if d.OnOtherEntry != nil {
+			d.OnOtherEntry(e)
+		}
+	}
+}
+
+// stopSettling stops the timer that applies doubtful entries.
+func (d *Directory) stopSettling() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.settleTimer != nil {
+		d.settleTimer.Stop()
+	}
 }
--- /dev/null
+++ b/io/mtdirectory/era_test.go
@@ -0,0 +1,143 @@
+package mtdirectory_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtstandin"
+)
+
+// inEra reports whether the copy of a directory is of an era.
+func inEra(d *mtdirectory.Directory, era mtid.Era) bool { return d.View().Era() == era }
+
+// Guards against a daemon that takes its lease or its record for those of a store that has lost them.
+func TestRecordIsWrittenAgainInNewEra(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	a, b := start(t, store, "a"), start(t, store, "b")
+	copied := store.Copy()
+	a.Publish(record("a"))
+	b.Publish(record("b"))
+	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
+	for era := mtid.Era(1); era <= 2; era++ {
+		store.StepBack(copied)
+		waitFor(t, "the records are back", func() bool {
+			return inEra(a, era) && knowsRecord(a, "b", false) && inEra(b, era) && knowsRecord(b, "a", false) && a.Current()
+		})
+		tenure, ok := a.FormerTenure()
+		assert.Assert(t, ok && tenure.Era() == era-1, "%v", tenure)
+		assert.Equal(t, tenure.Incarnation, record("a").Incarnation)
+	}
+}
+
+// Guards against a claim of keys that others may have taken over, since the daemon had offered them.
+func TestNoTenureAfterEndWasWritten(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	a, b := start(t, store, "a"), start(t, store, "b")
+	a.Publish(record("a"))
+	waitFor(t, "b knows the record of a", func() bool { return knowsRecord(b, "a", false) })
+	copied := store.Copy()
+	ended := record("a")
+	ended.State = "ended"
+	a.Publish(ended)
+	waitFor(t, "b knows the end", func() bool { return b.View().Members["a"].State == "ended" })
+	store.StepBack(copied)
+	waitFor(t, "the end is known in the new era", func() bool { return inEra(b, 1) && b.View().Members["a"].State == "ended" && knowsRecord(b, "a", false) })
+	_, ok := a.FormerTenure()
+	assert.Assert(t, !ok)
+}
+
+// Guards against an assignment of the copy that replaces a newer one, and against one that can't be written any more.
+func TestOlderAssignmentOfCopyIsPassedOver(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	a := start(t, store, "a")
+	table, err := mtrange.Spread("maps", 0, []mtrange.Owner{record("a").Owner(), record("b").Owner()})
+	assert.NilError(t, err)
+	put := func(table *mtrange.Table) {
+		value, err := table.Encode()
+		assert.NilError(t, err)
+		store.Put(mtstore.RangeName(0, "maps"), value)
+	}
+	put(table)
+	copied := store.Copy()
+	newer, err := table.Move(0, 9, record("b").Owner(), "")
+	assert.NilError(t, err)
+	put(newer)
+	waitFor(t, "the newer one is known", func() bool { return a.View().Assignments["maps"].NextEpoch() == newer.Next })
+	store.StepBack(copied)
+	waitFor(t, "the new era is known", func() bool { return inEra(a, 1) })
+	known := a.View().Assignments["maps"]
+	assert.Equal(t, known.Next, newer.Next)
+	base, expected := known.Basis(1)
+	assert.Equal(t, expected, mtid.Version(0))
+	assert.Assert(t, base.Next > newer.Next && base.Era() == 1 && len(base.Owners()) == 0, "%v", base)
+}
+
+// Guards against an order about a zone that is dropped, or one that was withdrawn and comes back, between the return of the store and the operators' rewrite.
+func TestOrdersOutliveStepBack(t *testing.T) {
+	for name, out := range map[string]bool{"given since the copy": true, "withdrawn since the copy": false} {
+		t.Run(name, func(t *testing.T) {
+			store := mtstandin.NewRevisionStore(time.Now)
+			zone := mtstore.ZoneName("riga-b")
+			if !out {
+				store.Put(zone, []byte("{}"))
+			}
+			a := start(t, store, "a")
+			isOut := func() bool { return a.View().OutOfService.Has("riga-b") }
+			waitFor(t, "the first state is known", func() bool { return a.View().Revision != 0 && isOut() == !out })
+			copied := store.Copy()
+			if out {
+				store.Put(zone, []byte("{}"))
+			} else {
+				store.Delete(zone)
+			}
+			waitFor(t, "the change is known", func() bool { return isOut() == out })
+			rewrite := store.StepBack(copied)
+			waitFor(t, "the new era is known", func() bool { return inEra(a, 1) })
+			assert.Equal(t, isOut(), out)
+			rewrite(mtstore.ZonePrefix)
+			waitFor(t, "the rewrite is known", func() bool { return a.View().OutOfService.ChangedAt("riga-b").Era() == 1 })
+			assert.Equal(t, isOut(), out)
+			store.Put(zone, []byte("{}"))
+			waitFor(t, "a new order is obeyed", isOut)
+			store.Delete(zone)
+			waitFor(t, "its withdrawal is obeyed", func() bool { return !isOut() })
+		})
+	}
+}
+
+// Guards against an order that stays in force for ever because the operators don't write it again.
+func TestUnconfirmedOrderEnds(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	a := start(t, store, "a")
+	waitFor(t, "the store is read", func() bool { return a.View().Revision != 0 })
+	copied := store.Copy()
+	store.Put(mtstore.ZoneName("riga-b"), []byte("{}"))
+	waitFor(t, "the order is known", func() bool { return a.View().OutOfService.Has("riga-b") })
+	store.StepBack(copied)
+	waitFor(t, "the order ends", func() bool { return inEra(a, 1) && !a.View().OutOfService.Has("riga-b") })
+}
+
+// Guards against losses of servers that nobody knows any more after the store has lost them.
+func TestLossIsWrittenAgainInNewEra(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	a := start(t, store, "a")
+	copied := store.Copy()
+	a.Publish(record("a"))
+	loss := mtpoison.Loss{ID: mtpoison.LossID{Daemon: "a", Server: record("a").Incarnation}}
+	a.PublishLoss(loss)
+	stored := func() bool {
+		_, err := store.Get(t.Context(), mtstore.LossName(loss.ID))
+		return err == nil
+	}
+	waitFor(t, "the loss is stored", func() bool { return stored() && !a.LossPending(loss.ID) })
+	store.StepBack(copied)
+	assert.Assert(t, !stored())
+	waitFor(t, "the loss is stored again", stored)
+}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -39,9 +39,10 @@
 
 // deletedEntries returns the deletions that a full read reveals: known entries that no
 // longer exist, and records that are still absent, because those may have been present
-// in between. It is called with mu held.
-func (d *Directory) deletedEntries(u mtwatch.Update, v *View) []mtstore.Entry {
-	if !u.Snapshot || u.Changes.Revision <= v.Revision {
+// in between. entered reports that the read begins an era of the store. It is called with mu
+// held.
+func (d *Directory) deletedEntries(u mtwatch.Update, v *View, entered bool) []mtstore.Entry {
+	if !u.Snapshot || !entered && u.Changes.Revision <= v.Revision {
 		return nil
 	}
 	present := make(map[string]bool, len(u.Changes.Entries))
@@ -56,9 +57,12 @@
 		if present[name] || e.Version == 0 && !strings.HasPrefix(name, mtstore.BackendPrefix) {
 			continue
 		}
-		e = mtstore.Entry{Name: name, Revision: u.Changes.Revision}
-		d.entries[name] = e
-		deleted = append(deleted, e)
+		gone := mtstore.Entry{Name: name, Revision: u.Changes.Revision}
+		if e.Revision.Era() < gone.Revision.Era() && d.doubt(gone) {
+			continue
+		}
+		d.entries[name] = gone
+		deleted = append(deleted, gone)
 	}
 	return deleted
 }
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -77,6 +77,8 @@
 	mu           sync.Mutex // guards listeners, entries, nextChange and the creation of views
 	listeners    []func()
 	entries      map[string]mtstore.Entry // all entries that were received, including deletions
+	doubtful     map[string]mtstore.Entry // what operators may have changed since, by name
+	settleTimer  *time.Timer              // applies the doubtful entries; nil before the first of them
 	nextChange   chan struct{}            // closed at the next change
 	publisher    *publisher
 	watcher      atomic.Pointer[mtwatch.Watcher]
@@ -87,7 +89,9 @@
 // The clean-up function ends the lease, so that other daemons are notified immediately
 // that this one has terminated.
 func New(config Config) (*Directory, func()) {
-	d := &Directory{Config: config, entries: make(map[string]mtstore.Entry), nextChange: make(chan struct{})}
+	d := &Directory{
+		Config: config, entries: make(map[string]mtstore.Entry), doubtful: make(map[string]mtstore.Entry), nextChange: make(chan struct{}),
+	}
 	if d.Source == nil {
 		d.Source = config.Store
 	}
@@ -101,6 +105,7 @@
 	return d, func() {
 		stopWatch()
 		stopPublisher()
+		d.stopSettling()
 	}
 }
 
@@ -201,14 +206,21 @@
 	var others []mtstore.Entry
 	patchFailed := false
 	d.update(func(v *View) bool {
-		d.enterEra(v, u.Changes.Revision, now)
-		for _, e := range d.deletedEntries(u, v) {
+		entered := d.enterEra(v, u.Changes.Revision, now)
+		for _, e := range d.deletedEntries(u, v, entered) {
 			d.applyEntry(v, now, e)
 		}
 		for _, e := range u.Changes.Entries {
 			if d.zoneKnown(e) {
 				continue
 			}
+			if entered && d.doubt(e) {
+				if !strings.HasPrefix(e.Name, mtstore.ZonePrefix) {
+					others = append(others, e) // who uses it knows whether it is older
+				}
+				continue
+			}
+			delete(d.doubtful, e.Name)
 			patched, err := v.applyPatch(e)
 			if err != nil {
 				d.Log.Warn("patch of an assignment can't be applied", "name", e.Name, "error", err)
--- a/io/mtdirectory/zone.go
+++ b/io/mtdirectory/zone.go
@@ -35,6 +35,10 @@
 	changed := false
 	d.update(func(v *View) bool {
 		for _, e := range d.newerZoneEntries(read) {
+			if old := d.entries[e.Name]; old.Revision.Era() < e.Revision.Era() && d.settling(d.Clock.Steady(), v) && d.doubt(e) {
+				continue
+			}
+			delete(d.doubtful, e.Name)
 			d.entries[e.Name] = e
 			d.applyZoneEntry(v, e)
 			changed = true
