Take a configuration from other daemons that the store has lost

Cause: a daemon that starts between the return of the store and the operators' rewrite read a configuration that had been replaced, and put it into force until the rewrite. Change: when another daemon reports a newer configuration and the store has none, the operators' entries are pulled from a watcher or distributor.

--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtforward"
@@ -107,6 +109,33 @@
 		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(theirs.ConfigVersion))
 		m.pollStore()
 	}
+	if own := m.knownVersions(); own.ConfigVersion < theirs.ConfigVersion {
+		m.pullOperatorEntries()
+	}
+}
+
+// pullOperatorEntries takes what operators have written from another daemon, because the store has
+// come back from a copy without it. A daemon that has just started could otherwise bring a
+// configuration back into force that had been replaced.
+func (m *Mesh) pullOperatorEntries() {
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+	defer cancel()
+	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
+	tree := m.feed.tree()
+	for _, n := range append(tree.OtherWatchers(m.config.Daemon), tree.Upstreams(m.config.Daemon, m.config.Zone)...) {
+		reply, err := peers.PullChanges(ctx, n.Address, mtforward.ChangesRequest{})
+		if err != nil {
+			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", n.Daemon, "error", err)
+			continue
+		}
+		for _, e := range reply.Changes.Entries {
+			if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
+				m.config.OnOtherEntry(e)
+			}
+		}
+		m.config.Log.Info("operators' entries taken from a daemon", "peer", n.Daemon, "configuration", uint64(m.knownVersions().ConfigVersion))
+		return
+	}
 }
 
 // pollStore polls the store for the configuration and the zones that are out of service. If
