Serve keys by the grants of the daemon's previous process while they are fallow

Cause: callers of keys beside restarted daemons got refusals for 10.5 s after a step back, though the servers still had those keys for most of that time. Change: until the commands of the previous process have expired, calls for fallow keys of the own server are passed on; the server itself refuses what it does not have. After that the refusal says when the keys can be granted. Conclusion: nobody else is granted a fallow key in that time, so one owner is left.

--- a/io/mtgrant/claim.go
+++ b/io/mtgrant/claim.go
@@ -8,6 +8,7 @@
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtrange"
+	"magnoliaturn/core/mtreply"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
 )
@@ -84,6 +85,18 @@
 		slices.ContainsFunc(g.grants, func(held *grant) bool { return held.moving && overlaps(held.Range) })
 }
 
+// checkFallow returns nil for a key of the server, fallow in the store's era, that it may still have
+// by a grant of this daemon's previous process: the server itself refuses a call for a key that it
+// does not have. After that time the error asks the caller to come back when the key can be granted.
+func (g *Grants) checkFallow(view *mtdirectory.View) error {
+	now := g.Clock.Steady()
+	if now.Before(g.previous.expiry) {
+		return nil
+	}
+	due := view.EraSince.Add(g.grantsExpireAfter())
+	return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: max(due.Sub(now), grantRetry)}
+}
+
 // forgo records that a move was under way when its era ended, so that its keys are not claimed. A
 // new epoch under the same owner is no move.
 func (g *Grants) forgo(t mtrange.Transfer) {
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -251,10 +251,13 @@
 		if !held.Covers(key) || held.incarnation != incarnation {
 			continue
 		}
-		if held.grantedAt == 0 || !now.Before(held.grantedAt.Add(g.GrantDuration)) {
-			return g.notGrantedError(now)
+		if held.grantedAt != 0 && now.Before(held.grantedAt.Add(g.GrantDuration)) {
+			return nil
 		}
-		return nil
+		if view := g.Directory.View(); held.Epoch.Era() != view.Era() {
+			return g.checkFallow(view)
+		}
+		return g.notGrantedError(now)
 	}
 	return g.notHeldError(incarnation, key)
 }
