--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -150,6 +150,9 @@
 		m.config.Log.Warn("polling the store for the configuration failed", "error", err)
 		return
 	}
+	if read.Revision.Era() > directory.View().Era() {
+		directory.Resync() // the watch may wait for changes after a revision that is given out again
+	}
 	for _, e := range read.Entries {
 		m.config.OnOtherEntry(e)
 	}
--- a/io/mtstandin/era.go
+++ b/io/mtstandin/era.go
@@ -80,3 +80,6 @@
 	}
 	s.notifyWatchers()
 }
+
+// Revision returns the number of the store's revision in the copy.
+func (c *Copy) Revision() uint64 { return c.revision }
