--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -48,7 +48,9 @@
 	a.Publish(ended)
 	waitFor(t, "b knows the end", func() bool { return b.View().Members["a"].State == "ended" })
 	store.StepBack(copied)
-	waitFor(t, "the end is known in the new era", func() bool { return inEra(b, 1) && b.View().Members["a"].State == "ended" && knowsRecord(b, "a", false) })
+	waitFor(t, "the end is known in the new era", func() bool {
+		return inEra(b, 1) && b.View().Members["a"].State == "ended" && knowsRecord(b, "a", false)
+	})
 	_, ok := a.FormerTenure()
 	assert.Assert(t, !ok)
 }
