Claim the keys of a server that ends while the store is away

Cause: callers of a server that was lost, or restarted, during the step back waited 10.5 s for its keys: its daemon made no claims once the server had ended, and took its tenure for ended when it had only tried to write the end. Change: claims are made and written whatever the server's state; a tenure ends only if the record that ends it may have been written. After an attempt of its own a daemon has its claims written by the writer for all again.

--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -281,10 +281,11 @@
 	return true
 }
 
-// offer records that a record is about to be written, which lets others take over the keys of the
-// incarnation that holds them so far: from now on they may have been taken.
-func (p *publisher) offer(r mtbackend.Record) {
-	if !r.MayHoldKeys(p.tenure.Incarnation) {
+// endTenure ends the tenure if a record may have been written that lets others take over the keys
+// of the incarnation that holds them so far.
+func (p *publisher) endTenure(r mtbackend.Record, err error) {
+	var unknown *mtstore.UnknownError
+	if !r.MayHoldKeys(p.tenure.Incarnation) && (err == nil || errors.As(err, &unknown)) {
 		p.tenure = Tenure{}
 	}
 }
@@ -327,9 +328,9 @@
 	}
 	name := mtstore.BackendName(p.era, p.Self)
 	interrupted := p.version == 0 || p.validSince.Load() == 0
-	p.offer(wanted)
 	for range maxWriteAttempts {
 		version, err := p.Store.Swap(ctx, name, p.version, value, p.lease)
+		p.endTenure(wanted, err)
 		var conflict *mtstore.ConflictError
 		var expired *mtstore.LeaseExpiredError
 		switch {
--- a/io/mtgrant/claim.go
+++ b/io/mtgrant/claim.go
@@ -36,7 +36,7 @@
 		g.makeClaims(view, tenure, now)
 	}
 	g.dropClaims(view, now)
-	if len(g.claims) == 0 || g.claiming || !g.Directory.Current() {
+	if len(g.claims) == 0 || g.claiming || g.Directory.RecordVersion().Era() != view.Era() {
 		return
 	}
 	g.claiming = true
@@ -148,7 +148,9 @@
 	g.Log.Info("claims of keys written", "claims", len(b.Transfers), "written", written, "direct", direct)
 	mtduty.Sleep(ctx, rand.N(claimPause))
 	g.mu.Lock()
-	g.claiming, g.claimFailed = false, written < len(b.Transfers)
+	// The daemon that writes for all may not have noticed the new era yet. If all wrote themselves
+	// from then on, nearly every write would conflict with another one.
+	g.claiming, g.claimFailed = false, !direct && written < len(b.Transfers)
 	g.mu.Unlock()
 	g.Wake()
 }
--- a/io/mtgrant/sync.go
+++ b/io/mtgrant/sync.go
@@ -13,11 +13,11 @@
 func (g *Grants) reconcile(ctx context.Context) {
 	record, address := g.Host.Record()
 	owner := record.Owner()
+	g.updateClaims(ctx) // also what a server had that has ended
 	if record.State == mtbackend.Ended {
 		return // the record lets others take over the keys, and no copy is current
 	}
 	g.refreshStaleCopy(g.Clock.Now())
-	g.updateClaims(ctx)
 	g.observePreviousEpochs()
 	if owner.Incarnation.IsZero() || record.State == mtbackend.Unknown {
 		return
