--- a/io/mtgrant/fleet_test.go
+++ b/io/mtgrant/fleet_test.go
@@ -179,7 +179,9 @@
 	// restarted makes daemon a the successor of a process that has just ended. Otherwise it
 	// has run for long.
 	restarted bool
-	grants    *mtgrant.Grants
+	// again reports that the whole system has run before.
+	again  bool
+	grants *mtgrant.Grants
 
 	closeGrants    func()
 	closeDirectory func()
@@ -253,7 +255,7 @@
 		runningSince = f.clock.Steady()
 	}
 	grants, closeGrants := mtgrant.New(mtgrant.Config{
-		Self: "a", Bootstrap: true, RunningSince: runningSince, Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
+		Self: "a", Bootstrap: !f.again, RunningSince: runningSince, Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
 		Store: f.store, Host: f.host, Client: client, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
 		LoadReports: func() (mtrange.LoadReport, []mtrange.LoadReport) {
 			f.mu.Lock()
