Keep keys in service until it is known what to claim

Cause: TestKeysStayInServiceUntilClaimIsWritten: a daemon whose copy entered the new era before its record did saw an assignment without its claims, and released its keys; callers got stale-route. Change: grants are compared with an assignment of a new era only once the record is written in it, and the claims are made by the same view. Conclusion: the order of copy and record does not matter any more.

--- a/io/mtgrant/claim.go
+++ b/io/mtgrant/claim.go
@@ -30,11 +30,7 @@
 	view, now := g.Directory.View(), g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	tenure, ok := g.Directory.FormerTenure()
-	if ok && tenure.Era() < view.Era() && (!g.claimedFirst || tenure.Era() > g.claimedEra) {
-		g.claimedEra, g.claimedFirst = tenure.Era(), true
-		g.makeClaims(view, tenure, now)
-	}
+	g.observeTenure(view, now)
 	g.dropClaims(view, now)
 	if len(g.claims) == 0 || g.claiming || g.Directory.RecordVersion().Era() != view.Era() {
 		return
@@ -43,6 +39,15 @@
 	g.offloads.Go(func() { g.writeClaims(ctx) })
 }
 
+// observeTenure makes claims when a tenure has ended with its era. It is called with mu held.
+func (g *Grants) observeTenure(view *mtdirectory.View, now mtclock.Instant) {
+	tenure, ok := g.Directory.FormerTenure()
+	if ok && tenure.Era() < view.Era() && (!g.claimedFirst || tenure.Era() > g.claimedEra) {
+		g.claimedEra, g.claimedFirst = tenure.Era(), true
+		g.makeClaims(view, tenure, now)
+	}
+}
+
 // makeClaims claims what the server had in a tenure that ended with its era. It is called with mu
 // held.
 //
--- a/io/mtgrant/claim_test.go
+++ b/io/mtgrant/claim_test.go
@@ -82,6 +82,37 @@
 	})
 }
 
+// Guards against keys that are released because the first assignment of the era doesn't name their owner yet.
+func TestKeysStayInServiceUntilClaimIsWritten(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	copied := f.store.Copy()
+	f.start()
+	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
+	f.store.StepBack(copied)
+	f.store.Fail(func(op, name string) error {
+		if op == "swap" && name == mtstore.RangeName(1, service) {
+			return &mtstore.UnavailableError{Op: op, Err: errors.New("busy")}
+		}
+		return nil
+	})
+	table, err := mtrange.Spread(service, 0, []mtrange.Owner{ownerOf("b"), ownerOf("a")}) // an older one
+	assert.NilError(t, err)
+	value, err := table.InEra(1).Encode()
+	assert.NilError(t, err)
+	f.store.Put(mtstore.RangeName(1, service), value)
+	f.clock.advance(lease / 2)
+	f.awaitEra(1)
+	f.until("the assignment is known", func() bool { return f.directory.View().Assignments[service].Era() == 1 })
+	f.letLoopsRun()
+	assert.NilError(t, f.grants.CheckGranted(incarnationOf("a"), 0))
+	assert.Equal(t, f.server.count("release"), 0, "%v", f.server.sent())
+	f.store.Fail(nil)
+	f.until("the claim is written", func() bool {
+		r, _ := f.tableOf(1).Lookup(0)
+		return r.Owner == ownerOf("a") && r.Epoch.Era() == 1
+	})
+}
+
 // Guards against a claim of keys that others may have taken over, since the daemon had been cut off for long when the era ended.
 func TestNothingIsClaimedAfterLongAbsence(t *testing.T) {
 	f := newFleet(t, "a", "b")
@@ -124,7 +155,9 @@
 	f.restarted, f.again = true, true
 	f.start()
 	f.awaitEra(0)
+	f.letLoopsRun() // the servers are counted
 	f.clock.advance(expiry / 2)
+	f.directory.Publish(f.host.set(mtbackend.Ready))
 	f.letLoopsRun()
 	assert.Assert(t, f.tableOf(0) == nil)
 	f.until("the first assignment is written", func() bool {
--- a/io/mtgrant/sync.go
+++ b/io/mtgrant/sync.go
@@ -54,7 +54,14 @@
 func (g *Grants) syncGrants(owner mtrange.Owner) (unassigned []*grant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	owned := g.Directory.View().Assignments[g.Service].Owned(owner)
+	view := g.Directory.View()
+	if g.Directory.RecordVersion().Era() != view.Era() {
+		// In a new era of the store it is known what to claim once the record is written. Until then
+		// an assignment without the claims would seem to have taken the keys away.
+		return nil
+	}
+	g.observeTenure(view, g.Clock.Now())
+	owned := view.Assignments[g.Service].Owned(owner)
 	var next []*grant
 	for _, r := range owned {
 		next = append(next, g.grantsOf(owner.Incarnation, r)...)
