--- /dev/null
+++ b/core/mtoverload/mtoverload.go
@@ -0,0 +1,27 @@
+// Package mtoverload names the policies for overload that a deployment's settings switch
+// on. With all of them off, each gate admits requests by the room of its own server
+// alone.
+//
+// A policy that is on acts only where the operators' configuration gives it something to
+// decide by; each field says what.
+//
+// # Usage
+//
+//	host, cleanUp := mthost.New(mthost.Config{Overload: mtoverload.Policies{Reserve: true}, ...})
+package mtoverload
+
+// Policies are the policies for overload that are switched on. The zero value has none.
+type Policies struct {
+	// Nested refuses requests whose nested requests would find no room. It acts on routes
+	// whose requests were seen to send nested ones.
+	Nested bool
+	// Reserve keeps slots free for more urgent requests. It acts where routes to one
+	// service have different priorities.
+	Reserve bool
+	// Room refuses at the ingress what no server of a service has room for. It acts on
+	// routes with a latency objective.
+	Room bool
+	// Forecast moves keys by the load to come and by what each server can do. It acts on
+	// services that are divided by key.
+	Forecast bool
+}
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -28,6 +28,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtroute"
@@ -92,6 +93,7 @@
 	// DrainPeriod is how long after the acknowledgement that a server is leaving new work
 	// may reach it.
 	DrainPeriod time.Duration
+	Overload    mtoverload.Policies
 	Clock       clock
 	Client      backendClient
 	Log         *slog.Logger
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -34,6 +34,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtshutdown"
@@ -68,6 +69,7 @@
 	// IsNested reports whether a request with this ID is nested: whether the ID is derived
 	// from that of a request that the backend server on this VM runs.
 	IsNested func(id mtcall.ID) bool
+	Overload mtoverload.Policies
 	// ConfigFresh reports whether the configuration in force was confirmed as the newest so
 	// recently that requests without a route in it can be answered with 404.
 	ConfigFresh func(now mtclock.Instant) bool
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -11,6 +11,7 @@
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
@@ -55,6 +56,7 @@
 type SenderConfig struct {
 	Self      mtid.Daemon
 	Zone      mtid.Zone
+	Overload  mtoverload.Policies
 	Directory *mtdirectory.Directory
 	Host      host
 	Peers     peers
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -35,6 +35,7 @@
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtstore"
@@ -102,6 +103,8 @@
 	Bootstrap bool
 	// Warmup defines by how much the rate of a cold server may be exceeded.
 	Warmup mtbackend.Allowance
+	// Overload holds the policies for overload that are switched on.
+	Overload mtoverload.Policies
 	// Refresh reads everything again that operators have written. It is called if another
 	// daemon has a newer configuration, and regularly in case the watches no longer deliver
 	// changes. It fails if the store did not answer.
@@ -264,6 +267,7 @@
 		Address:     m.config.ServerAddress,
 		PeerAddress: m.config.PeerAddress,
 		DrainPeriod: m.config.Drain,
+		Overload:    m.config.Overload,
 		Clock:       clock,
 		Client:      client,
 		Log:         m.config.Log,
@@ -301,6 +305,7 @@
 		LoadReports:   m.loadReports,
 		QueryLoads:    m.survey,
 		NotifyOwner:   m.sendOwnershipUpdate,
+		Overload:      m.config.Overload,
 		Committer:     mtkernel.MustLookup[*mtcommit.Committer](m.kernel, NameCommitter),
 		Delegate:      m.delegate,
 	})
@@ -358,6 +363,7 @@
 	sender := mtingress.NewSender(mtingress.SenderConfig{
 		Self:      m.config.Daemon,
 		Zone:      m.config.Zone,
+		Overload:  m.config.Overload,
 		Directory: mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory),
 		Host:      m.Host(),
 		Peers:     mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers),
@@ -370,6 +376,7 @@
 		HeaderNames:  m.config.Names,
 		Service:      m.config.Service,
 		IsNested:     m.Host().Parent,
+		Overload:     m.config.Overload,
 		ConfigFresh:  m.freshness.mayDenyRoute,
 		Sender:       sender,
 		Clock:        clock,
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -10,6 +10,7 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtini"
+	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtzone"
 )
@@ -39,6 +40,8 @@
 	Bootstrap bool
 	// Warmup bounds how far the rate of a cold server may be exceeded.
 	Warmup mtbackend.Allowance
+	// Overload holds the policies for overload that are switched on.
+	Overload mtoverload.Policies
 }
 
 // Bounds of the durations, and defaults for those that the platform does not set.
@@ -64,7 +67,7 @@
 // ParseMesh parses and validates the text of a settings file for a Mesh.
 func ParseMesh(file string, text []byte) (*Mesh, Faults) {
 	f := mtini.Read(file, text)
-	f.CheckKinds(map[string]int{"daemon": 0, "listen": 0, "store": 0, "times": 0, "warmup": 0})
+	f.CheckKinds(map[string]int{"daemon": 0, "listen": 0, "store": 0, "times": 0, "warmup": 0, "overload": 0})
 	s := &Mesh{}
 	daemon := f.RequiredSection("daemon")
 	s.Name = mtid.Daemon(daemon.Name("name"))
@@ -90,12 +93,25 @@
 		s.Warmup.Factor = warmup.Float("factor", 1, 1, maxFactor)
 		s.Warmup.Extra = warmup.Float("extra", 0, 0, maxExtra)
 	}
+	if overload, ok := f.OptionalSection("overload"); ok {
+		s.Overload = parseOverload(overload)
+	}
 	if faults := f.Faults(); len(faults) > 0 {
 		return nil, faults
 	}
 	return s, nil
 }
 
+// parseOverload returns the policies that the section switches on.
+func parseOverload(s *mtini.Section) mtoverload.Policies {
+	return mtoverload.Policies{
+		Nested:   s.Bool("nested", false),
+		Reserve:  s.Bool("reserve", false),
+		Room:     s.Bool("room", false),
+		Forecast: s.Bool("forecast", false),
+	}
+}
+
 // Upper bounds of Mesh.Warmup.
 const (
 	maxFactor = 100
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/io/mtsetting"
 )
 
@@ -40,6 +41,11 @@
 [warmup]
 factor = 1.5
 extra = 8
+
+[overload]
+nested = yes
+reserve = no
+room = yes
 `
 
 func TestParseMesh(t *testing.T) {
@@ -51,6 +57,7 @@
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
 		GrantDuration: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigDeadline: 3 * time.Second,
 		ZoneOutDeadline: 4 * time.Second, Warmup: mtbackend.Allowance{Factor: 1.5, Extra: 8},
+		Overload: mtoverload.Policies{Nested: true, Room: true},
 	})
 }
 
@@ -62,6 +69,7 @@
 		"ports = 7380,7395", "ports = 7380",
 		"hold = 10s", "hold = 10",
 		"grace = 6s", "grace = 6s\nmisspelt = 1",
+		"nested = yes", "nested = perhaps",
 	).Replace(meshText)
 	_, faults := mtsetting.ParseMesh("daemon.ini", []byte(text))
 	var fields []string
@@ -69,7 +77,7 @@
 		fields = append(fields, f.Field)
 		assert.Assert(t, f.Accept != "", f.Field)
 	}
-	assert.DeepEqual(t, fields, []string{"[daemon] host", "[daemon] server", "[listen] ports", "[times] hold", "[times] misspelt"})
+	assert.DeepEqual(t, fields, []string{"[daemon] host", "[daemon] server", "[listen] ports", "[times] hold", "[times] misspelt", "[overload] nested"})
 }
 
 // The settings template that the platform fills in has exactly the fields that
@@ -89,6 +97,8 @@
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(filled))
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	want, _ := mtsetting.ParseMesh("daemon.ini", []byte(meshText))
+	// The template decides which policies are on.
+	want.Overload = got.Overload
 	assert.DeepEqual(t, got, want)
 }
 
