Tell of which call a nested one is a part

Cause: the ingress knew only that a request is nested. Decisions under load need the route and the priority of the call that waits for it. Change: Host.Parent returns both, with whether that call is a repeat. Conclusion: no decision goes by it yet.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -80,6 +80,7 @@
 	Arrived        mtclock.Instant
 	FirstArrived   mtclock.Instant // arrival of its caller's first try
 	CallerDeadline mtclock.Instant // deadline that the caller set; zero if none
+	Parent         Parent          // the call that a nested one is part of
 	// Caller is the service on the VM where the request originated.
 	Caller mtid.Service
 	// Tries are the failed tries so far, for the logs of the ingress.
@@ -88,6 +89,13 @@
 	EndedBy Limit
 }
 
+// Parent is what is known of the call that a nested call is part of.
+type Parent struct {
+	Route    mtid.Class
+	Priority int  // the lowest value is the most urgent
+	Repeat   bool // an earlier try of it reached a backend server
+}
+
 // Limit is what may end a call before it is answered.
 type Limit string
 
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -125,6 +125,12 @@
 	OnChange func()
 }
 
+// runs are the runs of the calls with one identifier that are in flight at the server.
+type runs struct {
+	count  int
+	latest mtcall.Parent // what nested calls need to know of the run that started last
+}
+
 // Host represents the backend server on this VM.
 type Host struct {
 	Config
@@ -172,7 +178,7 @@
 	quotaRefused atomic.Int64 // calls refused because of its rate limit
 
 	inFlightMu sync.Mutex
-	inFlight   map[mtcall.ID]int // calls in flight at the server
+	inFlight   map[mtcall.ID]runs // calls in flight at the server
 
 	crashMu   sync.Mutex
 	recurring *mtpoison.RecurrenceDetector
@@ -196,7 +202,7 @@
 		ended:           make(map[mtid.ServerIncarnation]bool),
 		leavingSince:    make(map[mtid.ServerIncarnation]mtclock.Instant),
 		deniedKeys:      make(map[mtid.KeyNumber]bool),
-		inFlight:        make(map[mtcall.ID]int),
+		inFlight:        make(map[mtcall.ID]runs),
 		relativeTime:    1,
 		signals:         signals{logged: mtbackend.Unlimited},
 		serviceTimes:    make(map[mtid.Class]time.Duration),
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -414,14 +414,15 @@
 	inside := map[mtcall.ID]bool{}
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
 		for _, id := range []mtcall.ID{"1.5", "1.5.6", "1", "15", "2.1"} {
-			inside[id] = s.host.Parent(id)
+			_, inside[id] = s.host.Parent(id)
 		}
 		return &mtcall.Answer{Status: 200}, nil
 	}
 	_, err := s.host.Run(t.Context(), s.call(false))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, inside, map[mtcall.ID]bool{"1.5": true, "1.5.6": false, "1": false, "15": false, "2.1": false})
-	assert.Assert(t, !s.host.Parent("1.5"))
+	_, ok := s.host.Parent("1.5")
+	assert.Assert(t, !ok)
 }
 
 // A server crashes and restarts at once. Until its daemon is notified of the new
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -100,7 +100,7 @@
 	if err := h.refusePoison(started, fingerprint, call.AnsweredBefore); err != nil {
 		return nil, err
 	}
-	defer h.track(call.ID)()
+	defer h.track(call)()
 	_, address := h.Record()
 	run := h.requestStarted(started, fingerprint, call.Deadline)
 	h.startedCalls.Add(1)
@@ -134,31 +134,37 @@
 }
 
 // track records a call as in flight at the server until the returned function is called.
-func (h *Host) track(id mtcall.ID) func() {
+func (h *Host) track(call *mtcall.Call) func() {
 	h.inFlightMu.Lock()
 	defer h.inFlightMu.Unlock()
-	h.inFlight[id]++
+	runs := h.inFlight[call.ID]
+	runs.count++
+	runs.latest = mtcall.Parent{Route: call.Route, Priority: call.Priority, Repeat: call.Repeat}
+	h.inFlight[call.ID] = runs
 	return func() {
 		h.inFlightMu.Lock()
 		defer h.inFlightMu.Unlock()
-		h.inFlight[id]--
-		if h.inFlight[id] == 0 {
-			delete(h.inFlight, id)
+		runs := h.inFlight[call.ID]
+		runs.count--
+		h.inFlight[call.ID] = runs
+		if runs.count == 0 {
+			delete(h.inFlight, call.ID)
 		}
 	}
 }
 
-// Parent reports whether an identifier is derived from that of a call in flight at this
-// VM's server, by appending a dot and a suffix. If so, the server sends that request as
-// part of the call.
-func (h *Host) Parent(id mtcall.ID) bool {
+// Parent returns the call in flight at this VM's server from whose identifier another one
+// is derived, by appending a dot and a suffix. The server sends the request with that
+// identifier as part of the call. Parent returns false if there is no such call.
+func (h *Host) Parent(id mtcall.ID) (mtcall.Parent, bool) {
 	dot := strings.LastIndexByte(string(id), '.')
 	if dot < 0 {
-		return false
+		return mtcall.Parent{}, false
 	}
 	h.inFlightMu.Lock()
 	defer h.inFlightMu.Unlock()
-	return h.inFlight[id[:dot]] > 0
+	runs, ok := h.inFlight[id[:dot]]
+	return runs.latest, ok
 }
 
 // checkAccepts returns the server's record and gate if the server accepts the call.
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -66,9 +66,9 @@
 type Config struct {
 	HeaderNames mtheader.Names
 	Service     mtid.Service // service of the backend server on this VM
-	// IsNested reports whether a request with this ID is nested: whether the ID is derived
+	// Parent returns the call of which a request with this ID is a part: the ID is derived
 	// from that of a request that the backend server on this VM runs.
-	IsNested func(id mtcall.ID) bool
+	Parent   func(id mtcall.ID) (mtcall.Parent, bool)
 	Overload mtoverload.Policies
 	// ConfigFresh reports whether the configuration in force was confirmed as the newest so
 	// recently that requests without a route in it can be answered with 404.
@@ -208,7 +208,7 @@
 		return call, nil, &requestError{status: http.StatusBadRequest, reason: "identifier is missing or too long"}
 	}
 	call.Route, call.Idempotent, call.Priority = route.Name, route.Idempotent, route.Priority
-	call.Nested = in.IsNested(call.ID)
+	call.Parent, call.Nested = in.Parent(call.ID)
 	call.Objective, call.TypicalService = now.Add(route.Objective), route.ExpectedDuration()
 	left := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(in.HeaderNames.Deadline), 10, 64); err == nil {
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -329,7 +329,7 @@
 	clock := mttime.New()
 	ingress := mtingress.New(mtingress.Config{
 		ConfigFresh: func(mtclock.Instant) bool { return true },
-		HeaderNames: mtheader.DefaultNames, Service: "own", IsNested: func(mtcall.ID) bool { return false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		HeaderNames: mtheader.DefaultNames, Service: "own", Parent: func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		OnCompletion: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
 	router := echo.New()
@@ -489,7 +489,7 @@
 	sender := &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}}
 	ingress, clock, handler := newIngress(t, sender)
 	ingress.Configure(configuration(t, 1))
-	ingress.IsNested = func(mtcall.ID) bool { return true }
+	ingress.Parent = func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, true }
 	end := clock.Now().Add(time.Second)
 	ingress.BeginShutdown(mtshutdown.Schedule{Return: end, LastAnswers: end})
 	w := httptest.NewRecorder()
@@ -511,7 +511,7 @@
 	clock := &fakeClock{now: mtclock.Instant(time.Hour)}
 	ingress := mtingress.New(mtingress.Config{
 		ConfigFresh: func(mtclock.Instant) bool { return true },
-		HeaderNames: mtheader.DefaultNames, Service: "own", IsNested: func(mtcall.ID) bool { return false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		HeaderNames: mtheader.DefaultNames, Service: "own", Parent: func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		OnCompletion: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
 	router := echo.New()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -375,7 +375,7 @@
 	ingress := mtingress.New(mtingress.Config{
 		HeaderNames:  m.config.Names,
 		Service:      m.config.Service,
-		IsNested:     m.Host().Parent,
+		Parent:       m.Host().Parent,
 		Overload:     m.config.Overload,
 		ConfigFresh:  m.freshness.mayDenyRoute,
 		Sender:       sender,
