Count the work that is offered to slow servers

Cause: an owner's demand leaves out calls that are late on arrival, and lateness went by the service time expected there. Ruled out: forecasts by double exponential smoothing of the meter. Change: with the policy Slow a call counts as late by the usual time of its route.

--- a/core/mtoverload/mtoverload.go
+++ b/core/mtoverload/mtoverload.go
@@ -21,7 +21,8 @@
 	// Room refuses at the ingress what no server of a service has room for. It acts on
 	// routes with a latency objective.
 	Room bool
-	// Forecast moves keys by the load to come and by what each server can do. It acts on
-	// services that are divided by key.
-	Forecast bool
+	// Slow counts all work that is offered to a slow server, so that its keys move to
+	// faster ones. It acts on routes with a latency objective to services that are divided
+	// by key.
+	Slow bool
 }
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -26,11 +26,23 @@
 	h.meterMu.Lock()
 	defer h.meterMu.Unlock()
 	expected := h.expectedTime(call.Route)
-	if call.Keyed && !call.Repeat && !call.Late(now, expected) {
+	if call.Keyed && !call.Repeat && !call.Late(now, h.timeToCount(call.Route, expected)) {
 		h.meter.RecordArrival(now, call.Key, expected)
 	}
 }
 
+// timeToCount returns the service time by which a call counts as late on arrival. If it is
+// the one expected here, no call is in time at a server that takes longer than the
+// objective: the server appears to have no work, keeps its keys and receives more. It is
+// called with meterMu held.
+func (h *Host) timeToCount(route mtid.Class, expected time.Duration) time.Duration {
+	usual, ok := h.configuredTimes[route]
+	if !h.Overload.Slow || !ok {
+		return expected
+	}
+	return min(expected, usual)
+}
+
 // expectedTime returns the expected service time of calls of a route here. Nested calls
 // take a tenth of the time of others: when all were counted alike, the keys of nested calls
 // appeared to be the busiest. It is called with meterMu held.
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -245,6 +245,25 @@
 	assert.Assert(t, s.host.Load().Demand > 0)
 }
 
+// A server has become so slow that no call can meet its objective there. If its calls counted
+// as late, it would appear to have no work: it would keep its keys and receive more.
+func TestSlowServerReportsAllOfItsDemand(t *testing.T) {
+	for _, counted := range []bool{false, true} {
+		s := newFixture(t, "server")
+		s.host.Overload.Slow = counted
+		s.startServer("one")
+		s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+			s.clock.offset.Add(int64(1200 * time.Millisecond))
+			return &mtcall.Answer{Status: 200}, nil
+		}
+		for range 10 {
+			_, err := s.host.Run(t.Context(), s.call(true))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, s.host.Load().Demand > 0.5, counted, "%.2f slots", s.host.Load().Demand)
+	}
+}
+
 // A hot run of keys has moved to another owner, and callers' daemons without the ownership
 // update keep sending calls here. When these counted as work, the previous owner appeared
 // to be overloaded for seconds while it was idle, and was given no keys.
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -105,10 +105,10 @@
 // parseOverload returns the policies that the section switches on.
 func parseOverload(s *mtini.Section) mtoverload.Policies {
 	return mtoverload.Policies{
-		Nested:   s.Bool("nested", false),
-		Reserve:  s.Bool("reserve", false),
-		Room:     s.Bool("room", false),
-		Forecast: s.Bool("forecast", false),
+		Nested:  s.Bool("nested", false),
+		Reserve: s.Bool("reserve", false),
+		Room:    s.Bool("room", false),
+		Slow:    s.Bool("slow", false),
 	}
 }
 
