Keep a server at work while its daemon waits for callers to leave

Cause: a daemon that is told to stop took its server out of service at once, and then waited 2.6 s for callers to leave; its server stood idle for four seconds of each restart. In a rolling restart up to 11 of 31 servers of a service had no work while the others had twice what they could run. Change: with the policy Linger the server gets work until its keys have to move, as long as the longest timeout of its routes fits into the grace period; what could outlast the daemon is refused on arrival at its gate. While the store is unavailable, and where timeouts are too long, it leaves at once as before. BeginShutdown and Retire of the host are two calls now; the tests that called Retire call both.

--- a/core/mtoverload/mtoverload.go
+++ b/core/mtoverload/mtoverload.go
@@ -25,4 +25,8 @@
 	// faster ones. It acts on routes with a latency objective to services that are divided
 	// by key.
 	Slow bool
+	// Linger keeps a server at work while its daemon shuts down, for as long as that cuts
+	// nothing off. It acts where the calls that the routes' timeouts allow fit into the
+	// grace period.
+	Linger bool
 }
--- a/core/mtroute/mtroute.go
+++ b/core/mtroute/mtroute.go
@@ -159,6 +159,24 @@
 	return all
 }
 
+// LongestTimeout returns the longest timeout of the routes that send requests to a service.
+func (c *Config) LongestTimeout(service mtid.Service) time.Duration {
+	var longest time.Duration
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			if r.leadsTo(service) {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
+// leadsTo reports whether the route may send requests to a service.
+func (r Route) leadsTo(service mtid.Service) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // canonicalHost returns a host name without port, in lower case.
 func canonicalHost(host string) string {
 	if strings.Contains(host, ":") {
--- a/core/mtroute/mtroute_test.go
+++ b/core/mtroute/mtroute_test.go
@@ -89,3 +89,13 @@
 		}
 	})
 }
+
+func TestLongestTimeout(t *testing.T) {
+	long := route("long", "a.example", "/plans/", mtroute.Target{Service: "maps", Weight: 1}, mtroute.Target{Service: "desk", Weight: 0})
+	long.Timeout = 4 * time.Second
+	config, err := mtroute.New(1, []mtroute.Route{long, route("short", "b.example", "/", mtroute.Target{Service: "desk", Weight: 1})}, services, mtroute.Limits{})
+	assert.NilError(t, err)
+	assert.Equal(t, config.LongestTimeout("maps"), 4*time.Second)
+	assert.Equal(t, config.LongestTimeout("desk"), time.Second)
+	assert.Equal(t, config.LongestTimeout("none"), time.Duration(0))
+}
--- a/core/mtshutdown/mtshutdown_test.go
+++ b/core/mtshutdown/mtshutdown_test.go
@@ -61,3 +61,21 @@
 		assert.Check(t, !s.LastAnswers.Before(begun.Add(grace*5/6)), "grace period of %s: last answers after %s", grace, s.LastAnswers.Sub(begun))
 	}
 }
+
+// Guards against a server that idles during a rolling restart: while callers leave, its slots are missing to all others.
+func TestServerWorksWhileCallsEndInTime(t *testing.T) {
+	const grace = 6 * time.Second
+	s := mtshutdown.New(begun, grace)
+	for _, test := range []struct{ longest, works time.Duration }{
+		{time.Second, 1500 * time.Millisecond},
+		{4 * time.Second, 1500 * time.Millisecond},
+		{4500 * time.Millisecond, time.Second},
+		{10 * time.Second, 0},
+	} {
+		leaveAt := s.LeaveAt(test.longest)
+		assert.Equal(t, max(leaveAt.Sub(begun), 0), test.works, "%s", test.longest)
+		if leaveAt.After(begun) {
+			assert.NilError(t, s.Check(leaveAt, leaveAt.Add(test.longest)))
+		}
+	}
+}
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -287,14 +287,20 @@
 	h.admission.Drain()
 }
 
+// BeginShutdown begins the shutdown of this daemon: calls that could outlast it are not sent to
+// the server any more.
+func (h *Host) BeginShutdown(s mtshutdown.Schedule) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shutdown = &s
+}
+
 // Retire publishes that this daemon shuts down while its server continues to run. Other
 // daemons may not be notified while the store is unavailable, so calls that can go to
-// another server are refused from now on. Calls that could outlast the daemon are not sent to
-// the server.
-func (h *Host) Retire(s mtshutdown.Schedule) {
+// another server are refused from now on.
+func (h *Host) Retire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.shutdown = &s
 	h.record.Leaving = true
 	h.Publish(h.record)
 }
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -284,7 +284,8 @@
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
 	fits, outlasts := s.call(true), s.call(true)
-	s.host.Retire(mtshutdown.Schedule{LastAnswers: fits.Deadline})
+	s.host.BeginShutdown(mtshutdown.Schedule{LastAnswers: fits.Deadline})
+	s.host.Retire()
 	outlasts.Deadline++
 	assert.Equal(t, s.causeOf(fits), mtreply.Cause(""))
 	assert.Equal(t, s.causeOf(outlasts), mtreply.CauseNoLease)
@@ -308,7 +309,8 @@
 	call := s.call(true)
 	go func() { waiting <- s.causeOf(call) }()
 	s.waitFor("the third call waits", func(mtbackend.Record) bool { return s.host.Load().Waiting == 1 })
-	s.host.Retire(mtshutdown.Schedule{LastAnswers: call.Deadline.Add(-time.Millisecond)})
+	s.host.BeginShutdown(mtshutdown.Schedule{LastAnswers: call.Deadline.Add(-time.Millisecond)})
+	s.host.Retire()
 	close(release)
 	assert.Equal(t, <-waiting, mtreply.CauseNoLease)
 	others.Wait()
@@ -420,13 +422,29 @@
 func TestStoppingDaemonRefusesCallsWithoutKey(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
-	s.host.Retire(mtshutdown.New(s.clock.Now(), time.Minute))
+	s.host.BeginShutdown(mtshutdown.New(s.clock.Now(), time.Minute))
+	s.host.Retire()
 	assert.Equal(t, s.refusalCause(false), mtreply.CauseStopping)
 	assert.Equal(t, s.refusalCause(true), mtreply.Cause(""))
 	s.host.Close()
 	assert.Equal(t, s.refusalCause(true), mtreply.CauseDraining)
 }
 
+// Guards against a server that is idle while its daemon only waits for callers to leave.
+func TestServerOfStoppingDaemonWorksUntilItRetires(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	s.startServer("server-1")
+	fits, outlasts := s.call(false), s.call(false)
+	s.host.BeginShutdown(mtshutdown.Schedule{LastAnswers: fits.Deadline})
+	outlasts.Deadline++
+	assert.Assert(t, s.record().AcceptsWork())
+	assert.Equal(t, s.causeOf(fits), mtreply.Cause(""))
+	assert.Equal(t, s.causeOf(outlasts), mtreply.CauseStopping)
+	s.host.Retire()
+	assert.Assert(t, !s.record().AcceptsWork())
+	assert.Equal(t, s.causeOf(fits), mtreply.CauseStopping)
+}
+
 func TestParent(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -71,6 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := h.checkShutdown(call); err != nil {
+		return nil, err
+	}
 	fingerprint := call.Fingerprint()
 	if err := h.refusePoison(arrived, fingerprint, call.AnsweredBefore); err != nil {
 		return nil, err
@@ -87,7 +90,7 @@
 		return nil, withKeyMoveRetry(call, err)
 	}
 	defer end()
-	// The key may have moved while the call waited.
+	// The key may have moved, or the shutdown begun, while the call waited.
 	if call.Keyed {
 		if err := h.CheckGrant(record.Incarnation, call.Key); err != nil {
 			return nil, err
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 	"google.golang.org/grpc"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/io/mtdial"
@@ -90,8 +91,10 @@
 	m.config.Log.Info("stopping", "grace", m.config.Grace)
 	m.ready.Store(false)
 	m.Ingress().BeginShutdown(schedule)
-	m.Host().Retire(schedule)
-	mtduty.Sleep(ctx, schedule.Retire.Sub(now))
+	m.Host().BeginShutdown(schedule)
+	mtduty.Sleep(ctx, m.leaveAt(now, schedule).Sub(now))
+	m.Host().Retire()
+	mtduty.Sleep(ctx, schedule.Retire.Sub(clock.Now()))
 	m.Host().Close()
 	// A poll of a store that does not answer takes longer than the clean-up may.
 	go mtkernel.MustLookup[func()](m.kernel, NameConfigPoller)()
@@ -115,6 +118,16 @@
 	m.config.Log.Info("stopped")
 }
 
+// leaveAt returns when the server on this VM stops getting work in a shutdown that begins now. It
+// stops at once while the store is unavailable, since its keys may take long to move then.
+func (m *Mesh) leaveAt(now mtclock.Instant, schedule mtshutdown.Schedule) mtclock.Instant {
+	configuration := m.configuration()
+	if !m.config.Overload.Linger || configuration == nil || !m.directory.Load().StoreAvailable() {
+		return now
+	}
+	return schedule.LeaveAt(configuration.LongestTimeout(m.config.Service))
+}
+
 // Handler returns a readiness check: 200 if the daemon is ready, 503 otherwise.
 func (m *Mesh) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -109,6 +109,7 @@
 		Reserve: s.Bool("reserve", false),
 		Room:    s.Bool("room", false),
 		Slow:    s.Bool("slow", false),
+		Linger:  s.Bool("linger", false),
 	}
 }
 
