--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -93,6 +93,7 @@
 	m.Ingress().BeginShutdown(schedule)
 	m.Host().BeginShutdown(schedule)
 	mtduty.Sleep(ctx, m.leaveAt(now, schedule).Sub(now))
+	m.config.Log.Info("server leaves", "after", clock.Now().Sub(now))
 	m.Host().Retire()
 	mtduty.Sleep(ctx, schedule.Retire.Sub(clock.Now()))
 	m.Host().Close()
