Leave later where no keys have to move

Cause: a server without keys was taken out of service 1.1 s before its daemon retires, the time that keys need to move. Change: 0.3 s there, the time until other daemons know.

--- a/core/mtshutdown/mtshutdown.go
+++ b/core/mtshutdown/mtshutdown.go
@@ -38,9 +38,10 @@
 	// last answers are due in its last sixth.
 	cleanupFraction    = 12
 	finalReplyFraction = 24
-	// handoverTime is how long before Retire the server's keys begin to move and other daemons
-	// are notified: a move waits for the calls that run on its keys.
-	handoverTime = 1100 * time.Millisecond
+	// keyedNotice and notice are how long before Retire the other daemons are notified that the
+	// server leaves. Keys begin to move then, and a move waits for the calls that run on them.
+	keyedNotice = 1100 * time.Millisecond
+	notice      = 300 * time.Millisecond
 	// minRetry is the shortest time after which a refused caller may return.
 	minRetry = 500 * time.Millisecond
 )
@@ -70,11 +71,15 @@
 }
 
 // LeaveAt returns when the server beside the daemon stops getting work, if its calls may last for
-// the longest time. Until then each of them ends before the last answers are due, so that the
+// the longest time and if it may own keys. Until then each of them ends before the last answers are due, so that the
 // server need not be idle while callers are still about to leave. It is in the past if even a call
 // that begins with the shutdown could outlast the daemon.
-func (s Schedule) LeaveAt(longest time.Duration) mtclock.Instant {
-	return min(s.Retire.Add(-handoverTime), s.LastAnswers.Add(-longest))
+func (s Schedule) LeaveAt(longest time.Duration, keyed bool) mtclock.Instant {
+	before := notice
+	if keyed {
+		before = keyedNotice
+	}
+	return min(s.Retire.Add(-before), s.LastAnswers.Add(-longest))
 }
 
 // CheckNew returns a *mtreply.RefusedError for a call that arrives after Retire, or that Check
--- a/core/mtshutdown/mtshutdown_test.go
+++ b/core/mtshutdown/mtshutdown_test.go
@@ -66,13 +66,19 @@
 func TestServerWorksWhileCallsEndInTime(t *testing.T) {
 	const grace = 6 * time.Second
 	s := mtshutdown.New(begun, grace)
-	for _, test := range []struct{ longest, works time.Duration }{
-		{time.Second, 1500 * time.Millisecond},
-		{4 * time.Second, 1500 * time.Millisecond},
-		{4500 * time.Millisecond, time.Second},
-		{10 * time.Second, 0},
+	for _, test := range []struct {
+		longest time.Duration
+		keyed   bool
+		works   time.Duration
+	}{
+		{time.Second, true, 1500 * time.Millisecond},
+		{time.Second, false, 2300 * time.Millisecond},
+		{4 * time.Second, true, 1500 * time.Millisecond},
+		{4 * time.Second, false, 1500 * time.Millisecond},
+		{4500 * time.Millisecond, true, time.Second},
+		{10 * time.Second, false, 0},
 	} {
-		leaveAt := s.LeaveAt(test.longest)
+		leaveAt := s.LeaveAt(test.longest, test.keyed)
 		assert.Equal(t, max(leaveAt.Sub(begun), 0), test.works, "%s", test.longest)
 		if leaveAt.After(begun) {
 			assert.NilError(t, s.Check(leaveAt, leaveAt.Add(test.longest)))
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -126,7 +126,7 @@
 	if !m.config.Overload.Linger || configuration == nil || !m.directory.Load().StoreAvailable() {
 		return now
 	}
-	return schedule.LeaveAt(configuration.LongestTimeout(m.config.Service))
+	return schedule.LeaveAt(configuration.LongestTimeout(m.config.Service), m.keyed())
 }
 
 // Handler returns a readiness check: 200 if the daemon is ready, 503 otherwise.
