--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -245,6 +245,25 @@
 	assert.Assert(t, s.host.Load().Demand > 0)
 }
 
+// A server has become so slow that no call can meet its objective there. If its calls counted
+// as late, it would appear to have no work: it would keep its keys and receive more.
+func TestSlowServerReportsAllOfItsDemand(t *testing.T) {
+	for _, counted := range []bool{false, true} {
+		s := newFixture(t, "server")
+		s.host.Overload.Slow = counted
+		s.startServer("one")
+		s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+			s.clock.offset.Add(int64(1200 * time.Millisecond))
+			return &mtcall.Answer{Status: 200}, nil
+		}
+		for range 10 {
+			_, err := s.host.Run(t.Context(), s.call(true))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, s.host.Load().Demand > 0.5, counted, "%.2f slots", s.host.Load().Demand)
+	}
+}
+
 // A hot run of keys has moved to another owner, and callers' daemons without the ownership
 // update keep sending calls here. When these counted as work, the previous owner appeared
 // to be overloaded for seconds while it was idle, and was given no keys.
@@ -265,7 +284,8 @@
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
 	fits, outlasts := s.call(true), s.call(true)
-	s.host.Retire(mtshutdown.Schedule{LastAnswers: fits.Deadline})
+	s.host.BeginShutdown(mtshutdown.Schedule{LastAnswers: fits.Deadline})
+	s.host.Retire()
 	outlasts.Deadline++
 	assert.Equal(t, s.causeOf(fits), mtreply.Cause(""))
 	assert.Equal(t, s.causeOf(outlasts), mtreply.CauseNoLease)
@@ -289,7 +309,8 @@
 	call := s.call(true)
 	go func() { waiting <- s.causeOf(call) }()
 	s.waitFor("the third call waits", func(mtbackend.Record) bool { return s.host.Load().Waiting == 1 })
-	s.host.Retire(mtshutdown.Schedule{LastAnswers: call.Deadline.Add(-time.Millisecond)})
+	s.host.BeginShutdown(mtshutdown.Schedule{LastAnswers: call.Deadline.Add(-time.Millisecond)})
+	s.host.Retire()
 	close(release)
 	assert.Equal(t, <-waiting, mtreply.CauseNoLease)
 	others.Wait()
@@ -401,13 +422,29 @@
 func TestStoppingDaemonRefusesCallsWithoutKey(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
-	s.host.Retire(mtshutdown.New(s.clock.Now(), time.Minute))
+	s.host.BeginShutdown(mtshutdown.New(s.clock.Now(), time.Minute))
+	s.host.Retire()
 	assert.Equal(t, s.refusalCause(false), mtreply.CauseStopping)
 	assert.Equal(t, s.refusalCause(true), mtreply.Cause(""))
 	s.host.Close()
 	assert.Equal(t, s.refusalCause(true), mtreply.CauseDraining)
 }
 
+// Guards against a server that is idle while its daemon only waits for callers to leave.
+func TestServerOfStoppingDaemonWorksUntilItRetires(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	s.startServer("server-1")
+	fits, outlasts := s.call(false), s.call(false)
+	s.host.BeginShutdown(mtshutdown.Schedule{LastAnswers: fits.Deadline})
+	outlasts.Deadline++
+	assert.Assert(t, s.record().AcceptsWork())
+	assert.Equal(t, s.causeOf(fits), mtreply.Cause(""))
+	assert.Equal(t, s.causeOf(outlasts), mtreply.CauseStopping)
+	s.host.Retire()
+	assert.Assert(t, !s.record().AcceptsWork())
+	assert.Equal(t, s.causeOf(fits), mtreply.CauseStopping)
+}
+
 func TestParent(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
