--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -71,7 +71,7 @@
 	clock := mttime.New()
 	store := mtstandin.NewRevisionStore(time.Now)
 	for _, d := range []mtid.Daemon{"b", "c", "d"} {
-		value, err := mtbackend.Record{Daemon: d, Address: string(d) + ":1", Service: "desk", Incarnation: mtid.ServerIncarnation{Server: "s"}, Slots: 10, State: mtbackend.Ready}.Encode()
+		value, err := mtbackend.Record{Daemon: d, Address: string(d) + ":1", Service: "desk", Incarnation: mtid.ServerIncarnation{Server: "s"}, Slots: 10, State: mtbackend.Ready, Link: 10}.Encode()
 		assert.NilError(t, err)
 		store.Put(mtstore.BackendName(0, d), value)
 	}
