--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -11,6 +11,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/io/mthost"
 	"magnoliaturn/io/mtmetric"
 )
 
@@ -32,7 +33,7 @@
 	log      *slog.Logger
 	versions func() (configuration, seen mtid.Version)
 
-	startedBefore int64 // calls sent to the server until the previous summary
+	statusBefore mthost.Status // at the previous summary
 }
 
 type clock interface {
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -83,11 +83,12 @@
 }
 
 // logSummary logs the results of requests on this daemon, the load of the server, how many
-// calls were sent to it and its rate limit, and the calls to the store since the previous
+// calls were sent to it or refused for their nested calls, how many bodies found no room on the
+// link, the server's rate limit, and the calls to the store since the previous
 // summary. It logs nothing if there were none.
 func (r *recorder) logSummary(load mtcall.Load, server mthost.Status, moved int, calls map[string]int) {
-	started := server.Started - r.startedBefore
-	r.startedBefore = server.Started
+	before := r.statusBefore
+	r.statusBefore = server
 	counts := r.tally.reset()
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
@@ -96,6 +97,7 @@
 		return
 	}
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
-		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", started, "limit", server.Limit, "pace", load.ServiceTime.String(),
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", server.Started-before.Started,
+		"nested-full", server.NestedFull-before.NestedFull, "link-full", server.LinkFull-before.LinkFull, "limit", server.Limit, "pace", load.ServiceTime.String(),
 		"demand", load.Demand, "moved", moved, "store", calls)
 }
