--- a/core/mtlink/mtlink.go
+++ b/core/mtlink/mtlink.go
@@ -18,6 +18,7 @@
 package mtlink
 
 import (
+	"math"
 	"time"
 
 	"magnoliaturn/core/mtbackend"
@@ -37,6 +38,9 @@
 	// maxBacklog is the longest delay of small requests behind the bodies in transit: a
 	// fifth of an objective of half a second.
 	maxBacklog = 100 * time.Millisecond
+	// maxReserved is the longest time for which one body occupies the link. A sender may
+	// announce a size that is wrong, or be lost before it sends.
+	maxReserved = time.Second
 )
 
 // transfer returns how long a link takes to transfer a body alone, or zero if the
@@ -47,7 +51,7 @@
 		return 0
 	}
 	seconds := float64(size) * bitsPerByte / (float64(bandwidth) * perMega)
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
 }
 
 // NeedsRoom reports whether a body occupies a link so long that its sender has to ask for
@@ -72,7 +76,7 @@
 	if backlog > maxBacklog {
 		return backlog - maxBacklog
 	}
-	took := transfer(in.bandwidth, size)
-	in.clearAt = now.Add(backlog + time.Duration(float64(took)/bodyFraction))
+	took := min(transfer(in.bandwidth, size).Seconds()/bodyFraction, maxReserved.Seconds())
+	in.clearAt = now.Add(backlog + time.Duration(took*float64(time.Second)))
 	return 0
 }
--- a/core/mtlink/mtlink_test.go
+++ b/core/mtlink/mtlink_test.go
@@ -46,6 +46,13 @@
 	assert.Equal(t, mtlink.NewInbound(narrow).Reserve(start, 100*body), time.Duration(0))
 }
 
+// Failure: a daemon that announces a size that can't be right closes a link for hours.
+func TestHugeBodyOccupiesLinkForSecondAtMost(t *testing.T) {
+	in := mtlink.NewInbound(narrow)
+	assert.Equal(t, in.Reserve(start, math.MaxInt), time.Duration(0))
+	assert.Equal(t, in.Reserve(start.Add(time.Second), body), time.Duration(0))
+}
+
 // Failure: after a jump of the clock, granted bodies seem to occupy the link for hours.
 func TestClockJumpFreesLink(t *testing.T) {
 	in := mtlink.NewInbound(narrow)
--- a/io/mtforward/announce.go
+++ b/io/mtforward/announce.go
@@ -19,8 +19,10 @@
 	// announceTimeout limits the wait for the reply to an announcement. A link on which it
 	// takes longer has no room.
 	announceTimeout = 250 * time.Millisecond
-	// linkRetry is the least time after which to retry a call whose body found no room.
-	linkRetry = 400 * time.Millisecond
+	// minLinkRetry and maxLinkRetry bound the time after which to retry a call whose body
+	// found no room. Links that are full stay so for longer than one transfer takes.
+	minLinkRetry = 400 * time.Millisecond
+	maxLinkRetry = 2 * time.Second
 )
 
 // announce asks for room for the body of a call on the link of the daemon that conn leads
@@ -36,7 +38,7 @@
 	case err != nil:
 		return &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: unreachableRetry, Detail: "no reply to the announcement: " + err.Error()}
 	case reply.GetWaitUs() > 0:
-		return &mtreply.RefusedError{Cause: mtreply.CauseLinkFull, RetryAfter: max(micros(reply.GetWaitUs()), linkRetry)}
+		return &mtreply.RefusedError{Cause: mtreply.CauseLinkFull, RetryAfter: min(max(micros(reply.GetWaitUs()), minLinkRetry), maxLinkRetry)}
 	}
 	return nil
 }
@@ -47,5 +49,9 @@
 		return &mtwire.AnnounceReply{}, nil
 	}
 	size := mtlink.Bytes(min(w.GetBytes(), math.MaxInt32))
-	return &mtwire.AnnounceReply{WaitUs: s.reserveLink(size).Microseconds()}, nil
+	wait := s.reserveLink(size)
+	if wait > 0 {
+		wait = max(wait, time.Microsecond) // zero would grant room
+	}
+	return &mtwire.AnnounceReply{WaitUs: wait.Microseconds()}, nil
 }
--- a/io/mtforward/announce_test.go
+++ b/io/mtforward/announce_test.go
@@ -64,6 +64,16 @@
 	assert.Assert(t, !arrived)
 }
 
+// Failure: a time that can't be right keeps callers away for hours.
+func TestUnusableWaitIsBounded(t *testing.T) {
+	for wait, want := range map[time.Duration]time.Duration{time.Nanosecond: 400 * time.Millisecond, 1 << 62: 2 * time.Second} {
+		_, err := announceTo(t, func(mtlink.Bytes) time.Duration { return wait })
+		var refused *mtreply.RefusedError
+		assert.Assert(t, errors.As(err, &refused))
+		assert.Equal(t, refused.RetryAfter, want)
+	}
+}
+
 // Failure: a daemon refuses a body for which there is room, or is told the wrong size.
 func TestBodyWithRoomIsSent(t *testing.T) {
 	size := mtlink.Bytes(0)
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -86,7 +86,7 @@
 	s := &fixture{t: t, clock: &clock{Clock: mttime.New()}, server: &server{signals: mtbackend.Signals{Source: mtbackend.SourceAnswer}}, path: "/health"}
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) { return &mtcall.Answer{Status: 200}, nil }
 	host, cleanUp := mthost.New(mthost.Config{
-		Daemon: "a", Service: "maps", Address: address, DrainPeriod: 300 * time.Millisecond, Clock: s.clock, Client: s.server,
+		Daemon: "a", Link: 10, Service: "maps", Address: address, DrainPeriod: 300 * time.Millisecond, Clock: s.clock, Client: s.server,
 		Log: slog.New(slog.DiscardHandler), Health: func() string {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -44,6 +44,7 @@
 
 [overload]
 nested = yes
+link = yes
 reserve = no
 room = yes
 `
@@ -57,7 +58,7 @@
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
 		GrantDuration: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigDeadline: 3 * time.Second,
 		ZoneOutDeadline: 4 * time.Second, Warmup: mtbackend.Allowance{Factor: 1.5, Extra: 8},
-		Overload: mtoverload.Policies{Nested: true, Room: true},
+		Overload: mtoverload.Policies{Nested: true, Link: true, Room: true},
 	})
 }
 
