Count a call that a server has left without time against that server

Before, the caller's daemon ended a call at its deadline with a timeout, which counts as a failure in the choice of a server, so that the server was passed over for 0.2 s and more. Since then the caller leaves first, within 5 ms after the deadline, or the queue's own refusal arrives: gone and expired, which showed nothing about the server. Servers with queues as long as a nested call's whole time went on being chosen.

Change: a try without a key that ends inconclusively when the call's time is over counts as a failure of the server.

TestServerThatUsesUpTheTimeOfACallIsAvoided failed 5 of 5 before and passes 20 of 20.

--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -7,8 +7,10 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtchoice"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtoverload"
@@ -45,6 +47,9 @@
 	// full costs no server any work. The choice policy ends the search sooner if all
 	// other servers were full a moment ago.
 	maxBounces = 5
+	// outOfTime is how long before its deadline a call counts as out of time: its caller, or the
+	// daemon that has it, may see the deadline pass a little before this daemon does.
+	outOfTime = 5 * time.Millisecond
 )
 
 // RetryFraction is the fraction of a retry that each first try of a service adds to the retry
@@ -278,7 +283,12 @@
 	answer, err := s.send(ctx, call, member)
 	if !call.Keyed {
 		s.mu.Lock()
-		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, resultKind(answer, err), s.report(member))
+		now := s.Clock.Now()
+		kind := resultKind(answer, err)
+		if kind == mtchoice.Inconclusive && call.Deadline.Sub(now) < outOfTime {
+			kind = mtchoice.Failure // the server had all of the call's time
+		}
+		s.choices[call.Service].policy.Ended(now, chosen, kind, s.report(member))
 		s.mu.Unlock()
 	}
 	return answer, err
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -140,6 +141,45 @@
 	assert.Equal(t, answer, answerOK)
 }
 
+// sendsTo returns the daemon that a call is sent to, whose try ends with err, and those that further
+// calls are sent to right after that.
+func sendsTo(t *testing.T, left time.Duration, err error) (first mtid.Daemon, next []mtid.Daemon) {
+	t.Helper()
+	p := &fakePeers{answer: func(n int) (*mtcall.Answer, error) {
+		if n == 1 {
+			return nil, err
+		}
+		return answerOK, nil
+	}}
+	s, clock := newSender(t, p)
+	call := newCall(clock.Now(), false)
+	call.Deadline = clock.Now().Add(left)
+	_, got := s.Send(t.Context(), call, 1)
+	assert.Equal(t, got, err)
+	for range 5 {
+		_, err := s.Send(t.Context(), newCall(clock.Now(), false), 1)
+		assert.NilError(t, err)
+	}
+	return p.sent[0], p.sent[1:]
+}
+
+// Guards against a server whose queue uses up the time of one call after the other, while others have room.
+func TestServerThatUsesUpTheTimeOfACallIsAvoided(t *testing.T) {
+	for name, err := range map[string]error{
+		"the caller leaves at its deadline": &mtreply.UnknownError{Cause: mtreply.CauseGone},
+		"the queue refuses it":              &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1},
+	} {
+		first, next := sendsTo(t, 0, err)
+		assert.Assert(t, !slices.Contains(next, first), "%s: sent to %s again: %s", name, first, next)
+	}
+}
+
+// Guards against servers that are avoided because callers leave.
+func TestCallerThatLeavesEarlyDoesNotCountAgainstServer(t *testing.T) {
+	first, next := sendsTo(t, 5*time.Second, &mtreply.UnknownError{Cause: mtreply.CauseGone})
+	assert.Assert(t, slices.Contains(next, first), "not sent to %s again: %s", first, next)
+}
+
 // Guards against a call that waited elsewhere when the daemon began to stop, and is sent to another server although it may outlast the daemon.
 func TestStoppingDaemonBeginsNoTryThatMayOutlastIt(t *testing.T) {
 	for cause, want := range map[error]mtreply.Cause{shed: mtreply.CauseStopping, lost: mtreply.CauseLost} {
