Let requests in flight take the memory they need before garbage is collected more often

Cause: the soft limit of 48 MB for the memory of a daemon. Two thousand requests in flight need about that much in stacks and buffers, which no collection frees, so that one follows the other: the runtime lets them take up to half of the processor. Calls then take longer, and more of them are in flight.

--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -21,6 +21,7 @@
 	Name            mtid.Daemon
 	Zone            mtid.Zone
 	Link            mtbackend.Bandwidth // of the VM's network link
+	Memory          Bytes               // that the process may use, zero if unknown
 	Service         mtid.Service        // of the backend server
 	Host            string              // IP address of the VM
 	Server          string              // host:port of the backend server
@@ -61,6 +62,15 @@
 	maxLink     = 1_000_000
 )
 
+// Bytes is an amount of memory.
+type Bytes int64
+
+// Megabyte is the unit in which settings give an amount of memory.
+const Megabyte Bytes = 1 << 20
+
+// maxMemory is the largest amount of memory that settings may give, in megabytes.
+const maxMemory = 1 << 24
+
 // LoadMesh reads and validates a settings file for a Mesh.
 func LoadMesh(file string) (*Mesh, Faults) { return load(file, ParseMesh) }
 
@@ -74,6 +84,7 @@
 	s.Zone = mtid.Zone(daemon.Name("zone"))
 	s.Service = mtid.Service(daemon.Name("service"))
 	s.Link = mtbackend.Bandwidth(daemon.Float("link", defaultLink, 0, maxLink))
+	s.Memory = Bytes(daemon.Float("memory", 0, 0, maxMemory) * float64(Megabyte))
 	s.Bootstrap = daemon.Bool("first", false)
 	s.Host = parseHost(daemon)
 	s.Server = daemon.Address("server")
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -17,6 +17,7 @@
 name = vm-1
 zone = old-town
 link = 200
+memory = 160
 first = yes
 service = maps
 host = 10.1.0.38
@@ -52,7 +53,7 @@
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(meshText))
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	assert.DeepEqual(t, got, &mtsetting.Mesh{
-		Name: "vm-1", Zone: "old-town", Link: 200, Bootstrap: true, Service: "maps", Host: "10.1.0.38", Server: "10.1.0.38:8145",
+		Name: "vm-1", Zone: "old-town", Link: 200, Memory: 160 * mtsetting.Megabyte, Bootstrap: true, Service: "maps", Host: "10.1.0.38", Server: "10.1.0.38:8145",
 		Callers: "10.1.0.38:8147", Ready: "10.1.0.38:8141", Heartbeats: "10.1.0.38:8144",
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
 		GrantDuration: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigDeadline: 3 * time.Second,
@@ -86,7 +87,7 @@
 	template, err := os.ReadFile("../../deploy/daemon.ini")
 	assert.NilError(t, err)
 	filled := strings.NewReplacer(
-		"{{node}}", "vm-1", "{{zone}}", "old-town", "{{limits.link_mbps}}", "200", "{{service}}", "maps", "{{ip}}", "10.1.0.38", "{{app_addr}}", "10.1.0.38:8145",
+		"{{node}}", "vm-1", "{{zone}}", "old-town", "{{limits.link_mbps}}", "200", "{{#limits.memory_mb}}", "", "{{limits.memory_mb}}", "160", "{{/limits.memory_mb}}", "", "{{service}}", "maps", "{{ip}}", "10.1.0.38", "{{app_addr}}", "10.1.0.38:8145",
 		"{{listen.outbound}}", "10.1.0.38:8147", "{{listen.ready}}", "10.1.0.38:8141", "{{listen.control}}", "10.1.0.38:8144",
 		"{{port_range}}", "7380,7395", "{{provider.address}}", "10.200.1.7:8142",
 		"{{bounds.hold_max_s}}", "10", "{{bounds.drain_s}}", "2.5", "{{bounds.grace_s}}", "6", "{{bounds.config_s}}", "3",
