--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -33,6 +33,8 @@
 	versions func() (configuration, seen mtid.Version)
 
 	startedBefore int64 // calls sent to the server until the previous summary
+	// collectedBefore is the number of garbage collections until the previous summary.
+	collectedBefore uint64
 }
 
 type clock interface {
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -88,6 +88,9 @@
 func (r *recorder) logSummary(load mtcall.Load, server mthost.Status, moved int, calls map[string]int) {
 	started := server.Started - r.startedBefore
 	r.startedBefore = server.Started
+	collected := mtmetric.Collections()
+	collections := collected - r.collectedBefore
+	r.collectedBefore = collected
 	counts := r.tally.reset()
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
@@ -97,5 +100,5 @@
 	}
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", started, "limit", server.Limit, "pace", load.ServiceTime.String(),
-		"demand", load.Demand, "moved", moved, "store", calls)
+		"demand", load.Demand, "moved", moved, "store", calls, "collections", collections)
 }
--- a/io/mtmetric/mtmetric.go
+++ b/io/mtmetric/mtmetric.go
@@ -23,6 +23,7 @@
 	"expvar"
 	"net/http"
 	"runtime"
+	"runtime/metrics"
 	"sync"
 	"time"
 
@@ -140,3 +141,11 @@
 		Collection uint32 `json:"collections"`
 	}{s.HeapAlloc, s.Sys, s.HeapObjects, s.Mallocs, s.PauseTotalNs, s.NumGC}
 }
+
+// Collections returns how often garbage has been collected since the start. Unlike the memory
+// statistics, it stops nothing.
+func Collections() uint64 {
+	cycles := []metrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}}
+	metrics.Read(cycles)
+	return cycles[0].Value.Uint64()
+}
