Let callers' unused connections leave room for new ones

Cause: a caller that comes back opens a new connection and keeps the former ones, which are idle for up to 60 s.

Change: while more than half of the allowed connections are open, each response announces that its connection closes, as at a shutdown. No request crosses such a close.

TestUnusedConnectionsLeaveRoomForNewOnes failed before: caller 32 was not answered.

--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -151,7 +151,7 @@
 
 func newEngine(handler http.Handler, options Options) engine {
 	if options.Pipelined {
-		limits := mtpipeline.Limits{MaxHeaderBytes: MaxHeaderBytes, HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, MaxConcurrent: maxPipelined}
+		limits := mtpipeline.Limits{MaxHeaderBytes: MaxHeaderBytes, HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, MaxConcurrent: maxPipelined, MaxKept: options.MaxConnections / 2}
 		return &mtpipeline.Server{Handler: handler, Limits: limits, Log: options.Log}
 	}
 	server := &http.Server{
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -50,6 +50,35 @@
 	}
 }
 
+// Guards against callers of a crowd whose new connections are closed unanswered because earlier ones keep theirs open without using them: each of 64 callers sends one request, where 32 connections are allowed, and closes its connection only if the response says so.
+func TestUnusedConnectionsLeaveRoomForNewOnes(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	server, cleanUp, err := mtlisten.Serve("127.0.0.1:0", handler, mtlisten.Options{MaxConnections: 32, Pipelined: true})
+	assert.NilError(t, err)
+	defer cleanUp()
+	kept := 0
+	for caller := range 64 {
+		conn, err := net.Dial("tcp", server.Address())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, "caller %d was not answered", caller)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		if !response.Close {
+			kept++
+			continue
+		}
+		_, err = reader.ReadByte()
+		assert.Equal(t, err, io.EOF)
+		assert.NilError(t, conn.Close())
+	}
+	assert.Assert(t, kept >= 8, "%d connections are kept", kept)
+}
+
 // A server that shuts down must finish the request that it is processing and accept no
 // new connections.
 func TestCleanUpWaitsForRequests(t *testing.T) {
--- a/io/mtpipeline/exchange.go
+++ b/io/mtpipeline/exchange.go
@@ -129,7 +129,7 @@
 	// Shutdown reaches the connections one after the other. A response that was written
 	// before its connection was reached did not announce the close, and the caller lost the
 	// next request that it sent.
-	if closeWanted || c.server.isClosing() {
+	if closeWanted || !c.server.keepsConnections() {
 		c.closing = true
 	}
 	c.unanswered--
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -16,7 +16,8 @@
 //
 // A response with "Connection: close" closes its connection. Requests that have been read by
 // then are still answered, and only the last response announces that the connection closes.
-// Once Shutdown has been called, every connection closes in this way.
+// Once Shutdown has been called, or while too many connections are open, every connection closes
+// in this way.
 package mtpipeline
 
 import (
@@ -36,6 +37,10 @@
 	HeaderTimeout  time.Duration // timeout for a request header, from its first byte
 	IdleTimeout    time.Duration // timeout for the next request on an idle connection
 	MaxConcurrent  int           // maximum number of concurrent requests of a connection
+	// MaxKept is the number of open connections above which each response closes its
+	// connection, so that those that callers keep without using them leave room for new ones.
+	// Zero means that connections are always kept.
+	MaxKept int
 }
 
 // Server serves HTTP/1.1 connections. Its exported fields must not be changed after Serve has
@@ -114,6 +119,13 @@
 	return s.closing
 }
 
+// keepsConnections reports whether connections are kept after a response.
+func (s *Server) keepsConnections() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closing && (s.Limits.MaxKept == 0 || len(s.conns) <= s.Limits.MaxKept)
+}
+
 // beginClose marks the server as closing. From here on every response announces the close, also
 // on connections that have not been told to close yet.
 func (s *Server) beginClose() {
