--- a/io/mtcommand/show.go
+++ b/io/mtcommand/show.go
@@ -26,6 +26,23 @@
 	}
 }
 
+// showPage shows the items of a page as a table with one row each, after the daemons of the page
+// that gave no answer. It returns err, the error of the query for the page, and shows nothing then.
+func showPage[T any](c *console, page mtadmin.Page[T], err error, heading []string, row func(T) []string) error {
+	if err != nil {
+		return err
+	}
+	for _, d := range page.Failed {
+		fmt.Fprintf(c.errs, "%s gave no answer\n", d)
+	}
+	var rows [][]string
+	for _, item := range page.Items {
+		rows = append(rows, row(item))
+	}
+	c.show(page.Items, heading, rows)
+	return nil
+}
+
 func showOwner(c *console) *command {
 	conn := &connection{}
 	return &command{
@@ -70,18 +87,12 @@
 		flags:   conn.flags,
 		run: conn.run(0, 0, "no arguments", func(ctx context.Context, client *mtadmin.Client, _ []string) error {
 			page, err := client.Roster(ctx)
-			if err != nil {
-				return err
-			}
-			var rows [][]string
-			for _, d := range page.Items {
-				rows = append(rows, []string{
+			return showPage(c, page, err, []string{"DAEMON", "ZONE", "REGION", "STATE", "LIVE", "SERVERS", "WITNESSES"}, func(d mtadmin.DaemonDocument) []string {
+				return []string{
 					formatHolder(d.Daemon, d.Incarnation), string(d.Zone), string(d.Region), d.State, yesNo(d.Live),
 					formatOffers(d.Offers), orDash(strings.Join(d.Witnesses, ",")),
-				})
-			}
-			c.show(page.Items, []string{"DAEMON", "ZONE", "REGION", "STATE", "LIVE", "SERVERS", "WITNESSES"}, rows)
-			return nil
+				}
+			})
 		}),
 	}
 }
@@ -107,15 +118,9 @@
 				return err
 			}
 			page, err := client.Assignment(ctx, ref)
-			if err != nil {
-				return err
-			}
-			var rows [][]string
-			for _, d := range page.Items {
-				rows = append(rows, []string{d.Low, formatHolder(d.Owner, d.Incarnation), fmt.Sprint(d.Epoch), strconv.Itoa(d.Chunk), version(d.Version)})
-			}
-			c.show(page.Items, []string{"SHARD", "OWNER", "EPOCH", "CHUNK", "VERSION"}, rows)
-			return nil
+			return showPage(c, page, err, []string{"SHARD", "OWNER", "EPOCH", "CHUNK", "VERSION"}, func(d mtadmin.ShardDocument) []string {
+				return []string{d.Low, formatHolder(d.Owner, d.Incarnation), fmt.Sprint(d.Epoch), strconv.Itoa(d.Chunk), version(d.Version)}
+			})
 		}),
 	}
 }
@@ -129,18 +134,9 @@
 		flags:   conn.flags,
 		run: conn.run(1, 1, "BUSINESS", func(ctx context.Context, client *mtadmin.Client, args []string) error {
 			page, err := client.Quarantine(ctx, mtid.Business(args[0]))
-			if err != nil {
-				return err
-			}
-			for _, d := range page.Failed {
-				fmt.Fprintf(c.errs, "%s gave no answer\n", d)
-			}
-			var rows [][]string
-			for _, d := range page.Items {
-				rows = append(rows, []string{d.Fingerprint, string(d.Service), strconv.Itoa(d.Refused), d.Until.Format(time.RFC3339), string(d.Daemon)})
-			}
-			c.show(page.Items, []string{"FINGERPRINT", "SERVICE", "REFUSED", "UNTIL", "DAEMON"}, rows)
-			return nil
+			return showPage(c, page, err, []string{"FINGERPRINT", "SERVICE", "REFUSED", "UNTIL", "DAEMON"}, func(d mtadmin.SuspectDocument) []string {
+				return []string{d.Fingerprint, string(d.Service), strconv.Itoa(d.Refused), d.Until.Format(time.RFC3339), string(d.Daemon)}
+			})
 		}),
 	}
 }
