--- a/io/mtduty/mtduty.go
+++ b/io/mtduty/mtduty.go
@@ -30,29 +30,32 @@
 func EveryOrOnSignal(period time.Duration, wake <-chan struct{}, step func(ctx context.Context)) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var task sync.WaitGroup
-	task.Go(func() {
-		ticker := time.NewTicker(period)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			case <-wake:
-			}
-			// If ctx is done as well, select chooses at random. Without this
-			// check, a step could start after the stop.
-			if ctx.Err() == nil {
-				step(ctx)
-			}
-		}
-	})
+	task.Go(func() { Repeat(ctx, period, wake, step) })
 	return func() {
 		cancel()
 		task.Wait()
 	}
 }
 
+// Repeat calls step in each period, and whenever it receives from wake, until ctx is done.
+func Repeat(ctx context.Context, period time.Duration, wake <-chan struct{}, step func(ctx context.Context)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-wake:
+		}
+		// If ctx is done as well, select chooses at random. Without this
+		// check, a step could start after the stop.
+		if ctx.Err() == nil {
+			step(ctx)
+		}
+	}
+}
+
 // Sleep waits for d and returns true, or returns false as soon as ctx is done.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/io/mtsync/mtsync.go
+++ b/io/mtsync/mtsync.go
@@ -219,17 +219,7 @@
 			return
 		}
 	}
-	ticker := time.NewTicker(antiEntropyInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-s.refresh:
-		}
-		s.readOnce(ctx)
-	}
+	mtduty.Repeat(ctx, antiEntropyInterval, s.refresh, func(ctx context.Context) { s.readOnce(ctx) })
 }
 
 // readOnce applies all changes that the store has now.
