--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -34,6 +34,8 @@
 	versions func() (configuration, seen mtid.Version)
 
 	statusBefore mthost.Status // at the previous summary
+	// collectedBefore is the number of garbage collections until the previous summary.
+	collectedBefore uint64
 }
 
 type clock interface {
