Keep slots free for more urgent requests at a server's gate

Cause: who can wait for seconds fills the slots, and a request that can't wait finds none in time, whatever its priority. The order of the gate decides only who starts next of those that wait already. Change: an order with a reservation (core/mtgate/reserve.go, [overload] reserve): the demand of each class and priority and how long its requests can wait give the slots that less urgent ones may use. Priorities are compared before timeliness. Ruled out: nothing measured yet; the switch stays off.

--- a/core/mtgate/flow.go
+++ b/core/mtgate/flow.go
@@ -195,6 +195,21 @@
 	return c
 }
 
+// Reserved describes the slots that the order keeps free.
+type Reserved struct {
+	Free    int    // slots kept free from waiting requests now
+	Refused uint64 // requests refused so far while slots were kept free; it never decreases
+}
+
+// Reserved returns what the order keeps free.
+func (g *Gate[O]) Reserved() Reserved {
+	r := Reserved{Refused: g.refusedIdle}
+	if g.order.Len() > 0 && g.canStart(g.now) {
+		r.Free = g.capacity() - len(g.running)
+	}
+	return r
+}
+
 // Busy returns the numbers of running and waiting requests. Unlike Counts it is
 // cheap enough to call for each request.
 func (g *Gate[O]) Busy() (running, waiting int) { return len(g.running), len(g.waiting) }
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -58,6 +58,9 @@
 	// Objective is the time by which the request should be answered; zero means
 	// the deadline.
 	Objective mtclock.Instant
+	// Priority compares the request with those of other classes; the lowest value is the
+	// most urgent. A nested request has that of the request it is part of.
+	Priority int
 	// Nested is set if another backend server waits for this request and occupies
 	// a slot meanwhile.
 	Nested bool
@@ -105,6 +108,7 @@
 	now          mtclock.Instant // time of the current call
 	nextGiveUp   mtclock.Instant // no waiting entry has to give up before it
 	counts       Counts
+	refusedIdle  uint64 // refusals because of load while a slot was kept free
 	effects      []Effect
 }
 
@@ -159,6 +163,7 @@
 	e := &Entry{Ticket: t, Flow: flow, Arrival: now}
 	e.GiveUp = g.giveUp(now, e)
 	flow.Counts.Offered++
+	g.order.Arrived(now, e)
 	if refusal := g.precheck(now, e); refusal != nil {
 		g.refuse(e, refusal)
 		return g.end(now)
--- a/core/mtgate/order.go
+++ b/core/mtgate/order.go
@@ -11,6 +11,8 @@
 type Order interface {
 	// AddFlow registers a flow. It is called before the first entry of the flow is pushed.
 	AddFlow(f *Flow)
+	// Arrived notifies the order of a request, whether or not it is admitted.
+	Arrived(now mtclock.Instant, e *Entry)
 	// Push adds e to the waiting entries.
 	Push(e *Entry)
 	// Next removes and returns the entry to start now, or returns nil. slots is the
@@ -68,6 +70,9 @@
 // Admits implements Order.
 func (noReservation) Admits(mtclock.Instant, *Entry, int) bool { return true }
 
+// Arrived implements Order.
+func (noReservation) Arrived(mtclock.Instant, *Entry) {}
+
 // Started implements Order.
 func (noReservation) Started(mtclock.Instant, *Entry) {}
 
--- a/core/mtgate/refusal.go
+++ b/core/mtgate/refusal.go
@@ -42,6 +42,9 @@
 // refuse counts and emits a refusal of e.
 func (g *Gate[O]) refuse(e *Entry, err *mtreply.RefusedError) {
 	e.Flow.refused(err.Cause)
+	if err.Cause == mtreply.CauseShed && g.canStart(g.now) {
+		g.refusedIdle++
+	}
 	g.effects = append(g.effects, Refuse{Ticket: e.Ticket, Err: err})
 }
 
--- a/core/mtgate/urgent.go
+++ b/core/mtgate/urgent.go
@@ -37,6 +37,7 @@
 	waiting     []*Entry
 	runningLate int             // running requests that can't meet their objective
 	lastNested  mtclock.Instant // time of the last nested request
+	reservation *reservation    // nil if no slots are reserved
 }
 
 // NewUrgent returns an Urgent without entries.
@@ -45,6 +46,13 @@
 // AddFlow implements Order.
 func (*Urgent) AddFlow(*Flow) {}
 
+// Arrived implements Order.
+func (o *Urgent) Arrived(now mtclock.Instant, e *Entry) {
+	if o.reservation != nil {
+		o.reservation.record(now, e)
+	}
+}
+
 // Push implements Order.
 func (o *Urgent) Push(e *Entry) {
 	if e.Ticket.Nested {
@@ -56,16 +64,21 @@
 
 // Next implements Order.
 func (o *Urgent) Next(now mtclock.Instant, slots int) *Entry {
-	var best *Entry
-	for _, e := range o.waiting {
-		if best == nil || startsBefore(now, e, best) {
-			best = e
-		}
+	best := o.next(now, slots)
+	if best != nil {
+		o.Remove(best)
+	}
+	return best
+}
+
+func (o *Urgent) next(now mtclock.Instant, slots int) *Entry {
+	if o.reservation != nil {
+		return o.nextReserving(now, slots)
 	}
+	best := o.first(now, func(*Entry) bool { return true })
 	if best == nil || !o.Admits(now, best, slots) {
 		return nil
 	}
-	o.Remove(best)
 	return best
 }
 
@@ -80,6 +93,9 @@
 // Admits implements Order. Requests that can't meet their objective come last in the
 // order, so denying one of them a slot delays no other request.
 func (o *Urgent) Admits(now mtclock.Instant, e *Entry, slots int) bool {
+	if o.reservation != nil && !o.reservation.admits(now, e, slots) {
+		return false
+	}
 	if e.Ticket.Nested || !missesObjective(now, e) || now.Sub(o.lastNested) > nestedWindow {
 		return true
 	}
@@ -93,6 +109,9 @@
 
 // Started implements Order.
 func (o *Urgent) Started(now mtclock.Instant, e *Entry) {
+	if o.reservation != nil {
+		o.reservation.running = append(o.reservation.running, e)
+	}
 	if e.Ticket.Nested {
 		o.lastNested = now
 	} else if missesObjective(now, e) {
@@ -103,6 +122,9 @@
 
 // Ended implements Order.
 func (o *Urgent) Ended(e *Entry) {
+	if o.reservation != nil {
+		o.reservation.running = without(o.reservation.running, e)
+	}
 	if e.startedLate {
 		o.runningLate--
 	}
@@ -151,7 +173,7 @@
 func (o *Urgent) Victim(e *Entry) *Entry {
 	last := e
 	for _, w := range o.waiting {
-		if startsBefore(e.Arrival, last, w) {
+		if o.before(e.Arrival, last, w) {
 			last = w
 		}
 	}
@@ -165,20 +187,29 @@
 // service times; while all slots are in use, one becomes free every service time
 // divided by slots.
 func (o *Urgent) Wait(now mtclock.Instant, e *Entry, slots int) time.Duration {
-	var ahead time.Duration
+	if o.reservation != nil && !e.Ticket.Nested {
+		slots = min(slots, o.reservation.limit(now, e, slots))
+	}
+	ahead, lessUrgentNested := e.service(), time.Duration(0)
 	for _, w := range o.waiting {
-		if startsBefore(now, w, e) {
+		switch {
+		case !o.before(now, w, e):
+		case o.reservation != nil && w.Ticket.Priority > e.Ticket.Priority:
+			lessUrgentNested += w.service()
+		default:
 			ahead += w.service()
 		}
 	}
-	return (ahead + e.service()) / time.Duration(max(slots, 1))
+	// Half of the slots are not for nested requests that are less urgent.
+	ahead += min(lessUrgentNested, ahead)
+	return ahead / time.Duration(max(slots, 1))
 }
 
 // Ahead implements Order.
 func (o *Urgent) Ahead(now mtclock.Instant, e *Entry) int {
 	ahead := 0
 	for _, w := range o.waiting {
-		if startsBefore(now, w, e) {
+		if o.before(now, w, e) {
 			ahead++
 		}
 	}
--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -284,6 +284,13 @@
 	return c.gate.Busy()
 }
 
+// Reserved returns which slots the gate keeps free.
+func (c *AdmissionController[O]) Reserved() mtgate.Reserved {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.Reserved()
+}
+
 // Counts returns the gate's counters.
 func (c *AdmissionController[O]) Counts() mtgate.Counts {
 	c.mu.Lock()
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -234,7 +234,11 @@
 
 func (h *Host) newAdmission() *iogate.AdmissionController[*mtgate.Urgent] {
 	limits := mtgate.Limits{Waiting: maxWaiting, MaxWaitFraction: 1}
-	admission := iogate.New(h.Clock, mtgate.NewUrgent(), limits, ignoreIdleRange)
+	order := mtgate.NewUrgent()
+	if h.Overload.Reserve {
+		order = mtgate.NewReserving()
+	}
+	admission := iogate.New(h.Clock, order, limits, ignoreIdleRange)
 	for _, r := range h.routes {
 		declareRoute(admission, r)
 	}
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -77,7 +77,7 @@
 	}
 	h.recordArrival(arrived, call)
 	ticket := mtgate.Ticket{
-		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Nested: call.Nested,
+		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Priority: call.Priority, Nested: call.Nested,
 	}
 	if call.Keyed {
 		ticket.Point = call.Key.Point()
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -137,6 +137,10 @@
 	Limit   any   `json:"limit"`
 	Started int64 `json:"started"` // calls sent to it by this process
 	Quota   int64 `json:"quota"`   // calls refused by this process because of the limit
+	// Reserved is the number of slots kept free for more urgent calls, and ReservedRefused
+	// that of the calls refused meanwhile since the server came up.
+	Reserved        int    `json:"reserved"`
+	ReservedRefused uint64 `json:"reservedRefused"`
 	// Crashes counts the losses of the server.
 	Crashes CrashCounts `json:"crashes"`
 }
@@ -145,9 +149,11 @@
 func (h *Host) Status() Status {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	reserved := h.admission.Reserved()
 	return Status{
 		Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed(),
 		Limit: limitText(h.signals.limit.Rate()), Started: h.startedCalls.Load(), Quota: h.quotaRefused.Load(),
+		Reserved: reserved.Free, ReservedRefused: reserved.Refused,
 		Crashes: h.crashCounts(),
 	}
 }
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -33,6 +33,8 @@
 	versions func() (configuration, seen mtid.Version)
 
 	startedBefore int64 // calls sent to the server until the previous summary
+	// reservedBefore is the number of calls refused for reserved slots until then.
+	reservedBefore uint64
 }
 
 type clock interface {
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -88,6 +88,11 @@
 func (r *recorder) logSummary(load mtcall.Load, server mthost.Status, moved int, calls map[string]int) {
 	started := server.Started - r.startedBefore
 	r.startedBefore = server.Started
+	reservedRefused := server.ReservedRefused
+	if reservedRefused >= r.reservedBefore { // otherwise the server is a new one
+		reservedRefused -= r.reservedBefore
+	}
+	r.reservedBefore = server.ReservedRefused
 	counts := r.tally.reset()
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
@@ -96,6 +101,7 @@
 		return
 	}
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
-		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", started, "limit", server.Limit, "pace", load.ServiceTime.String(),
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", started, "limit", server.Limit,
+		"reserved", server.Reserved, "reserved-refused", reservedRefused, "pace", load.ServiceTime.String(),
 		"demand", load.Demand, "moved", moved, "store", calls)
 }
