--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -140,6 +140,10 @@
 	LinkFull int64 `json:"linkFull"` // bodies for which its link had no room
 	// NestedFull counts calls refused because their nested calls would have found no room.
 	NestedFull int64 `json:"nestedFull"`
+	// Reserved is the number of slots kept free for more urgent calls, and ReservedRefused
+	// that of the calls refused meanwhile since the server came up.
+	Reserved        int    `json:"reserved"`
+	ReservedRefused uint64 `json:"reservedRefused"`
 	// Crashes counts the losses of the server.
 	Crashes CrashCounts `json:"crashes"`
 }
@@ -148,9 +152,11 @@
 func (h *Host) Status() Status {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	reserved := h.admission.Reserved()
 	return Status{
 		Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed(),
 		Limit: limitText(h.signals.limit.Rate()), Started: h.startedCalls.Load(), Quota: h.quotaRefused.Load(),
-		LinkFull: h.link.refused.Load(), NestedFull: h.nested.refused.Load(), Crashes: h.crashCounts(),
+		LinkFull: h.link.refused.Load(), NestedFull: h.nested.refused.Load(),
+		Reserved: reserved.Free, ReservedRefused: reserved.Refused, Crashes: h.crashCounts(),
 	}
 }
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -92,6 +92,10 @@
 	collected := mtmetric.Collections()
 	collections := collected - r.collectedBefore
 	r.collectedBefore = collected
+	reservedRefused := server.ReservedRefused
+	if reservedRefused >= before.ReservedRefused { // otherwise the server is a new one
+		reservedRefused -= before.ReservedRefused
+	}
 	counts := r.tally.reset()
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
@@ -101,6 +105,7 @@
 	}
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", server.Started-before.Started,
-		"nested-full", server.NestedFull-before.NestedFull, "link-full", server.LinkFull-before.LinkFull, "limit", server.Limit, "pace", load.ServiceTime.String(),
+		"nested-full", server.NestedFull-before.NestedFull, "link-full", server.LinkFull-before.LinkFull,
+		"reserved", server.Reserved, "reserved-refused", reservedRefused, "limit", server.Limit, "pace", load.ServiceTime.String(),
 		"demand", load.Demand, "moved", moved, "store", calls, "collections", collections)
 }
