Let refused callers return while they can still be answered in time

With [overload] room the ingress tells half of the time until the latest start; what returns then goes before what came later. Times for a server's rate limit stay as booked. Not measured yet, the switch is off.

--- a/core/mtroom/mtroom.go
+++ b/core/mtroom/mtroom.go
@@ -36,6 +36,8 @@
 	patienceDivisor = 8
 	// minPatience is longer than the pause between two requests in a slot.
 	minPatience = time.Millisecond
+	// minReturn is the shortest time after which a refused caller returns.
+	minReturn = 50 * time.Millisecond
 	// MaxHandedBack is how many servers hand a call back before it stays at one of them.
 	MaxHandedBack = 3
 	// boardAge is how long an expected wait is remembered. Queues in front of servers that
@@ -57,6 +59,21 @@
 	return max(left/patienceDivisor, minPatience)
 }
 
+// returnDivisor divides the time until the latest start of a refused call to give the time
+// after which its caller returns. As much is left then for a wait.
+const returnDivisor = 2
+
+// Return returns when the caller of a call that was refused for load is to return, which a
+// server told to return after the given time: while it can still meet its objective. Then
+// it goes before calls that came later. A call that is late already returns as told.
+func Return(now, latestStart mtclock.Instant, told time.Duration) time.Duration {
+	left := latestStart.Sub(now)
+	if left <= 0 || told < 0 {
+		return told
+	}
+	return min(told, max(left/returnDivisor, minReturn))
+}
+
 // WaitError means that the wait that a server told can't be right.
 type WaitError struct{ Wait time.Duration }
 
--- a/io/mtingress/room_test.go
+++ b/io/mtingress/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"strings"
 	"testing"
@@ -137,3 +138,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(old.sent), 2)
 }
+
+// Guards against a refused caller that returns when its objective has passed, though the rate
+// limit of a server or a shutdown still binds its time to return.
+func TestRefusedCallerReturnsWhileItCanBeInTime(t *testing.T) {
+	for _, test := range []struct {
+		cause mtreply.Cause
+		want  time.Duration
+	}{
+		{mtreply.CauseShed, 500 * time.Millisecond}, {mtreply.CauseQuota, time.Second}, {mtreply.CauseStopping, time.Second},
+	} {
+		refused := &mtreply.RefusedError{Cause: test.cause, RetryAfter: time.Second}
+		s, clock := newSender(t, &fakePeers{answer: func(int) (*mtcall.Answer, error) { return nil, refused }})
+		s.Overload.Room = true
+		_, err := s.Send(t.Context(), newCall(clock.Now(), true), 1)
+		var got *mtreply.RefusedError
+		assert.Assert(t, errors.As(err, &got))
+		assert.Equal(t, got.Cause, test.cause)
+		assert.Assert(t, got.RetryAfter > test.want-200*time.Millisecond && got.RetryAfter <= test.want, "%s: %s", test.cause, got.RetryAfter)
+	}
+}
