--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -18,6 +18,7 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
+	"magnoliaturn/core/mtroom"
 	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
@@ -93,6 +94,7 @@
 // sending is the state of one call that is being sent.
 type sending struct {
 	tried     []mtid.Holder   // daemons that refused the call or failed
+	search    mtroom.Search   // for a server that has room
 	bounces   int             // refusals after which another server was tried at once
 	redirects int             // tries after a refusal because the daemon didn't own the key
 	waits     int             // waits for an ownership update
@@ -149,7 +151,7 @@
 		}
 		member, err := s.target(call, state)
 		if err != nil {
-			return nil, state.finalError(err)
+			return nil, s.withReturn(call, state.finalError(err))
 		}
 		begun := s.Clock.Now()
 		answer, err := s.try(ctx, call, member)
@@ -169,7 +171,7 @@
 			state.uncertain = err
 		}
 		if !s.prepareRetry(ctx, call, member, state, attempts, err) {
-			return nil, state.finalError(err)
+			return nil, s.withReturn(call, state.finalError(err))
 		}
 	}
 }
@@ -252,6 +254,9 @@
 		}
 		return s.awaitOwner(ctx, call, state)
 	}
+	if s.handedBack(call, member, state, refused) {
+		return true
+	}
 	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined || refused.Cause == mtreply.CauseNestedFull {
 		return false
 	}
