Refuse for nested requests only if another route gains

Cause: on a server with one route, refusing requests whose nested ones would fail serves no other, and loses those that need no nested ones. Change: a request is refused only if another route's requests run in vain less than half as often, or if that route is more urgent and calls the same service.

--- a/core/mtnested/mtnested.go
+++ b/core/mtnested/mtnested.go
@@ -7,6 +7,11 @@
 // and some more to notice when it has room again. Where several routes call the service,
 // the least urgent ones are refused first.
 //
+// A request is refused only if another route gains: one whose requests rarely run in vain
+// and need the slot, or a more urgent one that calls the same service. Among requests that
+// all have the same chance, to begin fewer would only mean fewer answers, since part of a
+// route's requests may need no nested ones.
+//
 // Only a lack of room counts: a nested request that was refused because of load, or that
 // was not answered in its time. Where servers reject requests at random, or can't be
 // reached, every request is as likely to succeed as any other, and to begin fewer of them
@@ -57,6 +62,9 @@
 	// maxRefused is the largest part of the requests of a route that is refused, so that
 	// knowledge is renewed even if no nested request is served.
 	maxRefused = 0.9
+	// betterFactor is how much less often the requests of another route must run in vain to
+	// be given the slot.
+	betterFactor = 2
 	// maxRoutes bounds the routes that are tracked.
 	maxRoutes = 256
 )
@@ -130,7 +138,7 @@
 		return true
 	}
 	r.priority = priority
-	if contended {
+	if contended && t.othersGain(now, r) {
 		r.refusals += min(t.refusedPart(now, r), maxRefused)
 	}
 	if r.refusals < 1 {
@@ -170,6 +178,39 @@
 	}
 }
 
+// vainPart returns the number of nested requests that found no room per request of the route.
+func (r *route) vainPart(now mtclock.Instant) float64 {
+	failed := 0.0
+	for _, c := range r.callees {
+		failed += c.calls.count(now) - c.served.count(now)
+	}
+	return failed / max(r.begun.count(now), 1)
+}
+
+// othersGain reports whether requests of another route gain if one of r doesn't begin.
+func (t *Tracker) othersGain(now mtclock.Instant, r *route) bool {
+	vain := r.vainPart(now) / betterFactor
+	for _, other := range t.routes {
+		if other == r || other.begun.count(now) < minResults {
+			continue
+		}
+		if other.vainPart(now) < vain || other.priority < r.priority && other.sharesCallee(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// sharesCallee reports whether both routes call the same service.
+func (r *route) sharesCallee(other *route) bool {
+	for service := range r.callees {
+		if _, ok := other.callees[service]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // refusedPart returns the part of the requests of r to refuse: the largest of those that its
 // called services require.
 func (t *Tracker) refusedPart(now mtclock.Instant, r *route) float64 {
--- a/core/mtnested/mtnested_test.go
+++ b/core/mtnested/mtnested_test.go
@@ -13,8 +13,9 @@
 
 const start mtclock.Instant = 1
 
-// load offers 50 requests a second of each route, each of which sends one nested request to
-// the service "desk". That serves the number given per tenth of a second.
+// load offers 50 requests a second of each route. Each of "a" and "b" sends one nested request
+// to the service "desk", which serves the number given per tenth of a second. Those of "c" send
+// none.
 type load struct {
 	tracker *mtnested.Tracker
 	now     mtclock.Instant
@@ -26,19 +27,23 @@
 	return &load{tracker: mtnested.NewTracker(), now: start, routes: routes, served: served}
 }
 
-// run lets time pass, and returns the number of requests begun by route, and in total.
-func (l *load) run(d time.Duration) (begun map[mtid.Class]int, total int) {
+// run lets time pass, and returns the number of requests begun by route, and the number of
+// nested ones.
+func (l *load) run(d time.Duration) (begun map[mtid.Class]int, nested int) {
 	begun = make(map[mtid.Class]int)
 	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(100 * time.Millisecond) {
 		room := l.served
 		for range 5 {
-			for _, name := range []mtid.Class{"a", "b"} {
+			for _, name := range []mtid.Class{"a", "b", "c"} {
 				priority, ok := l.routes[name]
 				if !ok || !l.tracker.Begins(l.now, name, priority, true) {
 					continue
 				}
 				begun[name]++
-				total++
+				if name == "c" {
+					continue
+				}
+				nested++
 				result := mtnested.NoRoom
 				if room > 0 {
 					room--
@@ -48,12 +53,12 @@
 			}
 		}
 	}
-	return begun, total
+	return begun, nested
 }
 
 // Load: twice the nested requests that the called service serves.
 func TestBeginsWhatCalledServiceServes(t *testing.T) {
-	l := newLoad(2, map[mtid.Class]int{"a": 1})
+	l := newLoad(2, map[mtid.Class]int{"a": 1, "c": 1})
 	l.run(3 * time.Second)
 	_, total := l.run(5 * time.Second)
 	const served = 100
@@ -70,7 +75,7 @@
 
 // Failure: a service that serves nothing for seconds is never called again.
 func TestAllBeginSoonAfterOutage(t *testing.T) {
-	l := newLoad(0, map[mtid.Class]int{"a": 1})
+	l := newLoad(0, map[mtid.Class]int{"a": 1, "c": 1})
 	l.run(3 * time.Second)
 	_, during := l.run(5 * time.Second)
 	assert.Assert(t, during > 10 && during < 50, "%d begun", during)
@@ -82,7 +87,7 @@
 
 // Failure: old knowledge refuses requests, also after a jump of the clock.
 func TestStaleKnowledgeRefusesNothing(t *testing.T) {
-	l := newLoad(0, map[mtid.Class]int{"a": 1})
+	l := newLoad(0, map[mtid.Class]int{"a": 1, "c": 1})
 	l.run(3 * time.Second)
 	l.now = l.now.Add(5 * time.Second)
 	for range 100 {
@@ -120,9 +125,17 @@
 
 // Failure: slots stay free while requests are refused, some of which need no nested ones.
 func TestAllBeginWhileSlotsAreFree(t *testing.T) {
-	l := newLoad(0, map[mtid.Class]int{"a": 1})
+	l := newLoad(0, map[mtid.Class]int{"a": 1, "c": 1})
 	l.run(3 * time.Second)
 	for range 20 {
 		assert.Assert(t, l.tracker.Begins(l.now, "a", 1, false))
 	}
 }
+
+// Load: a service fails all nested requests of the only route, part of whose requests may need
+// none.
+func TestAllBeginIfNoOtherRouteGains(t *testing.T) {
+	l := newLoad(0, map[mtid.Class]int{"a": 1})
+	begun, _ := l.run(5 * time.Second)
+	assert.Equal(t, begun["a"], 250)
+}
--- a/io/mthost/nested_test.go
+++ b/io/mthost/nested_test.go
@@ -21,6 +21,10 @@
 	s.startServer("i-1")
 	s.occupySlots()
 	for range 20 {
+		// Calls that need no nested ones wait for slots too.
+		other := s.call(false)
+		other.Route, other.Deadline = "desk", s.clock.Now().Add(1)
+		s.causeOf(other)
 		s.host.ObserveNested(&mtcall.Call{Parent: mtcall.Parent{Route: "plans"}, Service: "desk"}, mtnested.NoRoom)
 	}
 	return s
