--- a/io/mthost/nested.go
+++ b/io/mthost/nested.go
@@ -6,8 +6,10 @@
 
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtnested"
 	"magnoliaturn/core/mtreply"
+	iogate "magnoliaturn/io/mtgate"
 )
 
 // nested holds what is known of the nested calls of this VM's server.
@@ -38,10 +40,11 @@
 // can use its slot. A nested call is not refused: the work of the call that waits for it
 // would be wasted. Nor is a call refused while slots are free, because part of the calls
 // of a route may need no nested ones.
-func (h *Host) checkNested(now mtclock.Instant, call *mtcall.Call, running, slots int) error {
+func (h *Host) checkNested(now mtclock.Instant, call *mtcall.Call, admission *iogate.AdmissionController[*mtgate.Urgent], slots int) error {
 	if !h.Overload.Nested || call.Nested {
 		return nil
 	}
+	running, _ := admission.Busy()
 	h.nested.mu.Lock()
 	begins := h.nested.tracker.Begins(now, call.Route, call.Priority, running >= slots)
 	h.nested.mu.Unlock()
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -76,8 +76,7 @@
 		return nil, err
 	}
 	h.recordArrival(arrived, call)
-	running, _ := admission.Busy()
-	if err := h.checkNested(arrived, call, running, record.Slots); err != nil {
+	if err := h.checkNested(arrived, call, admission, record.Slots); err != nil {
 		return nil, err
 	}
 	ticket := mtgate.Ticket{
