--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -47,6 +47,7 @@
 	CauseUnreachable Cause = "unreachable" // never sent: no connection to the owner
 	CauseQueueFull   Cause = "queue-full"  // the class's queue is full
 	CauseShed        Cause = "shed"        // gave way to more important work
+	CauseBusy        Cause = "busy"        // handed back to the daemon that sent it, since it would wait too long
 	CauseExpired     Cause = "expired"     // the deadline passed before the request was begun
 	CauseLimited     Cause = "limited"     // over the rate limit of the business or class
 	CauseDraining    Cause = "draining"    // the backend server is being drained
@@ -61,6 +62,8 @@
 	CauseStopping    Cause = "stopping"    // this daemon is shutting down
 	CauseQuota       Cause = "quota"       // over the rate limit that the backend server names
 	CauseZoneOut     Cause = "zone-out"    // the server's availability zone is out of service
+	CauseNestedFull  Cause = "nested-full" // the request's nested requests would find no room
+	CauseLinkFull    Cause = "link-full"   // the server's network link has no room for the body
 )
 
 // The causes of the Unknown outcome.
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -28,6 +28,8 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtlink"
+	"magnoliaturn/core/mtnested"
 	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
@@ -184,6 +186,9 @@
 	recurring *mtpoison.RecurrenceDetector
 	crashes   CrashCounts
 
+	link   link
+	nested nested
+
 	meterMu         sync.Mutex
 	meter           *mtrange.Meter
 	slowness        mtbackend.Slowness
@@ -210,6 +215,8 @@
 		meter:           mtrange.NewMeter(config.Clock.Now()),
 
 		recurring: mtpoison.NewRecurrenceDetector(),
+		link:      link{inbound: mtlink.NewInbound(config.Link)},
+		nested:    nested{tracker: mtnested.NewTracker()},
 	}
 	h.record = mtbackend.Record{
 		Daemon: config.Daemon, Address: config.PeerAddress, Zone: config.Zone, Link: config.Link, Service: config.Service, State: mtbackend.Unknown,
@@ -291,14 +298,20 @@
 	h.admission.Drain()
 }
 
+// BeginShutdown begins the shutdown of this daemon: calls that could outlast it are not sent to
+// the server any more.
+func (h *Host) BeginShutdown(s mtshutdown.Schedule) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shutdown = &s
+}
+
 // Retire publishes that this daemon shuts down while its server continues to run. Other
 // daemons may not be notified while the store is unavailable, so calls that can go to
-// another server are refused from now on. Calls that could outlast the daemon are not sent to
-// the server.
-func (h *Host) Retire(s mtshutdown.Schedule) {
+// another server are refused from now on.
+func (h *Host) Retire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.shutdown = &s
 	h.record.Leaving = true
 	h.Publish(h.record)
 }
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -7,8 +7,10 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtchoice"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtoverload"
@@ -16,6 +18,7 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
 	"magnoliaturn/core/mtretry"
+	"magnoliaturn/core/mtroom"
 	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
@@ -45,6 +48,9 @@
 	// full costs no server any work. The choice policy ends the search sooner if all
 	// other servers were full a moment ago.
 	maxBounces = 5
+	// outOfTime is how long before its deadline a call counts as out of time: its caller, or the
+	// daemon that has it, may see the deadline pass a little before this daemon does.
+	outOfTime = 5 * time.Millisecond
 )
 
 // RetryFraction is the fraction of a retry that each first try of a service adds to the retry
@@ -88,6 +94,7 @@
 // sending is the state of one call that is being sent.
 type sending struct {
 	tried     []mtid.Holder   // daemons that refused the call or failed
+	search    mtroom.Search   // for a server that has room
 	bounces   int             // refusals after which another server was tried at once
 	redirects int             // tries after a refusal because the daemon didn't own the key
 	waits     int             // waits for an ownership update
@@ -144,7 +151,7 @@
 		}
 		member, err := s.target(call, state)
 		if err != nil {
-			return nil, state.finalError(err)
+			return nil, s.withReturn(call, state.finalError(err))
 		}
 		begun := s.Clock.Now()
 		answer, err := s.try(ctx, call, member)
@@ -164,7 +171,7 @@
 			state.uncertain = err
 		}
 		if !s.prepareRetry(ctx, call, member, state, attempts, err) {
-			return nil, state.finalError(err)
+			return nil, s.withReturn(call, state.finalError(err))
 		}
 	}
 }
@@ -247,7 +254,10 @@
 		}
 		return s.awaitOwner(ctx, call, state)
 	}
-	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined {
+	if s.handedBack(call, member, state, refused) {
+		return true
+	}
+	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined || refused.Cause == mtreply.CauseNestedFull {
 		return false
 	}
 	state.tried = append(state.tried, holder(member))
@@ -278,7 +288,12 @@
 	answer, err := s.send(ctx, call, member)
 	if !call.Keyed {
 		s.mu.Lock()
-		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, resultKind(answer, err), s.report(member))
+		now := s.Clock.Now()
+		kind := resultKind(answer, err)
+		if kind == mtchoice.Inconclusive && call.Deadline.Sub(now) < outOfTime {
+			kind = mtchoice.Failure // the server had all of the call's time
+		}
+		s.choices[call.Service].policy.Ended(now, chosen, kind, s.report(member))
 		s.mu.Unlock()
 	}
 	return answer, err
@@ -292,5 +307,6 @@
 	if s.Peers.Unresponsive(member.Address) {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: ownerRetry, Detail: "the daemon has been silent"}
 	}
+	call.Announce = s.announces(call, member)
 	return s.Peers.Forward(ctx, member.Daemon, member.Address, call)
 }
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -11,6 +11,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/io/mthost"
 	"magnoliaturn/io/mtmetric"
 )
 
@@ -32,9 +33,9 @@
 	log      *slog.Logger
 	versions func() (configuration, seen mtid.Version)
 
-	startedBefore int64 // calls sent to the server until the previous summary
-	// reservedBefore is the number of calls refused for reserved slots until then.
-	reservedBefore uint64
+	statusBefore mthost.Status // at the previous summary
+	// collectedBefore is the number of garbage collections until the previous summary.
+	collectedBefore uint64
 }
 
 type clock interface {
@@ -66,6 +67,7 @@
 	}
 	r.countResult(call, sample, status)
 	r.tally.add(call, r.result(call, sample, status))
+	r.tally.addSearch(call, slowStart(r.clock.Now(), call, answer))
 	r.logRequest(call, sample, status, err, took)
 }
 
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 	"google.golang.org/grpc"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtshutdown"
 	"magnoliaturn/io/mtdial"
@@ -41,6 +42,7 @@
 		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
 	mtforward.Register(m.peers, mtforward.Server{
 		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveEntry: m.receivePushed, Commit: m.commitFor,
+		ReserveLink: m.Host().ReserveLink,
 	})
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
@@ -90,8 +92,11 @@
 	m.config.Log.Info("stopping", "grace", m.config.Grace)
 	m.ready.Store(false)
 	m.Ingress().BeginShutdown(schedule)
-	m.Host().Retire(schedule)
-	mtduty.Sleep(ctx, schedule.Retire.Sub(now))
+	m.Host().BeginShutdown(schedule)
+	mtduty.Sleep(ctx, m.leaveAt(now, schedule).Sub(now))
+	m.config.Log.Info("server leaves", "after", clock.Now().Sub(now))
+	m.Host().Retire()
+	mtduty.Sleep(ctx, schedule.Retire.Sub(clock.Now()))
 	m.Host().Close()
 	// A poll of a store that does not answer takes longer than the clean-up may.
 	go mtkernel.MustLookup[func()](m.kernel, NameConfigPoller)()
@@ -115,6 +120,16 @@
 	m.config.Log.Info("stopped")
 }
 
+// leaveAt returns when the server on this VM stops getting work in a shutdown that begins now. It
+// stops at once while the store is unavailable, since its keys may take long to move then.
+func (m *Mesh) leaveAt(now mtclock.Instant, schedule mtshutdown.Schedule) mtclock.Instant {
+	configuration := m.configuration()
+	if !m.config.Overload.Linger || configuration == nil || !m.directory.Load().StoreAvailable() {
+		return now
+	}
+	return schedule.LeaveAt(configuration.LongestTimeout(m.config.Service), m.keyed())
+}
+
 // Handler returns a readiness check: 200 if the daemon is ready, 503 otherwise.
 func (m *Mesh) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
