Start an urgent request at once in a slot reserved for it

Cause: its wait was estimated as if all slots were taken, so one with no time left was refused while a slot was kept free for it. Change: no wait if a slot is kept free from less urgent requests and nothing goes before it.

--- a/core/mtgate/reserve.go
+++ b/core/mtgate/reserve.go
@@ -142,27 +142,18 @@
 
 // admits reports whether e may take a slot. Nested requests always may.
 func (r *reservation) admits(now mtclock.Instant, e *Entry, slots int) bool {
-	return e.Ticket.Nested || r.lessUrgentRunning(e.Ticket.Priority) < r.limit(now, e, slots)
-}
-
-// lessUrgentRunning returns the number of running requests with this priority or a less
-// urgent one, except nested ones.
-func (r *reservation) lessUrgentRunning(priority int) int {
-	n := 0
-	for _, e := range r.running {
-		if !e.Ticket.Nested && e.Ticket.Priority >= priority {
-			n++
-		}
+	if e.Ticket.Nested {
+		return true
 	}
-	return n
+	sameOrLess := r.count(func(f *Entry) bool { return !f.Ticket.Nested && f.Ticket.Priority >= e.Ticket.Priority })
+	return sameOrLess < r.limit(now, e, slots)
 }
 
-// nestedRunning returns the number of running nested requests that are less urgent than a
-// priority.
-func (r *reservation) nestedRunning(priority int) int {
+// count returns the number of running requests that the filter accepts.
+func (r *reservation) count(accept func(*Entry) bool) int {
 	n := 0
 	for _, e := range r.running {
-		if e.Ticket.Nested && e.Ticket.Priority > priority {
+		if accept(e) {
 			n++
 		}
 	}
@@ -173,7 +164,7 @@
 // It compares requests by the Priority of their tickets, before it looks at which of them
 // can meet their objective. With equal priorities it decides like NewUrgent.
 //
-// Two limits prevent starvation: less urgent requests always get a quarter of the slots,
+// Two limits prevent starvation: less urgent requests always get an eighth of the slots,
 // and nested requests start before more urgent ones only while they have less than half.
 func NewReserving() *Urgent { return &Urgent{reservation: &reservation{}} }
 
@@ -182,7 +173,7 @@
 	if o.reservation == nil || e.Ticket.Priority == f.Ticket.Priority || e.Ticket.Nested != f.Ticket.Nested {
 		return startsBefore(now, e, f)
 	}
-	return e.Ticket.Priority < f.Ticket.Priority
+	return f.lessUrgent(e)
 }
 
 // first returns the waiting entry that starts first among those that the filter accepts, or
@@ -190,7 +181,7 @@
 func (o *Urgent) first(now mtclock.Instant, accept func(*Entry) bool) *Entry {
 	var best *Entry
 	for _, e := range o.waiting {
-		if accept(e) && (best == nil || o.before(now, e, best)) {
+		if (best == nil || o.before(now, e, best)) && accept(e) {
 			best = e
 		}
 	}
@@ -201,24 +192,45 @@
 func (o *Urgent) nextReserving(now mtclock.Instant, slots int) *Entry {
 	nested := o.first(now, func(e *Entry) bool { return e.Ticket.Nested })
 	direct := o.first(now, func(e *Entry) bool { return !e.Ticket.Nested && o.Admits(now, e, slots) })
-	if direct == nil || nested == nil {
-		return cmp.Or(nested, o.guarantee(now, direct, slots))
-	}
-	if nested.Ticket.Priority > direct.Ticket.Priority && !missesObjective(now, direct) &&
-		o.reservation.nestedRunning(direct.Ticket.Priority) >= max(slots/nestedDivisor, 1) {
+	switch {
+	case direct == nil:
+		return nested
+	case nested == nil:
+		return o.guarantee(now, direct, slots)
+	case o.yields(now, nested, direct, slots):
 		return direct
 	}
 	return nested
 }
 
+// yields reports whether a nested request waits for a more urgent one.
+func (o *Urgent) yields(now mtclock.Instant, nested, direct *Entry, slots int) bool {
+	if nested.Ticket.Priority <= direct.Ticket.Priority || missesObjective(now, direct) {
+		return false
+	}
+	running := o.reservation.count(func(e *Entry) bool { return e.Ticket.Nested && e.lessUrgent(direct) })
+	return running >= max(slots/nestedDivisor, 1)
+}
+
 // guarantee returns the entry to start instead of e: a less urgent one that is in time, if
 // such requests use less than their guaranteed slots.
 func (o *Urgent) guarantee(now mtclock.Instant, e *Entry, slots int) *Entry {
-	if e == nil || o.reservation.lessUrgentRunning(e.Ticket.Priority+1) >= guaranteed(slots) {
+	running := o.reservation.count(func(f *Entry) bool { return !f.Ticket.Nested && f.lessUrgent(e) })
+	if running >= guaranteed(slots) {
 		return e
 	}
-	less := o.first(now, func(w *Entry) bool {
-		return !w.Ticket.Nested && w.Ticket.Priority > e.Ticket.Priority && !missesObjective(now, w) && o.Admits(now, w, slots)
+	less := o.first(now, func(f *Entry) bool {
+		return !f.Ticket.Nested && f.lessUrgent(e) && !missesObjective(now, f) && o.Admits(now, f, slots)
 	})
 	return cmp.Or(less, e)
 }
+
+// startsAtOnce reports whether e, which arrives now, takes a slot that is kept free from
+// less urgent requests.
+func (o *Urgent) startsAtOnce(now mtclock.Instant, e *Entry, slots int) bool {
+	return o.reservation != nil && len(o.reservation.running) < slots && o.Ahead(now, e) == 0 &&
+		slices.ContainsFunc(o.waiting, func(w *Entry) bool { return w.lessUrgent(e) }) && o.Admits(now, e, slots)
+}
+
+// lessUrgent reports whether e has a lower priority than f.
+func (e *Entry) lessUrgent(f *Entry) bool { return e.Ticket.Priority > f.Ticket.Priority }
--- a/core/mtgate/reserve_test.go
+++ b/core/mtgate/reserve_test.go
@@ -104,6 +104,17 @@
 	assert.Assert(t, inTime(mtgate.NewReserving()) > 0.9)
 }
 
+// Load: a flood of patient requests of which some wait for a reserved slot. An urgent one
+// that has no time left to wait must not be refused while that slot is free.
+func TestUrgentRequestTakesReservedSlotAtOnce(t *testing.T) {
+	tr, patient, urgent := newTrial(mtgate.NewReserving(), 4), flood(), trickle()
+	tr.play(4*time.Second, patient, urgent)
+	urgent.objective = 126 * time.Millisecond
+	urgent.arrived, urgent.inTime = 0, 0
+	tr.play(4*time.Second, patient, urgent)
+	assert.Assert(t, float64(urgent.inTime) > 0.9*float64(urgent.arrived))
+}
+
 // Load: urgent requests for twice what the server can run, and patient ones that must
 // still get a quarter of it.
 func TestFloodOfUrgentRequestsStarvesNobody(t *testing.T) {
--- a/core/mtgate/urgent.go
+++ b/core/mtgate/urgent.go
@@ -187,6 +187,9 @@
 // service times; while all slots are in use, one becomes free every service time
 // divided by slots.
 func (o *Urgent) Wait(now mtclock.Instant, e *Entry, slots int) time.Duration {
+	if o.startsAtOnce(now, e, slots) {
+		return 0
+	}
 	if o.reservation != nil && !e.Ticket.Nested {
 		slots = min(slots, o.reservation.limit(now, e, slots))
 	}
@@ -194,7 +197,7 @@
 	for _, w := range o.waiting {
 		switch {
 		case !o.before(now, w, e):
-		case o.reservation != nil && w.Ticket.Priority > e.Ticket.Priority:
+		case o.reservation != nil && w.lessUrgent(e):
 			lessUrgentNested += w.service()
 		default:
 			ahead += w.service()
