--- a/core/mtgate/reserve_test.go
+++ b/core/mtgate/reserve_test.go
@@ -107,7 +107,7 @@
 // Load: a flood of patient requests of which some wait for a reserved slot. An urgent one
 // that has no time left to wait must not be refused while that slot is free.
 func TestUrgentRequestTakesReservedSlotAtOnce(t *testing.T) {
-	tr, patient, urgent := newTrial(mtgate.NewReserving(), 4), flood(), trickle()
+	tr, patient, urgent := newTrial(mtgate.NewReserving(), 3), flood(), trickle()
 	tr.play(4*time.Second, patient, urgent)
 	urgent.objective = 126 * time.Millisecond
 	urgent.arrived, urgent.inTime = 0, 0
