--- a/core/mtoverload/mtoverload.go
+++ b/core/mtoverload/mtoverload.go
@@ -15,13 +15,21 @@
 	// Nested refuses requests whose nested requests would find no room. It acts on routes
 	// whose requests were seen to send nested ones.
 	Nested bool
+	// Link sends a body over a slow link only if that has room for it. It acts where a body
+	// takes long at the bandwidth of a VM's link.
+	Link bool
 	// Reserve keeps slots free for more urgent requests. It acts where routes to one
 	// service have different priorities.
 	Reserve bool
 	// Room refuses at the ingress what no server of a service has room for. It acts on
 	// routes with a latency objective.
 	Room bool
-	// Forecast moves keys by the load to come and by what each server can do. It acts on
-	// services that are divided by key.
-	Forecast bool
+	// Slow counts all work that is offered to a slow server, so that its keys move to
+	// faster ones. It acts on routes with a latency objective to services that are divided
+	// by key.
+	Slow bool
+	// Linger keeps a server at work while its daemon shuts down, for as long as that cuts
+	// nothing off. It acts where the calls that the routes' timeouts allow fit into the
+	// grace period.
+	Linger bool
 }
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -74,13 +74,20 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := h.checkShutdown(call); err != nil {
+		return nil, err
+	}
 	fingerprint := call.Fingerprint()
 	if err := h.refusePoison(arrived, fingerprint, call.AnsweredBefore); err != nil {
 		return nil, err
 	}
 	h.recordArrival(arrived, call)
+	running, _ := admission.Busy()
+	if err := h.checkNested(arrived, call, running, record.Slots); err != nil {
+		return nil, err
+	}
 	ticket := mtgate.Ticket{
-		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Nested: call.Nested,
+		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Priority: call.Priority, Nested: call.Nested,
 		Patience: call.Patience,
 	}
 	if call.Keyed {
@@ -91,7 +98,7 @@
 		return nil, withKeyMoveRetry(call, err)
 	}
 	defer end()
-	// The key may have moved while the call waited.
+	// The key may have moved, or the shutdown begun, while the call waited.
 	if call.Keyed {
 		if err := h.CheckGrant(record.Incarnation, call.Key); err != nil {
 			return nil, err
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -7,8 +7,10 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtchoice"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtoverload"
@@ -46,6 +48,9 @@
 	// full costs no server any work. The choice policy ends the search sooner if all
 	// other servers were full a moment ago.
 	maxBounces = 5
+	// outOfTime is how long before its deadline a call counts as out of time: its caller, or the
+	// daemon that has it, may see the deadline pass a little before this daemon does.
+	outOfTime = 5 * time.Millisecond
 )
 
 // RetryFraction is the fraction of a retry that each first try of a service adds to the retry
@@ -252,7 +257,7 @@
 	if s.handedBack(call, member, state, refused) {
 		return true
 	}
-	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined {
+	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined || refused.Cause == mtreply.CauseNestedFull {
 		return false
 	}
 	state.tried = append(state.tried, holder(member))
@@ -283,7 +288,12 @@
 	answer, err := s.send(ctx, call, member)
 	if !call.Keyed {
 		s.mu.Lock()
-		s.choices[call.Service].policy.Ended(s.Clock.Now(), chosen, resultKind(answer, err), s.report(member))
+		now := s.Clock.Now()
+		kind := resultKind(answer, err)
+		if kind == mtchoice.Inconclusive && call.Deadline.Sub(now) < outOfTime {
+			kind = mtchoice.Failure // the server had all of the call's time
+		}
+		s.choices[call.Service].policy.Ended(now, chosen, kind, s.report(member))
 		s.mu.Unlock()
 	}
 	return answer, err
@@ -297,5 +307,6 @@
 	if s.Peers.Unresponsive(member.Address) {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: ownerRetry, Detail: "the daemon has been silent"}
 	}
+	call.Announce = s.announces(call, member)
 	return s.Peers.Forward(ctx, member.Daemon, member.Address, call)
 }
