Let a test's offload come whenever its balance loop ran first

TestRefusedMoveIsNotRevertedByStaleCopy stood for good in one of three whole runs of the package on beside load: if the balance loop had run before the test set the loads, it considers an offload again only after a pause by the manual clock, which nobody advanced.

The test now advances the clock, as the others that overload a server do. With the loop let run first it did not end within 25 s without that, and passes with it; 10 of 10 with -race.

--- a/io/mtgrant/transfer_test.go
+++ b/io/mtgrant/transfer_test.go
@@ -232,10 +232,8 @@
 	f.start()
 	f.until("the keys are granted", func() bool { return f.server.count("grant") >= 1 })
 	granted := f.server.count("grant")
-	f.mu.Lock()
-	f.ownLoad = mtrange.LoadReport{Owner: ownerOf("a"), Slots: 10, Demand: 25, Keys: 32768, Known: true}
-	f.otherLoads = []mtrange.LoadReport{{Owner: ownerOf("b"), Slots: 10, Demand: 1, Keys: 32768, Known: true}}
-	f.mu.Unlock()
+	f.overload()
+	f.clock.advance(mtrange.MoveCooldown)
 	<-refused
 	f.letLoopsRun()
 	assert.Equal(t, f.server.count("grant"), granted, "granted again after the refusal: %v", f.server.sent())
