--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -92,7 +92,7 @@
 	// Tries are the failed tries so far, for the logs of the ingress.
 	Tries []Try
 	// Search counts the servers that were passed over because they were full.
-	Search Search
+	Search SearchCounts
 	// EndedBy is what ended the call, for the logs of the ingress; empty if no limit did.
 	EndedBy Limit
 }
@@ -100,12 +100,11 @@
 // Parent is what is known of the call that a nested call is part of.
 type Parent struct {
 	Route    mtid.Class
-	Priority int  // the lowest value is the most urgent
-	Repeat   bool // an earlier try of it reached a backend server
+	Priority int // the lowest value is the most urgent
 }
 
-// Search counts the servers that a call was not left at because they were full.
-type Search struct {
+// SearchCounts counts the servers that a call was not left at because they were full.
+type SearchCounts struct {
 	HandedBack int // servers that handed the call back
 	KnownFull  int // servers that were not asked, because they had just handed back others
 }
--- a/core/mtgate/flow.go
+++ b/core/mtgate/flow.go
@@ -203,7 +203,7 @@
 
 // Reserved returns what the order keeps free.
 func (g *Gate[O]) Reserved() Reserved {
-	r := Reserved{Refused: g.refusedIdle}
+	r := Reserved{Refused: g.refusedWhileReserving}
 	if g.order.Len() > 0 && g.canStart(g.now) {
 		r.Free = g.capacity() - len(g.running)
 	}
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -111,8 +111,9 @@
 	now          mtclock.Instant // time of the current call
 	nextGiveUp   mtclock.Instant // no waiting entry has to give up before it
 	counts       Counts
-	refusedIdle  uint64 // refusals because of load while a slot was kept free
 	effects      []Effect
+	// refusedWhileReserving counts the refusals because of load while a slot was kept free.
+	refusedWhileReserving uint64
 }
 
 // New returns a gate that admits requests in the given order. If Waiting or
--- a/core/mtgate/refusal.go
+++ b/core/mtgate/refusal.go
@@ -43,7 +43,7 @@
 func (g *Gate[O]) refuse(e *Entry, err *mtreply.RefusedError) {
 	e.Flow.refused(err.Cause)
 	if err.Cause == mtreply.CauseShed && g.canStart(g.now) {
-		g.refusedIdle++
+		g.refusedWhileReserving++
 	}
 	g.effects = append(g.effects, Refuse{Ticket: e.Ticket, Err: err})
 }
--- a/core/mtgate/reserve.go
+++ b/core/mtgate/reserve.go
@@ -10,21 +10,23 @@
 )
 
 const (
-	// demandMemory is the time constant of the measured demand.
+	// demandMemory is the time constant of the measured demand. Slots are kept free for about
+	// as long after the last urgent request.
 	demandMemory = time.Second
 	// maxBlocked is the acceptable probability that a more urgent request finds no slot
-	// in time.
+	// in time. With a smaller one more requests wait, senders take the server for full, and
+	// send the urgent requests to slower ones.
 	maxBlocked = 0.25
-	// guaranteedDivisor divides the slots to give those that less urgent requests can
-	// always get.
+	// guaranteedDivisor divides the slots to give the number that less urgent requests can
+	// always get, so that they don't starve.
 	guaranteedDivisor = 8
-	// nestedDivisor divides the slots to give the maximum for nested requests that start
-	// before more urgent ones.
+	// nestedDivisor divides the slots to give how many of them nested requests can get before
+	// more urgent requests start. Otherwise those of less urgent parents could take all.
 	nestedDivisor = 2
-	// maxLevels is the number of levels that are measured at once.
+	// maxLevels bounds the work per request, whatever priorities senders use.
 	maxLevels = 16
-	// minDemand is the demand, in slots, below which the measurement of a level is
-	// dropped.
+	// minDemand is the demand, in slots, below which a level needs no slot and its
+	// measurement may be dropped.
 	minDemand = 0.01
 )
 
@@ -36,7 +38,7 @@
 	running []*Entry
 }
 
-// levelKey names the requests of one class with one priority. Nested requests of a class have
+// levelKey identifies the requests of one class with one priority. Nested requests of a class have
 // the priorities of the requests that they are part of.
 type levelKey struct {
 	priority int
--- a/core/mtgate/reserve_test.go
+++ b/core/mtgate/reserve_test.go
@@ -27,7 +27,7 @@
 	ran              time.Duration
 }
 
-// trial plays streams against a gate and keeps count for each.
+// trial plays streams against a gate and counts the results of each.
 type trial struct {
 	gate  *mtgate.Gate[*mtgate.Urgent]
 	now   time.Duration
@@ -116,7 +116,7 @@
 }
 
 // Load: urgent requests for twice what the server can run, and patient ones that must
-// still get a quarter of it.
+// still get the slot that is guaranteed to them, one of four.
 func TestFloodOfUrgentRequestsStarvesNobody(t *testing.T) {
 	urgent := &stream{class: "urgent", priority: 0, every: 25 * time.Millisecond, work: 200 * time.Millisecond, objective: 800 * time.Millisecond}
 	patient := &stream{class: "patient", priority: 2, every: 50 * time.Millisecond, work: 200 * time.Millisecond, objective: 2 * time.Second}
--- a/core/mtlink/mtlink.go
+++ b/core/mtlink/mtlink.go
@@ -35,8 +35,8 @@
 	// bodyFraction is the part of the link that bodies with room may use. The rest is for
 	// small requests, replies and the messages between daemons.
 	bodyFraction = 0.75
-	// maxBacklog is the longest delay of small requests behind the bodies in transit: a
-	// fifth of an objective of half a second.
+	// maxBacklog is the longest delay of small requests behind the bodies in transit. It is
+	// a fifth of an objective of half a second, so that most of the time is left for the work.
 	maxBacklog = 100 * time.Millisecond
 	// maxReserved is the longest time for which one body occupies the link. A sender may
 	// announce a size that is wrong, or be lost before it sends.
@@ -76,7 +76,7 @@
 	if backlog > maxBacklog {
 		return backlog - maxBacklog
 	}
-	took := min(transfer(in.bandwidth, size).Seconds()/bodyFraction, maxReserved.Seconds())
-	in.clearAt = now.Add(backlog + time.Duration(took*float64(time.Second)))
+	occupied := min(transfer(in.bandwidth, size).Seconds()/bodyFraction, maxReserved.Seconds())
+	in.clearAt = now.Add(backlog + time.Duration(occupied*float64(time.Second)))
 	return 0
 }
--- a/core/mtnested/mtnested.go
+++ b/core/mtnested/mtnested.go
@@ -1,21 +1,20 @@
 // Package mtnested decides which requests not to begin because the nested requests that
 // their server would send are likely to find no room.
 //
-// A Tracker belongs to one backend server. It learns which services the requests of each
+// A Tracker belongs to one backend server. It counts which services the requests of each
 // route call, and how many of these nested requests are served in time. While a called
-// service can't serve all of them, it lets as many requests begin as that service serves,
-// and some more to notice when it has room again. Where several routes call the service,
+// service can't serve all of them, the Tracker lets as many requests begin as that service
+// serves, and some more to notice when it has room again. Where several routes call the service,
 // the least urgent ones are refused first.
 //
-// A request is refused only if another route gains: one whose requests rarely run in vain
-// and need the slot, or a more urgent one that calls the same service. Among requests that
-// all have the same chance, to begin fewer would only mean fewer answers, since part of a
-// route's requests may need no nested ones.
+// A request is refused only if another route gains: one whose nested requests find
+// room more often, or a more urgent one that calls the same service. If all requests are
+// equally likely to succeed, beginning fewer of them only means fewer answers, since part of
+// a route's requests may need no nested ones.
 //
 // Only a lack of room counts: a nested request that was refused because of load, or that
 // was not answered in its time. Where servers reject requests at random, or can't be
-// reached, every request is as likely to succeed as any other, and to begin fewer of them
-// would only mean fewer answers.
+// reached, all requests are equally likely to succeed.
 //
 // What is known decays within about a second. Without recent knowledge all requests begin.
 //
@@ -43,11 +42,12 @@
 const (
 	Served       Result = iota
 	NoRoom              // refused because of load, or not answered in its time
-	Inconclusive        // says nothing about the room of the called service
+	Inconclusive        // shows nothing about the room of the called service
 )
 
 const (
-	// memory is the time in which what is known decays to the e-th part.
+	// memory is the time constant with which counts decay. It is longer than the time between
+	// two results of a busy route, and short enough to follow an overload of some seconds.
 	memory = time.Second
 	// RetryAfter is the time after which a request that wasn't begun may be retried: what
 	// led to the refusal counts for little by then.
@@ -55,17 +55,18 @@
 	// minResults is the number of recent results that a decision needs. Fewer may be chance.
 	minResults = 5
 	// minSurplus and maxSurplus are how many nested requests are let begin for each that was
-	// served: the excess finds out when the called service serves more. The largest applies
-	// if all were served, so that requests begin again soon after an overload.
+	// served. The excess shows when the called service serves more. The largest applies if
+	// all were served, so that requests begin again soon after an overload.
 	minSurplus = 1.25
 	maxSurplus = 4.0
 	// maxRefused is the largest part of the requests of a route that is refused, so that
 	// knowledge is renewed even if no nested request is served.
 	maxRefused = 0.9
-	// betterFactor is how much less often the requests of another route must run in vain to
-	// be given the slot.
+	// betterFactor is how many times fewer nested requests of another route must find no room
+	// for it to be given the slot. A smaller difference may be chance.
 	betterFactor = 2
-	// maxRoutes bounds the routes that are tracked.
+	// maxRoutes bounds the memory for routes that are gone. All requests of a route beyond it
+	// begin.
 	maxRoutes = 256
 )
 
@@ -178,8 +179,8 @@
 	}
 }
 
-// vainPart returns the number of nested requests that found no room per request of the route.
-func (r *route) vainPart(now mtclock.Instant) float64 {
+// failedPerRequest returns how many nested requests found no room per request of the route.
+func (r *route) failedPerRequest(now mtclock.Instant) float64 {
 	failed := 0.0
 	for _, c := range r.callees {
 		failed += c.calls.count(now) - c.served.count(now)
@@ -189,12 +190,12 @@
 
 // othersGain reports whether requests of another route gain if one of r doesn't begin.
 func (t *Tracker) othersGain(now mtclock.Instant, r *route) bool {
-	vain := r.vainPart(now) / betterFactor
+	required := r.failedPerRequest(now) / betterFactor
 	for _, other := range t.routes {
 		if other == r || other.begun.count(now) < minResults {
 			continue
 		}
-		if other.vainPart(now) < vain || other.priority < r.priority && other.sharesCallee(r) {
+		if other.failedPerRequest(now) < required || other.priority < r.priority && other.sharesCallee(r) {
 			return true
 		}
 	}
--- a/core/mtroom/load_test.go
+++ b/core/mtroom/load_test.go
@@ -18,7 +18,7 @@
 )
 
 // The load: 60 daemons send 1,100 calls a second to 20 servers of nine slots, so that each
-// daemon hears of each server once a second. The servers' speeds differ by three, and each
+// daemon receives the load of each server once a second. The servers' speeds differ by three, and each
 // server is three times slower for a fifth of the time. They are in four availability zones.
 const (
 	loadServers, loadSenders, loadSlots = 20, 60, 9
@@ -66,7 +66,7 @@
 	number  mtgate.Number
 	arrived mtclock.Instant
 	sender  *mtchoice.LeastLoaded
-	board   *mtroom.Board
+	waits   *mtroom.ExpectedWaits
 	search  mtroom.Search
 	tried   []mtid.Holder
 	server  int
@@ -96,7 +96,7 @@
 	for n := range loadSenders {
 		policy := mtchoice.NewLeastLoaded(w.random, loadZone(n%loadServers), 1)
 		policy.Update(candidates)
-		w.arrive(policy, mtroom.NewBoard(), search)
+		w.arrive(policy, mtroom.NewExpectedWaits(), search)
 	}
 	for len(w.queue) > 0 {
 		e := heap.Pop(&w.queue).(event)
@@ -106,10 +106,10 @@
 }
 
 // arrive schedules the calls of one sender.
-func (w *world) arrive(policy *mtchoice.LeastLoaded, board *mtroom.Board, search bool) {
+func (w *world) arrive(policy *mtchoice.LeastLoaded, waits *mtroom.ExpectedWaits, search bool) {
 	for at := time.Duration(0); at < loadLength; at += time.Duration(w.random.ExpFloat64() * float64(time.Second) * loadSenders / loadRate) {
 		w.schedule(start.Add(at), func(now mtclock.Instant) {
-			c := &loadCall{number: mtgate.Number(len(w.calls) + 1), arrived: now, sender: policy, board: board}
+			c := &loadCall{number: mtgate.Number(len(w.calls) + 1), arrived: now, sender: policy, waits: waits}
 			w.calls[c.number] = c
 			w.send(now, c, search)
 		})
@@ -195,14 +195,14 @@
 	w.schedule(now.Add(ms), func(now mtclock.Instant) { w.send(now, c, search) })
 }
 
-// ended tells the sender how a try ended, with a report of the server's load.
+// ended reports to the sender how a try ended, with a report of the server's load.
 func (w *world) ended(now mtclock.Instant, c *loadCall, kind mtchoice.ResultKind) {
 	c.sender.Ended(now, loadHolder(c.server), kind, mtchoice.LoadReport{
 		Requests: w.present[c.server], ServiceTime: time.Duration(100 * float64(ms) * speed(c.server) * w.slowness(now, c.server)), ReceivedAt: now,
 	})
 }
 
-// Calls queue at servers that their daemons last heard of a second ago, while others have free
+// Calls queue at servers whose load their daemons last received a second ago, while others have free
 // slots. With the search fewer begin slowly, and more are answered in time.
 func TestFreeSlotsAreFoundThoughReportsAreOld(t *testing.T) {
 	before, with := play(false), play(true)
--- a/core/mtroom/mtroom.go
+++ b/core/mtroom/mtroom.go
@@ -1,24 +1,24 @@
 // Package mtroom decides at which of several servers a call waits while servers are full.
 //
-// A daemon learns how full a server is only from the answers to its own calls, so what it
-// knows is mostly older than the queues are long. A call that can still meet its latency
+// A daemon receives the load of a server only with the answers to its own calls, so what it
+// knows is mostly older than the time that calls wait there. A call that can still meet its latency
 // objective is therefore sent with a limit on how long it may wait at a server (see
 // Patience). A server at which it would wait longer hands it back at once, with the wait
 // that it expects, and the call goes to the next one. After MaxHandedBack servers, or when
 // none is left that is expected to be better, the call stays at the server that expected
 // the shortest wait (see Search).
 //
-// What servers have told is remembered for a moment (see Board), so that calls of the same
-// route don't ask again those that are known to be full.
+// The waits that servers reported are remembered for a moment (see ExpectedWaits), so that
+// calls of the same route don't ask again those that are known to be full.
 //
 // # Usage
 //
 //	patience := mtroom.Patience(now, call.Objective.Add(-call.TypicalService))
 //	search.HandedBack(mtroom.Offer{Holder: server, Wait: wait})
-//	board.Record(now, server, call.Route, wait)
+//	waits.Record(now, server, call.Route, wait)
 //	if search.Ended() { best, ok := search.Settle() }
 //
-// A Search and a Board aren't safe for concurrent use.
+// A Search and ExpectedWaits aren't safe for concurrent use.
 package mtroom
 
 import (
@@ -34,18 +34,25 @@
 	// that it accepts at the first servers. A call with a loose objective accepts the
 	// queue of a near server, one with a tight objective finds a free one.
 	patienceDivisor = 8
-	// minPatience is longer than the pause between two requests in a slot.
+	// minPatience is longer than the pause between two requests in a slot, so that a call is
+	// not handed back by a server that is about to start it.
 	minPatience = time.Millisecond
-	// minReturn is the shortest time after which a refused caller returns.
+	// returnDivisor divides the time until the latest start of a refused call to give the
+	// time after which its caller returns. As much is left then for a wait.
+	returnDivisor = 2
+	// minReturn is the shortest time after which a refused caller is told to return, so that one
+	// near its latest start doesn't return at once.
 	minReturn = 50 * time.Millisecond
-	// MaxHandedBack is how many servers hand a call back before it stays at one of them.
+	// MaxHandedBack is how many servers hand a call back before it stays at one of them. Each
+	// of them costs the call another trip.
 	MaxHandedBack = 3
-	// boardAge is how long an expected wait is remembered. Queues in front of servers that
+	// maxWaitAge is how long an expected wait is remembered. Queues in front of servers that
 	// take some hundred milliseconds per request have changed by then.
-	boardAge = 100 * time.Millisecond
-	// maxFlows bounds the memory for servers and routes that are gone.
-	maxFlows = 1 << 14
-	// maxWait is the longest wait that a server can expect.
+	maxWaitAge = 100 * time.Millisecond
+	// maxRemembered is the maximum number of waits that are remembered. It bounds the memory
+	// for servers and routes that are gone.
+	maxRemembered = 1 << 14
+	// maxWait is the longest wait that a server can report.
 	maxWait = time.Minute
 )
 
@@ -59,22 +66,19 @@
 	return max(left/patienceDivisor, minPatience)
 }
 
-// returnDivisor divides the time until the latest start of a refused call to give the time
-// after which its caller returns. As much is left then for a wait.
-const returnDivisor = 2
-
-// Return returns when the caller of a call that was refused for load is to return, which a
-// server told to return after the given time: while it can still meet its objective. Then
-// it goes before calls that came later. A call that is late already returns as told.
-func Return(now, latestStart mtclock.Instant, told time.Duration) time.Duration {
+// Return returns the time after which the caller of a call that was refused for load is to
+// return. It is shorter than retryAfter, the time that the server named, if the call would
+// otherwise miss its objective or have little time left to wait. A call that is late already
+// returns after retryAfter.
+func Return(now, latestStart mtclock.Instant, retryAfter time.Duration) time.Duration {
 	left := latestStart.Sub(now)
-	if left <= 0 || told < 0 {
-		return told
+	if left <= 0 || retryAfter < 0 {
+		return retryAfter
 	}
-	return min(told, max(left/returnDivisor, minReturn))
+	return min(retryAfter, max(left/returnDivisor, minReturn))
 }
 
-// WaitError means that the wait that a server told can't be right.
+// WaitError means that the wait that a server reported can't be right.
 type WaitError struct{ Wait time.Duration }
 
 // Error implements error.
@@ -82,7 +86,7 @@
 	return fmt.Sprintf("expected wait of %s is not between 0 and %s", e.Wait, maxWait)
 }
 
-// CheckWait returns a *WaitError if a wait that a server told can't be right.
+// CheckWait returns a *WaitError if a wait that a server reported can't be right.
 func CheckWait(wait time.Duration) error {
 	if wait < 0 || wait > maxWait {
 		return &WaitError{Wait: wait}
@@ -132,43 +136,45 @@
 	return best.Holder, true
 }
 
-// flow is a route at a server. Servers expect a different wait for each route.
-type flow struct {
+// serverRoute is a route at a server. Servers expect a different wait for each route.
+type serverRoute struct {
 	holder mtid.Holder
 	route  mtid.Class
 }
 
-// told is what a server told and when.
-type told struct {
+// reportedWait is the wait that a server reported, and when.
+type reportedWait struct {
 	wait time.Duration
 	at   mtclock.Instant
 }
 
-// Board remembers the waits that servers expect.
-type Board struct{ flows map[flow]told }
+// ExpectedWaits remembers the waits that servers expect.
+type ExpectedWaits struct{ reported map[serverRoute]reportedWait }
 
-// NewBoard returns an empty Board.
-func NewBoard() *Board { return &Board{flows: make(map[flow]told)} }
+// NewExpectedWaits returns ExpectedWaits that know of no server.
+func NewExpectedWaits() *ExpectedWaits {
+	return &ExpectedWaits{reported: make(map[serverRoute]reportedWait)}
+}
 
 // Record records the wait that a server expects for calls of a route now.
-func (b *Board) Record(now mtclock.Instant, holder mtid.Holder, route mtid.Class, wait time.Duration) {
-	if len(b.flows) >= maxFlows {
-		clear(b.flows)
+func (w *ExpectedWaits) Record(now mtclock.Instant, holder mtid.Holder, route mtid.Class, wait time.Duration) {
+	if len(w.reported) >= maxRemembered {
+		clear(w.reported)
 	}
-	b.flows[flow{holder, route}] = told{wait, now}
+	w.reported[serverRoute{holder, route}] = reportedWait{wait, now}
 }
 
 // Wait returns the wait that a server is expected to have for calls of a route now. It
 // returns false if nothing recent is known.
-func (b *Board) Wait(now mtclock.Instant, holder mtid.Holder, route mtid.Class) (time.Duration, bool) {
-	t, ok := b.flows[flow{holder, route}]
+func (w *ExpectedWaits) Wait(now mtclock.Instant, holder mtid.Holder, route mtid.Class) (time.Duration, bool) {
+	reported, ok := w.reported[serverRoute{holder, route}]
 	if !ok {
 		return 0, false
 	}
-	age := now.Sub(t.at)
-	if age < 0 || age >= boardAge {
-		delete(b.flows, flow{holder, route})
+	age := now.Sub(reported.at)
+	if age < 0 || age >= maxWaitAge {
+		delete(w.reported, serverRoute{holder, route})
 		return 0, false
 	}
-	return max(t.wait-age, 0), true
+	return max(reported.wait-age, 0), true
 }
--- a/core/mtroom/mtroom_test.go
+++ b/core/mtroom/mtroom_test.go
@@ -48,7 +48,7 @@
 	assert.Assert(t, !ok && s.Ended())
 }
 
-// Guards against decisions by what a server told long ago, also after the clock has jumped.
+// Guards against decisions by what a server reported long ago, also after the clock has jumped.
 func TestOldWaitsAreForgotten(t *testing.T) {
 	for _, test := range []struct {
 		name  string
@@ -63,7 +63,7 @@
 		{"clock has jumped ahead", time.Hour, 0, false},
 		{"clock has gone back", -time.Second, 0, false},
 	} {
-		b := mtroom.NewBoard()
+		b := mtroom.NewExpectedWaits()
 		b.Record(start, near, "plans", 80*ms)
 		wait, known := b.Wait(start.Add(test.after), near, "plans")
 		assert.Equal(t, wait, test.want, test.name)
@@ -73,15 +73,15 @@
 
 // Guards against one route that is passed over because of the queue of another, less urgent one.
 func TestWaitsAreKnownByRoute(t *testing.T) {
-	b := mtroom.NewBoard()
+	b := mtroom.NewExpectedWaits()
 	b.Record(start, near, "photos", time.Second)
 	_, known := b.Wait(start, near, "payments")
 	assert.Assert(t, !known)
 }
 
 // Guards against routes and servers without end that use up memory.
-func TestBoardIsBounded(t *testing.T) {
-	b := mtroom.NewBoard()
+func TestRememberedWaitsAreBounded(t *testing.T) {
+	b := mtroom.NewExpectedWaits()
 	for n := range 1 << 15 {
 		b.Record(start, mtid.Holder{Incarnation: mtid.Incarnation(n)}, "plans", ms)
 	}
@@ -89,7 +89,7 @@
 	assert.Assert(t, !known)
 }
 
-// Guards against a wait told by a peer that is negative or huge.
+// Guards against a wait reported by a peer that is negative or huge.
 func TestWaitThatCantBeRight(t *testing.T) {
 	for _, wait := range []time.Duration{-1, time.Hour} {
 		var bad *mtroom.WaitError
--- a/core/mtshutdown/mtshutdown.go
+++ b/core/mtshutdown/mtshutdown.go
@@ -70,10 +70,10 @@
 	}
 }
 
-// LeaveAt returns when the server beside the daemon stops getting work, if its calls may last for
-// the longest time and if it may own keys. Until then each of them ends before the last answers are due, so that the
-// server need not be idle while callers are still about to leave. It is in the past if even a call
-// that begins with the shutdown could outlast the daemon.
+// LeaveAt returns when the server beside the daemon stops getting work. longest is how long its
+// calls may last, and keyed says whether it may own keys. Calls that begin until then end before
+// the last answers are due, so the server can work while callers are still about to leave. The
+// result is in the past if even a call that begins with the shutdown could outlast the daemon.
 func (s Schedule) LeaveAt(longest time.Duration, keyed bool) mtclock.Instant {
 	before := notice
 	if keyed {
--- a/core/mtshutdown/mtshutdown_test.go
+++ b/core/mtshutdown/mtshutdown_test.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// Guards against a server that idles during a rolling restart: while callers leave, its slots are missing to all others.
+// Guards against a server that idles during a rolling restart: while callers leave, its slots
+// are missing to all others.
 func TestServerWorksWhileCallsEndInTime(t *testing.T) {
 	const grace = 6 * time.Second
 	s := mtshutdown.New(begun, grace)
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -39,7 +39,6 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
-	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtstore"
@@ -116,7 +115,6 @@
 	Service       mtid.Service
 	Keyed         func() bool // reports whether the current configuration divides the service by key
 	GrantDuration time.Duration
-	Overload      mtoverload.Policies
 	Directory     *mtdirectory.Directory
 	Store         mtstore.ConditionalStore
 	Host          host
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -26,16 +26,16 @@
 	h.meterMu.Lock()
 	defer h.meterMu.Unlock()
 	expected := h.expectedTime(call.Route)
-	if call.Keyed && !call.Repeat && !call.Late(now, h.timeToCount(call.Route, expected)) {
+	if call.Keyed && !call.Repeat && !call.Late(now, h.timeForLateness(call.Route, expected)) {
 		h.meter.RecordArrival(now, call.Key, expected)
 	}
 }
 
-// timeToCount returns the service time by which a call counts as late on arrival. If it is
-// the one expected here, no call is in time at a server that takes longer than the
-// objective: the server appears to have no work, keeps its keys and receives more. It is
-// called with meterMu held.
-func (h *Host) timeToCount(route mtid.Class, expected time.Duration) time.Duration {
+// timeForLateness returns the service time by which a call counts as late on arrival. By the
+// one expected here, all calls are late at a server that takes longer than the objective:
+// the server would appear to have no work, keep its keys and receive more. It is called with
+// meterMu held.
+func (h *Host) timeForLateness(route mtid.Class, expected time.Duration) time.Duration {
 	usual, ok := h.configuredTimes[route]
 	if !h.Overload.Slow || !ok {
 		return expected
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -147,17 +147,17 @@
 func (h *Host) track(call *mtcall.Call) func() {
 	h.inFlightMu.Lock()
 	defer h.inFlightMu.Unlock()
-	runs := h.inFlight[call.ID]
-	runs.count++
-	runs.latest = mtcall.Parent{Route: call.Route, Priority: call.Priority, Repeat: call.Repeat}
-	h.inFlight[call.ID] = runs
+	started := h.inFlight[call.ID]
+	started.count++
+	started.latest = mtcall.Parent{Route: call.Route, Priority: call.Priority}
+	h.inFlight[call.ID] = started
 	return func() {
 		h.inFlightMu.Lock()
 		defer h.inFlightMu.Unlock()
-		runs := h.inFlight[call.ID]
-		runs.count--
-		h.inFlight[call.ID] = runs
-		if runs.count == 0 {
+		ended := h.inFlight[call.ID]
+		ended.count--
+		h.inFlight[call.ID] = ended
+		if ended.count == 0 {
 			delete(h.inFlight, call.ID)
 		}
 	}
@@ -173,8 +173,8 @@
 	}
 	h.inFlightMu.Lock()
 	defer h.inFlightMu.Unlock()
-	runs, ok := h.inFlight[id[:dot]]
-	return runs.latest, ok
+	parents, ok := h.inFlight[id[:dot]]
+	return parents.latest, ok
 }
 
 // checkAccepts returns the server's record and gate if the server accepts the call.
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -35,7 +35,6 @@
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtnested"
-	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtshutdown"
@@ -69,16 +68,14 @@
 	Service     mtid.Service // service of the backend server on this VM
 	// Parent returns the call of which a request with this ID is a part: the ID is derived
 	// from that of a request that the backend server on this VM runs.
-	Parent   func(id mtcall.ID) (mtcall.Parent, bool)
-	Overload mtoverload.Policies
+	Parent func(id mtcall.ID) (mtcall.Parent, bool)
 	// ConfigFresh reports whether the configuration in force was confirmed as the newest so
 	// recently that requests without a route in it can be answered with 404.
 	ConfigFresh func(now mtclock.Instant) bool
 	Sender      sender
 	Clock       clock
 	Log         *slog.Logger
-	// OnNested is called when a nested call has ended. It may
-	// be nil.
+	// OnNested is called when a nested call has ended. It may be nil.
 	OnNested func(call *mtcall.Call, result mtnested.Result)
 	// OnCompletion is called with the outcome of each request.
 	OnCompletion func(call *mtcall.Call, answer *mtcall.Answer, status int, err error, took time.Duration)
--- a/io/mtingress/nested.go
+++ b/io/mtingress/nested.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
@@ -10,13 +9,9 @@
 	"magnoliaturn/core/mtreply"
 )
 
-const (
-	// nestedTimeFactor is the multiple of its typical service time that a nested call must
-	// have been allowed, so that a timeout shows a lack of room at the called service.
-	nestedTimeFactor = 2
-	// leavingMargin is how long before the deadline of a nested call its server may give up.
-	leavingMargin = 5 * time.Millisecond
-)
+// nestedTimeFactor is the multiple of its typical service time that a nested call must
+// have been allowed, so that a timeout shows a lack of room at the called service.
+const nestedTimeFactor = 2
 
 // observeNested reports the end of a nested call.
 func (in *Ingress) observeNested(call *mtcall.Call, answer *mtcall.Answer, err error) {
@@ -57,5 +52,5 @@
 	}
 	var unknown *mtreply.UnknownError
 	timedOut := errors.As(err, &unknown) && (unknown.Cause == mtreply.CauseTimeout || unknown.Cause == mtreply.CauseGone)
-	return timedOut && !now.Add(leavingMargin).Before(call.Deadline)
+	return timedOut && !now.Add(deadlineMargin).Before(call.Deadline)
 }
--- a/io/mtingress/room.go
+++ b/io/mtingress/room.go
@@ -20,12 +20,27 @@
 // wait there. The caller holds s.mu.
 func (s *Sender) search(now mtclock.Instant, view *mtdirectory.View, c *choice, call *mtcall.Call, state *sending) (mtid.Holder, bool) {
 	call.Patience = s.patience(now, call)
-	for call.Patience > 0 && !state.search.Ended() {
+	if call.Patience > 0 {
+		if chosen, ok := nextWithRoom(now, c, call, state); ok {
+			return chosen, true
+		}
+	}
+	call.Patience = 0
+	if best, ok := state.search.Settle(); ok && s.inService(view, best) {
+		return best, true
+	}
+	return c.policy.Pick(now, state.tried)
+}
+
+// nextWithRoom returns the next server that isn't known to be full for a call, and passes over
+// the others. It returns false if the search has ended or no server is left.
+func nextWithRoom(now mtclock.Instant, c *choice, call *mtcall.Call, state *sending) (mtid.Holder, bool) {
+	for !state.search.Ended() {
 		chosen, ok := c.policy.Pick(now, state.tried)
 		if !ok {
-			break
+			return mtid.Holder{}, false
 		}
-		wait, known := c.board.Wait(now, chosen, call.Route)
+		wait, known := c.waits.Wait(now, chosen, call.Route)
 		if !known || wait <= call.Patience {
 			return chosen, true
 		}
@@ -33,11 +48,7 @@
 		state.search.Known(mtroom.Offer{Holder: chosen, Wait: wait})
 		state.tried = append(state.tried, chosen)
 	}
-	call.Patience = 0
-	if best, ok := state.search.Settle(); ok && s.inService(view, best) {
-		return best, true
-	}
-	return c.policy.Pick(now, state.tried)
+	return mtid.Holder{}, false
 }
 
 // patience returns how long a call may wait at the next server before that hands it back, or
@@ -46,9 +57,12 @@
 	if !s.Overload.Room || len(call.Body) > maxSearchBody {
 		return 0
 	}
-	return mtroom.Patience(now, call.Objective.Add(-call.TypicalService))
+	return mtroom.Patience(now, latestStart(call))
 }
 
+// latestStart returns when a call has to start to meet its objective.
+func latestStart(call *mtcall.Call) mtclock.Instant { return call.Objective.Add(-call.TypicalService) }
+
 // inService reports whether calls may still be sent to a server that was chosen before.
 func (s *Sender) inService(view *mtdirectory.View, h mtid.Holder) bool {
 	m, ok := view.Members[h.Daemon]
@@ -72,7 +86,7 @@
 	state.tried = append(state.tried, chosen)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.choices[call.Service].board.Record(s.Clock.Now(), chosen, call.Route, wait)
+	s.choices[call.Service].waits.Record(s.Clock.Now(), chosen, call.Route, wait)
 	return true
 }
 
@@ -84,6 +98,6 @@
 		return err
 	}
 	sooner := *refused
-	sooner.RetryAfter = mtroom.Return(s.Clock.Now(), call.Objective.Add(-call.TypicalService), refused.RetryAfter)
+	sooner.RetryAfter = mtroom.Return(s.Clock.Now(), latestStart(call), refused.RetryAfter)
 	return &sooner
 }
--- a/io/mtingress/room_test.go
+++ b/io/mtingress/room_test.go
@@ -71,7 +71,7 @@
 	again := newCall(clock.Now(), false)
 	_, err = s.Send(t.Context(), again, 1)
 	assert.NilError(t, err)
-	assert.Equal(t, again.Search, mtcall.Search{KnownFull: 3}, "servers that just said so are asked again")
+	assert.Equal(t, again.Search, mtcall.SearchCounts{KnownFull: 3}, "servers that just said so are asked again")
 	assert.Equal(t, p.sent[4], mtid.Daemon("c"))
 }
 
@@ -105,7 +105,7 @@
 	_, err := s.Send(t.Context(), call, 1)
 	assert.NilError(t, err)
 	assert.Equal(t, p.sent[len(p.sent)-1], mtid.Daemon("d"))
-	assert.Equal(t, call.Search, mtcall.Search{})
+	assert.Equal(t, call.Search, mtcall.SearchCounts{})
 	assert.Equal(t, strings.Count(log.String(), "\n"), len(p.sent)-1)
 }
 
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -48,9 +48,10 @@
 	// full costs no server any work. The choice policy ends the search sooner if all
 	// other servers were full a moment ago.
 	maxBounces = 5
-	// outOfTime is how long before its deadline a call counts as out of time: its caller, or the
-	// daemon that has it, may see the deadline pass a little before this daemon does.
-	outOfTime = 5 * time.Millisecond
+	// deadlineMargin is how long before its deadline a call counts as out of time: its caller,
+	// its server or the daemon that has it may see the deadline pass a little before this daemon
+	// does.
+	deadlineMargin = 5 * time.Millisecond
 )
 
 // RetryFraction is the fraction of a retry that each first try of a service adds to the retry
@@ -290,7 +291,7 @@
 		s.mu.Lock()
 		now := s.Clock.Now()
 		kind := resultKind(answer, err)
-		if kind == mtchoice.Inconclusive && call.Deadline.Sub(now) < outOfTime {
+		if kind == mtchoice.Inconclusive && call.Deadline.Sub(now) < deadlineMargin {
 			kind = mtchoice.Failure // the server had all of the call's time
 		}
 		s.choices[call.Service].policy.Ended(now, chosen, kind, s.report(member))
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -163,7 +163,8 @@
 	return p.sent[0], p.sent[1:]
 }
 
-// Guards against a server whose queue uses up the time of one call after the other, while others have room.
+// Guards against a server whose queue uses up the time of one call after the other, while others
+// have room.
 func TestServerThatUsesUpTheTimeOfACallIsAvoided(t *testing.T) {
 	for name, err := range map[string]error{
 		"the caller leaves at its deadline": &mtreply.UnknownError{Cause: mtreply.CauseGone},
--- a/io/mtingress/target.go
+++ b/io/mtingress/target.go
@@ -28,10 +28,10 @@
 // choice selects among the servers of one service.
 type choice struct {
 	policy            *mtchoice.LeastLoaded
-	board             *mtroom.Board
-	initialized       bool            // whether the policy has candidates from a view
-	membershipVersion uint64          // of the view that the candidates come from
-	updatedAt         mtclock.Instant // when the candidates were last updated
+	waits             *mtroom.ExpectedWaits // of servers that were full
+	initialized       bool                  // whether the policy has candidates from a view
+	membershipVersion uint64                // of the view that the candidates come from
+	updatedAt         mtclock.Instant       // when the candidates were last updated
 }
 
 // target returns the member to send the call to next.
@@ -57,7 +57,7 @@
 func (s *Sender) choice(view *mtdirectory.View, service mtid.Service) *choice {
 	c, ok := s.choices[service]
 	if !ok {
-		c = &choice{policy: mtchoice.NewLeastLoaded(s.Random, s.Zone, otherZoneCost), board: mtroom.NewBoard()}
+		c = &choice{policy: mtchoice.NewLeastLoaded(s.Random, s.Zone, otherZoneCost), waits: mtroom.NewExpectedWaits()}
 		c.policy.AvoidMinority = s.Overload.Room
 		s.choices[service] = c
 	}
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -50,7 +50,9 @@
 	}
 }
 
-// Guards against callers of a crowd whose new connections are closed unanswered because earlier ones keep theirs open without using them: each of 64 callers sends one request, where 32 connections are allowed, and closes its connection only if the response says so.
+// Guards against callers of a crowd whose new connections are closed unanswered because earlier
+// ones keep theirs open without using them: each of 64 callers sends one request, where 32
+// connections are allowed, and closes its connection only if the response says so.
 func TestUnusedConnectionsLeaveRoomForNewOnes(t *testing.T) {
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	server, cleanUp, err := mtlisten.Serve("127.0.0.1:0", handler, mtlisten.Options{MaxConnections: 32, Pipelined: true})
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -305,7 +305,6 @@
 		LoadReports:   m.loadReports,
 		QueryLoads:    m.survey,
 		NotifyOwner:   m.sendOwnershipUpdate,
-		Overload:      m.config.Overload,
 		Committer:     mtkernel.MustLookup[*mtcommit.Committer](m.kernel, NameCommitter),
 		Delegate:      m.delegate,
 	})
@@ -376,7 +375,6 @@
 		HeaderNames:  m.config.Names,
 		Service:      m.config.Service,
 		Parent:       m.Host().Parent,
-		Overload:     m.config.Overload,
 		ConfigFresh:  m.freshness.mayDenyRoute,
 		Sender:       sender,
 		Clock:        clock,
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -67,7 +67,7 @@
 
 // addSearch counts how a request found its server, and whether it began late.
 func (t *tally) addSearch(call *mtcall.Call, slowStart bool) {
-	if call.Search == (mtcall.Search{}) && !slowStart {
+	if call.Search == (mtcall.SearchCounts{}) && !slowStart {
 		return
 	}
 	t.mu.Lock()
@@ -119,20 +119,28 @@
 	return result
 }
 
-// logSummary logs the results of requests on this daemon, the load of the server, how many
-// calls were sent to it or refused for their nested calls, how many bodies found no room on the
-// link, the server's rate limit, and the calls to the store since the previous
-// summary. It logs nothing if there were none.
+// newCollections returns how often garbage was collected since the previous summary.
+func (r *recorder) newCollections() uint64 {
+	before := r.collectedBefore
+	r.collectedBefore = mtmetric.Collections()
+	return r.collectedBefore - before
+}
+
+// newReservedRefused returns how many calls were refused while slots were kept free, since the
+// previous summary. The count of the status starts again with each incarnation of the server.
+func newReservedRefused(before, now mthost.Status) uint64 {
+	if now.ReservedRefused < before.ReservedRefused {
+		return now.ReservedRefused
+	}
+	return now.ReservedRefused - before.ReservedRefused
+}
+
+// logSummary logs what happened on this daemon and its server since the previous summary. It
+// logs nothing if there were no requests, moved keys or calls to the store.
 func (r *recorder) logSummary(load mtcall.Load, server mthost.Status, moved int, calls map[string]int) {
 	before := r.statusBefore
 	r.statusBefore = server
-	collected := mtmetric.Collections()
-	collections := collected - r.collectedBefore
-	r.collectedBefore = collected
-	reservedRefused := server.ReservedRefused
-	if reservedRefused >= before.ReservedRefused { // otherwise the server is a new one
-		reservedRefused -= before.ReservedRefused
-	}
+	collections := r.newCollections()
 	counts, searches := r.tally.reset()
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
@@ -143,6 +151,6 @@
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", server.Started-before.Started,
 		"nested-full", server.NestedFull-before.NestedFull, "link-full", server.LinkFull-before.LinkFull,
-		"reserved", server.Reserved, "reserved-refused", reservedRefused, "limit", server.Limit, "pace", load.ServiceTime.String(),
+		"reserved", server.Reserved, "reserved-refused", newReservedRefused(before, server), "limit", server.Limit, "pace", load.ServiceTime.String(),
 		"demand", load.Demand, "moved", moved, "store", calls, "collections", collections, "room", searches)
 }
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -55,8 +55,8 @@
 	minConfig            = time.Second
 )
 
-// Default and upper bound of the VM's link bandwidth, in Mbit/s. Without
-// the policy for links, only the order among VMs matters.
+// Default and upper bound of the VM's link bandwidth, in Mbit/s. Only the policy for links
+// needs the true value; without it, only the order among VMs matters.
 const (
 	defaultLink = 1000
 	maxLink     = 1_000_000
@@ -68,7 +68,8 @@
 // Megabyte is the unit in which settings give an amount of memory.
 const Megabyte Bytes = 1 << 20
 
-// maxMemory is the largest amount of memory that settings may give, in megabytes.
+// maxMemory is the largest amount of memory that settings may give, in megabytes. More is
+// taken for a value in another unit.
 const maxMemory = 1 << 24
 
 // LoadMesh reads and validates a settings file for a Mesh.
