Mend what a newcomer's read-through found in the search and the announcements

Not mended: demand and begun requests counted for calls that the gate then hands back (nested and reserve, both off).

--- a/core/mtroom/mtroom.go
+++ b/core/mtroom/mtroom.go
@@ -120,20 +120,22 @@
 // Ended reports whether no further server is to be asked.
 func (s *Search) Ended() bool { return s.settled || s.handedBack >= MaxHandedBack }
 
-// Settle ends the search and returns the server at which the call waits. It returns false
-// if no server has made an offer, or if the search has ended before.
-func (s *Search) Settle() (mtid.Holder, bool) {
-	if s.settled || len(s.offers) == 0 {
+// Settle ends the search and returns the server at which the call waits, among those that
+// are still usable. It returns false if no such server has made an offer, or if the search
+// has ended before.
+func (s *Search) Settle(usable func(mtid.Holder) bool) (mtid.Holder, bool) {
+	if s.settled {
 		return mtid.Holder{}, false
 	}
 	s.settled = true
-	best := s.offers[0]
-	for _, o := range s.offers[1:] {
-		if o.Wait < best.Wait {
-			best = o
+	var best Offer
+	found := false
+	for _, o := range s.offers {
+		if usable(o.Holder) && (!found || o.Wait < best.Wait) {
+			best, found = o, true
 		}
 	}
-	return best.Holder, true
+	return best.Holder, found
 }
 
 // serverRoute is a route at a server. Servers expect a different wait for each route.
--- a/io/mtforward/announce.go
+++ b/io/mtforward/announce.go
@@ -29,12 +29,14 @@
 // to. It fails with a *mtreply.RefusedError if there is none. A daemon that knows no
 // announcements gets the body at once.
 func (c *Client) announce(ctx context.Context, conn grpc.ClientConnInterface, call *mtcall.Call) error {
-	ctx, cancel := context.WithTimeout(ctx, min(announceTimeout, call.Deadline.Sub(c.clock.Now())))
+	limited, cancel := context.WithTimeout(ctx, min(announceTimeout, call.Deadline.Sub(c.clock.Now())))
 	defer cancel()
-	reply, err := mtwire.NewForwarderClient(conn).Announce(ctx, &mtwire.AnnounceRequest{Bytes: uint64(len(call.Body))})
+	reply, err := mtwire.NewForwarderClient(conn).Announce(limited, &mtwire.AnnounceRequest{Bytes: uint64(len(call.Body))})
 	switch {
 	case status.Code(err) == codes.Unimplemented:
 		return nil
+	case err != nil && (ctx.Err() != nil || !c.clock.Now().Before(call.Deadline)):
+		return &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1, Detail: "the time ended before the body was sent"}
 	case err != nil:
 		return &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: unreachableRetry, Detail: "no reply to the announcement: " + err.Error()}
 	case reply.GetWaitUs() > 0:
--- a/io/mtingress/room.go
+++ b/io/mtingress/room.go
@@ -26,7 +26,7 @@
 		}
 	}
 	call.Patience = 0
-	if best, ok := state.search.Settle(); ok && s.inService(view, best) {
+	if best, ok := state.search.Settle(func(h mtid.Holder) bool { return s.inService(view, h) }); ok {
 		return best, true
 	}
 	return c.policy.Pick(now, state.tried)
--- a/io/mtingress/room_test.go
+++ b/io/mtingress/room_test.go
@@ -109,6 +109,17 @@
 	assert.Equal(t, strings.Count(log.String(), "\n"), len(p.sent)-1)
 }
 
+// Guards against a caller that is told a server's wait, which may be any number, as its time to return.
+func TestCallerIsNotToldAWaitAsItsTimeToReturn(t *testing.T) {
+	s, _, clock := newSearchingSender(t, map[mtid.Daemon]time.Duration{"b": -1, "c": time.Hour, "d": -1})
+	s.Log = slog.New(slog.DiscardHandler)
+	_, err := s.Send(t.Context(), newCall(clock.Now(), true), 1)
+	var refused *mtreply.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Cause, mtreply.CauseShed)
+	assert.Assert(t, refused.RetryAfter > 0 && refused.RetryAfter <= time.Second, "%s", refused.RetryAfter)
+}
+
 // Guards against refusals by what was known before this daemon was cut off from all others.
 func TestDaemonThatIsCutOffRefusesNothingByWhatItKnew(t *testing.T) {
 	s, p, clock := newSearchingSender(t, map[mtid.Daemon]time.Duration{"b": time.Minute, "c": time.Minute, "d": time.Minute})
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -119,6 +119,9 @@
 	switch {
 	case isRefused && s.uncertain != nil:
 		return s.uncertain
+	case isRefused && refused.Cause == mtreply.CauseBusy:
+		// It asks to look elsewhere, which has been done; its time is a wait, not one to return.
+		return &mtreply.RefusedError{Cause: mtreply.CauseShed, RetryAfter: emptyRetry, Detail: "all servers have queues"}
 	case isRefused && refused.Cause == mtreply.CauseQuota && s.soonest != nil:
 		// The other servers have room again long before one with a rate limit.
 		return s.soonest
@@ -291,7 +294,7 @@
 		s.mu.Lock()
 		now := s.Clock.Now()
 		kind := resultKind(answer, err)
-		if kind == mtchoice.Inconclusive && call.Deadline.Sub(now) < deadlineMargin {
+		if usedUpTime(err) && call.Deadline.Sub(now) < deadlineMargin {
 			kind = mtchoice.Failure // the server had all of the call's time
 		}
 		s.choices[call.Service].policy.Ended(now, chosen, kind, s.report(member))
@@ -300,6 +303,13 @@
 	return answer, err
 }
 
+// usedUpTime reports whether a try ended because the caller left or the time of the call was over.
+func usedUpTime(err error) bool {
+	var refused *mtreply.RefusedError
+	var unknown *mtreply.UnknownError
+	return errors.As(err, &refused) && refused.Cause == mtreply.CauseExpired || errors.As(err, &unknown) && unknown.Cause == mtreply.CauseGone
+}
+
 // send sends the call to a member. If that is this daemon, it calls the host directly.
 func (s *Sender) send(ctx context.Context, call *mtcall.Call, member mtdirectory.Member) (*mtcall.Answer, error) {
 	if member.Daemon == s.Self {
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -145,7 +145,8 @@
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
 	}
-	if len(counts) == 0 && load.Running == 0 && moved == 0 && len(calls) == 0 {
+	refusals := server.NestedFull - before.NestedFull + server.LinkFull - before.LinkFull
+	if len(counts) == 0 && load.Running == 0 && moved == 0 && len(calls) == 0 && refusals == 0 {
 		return
 	}
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
