Withdraw calls that wait at other daemons when their ingress stops

Cause: a call with more time than the grace period that waits at another daemon's gate when its ingress gets SIGTERM begins there later, and the ingress breaks it off at the last answers. The ingress doesn't know whether it has begun, so it can't take it back as not run by itself.

Ruled out: canceling the call's stream (its outcome is unknown then), a message on the stream itself (a receiver of the former release would wait for its end), a latest start in each call (the sender doesn't know when it will be stopped).

Change: new RPC Forwarder.Withdraw. At the begin of a shutdown the ingress sends each daemon the numbers of the tries that it holds and that could outlast the shutdown; those that wait at the gate are refused with the cause withdrawn, in the reply to their own Forward, and those that arrive later are refused on arrival. Calls that have begun, nested calls and calls of which an earlier try may have run are not withdrawn. Calls that wait at the ingress daemon's own gate are withdrawn by the same path; they were refused before too, but only when a slot became free. Only calls with more time left than a grace period has are registered.

The tests of ./platform have not been run for this commit.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -75,6 +75,9 @@
 	// Patience is how long the call may wait at the server's gate before it is handed back,
 	// because another server may have room; zero means as long as its time allows.
 	Patience time.Duration
+	// Try identifies the current try, so that the daemon that sent it can withdraw it; zero if
+	// it won't.
+	Try mtid.TryID
 	// Notice is what the daemon that sends the call knows of the server beside the daemon
 	// that receives it.
 	Notice mtbackend.Notice
--- a/core/mtgate/mtgate.go
+++ b/core/mtgate/mtgate.go
@@ -67,6 +67,8 @@
 	// Patience is how long the request may wait before it is handed back at once, because
 	// another server may have room; zero means as long as its time allows.
 	Patience time.Duration
+	// Try identifies the request for Withdraw; zero if it can't be withdrawn.
+	Try mtid.TryID
 	// Alone requires that nothing else is in flight while the request runs. It is
 	// set for a request that is suspected of crashing backend servers, so that a
 	// second crash can't be attributed to any other request.
@@ -212,6 +214,19 @@
 	return g.end(now)
 }
 
+// Withdraw refuses the waiting requests with these tries because their sender has taken them
+// back. Running requests are not affected.
+func (g *Gate[O]) Withdraw(now mtclock.Instant, tries map[mtid.TryID]bool) []Effect {
+	g.begin(now)
+	for _, e := range g.byArrival() {
+		if tries[e.Ticket.Try] {
+			g.removeWaiting(e)
+			g.refuse(e, refusal(mtreply.CauseWithdrawn, 0, ""))
+		}
+	}
+	return g.end(now)
+}
+
 // Expire refuses the requests that have waited too long. It is to be called at the
 // time that Next returned; every other method does the same first.
 func (g *Gate[O]) Expire(now mtclock.Instant) []Effect {
--- a/core/mtgate/mtgate_test.go
+++ b/core/mtgate/mtgate_test.go
@@ -31,7 +31,7 @@
 }
 
 func ticket(n int, class mtid.Class) mtgate.Ticket {
-	return mtgate.Ticket{Number: mtgate.Number(n), Business: "ratins", Class: class, Point: mtid.Point(n), Deadline: mtclock.Instant(time.Second)}
+	return mtgate.Ticket{Number: mtgate.Number(n), Business: "ratins", Class: class, Point: mtid.Point(n), Try: mtid.TryID(n), Deadline: mtclock.Instant(time.Second)}
 }
 
 // describe formats effects for comparison.
@@ -164,6 +164,18 @@
 			{func(g gate) []mtgate.Effect { return g.Cancel(0, 1) }, []string{}},
 			{done(ms, 1), []string{}},
 		}},
+		{"withdraw removes waiting requests, also held ones", []step{
+			{offer(0, 1, "send"), []string{"start 1"}},
+			{offer(0, 2, "send"), []string{}},
+			{offer(0, 3, "send"), []string{}},
+			{offer(0, 4, "send"), []string{}},
+			{func(g gate) []mtgate.Effect { return g.Stop(0, 3, 3, mtgate.HoldNew) }, []string{"idle 3-3"}},
+			{func(g gate) []mtgate.Effect {
+				return g.Withdraw(0, map[mtid.TryID]bool{1: true, 2: true, 3: true})
+			}, []string{"refuse 2 withdrawn", "refuse 3 withdrawn"}},
+			{done(ms, 1), []string{"start 4"}},
+			{func(g gate) []mtgate.Effect { return g.Resume(at(ms), 3, 3) }, []string{}},
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/mtid/mtid.go
+++ b/core/mtid/mtid.go
@@ -62,6 +62,10 @@
 // Point is a position on the 64-bit hash ring of a service.
 type Point uint64
 
+// TryID identifies one try of a call among those of all daemons. It is drawn at random; zero
+// means none.
+type TryID uint64
+
 // Holder is one incarnation of a daemon: the unit that owns shards and is fenced.
 type Holder struct {
 	Daemon      Daemon
--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -60,6 +60,7 @@
 	CauseSkew        Cause = "skew"        // the identifier's time is too far in the future
 	CauseTooLarge    Cause = "too-large"   // the body exceeds the size limit
 	CauseStopping    Cause = "stopping"    // this daemon is shutting down
+	CauseWithdrawn   Cause = "withdrawn"   // taken back by the daemon that sent it, which is shutting down
 	CauseQuota       Cause = "quota"       // over the rate limit that the backend server names
 	CauseZoneOut     Cause = "zone-out"    // the server's availability zone is out of service
 	CauseNestedFull  Cause = "nested-full" // the request's nested requests would find no room
--- a/core/mtshutdown/mtshutdown.go
+++ b/core/mtshutdown/mtshutdown.go
@@ -12,7 +12,10 @@
 //	err := schedule.CheckNew(now, call.Deadline) // when a call arrives
 //	err := schedule.Check(now, call.Deadline)    // before it is sent to a server
 //
-// A Schedule is immutable and safe for concurrent use.
+// A call that waits at another daemon when the shutdown begins is withdrawn: Tries holds those
+// of the daemon that shuts down, WithdrawnTries those that a daemon must not begin any more.
+//
+// A Schedule is immutable and safe for concurrent use; Tries and WithdrawnTries aren't.
 package mtshutdown
 
 import (
@@ -94,12 +97,15 @@
 // Check returns a *mtreply.RefusedError if a call that is begun now could still be at work when
 // the last answers are due.
 func (s Schedule) Check(now, deadline mtclock.Instant) error {
-	if !deadline.After(s.LastAnswers) {
+	if !s.Outlasts(deadline) {
 		return nil
 	}
 	return s.refusal(now, "the call could outlast the daemon, which is shutting down")
 }
 
+// Outlasts reports whether a call could still be at work when the last answers are due.
+func (s Schedule) Outlasts(deadline mtclock.Instant) bool { return deadline.After(s.LastAnswers) }
+
 func (s Schedule) refusal(now mtclock.Instant, detail string) error {
 	return &mtreply.RefusedError{Cause: mtreply.CauseStopping, RetryAfter: max(s.Return.Sub(now), minRetry), Detail: detail}
 }
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -77,7 +77,7 @@
 	return &mtcall.Call{
 		ID: "7", Method: "POST", Target: "/a?b", Host: "h", Header: []mtcall.Field{{Name: "X", Value: "1"}, {Name: "X", Value: "2"}},
 		Body: []byte("body"), Service: "maps", Route: "plans", Keyed: true, Key: 65535, Idempotent: true, Nested: true, Repeat: true,
-		Priority: 2, Objective: now.Add(-time.Second), Deadline: now.Add(30 * time.Second), Patience: 20 * time.Millisecond, Caller: "desk",
+		Priority: 2, Objective: now.Add(-time.Second), Deadline: now.Add(30 * time.Second), Patience: 20 * time.Millisecond, Try: 1 << 63, Caller: "desk",
 	}
 }
 
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -46,6 +46,9 @@
 	// ReserveLink grants room on this VM's link for a body and returns zero, or returns the
 	// time after which there is room again. It may be nil if all bodies may be sent.
 	ReserveLink func(mtlink.Bytes) time.Duration
+	// Withdraw refuses the calls with these tries that wait and returns their number. It
+	// refuses those that arrive in the given time too. It may be nil if none are refused.
+	Withdraw func(tries []mtid.TryID, remember time.Duration) int
 }
 
 type changesFunc = func(ctx context.Context, q ChangesRequest) (ChangesReply, error)
@@ -60,11 +63,12 @@
 	receiveEntry func(mtstore.Entry)
 	commit       func(context.Context, mtrange.Batch) ([]mtrange.Outcome, mtstore.Entry)
 	reserveLink  func(mtlink.Bytes) time.Duration
+	withdraw     func([]mtid.TryID, time.Duration) int
 }
 
 // Register registers the Forwarder service with a gRPC server.
 func Register(r grpc.ServiceRegistrar, s Server) {
-	mtwire.RegisterForwarderServer(r, &server{host: s.Host, clock: s.Clock, exchange: s.Exchange, serveChanges: s.ServeChanges, receiveEntry: s.ReceiveEntry, commit: s.Commit, reserveLink: s.ReserveLink})
+	mtwire.RegisterForwarderServer(r, &server{host: s.Host, clock: s.Clock, exchange: s.Exchange, serveChanges: s.ServeChanges, receiveEntry: s.ReceiveEntry, commit: s.Commit, reserveLink: s.ReserveLink, withdraw: s.Withdraw})
 }
 
 // maxChangesWait limits how long a request for changes may wait, whatever it asks for.
@@ -182,6 +186,7 @@
 		DeadlineUs:  c.Deadline.Sub(now).Microseconds(),
 		Caller:      string(c.Caller),
 		PatienceUs:  c.Patience.Microseconds(),
+		Try:         uint64(c.Try),
 	}
 }
 
@@ -207,6 +212,7 @@
 		Caller:         mtid.Service(w.GetCaller()),
 		Notice:         noticeFromWire(w.GetNotice()),
 		Patience:       micros(w.GetPatienceUs()),
+		Try:            mtid.TryID(w.GetTry()),
 	}
 }
 
--- a/io/mtgate/mtgate.go
+++ b/io/mtgate/mtgate.go
@@ -208,6 +208,21 @@
 	c.apply(c.gate.Cancel(c.now(), n))
 }
 
+// Withdraw refuses the waiting requests with these tries and returns their number.
+func (c *AdmissionController[O]) Withdraw(tries map[mtid.TryID]bool) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	effects := c.gate.Withdraw(c.now(), tries)
+	c.apply(effects)
+	refused := 0
+	for _, effect := range effects {
+		if e, ok := effect.(mtgate.Refuse); ok && e.Err.Cause == mtreply.CauseWithdrawn {
+			refused++
+		}
+	}
+	return refused
+}
+
 // setTimer sets the timer for the next request that will have waited too long, unless it
 // fires earlier anyway. It is called with mu held.
 func (c *AdmissionController[O]) setTimer() {
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -175,9 +175,11 @@
 	lastRun           mtclock.Instant  // when this process was last seen running
 	signals           signals
 	shutdown          *mtshutdown.Schedule // nil before the daemon shuts down
+	withdrawn         *mtshutdown.WithdrawnTries
 
 	startedCalls atomic.Int64 // calls sent to the server
 	quotaRefused atomic.Int64 // calls refused because of its rate limit
+	tookBack     atomic.Int64 // calls refused because their senders withdrew them
 
 	inFlightMu sync.Mutex
 	inFlight   map[mtcall.ID]runs // calls in flight at the server
@@ -207,6 +209,7 @@
 		ended:           make(map[mtid.ServerIncarnation]bool),
 		leavingSince:    make(map[mtid.ServerIncarnation]mtclock.Instant),
 		deniedKeys:      make(map[mtid.KeyNumber]bool),
+		withdrawn:       mtshutdown.NewWithdrawnTries(),
 		inFlight:        make(map[mtcall.ID]runs),
 		relativeTime:    1,
 		signals:         signals{logged: mtbackend.Unlimited},
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -36,6 +36,9 @@
 	if reply.Cause == mtreply.CauseQuota {
 		h.quotaRefused.Add(1)
 	}
+	if reply.Cause == mtreply.CauseWithdrawn {
+		h.tookBack.Add(1)
+	}
 	h.Log.Info("call "+string(reply.Outcome)+": "+string(reply.Cause), slog.Any("", unanswered{host: h, call: call, err: err}))
 }
 
@@ -87,7 +90,7 @@
 	}
 	ticket := mtgate.Ticket{
 		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Priority: call.Priority, Nested: call.Nested,
-		Patience: call.Patience,
+		Patience: call.Patience, Try: call.Try,
 	}
 	if call.Keyed {
 		ticket.Point = call.Key.Point()
@@ -97,7 +100,7 @@
 		return nil, withKeyMoveRetry(call, err)
 	}
 	defer end()
-	// The key may have moved, or the shutdown begun, while the call waited.
+	// The key may have moved, the call been withdrawn, or the shutdown begun, while it waited.
 	if call.Keyed {
 		if err := h.CheckGrant(record.Incarnation, call.Key); err != nil {
 			return nil, err
@@ -207,13 +210,17 @@
 	return record, admission, nil
 }
 
-// checkShutdown refuses a call that could outlast this daemon, before it is sent to the server.
-// The keys of a daemon that shuts down move, so that a keyed call is sent again to their next
+// checkShutdown refuses a call that could outlast this daemon, or that its sender has withdrawn
+// because it could outlast that one, before it is sent to the server. The keys of a daemon that shuts down move, so that a keyed call is sent again to their next
 // owner.
 func (h *Host) checkShutdown(call *mtcall.Call) error {
 	h.mu.Lock()
 	schedule := h.shutdown
+	withdrawn := h.withdrawn.Has(h.Clock.Now(), call.Try)
 	h.mu.Unlock()
+	if withdrawn {
+		return &mtreply.RefusedError{Cause: mtreply.CauseWithdrawn}
+	}
 	if schedule == nil {
 		return nil
 	}
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -33,6 +33,8 @@
 	// MarkAnswered records that one has.
 	Answered(p mtpoison.Fingerprint) bool
 	MarkAnswered(p mtpoison.Fingerprint)
+	// Withdraw refuses tries that have not begun. See mtforward.Client.Withdraw.
+	Withdraw(tries []mtid.TryID, remember time.Duration) int
 }
 
 // peers forwards calls to other daemons and reports their state.
@@ -40,6 +42,7 @@
 	Forward(ctx context.Context, daemon mtid.Daemon, address string, call *mtcall.Call) (*mtcall.Answer, error)
 	LoadReport(daemon mtid.Daemon) (mtforward.LoadReport, bool)
 	Unresponsive(address string) bool
+	Withdraw(ctx context.Context, address string, tries []mtid.TryID, remember time.Duration) (int, error)
 }
 
 const (
@@ -63,6 +66,7 @@
 type SenderConfig struct {
 	Self      mtid.Daemon
 	Zone      mtid.Zone
+	Grace     time.Duration // of the daemon's process
 	Overload  mtoverload.Policies
 	Directory *mtdirectory.Directory
 	Host      host
@@ -78,6 +82,9 @@
 	SenderConfig
 	shutdown atomic.Pointer[mtshutdown.Schedule] // nil before the daemon shuts down
 
+	triesMu sync.Mutex // protects tries
+	tries   *mtshutdown.Tries
+
 	mu      sync.Mutex // protects retry and choices
 	retry   *mtretry.Budgeted
 	choices map[mtid.Service]*choice
@@ -87,6 +94,7 @@
 func NewSender(config SenderConfig) *Sender {
 	return &Sender{
 		SenderConfig: config,
+		tries:        mtshutdown.NewTries(),
 		retry:        mtretry.NewBudgeted(config.Random),
 		choices:      make(map[mtid.Service]*choice),
 	}
@@ -158,7 +166,11 @@
 			return nil, s.withReturn(call, state.finalError(err))
 		}
 		begun := s.Clock.Now()
+		if err := s.registerTry(begun, call, member, state); err != nil {
+			return nil, err
+		}
 		answer, err := s.try(ctx, call, member)
+		s.forgetTry(call)
 		if err == nil {
 			if answer.Finished() {
 				s.Host.MarkAnswered(fingerprint)
@@ -180,20 +192,6 @@
 	}
 }
 
-// BeginShutdown refuses tries from now on that could outlast the daemon. A call may have waited
-// for a slot, or for the new owner of its key, when the shutdown began.
-func (s *Sender) BeginShutdown(schedule mtshutdown.Schedule) { s.shutdown.Store(&schedule) }
-
-// checkShutdown returns a *mtreply.RefusedError if a try that begins now could outlast the
-// daemon. A nested call is not refused: the call that waits for it was accepted.
-func (s *Sender) checkShutdown(call *mtcall.Call) error {
-	schedule := s.shutdown.Load()
-	if schedule == nil || call.Nested {
-		return nil
-	}
-	return schedule.Check(s.Clock.Now(), call.Deadline)
-}
-
 // prepareRetry reports whether to send a call again after an error, and waits before that if
 // necessary.
 func (s *Sender) prepareRetry(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, state *sending, attempts int, err error) bool {
@@ -238,6 +236,10 @@
 func (s *Sender) bounce(ctx context.Context, call *mtcall.Call, member mtdirectory.Member, state *sending, err error) bool {
 	var refused *mtreply.RefusedError
 	errors.As(err, &refused)
+	if refused.Cause == mtreply.CauseWithdrawn {
+		state.bounces++
+		return state.bounces <= maxBounces // checkShutdown decides
+	}
 	if call.Keyed {
 		if refused.Cause != mtreply.CauseStaleRoute && refused.Cause != mtreply.CauseNoLease {
 			return false
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -41,10 +41,15 @@
 type fakePeers struct {
 	sent   []mtid.Daemon
 	answer func(n int) (*mtcall.Answer, error)
+	// withdrawals receives the tries of each withdrawal, which fails with withdrawError.
+	withdrawals   chan []mtid.TryID
+	withdrawError error
+	try           mtid.TryID // of the last call
 }
 
-func (p *fakePeers) Forward(_ context.Context, daemon mtid.Daemon, _ string, _ *mtcall.Call) (*mtcall.Answer, error) {
+func (p *fakePeers) Forward(_ context.Context, daemon mtid.Daemon, _ string, call *mtcall.Call) (*mtcall.Answer, error) {
 	p.sent = append(p.sent, daemon)
+	p.try = call.Try
 	return p.answer(len(p.sent))
 }
 
@@ -54,6 +59,13 @@
 
 func (*fakePeers) Unresponsive(string) bool { return false }
 
+func (p *fakePeers) Withdraw(_ context.Context, _ string, tries []mtid.TryID, _ time.Duration) (int, error) {
+	if p.withdrawals != nil {
+		p.withdrawals <- tries
+	}
+	return len(tries), p.withdrawError
+}
+
 type host struct{}
 
 func (host) Run(context.Context, *mtcall.Call) (*mtcall.Answer, error) {
@@ -66,6 +78,8 @@
 
 func (host) MarkAnswered(mtpoison.Fingerprint) {}
 
+func (host) Withdraw([]mtid.TryID, time.Duration) int { return 0 }
+
 // newSender returns a sender whose directory has the servers of three other daemons.
 func newSender(t *testing.T, p *fakePeers) (*mtingress.Sender, *mttime.Clock) {
 	t.Helper()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -362,6 +362,7 @@
 	sender := mtingress.NewSender(mtingress.SenderConfig{
 		Self:      m.config.Daemon,
 		Zone:      m.config.Zone,
+		Grace:     m.config.Grace,
 		Overload:  m.config.Overload,
 		Directory: mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory),
 		Host:      m.Host(),
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -42,7 +42,7 @@
 		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
 	mtforward.Register(m.peers, mtforward.Server{
 		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveEntry: m.receivePushed, Commit: m.commitFor,
-		ReserveLink: m.Host().ReserveLink,
+		ReserveLink: m.Host().ReserveLink, Withdraw: m.Host().Withdraw,
 	})
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
