Treat calls of a route without a latency objective as never late

Cause: a route may have no objective (mtroute and platform/config.go check timeouts, prefixes, services and weights, not target_latency_s: a missing, negative or huge one gets in). Its calls got their arrival as objective and counted as late everywhere, though zero means none in mtgate and mtcall. A negative one also gave the gate a negative service time. Change: Route.ObjectiveAt returns zero for one that isn't positive or beyond the range of instants; retries leave zero alone; the tally of slow starts leaves such calls out. Over the wire zero means none, and an objective that is due just now is sent as a microsecond ago. The search and the time to return needed no change: a latest start in the past stops both. Measured: unit tests of core/mtroute, io/mtforward, io/mtingress, io/mtmesh; each guard taken out once, and its test failed.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -69,8 +69,8 @@
 	// AnsweredBefore is set if the ingress daemon remembers that a server has answered
 	// the same request before, so it is not one that crashes servers.
 	AnsweredBefore bool
-	Priority       int // the lowest value is the most urgent
-	Objective      mtclock.Instant
+	Priority       int             // the lowest value is the most urgent
+	Objective      mtclock.Instant // latency objective; zero if none
 	Deadline       mtclock.Instant
 	// Patience is how long the call may wait at the server's gate before it is handed back,
 	// because another server may have room; zero means as long as its time allows.
--- a/core/mtroute/mtroute.go
+++ b/core/mtroute/mtroute.go
@@ -22,6 +22,7 @@
 	"strings"
 	"time"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 )
 
@@ -39,7 +40,7 @@
 	Prefix      string // begins and ends with a slash
 	Idempotent  bool
 	Timeout     time.Duration // upper bound of the time that a request may take
-	Objective   time.Duration // latency objective: time within which an answer is worth most
+	Objective   time.Duration // latency objective: time within which an answer is worth most; none if not positive
 	MaxAttempts int           // maximum number of servers that one request is sent to
 	Priority    int           // 0 is the most urgent
 	Targets     []Target      // at least one
@@ -52,7 +53,16 @@
 // ExpectedDuration estimates the duration of a call of the route from its
 // objective. The estimate is used until some calls have ended and their duration
 // is measured.
-func (r Route) ExpectedDuration() time.Duration { return r.Objective / objectiveFactor }
+func (r Route) ExpectedDuration() time.Duration { return max(r.Objective, 0) / objectiveFactor }
+
+// ObjectiveAt returns when a call of the route that arrives now is to be answered, or zero if
+// the route has no objective, or one beyond the range of instants.
+func (r Route) ObjectiveAt(now mtclock.Instant) mtclock.Instant {
+	if at := now.Add(r.Objective); at.After(now) {
+		return at
+	}
+	return 0
+}
 
 // Service is a group of backend servers of one kind.
 type Service struct {
--- a/core/mtroute/mtroute_test.go
+++ b/core/mtroute/mtroute_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtroute"
 )
@@ -67,6 +69,27 @@
 	}
 }
 
+// Guards against routes without an objective whose calls count as late on arrival: the
+// configuration may name none, or one that can't be right.
+func TestOnlyPositiveObjectiveCounts(t *testing.T) {
+	const now = mtclock.Instant(time.Hour)
+	for _, test := range []struct {
+		objective time.Duration
+		want      mtclock.Instant
+		expected  time.Duration
+	}{
+		{300 * time.Millisecond, now.Add(300 * time.Millisecond), 100 * time.Millisecond},
+		{0, 0, 0},
+		{-time.Second, 0, 0},
+		{math.MinInt64, 0, 0},
+		{math.MaxInt64, 0, math.MaxInt64 / 3},
+	} {
+		r := mtroute.Route{Objective: test.objective}
+		assert.Equal(t, r.ObjectiveAt(now), test.want)
+		assert.Equal(t, r.ExpectedDuration(), test.expected)
+	}
+}
+
 // An operator sends a tenth of a route's requests to a new service and reads its
 // metrics after about a hundred requests. With random selection, the service's share
 // would be off by a third by then.
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -105,6 +105,33 @@
 	assert.Equal(t, (<-clientLog.received).NewestVersion, mtid.Version(70))
 }
 
+// fixedClock is a clock that stands still.
+type fixedClock mtclock.Instant
+
+func (c fixedClock) Now() mtclock.Instant { return mtclock.Instant(c) }
+
+// Guards against a call without an objective that counts as late at the server's daemon, and
+// against one that is due just now and counts as without.
+func TestObjectiveIsTransmitted(t *testing.T) {
+	const now = mtclock.Instant(time.Hour)
+	var got *mtcall.Call
+	address, _ := serve(t, &host{run: func(_ context.Context, c *mtcall.Call) (*mtcall.Answer, error) {
+		got = c
+		return &mtcall.Answer{Status: 200}, nil
+	}})
+	local, _ := exchange(mtforward.StateSummary{})
+	c, cleanUp := mtforward.NewClient(fixedClock(now), local)
+	defer cleanUp()
+	for name, objective := range map[string]mtclock.Instant{"none": 0, "past": 1, "now": now, "future": now.Add(time.Minute)} {
+		sent := &mtcall.Call{Idempotent: true, Objective: objective, Deadline: now.Add(2 * time.Minute)}
+		_, err := c.Forward(t.Context(), "b", address, sent)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Objective == 0, name == "none", name)
+		left := got.Objective.Sub(got.Deadline.Add(-2 * time.Minute))
+		assert.Equal(t, left > 0, name == "future", "%s: %s left", name, left)
+	}
+}
+
 // Guards against a restarted daemon that has forgotten what its server reports: what it reported
 // to another daemon before comes back with the next call, also after a reply in which it knows
 // nothing.
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -178,7 +178,7 @@
 		Repeat:      c.Repeat,
 		Proven:      c.AnsweredBefore,
 		Priority:    int32(c.Priority),
-		ObjectiveUs: c.Objective.Sub(now).Microseconds(),
+		ObjectiveUs: objectiveToWire(now, c.Objective),
 		DeadlineUs:  c.Deadline.Sub(now).Microseconds(),
 		Caller:      string(c.Caller),
 		PatienceUs:  c.Patience.Microseconds(),
@@ -202,7 +202,7 @@
 		Repeat:         w.GetRepeat(),
 		AnsweredBefore: w.GetProven(),
 		Priority:       int(w.GetPriority()),
-		Objective:      now.Add(micros(w.GetObjectiveUs())),
+		Objective:      objectiveFromWire(now, w.GetObjectiveUs()),
 		Deadline:       now.Add(micros(w.GetDeadlineUs())),
 		Caller:         mtid.Service(w.GetCaller()),
 		Notice:         noticeFromWire(w.GetNotice()),
@@ -210,6 +210,26 @@
 	}
 }
 
+// objectiveToWire encodes an objective. Zero means that there is none: one that is due just now
+// is encoded as due a microsecond ago.
+func objectiveToWire(now, objective mtclock.Instant) int64 {
+	left := objective.Sub(now).Microseconds()
+	switch {
+	case objective == 0:
+		return 0
+	case left == 0:
+		return -1
+	}
+	return left
+}
+
+func objectiveFromWire(now mtclock.Instant, left int64) mtclock.Instant {
+	if left == 0 {
+		return 0
+	}
+	return now.Add(micros(left))
+}
+
 func noticeToWire(n mtbackend.Notice) *mtwire.Notice {
 	if n.IsZero() {
 		return nil
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -214,7 +214,7 @@
 	if call.Nested {
 		call.Priority = call.Parent.Priority
 	}
-	call.Objective, call.TypicalService = now.Add(route.Objective), route.ExpectedDuration()
+	call.Objective, call.TypicalService = route.ObjectiveAt(now), route.ExpectedDuration()
 	left := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(in.HeaderNames.Deadline), 10, 64); err == nil {
 		given := time.Duration(ms) * time.Millisecond
@@ -263,7 +263,9 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	call.FirstArrived = in.attempts.FirstArrival(now, call.Fingerprint(), call.CallerDeadline)
-	call.Objective = call.Objective.Add(call.FirstArrived.Sub(now))
+	if call.Objective != 0 {
+		call.Objective = call.Objective.Add(call.FirstArrived.Sub(now))
+	}
 }
 
 // recordFailure remembers a failed call, so that a retry of its caller is recognized.
--- a/io/mtingress/room_test.go
+++ b/io/mtingress/room_test.go
@@ -75,8 +75,8 @@
 	assert.Equal(t, p.sent[4], mtid.Daemon("c"))
 }
 
-// Guards against calls with long bodies and late ones that are sent around, and against a
-// search that isn't switched on.
+// Guards against calls with long bodies, late ones and ones without an objective that are sent
+// around, and against a search that isn't switched on.
 func TestCallsThatDontSearch(t *testing.T) {
 	for _, test := range []struct {
 		name  string
@@ -84,6 +84,7 @@
 	}{
 		{"long body", func(_ *mtingress.Sender, c *mtcall.Call) { c.Body = make([]byte, 1<<20) }},
 		{"late", func(_ *mtingress.Sender, c *mtcall.Call) { c.Objective = c.Objective.Add(-time.Hour) }},
+		{"no objective", func(_ *mtingress.Sender, c *mtcall.Call) { c.Objective = 0 }},
 		{"switched off", func(s *mtingress.Sender, _ *mtcall.Call) { s.Overload.Room = false }},
 	} {
 		s, p, clock := newSearchingSender(t, map[mtid.Daemon]time.Duration{"b": time.Second, "c": time.Second, "d": time.Second})
@@ -154,15 +155,23 @@
 // limit of a server or a shutdown still binds its time to return.
 func TestRefusedCallerReturnsWhileItCanBeInTime(t *testing.T) {
 	for _, test := range []struct {
-		cause mtreply.Cause
-		want  time.Duration
+		cause     mtreply.Cause
+		objective bool
+		want      time.Duration
 	}{
-		{mtreply.CauseShed, 500 * time.Millisecond}, {mtreply.CauseQuota, time.Second}, {mtreply.CauseStopping, time.Second},
+		{mtreply.CauseShed, true, 500 * time.Millisecond},
+		{mtreply.CauseShed, false, time.Second},
+		{mtreply.CauseQuota, true, time.Second},
+		{mtreply.CauseStopping, true, time.Second},
 	} {
 		refused := &mtreply.RefusedError{Cause: test.cause, RetryAfter: time.Second}
 		s, clock := newSender(t, &fakePeers{answer: func(int) (*mtcall.Answer, error) { return nil, refused }})
 		s.Overload.Room = true
-		_, err := s.Send(t.Context(), newCall(clock.Now(), true), 1)
+		call := newCall(clock.Now(), true)
+		if !test.objective {
+			call.Objective = 0
+		}
+		_, err := s.Send(t.Context(), call, 1)
 		var got *mtreply.RefusedError
 		assert.Assert(t, errors.As(err, &got))
 		assert.Equal(t, got.Cause, test.cause)
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -574,6 +574,20 @@
 	assert.Equal(t, request("1500"), time.Second, "no retry follows a success")
 }
 
+// Guards against calls of a route without an objective that count as late, on arrival or as a
+// caller's second try.
+func TestCallOfRouteWithoutObjectiveIsNeverLate(t *testing.T) {
+	s := &fakeSender{err: shed}
+	ingress, clock, handler := newIngress(t, s)
+	ingress.Configure(configuration(t, 1))
+	for range 2 {
+		handler.ServeHTTP(httptest.NewRecorder(), newRequest("/desk/1", "1"))
+		assert.Equal(t, s.call.Objective, mtclock.Instant(0))
+		assert.Assert(t, !s.call.Late(clock.Now(), time.Hour))
+	}
+	assert.Assert(t, s.call.IsRetry())
+}
+
 // Guards against an answer of the daemon's own up to a millisecond before its caller stops waiting: a request names whole milliseconds.
 func TestOwnAnswerWaitsForLastMillisecondOfCaller(t *testing.T) {
 	ingress, _, handler := newIngress(t, &fakeSender{hang: true})
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -91,9 +91,9 @@
 }
 
 // slowStart reports whether an answered call began at its server after more than half of the
-// time from its caller's first try to its objective.
+// time from its caller's first try to its objective. A call without an objective did not.
 func slowStart(now mtclock.Instant, call *mtcall.Call, answer *mtcall.Answer) bool {
-	if answer == nil || answer.Served == 0 || call.Nested {
+	if answer == nil || answer.Served == 0 || call.Nested || call.Objective == 0 {
 		return false
 	}
 	allowed := call.Objective.Sub(call.FirstArrived)
--- a/io/mtmesh/tally_test.go
+++ b/io/mtmesh/tally_test.go
@@ -23,4 +23,7 @@
 	nested := *call
 	nested.Nested = true
 	assert.Assert(t, !mtmesh.SlowStart(ended(time.Second), &nested, answer))
+	without := *call
+	without.Objective = 0
+	assert.Assert(t, !mtmesh.SlowStart(ended(time.Second), &without, answer), "no objective")
 }
