Sum over routes and their nested requests in a fixed order

Cause: mtnested summed counts over maps, so that the last digits of the sums, and with them a decision at a limit, differed between runs with the same events. Change: routes and their callees are kept in the order of their first request. Idle routes leave both the map and the order. Ruled out: sorted keys, which allocate for each request. Conclusion: done.

--- a/core/mtnested/mtnested.go
+++ b/core/mtnested/mtnested.go
@@ -28,7 +28,9 @@
 package mtnested
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"magnoliaturn/core/mtclock"
@@ -86,6 +88,7 @@
 
 // callee is what is known of the nested requests of one route to one service.
 type callee struct {
+	service mtid.Service
 	calls   decaying // results of nested requests
 	served  decaying // of these, served in time
 	avoided decaying // nested requests of requests that weren't begun
@@ -100,13 +103,26 @@
 type route struct {
 	priority int // the lowest value is the most urgent
 	begun    decaying
-	callees  map[mtid.Service]*callee
-	refusals float64 // refusals that are due, less than one
+	callees  []*callee // in the order of their first nested request
+	refusals float64   // refusals that are due, less than one
+}
+
+// callee returns what is known of the nested requests to a service, or nil if there were none.
+func (r *route) callee(service mtid.Service) *callee {
+	for _, c := range r.callees {
+		if c.service == service {
+			return c
+		}
+	}
+	return nil
 }
 
 // Tracker decides for the requests to one backend server. See the package comment.
 type Tracker struct {
 	routes map[mtid.Class]*route
+	// ordered holds the routes in the order of their first request: sums over a map differ in
+	// their last digits from run to run.
+	ordered []*route
 }
 
 // NewTracker returns a Tracker that knows nothing.
@@ -119,10 +135,10 @@
 	if result == Inconclusive || !ok {
 		return
 	}
-	c, ok := r.callees[service]
-	if !ok {
-		c = &callee{}
-		r.callees[service] = c
+	c := r.callee(service)
+	if c == nil {
+		c = &callee{service: service}
+		r.callees = append(r.callees, c)
 	}
 	c.calls.add(now, 1)
 	if result == Served {
@@ -165,18 +181,17 @@
 	if len(t.routes) >= maxRoutes {
 		return nil
 	}
-	r := &route{callees: make(map[mtid.Service]*callee)}
+	r := &route{}
 	t.routes[name] = r
+	t.ordered = append(t.ordered, r)
 	return r
 }
 
 // forgetIdle removes routes without recent requests.
 func (t *Tracker) forgetIdle(now mtclock.Instant) {
-	for name, r := range t.routes {
-		if r.begun.count(now) < 1 {
-			delete(t.routes, name)
-		}
-	}
+	idle := func(r *route) bool { return r.begun.count(now) < 1 }
+	maps.DeleteFunc(t.routes, func(_ mtid.Class, r *route) bool { return idle(r) })
+	t.ordered = slices.DeleteFunc(t.ordered, idle)
 }
 
 // failedPerRequest returns how many nested requests found no room per request of the route.
@@ -191,7 +206,7 @@
 // othersGain reports whether requests of another route gain if one of r doesn't begin.
 func (t *Tracker) othersGain(now mtclock.Instant, r *route) bool {
 	required := r.failedPerRequest(now) / betterFactor
-	for _, other := range t.routes {
+	for _, other := range t.ordered {
 		if other == r || other.begun.count(now) < minResults {
 			continue
 		}
@@ -204,21 +219,16 @@
 
 // sharesCallee reports whether both routes call the same service.
 func (r *route) sharesCallee(other *route) bool {
-	for service := range r.callees {
-		if _, ok := other.callees[service]; ok {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.callees, func(c *callee) bool { return other.callee(c.service) != nil })
 }
 
 // refusedPart returns the part of the requests of r to refuse: the largest of those that its
 // called services require.
 func (t *Tracker) refusedPart(now mtclock.Instant, r *route) float64 {
 	part := 0.0
-	for service, c := range r.callees {
+	for _, c := range r.callees {
 		if c.calls.count(now) >= minResults {
-			part = max(part, t.excess(now, r, service))
+			part = max(part, t.excess(now, r, c.service))
 		}
 	}
 	return part
@@ -235,9 +245,9 @@
 // room, after those of more urgent routes. Equally urgent routes share what is left.
 func (t *Tracker) excess(now mtclock.Instant, r *route, service mtid.Service) float64 {
 	calls, served, urgent, demand := 0.0, 0.0, 0.0, 0.0
-	for _, other := range t.routes {
-		c, ok := other.callees[service]
-		if !ok {
+	for _, other := range t.ordered {
+		c := other.callee(service)
+		if c == nil {
 			continue
 		}
 		calls += c.calls.count(now)
--- a/core/mtnested/mtnested_test.go
+++ b/core/mtnested/mtnested_test.go
@@ -139,3 +139,25 @@
 	begun, _ := l.run(5 * time.Second)
 	assert.Equal(t, begun["a"], 250)
 }
+
+// Failure: the same events lead to other decisions in the next run, since sums depend on the
+// order of a map.
+func TestSameEventsGiveSameSums(t *testing.T) {
+	sums := func() (failed, refused float64) {
+		tracker, now := mtnested.NewTracker(), start
+		for n := range 1000 {
+			now = now.Add(time.Millisecond)
+			name, service := mtid.Class(rune('a'+n%12)), mtid.Service(rune('a'+n%5))
+			tracker.Begins(now, name, 1, false)
+			tracker.Observe(now, name, service, mtnested.Result(min(n%7, 1)))
+		}
+		return tracker.Sums(now, "a")
+	}
+	failed, refused := sums()
+	for range 50 {
+		again, refusedAgain := sums()
+		assert.Equal(t, again, failed)
+		assert.Equal(t, refusedAgain, refused)
+	}
+	assert.Assert(t, failed > 0 && refused > 0 && refused < 1, "%v %v", failed, refused)
+}
