Count as begun what the gate has started, for refusals by nested requests

Cause: Begins counted each request that it let pass, also those that the gate of the server then handed back (busy) or refused. They send no nested requests, so a route whose calls were handed back seemed to have few failures per request and was not refused. Change: Begun is called when a call starts at the server, and the counts per request rest on it. Whether a route takes part at all still goes by the requests let pass: one whose calls get no slot gains most. Ruled out: the whole check behind the gate: a call that has got a slot has waited for it, and the gate can't ask a tracker for each that it would accept. So a call that is refused for its nested requests may still be one that the gate would have refused. Taking the count back on a refusal: it decays meanwhile, and a refusal in the queue comes late. Measured: go test -race ./core/mtnested ./io/mthost; the two new tests fail without the change and without the call in run.go.

--- a/core/mtnested/mtnested.go
+++ b/core/mtnested/mtnested.go
@@ -22,6 +22,7 @@
 //
 //	tracker := mtnested.NewTracker()
 //	if !tracker.Begins(now, route, priority, contended) { refuse it }
+//	tracker.Begun(now, route) // once the gate of the server has started it
 //	tracker.Observe(now, route, service, mtnested.Served) // of a nested request that has ended
 //
 // A Tracker isn't safe for concurrent use.
@@ -101,8 +102,9 @@
 
 // route is what is known of the requests of one route.
 type route struct {
-	priority int // the lowest value is the most urgent
-	begun    decaying
+	priority int       // the lowest value is the most urgent
+	allowed  decaying  // requests that were let begin
+	begun    decaying  // of these, started by the server's gate
 	callees  []*callee // in the order of their first nested request
 	refusals float64   // refusals that are due, less than one
 }
@@ -147,7 +149,7 @@
 }
 
 // Begins reports whether a request of the named route may begin. It is called for each
-// request that is about to begin. All begin while the slots of the server are not contended:
+// request before the gate of the server decides on it. All begin while the slots of the server are not contended:
 // refusing one then would serve no other.
 func (t *Tracker) Begins(now mtclock.Instant, name mtid.Class, priority int, contended bool) bool {
 	r := t.route(now, name)
@@ -159,7 +161,7 @@
 		r.refusals += min(t.refusedPart(now, r), maxRefused)
 	}
 	if r.refusals < 1 {
-		r.begun.add(now, 1)
+		r.allowed.add(now, 1)
 		return true
 	}
 	r.refusals--
@@ -170,6 +172,15 @@
 	return false
 }
 
+// Begun records that a request of the named route has begun. What the gate of the server
+// refused or handed back sends no nested requests: if it counted too, the route would seem to
+// have fewer of them per request.
+func (t *Tracker) Begun(now mtclock.Instant, name mtid.Class) {
+	if r, ok := t.routes[name]; ok {
+		r.begun.add(now, 1)
+	}
+}
+
 // route returns the state of a route, or nil if there are too many.
 func (t *Tracker) route(now mtclock.Instant, name mtid.Class) *route {
 	if r, ok := t.routes[name]; ok {
@@ -189,7 +200,7 @@
 
 // forgetIdle removes routes without recent requests.
 func (t *Tracker) forgetIdle(now mtclock.Instant) {
-	idle := func(r *route) bool { return r.begun.count(now) < 1 }
+	idle := func(r *route) bool { return r.allowed.count(now) < 1 }
 	maps.DeleteFunc(t.routes, func(_ mtid.Class, r *route) bool { return idle(r) })
 	t.ordered = slices.DeleteFunc(t.ordered, idle)
 }
@@ -207,7 +218,7 @@
 func (t *Tracker) othersGain(now mtclock.Instant, r *route) bool {
 	required := r.failedPerRequest(now) / betterFactor
 	for _, other := range t.ordered {
-		if other == r || other.begun.count(now) < minResults {
+		if other == r || other.allowed.count(now) < minResults {
 			continue
 		}
 		if other.failedPerRequest(now) < required || other.priority < r.priority && other.sharesCallee(r) {
--- a/core/mtnested/mtnested_test.go
+++ b/core/mtnested/mtnested_test.go
@@ -39,6 +39,7 @@
 				if !ok || !l.tracker.Begins(l.now, name, priority, true) {
 					continue
 				}
+				l.tracker.Begun(l.now, name)
 				begun[name]++
 				if name == "c" {
 					continue
@@ -100,6 +101,7 @@
 	tracker := mtnested.NewTracker()
 	for range 100 {
 		assert.Assert(t, tracker.Begins(start, "a", 1, true))
+		tracker.Begun(start, "a")
 		tracker.Observe(start, "a", "desk", mtnested.Inconclusive)
 	}
 }
@@ -140,6 +142,29 @@
 	assert.Equal(t, begun["a"], 250)
 }
 
+// Failure: requests that the gate hands back hide that those of their route run in vain: all
+// nested requests of "a" and two in five of "b" find no room, but only one in ten of "a" begins.
+func TestRequestsHandedBackDontCount(t *testing.T) {
+	tracker := mtnested.NewTracker()
+	for n := range 100 {
+		tracker.Begins(start, "a", 1, false)
+		if n%10 == 0 {
+			tracker.Begun(start, "a")
+			tracker.Observe(start, "a", "desk", mtnested.NoRoom)
+			tracker.Begins(start, "b", 1, false)
+			tracker.Begun(start, "b")
+			tracker.Observe(start, "b", "store", mtnested.Result(min(n%50/30, 1)))
+		}
+	}
+	refused := 0
+	for range 20 {
+		if !tracker.Begins(start, "a", 1, true) {
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 10, "%d refused", refused)
+}
+
 // Failure: the same events lead to other decisions in the next run, since sums depend on the
 // order of a map.
 func TestSameEventsGiveSameSums(t *testing.T) {
@@ -149,6 +174,7 @@
 			now = now.Add(time.Millisecond)
 			name, service := mtid.Class(rune('a'+n%12)), mtid.Service(rune('a'+n%5))
 			tracker.Begins(now, name, 1, false)
+			tracker.Begun(now, name)
 			tracker.Observe(now, name, service, mtnested.Result(min(n%7, 1)))
 		}
 		return tracker.Sums(now, "a")
--- a/io/mthost/nested.go
+++ b/io/mthost/nested.go
@@ -56,3 +56,13 @@
 		Cause: mtreply.CauseNestedFull, RetryAfter: mtnested.RetryAfter, Detail: "its nested calls would find no room",
 	}
 }
+
+// recordBegun records that a call has been started at the server.
+func (h *Host) recordBegun(call *mtcall.Call) {
+	if !h.Overload.Nested || call.Nested {
+		return
+	}
+	h.nested.mu.Lock()
+	defer h.nested.mu.Unlock()
+	h.nested.tracker.Begun(h.Clock.Now(), call.Route)
+}
--- a/io/mthost/nested_test.go
+++ b/io/mthost/nested_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"magnoliaturn/core/mtcall"
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtnested"
 	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtreply"
@@ -91,3 +92,22 @@
 	s.occupySlots()
 	assert.Equal(t, s.nestedRefusals(false), 0)
 }
+
+// Failure: a route is refused for its nested calls, because the calls that began don't count.
+func TestRouteWhoseCallsMostlySucceedIsNotRefused(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	s.host.Overload = mtoverload.Policies{Nested: true}
+	s.startServer("i-1")
+	for route, ran := range map[mtid.Class]struct{ begun, failed int }{"plans": {40, 20}, "desk": {16, 8}} {
+		for range ran.begun {
+			call := s.call(false)
+			call.Route = route
+			assert.Equal(t, s.causeOf(call), mtreply.Cause(""))
+		}
+		for range ran.failed {
+			s.host.ObserveNested(&mtcall.Call{Parent: mtcall.Parent{Route: route}, Service: "desk"}, mtnested.NoRoom)
+		}
+	}
+	s.occupySlots()
+	assert.Equal(t, s.nestedRefusals(false), 0)
+}
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -114,6 +114,7 @@
 	_, address := h.Record()
 	run := h.requestStarted(started, fingerprint, call.Deadline)
 	h.startedCalls.Add(1)
+	h.recordBegun(call)
 	answer, err := h.Client.Do(ctx, iobackend.Target{
 		Address: address, Server: record.Incarnation.Server,
 		Observe: func(s mtbackend.Signals) { h.observeSignals(record.Incarnation, started, s) },
