Test that waits known before a restart or a cut aren't used

Cause: nothing tested that a restarted daemon asks servers anew, nor that a daemon without news from its peers drops what it remembered after 100 ms. Present were the decay itself (core/mtroom) and a daemon cut off within the 100 ms. Change: a test of both with the fakes of this file. Their clock stands still now: the tests that expect a remembered wait would fail if the machine paused for 100 ms. Conclusion: no change of the program.

--- a/io/mtingress/room_test.go
+++ b/io/mtingress/room_test.go
@@ -17,7 +17,6 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/io/mtforward"
 	"magnoliaturn/io/mtingress"
-	"magnoliaturn/io/mttime"
 )
 
 // queuePeers have servers with queues: a call that may wait less is handed back.
@@ -40,12 +39,14 @@
 	return mtforward.LoadReport{}, false
 }
 
-// newSearchingSender returns a sender that searches for room among the queues of three servers.
-func newSearchingSender(t *testing.T, waits map[mtid.Daemon]time.Duration) (*mtingress.Sender, *queuePeers, *mttime.Clock) {
+// newSearchingSender returns a sender that searches for room among the queues of three servers,
+// and its clock, which stands still.
+func newSearchingSender(t *testing.T, waits map[mtid.Daemon]time.Duration) (*mtingress.Sender, *queuePeers, *fakeClock) {
 	t.Helper()
 	p := &queuePeers{waits: waits}
-	s, clock := newSender(t, &p.fakePeers)
-	s.Peers, s.Overload = p, mtoverload.Policies{Room: true}
+	s, running := newSender(t, &p.fakePeers)
+	clock := &fakeClock{now: running.Now()}
+	s.Peers, s.Clock, s.Overload = p, clock, mtoverload.Policies{Room: true}
 	return s, p, clock
 }
 
@@ -135,6 +136,29 @@
 	assert.Assert(t, len(cut.sent) > 0, "the call was never sent")
 }
 
+// Guards against servers that are passed over by waits that were reported before a restart, or too
+// long ago, while the other daemons are silent and report no new ones.
+func TestForgottenWaitsAreAskedAnew(t *testing.T) {
+	s, _, clock := newSearchingSender(t, map[mtid.Daemon]time.Duration{"b": time.Minute, "c": time.Minute, "d": time.Minute})
+	search := func(s *mtingress.Sender) mtcall.SearchCounts {
+		call := newCall(clock.Now(), true)
+		_, _ = s.Send(t.Context(), call, 1)
+		return call.Search
+	}
+	allAsked := mtcall.SearchCounts{HandedBack: 3}
+	assert.Equal(t, search(s), allAsked)
+	assert.Equal(t, search(s), mtcall.SearchCounts{KnownFull: 3})
+	assert.Equal(t, search(mtingress.NewSender(s.SenderConfig)), allAsked, "after a restart")
+
+	silent := &fakePeers{answer: func(int) (*mtcall.Answer, error) {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseUnreachable}
+	}}
+	s.Peers = silent
+	clock.now = clock.now.Add(100 * time.Millisecond)
+	assert.Equal(t, search(s), mtcall.SearchCounts{}, "after 100 ms")
+	assert.Assert(t, len(silent.sent) > 0, "the call was never sent")
+}
+
 // Guards against a peer of the former release, which knows no limit on the wait and refuses
 // what it has no room for: the call goes on as it did before.
 func TestPeerOfTheFormerRelease(t *testing.T) {
