Shut a listener's server down only once it accepts

Cause: a server that was shut down right after its start hadn't begun to accept. It closed the listener then, and the connections that waited were reset. Change: Shutdown waits until the server has begun to accept, has ended, or its time is over. The callers' listener is pipelined and isn't affected; the new test is of that one. Conclusion: done for callers; the operators' listeners may still drop a request that comes with the shutdown.

--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -78,10 +78,11 @@
 
 // Server is an open listener and the HTTP server that handles its connections.
 type Server struct {
-	listener net.Listener
-	engine   engine
-	failed   chan error
-	done     chan struct{}
+	listener  net.Listener
+	engine    engine
+	accepting chan struct{} // closed when the engine begins to accept connections
+	failed    chan error
+	done      chan struct{}
 }
 
 // engine is an HTTP server, either *httpServer or *mtpipeline.Server.
@@ -102,6 +103,13 @@
 // Shutdown stops accepting connections and waits for requests in flight. When ctx is done,
 // it closes the remaining connections. It must be called only once.
 func (s *Server) Shutdown(ctx context.Context) {
+	// An engine that is shut down before it accepts closes the listener, which resets the
+	// connections that wait.
+	select {
+	case <-s.accepting:
+	case <-s.done:
+	case <-ctx.Done():
+	}
 	if s.engine.Shutdown(ctx) != nil {
 		_ = s.engine.Close()
 	}
@@ -138,8 +146,8 @@
 	if options.Log == nil {
 		options.Log = slog.Default()
 	}
-	s := &Server{listener: listener, failed: make(chan error, 1), done: make(chan struct{}), engine: newEngine(handler, options)}
-	bounded := LimitConnections(listener, options.MaxConnections)
+	s := &Server{listener: listener, accepting: make(chan struct{}), failed: make(chan error, 1), done: make(chan struct{}), engine: newEngine(handler, options)}
+	bounded := &watchedListener{Listener: LimitConnections(listener, options.MaxConnections), onAccept: sync.OnceFunc(func() { close(s.accepting) })}
 	go func() {
 		defer close(s.done)
 		if err := s.engine.Serve(bounded); err != http.ErrServerClosed {
@@ -208,6 +216,18 @@
 	return &limitedListener{Listener: listener, tokens: make(chan struct{}, maxConnections)}
 }
 
+// watchedListener calls onAccept whenever it is told to accept a connection.
+type watchedListener struct {
+	net.Listener
+	onAccept func()
+}
+
+// Accept implements net.Listener.
+func (l *watchedListener) Accept() (net.Conn, error) {
+	l.onAccept()
+	return l.Listener.Accept()
+}
+
 type limitedListener struct {
 	net.Listener
 	tokens chan struct{} // holds one token for each open connection
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -142,6 +142,27 @@
 	return l.Listener.Accept()
 }
 
+// Guards against callers that connect to a server which is shut down as soon as it has been started:
+// if it hadn't begun to accept, their connections were reset. Not so for net/http, which drops
+// requests that it reads during a shutdown.
+func TestShutdownAtOnceServesConnectionsThatWait(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	for range 100 {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		assert.NilError(t, err)
+		server := mtlisten.Start(inner, handler, mtlisten.Options{Pipelined: true, Log: slog.New(slog.DiscardHandler)})
+		server.Shutdown(t.Context())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.NilError(t, conn.Close())
+	}
+}
+
 // A client connects just before a shutdown, and its connection has not been accepted yet. Its
 // request must be answered, with either server.
 func TestShutdownServesConnectionThatWaitsToBeAccepted(t *testing.T) {
