Let refused callers return when the gate says, also with the search for room on

Cause: with the search on, a caller refused for load was told to return after half of its time until the latest start, instead of 0.4 s or more. The effect had not been measured apart. In an overload of seconds it comes back to the same overload, earlier; that is why the gate has its minimum.

--- a/core/mtoverload/mtoverload.go
+++ b/core/mtoverload/mtoverload.go
@@ -21,9 +21,8 @@
 	// Reserve keeps slots free for more urgent requests. It acts where routes to one
 	// service have different priorities.
 	Reserve bool
-	// Room lets calls that would wait at a full server search for one with room, and refused
-	// callers return while they can be answered in time. It acts on routes with a latency
-	// objective; the search on services that aren't divided by key.
+	// Room lets calls that would wait at a full server search for one with room. It acts on
+	// routes with a latency objective to services that aren't divided by key.
 	Room bool
 	// Slow counts all work that is offered to a slow server, so that its keys move to
 	// faster ones. It acts on routes with a latency objective to services that are divided
--- a/core/mtroom/mtroom.go
+++ b/core/mtroom/mtroom.go
@@ -37,12 +37,6 @@
 	// minPatience is longer than the pause between two requests in a slot, so that a call is
 	// not handed back by a server that is about to start it.
 	minPatience = time.Millisecond
-	// returnDivisor divides the time until the latest start of a refused call to give the
-	// time after which its caller returns. As much is left then for a wait.
-	returnDivisor = 2
-	// minReturn is the shortest time after which a refused caller is told to return, so that one
-	// near its latest start doesn't return at once.
-	minReturn = 50 * time.Millisecond
 	// MaxHandedBack is how many servers hand a call back before it stays at one of them. Each
 	// of them costs the call another trip.
 	MaxHandedBack = 3
@@ -66,18 +60,6 @@
 	return max(left/patienceDivisor, minPatience)
 }
 
-// Return returns the time after which the caller of a call that was refused for load is to
-// return. It is shorter than retryAfter, the time that the server named, if the call would
-// otherwise miss its objective or have little time left to wait. A call that is late already
-// returns after retryAfter.
-func Return(now, latestStart mtclock.Instant, retryAfter time.Duration) time.Duration {
-	left := latestStart.Sub(now)
-	if left <= 0 || retryAfter < 0 {
-		return retryAfter
-	}
-	return min(retryAfter, max(left/returnDivisor, minReturn))
-}
-
 // WaitError means that the wait that a server reported can't be right.
 type WaitError struct{ Wait time.Duration }
 
--- a/io/mtingress/room.go
+++ b/io/mtingress/room.go
@@ -1,7 +1,6 @@
 package mtingress
 
 import (
-	"errors"
 	"time"
 
 	"magnoliaturn/core/mtcall"
@@ -90,15 +89,3 @@
 	s.choices[call.Service].waits.Record(s.Clock.Now(), chosen, call.Route, wait)
 	return true
 }
-
-// withReturn returns the error for the caller of a call. If it is a refusal for load, the caller
-// returns while the call can still meet its objective.
-func (s *Sender) withReturn(call *mtcall.Call, err error) error {
-	var refused *mtreply.RefusedError
-	if !s.Overload.Room || call.Nested || !errors.As(err, &refused) || !full(refused.Cause) || refused.Cause == mtreply.CauseQuota {
-		return err
-	}
-	sooner := *refused
-	sooner.RetryAfter = mtroom.Return(s.Clock.Now(), latestStart(call), refused.RetryAfter)
-	return &sooner
-}
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -155,7 +155,7 @@
 		}
 		member, err := s.target(call, state)
 		if err != nil {
-			return nil, s.withReturn(call, state.finalError(err))
+			return nil, state.finalError(err)
 		}
 		begun := s.Clock.Now()
 		answer, err := s.try(ctx, call, member)
@@ -175,7 +175,7 @@
 			state.uncertain = err
 		}
 		if !s.prepareRetry(ctx, call, member, state, attempts, err) {
-			return nil, s.withReturn(call, state.finalError(err))
+			return nil, state.finalError(err)
 		}
 	}
 }
