Avoid servers that reject requests as ever, also with the search for room on

Cause: with the search on, servers that reject were avoided only while less than half of the service's servers did.

--- a/core/mtchoice/least.go
+++ b/core/mtchoice/least.go
@@ -50,11 +50,6 @@
 // Servers that fail are avoided for some time, unless all of them fail, and
 // servers that refuse a call because of their load for a shorter time.
 type LeastLoaded struct {
-	// AvoidMinority limits the avoidance of servers that reject requests to less than half
-	// of all. If most servers reject some of their requests, those that did so a moment
-	// ago are no worse than the others, which would have to take everything.
-	AvoidMinority bool
-
 	random        *rand.Rand
 	zone          mtid.Zone
 	crossZoneCost float64
@@ -72,7 +67,6 @@
 	avoidUntil      mtclock.Instant // after failures
 	fullUntil       mtclock.Instant // after a refusal because of load
 	failures        int             // in a row
-	rejected        bool            // the last failure was a request that it rejected
 }
 
 // NewLeastLoaded returns a LeastLoaded without candidates. crossZoneCost is the
@@ -106,7 +100,6 @@
 // traffic between zones, and a quarter of these servers have spare capacity again.
 func (p *LeastLoaded) Pick(now mtclock.Instant, exclude []mtid.Holder) (mtid.Holder, bool) {
 	meanService := p.meanServiceTime()
-	useRejecting := p.AvoidMinority && p.mostReject(now)
 	var best *leastServer
 	bestRank, bestCost := rankFull, 0.0
 	for _, s := range p.servers {
@@ -114,9 +107,6 @@
 			continue
 		}
 		rank, cost := s.rank(now), p.cost(now, s, meanService)
-		if rank == rankFailed && s.rejected && useRejecting {
-			rank = rankNormal
-		}
 		if rank == rankFull && s.Zone == p.zone && len(exclude) == 0 {
 			rank, cost = rankNormal, cost*fullCostFactor
 		}
@@ -130,17 +120,6 @@
 	return best.Holder, true
 }
 
-// mostReject reports whether half of the servers or more rejected a request a moment ago.
-func (p *LeastLoaded) mostReject(now mtclock.Instant) bool {
-	rejecting := 0
-	for _, s := range p.servers {
-		if s.rejected && now.Before(s.avoidUntil) {
-			rejecting++
-		}
-	}
-	return 2*rejecting >= len(p.servers)
-}
-
 // The ranks of servers; a lower rank is chosen first.
 const (
 	rankNormal = iota
@@ -247,8 +226,7 @@
 		if float64(s.report.Requests) < s.capacity(now) {
 			s.fullUntil = 0
 		}
-	case Failure, Rejected:
-		s.rejected = kind == Rejected
+	case Failure:
 		s.estimate.Observe(false)
 		s.avoidUntil = now.Add(min(minBackoff<<min(s.failures, 8), maxBackoff))
 		s.failures++
--- a/core/mtchoice/mtchoice.go
+++ b/core/mtchoice/mtchoice.go
@@ -45,7 +45,6 @@
 	Failure                        // the server failed, hung or was unreachable
 	Overloaded                     // the server is up but refused because of its load
 	Inconclusive                   // the outcome implies nothing about the server
-	Rejected                       // the server is up and answered that it did not run the request
 )
 
 // Result is the outcome of a request.
--- a/io/mtingress/target.go
+++ b/io/mtingress/target.go
@@ -58,7 +58,6 @@
 	c, ok := s.choices[service]
 	if !ok {
 		c = &choice{policy: mtchoice.NewLeastLoaded(s.Random, s.Zone, otherZoneCost), waits: mtroom.NewExpectedWaits()}
-		c.policy.AvoidMinority = s.Overload.Room
 		s.choices[service] = c
 	}
 	now := s.Steady()
@@ -116,9 +115,7 @@
 			return mtchoice.Overloaded
 		}
 		switch refused.Cause {
-		case mtreply.CauseRefused:
-			return mtchoice.Rejected
-		case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseDraining, mtreply.CauseZoneOut:
+		case mtreply.CauseUnreachable, mtreply.CauseNoServer, mtreply.CauseRefused, mtreply.CauseDraining, mtreply.CauseZoneOut:
 			return mtchoice.Failure
 		}
 		return mtchoice.Inconclusive
