Hold the copy's orders back in every read of a new era

Cause: an operators' entry of the older copy was held back for two seconds only in the first read of an era. A second full read within them (a daemon reads again when its publisher or its poll notices the era after its watch) applied it at once: an order about a zone that had been withdrawn came back. Change: entries of a full read are held back as long as the operators may not have written everything again, unless what is known is of the new era.

--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -73,6 +73,13 @@
 	return v.FormerRevision != 0 && now.Sub(v.EraSince) < settleTime
 }
 
+// rereadOfCopy reports whether an entry of a full read may be the copy's although the era has begun
+// before: the operators may not have written everything again, and what is known is of an earlier
+// era. It is called with mu held.
+func (d *Directory) rereadOfCopy(v *View, now mtclock.Instant, e mtstore.Entry) bool {
+	return d.settling(now, v) && d.entries[e.Name].Revision.Era() < e.Revision.Era()
+}
+
 // doubt reports whether an operators' entry that was read at the beginning of an era contradicts a
 // later one that is known from the era before: then it is only the copy's. If nothing newer
 // arrives, it is applied after a while. It is called with mu held.
--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -1,6 +1,7 @@
 package mtdirectory_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtstandin"
+	"magnoliaturn/io/mtwatch"
 )
 
 // inEra reports whether the copy of a directory is of an era.
@@ -114,6 +116,41 @@
 	}
 }
 
+// Guards against an order that is dropped, or one that comes back, because everything is read a second time before the operators' rewrite.
+func TestOrdersOutliveSecondReadOfEra(t *testing.T) {
+	for name, out := range map[string]bool{"given since the copy": true, "withdrawn since the copy": false} {
+		t.Run(name, func(t *testing.T) {
+			store := mtstandin.NewRevisionStore(time.Now)
+			zone := mtstore.ZoneName("riga-b")
+			if !out {
+				store.Put(zone, []byte("{}"))
+			}
+			var reads atomic.Int32
+			a := startWith(t, store, "a", func(u mtwatch.Update) {
+				if u.Snapshot {
+					reads.Add(1)
+				}
+			})
+			isOut := func() bool { return a.View().OutOfService.Has("riga-b") }
+			waitFor(t, "the first state is known", func() bool { return a.View().Revision != 0 && isOut() == !out })
+			copied := store.Copy()
+			if out {
+				store.Put(zone, []byte("{}"))
+			} else {
+				store.Delete(zone)
+			}
+			waitFor(t, "the change is known", func() bool { return isOut() == out })
+			store.StepBack(copied)
+			waitFor(t, "the new era is known", func() bool { return inEra(a, 1) })
+			before := reads.Load()
+			a.Resync()
+			waitFor(t, "everything is read again", func() bool { return reads.Load() > before })
+			assert.Equal(t, isOut(), out)
+			waitFor(t, "what nobody writes again ends", func() bool { return isOut() == !out })
+		})
+	}
+}
+
 // Guards against an order that stays in force for ever because the operators don't write it again.
 func TestUnconfirmedOrderEnds(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -19,14 +19,20 @@
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtstandin"
 	"magnoliaturn/io/mttime"
+	"magnoliaturn/io/mtwatch"
 )
 
 const lease = 600 * time.Millisecond
 
 func start(t *testing.T, store *mtstandin.RevisionStore, self mtid.Daemon) *mtdirectory.Directory {
+	t.Helper()
+	return startWith(t, store, self, nil)
+}
+
+func startWith(t *testing.T, store *mtstandin.RevisionStore, self mtid.Daemon, onUpdate func(mtwatch.Update)) *mtdirectory.Directory {
 	t.Helper()
 	d, cleanUp := mtdirectory.New(mtdirectory.Config{
-		Self: self, Store: store, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.DiscardHandler),
+		Self: self, Store: store, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.DiscardHandler), OnUpdate: onUpdate,
 	})
 	t.Cleanup(cleanUp)
 	return d
