Hand over the newest configuration after the copy has followed the store

Cause: two seconds after the beginning of an era the daemons' copies follow the store's older op/config. The newest configuration stays in force in them, and they report its version, but a daemon that asks for it was answered from the copy. So one that starts, or gets to asking, later than that keeps the older configuration until the rewrite. Also found, the first by reading, the second by the new test: a daemon that had asked one peer that had restarted too asked no other; and a version that was reported while the check of an older one was pending was forgotten, which no daemon may report again for 15 s. Change: each daemon keeps the entry of the newest configuration that it has received, by its own version, and hands that one over in full pulls. Who asks goes on to other daemons, eight at most, until it has the reported version. A check follows for a version that is reported while one is pending. TestNewestConfigurationIsHandedOver fails without the handing over.

--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtspread"
+	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtforward"
 	"magnoliaturn/io/mttime"
@@ -22,10 +24,19 @@
 	return Feed{&changeFeed{
 		self: n.Daemon, zone: n.Zone, store: store, peers: peers, clock: clock, freshness: freshness, directory: directory,
 		changed: freshness.changed, pausedUntil: make(map[string]time.Time), configured: func() bool { return configured },
-		tree: func() *mtspread.Tree { return tree },
+		tree: func() *mtspread.Tree { return tree }, newestConfiguration: func() (mtstore.Entry, bool) { return mtstore.Entry{}, false },
 	}}
 }
 
+// OfferConfiguration makes the feed's daemon receive the entries of configurations, by version.
+func (f Feed) OfferConfiguration(entries map[mtid.Version]mtstore.Entry) {
+	var newest newestConfiguration
+	for version, e := range entries {
+		newest.offer(version, e)
+	}
+	f.newestConfiguration = newest.entry
+}
+
 // Serve answers a pull of another daemon.
 func (f Feed) Serve(ctx context.Context, q mtforward.ChangesRequest) (mtforward.ChangesReply, error) {
 	return f.serve(ctx, q)
@@ -44,5 +55,11 @@
 	return m.freshness.at() > before, nil
 }
 
+// NewDelayedCheck returns the report function of a delayedCheck with a fixed delay.
+func NewDelayedCheck(after time.Duration, check func(mtid.Version)) func(mtid.Version) {
+	d := &delayedCheck{}
+	return func(v mtid.Version) { d.report(v, after, check) }
+}
+
 // SlowStart exports slowStart to tests.
 var SlowStart = slowStart
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,8 @@
 	hops atomic.Int32
 	// changed is signaled when waiting pulls have to be checked again.
 	changed *broadcast
+	// newestConfiguration returns the entry of the configuration in force, if there is one.
+	newestConfiguration func() (mtstore.Entry, bool)
 	// tree returns the distribution tree as this daemon knows it.
 	tree   func() *mtspread.Tree
 	cached atomic.Pointer[cachedTree]
@@ -299,6 +302,9 @@
 			return mtforward.ChangesReply{}, &mtstore.UnavailableError{Op: "teach", Err: notWatching{}}
 		}
 		changes, next := directory.ChangesSince(q.After, q.Epochs)
+		if q.After == 0 {
+			changes.Entries = f.replaceConfiguration(changes.Entries)
+		}
 		reply := mtforward.ChangesReply{Changes: changes, Hops: int(f.hops.Load())}
 		if len(changes.Entries) > 0 || f.freshness.fresher(theirs) {
 			return reply, nil
@@ -312,6 +318,18 @@
 	}
 }
 
+// replaceConfiguration returns the entries with the configuration in force in place of the one of
+// the copy. After the store has come back from an older copy, that one may be older: a daemon that
+// starts then gets the newest one only from the others.
+func (f *changeFeed) replaceConfiguration(entries []mtstore.Entry) []mtstore.Entry {
+	newest, ok := f.newestConfiguration()
+	if !ok {
+		return entries
+	}
+	entries = slices.DeleteFunc(entries, func(e mtstore.Entry) bool { return e.Name == newest.Name })
+	return append(entries, newest)
+}
+
 // notWatching reports that a daemon cannot serve pulls, since it is too far from the store
 // or receives no changes.
 type notWatching struct{}
--- a/io/mtmesh/feed_test.go
+++ b/io/mtmesh/feed_test.go
@@ -128,3 +128,45 @@
 	waitFor(directory, "second")
 	assert.Assert(t, read <= 1, "the store was watched %d times before any daemon received changes", read)
 }
+
+// Guards against a daemon that reports a configuration and hands over an older one, because its copy has followed a store that came back from an older copy.
+func TestNewestConfigurationIsHandedOver(t *testing.T) {
+	c := &cluster{t: t, store: mtstandin.NewRevisionStore(time.Now)}
+	c.store.Put("op/config", []byte("older"))
+	copied := c.store.Copy()
+	watcher := node("a", "zone")
+	directory := c.join(watcher, mtspread.New([]mtspread.Node{watcher}))
+	waitFor := func(what string, done func() bool) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if done() {
+				return poll.Success()
+			}
+			return poll.Continue("%s", what)
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(2*time.Millisecond))
+	}
+	pull := func(after mtid.Revision) (values []string) {
+		reply, err := c.PullChanges(t.Context(), watcher.Address, mtforward.ChangesRequest{After: after})
+		assert.NilError(t, err)
+		for _, e := range reply.Changes.Entries {
+			values = append(values, string(e.Value))
+		}
+		return values
+	}
+	known := func(value string) func() bool {
+		return func() bool {
+			changes, _ := directory.ChangesSince(0, nil)
+			return len(changes.Entries) == 1 && string(changes.Entries[0].Value) == value
+		}
+	}
+	waitFor("the first configuration is known", known("older"))
+	feed, _ := c.feeds.Load(watcher.Address)
+	older, _ := directory.ChangesSince(0, nil)
+	c.store.Put("op/config", []byte("newest"))
+	waitFor("the second configuration is known", known("newest"))
+	newest, _ := directory.ChangesSince(0, nil)
+	feed.(mtmesh.Feed).OfferConfiguration(map[mtid.Version]mtstore.Entry{7: older.Entries[0], 12: newest.Entries[0]})
+	c.store.StepBack(copied)
+	waitFor("the copy has followed the store", known("older"))
+	assert.DeepEqual(t, pull(0), []string{"newest"})
+	assert.DeepEqual(t, pull(directory.View().Revision), []string(nil))
+}
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -12,7 +12,7 @@
 //
 //	mesh, cleanUp, err := mtmesh.New(config)
 //	defer cleanUp()
-//	mesh.Configure(configuration)
+//	mesh.Configure(configuration, entry)
 //	err = mesh.Host().ObserveHeartbeat(heartbeat)
 //	err = mesh.Run(ctx)
 //
@@ -125,16 +125,17 @@
 	peers    *grpc.Server
 	recorder *recorder
 	ready    atomic.Bool
-	// configCheckPending and recordCheckPending are set while a check is scheduled, since
-	// another daemon has reported a newer configuration or newer records.
-	configCheckPending atomic.Bool
-	freshness          *freshness
-	recordCheckPending atomic.Bool
-	feed               *changeFeed
-	previous           deferred[mtbackend.Record] // of previous incarnations of this daemon, for the host
-	losses             deferred[mtpoison.Loss]    // for the host
-	zoneState          zoneState
-	host               atomic.Pointer[mthost.Host]
+	// configCheck and recordCheck follow reports of other daemons about a newer configuration or
+	// newer records.
+	configCheck delayedCheck
+	recordCheck delayedCheck
+	freshness   *freshness
+	newest      newestConfiguration
+	feed        *changeFeed
+	previous    deferred[mtbackend.Record] // of previous incarnations of this daemon, for the host
+	losses      deferred[mtpoison.Loss]    // for the host
+	zoneState   zoneState
+	host        atomic.Pointer[mthost.Host]
 	// These are read for each message between daemons, for which lookups in the kernel are
 	// too slow.
 	directory atomic.Pointer[mtdirectory.Directory]
@@ -220,6 +221,8 @@
 		pausedUntil: make(map[string]time.Time),
 		directory:   m.directory.Load,
 		configured:  func() bool { return m.configuration() != nil },
+
+		newestConfiguration: m.newest.entry,
 	}
 	m.feed.tree = m.feed.memberTree
 	directory, cleanUp := mtdirectory.New(mtdirectory.Config{
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtgate"
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtspread"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
@@ -42,6 +44,10 @@
 	deferralDivisor = 8
 	// notifyTimeout limits a notification of one other daemon.
 	notifyTimeout = 500 * time.Millisecond
+	// maxConfigurationSources is how many daemons are asked, one after the other, for a
+	// configuration that the store has lost. The next message that reports it starts anew, with
+	// others.
+	maxConfigurationSources = 8
 )
 
 // exchange returns the functions by which versions are exchanged with other daemons.
@@ -72,10 +78,10 @@
 		m.freshness.observe(own.ConfigVersion, theirs.ConfigVersion, theirs.Age, sent)
 	}
 	if own.ConfigVersion < theirs.ConfigVersion {
-		scheduleOnce(&m.configCheckPending, configCheckDelay+m.deferral(), func() { m.checkConfiguration(theirs) })
+		m.configCheck.report(theirs.ConfigVersion, configCheckDelay+m.deferral(), m.checkConfiguration)
 	}
 	if own.NewestVersion < theirs.NewestVersion {
-		scheduleOnce(&m.recordCheckPending, recordCheckDelay+m.deferral(), func() { m.checkRecords(theirs) })
+		m.recordCheck.report(theirs.NewestVersion, recordCheckDelay+m.deferral(), m.checkRecords)
 	}
 }
 
@@ -92,50 +98,67 @@
 	return 2 * step
 }
 
-// scheduleOnce calls check after a delay, unless a call is already pending.
-func scheduleOnce(pending *atomic.Bool, after time.Duration, check func()) {
-	if !pending.CompareAndSwap(false, true) {
-		return
+// checkConfiguration polls the store if a configuration that another daemon has reported still has
+// not arrived, and takes it from other daemons if the store has lost it.
+func (m *Mesh) checkConfiguration(reported mtid.Version) {
+	if own := m.knownVersions(); own.ConfigVersion < reported {
+		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(reported))
+		m.pollStore()
+	}
+	if own := m.knownVersions(); own.ConfigVersion < reported {
+		m.pullConfiguration(reported)
 	}
-	time.AfterFunc(after, func() {
-		defer pending.Store(false)
-		check()
-	})
 }
 
-// checkConfiguration polls the store if the newer configuration still has not arrived.
-func (m *Mesh) checkConfiguration(theirs mtforward.StateSummary) {
-	if own := m.knownVersions(); own.ConfigVersion < theirs.ConfigVersion {
-		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(theirs.ConfigVersion))
-		m.pollStore()
-	}
-	if own := m.knownVersions(); own.ConfigVersion < theirs.ConfigVersion {
-		m.pullOperatorEntries()
+// pullConfiguration takes a configuration of at least the given version from other daemons, because
+// the store has come back from a copy without it. A daemon that has just started could otherwise
+// bring a configuration back into force that had been replaced. Daemons that have restarted too may
+// not have it either.
+func (m *Mesh) pullConfiguration(wanted mtid.Version) {
+	for _, n := range m.configurationSources() {
+		if err := m.pullOperatorEntries(n); err != nil {
+			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", n.Daemon, "error", err)
+			continue
+		}
+		own := m.knownVersions().ConfigVersion
+		m.config.Log.Info("operators' entries taken from a daemon", "peer", n.Daemon, "configuration", uint64(own), "wanted", uint64(wanted))
+		if own >= wanted {
+			return
+		}
 	}
 }
 
-// pullOperatorEntries takes what operators have written from another daemon, because the store has
-// come back from a copy without it. A daemon that has just started could otherwise bring a
-// configuration back into force that had been replaced.
-func (m *Mesh) pullOperatorEntries() {
+// pullOperatorEntries applies what operators have written as another daemon knows it.
+func (m *Mesh) pullOperatorEntries(from mtspread.Node) error {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
+	reply, err := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers).PullChanges(ctx, from.Address, mtforward.ChangesRequest{})
+	if err != nil {
+		return err
+	}
+	for _, e := range reply.Changes.Entries {
+		if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
+			m.config.OnOtherEntry(e)
+		}
+	}
+	return nil
+}
+
+// configurationSources returns the daemons to ask for a configuration that the store has lost: those
+// that distribute changes, and some others in random order.
+func (m *Mesh) configurationSources() []mtspread.Node {
 	tree := m.feed.tree()
-	for _, n := range append(tree.OtherWatchers(m.config.Daemon), tree.Upstreams(m.config.Daemon, m.config.Zone)...) {
-		reply, err := peers.PullChanges(ctx, n.Address, mtforward.ChangesRequest{})
-		if err != nil {
-			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", n.Daemon, "error", err)
-			continue
+	sources := append(tree.OtherWatchers(m.config.Daemon), tree.Upstreams(m.config.Daemon, m.config.Zone)...)
+	for _, member := range m.directory.Load().View().Members { // in random order
+		known := func(n mtspread.Node) bool { return n.Daemon == member.Daemon }
+		if present := !member.Expired || member.Former; present && member.Daemon != m.config.Daemon && !slices.ContainsFunc(sources, known) {
+			sources = append(sources, mtspread.Node{Daemon: member.Daemon, Address: member.Address})
 		}
-		for _, e := range reply.Changes.Entries {
-			if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
-				m.config.OnOtherEntry(e)
-			}
+		if len(sources) >= maxConfigurationSources {
+			break
 		}
-		m.config.Log.Info("operators' entries taken from a daemon", "peer", n.Daemon, "configuration", uint64(m.knownVersions().ConfigVersion))
-		return
 	}
+	return sources
 }
 
 // pollStore polls the store for the configuration and the zones that are out of service. If
@@ -170,9 +193,9 @@
 }
 
 // checkRecords reads everything again if the newer records still have not arrived.
-func (m *Mesh) checkRecords(theirs mtforward.StateSummary) {
-	if own := m.knownVersions(); own.NewestVersion < theirs.NewestVersion {
-		m.config.Log.Warn("another daemon has seen newer records", "own", uint64(own.NewestVersion), "newest", uint64(theirs.NewestVersion))
+func (m *Mesh) checkRecords(reported mtid.Version) {
+	if own := m.knownVersions(); own.NewestVersion < reported {
+		m.config.Log.Warn("another daemon has seen newer records", "own", uint64(own.NewestVersion), "newest", uint64(reported))
 		mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory).Resync()
 	}
 }
@@ -201,9 +224,11 @@
 	return min(max(due.Sub(m.now()), minPollCheck), maxPollCheck)
 }
 
-// Configure puts a configuration in force, unless a newer one is. Watchers of the store
-// then notify all other daemons, which may not have received it yet.
-func (m *Mesh) Configure(c *mtroute.Config) {
+// Configure puts a configuration in force, unless a newer one is. The entry is the one from which it
+// was read, which other daemons may take from this one. Watchers of the store then notify all other
+// daemons, which may not have received it yet.
+func (m *Mesh) Configure(c *mtroute.Config, from mtstore.Entry) {
+	m.newest.offer(c.Version, from) // first: whoever reports a version can hand it over
 	if !m.Ingress().Configure(c) {
 		return
 	}
