Don't clear a crash by a heartbeat that is accepted after it

Cause: a heartbeat of the server drops the runs that ended before its connection was accepted, since the server outlived them. But the kernel completes a connection before the daemon accepts it. On a busy machine the server can open it, crash, and break the connection of the request before the accept. The run is dropped, the loss has no suspect and isn't published, and the request may crash one server more.

Change: a heartbeat shows that the server ran a second before its accept. Answers clear as before: their runs began after the other run had ended.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -74,7 +74,8 @@
 	// Cold is the remaining time for which the server is cold.
 	Cold time.Duration
 	// Connected is when the connection that carried the heartbeat was accepted. Its
-	// sender was alive then, however late the heartbeat is. Zero if unknown.
+	// sender was alive when it opened the connection, which is a moment earlier, longer if
+	// the daemon is busy; the heartbeat itself may be far later. Zero if unknown.
 	Connected mtclock.Instant
 }
 
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -23,6 +23,10 @@
 	// maxLosses is the number of losses retained, the newest ones: all servers of a large
 	// fleet may be lost at once.
 	maxLosses = 1024
+	// maxAcceptDelay is how long a heartbeat's connection may wait until the daemon accepts it:
+	// several times what a busy VM needs. A server that ends may also break the connections of
+	// requests some moments before it stops.
+	maxAcceptDelay = time.Second
 )
 
 // RecurrenceDetector detects requests that crash every backend server that runs them, by
@@ -36,7 +40,7 @@
 // every server never gets.
 //
 // The daemon beside a server tracks the requests in flight there (Started, Ended,
-// ServerAlive, ServerLost). How a run ended doesn't tell whether the server crashed: its
+// HeartbeatAccepted, ServerLost). How a run ended doesn't tell whether the server crashed: its
 // connections may close in order, be reset or fall silent, and the caller may have left
 // before. So each run without an answer counts as in flight at a loss until the server is
 // known to have run after it. Losses are stored where they outlive all daemons, and each
@@ -97,7 +101,7 @@
 			r.MarkAnswered(run.fingerprint)
 		}
 		if !run.lost {
-			r.ServerAlive(run.started)
+			r.serverAlive(run.started)
 		}
 	case how == NotRun || run.lost:
 	case how == Broken:
@@ -118,10 +122,18 @@
 	}
 }
 
-// ServerAlive records that the server's process, which has not been lost since, was running at
+// HeartbeatAccepted records that the connection of a heartbeat was accepted at the given time. Its
+// sender, which has not been lost since, opened it, but may have ended before the daemon got to
+// accept it: a request that crashed the server then seemed to have been survived by it, and the
+// crash counted against no request.
+func (r *RecurrenceDetector) HeartbeatAccepted(at mtclock.Instant) {
+	r.serverAlive(at.Add(-maxAcceptDelay))
+}
+
+// serverAlive records that the server's process, which has not been lost since, was running at
 // the given time. What ended before that has not crashed it: a server that cuts answers and
 // lives brings no suspicion on requests.
-func (r *RecurrenceDetector) ServerAlive(at mtclock.Instant) {
+func (r *RecurrenceDetector) serverAlive(at mtclock.Instant) {
 	r.ended = slices.DeleteFunc(r.ended, func(run *Run) bool { return run.until.Before(at) })
 }
 
--- a/core/mtpoison/recurring_test.go
+++ b/core/mtpoison/recurring_test.go
@@ -165,6 +165,19 @@
 	assert.DeepEqual(t, suspectsOf(r, now), []mtpoison.Fingerprint{18, 16, 15})
 }
 
+// Guards against a crash that counts against no request, since a heartbeat that the server had
+// begun before is accepted only after it; and against suspicions that idle servers keep although
+// their heartbeats go on.
+func TestOnlyLaterHeartbeatsShowThatServerOutlivedRun(t *testing.T) {
+	for after, suspected := range map[time.Duration]bool{0: true, 20 * time.Millisecond: true, 500 * time.Millisecond: true, 1500 * time.Millisecond: false} {
+		r := mtpoison.NewRecurrenceDetector()
+		now := mtclock.Instant(time.Hour)
+		r.Ended(now, r.Started(now, poison, now.Add(time.Second)), mtpoison.Broken)
+		r.HeartbeatAccepted(now.Add(after))
+		assert.Equal(t, len(suspectsOf(r, now.Add(after))) == 1, suspected, "%s after the run", after)
+	}
+}
+
 // Guards against runs at a lost server that count against its next incarnation.
 func TestRunsAtLostServerDoNotCountAgain(t *testing.T) {
 	r := mtpoison.NewRecurrenceDetector()
--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -67,11 +67,11 @@
 	return err.Cause == mtreply.CauseLost || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// serverAlive records that the server's process was running at the given time.
-func (h *Host) serverAlive(at mtclock.Instant) {
+// heartbeatAccepted records that the connection of a heartbeat was accepted at the given time.
+func (h *Host) heartbeatAccepted(at mtclock.Instant) {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	h.recurring.ServerAlive(at)
+	h.recurring.HeartbeatAccepted(at)
 }
 
 // serverLost records that the server's process has terminated. It is called with mu held,
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -139,7 +139,7 @@
 func (h *Host) applyHeartbeat(b mtbackend.Heartbeat) {
 	now := h.Clock.Now()
 	h.lastHeartbeat, h.lastConnected, h.silent = now, max(h.lastConnected, b.Connected), false
-	h.serverAlive(b.Connected)
+	h.heartbeatAccepted(b.Connected)
 	if b.Sequence < h.sequence {
 		return
 	}
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -75,6 +75,7 @@
 	clock     *clock
 	mu        sync.Mutex
 	published mtbackend.Record
+	losses    []mtpoison.Loss // published
 	holds     error
 	clear     func() error
 	keyed     atomic.Bool
@@ -97,9 +98,13 @@
 			defer s.mu.Unlock()
 			s.published = r
 		},
-		PublishLoss: func(mtpoison.Loss) {},
-		Keyed:       func() bool { return s.keyed.Load() },
-		IsDeclared:  func(service mtid.Service) bool { return service == "desk" },
+		PublishLoss: func(l mtpoison.Loss) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.losses = append(s.losses, l)
+		},
+		Keyed:      func() bool { return s.keyed.Load() },
+		IsDeclared: func(service mtid.Service) bool { return service == "desk" },
 		CheckGrant: func(mtid.ServerIncarnation, mtid.KeyNumber) error {
 			s.mu.Lock()
 			defer s.mu.Unlock()
