--- a/core/mtnested/mtnested.go
+++ b/core/mtnested/mtnested.go
@@ -22,13 +22,16 @@
 //
 //	tracker := mtnested.NewTracker()
 //	if !tracker.Begins(now, route, priority, contended) { refuse it }
+//	tracker.Begun(now, route) // once the gate of the server has started it
 //	tracker.Observe(now, route, service, mtnested.Served) // of a nested request that has ended
 //
 // A Tracker isn't safe for concurrent use.
 package mtnested
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"magnoliaturn/core/mtclock"
@@ -86,6 +89,7 @@
 
 // callee is what is known of the nested requests of one route to one service.
 type callee struct {
+	service mtid.Service
 	calls   decaying // results of nested requests
 	served  decaying // of these, served in time
 	avoided decaying // nested requests of requests that weren't begun
@@ -98,15 +102,29 @@
 
 // route is what is known of the requests of one route.
 type route struct {
-	priority int // the lowest value is the most urgent
-	begun    decaying
-	callees  map[mtid.Service]*callee
-	refusals float64 // refusals that are due, less than one
+	priority int       // the lowest value is the most urgent
+	allowed  decaying  // requests that were let begin
+	begun    decaying  // of these, started by the server's gate
+	callees  []*callee // in the order of their first nested request
+	refusals float64   // refusals that are due, less than one
+}
+
+// callee returns what is known of the nested requests to a service, or nil if there were none.
+func (r *route) callee(service mtid.Service) *callee {
+	for _, c := range r.callees {
+		if c.service == service {
+			return c
+		}
+	}
+	return nil
 }
 
 // Tracker decides for the requests to one backend server. See the package comment.
 type Tracker struct {
 	routes map[mtid.Class]*route
+	// ordered holds the routes in the order of their first request: sums over a map differ in
+	// their last digits from run to run.
+	ordered []*route
 }
 
 // NewTracker returns a Tracker that knows nothing.
@@ -119,10 +137,10 @@
 	if result == Inconclusive || !ok {
 		return
 	}
-	c, ok := r.callees[service]
-	if !ok {
-		c = &callee{}
-		r.callees[service] = c
+	c := r.callee(service)
+	if c == nil {
+		c = &callee{service: service}
+		r.callees = append(r.callees, c)
 	}
 	c.calls.add(now, 1)
 	if result == Served {
@@ -131,7 +149,7 @@
 }
 
 // Begins reports whether a request of the named route may begin. It is called for each
-// request that is about to begin. All begin while the slots of the server are not contended:
+// request before the gate of the server decides on it. All begin while the slots of the server are not contended:
 // refusing one then would serve no other.
 func (t *Tracker) Begins(now mtclock.Instant, name mtid.Class, priority int, contended bool) bool {
 	r := t.route(now, name)
@@ -143,7 +161,7 @@
 		r.refusals += min(t.refusedPart(now, r), maxRefused)
 	}
 	if r.refusals < 1 {
-		r.begun.add(now, 1)
+		r.allowed.add(now, 1)
 		return true
 	}
 	r.refusals--
@@ -154,6 +172,15 @@
 	return false
 }
 
+// Begun records that a request of the named route has begun. What the gate of the server
+// refused or handed back sends no nested requests: if it counted too, the route would seem to
+// have fewer of them per request.
+func (t *Tracker) Begun(now mtclock.Instant, name mtid.Class) {
+	if r, ok := t.routes[name]; ok {
+		r.begun.add(now, 1)
+	}
+}
+
 // route returns the state of a route, or nil if there are too many.
 func (t *Tracker) route(now mtclock.Instant, name mtid.Class) *route {
 	if r, ok := t.routes[name]; ok {
@@ -165,18 +192,17 @@
 	if len(t.routes) >= maxRoutes {
 		return nil
 	}
-	r := &route{callees: make(map[mtid.Service]*callee)}
+	r := &route{}
 	t.routes[name] = r
+	t.ordered = append(t.ordered, r)
 	return r
 }
 
 // forgetIdle removes routes without recent requests.
 func (t *Tracker) forgetIdle(now mtclock.Instant) {
-	for name, r := range t.routes {
-		if r.begun.count(now) < 1 {
-			delete(t.routes, name)
-		}
-	}
+	idle := func(r *route) bool { return r.allowed.count(now) < 1 }
+	maps.DeleteFunc(t.routes, func(_ mtid.Class, r *route) bool { return idle(r) })
+	t.ordered = slices.DeleteFunc(t.ordered, idle)
 }
 
 // failedPerRequest returns how many nested requests found no room per request of the route.
@@ -191,8 +217,8 @@
 // othersGain reports whether requests of another route gain if one of r doesn't begin.
 func (t *Tracker) othersGain(now mtclock.Instant, r *route) bool {
 	required := r.failedPerRequest(now) / betterFactor
-	for _, other := range t.routes {
-		if other == r || other.begun.count(now) < minResults {
+	for _, other := range t.ordered {
+		if other == r || other.allowed.count(now) < minResults {
 			continue
 		}
 		if other.failedPerRequest(now) < required || other.priority < r.priority && other.sharesCallee(r) {
@@ -204,21 +230,16 @@
 
 // sharesCallee reports whether both routes call the same service.
 func (r *route) sharesCallee(other *route) bool {
-	for service := range r.callees {
-		if _, ok := other.callees[service]; ok {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.callees, func(c *callee) bool { return other.callee(c.service) != nil })
 }
 
 // refusedPart returns the part of the requests of r to refuse: the largest of those that its
 // called services require.
 func (t *Tracker) refusedPart(now mtclock.Instant, r *route) float64 {
 	part := 0.0
-	for service, c := range r.callees {
+	for _, c := range r.callees {
 		if c.calls.count(now) >= minResults {
-			part = max(part, t.excess(now, r, service))
+			part = max(part, t.excess(now, r, c.service))
 		}
 	}
 	return part
@@ -235,9 +256,9 @@
 // room, after those of more urgent routes. Equally urgent routes share what is left.
 func (t *Tracker) excess(now mtclock.Instant, r *route, service mtid.Service) float64 {
 	calls, served, urgent, demand := 0.0, 0.0, 0.0, 0.0
-	for _, other := range t.routes {
-		c, ok := other.callees[service]
-		if !ok {
+	for _, other := range t.ordered {
+		c := other.callee(service)
+		if c == nil {
 			continue
 		}
 		calls += c.calls.count(now)
--- a/io/mtforward/withdraw.go
+++ b/io/mtforward/withdraw.go
@@ -27,12 +27,12 @@
 
 // Withdraw implements mtwire.ForwarderServer.
 func (s *server) Withdraw(_ context.Context, w *mtwire.WithdrawRequest) (*mtwire.WithdrawReply, error) {
-	if s.withdraw == nil {
+	if s.config.Withdraw == nil {
 		return &mtwire.WithdrawReply{}, nil
 	}
 	tries := make([]mtid.TryID, 0, len(w.GetTries()))
 	for _, id := range w.GetTries() {
 		tries = append(tries, mtid.TryID(id))
 	}
-	return &mtwire.WithdrawReply{Refused: uint32(s.withdraw(tries, micros(w.GetRememberUs())))}, nil
+	return &mtwire.WithdrawReply{Refused: uint32(s.config.Withdraw(tries, micros(w.GetRememberUs())))}, nil
 }
--- a/io/mtingress/room.go
+++ b/io/mtingress/room.go
@@ -1,7 +1,6 @@
 package mtingress
 
 import (
-	"errors"
 	"time"
 
 	"magnoliaturn/core/mtcall"
@@ -60,7 +59,8 @@
 	return mtroom.Patience(now, latestStart(call))
 }
 
-// latestStart returns when a call has to start to meet its objective.
+// latestStart returns when a call has to start to meet its objective. Without an objective this
+// is in the past, so that the call neither searches nor returns sooner.
 func latestStart(call *mtcall.Call) mtclock.Instant { return call.Objective.Add(-call.TypicalService) }
 
 // inService reports whether calls may still be sent to a server that was chosen before.
@@ -89,15 +89,3 @@
 	s.choices[call.Service].waits.Record(s.Clock.Now(), chosen, call.Route, wait)
 	return true
 }
-
-// withReturn returns the error for the caller of a call. If it is a refusal for load, the caller
-// returns while the call can still meet its objective.
-func (s *Sender) withReturn(call *mtcall.Call, err error) error {
-	var refused *mtreply.RefusedError
-	if !s.Overload.Room || call.Nested || !errors.As(err, &refused) || !full(refused.Cause) || refused.Cause == mtreply.CauseQuota {
-		return err
-	}
-	sooner := *refused
-	sooner.RetryAfter = mtroom.Return(s.Clock.Now(), latestStart(call), refused.RetryAfter)
-	return &sooner
-}
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -51,15 +51,28 @@
 }
 
 // Guards against callers of a crowd whose new connections are closed unanswered because earlier
-// ones keep theirs open without using them: each of 64 callers sends one request, where 32
-// connections are allowed, and closes its connection only if the response says so.
+// ones keep theirs open without using them: each of several callers sends one request, and closes
+// its connection only if the response says so. Guards also against a listener for few connections
+// that keeps none of them, or all.
 func TestUnusedConnectionsLeaveRoomForNewOnes(t *testing.T) {
+	for _, test := range []struct{ maxConnections, callers, minKept, maxKept int }{
+		{32, 64, 8, 16}, {3, 3, 1, 1}, {2, 2, 1, 1}, {1, 1, 1, 1},
+	} {
+		kept := keptAfterResponses(t, test.maxConnections, test.callers)
+		assert.Assert(t, kept >= test.minKept && kept <= test.maxKept, "%d of %d connections are kept", kept, test.maxConnections)
+	}
+}
+
+// keptAfterResponses returns how many callers, one after the other, keep their connections to a
+// new listener open after a response.
+func keptAfterResponses(t *testing.T, maxConnections, callers int) int {
+	t.Helper()
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
-	server, cleanUp, err := mtlisten.Serve("127.0.0.1:0", handler, mtlisten.Options{MaxConnections: 32, Pipelined: true})
+	server, cleanUp, err := mtlisten.Serve("127.0.0.1:0", handler, mtlisten.Options{MaxConnections: maxConnections, Pipelined: true})
 	assert.NilError(t, err)
 	defer cleanUp()
 	kept := 0
-	for caller := range 64 {
+	for caller := range callers {
 		conn, err := net.Dial("tcp", server.Address())
 		assert.NilError(t, err)
 		defer func() { _ = conn.Close() }()
@@ -78,7 +91,7 @@
 		assert.Equal(t, err, io.EOF)
 		assert.NilError(t, conn.Close())
 	}
-	assert.Assert(t, kept >= 8, "%d connections are kept", kept)
+	return kept
 }
 
 // A server that shuts down must finish the request that it is processing and accept no
@@ -129,6 +142,27 @@
 	return l.Listener.Accept()
 }
 
+// Guards against callers that connect to a server which is shut down as soon as it has been started:
+// if it hadn't begun to accept, their connections were reset. Not so for net/http, which drops
+// requests that it reads during a shutdown.
+func TestShutdownAtOnceServesConnectionsThatWait(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	for range 100 {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		assert.NilError(t, err)
+		server := mtlisten.Start(inner, handler, mtlisten.Options{Pipelined: true, Log: slog.New(slog.DiscardHandler)})
+		server.Shutdown(t.Context())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.NilError(t, conn.Close())
+	}
+}
+
 // A client connects just before a shutdown, and its connection has not been accepted yet. Its
 // request must be answered, with either server.
 func TestShutdownServesConnectionThatWaitsToBeAccepted(t *testing.T) {
