--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -46,6 +46,9 @@
 	// ReserveLink grants room on this VM's link for a body and returns zero, or returns the
 	// time after which there is room again. It may be nil if all bodies may be sent.
 	ReserveLink func(mtlink.Bytes) time.Duration
+	// Withdraw refuses the calls with these tries that wait and returns their number. It
+	// refuses those that arrive in the given time too. It may be nil if none are refused.
+	Withdraw func(tries []mtid.TryID, remember time.Duration) int
 }
 
 // server implements mtwire.ForwarderServer.
@@ -174,6 +177,7 @@
 		DeadlineUs:  c.Deadline.Sub(now).Microseconds(),
 		Caller:      string(c.Caller),
 		PatienceUs:  c.Patience.Microseconds(),
+		Try:         uint64(c.Try),
 	}
 }
 
@@ -199,6 +203,7 @@
 		Caller:         mtid.Service(w.GetCaller()),
 		Notice:         noticeFromWire(w.GetNotice()),
 		Patience:       micros(w.GetPatienceUs()),
+		Try:            mtid.TryID(w.GetTry()),
 	}
 }
 
