Tell callers when to come back, also after as many refusals as are tried

Cause: a call that is withdrawn after five servers had refused it used up the limit on refusals, so that Send returned the withdrawal itself: 503 without the cause stopping, and with Retry-After 0 instead of the time until the callers may come back. They came back to the daemon at once.

The call had not begun anywhere, and 503 was true.

Change: a withdrawn call goes on to checkShutdown whatever its number of refusals, if that refuses it.

Measured: TestCallThatHasBouncedIsWithdrawn failed before (cause withdrawn) and passes after; go test -race ./io/mtingress -count=1 passes.

--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -238,7 +238,9 @@
 	errors.As(err, &refused)
 	if refused.Cause == mtreply.CauseWithdrawn {
 		state.bounces++
-		return state.bounces <= maxBounces // checkShutdown decides
+		// Send refuses the call, however many servers have refused it before.
+		stopping := state.uncertain == nil && s.checkShutdown(call) != nil
+		return stopping || state.bounces <= maxBounces
 	}
 	if call.Keyed {
 		if refused.Cause != mtreply.CauseStaleRoute && refused.Cause != mtreply.CauseNoLease {
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -82,10 +82,16 @@
 
 // newSender returns a sender whose directory has the servers of three other daemons.
 func newSender(t *testing.T, p *fakePeers) (*mtingress.Sender, *mttime.Clock) {
+	t.Helper()
+	return newSenderTo(t, p, "b", "c", "d")
+}
+
+// newSenderTo returns a sender for the servers beside some daemons.
+func newSenderTo(t *testing.T, p *fakePeers, daemons ...mtid.Daemon) (*mtingress.Sender, *mttime.Clock) {
 	t.Helper()
 	clock := mttime.New()
 	store := mtstandin.NewRevisionStore(time.Now)
-	for _, d := range []mtid.Daemon{"b", "c", "d"} {
+	for _, d := range daemons {
 		value, err := mtbackend.Record{Daemon: d, Address: string(d) + ":1", Service: "desk", Incarnation: mtid.ServerIncarnation{Server: "s"}, Slots: 10, State: mtbackend.Ready, Link: 10}.Encode()
 		assert.NilError(t, err)
 		store.Put(mtstore.BackendName(0, d), value)
@@ -95,7 +101,7 @@
 	})
 	t.Cleanup(cleanUp)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if len(directory.View().Members) == 3 {
+		if len(directory.View().Members) == len(daemons) {
 			return poll.Success()
 		}
 		return poll.Continue("the directory has not read all records")
--- a/io/mtingress/shutdown_test.go
+++ b/io/mtingress/shutdown_test.go
@@ -44,6 +44,28 @@
 	assert.Equal(t, len(p.sent), 1)
 }
 
+// Guards against a caller that is not told when to come back, because as many servers as are tried had refused its call before it was withdrawn.
+func TestCallThatHasBouncedIsWithdrawn(t *testing.T) {
+	p := &fakePeers{withdrawals: make(chan []mtid.TryID, 1)}
+	s, clock := newSenderTo(t, p, "b", "c", "d", "e", "f", "g")
+	s.Grace = 6 * time.Second
+	p.answer = func(n int) (*mtcall.Answer, error) {
+		if n <= 5 {
+			return nil, &mtreply.RefusedError{Cause: mtreply.CauseNoServer, RetryAfter: time.Second}
+		}
+		s.BeginShutdown(mtshutdown.New(clock.Now(), s.Grace))
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseWithdrawn}
+	}
+	call := newCall(clock.Now(), true)
+	call.Deadline = clock.Now().Add(12 * time.Second)
+	_, err := s.Send(t.Context(), call, 2)
+	var refused *mtreply.RefusedError
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, refused.Cause, mtreply.CauseStopping)
+	assert.Assert(t, refused.RetryAfter > 3*time.Second, "%s", refused.RetryAfter)
+	assert.Equal(t, len(p.sent), 6)
+}
+
 // Guards against the loss of an answer because the withdrawal was lost, the other daemon's release knows none, or the call had begun.
 func TestCallThatIsNotWithdrawnGoesOn(t *testing.T) {
 	for _, withdrawError := range []error{nil, errors.New("lost or unimplemented")} {
