Ask for the configuration alone, and let every daemon hand it over

Cause: a daemon that looks for a configuration which the store has lost asked up to eight others for everything that they know, and applied only the configuration. Others answer such a request only within two hops of the store. With more than two availability zones most daemons of the zones that have no watcher are three away: they never handed over the configuration in force, and asking them was in vain. Where the sources answered and didn't have it, each search took eight copies of everything: 441 KB each at 480 daemons (docs/CAPACITY.md), 3.5 MB, again with each report.

Ruled out: an ordinary rollout takes more than one request. The first source that distributes changes mostly has the configuration.

Change: a request may be for the configuration only. It is answered at any distance from the store, because configurations are compared by their own versions. A daemon of an earlier release ignores the field and replies as before; requests of earlier releases are answered as before.

Measured: TestEveryDaemonHandsOverNewestConfiguration failed with the old answer ("this daemon does not watch the store") and passes after; go test -race of io/mtmesh and io/mtforward passes. Bytes are worked out from the table, not measured.

--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -270,6 +270,9 @@
 	// Age is the time since the requesting daemon last knew for certain that its
 	// configuration was the newest.
 	Age time.Duration
+	// Configuration is set if only the newest configuration is requested. A daemon of an earlier
+	// release replies with all it knows.
+	Configuration bool
 }
 
 // ChangesReply is the reply of an upstream to a ChangesRequest.
@@ -288,7 +291,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, q.Wait+headerTimeout)
 	defer cancel()
-	request := &mtwire.LearnRequest{After: uint64(q.After), WaitMs: q.Wait.Milliseconds(), Relays: q.Relays, News: summaryToWire(c.exchange.Summarize())}
+	request := &mtwire.LearnRequest{After: uint64(q.After), WaitMs: q.Wait.Milliseconds(), Relays: q.Relays, Configuration: q.Configuration, News: summaryToWire(c.exchange.Summarize())}
 	for name, epoch := range q.Epochs {
 		request.Epochs = append(request.Epochs, &mtwire.LearnEpoch{Name: name, Next: uint64(epoch)})
 	}
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -397,3 +397,27 @@
 	var unavailable *mtstore.UnavailableError
 	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
 }
+
+// Guards against a request for the configuration that is taken for one for everything.
+func TestRequestForConfigurationIsTransmitted(t *testing.T) {
+	requests := make(chan mtforward.ChangesRequest, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer()
+	local, _ := exchange(mtforward.StateSummary{})
+	mtforward.Register(server, mtforward.Server{
+		Host: &host{}, Clock: mttime.New(), Exchange: local,
+		ServeChanges: func(_ context.Context, q mtforward.ChangesRequest) (mtforward.ChangesReply, error) {
+			requests <- q
+			return mtforward.ChangesReply{}, nil
+		},
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	c, _, _ := client(t)
+	for _, want := range []bool{true, false} {
+		_, err := c.PullChanges(t.Context(), listener.Addr().String(), mtforward.ChangesRequest{Configuration: want})
+		assert.NilError(t, err)
+		assert.Equal(t, (<-requests).Configuration, want)
+	}
+}
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -73,6 +73,8 @@
 		Wait:   min(time.Duration(w.GetWaitMs())*time.Millisecond, maxChangesWait),
 		Relays: w.GetRelays(),
 		Age:    micros(w.GetNews().GetAgeUs()),
+
+		Configuration: w.GetConfiguration(),
 	}
 	for _, e := range w.GetEpochs() {
 		q.Epochs[e.GetName()] = mtid.Epoch(e.GetNext())
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -287,8 +287,12 @@
 
 // serve waits for changes on behalf of another daemon. It also returns if the configuration
 // of this daemon has become so much fresher than the other's that the other should be
-// notified.
+// notified. Every daemon hands over the newest configuration, also one that is far from the store:
+// configurations are compared by their own versions.
 func (f *changeFeed) serve(ctx context.Context, q mtforward.ChangesRequest) (mtforward.ChangesReply, error) {
+	if q.Configuration {
+		return mtforward.ChangesReply{Changes: mtstore.Changes{Entries: f.replaceConfiguration(nil)}}, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
 	directory := f.directory()
--- a/io/mtmesh/feed_test.go
+++ b/io/mtmesh/feed_test.go
@@ -170,3 +170,23 @@
 	assert.DeepEqual(t, pull(0), []string{"newest"})
 	assert.DeepEqual(t, pull(directory.View().Revision), []string(nil))
 }
+
+// Guards against a newest configuration that is lost because only daemons far from the store still have it, and against everything else being sent with it.
+func TestEveryDaemonHandsOverNewestConfiguration(t *testing.T) {
+	c := &cluster{t: t, store: mtstandin.NewRevisionStore(time.Now)}
+	member := node("c", "zone")
+	tree := mtspread.New([]mtspread.Node{node("a", "zone"), node("b", "zone"), member})
+	feed := mtmesh.NewFeed(member, tree, c.store, c, func() *mtdirectory.Directory { return nil }, true)
+	c.feeds.Store(member.Address, feed)
+	_, err := c.PullChanges(t.Context(), member.Address, mtforward.ChangesRequest{})
+	assert.ErrorContains(t, err, "does not watch the store")
+	pull := func() []mtstore.Entry {
+		reply, err := c.PullChanges(t.Context(), member.Address, mtforward.ChangesRequest{Configuration: true})
+		assert.NilError(t, err)
+		return reply.Changes.Entries
+	}
+	assert.Equal(t, len(pull()), 0)
+	newest := mtstore.Entry{Name: "op/config", Value: []byte("newest"), Version: 3}
+	feed.OfferConfiguration(map[mtid.Version]mtstore.Entry{12: newest})
+	assert.DeepEqual(t, pull(), []mtstore.Entry{newest})
+}
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -116,7 +116,7 @@
 // not have it either.
 func (m *Mesh) pullConfiguration(wanted mtid.Version) {
 	for _, n := range m.configurationSources() {
-		if err := m.pullOperatorEntries(n); err != nil {
+		if err := m.pullConfigurationFrom(n); err != nil {
 			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", n.Daemon, "error", err)
 			continue
 		}
@@ -128,11 +128,12 @@
 	}
 }
 
-// pullOperatorEntries applies what operators have written as another daemon knows it.
-func (m *Mesh) pullOperatorEntries(from mtspread.Node) error {
+// pullConfigurationFrom applies the newest configuration that another daemon knows. It requests
+// nothing else: everything together has a hundred kilobytes, and all daemons may have to ask several.
+func (m *Mesh) pullConfigurationFrom(from mtspread.Node) error {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	reply, err := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers).PullChanges(ctx, from.Address, mtforward.ChangesRequest{})
+	reply, err := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers).PullChanges(ctx, from.Address, mtforward.ChangesRequest{Configuration: true})
 	if err != nil {
 		return err
 	}
