Obey new orders of an era at once, however they are received

Cause: entries of every full read in the first two seconds of an era are held back if their revision is lower than the one known from the era before. Numbers of revisions are given out again, so that an order about a zone which the operators gave in the new era was held back too, by up to two seconds more, if a full read or a poll delivered it and not the watch.

Ruled out: the watch. It delivers changes, which were never held back after the first update of the era.

Change: an entry is the copy's only if its revision is not later than the first update of the era. The poll uses the same rule. Deletions can't be told apart by their revisions and are held back as before.

--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -42,7 +42,7 @@
 		v.Revision = mtid.RevisionOf(era, 1) // the copy is empty, and complete up to the first one
 		return false
 	}
-	v.FormerRevision = v.Revision
+	v.FormerRevision, d.eraEntered = v.Revision, revision
 	d.Log.Warn("copy enters a new era of the store", "era", era, "before", v.Era(), "revision", revision.Number(), "known", v.Revision.Number())
 	v.Revision = mtid.RevisionOf(era, 1)
 	d.copyMembersOnce(v)
@@ -74,10 +74,10 @@
 }
 
 // rereadOfCopy reports whether an entry of a full read may be the copy's although the era has begun
-// before: the operators may not have written everything again, and what is known is of an earlier
-// era. It is called with mu held.
+// before: the operators may not have written everything again, what is known is of an earlier era,
+// and the entry was not written after the first update of this one. It is called with mu held.
 func (d *Directory) rereadOfCopy(v *View, now mtclock.Instant, e mtstore.Entry) bool {
-	return d.settling(now, v) && d.entries[e.Name].Revision.Era() < e.Revision.Era()
+	return d.settling(now, v) && d.entries[e.Name].Revision.Era() < e.Revision.Era() && (e.Version == 0 || e.Revision <= d.eraEntered)
 }
 
 // doubt reports whether an operators' entry that was read at the beginning of an era contradicts a
--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -151,6 +151,31 @@
 	}
 }
 
+// Guards against a new order that is held back like one of the copy, because it is received with everything else soon after the beginning of an era.
+func TestNewOrderIsObeyedAtOnceInSecondReadOfEra(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	zone := mtstore.ZoneName("riga-b")
+	store.Put(zone, []byte("{}"))
+	a := start(t, store, "a")
+	isOut := func() bool { return a.View().OutOfService.Has("riga-b") }
+	waitFor(t, "the first state is known", isOut)
+	copied := store.Copy()
+	for range 10 {
+		store.Put("op/other", []byte("{}")) // raises the revision of the withdrawal
+	}
+	store.Delete(zone)
+	waitFor(t, "the change is known", func() bool { return !isOut() })
+	store.StepBack(copied)
+	waitFor(t, "the new era is known", func() bool { return inEra(a, 1) })
+	assert.Assert(t, !isOut())
+	store.SuppressWatchEvents(true)
+	store.Put(zone, []byte("{}"))
+	ordered := time.Now()
+	a.Resync()
+	waitFor(t, "the order is obeyed", isOut)
+	assert.Assert(t, time.Since(ordered) < time.Second, "%s", time.Since(ordered))
+}
+
 // Guards against an order that stays in force for ever because the operators don't write it again.
 func TestUnconfirmedOrderEnds(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -78,6 +78,7 @@
 	listeners    []func()
 	entries      map[string]mtstore.Entry // all entries that were received, including deletions
 	doubtful     map[string]mtstore.Entry // what operators may have changed since, by name
+	eraEntered   mtid.Revision            // of the update that began the era; the copy's entries are older
 	settleTimer  *time.Timer              // applies the doubtful entries; nil before the first of them
 	nextChange   chan struct{}            // closed at the next change
 	publisher    *publisher
--- a/io/mtdirectory/zone.go
+++ b/io/mtdirectory/zone.go
@@ -35,7 +35,7 @@
 	changed := false
 	d.update(func(v *View) bool {
 		for _, e := range d.newerZoneEntries(read) {
-			if old := d.entries[e.Name]; old.Revision.Era() < e.Revision.Era() && d.settling(d.Clock.Steady(), v) && d.doubt(e) {
+			if d.rereadOfCopy(v, d.Clock.Steady(), e) && d.doubt(e) {
 				continue
 			}
 			delete(d.doubtful, e.Name)
