--- a/io/mtingress/room.go
+++ b/io/mtingress/room.go
@@ -60,7 +60,7 @@
 }
 
 // latestStart returns when a call has to start to meet its objective. Without an objective this
-// is in the past, so that the call neither searches nor returns sooner.
+// is in the past, so that the call doesn't search.
 func latestStart(call *mtcall.Call) mtclock.Instant { return call.Objective.Add(-call.TypicalService) }
 
 // inService reports whether calls may still be sent to a server that was chosen before.
--- a/io/mtingress/target.go
+++ b/io/mtingress/target.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// emptyRetry is the Retry-After for a service without any server.
+	// emptyRetry is the Retry-After for a service without any server, or with queues at all of
+	// them.
 	emptyRetry = 500 * time.Millisecond
 	// expiredMemberUse is how long a member is still used after its record has been removed from
 	// the store. While the store is unavailable leases may expire, and the records are
