Name the withdrawn tries and their refusals in io/mthost

Cause: a Host has withdrawn (a memory of tries), tookBack (a count) and Status.Withdrawn (the same count), and the reader has to look up which is which. The comment of checkShutdown ran over the line and joined two cases in one sentence.

Change: withdrawnTries and withdrawnRefused, beside quotaRefused; the comments of checkShutdown and of its second call name the cases.

Conclusion: the count is found by the name of its cause.

--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -174,12 +174,12 @@
 	startLimited      bool             // startLimit is in force at the gate
 	lastRun           mtclock.Instant  // when this process was last seen running
 	signals           signals
-	shutdown          *mtshutdown.Schedule // nil before the daemon shuts down
-	withdrawn         *mtshutdown.WithdrawnTries
+	shutdown          *mtshutdown.Schedule       // nil before the daemon shuts down
+	withdrawnTries    *mtshutdown.WithdrawnTries // taken back by their senders
 
-	startedCalls atomic.Int64 // calls sent to the server
-	quotaRefused atomic.Int64 // calls refused because of its rate limit
-	tookBack     atomic.Int64 // calls refused because their senders withdrew them
+	startedCalls     atomic.Int64 // calls sent to the server
+	quotaRefused     atomic.Int64 // calls refused because of its rate limit
+	withdrawnRefused atomic.Int64 // calls refused because their senders withdrew them
 
 	inFlightMu sync.Mutex
 	inFlight   map[mtcall.ID]runs // calls in flight at the server
@@ -209,7 +209,7 @@
 		ended:           make(map[mtid.ServerIncarnation]bool),
 		leavingSince:    make(map[mtid.ServerIncarnation]mtclock.Instant),
 		deniedKeys:      make(map[mtid.KeyNumber]bool),
-		withdrawn:       mtshutdown.NewWithdrawnTries(),
+		withdrawnTries:  mtshutdown.NewWithdrawnTries(),
 		inFlight:        make(map[mtcall.ID]runs),
 		relativeTime:    1,
 		signals:         signals{logged: mtbackend.Unlimited},
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -37,7 +37,7 @@
 		h.quotaRefused.Add(1)
 	}
 	if reply.Cause == mtreply.CauseWithdrawn {
-		h.tookBack.Add(1)
+		h.withdrawnRefused.Add(1)
 	}
 	h.Log.Info("call "+string(reply.Outcome)+": "+string(reply.Cause), slog.Any("", unanswered{host: h, call: call, err: err}))
 }
@@ -100,7 +100,8 @@
 		return nil, withKeyMoveRetry(call, err)
 	}
 	defer end()
-	// The key may have moved, the call been withdrawn, or the shutdown begun, while it waited.
+	// While the call waited, its key may have moved, its sender have withdrawn it, or the shutdown
+	// of this daemon have begun.
 	if call.Keyed {
 		if err := h.CheckGrant(record.Incarnation, call.Key); err != nil {
 			return nil, err
@@ -211,13 +212,13 @@
 	return record, admission, nil
 }
 
-// checkShutdown refuses a call that could outlast this daemon, or that its sender has withdrawn
-// because it could outlast that one, before it is sent to the server. The keys of a daemon that shuts down move, so that a keyed call is sent again to their next
-// owner.
+// checkShutdown refuses a call that is not to begin because of a shutdown: one that could
+// outlast this daemon, or one that its sender has withdrawn. The keys of a daemon that shuts
+// down move, so that a keyed call is sent again to their next owner.
 func (h *Host) checkShutdown(call *mtcall.Call) error {
 	h.mu.Lock()
 	schedule := h.shutdown
-	withdrawn := h.withdrawn.Has(h.Clock.Now(), call.Try)
+	withdrawn := h.withdrawnTries.Has(h.Clock.Now(), call.Try)
 	h.mu.Unlock()
 	if withdrawn {
 		return &mtreply.RefusedError{Cause: mtreply.CauseWithdrawn}
--- a/io/mthost/withdraw.go
+++ b/io/mthost/withdraw.go
@@ -12,7 +12,7 @@
 func (h *Host) Withdraw(tries []mtid.TryID, remember time.Duration) int {
 	h.mu.Lock()
 	// Before the gate is searched: a call that isn't in its queue yet is refused when it leaves it.
-	h.withdrawn.Add(h.Clock.Now(), tries, remember)
+	h.withdrawnTries.Add(h.Clock.Now(), tries, remember)
 	admission := h.admission
 	h.mu.Unlock()
 	named := make(map[mtid.TryID]bool, len(tries))
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -140,8 +140,8 @@
 	LinkFull int64 `json:"linkFull"` // bodies for which its link had no room
 	// NestedFull counts calls refused because their nested calls would have found no room.
 	NestedFull int64 `json:"nestedFull"`
-	// Withdrawn counts calls refused because the daemons that sent them, which shut down, took
-	// them back.
+	// Withdrawn counts calls refused because the daemons that sent them withdrew them at their
+	// shutdown.
 	Withdrawn int64 `json:"withdrawn"`
 	// Reserved is the number of slots kept free for more urgent calls, and ReservedRefused
 	// that of the calls refused meanwhile since the server came up.
@@ -159,7 +159,7 @@
 	return Status{
 		Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed(),
 		Limit: limitText(h.signals.limit.Rate()), Started: h.startedCalls.Load(), Quota: h.quotaRefused.Load(),
-		LinkFull: h.link.refused.Load(), NestedFull: h.nested.refused.Load(), Withdrawn: h.tookBack.Load(),
+		LinkFull: h.link.refused.Load(), NestedFull: h.nested.refused.Load(), Withdrawn: h.withdrawnRefused.Load(),
 		Reserved: reserved.Free, ReservedRefused: reserved.Refused, Crashes: h.crashCounts(),
 	}
 }
