Say in the shutdown's comments who withdraws what, and where the address is empty

Cause: a reader of mtshutdown finds no use of Tries and WithdrawnTries in the package comment, and learns from io/mtingress only that an empty address means the daemon itself. The comment of BeginShutdown gave one reason for two things, and "before the daemon closes anything" didn't say when.

Change: the package comment shows the four calls in order; Tries.Add explains the address; the comments in io/mtingress say why a try can't slip between the check and the withdrawal, and when the withdrawal gives up.

--- a/core/mtshutdown/mtshutdown.go
+++ b/core/mtshutdown/mtshutdown.go
@@ -12,8 +12,13 @@
 //	err := schedule.CheckNew(now, call.Deadline) // when a call arrives
 //	err := schedule.Check(now, call.Deadline)    // before it is sent to a server
 //
-// A call that waits at another daemon when the shutdown begins is withdrawn: Tries holds those
-// of the daemon that shuts down, WithdrawnTries those that a daemon must not begin any more.
+// Calls that wait at the gates of daemons when the shutdown begins, and could outlast it, are
+// withdrawn:
+//
+//	tries.Add(id, address, call.Deadline)     // before a call is sent to a daemon
+//	withdrawals := tries.Outlasting(schedule) // when the shutdown begins
+//	withdrawn.Add(now, ids, remember)         // at each daemon that receives a Withdrawal
+//	if withdrawn.Has(now, id) { refuse it }   // before a call is begun there
 //
 // A Schedule is immutable and safe for concurrent use; Tries and WithdrawnTries aren't.
 package mtshutdown
--- a/core/mtshutdown/withdraw.go
+++ b/core/mtshutdown/withdraw.go
@@ -31,14 +31,15 @@
 
 // Withdrawal is what is withdrawn from one daemon.
 type Withdrawal struct {
-	Address string
+	Address string // as in Tries.Add
 	Tries   []mtid.TryID
 }
 
 // NewTries returns an empty Tries.
 func NewTries() *Tries { return &Tries{inFlight: make(map[mtid.TryID]try)} }
 
-// Add adds a try of a call with a deadline that was sent to an address.
+// Add adds a try of a call with a deadline that is sent to the daemon at an address. The address
+// is empty if that is the daemon which would withdraw it.
 func (t *Tries) Add(id mtid.TryID, address string, deadline mtclock.Instant) {
 	t.inFlight[id] = try{address: address, deadline: deadline}
 }
@@ -74,7 +75,8 @@
 	return &WithdrawnTries{until: make(map[mtid.TryID]mtclock.Instant)}
 }
 
-// Add remembers tries for a while. If there are too many, the last ones are not remembered.
+// Add remembers tries for the given time. If there are too many, the last ones are not
+// remembered.
 func (w *WithdrawnTries) Add(now mtclock.Instant, ids []mtid.TryID, remember time.Duration) {
 	maps.DeleteFunc(w.until, func(_ mtid.TryID, until mtclock.Instant) bool { return !now.Before(until) })
 	until := now.Add(min(remember, maxRemember))
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -40,7 +40,8 @@
 // until one answers.
 type sender interface {
 	Send(ctx context.Context, call *mtcall.Call, attempts int) (*mtcall.Answer, error)
-	// BeginShutdown refuses tries from now on that could outlast the daemon.
+	// BeginShutdown refuses tries from now on that could outlast the daemon, and withdraws those
+	// that wait.
 	BeginShutdown(mtshutdown.Schedule)
 }
 
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -66,7 +66,7 @@
 type SenderConfig struct {
 	Self      mtid.Daemon
 	Zone      mtid.Zone
-	Grace     time.Duration // of the daemon's process
+	Grace     time.Duration // from SIGTERM until the daemon's process is killed
 	Overload  mtoverload.Policies
 	Directory *mtdirectory.Directory
 	Host      host
@@ -238,7 +238,7 @@
 	errors.As(err, &refused)
 	if refused.Cause == mtreply.CauseWithdrawn {
 		state.bounces++
-		return state.bounces <= maxBounces // checkShutdown decides
+		return state.bounces <= maxBounces // the next try is refused by checkShutdown
 	}
 	if call.Keyed {
 		if refused.Cause != mtreply.CauseStaleRoute && refused.Cause != mtreply.CauseNoLease {
--- a/io/mtingress/shutdown.go
+++ b/io/mtingress/shutdown.go
@@ -14,9 +14,9 @@
 	"magnoliaturn/io/mtdirectory"
 )
 
-// BeginShutdown refuses tries from now on that could outlast the daemon, and withdraws those that
-// wait at the gates of daemons. A call may have waited for a slot, or for the new owner of its
-// key, when the shutdown began.
+// BeginShutdown refuses tries from now on that could outlast the daemon: a call may wait here for
+// its next try, such as for the new owner of its key. It withdraws those that wait at the gates of
+// daemons.
 func (s *Sender) BeginShutdown(schedule mtshutdown.Schedule) {
 	s.shutdown.Store(&schedule)
 	s.triesMu.Lock()
@@ -27,8 +27,8 @@
 	}
 }
 
-// withdraw sends each daemon its withdrawal and logs what they replied. It returns before the
-// daemon closes anything.
+// withdraw sends each daemon its withdrawal and logs what they replied. It returns when this daemon
+// retires, at the latest: its connections to the others are still open then.
 func (s *Sender) withdraw(schedule mtshutdown.Schedule, withdrawals []mtshutdown.Withdrawal) {
 	now := s.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), schedule.Retire.Sub(now))
@@ -58,9 +58,9 @@
 	return s.Peers.Withdraw(ctx, w.Address, w.Tries, remember)
 }
 
-// registerTry registers a try, which begins now, if a shutdown that begins before its end would
-// withdraw it: the same tries that checkShutdown refuses during a shutdown. It returns the refusal
-// of checkShutdown if the shutdown has begun since that was called.
+// registerTry registers a try that begins now, if a shutdown before its end would withdraw it: the
+// same tries that checkShutdown refuses during a shutdown. It checks for one again, with the lock
+// held: a try is either refused here or among those that BeginShutdown withdraws.
 func (s *Sender) registerTry(now mtclock.Instant, call *mtcall.Call, member mtdirectory.Member, state *sending) error {
 	call.Try = 0
 	if call.Nested || state.uncertain != nil || !mtshutdown.New(now, s.Grace).Outlasts(call.Deadline) {
