Straighten comments on begun requests and accepted heartbeats

Change: allowed is what Begins allowed, begun what the gate started; the guard of HeartbeatAccepted states cause and effect; the times of Connected are separate sentences.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -73,9 +73,9 @@
 	Sequence uint64
 	// Cold is the remaining time for which the server is cold.
 	Cold time.Duration
-	// Connected is when the connection that carried the heartbeat was accepted. Its
-	// sender was alive when it opened the connection, which is a moment earlier, longer if
-	// the daemon is busy; the heartbeat itself may be far later. Zero if unknown.
+	// Connected is when the connection that carried the heartbeat was accepted. Its sender
+	// was alive when it opened the connection: a moment earlier, or longer if the daemon is
+	// busy. The heartbeat itself may arrive far later. Zero if unknown.
 	Connected mtclock.Instant
 }
 
--- a/core/mtnested/mtnested.go
+++ b/core/mtnested/mtnested.go
@@ -103,7 +103,7 @@
 // route is what is known of the requests of one route.
 type route struct {
 	priority int       // the lowest value is the most urgent
-	allowed  decaying  // requests that were let begin
+	allowed  decaying  // requests that Begins allowed
 	begun    decaying  // of these, started by the server's gate
 	callees  []*callee // in the order of their first nested request
 	refusals float64   // refusals that are due, less than one
@@ -149,8 +149,8 @@
 }
 
 // Begins reports whether a request of the named route may begin. It is called for each
-// request before the gate of the server decides on it. All begin while the slots of the server are not contended:
-// refusing one then would serve no other.
+// request before the gate of the server decides on it. All may begin while the slots of the
+// server are not contended: refusing one then would serve no other.
 func (t *Tracker) Begins(now mtclock.Instant, name mtid.Class, priority int, contended bool) bool {
 	r := t.route(now, name)
 	if r == nil {
@@ -172,9 +172,9 @@
 	return false
 }
 
-// Begun records that a request of the named route has begun. What the gate of the server
-// refused or handed back sends no nested requests: if it counted too, the route would seem to
-// have fewer of them per request.
+// Begun records that the gate of the server has started a request of the named route. A request
+// that it refuses or hands back sends no nested ones: if it counted too, the route would seem to
+// need fewer of them per request.
 func (t *Tracker) Begun(now mtclock.Instant, name mtid.Class) {
 	if r, ok := t.routes[name]; ok {
 		r.begun.add(now, 1)
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -24,8 +24,8 @@
 	// fleet may be lost at once.
 	maxLosses = 1024
 	// maxAcceptDelay is how long a heartbeat's connection may wait until the daemon accepts it:
-	// several times what a busy VM needs. A server that ends may also break the connections of
-	// requests some moments before it stops.
+	// several times what a busy VM needs. It also covers a server that breaks the connections of
+	// requests some moments before its process ends.
 	maxAcceptDelay = time.Second
 )
 
@@ -122,10 +122,10 @@
 	}
 }
 
-// HeartbeatAccepted records that the connection of a heartbeat was accepted at the given time. Its
-// sender, which has not been lost since, opened it, but may have ended before the daemon got to
-// accept it: a request that crashed the server then seemed to have been survived by it, and the
-// crash counted against no request.
+// HeartbeatAccepted records that the connection of a heartbeat was accepted at the given time, from
+// a server that has not been lost since. The server opened it up to maxAcceptDelay earlier and may
+// have ended meanwhile. By the time of the accept it would seem to have outlived the request that
+// crashed it, and the crash would count against none.
 func (r *RecurrenceDetector) HeartbeatAccepted(at mtclock.Instant) {
 	r.serverAlive(at.Add(-maxAcceptDelay))
 }
