Tell the directory's copy from the store's older one in comments on configurations

Cause: "copy" meant both in the same sentence (the copy has an older one after the store has come back from an older copy); feed.newestConfiguration promised the configuration in force, and gives the newest received; rereadOfCopy took time and view in the other order than settling beside it; a condition of configurationSources held three tests and an assignment in one if.

Change: the comments say directory, store's older copy, newest received; the order of arguments; the tests have names. The feed's one field that didn't fit the columns is set beside tree.

Conclusion: each word stands for one thing in these files.

--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -73,10 +73,10 @@
 	return v.FormerRevision != 0 && now.Sub(v.EraSince) < settleTime
 }
 
-// rereadOfCopy reports whether an entry of a full read may be the copy's although the era has begun
-// before: the operators may not have written everything again, and what is known is of an earlier
-// era. It is called with mu held.
-func (d *Directory) rereadOfCopy(v *View, now mtclock.Instant, e mtstore.Entry) bool {
+// rereadOfCopy reports whether an entry of a further full read of an era may still be the one of the
+// store's older copy: the operators may not have written everything again, and what is known of it
+// is of an earlier era. It is called with mu held.
+func (d *Directory) rereadOfCopy(now mtclock.Instant, v *View, e mtstore.Entry) bool {
 	return d.settling(now, v) && d.entries[e.Name].Revision.Era() < e.Revision.Era()
 }
 
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -214,7 +214,7 @@
 			if d.zoneKnown(e) {
 				continue
 			}
-			if (entered || u.Snapshot && d.rereadOfCopy(v, now, e)) && d.doubt(e) {
+			if (entered || u.Snapshot && d.rereadOfCopy(now, v, e)) && d.doubt(e) {
 				if !strings.HasPrefix(e.Name, mtstore.ZonePrefix) {
 					others = append(others, e) // who uses it knows whether it is older
 				}
--- a/io/mtmesh/check.go
+++ b/io/mtmesh/check.go
@@ -7,16 +7,16 @@
 	"magnoliaturn/core/mtid"
 )
 
-// delayedCheck makes a check some time after another daemon has reported a newer version. At most
-// one check is pending. It is safe for concurrent use.
+// delayedCheck checks, some time after another daemon has reported a newer version, whether that has
+// arrived. At most one check is pending. It is safe for concurrent use.
 type delayedCheck struct {
 	mu      sync.Mutex
 	pending bool
-	newest  mtid.Version // newest one that was reported since the pending check was scheduled
+	newest  mtid.Version // newest version reported since the pending check was scheduled
 }
 
-// report schedules a check of a version. If a check of an older one is pending, this one follows it:
-// nobody may report the version again for long.
+// report schedules a check of a version. If one of an older version is pending, this one follows it:
+// it may take long until the version is reported again.
 func (d *delayedCheck) report(version mtid.Version, after time.Duration, check func(mtid.Version)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -78,7 +78,8 @@
 	hops atomic.Int32
 	// changed is signaled when waiting pulls have to be checked again.
 	changed *broadcast
-	// newestConfiguration returns the entry of the configuration in force, if there is one.
+	// newestConfiguration returns the entry of the newest configuration received, if there is one.
+	// The directory's may be older.
 	newestConfiguration func() (mtstore.Entry, bool)
 	// tree returns the distribution tree as this daemon knows it.
 	tree   func() *mtspread.Tree
@@ -318,9 +319,9 @@
 	}
 }
 
-// replaceConfiguration returns the entries with the configuration in force in place of the one of
-// the copy. After the store has come back from an older copy, that one may be older: a daemon that
-// starts then gets the newest one only from the others.
+// replaceConfiguration returns the directory's entries with the newest configuration received in
+// place of their own. After the store has come back from an older copy, theirs may be older: a
+// daemon that starts then gets the newest one only from other daemons.
 func (f *changeFeed) replaceConfiguration(entries []mtstore.Entry) []mtstore.Entry {
 	newest, ok := f.newestConfiguration()
 	if !ok {
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -125,8 +125,8 @@
 	peers    *grpc.Server
 	recorder *recorder
 	ready    atomic.Bool
-	// configCheck and recordCheck follow reports of other daemons about a newer configuration or
-	// newer records.
+	// configCheck and recordCheck are made after another daemon has reported a newer configuration
+	// or newer records.
 	configCheck delayedCheck
 	recordCheck delayedCheck
 	freshness   *freshness
@@ -221,9 +221,8 @@
 		pausedUntil: make(map[string]time.Time),
 		directory:   m.directory.Load,
 		configured:  func() bool { return m.configuration() != nil },
-
-		newestConfiguration: m.newest.entry,
 	}
+	m.feed.newestConfiguration = m.newest.entry
 	m.feed.tree = m.feed.memberTree
 	directory, cleanUp := mtdirectory.New(mtdirectory.Config{
 		Self:             m.config.Daemon,
--- a/io/mtmesh/newest.go
+++ b/io/mtmesh/newest.go
@@ -8,12 +8,12 @@
 )
 
 // newestConfiguration keeps the entry of the newest configuration that this daemon has received. The
-// copy of the directory may have an older one after the store has come back from an older copy.
+// directory may have an older one after the store has come back from an older copy.
 // It is safe for concurrent use.
 type newestConfiguration struct {
 	mu      sync.Mutex
-	version mtid.Version // by which configurations are compared
-	from    mtstore.Entry
+	version mtid.Version  // the configuration's own, which the store's step back leaves as it is
+	from    mtstore.Entry // from which it was read; without a name if none is known
 }
 
 // offer keeps the entry of a configuration unless one of the same or a later version is known.
@@ -25,7 +25,7 @@
 	}
 }
 
-// entry returns the entry, or false if no configuration is known.
+// entry returns the entry of the newest configuration, or false if none is known.
 func (n *newestConfiguration) entry() (mtstore.Entry, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -45,8 +45,7 @@
 	// notifyTimeout limits a notification of one other daemon.
 	notifyTimeout = 500 * time.Millisecond
 	// maxConfigurationSources is how many daemons are asked, one after the other, for a
-	// configuration that the store has lost. The next message that reports it starts anew, with
-	// others.
+	// configuration that the store has lost. The next report of it starts anew, with others.
 	maxConfigurationSources = 8
 )
 
@@ -150,8 +149,9 @@
 	tree := m.feed.tree()
 	sources := append(tree.OtherWatchers(m.config.Daemon), tree.Upstreams(m.config.Daemon, m.config.Zone)...)
 	for _, member := range m.directory.Load().View().Members { // in random order
-		known := func(n mtspread.Node) bool { return n.Daemon == member.Daemon }
-		if present := !member.Expired || member.Former; present && member.Daemon != m.config.Daemon && !slices.ContainsFunc(sources, known) {
+		present := !member.Expired || member.Former
+		chosen := slices.ContainsFunc(sources, func(n mtspread.Node) bool { return n.Daemon == member.Daemon })
+		if present && !chosen && member.Daemon != m.config.Daemon {
 			sources = append(sources, mtspread.Node{Daemon: member.Daemon, Address: member.Address})
 		}
 		if len(sources) >= maxConfigurationSources {
