--- a/core/mtshutdown/withdraw_test.go
+++ b/core/mtshutdown/withdraw_test.go
@@ -11,7 +11,8 @@
 	"magnoliaturn/core/mtshutdown"
 )
 
-// Guards against calls that are withdrawn although they end in time or have ended, and against others that are not.
+// Guards against calls that are withdrawn although they end in time or have ended, and against
+// others that are not.
 func TestOnlyTriesInFlightThatMayOutlastTheDaemonAreWithdrawn(t *testing.T) {
 	s := mtshutdown.New(begun, 6*time.Second)
 	tries := mtshutdown.NewTries()
@@ -24,7 +25,8 @@
 	assert.DeepEqual(t, tries.Outlasting(s), []mtshutdown.Withdrawal{{Tries: []mtid.TryID{1}}, {Address: "b:1", Tries: []mtid.TryID{2, 4}}})
 }
 
-// Guards against a call that isn't registered when it is sent, because it can't outlast a shutdown that begins then, and that could outlast a later one.
+// Guards against a call that isn't registered when it is sent, because it can't outlast a
+// shutdown that begins then, and that could outlast a later one.
 func TestWhatEndsInTimeNowEndsInTimeLater(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		grace := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "grace"))
@@ -34,7 +36,8 @@
 	})
 }
 
-// Guards against a withdrawal that is forgotten before its call arrives, and against memory that grows with each shutdown or by an unusable time.
+// Guards against a withdrawal that is forgotten before its call arrives, and against memory that
+// grows with each shutdown or by an unusable time.
 func TestWithdrawnTriesAreRememberedForALimitedTime(t *testing.T) {
 	w := mtshutdown.NewWithdrawnTries()
 	w.Add(begun, []mtid.TryID{0, 7}, time.Second)
--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// Guards against an order that is dropped, or one that comes back, because everything is read a second time before the operators' rewrite.
+// Guards against an order that is dropped, or one that comes back, because everything is read a
+// second time before the operators' rewrite.
 func TestOrdersOutliveSecondReadOfEra(t *testing.T) {
 	for name, out := range map[string]bool{"given since the copy": true, "withdrawn since the copy": false} {
 		t.Run(name, func(t *testing.T) {
--- a/io/mtforward/withdraw_test.go
+++ b/io/mtforward/withdraw_test.go
@@ -16,7 +16,8 @@
 	"magnoliaturn/io/mttime"
 )
 
-// Failure: the wrong calls are withdrawn, or a daemon of an earlier release or a lost message counts as a confirmation.
+// Failure: the wrong calls are withdrawn, or a daemon of an earlier release or a lost message
+// counts as a confirmation.
 func TestWithdraw(t *testing.T) {
 	for _, want := range []codes.Code{codes.OK, codes.Unimplemented, codes.DeadlineExceeded} {
 		var got []mtid.TryID
--- a/io/mthost/withdraw_test.go
+++ b/io/mthost/withdraw_test.go
@@ -13,7 +13,8 @@
 	"magnoliaturn/core/mtreply"
 )
 
-// Guards against a withdrawal that ends a call at the server, or leaves a waiting one or one that arrives after it to be begun and broken off.
+// Guards against a withdrawal that ends a call at the server, or leaves a waiting one or one
+// that arrives after it to be begun and broken off.
 func TestWithdrawnCallIsNotBegun(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	release := make(chan struct{})
--- a/io/mtingress/shutdown_test.go
+++ b/io/mtingress/shutdown_test.go
@@ -30,7 +30,8 @@
 	return s.Send(t.Context(), call, 2)
 }
 
-// Guards against a call that is begun elsewhere after SIGTERM and broken off: it is withdrawn, not sent to another server, and its caller comes back.
+// Guards against a call that is begun elsewhere after SIGTERM and broken off: it is withdrawn,
+// not sent to another server, and its caller comes back.
 func TestCallThatWaitsElsewhereAtShutdownIsWithdrawn(t *testing.T) {
 	p := &fakePeers{}
 	_, err := stopMeanwhile(t, p, 12*time.Second, false, func() (*mtcall.Answer, error) {
@@ -44,7 +45,8 @@
 	assert.Equal(t, len(p.sent), 1)
 }
 
-// Guards against the loss of an answer because the withdrawal was lost, the other daemon's release knows none, or the call had begun.
+// Guards against the loss of an answer because the withdrawal was lost, the other daemon's
+// release knows none, or the call had begun.
 func TestCallThatIsNotWithdrawnGoesOn(t *testing.T) {
 	for _, withdrawError := range []error{nil, errors.New("lost or unimplemented")} {
 		p := &fakePeers{withdrawError: withdrawError}
@@ -57,7 +59,8 @@
 	}
 }
 
-// Guards against the withdrawal of calls that end in time, and of those that an accepted call waits for.
+// Guards against the withdrawal of calls that end in time, and of those that an accepted call
+// waits for.
 func TestShortAndNestedCallsAreNotWithdrawn(t *testing.T) {
 	for _, nested := range []bool{true, false} {
 		p := &fakePeers{}
@@ -72,7 +75,8 @@
 	}
 }
 
-// Guards against the loss of the word that a call may have run: once one try is uncertain, a refused one proves nothing.
+// Guards against the loss of the word that a call may have run: once one try is uncertain, a
+// refused one proves nothing.
 func TestUncertainCallIsNotWithdrawn(t *testing.T) {
 	p := &fakePeers{}
 	s, clock := newSender(t, p)
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -142,9 +142,9 @@
 	return l.Listener.Accept()
 }
 
-// Guards against callers that connect to a server which is shut down as soon as it has been started:
-// if it hadn't begun to accept, their connections were reset. Not so for net/http, which drops
-// requests that it reads during a shutdown.
+// Guards against callers whose connections are reset because the server is shut down as soon as it
+// has been started, before it accepts. Only pipelined: net/http drops requests that it reads during
+// a shutdown.
 func TestShutdownAtOnceServesConnectionsThatWait(t *testing.T) {
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	for range 100 {
--- a/io/mtmesh/check_test.go
+++ b/io/mtmesh/check_test.go
@@ -10,7 +10,8 @@
 	"magnoliaturn/io/mtmesh"
 )
 
-// Guards against a newer configuration that is passed over because it is reported while the check of an older one is pending, and that nobody reports again.
+// Guards against a newer configuration that is passed over because it is reported while the
+// check of an older one is pending, and that nobody reports again.
 func TestVersionReportedDuringCheckIsCheckedToo(t *testing.T) {
 	const delay = 20 * time.Millisecond
 	checked := make(chan mtid.Version, 10)
--- a/io/mtmesh/feed_test.go
+++ b/io/mtmesh/feed_test.go
@@ -129,7 +129,8 @@
 	assert.Assert(t, read <= 1, "the store was watched %d times before any daemon received changes", read)
 }
 
-// Guards against a daemon that reports a configuration and hands over an older one, because its copy has followed a store that came back from an older copy.
+// Guards against a daemon that reports a configuration and hands over an older one, because its
+// copy has followed a store that came back from an older copy.
 func TestNewestConfigurationIsHandedOver(t *testing.T) {
 	c := &cluster{t: t, store: mtstandin.NewRevisionStore(time.Now)}
 	c.store.Put("op/config", []byte("older"))
