--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -103,8 +103,8 @@
 // Shutdown stops accepting connections and waits for requests in flight. When ctx is done,
 // it closes the remaining connections. It must be called only once.
 func (s *Server) Shutdown(ctx context.Context) {
-	// An engine that is shut down before it accepts closes the listener, which resets the
-	// connections that wait.
+	// An engine that is shut down before it accepts would close the listener at once, which resets
+	// the connections that wait to be accepted.
 	select {
 	case <-s.accepting:
 	case <-s.done:
@@ -146,11 +146,17 @@
 	if options.Log == nil {
 		options.Log = slog.Default()
 	}
-	s := &Server{listener: listener, accepting: make(chan struct{}), failed: make(chan error, 1), done: make(chan struct{}), engine: newEngine(handler, options)}
-	bounded := &watchedListener{Listener: LimitConnections(listener, options.MaxConnections), onAccept: sync.OnceFunc(func() { close(s.accepting) })}
+	s := &Server{
+		listener: listener, engine: newEngine(handler, options),
+		accepting: make(chan struct{}), failed: make(chan error, 1), done: make(chan struct{}),
+	}
+	watched := &watchedListener{
+		Listener: LimitConnections(listener, options.MaxConnections),
+		onAccept: sync.OnceFunc(func() { close(s.accepting) }),
+	}
 	go func() {
 		defer close(s.done)
-		if err := s.engine.Serve(bounded); err != http.ErrServerClosed {
+		if err := s.engine.Serve(watched); err != http.ErrServerClosed {
 			s.failed <- &ListenError{Address: s.Address(), Err: err}
 		}
 	}()
@@ -216,7 +222,7 @@
 	return &limitedListener{Listener: listener, tokens: make(chan struct{}, maxConnections)}
 }
 
-// watchedListener calls onAccept whenever it is told to accept a connection.
+// watchedListener calls onAccept before it waits for each connection.
 type watchedListener struct {
 	net.Listener
 	onAccept func()
