--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -73,11 +73,13 @@
 	return v.FormerRevision != 0 && now.Sub(v.EraSince) < settleTime
 }
 
-// rereadOfCopy reports whether an entry of a full read may be the copy's although the era has begun
-// before: the operators may not have written everything again, what is known is of an earlier era,
-// and the entry was not written after the first update of this one. It is called with mu held.
-func (d *Directory) rereadOfCopy(v *View, now mtclock.Instant, e mtstore.Entry) bool {
-	return d.settling(now, v) && d.entries[e.Name].Revision.Era() < e.Revision.Era() && (e.Version == 0 || e.Revision <= d.eraEntered)
+// rereadOfCopy reports whether an entry of a further full read of an era may still be the one of the
+// store's older copy: the operators may not have written everything again, what is known of it is
+// of an earlier era, and the entry was not written after the first update of this one. It is called
+// with mu held.
+func (d *Directory) rereadOfCopy(now mtclock.Instant, v *View, e mtstore.Entry) bool {
+	ofCopy := e.Version == 0 || e.Revision <= d.eraEntered
+	return d.settling(now, v) && d.entries[e.Name].Revision.Era() < e.Revision.Era() && ofCopy
 }
 
 // doubt reports whether an operators' entry that was read at the beginning of an era contradicts a
--- a/io/mtdirectory/zone.go
+++ b/io/mtdirectory/zone.go
@@ -35,7 +35,7 @@
 	changed := false
 	d.update(func(v *View) bool {
 		for _, e := range d.newerZoneEntries(read) {
-			if d.rereadOfCopy(v, d.Clock.Steady(), e) && d.doubt(e) {
+			if d.rereadOfCopy(d.Clock.Steady(), v, e) && d.doubt(e) {
 				continue
 			}
 			delete(d.doubtful, e.Name)
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -66,7 +66,7 @@
 type SenderConfig struct {
 	Self      mtid.Daemon
 	Zone      mtid.Zone
-	Grace     time.Duration // of the daemon's process
+	Grace     time.Duration // from SIGTERM until the daemon's process is killed
 	Overload  mtoverload.Policies
 	Directory *mtdirectory.Directory
 	Host      host
@@ -238,7 +238,7 @@
 	errors.As(err, &refused)
 	if refused.Cause == mtreply.CauseWithdrawn {
 		state.bounces++
-		// Send refuses the call, however many servers have refused it before.
+		// Send refuses the call then, however many servers have refused it before.
 		stopping := state.uncertain == nil && s.checkShutdown(call) != nil
 		return stopping || state.bounces <= maxBounces
 	}
