--- a/io/mtmesh/feed_test.go
+++ b/io/mtmesh/feed_test.go
@@ -133,7 +133,7 @@
 // copy has followed a store that came back from an older copy.
 func TestNewestConfigurationIsHandedOver(t *testing.T) {
 	c := &cluster{t: t, store: mtstandin.NewRevisionStore(time.Now)}
-	c.store.Put("op/config", []byte("older"))
+	c.store.Put("op/routes", []byte("older"))
 	copied := c.store.Copy()
 	watcher := node("a", "zone")
 	directory := c.join(watcher, mtspread.New([]mtspread.Node{watcher}))
@@ -162,7 +162,7 @@
 	waitFor("the first configuration is known", known("older"))
 	feed, _ := c.feeds.Load(watcher.Address)
 	older, _ := directory.ChangesSince(0, nil)
-	c.store.Put("op/config", []byte("newest"))
+	c.store.Put("op/routes", []byte("newest"))
 	waitFor("the second configuration is known", known("newest"))
 	newest, _ := directory.ChangesSince(0, nil)
 	feed.(mtmesh.Feed).OfferConfiguration(map[mtid.Version]mtstore.Entry{7: older.Entries[0], 12: newest.Entries[0]})
@@ -187,7 +187,7 @@
 		return reply.Changes.Entries
 	}
 	assert.Equal(t, len(pull()), 0)
-	newest := mtstore.Entry{Name: "op/config", Value: []byte("newest"), Version: 3}
+	newest := mtstore.Entry{Name: "op/routes", Value: []byte("newest"), Version: 3}
 	feed.OfferConfiguration(map[mtid.Version]mtstore.Entry{12: newest})
 	assert.DeepEqual(t, pull(), []mtstore.Entry{newest})
 }
