Enter a new era of the store also without a lease

Cause: the publisher entered an era only while it had a lease. Two things took the lease away first. And a lease may have expired before the step back. After either, the next grant took over the number of the era as if it had been entered. So the losses written before were never written again, the tenure was not passed on (keys are then not claimed, and idle until they are granted again), and a daemon that watches the store was not told to read it again. The same happened if the step back was noticed between the answer to a grant and the look at the era.

Ruled out: the first read of the copy after the step back. The publisher doesn't depend on it, and steps again after half a lease. A loss whose write was refused under a lease of the former era: it asks for a new one. The stores of io/mtstore have no eras; the platform's names the era with each answer, before that answer is used.

Change: the era entered last counts, not the lease. It is entered before and after each grant and wherever the store says that the lease is gone, in one place (loseLease), which also ends the validity and the tenure after a refused write. A daemon that starts in a later era enters that one too, with a line of its own in the log; a watcher then reads everything again only if its copy is of an earlier era, so nothing is read twice at a start.

The check "not stored" right after the step back was wrong: the watch wakes the publisher, which may have stored the loss again by then. Now the store refuses the loss until the check is made.

--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -1,18 +1,24 @@
 package mtdirectory_test
 
 import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtstandin"
+	"magnoliaturn/io/mttime"
 	"magnoliaturn/io/mtwatch"
 )
 
@@ -195,14 +201,112 @@
 	a := start(t, store, "a")
 	copied := store.Copy()
 	a.Publish(record("a"))
-	loss := mtpoison.Loss{ID: mtpoison.LossID{Daemon: "a", Server: record("a").Incarnation}}
+	loss := lossOf("a")
 	a.PublishLoss(loss)
-	stored := func() bool {
-		_, err := store.Get(t.Context(), mtstore.LossName(loss.ID))
-		return err == nil
-	}
-	waitFor(t, "the loss is stored", func() bool { return stored() && !a.LossPending(loss.ID) })
+	waitFor(t, "the loss is stored", func() bool { return hasLoss(t, store, loss) && !a.LossPending(loss.ID) })
+	store.Fail(func(op, name string) error {
+		if op != "swap" || name != mtstore.LossName(loss.ID) {
+			return nil
+		}
+		return &mtstore.UnavailableError{Op: op, Err: errors.New("busy")}
+	})
 	store.StepBack(copied)
-	assert.Assert(t, !stored())
-	waitFor(t, "the loss is stored again", stored)
+	assert.Assert(t, !hasLoss(t, store, loss))
+	store.Fail(nil)
+	waitFor(t, "the loss is stored again", func() bool { return hasLoss(t, store, loss) })
+}
+
+// Guards against an era that is never entered, because it begins while the daemon has no lease or as it learns that.
+func TestEraIsEnteredWithoutLease(t *testing.T) {
+	steps := map[string]struct {
+		published mtbackend.State // what the daemon writes when the store steps back
+		expired   bool            // the lease expired before
+		before    string          // the call that meets the store after its step back
+		after     string          // the call whose answer is the last one before the step back
+		held      bool            // the tenure lasted until the step back
+	}{
+		"the write of the record shows it":  {published: mtbackend.Draining, before: "swap", held: true},
+		"the lease has expired before":      {published: mtbackend.Ready, expired: true, before: "grant"},
+		"the next lease was granted before": {published: mtbackend.Ready, expired: true, after: "grant"},
+	}
+	for name, step := range steps {
+		t.Run(name, func(t *testing.T) {
+			store := &steppingStore{RevisionStore: mtstandin.NewRevisionStore(time.Now)}
+			copied := store.Copy()
+			var eras atomic.Uint32
+			a, cleanUp := mtdirectory.New(mtdirectory.Config{
+				Self: "a", Store: store, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.DiscardHandler),
+				OnEra: func(era mtid.Era) { eras.Store(uint32(era)) },
+			})
+			t.Cleanup(cleanUp)
+			a.Publish(record("a"))
+			loss := lossOf("a")
+			a.PublishLoss(loss)
+			waitFor(t, "the record and the loss are stored", func() bool {
+				return a.RecordValidUntil() != 0 && hasLoss(t, store, loss) && !a.LossPending(loss.ID)
+			})
+			store.stepBackAt(copied, step.before, step.after)
+			if step.expired {
+				store.EndLeases()
+			}
+			next := record("a")
+			next.State = step.published
+			a.Publish(next)
+			waitFor(t, "the loss is stored again", func() bool { return store.Era() == 1 && hasLoss(t, store, loss) })
+			waitFor(t, "the record is stored again", func() bool { return a.RecordVersion().Era() == 1 && a.Current() })
+			assert.Equal(t, eras.Load(), uint32(1))
+			tenure, ok := a.FormerTenure()
+			assert.Equal(t, ok, step.held, "%v", tenure)
+		})
+	}
+}
+
+// steppingStore is a store that steps back between two calls of the publisher.
+type steppingStore struct {
+	*mtstandin.RevisionStore
+	mu            sync.Mutex
+	before, after string // the call; empty if it doesn't step back there
+	copied        *mtstandin.Copy
+}
+
+// stepBackAt makes the store step back, once, before or after the next call of a kind.
+func (s *steppingStore) stepBackAt(copied *mtstandin.Copy, before, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before, s.after, s.copied = before, after, copied
+}
+
+// reach steps back if op is where it should.
+func (s *steppingStore) reach(at *string, op string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if *at == op {
+		*at = ""
+		s.StepBack(s.copied)
+	}
+}
+
+// Grant implements mtstore.Store.
+func (s *steppingStore) Grant(ctx context.Context, ttl time.Duration) (mtstore.LeaseID, error) {
+	s.reach(&s.before, "grant")
+	defer s.reach(&s.after, "grant")
+	return s.RevisionStore.Grant(ctx, ttl)
+}
+
+// Swap implements mtstore.Store.
+func (s *steppingStore) Swap(ctx context.Context, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
+	s.reach(&s.before, "swap")
+	return s.RevisionStore.Swap(ctx, name, expected, value, lease)
+}
+
+// lossOf returns the loss of a daemon's server.
+func lossOf(daemon mtid.Daemon) mtpoison.Loss {
+	return mtpoison.Loss{ID: mtpoison.LossID{Daemon: daemon, Server: record(daemon).Incarnation}}
+}
+
+// hasLoss reports whether the store contains a loss.
+func hasLoss(t *testing.T, store mtstore.Store, loss mtpoison.Loss) bool {
+	t.Helper()
+	_, err := store.Get(t.Context(), mtstore.LossName(loss.ID))
+	return err == nil
 }
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -51,7 +51,7 @@
 	written   mtbackend.Record
 	renewedAt mtclock.Instant
 	failing   bool
-	era       mtid.Era // of the store, in which the lease was granted
+	era       mtid.Era // of the store, the last one entered
 	tenure    Tenure   // the current one; without Until, and zero if there is none
 	former    atomic.Pointer[Tenure]
 
@@ -255,14 +255,18 @@
 	p.validUntil.Store(int64(p.renewedAt.Add(time.Duration(float64(p.Lease) * (1 - maxClockDrift)))))
 }
 
-// enterEra reports whether the store has begun another era than that of the lease. The lease and
-// the record are lost then: the store gives out their names again.
+// enterEra reports whether the store has begun a later era than the one entered last. The lease and
+// the record, if there are any, are lost then: the store gives out their names again.
 func (p *publisher) enterEra() bool {
 	era := p.Store.Era()
-	if p.lease == "" || era <= p.era {
+	if era <= p.era {
 		return false
 	}
-	p.Log.Warn("own record and lease are lost: the store has begun a new era", "era", era, "before", p.era, "own", p.version.Number())
+	if p.lease == "" {
+		p.Log.Info("own record enters an era of the store without a lease", "era", era, "before", p.era)
+	} else {
+		p.Log.Warn("own record and lease are lost: the store has begun a new era", "era", era, "before", p.era, "own", p.version.Number())
+	}
 	if p.tenure.Since != 0 {
 		ended := p.tenure
 		ended.Until = p.recordValidUntil()
@@ -304,20 +308,27 @@
 			}
 			return err
 		}
-		if !p.enterEra() {
-			p.Log.Warn("own lease has expired", "lease", p.lease)
-			p.lease, p.version, p.tenure = "", 0, Tenure{}
-			p.validUntil.Store(0)
-		}
+		p.loseLease()
 	}
 	lease, err := p.Store.Grant(ctx, p.Lease)
+	p.enterEra() // whether the answer or another one has shown it: a lease of an earlier one is refused
 	if err != nil {
 		return err
 	}
-	p.lease, p.renewedAt, p.era = lease, sent, p.Store.Era()
+	p.lease, p.renewedAt = lease, sent
 	return nil
 }
 
+// loseLease is called when the store has said that the lease is gone, and the record with it.
+func (p *publisher) loseLease() {
+	if p.enterEra() {
+		return
+	}
+	p.Log.Warn("own lease has expired", "lease", p.lease)
+	p.lease, p.version, p.tenure = "", 0, Tenure{}
+	p.validUntil.Store(0)
+}
+
 // writeRecord writes the record. A previous incarnation of this daemon may have left a
 // record whose lease is still active, or an earlier write whose response was lost may
 // have been applied. Both show as a conflict that contains the current entry.
@@ -353,7 +364,7 @@
 			p.version = conflict.Current.Version
 			p.reportPrevious(conflict.Current)
 		case errors.As(err, &expired):
-			p.lease, p.version = "", 0
+			p.loseLease()
 			return err
 		default:
 			return err
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -243,10 +243,13 @@
 
 // enterEra makes a daemon that watches the store read everything again once the store has begun a
 // new era. Its watch may wait for changes after a revision that has been given out again. Daemons
-// that pull from it follow.
-func (m *Mesh) enterEra(mtid.Era) {
+// that pull from it follow. Nothing is read twice when the daemon starts.
+func (m *Mesh) enterEra(era mtid.Era) {
 	directory := m.directory.Load()
-	if directory != nil && m.feed.tree().WatchesStore(m.config.Daemon) {
+	if directory == nil || !m.feed.tree().WatchesStore(m.config.Daemon) {
+		return
+	}
+	if view := directory.View(); view.Revision != 0 && view.Era() < era {
 		directory.Resync()
 	}
 }
