End the tenure of a record that was deleted or replaced before the step back

Cause: a tenure is passed on to the next era of the store if the record let the server hold its keys without a gap. A deletion by another writer, or a conflict that shows that the record may have been absent, left the tenure as it was until the record had been written again. If the store stepped back in between, the tenure counted until then. Its time was mostly zero, because the deletion also ends the validity, and nothing was claimed. But a renewal that was under way could extend the validity once more.

Ruled out: claims on the usual path; they need a time that isn't over.

Change: the deletion and the conflict end the tenure; the next write begins one. A deletion that is reported but not handled yet counts as well.

Conclusion: safe side; the race of the renewal was found by reading, not seen.

--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -228,6 +228,7 @@
 		"the write of the record shows it":  {published: mtbackend.Draining, before: "swap", held: true},
 		"the lease has expired before":      {published: mtbackend.Ready, expired: true, before: "grant"},
 		"the next lease was granted before": {published: mtbackend.Ready, expired: true, after: "grant"},
+		"the record was deleted before":     {published: mtbackend.Ready, expired: true, before: "swap"},
 	}
 	for name, step := range steps {
 		t.Run(name, func(t *testing.T) {
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -238,7 +238,7 @@
 	}
 	if deleted := p.deletedAt.Swap(0); p.version != 0 && deleted > uint64(p.version) {
 		p.Log.Warn("own record was deleted", "own", p.version.Number(), "revision", mtid.Revision(deleted).Number())
-		p.version = 0
+		p.version, p.tenure = 0, Tenure{}
 	}
 	if p.needsWrite(wanted) {
 		if err := p.writeRecord(ctx, wanted); err != nil {
@@ -267,7 +267,7 @@
 	} else {
 		p.Log.Warn("own record and lease are lost: the store has begun a new era", "era", era, "before", p.era, "own", p.version.Number())
 	}
-	if p.tenure.Since != 0 {
+	if p.tenure.Since != 0 && p.deletedAt.Load() <= uint64(p.version) {
 		ended := p.tenure
 		ended.Until = p.recordValidUntil()
 		p.former.Store(&ended)
@@ -360,7 +360,7 @@
 		case errors.As(err, &conflict):
 			// This daemon did not know the current entry, or that there is none: the
 			// record may have been absent in between.
-			interrupted = true
+			interrupted, p.tenure = true, Tenure{}
 			p.version = conflict.Current.Version
 			p.reportPrevious(conflict.Current)
 		case errors.As(err, &expired):
