Ask all daemons at once for a configuration that the store has lost

Cause: a daemon that looks for a configuration which the store has lost asked up to eight others one after the other, each for up to 500 ms. With silent ones among the first, it served without the configuration, or with an older one, for up to four seconds.

Ruled out: applying the answers concurrently. They are applied one by one as they arrive, so that what follows a configuration (routes declared, warm-up) is in the order of the versions in force, and an older one is passed over as before (Ingress.Configure compares versions). Waiting for all answers before applying any: the silent one would delay all.

Change: all sources are asked at once, within one bound of 500 ms. The search ends, and the other calls are canceled, as soon as a configuration of the reported version is in force; a newer one that is reported meanwhile is checked next, as before (TestVersionReportedDuringCheckIsCheckedToo). The cost is up to eight requests where the first source would have been enough, each for the configuration alone, and only where neither the watch nor the poll of the store has delivered it.

Not measured: bytes on the link.

Conclusion: a silent daemon no longer delays the others' answers.

--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -42,6 +42,15 @@
 	return f.serve(ctx, q)
 }
 
+// AskForConfiguration passes the answers of daemons on, with the daemon's name, until a call returns false.
+func AskForConfiguration(peers upstreamClient, sources []mtspread.Node, yield func(mtid.Daemon, []mtstore.Entry, error) bool) {
+	for a := range askForConfiguration(peers, sources) {
+		if !yield(a.from.Daemon, a.entries, a.err) {
+			return
+		}
+	}
+}
+
 // AdoptsPeerFreshness reports whether a daemon without a configuration, for which all zones
 // are in service, adopts the freshness in a reply of another daemon to a message sent just
 // now.
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"slices"
 	"strings"
 	"sync"
@@ -42,9 +43,9 @@
 	// others. A watch that delivers nothing usually belongs to a watcher, and once that one
 	// has read everything again, no other daemon needs to.
 	deferralDivisor = 8
-	// notifyTimeout limits a notification of one other daemon.
+	// notifyTimeout limits a notification of one other daemon, and a search for a configuration.
 	notifyTimeout = 500 * time.Millisecond
-	// maxConfigurationSources is how many daemons are asked, one after the other, for a
+	// maxConfigurationSources is how many daemons are asked, all at once, for a
 	// configuration that the store has lost. The next report of it starts anew, with others.
 	maxConfigurationSources = 8
 )
@@ -116,34 +117,53 @@
 // bring a configuration back into force that had been replaced. Daemons that have restarted too may
 // not have it either.
 func (m *Mesh) pullConfiguration(wanted mtid.Version) {
-	for _, n := range m.configurationSources() {
-		if err := m.pullConfigurationFrom(n); err != nil {
-			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", n.Daemon, "error", err)
+	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
+	for a := range askForConfiguration(peers, m.configurationSources()) {
+		if a.err != nil {
+			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", a.from.Daemon, "error", a.err)
 			continue
 		}
+		for _, e := range a.entries {
+			if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
+				m.config.OnOtherEntry(e) // passes over an older configuration than the one in force
+			}
+		}
 		own := m.knownVersions().ConfigVersion
-		m.config.Log.Info("operators' entries taken from a daemon", "peer", n.Daemon, "configuration", uint64(own), "wanted", uint64(wanted))
+		m.config.Log.Info("operators' entries taken from a daemon", "peer", a.from.Daemon, "configuration", uint64(own), "wanted", uint64(wanted))
 		if own >= wanted {
 			return
 		}
 	}
 }
 
-// pullConfigurationFrom applies the newest configuration that another daemon knows. It requests
-// nothing else: everything together has a hundred kilobytes, and all daemons may have to ask several.
-func (m *Mesh) pullConfigurationFrom(from mtspread.Node) error {
-	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-	defer cancel()
-	reply, err := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers).PullChanges(ctx, from.Address, mtforward.ChangesRequest{Configuration: true})
-	if err != nil {
-		return err
-	}
-	for _, e := range reply.Changes.Entries {
-		if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
-			m.config.OnOtherEntry(e)
+// configurationAnswer is what a daemon has answered that was asked for its configuration.
+type configurationAnswer struct {
+	from    mtspread.Node
+	entries []mtstore.Entry
+	err     error
+}
+
+// askForConfiguration asks daemons at once for the newest configuration that each knows, and returns
+// the answers as they arrive, so that one that is silent delays nobody's. It requests nothing else:
+// everything together has a hundred kilobytes, and all daemons may have to ask several. What is
+// still unanswered when the iteration ends is canceled.
+func askForConfiguration(peers upstreamClient, sources []mtspread.Node) iter.Seq[configurationAnswer] {
+	return func(yield func(configurationAnswer) bool) {
+		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+		defer cancel()
+		answers := make(chan configurationAnswer, len(sources))
+		for _, n := range sources {
+			go func() {
+				reply, err := peers.PullChanges(ctx, n.Address, mtforward.ChangesRequest{Configuration: true})
+				answers <- configurationAnswer{from: n, entries: reply.Changes.Entries, err: err}
+			}()
+		}
+		for range sources {
+			if !yield(<-answers) {
+				return
+			}
 		}
 	}
-	return nil
 }
 
 // configurationSources returns the daemons to ask for a configuration that the store has lost: those
--- /dev/null
+++ b/io/mtmesh/versions_test.go
@@ -0,0 +1,68 @@
+package mtmesh_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtspread"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtforward"
+	"magnoliaturn/io/mtmesh"
+)
+
+// delayedPeers answer a pull after a time each, by address; the others are silent.
+type delayedPeers map[string]time.Duration
+
+// PullChanges returns an entry with the address as its value.
+func (p delayedPeers) PullChanges(ctx context.Context, address string, q mtforward.ChangesRequest) (reply mtforward.ChangesReply, err error) {
+	after, ok := p[address]
+	if !ok {
+		after = time.Hour
+	}
+	select {
+	case <-ctx.Done():
+		return reply, ctx.Err()
+	case <-time.After(after):
+	}
+	if q.Configuration {
+		reply.Changes.Entries = []mtstore.Entry{{Name: "op/routes", Value: []byte(address)}}
+	}
+	return reply, nil
+}
+
+// Guards against daemons that start late because silent ones are asked for the configuration before those that have it.
+func TestSilentDaemonsDoNotDelaySearchForConfiguration(t *testing.T) {
+	sources := []mtspread.Node{node("a", "zone"), node("b", "zone"), node("c", "zone"), node("d", "zone")}
+	peers := delayedPeers{sources[1].Address: 300 * time.Millisecond, sources[3].Address: 20 * time.Millisecond}
+	for name, tt := range map[string]struct {
+		enough mtid.Daemon // its answer ends the search
+		want   []string
+	}{
+		"all are waited for":         {want: []string{"20ms d ok", "300ms b ok", "500ms silent", "500ms silent"}},
+		"the search ends with d":     {enough: "d", want: []string{"20ms d ok"}},
+		"the older one isn't enough": {enough: "b", want: []string{"20ms d ok", "300ms b ok"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var got []string
+				started := time.Now()
+				mtmesh.AskForConfiguration(peers, sources, func(from mtid.Daemon, entries []mtstore.Entry, err error) bool {
+					what := "silent"
+					if err == nil {
+						assert.Equal(t, len(entries), 1)
+						what = string(from) + " ok"
+					}
+					got = append(got, fmt.Sprint(time.Since(started), " ", what))
+					return from != tt.enough || err != nil
+				})
+				assert.DeepEqual(t, got, tt.want)
+			})
+		})
+	}
+}
