Try a rate limit that no call has confirmed

Cause: only an answer to a call ends a limit, and others send calls by the capacity that the daemon beside the server reports. Under a limit relief moves the keys with traffic away. A probe then offers three tenths of the limit, but where each key that is asked for is more work than that, no run of keys fits, or only one whose traffic has just passed: no call, no answer, no end of the limit. The same for a server without keys whose own daemon counts its capacity at once and never calls it.

Change: mtbackend.LimitTrial. After 2 s without a call (or two intervals of a lower limit) the reported capacity doubles each second, up to all slots, until a call begins. The gate keeps to the limit all the while. If the limit is still in force the next trial waits 4 s, then 8 s. Time counts in steps of at most 0.2 s, so neither a pause nor a jump of the clock is taken for silence. It is part of the state of an incarnation: a server that comes back under its id begins without it. A restarted daemon that knows the limit by others reported no capacity limit, and so got no probe, until a call had been timed; now it goes by the service times of the configuration.

Ways weighed: expiry of the limit at the gate (a server that means its limit gets a call per slot at once, and more until the first answer); raising the gate's rate step by step (exceeds the limit by the same steps); larger probes (nothing for servers without keys).

Conclusion: within seconds a limited server is offered work again, at the cost of a few refused calls where the limit is still in force.

--- a/core/mtchoice/least_test.go
+++ b/core/mtchoice/least_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtchoice"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -154,3 +155,23 @@
 	assert.Assert(t, got["f1"] <= 12 && got["f2"] <= 12, "fast servers have requests waiting: %v", got)
 	assert.Assert(t, got["s1"] < got["f1"] && got["s1"] < got["f2"], "%v", got)
 }
+
+// Guards against a server that no call reaches any more, although its limit has ended, since all
+// its daemon's reports say that there is no room.
+func TestLeastLoadedTriesLimitThatNoCallConfirms(t *testing.T) {
+	limited, other := server("limited", "near"), server("other", "near")
+	p := newLeast(limited, other)
+	var trial mtbackend.LimitTrial
+	now := mtclock.Instant(time.Second)
+	for end := now.Add(8 * time.Second); ; {
+		now = now.Add(50 * time.Millisecond)
+		trial.Advance(now, 1, false)
+		capacity := trial.Capacity(1, limited.Slots, 100*time.Millisecond)
+		p.Ended(now, limited.Holder, mtchoice.Inconclusive, mtchoice.LoadReport{ServiceTime: 100 * time.Millisecond, Capacity: capacity, ReceivedAt: now})
+		p.Ended(now, other.Holder, mtchoice.Inconclusive, mtchoice.LoadReport{Requests: 5, ServiceTime: 100 * time.Millisecond, ReceivedAt: now})
+		if h, ok := p.Pick(now, nil); ok && h == limited.Holder {
+			return
+		}
+		assert.Assert(t, now < end, "no call in 8 s")
+	}
+}
--- a/core/mtrange/probe_test.go
+++ b/core/mtrange/probe_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
@@ -127,3 +128,40 @@
 	}
 	assert.Equal(t, total, 200)
 }
+
+// Guards against a limit that outlasts the server's word, since each key with calls is more work
+// than the limit allows, and against many moves to and fro while the limit is still in force.
+func TestServerIsOfferedBusyKeysWhileItsLimitIsTried(t *testing.T) {
+	const seconds, seeds, limit = 60, 20, 1
+	moves := 0
+	for seed := range uint64(seeds) {
+		f, limited := newQuietSim(seed, 3, 0.5, limit)
+		sum := 0.0
+		for i := range f.weights {
+			if i%4000 == 500 {
+				sum++
+			}
+			f.weights[i] = sum
+		}
+		var trial mtbackend.LimitTrial
+		start, firstCall, owned := f.now, time.Duration(0), f.table.Keys(limited)
+		for range seconds * int(time.Second/simStep) {
+			arrived := f.arrived[limited]
+			f.step()
+			trial.Advance(f.now, limit, f.arrived[limited] > arrived)
+			f.capacity[limited] = trial.Capacity(limit, simSlots, time.Duration(float64(simWork)/f.speed[limited]))
+			if f.arrived[limited] > 0 && firstCall == 0 {
+				firstCall = f.now.Sub(start)
+			}
+			if n := f.table.Keys(limited); n != owned {
+				owned = n
+				moves++
+			}
+		}
+		t.Logf("seed %d: first call after %s", seed, firstCall)
+		assert.Assert(t, firstCall > 0 && firstCall < 10*time.Second, "seed %d: first call after %s", seed, firstCall)
+	}
+	got := float64(moves) / seeds
+	t.Logf("%.1f moves in %d seconds", got, seconds)
+	assert.Assert(t, got < 24, "%.1f moves", got)
+}
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -92,6 +92,20 @@
 	return time.Duration(h.relativeTime * h.slowness.Factor(now) * float64(tenth))
 }
 
+// timeForCapacity returns the mean service time, or what the configuration expects while no call
+// has ended here: a restarted daemon may know the limit of its server by others first. It is
+// called with meterMu held.
+func (h *Host) timeForCapacity() time.Duration {
+	if h.meanTime > 0 || len(h.configuredTimes) == 0 {
+		return h.meanTime
+	}
+	var sum time.Duration
+	for _, took := range h.configuredTimes {
+		sum += took
+	}
+	return sum / time.Duration(len(h.configuredTimes))
+}
+
 // average returns the moving average after adding a value.
 func average(mean, value time.Duration) time.Duration {
 	if mean == 0 {
@@ -135,7 +149,7 @@
 // Load returns the current load of the server.
 func (h *Host) Load() mtcall.Load {
 	h.mu.Lock()
-	record, admission, report, limit := h.record, h.admission, h.report(), h.signals.limit.Rate()
+	record, admission, report, limit, trial := h.record, h.admission, h.report(), h.signals.limit.Rate(), h.signals.trial
 	h.mu.Unlock()
 	running, waiting := admission.Busy()
 	h.meterMu.Lock()
@@ -147,7 +161,7 @@
 		Slots:       record.Slots,
 		ServiceTime: h.referenceTime(now),
 		Demand:      h.meter.Demand(now),
-		Capacity:    capacity(limit, record.Slots, h.meanTime),
+		Capacity:    trial.Capacity(limit, record.Slots, h.timeForCapacity()),
 		Report:      report,
 	}
 }
--- a/io/mthost/signals.go
+++ b/io/mthost/signals.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
@@ -18,6 +17,8 @@
 // signals is what the current incarnation of the server has reported with its answers.
 type signals struct {
 	limit   mtbackend.LimitTracker
+	trial   mtbackend.LimitTrial
+	started int64          // h.startedCalls when the trial was last advanced
 	heard   bool           // it has answered a call of this process
 	staying bool           // one of these answers did not report that it leaves
 	logged  mtbackend.Rate // limit that was logged last
@@ -112,6 +113,18 @@
 	h.Log.Info("server's rate limit", "server", h.record.Incarnation.String(), "limit", limitText(rate), "on", on, "started", h.startedCalls.Load())
 }
 
+// tryLimit decides whether the server's rate limit is tried, since no call has confirmed it for
+// some time. The gate keeps to it meanwhile. It is called with mu held.
+func (h *Host) tryLimit() {
+	limit, started := h.signals.limit.Rate(), h.startedCalls.Load()
+	running, _ := h.admission.Busy()
+	busy := running > 0 || started != h.signals.started
+	h.signals.started = started
+	if h.signals.trial.Advance(h.Clock.Steady(), limit, busy) {
+		h.Log.Info("server's rate limit is tried: no recent call has confirmed it", "server", h.record.Incarnation.String(), "limit", limitText(limit), "started", started)
+	}
+}
+
 // limitText returns a rate limit for logs and metrics: the rate per second, or null.
 func limitText(rate mtbackend.Rate) any {
 	if rate >= mtbackend.Unlimited {
@@ -130,16 +143,3 @@
 	}
 	return mtbackend.Report{Notice: n, Unheard: !h.signals.heard}
 }
-
-// minCapacity is the least capacity of a server with a rate limit, in slots: none at all would
-// make every load infinite.
-const minCapacity = 0.05
-
-// capacity returns the number of slots that a rate limit lets a server use on average, if a call
-// takes the given time; zero without a limit.
-func capacity(limit mtbackend.Rate, slots int, service time.Duration) float64 {
-	if limit >= mtbackend.Unlimited || service <= 0 {
-		return 0
-	}
-	return max(min(float64(limit)*service.Seconds(), float64(slots)), minCapacity)
-}
--- a/io/mthost/signals_test.go
+++ b/io/mthost/signals_test.go
@@ -198,3 +198,37 @@
 	s.clock.offset.Add(int64(5 * time.Second))
 	assert.Equal(t, s.refusalCause(true), mtreply.CauseDraining)
 }
+
+// Guards against a limit without calls that is never tried, and against a server that gets more
+// calls than it takes while it is tried: what it reports is raised, not what may start. In a
+// restarted daemon the limit is what another daemon knows.
+func TestTriedLimitHoldsUntilServerAnswers(t *testing.T) {
+	for name, begin := range map[string]func(s *fixture){
+		"named": func(s *fixture) { s.report(limited(1)); assert.Equal(t, s.refusalCause(false), mtreply.Cause("")) },
+		"known by another daemon": func(s *fixture) {
+			refused := s.call(false)
+			refused.Notice = notice("i-1", mtbackend.Notice{Limited: true, Limit: 1})
+			refused.Deadline = s.clock.Now()
+			s.causeOf(refused)
+			s.report(limited(1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, "server")
+			s.startServer("i-1")
+			begin(s)
+			capacity := s.host.Load().Capacity
+			assert.Assert(t, capacity > 0 && capacity < 1, "capacity %v", capacity)
+			s.waitFor("the limit is tried", func(mtbackend.Record) bool {
+				s.clock.offset.Add(int64(100 * time.Millisecond))
+				return s.host.Load().Capacity == 2
+			})
+			assert.Assert(t, s.host.Load().Report.Notice.Limited)
+			assert.Assert(t, s.burst(12, 300*time.Millisecond) <= 2)
+			s.waitFor("the limit counts again", func(mtbackend.Record) bool { return s.host.Load().Capacity < 1 })
+			s.report(mtbackend.Signals{})
+			assert.Equal(t, s.burst(1, 3*time.Second), 1)
+			s.waitFor("the limit has ended", func(mtbackend.Record) bool { return s.host.Load().Capacity == 0 })
+		})
+	}
+}
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -88,6 +88,7 @@
 func (h *Host) updateLimits(now mtclock.Instant) {
 	h.updateZone(now)
 	h.updateStartLimit()
+	h.tryLimit()
 }
 
 // updateZone closes the gate while the zone is out of service, and reopens it afterwards.
