Don't take a heartbeat's accept for the time at which its sender connected

The liveness connection was confirmed by a heartbeat whose connection was accepted after it had been opened. The kernel completes connections by itself, and a daemon that is slow or was frozen accepts them later: server A sends its heartbeat and ends, B starts at the address, the liveness connection is opened (to B), A's connection is accepted.

One that is accepted later was opened after the queue was last empty. The check is in the accepting goroutine: one beside it can't tell an empty queue from one just emptied.

Cost: no request. Five poll calls a second on one listener per daemon (not measured). A heartbeat confirms if the queue was seen empty between the opening and its connection: an incarnation that doesn't answer by name waits a second longer if its heartbeat comes within 0.2 s of the opening. Renewals of the connection each 2 s take over the confirmation as before.

What holds at the other uses: - hasOutlivedEnd, warm-up: by the time of the empty queue. Too early a time costs one heartbeat interval. - heardSince (check of a process): by the accept, as before. There the later time is the safe one: a running server must not be taken for ended. - the crash detector: by the empty queue, less the second as before, which now only covers a server that breaks connections some moments before it ends. Clears up to 0.2 s later. - lastConnected is lastAccepted now; only heardSince reads it.

TestHeartbeatCarriesAcceptTimeOfItsConnection is replaced: it used the function that is gone. The new one asks for more: that the time of the empty queue also grows with each heartbeat.

Only reasoned: that Linux hands connections out in order, that the queue is not full, and that nothing between server and daemon accepts in its stead and connects later.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -73,10 +73,13 @@
 	Sequence uint64
 	// Cold is the remaining time for which the server is cold.
 	Cold time.Duration
-	// Connected is when the connection that carried the heartbeat was accepted. Its sender
-	// was alive when it opened the connection: a moment earlier, or longer if the daemon is
-	// busy. The heartbeat itself may arrive far later. Zero if unknown.
+	// Connected is a time before the sender opened the connection that carried the heartbeat:
+	// it was running after that. The heartbeat itself may arrive far later. Zero if unknown.
 	Connected mtclock.Instant
+	// Accepted is when that connection was accepted: a moment after the sender opened it, or
+	// longer if the daemon is busy or was frozen. The sender may have ended before. Zero if
+	// unknown.
+	Accepted mtclock.Instant
 }
 
 // Owner returns the incarnation of the server as an owner of keys.
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -23,10 +23,9 @@
 	// maxLosses is the number of losses retained, the newest ones: all servers of a large
 	// fleet may be lost at once.
 	maxLosses = 1024
-	// maxAcceptDelay is how long a heartbeat's connection may wait until the daemon accepts it:
-	// several times what a busy VM needs. It also covers a server that breaks the connections of
-	// requests some moments before its process ends.
-	maxAcceptDelay = time.Second
+	// maxBreakLead is how long before its process ends a server may break the connections of
+	// requests and still send heartbeats: several times what a busy VM needs.
+	maxBreakLead = time.Second
 )
 
 // RecurrenceDetector detects requests that crash every backend server that runs them, by
@@ -40,7 +39,7 @@
 // every server never gets.
 //
 // The daemon beside a server tracks the requests in flight there (Started, Ended,
-// HeartbeatAccepted, ServerLost). How a run ended doesn't tell whether the server crashed: its
+// HeartbeatOpened, ServerLost). How a run ended doesn't tell whether the server crashed: its
 // connections may close in order, be reset or fall silent, and the caller may have left
 // before. So each run without an answer counts as in flight at a loss until the server is
 // known to have run after it. Losses are stored where they outlive all daemons, and each
@@ -122,12 +121,12 @@
 	}
 }
 
-// HeartbeatAccepted records that the connection of a heartbeat was accepted at the given time, from
-// a server that has not been lost since. The server opened it up to maxAcceptDelay earlier and may
-// have ended meanwhile. By the time of the accept it would seem to have outlived the request that
-// crashed it, and the crash would count against none.
-func (r *RecurrenceDetector) HeartbeatAccepted(at mtclock.Instant) {
-	r.serverAlive(at.Add(-maxAcceptDelay))
+// HeartbeatOpened records that a server that has not been lost since opened the connection of a
+// heartbeat after the given time. It may have been about to end by then. If that showed that it had
+// outlived the request that crashed it, the crash would count against none. Nor does the time of the
+// accept show it: the server may have ended while the connection waited.
+func (r *RecurrenceDetector) HeartbeatOpened(at mtclock.Instant) {
+	r.serverAlive(at.Add(-maxBreakLead))
 }
 
 // serverAlive records that the server's process, which has not been lost since, was running at
--- a/core/mtpoison/recurring_test.go
+++ b/core/mtpoison/recurring_test.go
@@ -173,7 +173,7 @@
 		r := mtpoison.NewRecurrenceDetector()
 		now := mtclock.Instant(time.Hour)
 		r.Ended(now, r.Started(now, poison, now.Add(time.Second)), mtpoison.Broken)
-		r.HeartbeatAccepted(now.Add(after))
+		r.HeartbeatOpened(now.Add(after))
 		assert.Equal(t, len(suspectsOf(r, now.Add(after))) == 1, suspected, "%s after the run", after)
 	}
 }
--- a/io/mthost/crash.go
+++ b/io/mthost/crash.go
@@ -67,11 +67,11 @@
 	return err.Cause == mtreply.CauseLost || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// heartbeatAccepted records that the connection of a heartbeat was accepted at the given time.
-func (h *Host) heartbeatAccepted(at mtclock.Instant) {
+// heartbeatOpened records that the server opened the connection of a heartbeat after the given time.
+func (h *Host) heartbeatOpened(at mtclock.Instant) {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
-	h.recurring.HeartbeatAccepted(at)
+	h.recurring.HeartbeatOpened(at)
 }
 
 // serverLost records that the server's process has terminated. It is called with mu held,
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -138,15 +138,15 @@
 // held.
 func (h *Host) applyHeartbeat(b mtbackend.Heartbeat) {
 	now := h.Clock.Now()
-	h.lastHeartbeat, h.lastConnected, h.silent = now, max(h.lastConnected, b.Connected), false
-	h.heartbeatAccepted(b.Connected)
+	h.lastHeartbeat, h.lastAccepted, h.silent = now, max(h.lastAccepted, b.Accepted), false
+	h.heartbeatOpened(b.Connected)
 	if b.Sequence < h.sequence {
 		return
 	}
 	h.regrantDenied()
-	// A heartbeat may arrive seconds after its sender has terminated. Its sender was
-	// running when the heartbeat's connection was accepted; if that was after the liveness
-	// connection had been opened, both lead to the same incarnation.
+	// A heartbeat may arrive, and its connection may be accepted, seconds after its sender has
+	// terminated. If the sender opened that connection after the liveness connection had been
+	// opened, both lead to the same incarnation.
 	if h.liveness != nil && h.liveness.opened.Before(b.Connected) {
 		h.confirmLiveness(h.liveness)
 	}
--- a/io/mthost/liveness_test.go
+++ b/io/mthost/liveness_test.go
@@ -131,11 +131,15 @@
 	s.waitFor("the incarnation is connected", func(mtbackend.Record) bool { return s.host.ConnectedTo(previous) })
 	first.end()
 	s.waitFor("the incarnation is disconnected", func(mtbackend.Record) bool { return !s.host.ConnectedTo(previous) })
+	opened := s.clock.Now()
 	second := newProcess(t, first.address())
 	conn := <-second.accepted // opened by the daemon
 	defer conn.Close()
 	time.Sleep(50 * time.Millisecond) // until the daemon has recorded that it is open
-	s.heartbeat(heartbeat(100, 2))
+	late := heartbeat(100, 2)
+	s.heartbeat(late)
+	late.Connected, late.Accepted, late.Sequence = opened.Add(-time.Millisecond), s.clock.Now(), 3
+	s.heartbeat(late)
 	assert.Assert(t, !s.host.ConnectedTo(previous), "a late heartbeat confirmed the incarnation that answers")
 	s.heartbeat(heartbeat(200, 1))
 	s.waitFor("the new incarnation is connected", func(mtbackend.Record) bool {
--- a/io/mthost/process.go
+++ b/io/mthost/process.go
@@ -60,10 +60,11 @@
 
 // heardSince reports whether a heartbeat has arrived during a check that found no connection, and
 // refutes it. A busy server that takes no connections gets one through at times: when that was
-// looked at before the check only, servers were taken for ended 0.1 s after their heartbeat. It is
-// called with mu held.
+// looked at before the check only, servers were taken for ended 0.1 s after their heartbeat. One whose
+// sender connected earlier refutes it too: a server that runs must not be taken for ended, and one
+// that has ended is checked again. It is called with mu held.
 func (h *Host) heardSince(begun mtclock.Instant, found processState) bool {
-	return h.lastConnected.After(begun) || found == processSilent && !h.noHeartbeat(h.Clock.Now())
+	return h.lastAccepted.After(begun) || found == processSilent && !h.noHeartbeat(h.Clock.Now())
 }
 
 // handleUnreachable ends the current incarnation of the server, at which no connection could be
@@ -97,7 +98,7 @@
 }
 
 // hasOutlivedEnd reports whether a heartbeat shows that the current incarnation runs although
-// it was taken for ended: its sender was running when it connected, which was after that. Only
+// it was taken for ended: its sender was running when it connected, certainly after that. Only
 // an end inferred from silence is taken back; where connections were refused the process has
 // ended. It is called with mu held.
 func (h *Host) hasOutlivedEnd(b mtbackend.Heartbeat) bool {
--- a/io/mthost/process_test.go
+++ b/io/mthost/process_test.go
@@ -145,7 +145,7 @@
 			s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 			s.clock.offset.Add(int64(3 * time.Second)) // no heartbeat for so long
 			s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
-			beat.Sequence, beat.Connected = 2, s.clock.Now()
+			beat.Sequence, beat.Accepted = 2, s.clock.Now()
 			s.heartbeat(beat)
 			time.Sleep(700 * time.Millisecond) // longer than the check takes
 			assert.Equal(t, s.record().State, mtbackend.Ready)
@@ -168,7 +168,7 @@
 	s := newFixture(t, "server")
 	startSilentServer(t, s)
 	late := s.newHeartbeat("one", 2)
-	late.Connected = s.clock.Now().Add(-time.Second) // its sender may have ended since
+	late.Connected, late.Accepted = s.clock.Now().Add(-time.Second), s.clock.Now() // its sender may have ended since
 	s.heartbeat(late)
 	assert.Equal(t, s.record().State, mtbackend.Ended)
 	next := s.newHeartbeat("one", 3)
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -25,6 +25,7 @@
 	"sync/atomic"
 	"time"
 
+	"magnoliaturn/core/mtclock"
 	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtpipeline"
 )
@@ -68,12 +69,11 @@
 	Grace          time.Duration // how long a shutdown waits for requests; 0 means DefaultGrace
 	TLS            *tls.Config
 	// Pipelined processes pipelined requests concurrently, with package mtpipeline. TLS,
-	// ReadTimeout, WriteTimeout and ConnContext are ignored then.
+	// ReadTimeout, WriteTimeout and Clock are ignored then.
 	Pipelined bool
 	Log       *slog.Logger // nil means slog.Default()
-	// ConnContext modifies the context of the requests on a new connection, as in
-	// net/http. It may be nil.
-	ConnContext func(ctx context.Context, conn net.Conn) context.Context
+	// Clock is the clock for TimesOf; nil if it is not used.
+	Clock interface{ Now() mtclock.Instant }
 }
 
 // Server is an open listener and the HTTP server that handles its connections.
@@ -146,17 +146,20 @@
 	if options.Log == nil {
 		options.Log = slog.Default()
 	}
-	s := &Server{
-		listener: listener, engine: newEngine(handler, options),
-		accepting: make(chan struct{}), failed: make(chan error, 1), done: make(chan struct{}),
-	}
-	watched := &watchedListener{
+	s := &Server{listener: listener, accepting: make(chan struct{}), failed: make(chan error, 1), done: make(chan struct{})}
+	var accepted net.Listener = &watchedListener{
 		Listener: LimitConnections(listener, options.MaxConnections),
 		onAccept: sync.OnceFunc(func() { close(s.accepting) }),
 	}
+	var connContext func(context.Context, net.Conn) context.Context
+	if options.Clock != nil && !options.Pipelined {
+		timed := newTimedListener(accepted, listener, options.Clock)
+		accepted, connContext = timed, timed.connContext
+	}
+	s.engine = newEngine(handler, options, connContext)
 	go func() {
 		defer close(s.done)
-		if err := s.engine.Serve(watched); err != http.ErrServerClosed {
+		if err := s.engine.Serve(accepted); err != http.ErrServerClosed {
 			s.failed <- &ListenError{Address: s.Address(), Err: err}
 		}
 	}()
@@ -167,7 +170,7 @@
 // their responses, at least one. The rest is left for callers that open new ones.
 const keptDivisor = 2
 
-func newEngine(handler http.Handler, options Options) engine {
+func newEngine(handler http.Handler, options Options, connContext func(context.Context, net.Conn) context.Context) engine {
 	if options.Pipelined {
 		limits := mtpipeline.Limits{MaxHeaderBytes: MaxHeaderBytes, HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, MaxConcurrent: maxPipelined, MaxKept: max(options.MaxConnections/keptDivisor, 1)}
 		return &mtpipeline.Server{Handler: handler, Limits: limits, Log: options.Log}
@@ -180,7 +183,7 @@
 		IdleTimeout:       IdleTimeout,
 		MaxHeaderBytes:    MaxHeaderBytes,
 		TLSConfig:         options.TLS,
-		ConnContext:       options.ConnContext,
+		ConnContext:       connContext,
 	}
 	return &httpServer{Server: server, tls: options.TLS != nil, log: options.Log}
 }
