Don't replace a running server by two late heartbeats of its predecessor

A second heartbeat of an unknown incarnation makes it the current one without asking the server. A daemon that was restarted does not know which incarnations have ended. If it knows the running one, and two heartbeats of a former one arrive late (accepted late, or on their way), the former one became current: the running one counted as ended for good, its keys were free for others while it held its grants, and its heartbeats were ignored. So too if it had answered the query with its name in between.

Failing first: 2 of 2 ways of the new test ("old" is current).

Change: a second heartbeat replaces a known incarnation only if its sender connected after the last heartbeat of the known one was accepted: then it ran later. A successor's heartbeats do, except one sent before a late heartbeat of its predecessor is accepted: the next one does. The query by name decides as before.

Ruled out: to forget the unknown heartbeat once the running server has named itself is not enough, since the second may arrive before the answer. Not changed: that heartbeat stays, so that the server is asked its name again every 50 ms for two seconds (by reading; not counted).

Open, only reasoned: at a restarted daemon that has no heartbeat of the running one yet, two late ones of a former one still count, until the first of the running one comes. It is sent no grants, since no heartbeat nor name confirms the connection.

Runs: io/mthost with the race detector 3 times, passed.

--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -73,11 +73,13 @@
 
 // handleUnconfirmed determines whether the sender of a heartbeat is the running
 // incarnation, by querying the server. If that fails, a second heartbeat of the same
-// incarnation confirms it too. It is called with mu held.
+// incarnation confirms it too, unless both may have been sent before the known incarnation
+// started: then that one would be taken for ended. It is called with mu held.
 func (h *Host) handleUnconfirmed(b mtbackend.Heartbeat) {
 	previous := h.unconfirmed
 	h.unconfirmed, h.unconfirmedAt = b, h.Clock.Now()
-	if previous.Incarnation == b.Incarnation && b.Sequence > previous.Sequence {
+	later := h.record.Incarnation.IsZero() || b.Connected.After(h.lastAccepted)
+	if previous.Incarnation == b.Incarnation && b.Sequence > previous.Sequence && later {
 		h.startIncarnation(b)
 		return
 	}
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -158,7 +158,7 @@
 	// identifying is set while a query for the running incarnation is in progress.
 	identifying       bool
 	lastHeartbeat     mtclock.Instant         // time of the latest heartbeat
-	lastAccepted      mtclock.Instant         // when the latest connection with a heartbeat was accepted
+	lastAccepted      mtclock.Instant         // when the latest connection with a heartbeat of the current incarnation was accepted
 	lastCheck         mtclock.Instant         // time of the latest process check for lack of heartbeats
 	silent            bool                    // it answered nothing at the latest process check
 	endInferredAt     mtclock.Instant         // when the current incarnation was taken for ended because of silence; zero if it was not
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -204,6 +204,36 @@
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.Incarnation.Server == "new" && r.AcceptsWork() })
 }
 
+// Guards against a running server that is taken for ended, so that others get its keys, because two
+// heartbeats of its predecessor arrive late at a daemon that was restarted meanwhile.
+func TestLateHeartbeatsOfPredecessorDoNotReplaceRunningServer(t *testing.T) {
+	for name, answers := range map[string]mtid.Server{"it says its name": "new", "it does not answer": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, "server")
+			s.startServer("new")
+			running := s.newHeartbeat("new", 2)
+			running.Connected, running.Accepted = s.clock.Now(), s.clock.Now()
+			s.heartbeat(running)
+			s.server.mu.Lock()
+			s.server.incarnation = answers
+			s.server.mu.Unlock()
+			for sequence := range uint64(3) {
+				late := s.newHeartbeat("old", 7+sequence)
+				late.Connected, late.Accepted = running.Connected.Add(-time.Second), s.clock.Now()
+				s.heartbeat(late)
+			}
+			known, _ := s.host.Record()
+			assert.Equal(t, known.Incarnation.Server, mtid.Server("new"))
+			next := s.newHeartbeat("next", 1)
+			next.Connected, next.Accepted = running.Accepted.Add(time.Millisecond), s.clock.Now()
+			s.heartbeat(next)
+			next.Sequence, next.Connected = 2, s.clock.Now()
+			s.heartbeat(next)
+			s.waitFor("its successor is known", func(r mtbackend.Record) bool { return r.Incarnation.Server == "next" })
+		})
+	}
+}
+
 // After a power failure all VMs restart at once. The server's first heartbeat arrives
 // before its daemon has a configuration, so that the server can't be queried, and before it
 // has the assignment. If the daemon waited for the next heartbeat, the server would be out
