Offer a server work again after the end of its rate limit

Cause: under a limit a server's keys move to others. After its end it gets keys only from owners above 0.85 of their slots: where they have room it stays without work.

Change: for 20 s after the end the daemon reports all slots as a capacity, which is the same room but lets the owners' probes go on; they look for a capacity as they look for a limit. A probe takes no more than evens out the two owners: three tenths of all slots may be all that a calm owner has.

Weighed: relief below 0.85 for all servers (more moves everywhere).

--- a/core/mtbackend/trial_test.go
+++ b/core/mtbackend/trial_test.go
@@ -54,6 +54,8 @@
 		assert.Equal(t, s.capacity(20), 0.2)
 	}
 	s.trial.Advance(s.now, mtbackend.Unlimited, true)
+	assert.Equal(t, s.capacity(mtbackend.Unlimited), 4.0) // so that others offer it work
+	s.quietFor(21*time.Second, mtbackend.Unlimited)
 	assert.Equal(t, s.capacity(mtbackend.Unlimited), 0.0)
 	assert.Equal(t, s.quietFor(3*time.Second, 20), 1)
 	s = &trialSim{now: at(1000)}
--- a/core/mtrange/offload.go
+++ b/core/mtrange/offload.go
@@ -47,7 +47,7 @@
 	ServiceTime time.Duration // service time of a standard request; 0 if not known
 	Keys        int           // number of keys that it owns
 	Known       bool          // whether a recent report of the load is available
-	Limited     bool          // whether its last report, however old, named a rate limit
+	Limited     bool          // whether its last report, however old, named a rate limit or a capacity
 }
 
 func (r LoadReport) slots() float64 {
--- a/core/mtrange/probe.go
+++ b/core/mtrange/probe.go
@@ -39,7 +39,8 @@
 // loaded it is itself. Only an answer to a call ends a limit: a server whose keys have moved away
 // would keep its limit, and get no keys, for as long as nobody asks for one of those that it has
 // left. It gets less work than the limit allows, so that the probe costs nothing if the limit is
-// still in force.
+// still in force, and no more than evens out the two. A server whose limit has just ended reports
+// all its slots, and gets work in the same way: its keys have moved to owners that have room.
 //
 // The owners take turns, so that not all of them probe a server at once. Their clocks differ: on
 // average it is the turn of one of them.
@@ -52,7 +53,8 @@
 		if !o.Known || o.Capacity <= 0 || o.load() >= probeBelow || !isProber(now, self, o, others) {
 			continue
 		}
-		offloads = append(offloads, Offload{To: o.Owner, Amount: o.spareCapacity(self, probeShare)})
+		level := min(balancedLoad(self, []LoadReport{o}), probeShare)
+		offloads = append(offloads, Offload{To: o.Owner, Amount: o.spareCapacity(self, level)})
 	}
 	return offloads
 }
--- a/core/mtrange/probe_test.go
+++ b/core/mtrange/probe_test.go
@@ -165,3 +165,22 @@
 	t.Logf("%.1f moves in %d seconds", got, seconds)
 	assert.Assert(t, got < 24, "%.1f moves", got)
 }
+
+// Guards against a server that gets next to no work for good after the end of its limit, since
+// the owners that its keys have moved to have room.
+func TestServerGetsKeysBackAfterItsLimit(t *testing.T) {
+	for _, utilization := range []float64{0.05, 0.3, 0.6} {
+		for seed := range uint64(20) {
+			f, limited := newQuietSim(seed, 3, utilization, quietLimit)
+			var trial mtbackend.LimitTrial
+			trial.Advance(f.now, quietLimit, false)
+			for range 12 * int(time.Second/simStep) {
+				f.step()
+				trial.Advance(f.now, mtbackend.Unlimited, false)
+				f.capacity[limited] = trial.Capacity(mtbackend.Unlimited, simSlots, simWork)
+			}
+			got, usual := float64(f.arrived[limited])/12, f.rate/3
+			assert.Assert(t, got > usual/8, "seed %d at %.2f: %.1f calls a second of %.1f", seed, utilization, got, usual)
+		}
+	}
+}
