Ask a server that has hardly any keys whether it has a rate limit

Cause: an owner looks for a limited server only if a report named the limit. Such reports come with replies to calls.

Change: ProbeDue also holds for a server with less than an eighth of the mean number of keys and no recent report. Its load is then queried by one owner per turn; no new message.

Weighed: asking all servers without a recent report (40 servers would ask one another all the time); a report pushed by the limited server (a message).

Left: a server that keeps many keys nobody asks for, of whose limit no owner has heard, is still not asked.

--- a/core/mtrange/probe.go
+++ b/core/mtrange/probe.go
@@ -22,6 +22,10 @@
 	probeShare = 0.3
 	// probeTurn is how long one owner is the only one that probes a server.
 	probeTurn = 2 * time.Second
+	// strippedShare is the share of the mean number of keys below which a server without a
+	// recent report may have a limit that the owner has not heard of: its keys may have moved
+	// away before any answer to this daemon named it.
+	strippedShare = 0.125
 )
 
 // PlanAll returns what the owner offloads because it is overloaded, and its probes.
@@ -60,13 +64,25 @@
 }
 
 // ProbeDue reports whether it is the owner's turn to probe a server that had a rate limit when it
-// was last heard of, so that it is worth querying its load.
+// was last heard of, or that has hardly any keys and isn't heard of, so that it is worth querying
+// its load.
 func ProbeDue(now mtclock.Instant, self LoadReport, others []LoadReport) bool {
+	few := strippedShare * meanKeys(self, others)
 	return self.Capacity <= 0 && slices.ContainsFunc(others, func(o LoadReport) bool {
-		return o.Limited && isProber(now, self, o, others)
+		stripped := !o.Known && !o.empty() && float64(o.Keys) < few
+		return (o.Limited || stripped) && isProber(now, self, o, others)
 	})
 }
 
+// meanKeys returns the mean number of keys of all owners.
+func meanKeys(self LoadReport, others []LoadReport) float64 {
+	sum := self.Keys
+	for _, o := range others {
+		sum += o.Keys
+	}
+	return float64(sum) / float64(len(others)+1)
+}
+
 // isProber reports whether it is the owner's turn among all owners to probe the server.
 func isProber(now mtclock.Instant, self, server LoadReport, others []LoadReport) bool {
 	own := probeDraw(now, self.Owner, server.Owner)
--- a/core/mtrange/probe_test.go
+++ b/core/mtrange/probe_test.go
@@ -84,6 +84,8 @@
 	limited := loadReport("b", 0, 1.2)
 	limited.Limited = true
 	used, unlimited, old := limited, loadReport("b", 0, 0), limited
+	stripped, known := unlimited, unlimited
+	stripped.Keys, stripped.Known, known.Keys = 1, false, 1
 	used.Demand = 0.5
 	old.Known = false
 	for _, test := range []struct {
@@ -97,6 +99,8 @@
 		{"a limit and calls", loadReport("a", 3, 0), used, false, true},
 		{"no limit", loadReport("a", 3, 0), unlimited, false, false},
 		{"only an old report", loadReport("a", 3, 0), old, false, true},
+		{"hardly any keys and no report", loadReport("a", 3, 0), stripped, false, true},
+		{"hardly any keys and no limit", loadReport("a", 3, 0), known, false, false},
 		{"the owner has a limit too", loadReport("a", 3, 5), limited, false, false},
 	} {
 		offloads := mtrange.PlanProbe(0, test.self, []mtrange.LoadReport{test.other})
