--- a/core/mtrange/probe_test.go
+++ b/core/mtrange/probe_test.go
@@ -84,6 +84,8 @@
 	limited := loadReport("b", 0, 1.2)
 	limited.Limited = true
 	used, unlimited, old := limited, loadReport("b", 0, 0), limited
+	stripped, known := unlimited, unlimited
+	stripped.Keys, stripped.Known, known.Keys = 1, false, 1
 	used.Demand = 0.5
 	old.Known = false
 	for _, test := range []struct {
@@ -97,6 +99,8 @@
 		{"a limit and calls", loadReport("a", 3, 0), used, false, true},
 		{"no limit", loadReport("a", 3, 0), unlimited, false, false},
 		{"only an old report", loadReport("a", 3, 0), old, false, true},
+		{"hardly any keys and no report", loadReport("a", 3, 0), stripped, false, true},
+		{"hardly any keys and no limit", loadReport("a", 3, 0), known, false, false},
 		{"the owner has a limit too", loadReport("a", 3, 5), limited, false, false},
 	} {
 		offloads := mtrange.PlanProbe(0, test.self, []mtrange.LoadReport{test.other})
@@ -165,3 +169,22 @@
 	t.Logf("%.1f moves in %d seconds", got, seconds)
 	assert.Assert(t, got < 24, "%.1f moves", got)
 }
+
+// Guards against a server that gets next to no work for good after the end of its limit, since
+// the owners that its keys have moved to have room.
+func TestServerGetsKeysBackAfterItsLimit(t *testing.T) {
+	for _, utilization := range []float64{0.05, 0.3, 0.6} {
+		for seed := range uint64(20) {
+			f, limited := newQuietSim(seed, 3, utilization, quietLimit)
+			var trial mtbackend.LimitTrial
+			trial.Advance(f.now, quietLimit, false)
+			for range 12 * int(time.Second/simStep) {
+				f.step()
+				trial.Advance(f.now, mtbackend.Unlimited, false)
+				f.capacity[limited] = trial.Capacity(mtbackend.Unlimited, simSlots, simWork)
+			}
+			got, usual := float64(f.arrived[limited])/12, f.rate/3
+			assert.Assert(t, got > usual/8, "seed %d at %.2f: %.1f calls a second of %.1f", seed, utilization, got, usual)
+		}
+	}
+}
