Notice that a caller leaves behind a request that isn't read yet

Cause: a caller's leaving is noticed by the read of the next request. While a request with a body waits for those before it, one waits behind such a request, the limit of a connection is reached, or the rest of the input is invalid, nothing is read, and the calls before go on to servers until they end by themselves.

Failing first: 4 of the 5 ways of the new test (not canceled after 10 s; "announced" passed before and stays as a guard).

Change: while nothing is read, the kernel is asked every 200 ms whether the caller has disconnected. Only connections that wait in one of these ways are asked. That is by POLLRDHUP: a caller that closes its side only counts as gone, as it does when its end is read. The limited listener passes the socket on; without that the test of mtlisten fails.

Ruled out: to read on into the buffer fails if it is full, and can't be ended when the answer is written without moving the read deadline.

Runs, race detector: io/mtpipeline 2 times, io/mtlisten 2 times, passed.

--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"magnoliaturn/core/mtclock"
@@ -273,6 +274,15 @@
 	return errors.ErrUnsupported
 }
 
+// SyscallConn implements syscall.Conn. It fails with errors.ErrUnsupported if the connection has
+// no socket.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	defer c.release()
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -50,6 +50,32 @@
 	}
 }
 
+// Guards against requests that go on after their caller has left behind further requests, at a
+// listener that limits connections.
+func TestDisconnectBehindUnreadRequestIsNoticed(t *testing.T) {
+	begun, canceled := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
+		<-r.Context().Done()
+		close(canceled)
+	})
+	server, cleanUp, err := mtlisten.Serve("127.0.0.1:0", handler, mtlisten.Options{Pipelined: true})
+	assert.NilError(t, err)
+	defer cleanUp()
+	conn, err := net.Dial("tcp", server.Address())
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\nGET / HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	<-begun
+	assert.NilError(t, conn.Close())
+	select {
+	case <-canceled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the context of the request was not canceled")
+	}
+}
+
 // Guards against callers of a crowd whose new connections are closed unanswered because earlier
 // ones keep theirs open without using them: each of several callers sends one request, and closes
 // its connection only if the response says so. Guards also against a listener for few connections
--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -78,13 +78,13 @@
 		}
 		request, err := c.readRequest()
 		if err != nil {
-			<-previous
+			c.awaitAnswered(previous)
 			c.reject(err)
 			break
 		}
 		previous = c.exchange(request, previous)
 	}
-	<-previous
+	c.awaitAnswered(previous)
 	c.cancel()
 	mtdial.Linger(c.Conn)
 }
@@ -185,7 +185,7 @@
 	e := &exchange{conn: c, request: request, previous: previous, done: make(chan struct{}), header: make(http.Header)}
 	exclusive := !concurrent(request)
 	if exclusive {
-		<-previous
+		c.awaitAnswered(previous)
 		e.trackBody()
 	}
 	c.mu.Lock()
@@ -204,9 +204,9 @@
 		if _, err := c.reader.Peek(1); err != nil && !c.awaitsFinalRead() {
 			c.cancel()
 		}
-		<-e.done
+		c.awaitAnswered(e.done)
 	case atLimit:
-		<-e.done
+		c.awaitAnswered(e.done)
 	}
 	return e.done
 }
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -172,6 +172,44 @@
 	}
 }
 
+// Guards against requests that are sent on to servers after their caller has left: it was not
+// noticed while a later request of the connection waited for them, or too many were in progress.
+func TestDisconnectBehindUnreadRequestCancelsRequests(t *testing.T) {
+	post := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	for name, test := range map[string]struct {
+		requests string
+		begun    int
+	}{
+		"body behind":    {get("/0") + post, 1},
+		"behind a body":  {post + get("/0"), 1},
+		"too many":       {strings.Repeat(get("/0"), 9), 8},
+		"announced":      {"GET /0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + get("/1"), 2},
+		"invalid behind": {get("/0") + "rubbish\r\n\r\n", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, canceled := make(chan struct{}, 16), make(chan struct{}, 16)
+			s := newTestConn(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				begun <- struct{}{}
+				<-r.Context().Done()
+				canceled <- struct{}{}
+			})
+			s.send(test.requests)
+			for range test.begun {
+				<-begun
+			}
+			assert.NilError(t, s.conn.Close())
+			for range test.begun {
+				select {
+				case <-canceled:
+				case <-time.After(10 * time.Second):
+					t.Fatal("the context of the request was not canceled")
+				}
+			}
+		})
+	}
+}
+
 // Shutdown must answer the requests that have been read, close idle connections, and accept
 // no new ones.
 func TestShutdownAnswersPendingRequests(t *testing.T) {
