Make named credentials in one place

Cause: the commands that make a signer's key and an operator's token were the same 16 lines with another file name and another printed field.

Ruled out: one function for all five commands. The authority, the certificate and the secret have other arguments and print nothing public.

Change: one function makes both (runKeygenNamed); files and output are the same.

Measured: go test -race -count=1 ./io/mtcommand passed, which uses the files and lines that both print. 8 lines less. Conclusion: no change in behaviour.

--- a/io/mtcommand/keygen.go
+++ b/io/mtcommand/keygen.go
@@ -143,21 +143,7 @@
 		console: c, name: "signer", synopsis: "make a signer's key", usage: "NAME DIRECTORY",
 		help:    "Writes NAME.key, which only the signer holds, and prints the lines with the\npublic key that go into the bundle.",
 		example: "magnoliaturn keygen signer janis keys",
-		run: func(_ context.Context, args []string) error {
-			if err := checkArgCount(args, 2, 2, "NAME DIRECTORY"); err != nil {
-				return err
-			}
-			if err := checkName(args[0]); err != nil {
-				return err
-			}
-			file := filepath.Join(args[1], args[0]+".key")
-			public, err := mttls.MakeSigner(file)
-			if err != nil {
-				return err
-			}
-			c.showKeygenResult(keygenResult{Files: []string{file}, Public: public}, "[signer "+args[0]+"]\nkey = "+public)
-			return nil
-		},
+		run:     c.runKeygenNamed(".key", mttls.MakeSigner, "signer", "key"),
 	}
 }
 
@@ -166,20 +152,26 @@
 		console: c, name: "token", synopsis: "make an operator's token", usage: "NAME DIRECTORY",
 		help:    "Writes NAME.token, which only the operator holds, and prints the lines with its\nhash that go into the daemons' operators file.",
 		example: "magnoliaturn keygen token ilze keys",
-		run: func(_ context.Context, args []string) error {
-			if err := checkArgCount(args, 2, 2, "NAME DIRECTORY"); err != nil {
-				return err
-			}
-			if err := checkName(args[0]); err != nil {
-				return err
-			}
-			file := filepath.Join(args[1], args[0]+".token")
-			hash, err := mttls.MakeToken(file)
-			if err != nil {
-				return err
-			}
-			c.showKeygenResult(keygenResult{Files: []string{file}, Public: hash}, "[operator "+args[0]+"]\ntoken-sha256 = "+hash)
-			return nil
-		},
+		run:     c.runKeygenNamed(".token", mttls.MakeToken, "operator", "token-sha256"),
+	}
+}
+
+// runKeygenNamed returns the run function of a command that makes a credential of a name, in a file
+// with the suffix, and prints its public part as a field of the named section.
+func (c *console) runKeygenNamed(suffix string, makeFile func(file string) (public string, err error), section, field string) func(context.Context, []string) error {
+	return func(_ context.Context, args []string) error {
+		if err := checkArgCount(args, 2, 2, "NAME DIRECTORY"); err != nil {
+			return err
+		}
+		if err := checkName(args[0]); err != nil {
+			return err
+		}
+		file := filepath.Join(args[1], args[0]+suffix)
+		public, err := makeFile(file)
+		if err != nil {
+			return err
+		}
+		c.showKeygenResult(keygenResult{Files: []string{file}, Public: public}, "["+section+" "+args[0]+"]\n"+field+" = "+public)
+		return nil
 	}
 }
