Say in one place which daemons may be reached

Cause: the search for a configuration and the notification of other daemons had the same condition on a member's record, one of them negated.

Ruled out: the distribution tree's condition. It counts members of an earlier era only for a while, and none that leave.

Change: Member.Reachable.

Measured: go test -race -count=1 of io/mtmesh and io/mtdirectory passed. Conclusion: no change in behaviour.

--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -27,6 +27,9 @@
 	deletedAt mtid.Revision
 }
 
+// Reachable reports whether the daemon may be running, as far as its record shows.
+func (m Member) Reachable() bool { return !m.Expired || m.Former }
+
 // markExpired returns the member with its record deleted at a revision, reported now.
 // If the record was already known to be absent at an earlier revision, it has been
 // present in between, and its daemon may have sent grants until just now. When the
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -172,9 +172,8 @@
 	tree := m.feed.tree()
 	sources := append(tree.OtherWatchers(m.config.Daemon), tree.Upstreams(m.config.Daemon, m.config.Zone)...)
 	for _, member := range m.directory.Load().View().Members { // in random order
-		present := !member.Expired || member.Former
 		chosen := slices.ContainsFunc(sources, func(n mtspread.Node) bool { return n.Daemon == member.Daemon })
-		if present && !chosen && member.Daemon != m.config.Daemon {
+		if member.Reachable() && !chosen && member.Daemon != m.config.Daemon {
 			sources = append(sources, mtspread.Node{Daemon: member.Daemon, Address: member.Address})
 		}
 		if len(sources) >= maxConfigurationSources {
@@ -268,7 +267,7 @@
 func (m *Mesh) notifyPeers() {
 	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
 	for name, member := range mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory).View().Members {
-		if name == m.config.Daemon || member.Expired && !member.Former {
+		if name == m.config.Daemon || !member.Reachable() {
 			continue
 		}
 		go func() {
