Take out the refusal of requests whose nested ones find no room

Not tried: counting nested requests as the other route. They start first at the gate as it is.

Change: core/mtnested, its part of io/mthost and io/mtingress, the cause, counts and tests go with it, and the priority of a parent is all that is left of it. The tests taken out are those of the removed code; that nested calls are as urgent as their parents stays tested. Settings that still say `nested = yes` or `no` are valid and do nothing, with a test of it.

go test -race of io/mtsetting, io/mtingress, io/mthost, io/mtmesh: passed once each; of platform/soak TestPoliciesForOverloadBesideFaults passed once. Linter and formatter clean.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -86,7 +86,6 @@
 	Arrived        mtclock.Instant
 	FirstArrived   mtclock.Instant // arrival of its caller's first try
 	CallerDeadline mtclock.Instant // deadline that the caller set; zero if none
-	Parent         Parent          // the call that a nested one is part of
 	// Announce is set if the daemon that gets the call has to be asked for room on its link
 	// before the body is sent.
 	Announce bool
@@ -100,12 +99,6 @@
 	EndedBy Limit
 }
 
-// Parent is what is known of the call that a nested call is part of.
-type Parent struct {
-	Route    mtid.Class
-	Priority int // the lowest value is the most urgent
-}
-
 // SearchCounts counts the servers that a call was not left at because they were full.
 type SearchCounts struct {
 	HandedBack int // servers that handed the call back
--- a/core/mtoverload/mtoverload.go
+++ b/core/mtoverload/mtoverload.go
@@ -12,9 +12,6 @@
 
 // Policies are the policies for overload that are switched on. The zero value has none.
 type Policies struct {
-	// Nested refuses requests whose nested requests would find no room. It acts on routes
-	// whose requests were seen to send nested ones, on servers of which another route gains.
-	Nested bool
 	// Link sends a body over a slow link only if that has room for it. It acts where a body
 	// takes long at the bandwidth of a VM's link.
 	Link bool
--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -63,7 +63,6 @@
 	CauseWithdrawn   Cause = "withdrawn"   // taken back by the daemon that sent it, which is shutting down
 	CauseQuota       Cause = "quota"       // over the rate limit that the backend server names
 	CauseZoneOut     Cause = "zone-out"    // the server's availability zone is out of service
-	CauseNestedFull  Cause = "nested-full" // the request's nested requests would find no room
 	CauseLinkFull    Cause = "link-full"   // the server's network link has no room for the body
 )
 
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -227,7 +227,6 @@
 		h.Log.Info("server has a new incarnation", "former", h.record.Incarnation.String(), "server", b.Incarnation.String())
 		h.admission.Drain()
 		h.admission, h.zoneClosed = h.newAdmission(), false
-		h.nested.reset()
 		if h.record.Incarnation.Server == b.Incarnation.Server {
 			// Calls that name the server were meant for its previous incarnation, and may have
 			// reached this one.
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -29,7 +29,6 @@
 	"magnoliaturn/core/mtgate"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtlink"
-	"magnoliaturn/core/mtnested"
 	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtrange"
@@ -129,8 +128,8 @@
 
 // runs are the runs of the calls with one identifier that are in flight at the server.
 type runs struct {
-	count  int
-	latest mtcall.Parent // what nested calls need to know of the run that started last
+	count    int
+	priority int // of the run that started last
 }
 
 // Host represents the backend server on this VM.
@@ -188,8 +187,7 @@
 	recurring *mtpoison.RecurrenceDetector
 	crashes   CrashCounts
 
-	link   link
-	nested nested
+	link link
 
 	meterMu         sync.Mutex
 	meter           *mtrange.Meter
@@ -219,7 +217,6 @@
 
 		recurring: mtpoison.NewRecurrenceDetector(),
 		link:      link{inbound: mtlink.NewInbound(config.Link)},
-		nested:    nested{tracker: mtnested.NewTracker()},
 	}
 	h.record = mtbackend.Record{
 		Daemon: config.Daemon, Address: config.PeerAddress, Zone: config.Zone, Link: config.Link, Service: config.Service, State: mtbackend.Unknown,
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -456,14 +456,14 @@
 	inside := map[mtcall.ID]bool{}
 	s.server.answer = func(context.Context) (*mtcall.Answer, error) {
 		for _, id := range []mtcall.ID{"1.5", "1.5.6", "1", "15", "2.1"} {
-			_, inside[id] = s.host.Parent(id)
+			_, inside[id] = s.host.ParentPriority(id)
 		}
 		return &mtcall.Answer{Status: 200}, nil
 	}
 	_, err := s.host.Run(t.Context(), s.call(false))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, inside, map[mtcall.ID]bool{"1.5": true, "1.5.6": false, "1": false, "15": false, "2.1": false})
-	_, ok := s.host.Parent("1.5")
+	_, ok := s.host.ParentPriority("1.5")
 	assert.Assert(t, !ok)
 }
 
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -85,9 +85,6 @@
 		return nil, err
 	}
 	h.recordArrival(arrived, call)
-	if err := h.checkNested(arrived, call, admission, record.Slots); err != nil {
-		return nil, err
-	}
 	ticket := mtgate.Ticket{
 		Class: call.Route, Deadline: call.Deadline, Objective: call.Objective, Priority: call.Priority, Nested: call.Nested,
 		Patience: call.Patience, Try: call.Try,
@@ -118,7 +115,6 @@
 	_, address := h.Record()
 	run := h.requestStarted(started, fingerprint, call.Deadline)
 	h.startedCalls.Add(1)
-	h.recordBegun(call)
 	answer, err := h.Client.Do(ctx, iobackend.Target{
 		Address: address, Server: record.Incarnation.Server,
 		Observe: func(s mtbackend.Signals) { h.observeSignals(record.Incarnation, started, s) },
@@ -154,7 +150,7 @@
 	defer h.inFlightMu.Unlock()
 	started := h.inFlight[call.ID]
 	started.count++
-	started.latest = mtcall.Parent{Route: call.Route, Priority: call.Priority}
+	started.priority = call.Priority
 	h.inFlight[call.ID] = started
 	return func() {
 		h.inFlightMu.Lock()
@@ -168,18 +164,19 @@
 	}
 }
 
-// Parent returns the call in flight at this VM's server from whose identifier another one
-// is derived, by appending a dot and a suffix. The server sends the request with that
-// identifier as part of the call. Parent returns false if there is no such call.
-func (h *Host) Parent(id mtcall.ID) (mtcall.Parent, bool) {
+// ParentPriority returns the priority of the call in flight at this VM's server from whose
+// identifier another one is derived, by appending a dot and a suffix. The server sends the
+// request with that identifier as part of the call. ParentPriority returns false if there is no
+// such call.
+func (h *Host) ParentPriority(id mtcall.ID) (priority int, ok bool) {
 	dot := strings.LastIndexByte(string(id), '.')
 	if dot < 0 {
-		return mtcall.Parent{}, false
+		return 0, false
 	}
 	h.inFlightMu.Lock()
 	defer h.inFlightMu.Unlock()
 	parents, ok := h.inFlight[id[:dot]]
-	return parents.latest, ok
+	return parents.priority, ok
 }
 
 // checkAccepts returns the server's record and gate if the server accepts the call.
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -138,8 +138,6 @@
 	Started  int64 `json:"started"`  // calls sent to it by this process
 	Quota    int64 `json:"quota"`    // calls refused by this process because of the limit
 	LinkFull int64 `json:"linkFull"` // bodies for which its link had no room
-	// NestedFull counts calls refused because their nested calls would have found no room.
-	NestedFull int64 `json:"nestedFull"`
 	// Withdrawn counts calls refused because the daemons that sent them withdrew them at their
 	// shutdown.
 	Withdrawn int64 `json:"withdrawn"`
@@ -159,7 +157,7 @@
 	return Status{
 		Server: h.record.Incarnation.String(), State: string(h.record.State), Cold: h.startLimited, ZoneOut: h.zone.Closed(),
 		Limit: limitText(h.signals.limit.Rate()), Started: h.startedCalls.Load(), Quota: h.quotaRefused.Load(),
-		LinkFull: h.link.refused.Load(), NestedFull: h.nested.refused.Load(), Withdrawn: h.withdrawnRefused.Load(),
+		LinkFull: h.link.refused.Load(), Withdrawn: h.withdrawnRefused.Load(),
 		Reserved: reserved.Free, ReservedRefused: reserved.Refused, Crashes: h.crashCounts(),
 	}
 }
--- a/io/mtingress/link_test.go
+++ b/io/mtingress/link_test.go
@@ -56,13 +56,3 @@
 	assert.Equal(t, len(p.sent), 2)
 	assert.Assert(t, p.sent[0] != p.sent[1], "%v", []mtid.Daemon(p.sent))
 }
-
-// Failure: a call whose nested calls find no room is sent from server to server, until one begins
-// it to learn whether there is room again.
-func TestCallWithoutRoomForItsNestedCallsIsTriedOnce(t *testing.T) {
-	refused := &mtreply.RefusedError{Cause: mtreply.CauseNestedFull}
-	p := &fakePeers{answer: func(int) (*mtcall.Answer, error) { return nil, refused }}
-	_, err := upload(t, p, 0, false, false)
-	assert.Equal(t, err, error(refused))
-	assert.Equal(t, len(p.sent), 1)
-}
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -29,7 +29,6 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
-	"magnoliaturn/core/mtnested"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtshutdown"
 )
@@ -53,17 +52,15 @@
 type Config struct {
 	HeaderNames mtheader.Names
 	Service     mtid.Service // service of the backend server on this VM
-	// Parent returns the call of which a request with this ID is a part: the ID is derived
-	// from that of a request that the backend server on this VM runs.
-	Parent func(id mtcall.ID) (mtcall.Parent, bool)
+	// ParentPriority returns the priority of the call of which a request with this ID is a
+	// part: the ID is derived from that of a request that the backend server on this VM runs.
+	ParentPriority func(id mtcall.ID) (priority int, ok bool)
 	// ConfigFresh reports whether the configuration in force was confirmed as the newest so
 	// recently that requests without a route in it can be answered with 404.
 	ConfigFresh func(now mtclock.Instant) bool
 	Sender      sender
 	Clock       clock
 	Log         *slog.Logger
-	// OnNested is called when a nested call has ended. It may be nil.
-	OnNested func(call *mtcall.Call, result mtnested.Result)
 	// OnCompletion is called with the outcome of each request.
 	OnCompletion func(call *mtcall.Call, answer *mtcall.Answer, status int, err error, took time.Duration)
 }
@@ -153,7 +150,6 @@
 		call.EndedBy = in.endedBy(ctx, r.Context(), call, route)
 		in.writeError(w, call, err)
 	}
-	in.observeNested(call, answer, err)
 	in.recordFailure(call, w.Status)
 	in.OnCompletion(call, answer, w.Status, err, in.Clock.Now().Sub(arrived))
 	return nil
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -61,9 +61,8 @@
 		return call, nil, &requestError{status: http.StatusBadRequest, reason: "identifier is missing or too long"}
 	}
 	call.Route, call.Idempotent, call.Priority = route.Name, route.Idempotent, route.Priority
-	call.Parent, call.Nested = in.Parent(call.ID)
-	if call.Nested {
-		call.Priority = call.Parent.Priority
+	if priority, ok := in.ParentPriority(call.ID); ok {
+		call.Nested, call.Priority = true, priority
 	}
 	call.Objective, call.TypicalService = route.ObjectiveAt(now), route.ExpectedDuration()
 	left := route.Timeout
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -265,7 +265,7 @@
 	if s.handedBack(call, member, state, refused) {
 		return true
 	}
-	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined || refused.Cause == mtreply.CauseNestedFull {
+	if refused.Cause == mtreply.CauseExpired || refused.Cause == mtreply.CauseQuarantined {
 		return false
 	}
 	state.tried = append(state.tried, holder(member))
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -390,7 +390,7 @@
 	clock := mttime.New()
 	ingress := mtingress.New(mtingress.Config{
 		ConfigFresh: func(mtclock.Instant) bool { return true },
-		HeaderNames: mtheader.DefaultNames, Service: "own", Parent: func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		HeaderNames: mtheader.DefaultNames, Service: "own", ParentPriority: func(mtcall.ID) (int, bool) { return 0, false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		OnCompletion: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
 	router := echo.New()
@@ -550,7 +550,7 @@
 	sender := &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}}
 	ingress, clock, handler := newIngress(t, sender)
 	ingress.Configure(configuration(t, 1))
-	ingress.Parent = func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, true }
+	ingress.ParentPriority = func(mtcall.ID) (int, bool) { return 0, true }
 	end := clock.Now().Add(time.Second)
 	ingress.BeginShutdown(mtshutdown.Schedule{Return: end, LastAnswers: end})
 	w := httptest.NewRecorder()
@@ -572,7 +572,7 @@
 	clock := &fakeClock{now: mtclock.Instant(time.Hour)}
 	ingress := mtingress.New(mtingress.Config{
 		ConfigFresh: func(mtclock.Instant) bool { return true },
-		HeaderNames: mtheader.DefaultNames, Service: "own", Parent: func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		HeaderNames: mtheader.DefaultNames, Service: "own", ParentPriority: func(mtcall.ID) (int, bool) { return 0, false }, Sender: s, Clock: clock, Log: slog.New(slog.DiscardHandler),
 		OnCompletion: func(*mtcall.Call, *mtcall.Answer, int, error, time.Duration) {},
 	})
 	router := echo.New()
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -375,15 +375,14 @@
 		Random:    random,
 	})
 	ingress := mtingress.New(mtingress.Config{
-		HeaderNames:  m.config.Names,
-		Service:      m.config.Service,
-		Parent:       m.Host().Parent,
-		ConfigFresh:  m.freshness.mayDenyRoute,
-		Sender:       sender,
-		Clock:        clock,
-		Log:          m.config.Log,
-		OnNested:     m.Host().ObserveNested,
-		OnCompletion: m.recorder.done,
+		HeaderNames:    m.config.Names,
+		Service:        m.config.Service,
+		ParentPriority: m.Host().ParentPriority,
+		ConfigFresh:    m.freshness.mayDenyRoute,
+		Sender:         sender,
+		Clock:          clock,
+		Log:            m.config.Log,
+		OnCompletion:   m.recorder.done,
 	})
 	m.ingress.Store(ingress)
 	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -145,13 +145,13 @@
 	for purpose, n := range calls {
 		r.calls.Add(purpose, int64(n))
 	}
-	refusals := server.NestedFull - before.NestedFull + server.LinkFull - before.LinkFull
-	if len(counts) == 0 && load.Running == 0 && moved == 0 && len(calls) == 0 && refusals == 0 {
+	linkFull := server.LinkFull - before.LinkFull
+	if len(counts) == 0 && load.Running == 0 && moved == 0 && len(calls) == 0 && linkFull == 0 {
 		return
 	}
 	r.log.Log(context.Background(), mtmetric.LevelSummary, "second", "service", string(r.service), "ends", counts,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", server.Started-before.Started,
-		"nested-full", server.NestedFull-before.NestedFull, "link-full", server.LinkFull-before.LinkFull,
+		"link-full", linkFull,
 		"reserved", server.Reserved, "reserved-refused", newReservedRefused(before, server), "limit", server.Limit, "pace", load.ServiceTime.String(),
 		"demand", load.Demand, "moved", moved, "store", calls, "collections", collections, "room", searches)
 }
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -116,8 +116,8 @@
 
 // parseOverload returns the policies that the section switches on.
 func parseOverload(s *mtini.Section) mtoverload.Policies {
+	s.Bool("nested", false) // of a former release, whose settings files stay valid
 	return mtoverload.Policies{
-		Nested:  s.Bool("nested", false),
 		Link:    s.Bool("link", false),
 		Reserve: s.Bool("reserve", false),
 		Room:    s.Bool("room", false),
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -44,7 +44,6 @@
 extra = 8
 
 [overload]
-nested = yes
 link = yes
 reserve = no
 room = yes
@@ -59,7 +58,7 @@
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
 		GrantDuration: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigDeadline: 3 * time.Second,
 		ZoneOutDeadline: 4 * time.Second, Warmup: mtbackend.Allowance{Factor: 1.5, Extra: 8},
-		Overload: mtoverload.Policies{Nested: true, Link: true, Room: true},
+		Overload: mtoverload.Policies{Link: true, Room: true},
 	})
 }
 
@@ -71,7 +70,7 @@
 		"ports = 7380,7395", "ports = 7380",
 		"hold = 10s", "hold = 10",
 		"grace = 6s", "grace = 6s\nmisspelt = 1",
-		"nested = yes", "nested = perhaps",
+		"link = yes", "link = perhaps",
 	).Replace(meshText)
 	_, faults := mtsetting.ParseMesh("daemon.ini", []byte(text))
 	var fields []string
@@ -79,7 +78,7 @@
 		fields = append(fields, f.Field)
 		assert.Assert(t, f.Accept != "", f.Field)
 	}
-	assert.DeepEqual(t, fields, []string{"[daemon] host", "[daemon] server", "[listen] ports", "[times] hold", "[times] misspelt", "[overload] nested"})
+	assert.DeepEqual(t, fields, []string{"[daemon] host", "[daemon] server", "[listen] ports", "[times] hold", "[times] misspelt", "[overload] link"})
 }
 
 // The settings template that the platform fills in has exactly the fields that
@@ -104,6 +103,16 @@
 	assert.DeepEqual(t, got, want)
 }
 
+// Failure: a daemon doesn't start, because its settings name a policy that former releases had.
+func TestParseMeshAcceptsRemovedPolicy(t *testing.T) {
+	for _, value := range []string{"yes", "no"} {
+		text := strings.Replace(meshText, "[overload]\n", "[overload]\nnested = "+value+"\n", 1)
+		got, faults := mtsetting.ParseMesh("daemon.ini", []byte(text))
+		assert.Equal(t, len(faults), 0, "%v", faults)
+		assert.DeepEqual(t, got.Overload, mtoverload.Policies{Link: true, Room: true})
+	}
+}
+
 // A platform that sets no limits for warm-up and zone drains omits their fields.
 // Defaults apply.
 func TestParseMeshWithoutWarmup(t *testing.T) {
