Limit retries by the operators' bounds for all daemons together

Cause: when all servers of a service reject half of what they get, each first try, nested or not, earned 0.08 of a retry, and each daemon saved up to 20 per service. The operators' bound is a ratio of the callers' requests plus a fixed number for all daemons. A service without nested calls used two fifths of it; one that gets mostly nested calls, or whose daemons all had saved, could exceed it.

Ruled out: a token bucket with a share of the fixed number as its depth. It keeps the bound too, but holds only that share when the trouble begins, less than the 20 of today, and the rest of the window's requests are lost to it. Counted in the window half a window earlier, half of the window's retries are there at once.

Change: mtretry.Quota with the section [retries] and [overload] retries. Requests in time come before late ones, nested calls before both, by the part that they make up of all calls. Nested calls of runs that were repeats are known by Parent.Repeat and charged where they are sent. Off, the budget is as before.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -65,7 +65,9 @@
 	// Nested is set if a backend server waits for the answer: the call is part of a
 	// request that has already used other servers' time.
 	Nested bool
-	Repeat bool // an earlier try reached a backend server
+	// Repeat is set if an earlier try reached a backend server, or if the call is part of a run
+	// that was a repeat itself.
+	Repeat bool
 	// AnsweredBefore is set if the ingress daemon remembers that a server has answered
 	// the same request before, so it is not one that crashes servers.
 	AnsweredBefore bool
@@ -103,7 +105,8 @@
 // Parent is what is known of the call that a nested call is part of.
 type Parent struct {
 	Route    mtid.Class
-	Priority int // the lowest value is the most urgent
+	Priority int  // the lowest value is the most urgent
+	Repeat   bool // its run is a repeat, and so are the nested calls that it makes
 }
 
 // SearchCounts counts the servers that a call was not left at because they were full.
--- a/core/mtoverload/mtoverload.go
+++ b/core/mtoverload/mtoverload.go
@@ -32,4 +32,7 @@
 	// nothing off. It acts where the calls that the routes' timeouts allow fit into the
 	// grace period.
 	Linger bool
+	// Retries makes retries follow the operators' limits for all daemons together. It acts
+	// where the settings name these.
+	Retries bool
 }
--- a/core/mtretry/mtretry.go
+++ b/core/mtretry/mtretry.go
@@ -23,7 +23,34 @@
 //		sleep until now.Add(wait)
 //	}
 //
-// The policies aren't safe for concurrent use.
+// # Quota
+//
+// A Quota replaces the budget where the operators limit the repeats of a service summed over all
+// daemons: see Limits. Without a message between daemons, each of N daemons takes a retry only
+// if in each window that contains it, its own repeats stay within
+//
+//	Ratio x its own requests + Extra/N
+//
+// with its requests counted from half a window before that window to the middle of it. A window
+// in which daemons take retries contains the last retry of each, and all of a daemon's repeats
+// until that one passed this check for just this window. The sum of the N bounds is Ratio x all
+// requests + Extra, because the requests of all daemons are counted over the same time. Requests
+// that are still to come add to the bound only.
+//
+// Nested calls of a run that is itself a repeat count as repeats of the service that is called.
+// They are charged, and not refused: further retries wait until they fit in again. So no window
+// has more repeats than the bound, plus the nested repeats after the last retry in it. A part of
+// Ratio is kept for these.
+//
+// The proof takes N to be the same everywhere. A daemon that starts has spent nothing that it knows
+// of; it gets no part of Extra until a window has passed.
+//
+//	quota := mtretry.NewQuota(mtretry.Limits{Ratio: 0.2, Extra: 160, Window: 10 * time.Second})
+//	quota.RecordRequest(now, service)
+//	wait, ok := policy.Wait(now, attempt)
+//	ok = ok && quota.Spend(now, service, daemons, mtretry.InTime)
+//
+// The policies and the Quota aren't safe for concurrent use.
 package mtretry
 
 import (
@@ -150,6 +177,20 @@
 
 // Next implements Policy.
 func (p *Budgeted) Next(now mtclock.Instant, a Attempt) (time.Duration, bool) {
+	wait, ok := p.Wait(now, a)
+	if !ok || isRedirect(a.Err) {
+		return wait, ok
+	}
+	b := p.budget(a.Flow)
+	if b.credit < 1 {
+		return 0, false
+	}
+	b.credit--
+	return wait, true
+}
+
+// Wait is like Next, without the budget: it neither needs credit nor takes any.
+func (p *Budgeted) Wait(now mtclock.Instant, a Attempt) (time.Duration, bool) {
 	if !safeToResend(a) || !MaySucceed(a) {
 		return 0, false
 	}
@@ -166,11 +207,6 @@
 	if !now.Add(wait + minTryTime).Before(a.Deadline) {
 		return 0, false
 	}
-	b := p.budget(a.Flow)
-	if b.credit < 1 {
-		return 0, false
-	}
-	b.credit--
 	return wait, true
 }
 
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -467,6 +467,34 @@
 	assert.Assert(t, !ok)
 }
 
+// Guards against nested calls of a repeated run that are taken for first ones, also while an
+// earlier run of the same call is in flight.
+func TestParentOfRepeatedRun(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	s.startServer("server-1")
+	run := func(repeat bool, during func()) {
+		s.server.answer = func(context.Context) (*mtcall.Answer, error) {
+			during()
+			return &mtcall.Answer{Status: 200}, nil
+		}
+		call := s.call(false)
+		call.Repeat = repeat
+		_, err := s.host.Run(t.Context(), call)
+		assert.NilError(t, err)
+	}
+	check := func(want bool) func() {
+		return func() {
+			parent, ok := s.host.Parent("1.5")
+			assert.Assert(t, ok)
+			assert.Equal(t, parent.Repeat, want)
+		}
+	}
+	run(false, check(false))
+	run(true, check(true))
+	run(true, func() { run(false, check(true)) })
+	run(false, check(false))
+}
+
 // A server crashes and restarts at once. Until its daemon is notified of the new
 // incarnation it renews the grants of the previous one, which the new one accepts. If the
 // new incarnation were published before it has released those keys, others would take them
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -154,7 +154,9 @@
 	defer h.inFlightMu.Unlock()
 	started := h.inFlight[call.ID]
 	started.count++
-	started.latest = mtcall.Parent{Route: call.Route, Priority: call.Priority}
+	// While several runs of a call are in flight, it isn't known which one makes a nested call.
+	repeat := call.Repeat || started.latest.Repeat
+	started.latest = mtcall.Parent{Route: call.Route, Priority: call.Priority, Repeat: repeat}
 	h.inFlight[call.ID] = started
 	return func() {
 		h.inFlightMu.Lock()
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -58,8 +58,8 @@
 )
 
 // RetryFraction is the fraction of a retry that each first try of a service adds to the retry
-// budget. The limit for all daemons together is a fifth of the requests. It also covers
-// the nested calls of a retried request, which can't be distinguished from retries.
+// budget, unless the operators set limits. The limit for all daemons together is a fifth of
+// the requests. It also covers the nested calls of a retried request.
 const RetryFraction = 0.08
 
 // SenderConfig holds the settings and dependencies of a Sender.
@@ -68,6 +68,7 @@
 	Zone      mtid.Zone
 	Grace     time.Duration // from SIGTERM until the daemon's process is killed
 	Overload  mtoverload.Policies
+	Retries   mtretry.Limits // apply if they are set and Overload.Retries is on
 	Directory *mtdirectory.Directory
 	Host      host
 	Peers     peers
@@ -85,19 +86,24 @@
 	triesMu sync.Mutex // protects tries
 	tries   *mtshutdown.Tries
 
-	mu      sync.Mutex // protects retry and choices
+	mu      sync.Mutex // protects retry, quota and choices
 	retry   *mtretry.Budgeted
+	quota   *mtretry.Quota // replaces the budget of retry; nil without limits
 	choices map[mtid.Service]*choice
 }
 
 // NewSender returns a Sender for the servers in the directory of config.
 func NewSender(config SenderConfig) *Sender {
-	return &Sender{
+	s := &Sender{
 		SenderConfig: config,
 		tries:        mtshutdown.NewTries(),
 		retry:        mtretry.NewBudgeted(config.Random),
 		choices:      make(map[mtid.Service]*choice),
 	}
+	if config.Overload.Retries && config.Retries.Set() {
+		s.quota = mtretry.NewQuota(config.Retries)
+	}
+	return s
 }
 
 // sending is the state of one call that is being sent.
@@ -149,11 +155,7 @@
 // Send sends a call to a backend server and returns the response. It sends it to at most
 // attempts servers one after the other; refusals before a server was reached don't count.
 func (s *Sender) Send(ctx context.Context, call *mtcall.Call, attempts int) (*mtcall.Answer, error) {
-	flow := mtretry.Flow{Class: mtid.Class(call.Service)}
-	s.mu.Lock()
-	s.retry.Declare(flow, RetryFraction)
-	s.retry.RecordRequest(flow)
-	s.mu.Unlock()
+	s.recordRequest(call)
 	state := &sending{}
 	fingerprint := call.Fingerprint()
 	call.AnsweredBefore = s.Host.Answered(fingerprint)
@@ -209,16 +211,7 @@
 	if !call.Keyed {
 		state.tried = append(state.tried, holder(member))
 	}
-	s.mu.Lock()
-	wait, ok := s.retry.Next(s.Clock.Now(), mtretry.Attempt{
-		Flow:       mtretry.Flow{Class: mtid.Class(call.Service)},
-		Idempotent: call.Idempotent,
-		Elsewhere:  true,
-		Tries:      state.arrivals,
-		Deadline:   call.Deadline,
-		Err:        err,
-	})
-	s.mu.Unlock()
+	wait, ok := s.mayRetry(call, state, err)
 	return ok && mtduty.Sleep(ctx, wait)
 }
 
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -37,6 +37,7 @@
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtretry"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtzone"
@@ -105,6 +106,8 @@
 	Warmup mtbackend.Allowance
 	// Overload holds the policies for overload that are switched on.
 	Overload mtoverload.Policies
+	// Retries are the limits on the repeats of a service, for all daemons together.
+	Retries mtretry.Limits
 	// Refresh reads everything again that operators have written. It is called if another
 	// daemon has a newer configuration, and regularly in case the watches no longer deliver
 	// changes. It fails if the store did not answer.
@@ -119,12 +122,14 @@
 
 // Mesh is the daemon of one VM. See the package comment.
 type Mesh struct {
-	config   Config
-	kernel   *mtkernel.Kernel
-	callers  *mtlisten.Server
-	peers    *grpc.Server
-	recorder *recorder
-	ready    atomic.Bool
+	config  Config
+	kernel  *mtkernel.Kernel
+	callers *mtlisten.Server
+	peers   *grpc.Server
+	// retryCounts returns how the limits on retries have acted.
+	retryCounts func() mtretry.Counts
+	recorder    *recorder
+	ready       atomic.Bool
 	// configCheck and recordCheck are made after another daemon has reported a newer configuration
 	// or newer records.
 	configCheck delayedCheck
@@ -366,6 +371,7 @@
 		Zone:      m.config.Zone,
 		Grace:     m.config.Grace,
 		Overload:  m.config.Overload,
+		Retries:   m.config.Retries,
 		Directory: mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory),
 		Host:      m.Host(),
 		Peers:     mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers),
@@ -386,6 +392,8 @@
 		OnCompletion: m.recorder.done,
 	})
 	m.ingress.Store(ingress)
+	m.retryCounts = sender.RetryCounts
+	m.Metrics().Gauge("retries", "quota", func() any { return sender.RetryCounts() })
 	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
 }
 
@@ -393,7 +401,7 @@
 func (m *Mesh) addSummary() error {
 	grants := mtkernel.MustLookup[*mtgrant.Grants](m.kernel, NameGrants)
 	stop := mtduty.Every(summaryInterval, func(context.Context) {
-		m.recorder.logSummary(m.Host().Load(), m.Host().Status(), grants.TakeMovedCount(), m.storeCalls())
+		m.recorder.logSummary(m.Host().Load(), m.Host().Status(), m.retryCounts(), grants.TakeMovedCount(), m.storeCalls())
 	})
 	return mtkernel.Register(m.kernel, NameSummary, stop, stop)
 }
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -11,6 +11,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtrequest"
+	"magnoliaturn/core/mtretry"
 	"magnoliaturn/io/mthost"
 	"magnoliaturn/io/mtmetric"
 )
@@ -33,7 +34,9 @@
 	log      *slog.Logger
 	versions func() (configuration, seen mtid.Version)
 
-	statusBefore mthost.Status // at the previous summary
+	// statusBefore and retriesBefore are what the previous summary started from.
+	statusBefore  mthost.Status
+	retriesBefore mtretry.Counts
 	// collectedBefore is the number of garbage collections until the previous summary.
 	collectedBefore uint64
 }
--- a/io/mtmesh/tally.go
+++ b/io/mtmesh/tally.go
@@ -9,6 +9,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
+	"magnoliaturn/core/mtretry"
 	"magnoliaturn/io/mthost"
 	"magnoliaturn/io/mtmetric"
 )
@@ -137,9 +138,9 @@
 
 // logSummary logs what happened on this daemon and its server since the previous summary. It
 // logs nothing if there were no requests, moved keys or calls to the store.
-func (r *recorder) logSummary(load mtcall.Load, server mthost.Status, moved int, calls map[string]int) {
-	before := r.statusBefore
-	r.statusBefore = server
+func (r *recorder) logSummary(load mtcall.Load, server mthost.Status, retries mtretry.Counts, moved int, calls map[string]int) {
+	before, retriesBefore := r.statusBefore, r.retriesBefore
+	r.statusBefore, r.retriesBefore = server, retries
 	collections := r.newCollections()
 	counts, searches := r.tally.reset()
 	for purpose, n := range calls {
@@ -153,5 +154,7 @@
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "started", server.Started-before.Started,
 		"nested-full", server.NestedFull-before.NestedFull, "link-full", server.LinkFull-before.LinkFull,
 		"reserved", server.Reserved, "reserved-refused", newReservedRefused(before, server), "limit", server.Limit, "pace", load.ServiceTime.String(),
-		"demand", load.Demand, "moved", moved, "store", calls, "collections", collections, "room", searches)
+		"demand", load.Demand, "moved", moved, "store", calls, "collections", collections, "room", searches,
+		"retries", retries.Retries-retriesBefore.Retries, "retries-refused", retries.Refused-retriesBefore.Refused,
+		"nested-repeats", retries.NestedRepeats-retriesBefore.NestedRepeats)
 }
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -11,6 +11,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtini"
 	"magnoliaturn/core/mtoverload"
+	"magnoliaturn/core/mtretry"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtzone"
 )
@@ -43,6 +44,8 @@
 	Warmup mtbackend.Allowance
 	// Overload holds the policies for overload that are switched on.
 	Overload mtoverload.Policies
+	// Retries are the limits on the repeats of a service, for all daemons together.
+	Retries mtretry.Limits
 }
 
 // Bounds of the durations, and defaults for those that the platform does not set.
@@ -78,7 +81,7 @@
 // ParseMesh parses and validates the text of a settings file for a Mesh.
 func ParseMesh(file string, text []byte) (*Mesh, Faults) {
 	f := mtini.Read(file, text)
-	f.CheckKinds(map[string]int{"daemon": 0, "listen": 0, "store": 0, "times": 0, "warmup": 0, "overload": 0})
+	f.CheckKinds(map[string]int{"daemon": 0, "listen": 0, "store": 0, "times": 0, "warmup": 0, "retries": 0, "overload": 0})
 	s := &Mesh{}
 	daemon := f.RequiredSection("daemon")
 	s.Name = mtid.Daemon(daemon.Name("name"))
@@ -105,6 +108,9 @@
 		s.Warmup.Factor = warmup.Float("factor", 1, 1, maxFactor)
 		s.Warmup.Extra = warmup.Float("extra", 0, 0, maxExtra)
 	}
+	if retries, ok := f.OptionalSection("retries"); ok {
+		s.Retries = parseRetries(retries)
+	}
 	if overload, ok := f.OptionalSection("overload"); ok {
 		s.Overload = parseOverload(overload)
 	}
@@ -123,6 +129,20 @@
 		Room:    s.Bool("room", false),
 		Slow:    s.Bool("slow", false),
 		Linger:  s.Bool("linger", false),
+		Retries: s.Bool("retries", false),
+	}
+}
+
+// maxRepeats is the upper bound of Limits.Extra.
+const maxRepeats = 1_000_000
+
+// parseRetries returns the limits that the section sets. Without a ratio or a window there are
+// none.
+func parseRetries(s *mtini.Section) mtretry.Limits {
+	return mtretry.Limits{
+		Ratio:  s.Float("ratio", 0, 0, 1),
+		Extra:  s.Int("extra", 0, 0, maxRepeats),
+		Window: s.Duration("window", 0, minTime, maxTime),
 	}
 }
 
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -10,6 +10,7 @@
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtoverload"
+	"magnoliaturn/core/mtretry"
 	"magnoliaturn/io/mtsetting"
 )
 
@@ -43,11 +44,17 @@
 factor = 1.5
 extra = 8
 
+[retries]
+ratio = 0.2
+extra = 160
+window = 10s
+
 [overload]
 nested = yes
 link = yes
 reserve = no
 room = yes
+retries = yes
 `
 
 func TestParseMesh(t *testing.T) {
@@ -59,7 +66,8 @@
 		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
 		GrantDuration: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigDeadline: 3 * time.Second,
 		ZoneOutDeadline: 4 * time.Second, Warmup: mtbackend.Allowance{Factor: 1.5, Extra: 8},
-		Overload: mtoverload.Policies{Nested: true, Link: true, Room: true},
+		Overload: mtoverload.Policies{Nested: true, Link: true, Room: true, Retries: true},
+		Retries:  mtretry.Limits{Ratio: 0.2, Extra: 160, Window: 10 * time.Second},
 	})
 }
 
@@ -71,7 +79,11 @@
 		"ports = 7380,7395", "ports = 7380",
 		"hold = 10s", "hold = 10",
 		"grace = 6s", "grace = 6s\nmisspelt = 1",
+		"ratio = 0.2", "ratio = 20",
+		"extra = 160", "extra = -1",
+		"window = 10s", "window = 10",
 		"nested = yes", "nested = perhaps",
+		"retries = yes", "retries = 3",
 	).Replace(meshText)
 	_, faults := mtsetting.ParseMesh("daemon.ini", []byte(text))
 	var fields []string
@@ -79,7 +91,7 @@
 		fields = append(fields, f.Field)
 		assert.Assert(t, f.Accept != "", f.Field)
 	}
-	assert.DeepEqual(t, fields, []string{"[daemon] host", "[daemon] server", "[listen] ports", "[times] hold", "[times] misspelt", "[overload] nested"})
+	assert.DeepEqual(t, fields, []string{"[daemon] host", "[daemon] server", "[listen] ports", "[times] hold", "[times] misspelt", "[retries] ratio", "[retries] extra", "[retries] window", "[overload] nested", "[overload] retries"})
 }
 
 // The settings template that the platform fills in has exactly the fields that
@@ -95,6 +107,9 @@
 		"{{bounds.evacuate_s}}", "4", "{{bounds.cold_excess}}", "1.5", "{{bounds.cold_extra}}", "8",
 		"{{#bootstrap}}", "", "{{/bootstrap}}", "", "{{#bounds.evacuate_s}}", "", "{{/bounds.evacuate_s}}", "", "{{#bounds.cold_excess}}", "", "{{/bounds.cold_excess}}", "",
 		"{{#bounds.cold_extra}}", "", "{{/bounds.cold_extra}}", "",
+		"{{bounds.budget_ratio}}", "0.2", "{{bounds.budget_extra}}", "160", "{{bounds.budget_window_s}}", "10",
+		"{{#bounds.budget_ratio}}", "", "{{/bounds.budget_ratio}}", "", "{{#bounds.budget_extra}}", "", "{{/bounds.budget_extra}}", "",
+		"{{#bounds.budget_window_s}}", "", "{{/bounds.budget_window_s}}", "",
 	).Replace(string(template))
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(filled))
 	assert.Equal(t, len(faults), 0, "%v", faults)
@@ -104,6 +119,14 @@
 	assert.DeepEqual(t, got, want)
 }
 
+// Guards against a limit of zero retries where a platform omits the fields of the limit.
+func TestParseMeshWithoutRetryLimits(t *testing.T) {
+	text := strings.Replace(meshText, "ratio = 0.2\nextra = 160\nwindow = 10s\n", "", 1)
+	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(text))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	assert.Assert(t, !got.Retries.Set())
+}
+
 // A platform that sets no limits for warm-up and zone drains omits their fields.
 // Defaults apply.
 func TestParseMeshWithoutWarmup(t *testing.T) {
