Let retries begin with the first requests of a deployment

Cause: a daemon that starts has no requests in earlier windows, so that it made no retry for half a window and few for the next.

Ruled out: the same after a restart. The daemon doesn't know what it has spent before.

Change: at the first start of the whole deployment, windows that began before the first request count their own requests, and the share of the fixed number is there at once.

Tests: core/mtretry, io/mtingress, io/mtsetting passed once with -race; the property test once with 2,000 checks.

--- a/core/mtretry/mtretry.go
+++ b/core/mtretry/mtretry.go
@@ -42,10 +42,13 @@
 // has more repeats than the bound, plus the nested repeats after the last retry in it. A part of
 // Ratio is kept for these.
 //
-// The proof takes N to be the same everywhere. A daemon that starts has spent nothing that it knows
-// of; it gets no part of Extra until a window has passed.
+// The proof takes N to be the same everywhere. A daemon that starts again doesn't know what it has
+// spent: it gets no part of Extra until a window has passed. When all daemons start for the first
+// time, none has spent anything. Windows that began before the first request then count their
+// own requests, at all daemons: there were none earlier. This takes requests to reach all daemons
+// from about the same moment.
 //
-//	quota := mtretry.NewQuota(mtretry.Limits{Ratio: 0.2, Extra: 160, Window: 10 * time.Second})
+//	quota := mtretry.NewQuota(mtretry.Limits{Ratio: 0.2, Extra: 160, Window: 10 * time.Second}, mtretry.Restart)
 //	quota.RecordRequest(now, service)
 //	wait, ok := policy.Wait(now, attempt)
 //	ok = ok && quota.Spend(now, service, daemons, mtretry.InTime)
--- a/core/mtretry/quota.go
+++ b/core/mtretry/quota.go
@@ -47,9 +47,21 @@
 	lateShare = 0.5
 )
 
+// Start tells what a daemon that starts knows of the time before.
+type Start int
+
+// Kinds of start.
+const (
+	// Restart may follow repeats that the daemon made earlier and doesn't know of.
+	Restart Start = iota
+	// FirstStart is that of all daemons together, before which there were no repeats.
+	FirstStart
+)
+
 // Quota is this daemon's share of the limits on repeats. It keeps a count for each service.
 type Quota struct {
 	limits   Limits
+	start    Start
 	started  mtclock.Instant // when the first request was recorded
 	services map[mtid.Service]*usage
 	counts   Counts
@@ -63,8 +75,8 @@
 }
 
 // NewQuota returns a quota in which nothing is spent.
-func NewQuota(limits Limits) *Quota {
-	return &Quota{limits: limits, services: make(map[mtid.Service]*usage)}
+func NewQuota(limits Limits, start Start) *Quota {
+	return &Quota{limits: limits, start: start, services: make(map[mtid.Service]*usage)}
 }
 
 // Counts returns the totals since the start.
@@ -90,7 +102,7 @@
 // extra repeats are shared evenly among the daemons, whose number is 0 if it is unknown.
 func (q *Quota) Spend(now mtclock.Instant, service mtid.Service, daemons int, prospect Prospect) bool {
 	u := q.usage(now, service)
-	if !u.hasRoom(q.limits.Ratio*(1-reserve), q.share(now, daemons), u.part(prospect)) {
+	if !u.hasRoom(q.oldest(u), q.limits.Ratio*(1-reserve), q.share(now, daemons), u.part(prospect)) {
 		q.counts.Refused++
 		return false
 	}
@@ -99,10 +111,19 @@
 	return true
 }
 
+// oldest returns how many bins ago the oldest window began whose requests are counted half a
+// window earlier. At a first start, windows that began before the first request count their own.
+func (q *Quota) oldest(u *usage) int {
+	if q.start == Restart {
+		return binsPerWindow
+	}
+	return int(min(u.newest-u.number(q.started), binsPerWindow))
+}
+
 // share returns this daemon's share of the extra repeats. There is none in the first window
-// after the start, because the daemon may have spent it before a restart.
+// after a restart, because the daemon may have spent it before.
 func (q *Quota) share(now mtclock.Instant, daemons int) float64 {
-	if daemons <= 0 || now.Sub(q.started) <= q.limits.Window {
+	if daemons <= 0 || q.start == Restart && now.Sub(q.started) <= q.limits.Window {
 		return 0
 	}
 	return float64(q.limits.Extra) / float64(daemons)
@@ -165,13 +186,15 @@
 // hasRoom reports whether one more repeat fits into a part of the quota, in each window that
 // contains the present. A window may begin anywhere in its first bin: its repeats are counted from
 // that whole bin, and the requests in the bins that are within half a window of any point of it.
-func (u *usage) hasRoom(ratio, share, part float64) bool {
-	repeats, requests := 1, 0
+// Windows older than the oldest have all requests so far, and the repeats of the oldest.
+func (u *usage) hasRoom(oldest int, ratio, share, part float64) bool {
+	repeats, requests, sofar := 1, 0, 0
 	for age := range halfWindow {
 		requests += u.at(age).requests
 	}
-	for first := range binsPerWindow + 1 {
+	for first := range oldest + 1 {
 		repeats += u.at(first).repeats
+		sofar += u.at(first).requests
 		if float64(repeats) > part*(ratio*float64(requests)+share) {
 			return false
 		}
@@ -180,7 +203,7 @@
 			requests -= u.at(latest).requests
 		}
 	}
-	return true
+	return oldest == binsPerWindow || float64(repeats) <= part*(ratio*float64(sofar)+share)
 }
 
 // part returns the part of the quota that a call may use. Callers leave to nested calls the
--- a/core/mtretry/quota_test.go
+++ b/core/mtretry/quota_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// checkStart checks the limits in each window that began before the first event: as many requests
+// as there have been count.
+func checkStart(t assert.TestingT, events []event) {
+	requests, repeats, since := 0, 0, 0
+	for _, e := range events {
+		switch {
+		case e.at.Sub(events[0].at) >= window:
+			return
+		case e.request:
+			requests++
+		case e.nested:
+			since++
+		case e.retry:
+			repeats, since = repeats+since+1, 0
+			allowed := limits.Ratio*float64(requests) + float64(limits.Extra)
+			assert.Assert(t, float64(repeats) <= allowed, "%d repeats after the start, %d requests", repeats, requests)
+		}
+	}
+}
+
 // passes are times between events, of which some end just inside a bin or window.
 var passes = []time.Duration{time.Millisecond, window / 40, window / 20, window / 4, window/2 - 1, window - window/20 - 1, window - 1, window}
 
@@ -63,9 +83,10 @@
 func TestQuotasKeepLimitsTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		daemons := rapid.IntRange(1, 6).Draw(t, "daemons")
+		start := rapid.SampledFrom([]mtretry.Start{mtretry.Restart, mtretry.FirstStart}).Draw(t, "start")
 		quotas := make([]*mtretry.Quota, daemons)
 		for i := range quotas {
-			quotas[i] = mtretry.NewQuota(limits)
+			quotas[i] = mtretry.NewQuota(limits, start)
 		}
 		now := mtclock.Instant(rapid.Int64Range(0, int64(window)).Draw(t, "start"))
 		var events []event
@@ -76,6 +97,9 @@
 				events = append(events, event{at: now, request: true})
 			}
 		}
+		for d := range daemons {
+			request(d, 1)
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"requests": func(t *rapid.T) {
 				request(pick(t), rapid.SampledFrom([]int{1, 30, 200}).Draw(t, "number"))
@@ -98,13 +122,14 @@
 				quotas[pick(t)].RecordNested(now, service, true)
 				events = append(events, event{at: now, nested: true})
 			},
-			"restart": func(t *rapid.T) { quotas[pick(t)] = mtretry.NewQuota(limits) },
+			"restart": func(t *rapid.T) { quotas[pick(t)] = mtretry.NewQuota(limits, mtretry.Restart) },
 			"pass": func(t *rapid.T) {
 				now = now.Add(rapid.SampledFrom(passes).Draw(t, "time"))
 			},
 			"": func(*rapid.T) {},
 		})
 		checkWindows(t, events)
+		checkStart(t, events)
 	})
 }
 
@@ -122,7 +147,7 @@
 // play tries each call of a load three times at most.
 func play(l load, spend func(now mtclock.Instant, q *mtretry.Quota, p mtretry.Prospect) bool) losses {
 	const steps = 100
-	q := mtretry.NewQuota(limits)
+	q := mtretry.NewQuota(limits, mtretry.Restart)
 	random := rand.New(rand.NewPCG(1, 2))
 	var lost losses
 	for step := range (l.seconds + 20) * steps {
@@ -194,7 +219,7 @@
 
 // quotaAfter returns a quota after two windows with ten requests a second, and the time.
 func quotaAfter(l mtretry.Limits) (*mtretry.Quota, mtclock.Instant) {
-	q, now := mtretry.NewQuota(l), mtclock.Instant(time.Hour)
+	q, now := mtretry.NewQuota(l, mtretry.Restart), mtclock.Instant(time.Hour)
 	for range 200 {
 		q.RecordRequest(now, service)
 		now = now.Add(window / 100)
@@ -214,7 +239,7 @@
 // Guards against daemons that each take all of the extra retries.
 func TestExtraRetriesAreShared(t *testing.T) {
 	for daemons, want := range map[int]int{1: 20, 4: 5, 10: 2, 30: 0} {
-		q := mtretry.NewQuota(limits)
+		q := mtretry.NewQuota(limits, mtretry.Restart)
 		q.RecordRequest(0, service)
 		assert.Equal(t, spendAll(q, mtclock.Instant(4*window), daemons), want, "%d daemons", daemons)
 	}
@@ -234,7 +259,7 @@
 		{window / 2, window - bin, 0},
 	}
 	for _, tt := range tests {
-		q, start := mtretry.NewQuota(limits), mtclock.Instant(time.Hour)
+		q, start := mtretry.NewQuota(limits, mtretry.Restart), mtclock.Instant(time.Hour)
 		q.RecordRequest(start.Add(-4*window), service)
 		assert.Equal(t, spendAll(q, start, 1), limits.Extra)
 		for range 1000 {
@@ -249,14 +274,25 @@
 
 // Guards against a full share of the extra retries at a daemon that doesn't know the others.
 func TestNoExtraRetriesWithoutRoster(t *testing.T) {
-	q := mtretry.NewQuota(limits)
+	q := mtretry.NewQuota(limits, mtretry.Restart)
 	q.RecordRequest(0, service)
 	assert.Equal(t, spendAll(q, mtclock.Instant(4*window), 0), 0)
 }
 
+// Guards against a new deployment without retries until a window has passed.
+func TestRetriesAfterFirstStart(t *testing.T) {
+	for start, want := range map[mtretry.Start]int{mtretry.Restart: 0, mtretry.FirstStart: 20 + 18} {
+		q := mtretry.NewQuota(limits, start)
+		for range 100 {
+			q.RecordRequest(mtclock.Instant(time.Second), service)
+		}
+		assert.Equal(t, spendAll(q, mtclock.Instant(4*time.Second), 1), want)
+	}
+}
+
 // Guards against a daemon that spends its share once more after each restart.
 func TestNoExtraRetriesRightAfterStart(t *testing.T) {
-	q := mtretry.NewQuota(limits)
+	q := mtretry.NewQuota(limits, mtretry.Restart)
 	q.RecordRequest(0, service)
 	assert.Equal(t, spendAll(q, mtclock.Instant(window), 1), 0)
 }
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -69,6 +69,7 @@
 	Grace     time.Duration // from SIGTERM until the daemon's process is killed
 	Overload  mtoverload.Policies
 	Retries   mtretry.Limits // apply if they are set and Overload.Retries is on
+	Start     mtretry.Start  // of this process
 	Directory *mtdirectory.Directory
 	Host      host
 	Peers     peers
@@ -101,7 +102,7 @@
 		choices:      make(map[mtid.Service]*choice),
 	}
 	if config.Overload.Retries && config.Retries.Set() {
-		s.quota = mtretry.NewQuota(config.Retries)
+		s.quota = mtretry.NewQuota(config.Retries, config.Start)
 	}
 	return s
 }
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -372,6 +372,7 @@
 		Grace:     m.config.Grace,
 		Overload:  m.config.Overload,
 		Retries:   m.config.Retries,
+		Start:     m.start(),
 		Directory: mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory),
 		Host:      m.Host(),
 		Peers:     mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers),
@@ -397,6 +398,14 @@
 	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
 }
 
+// start returns the kind of start of this process.
+func (m *Mesh) start() mtretry.Start {
+	if m.config.Bootstrap {
+		return mtretry.FirstStart
+	}
+	return mtretry.Restart
+}
+
 // addSummary adds the task that logs a summary of the requests in each interval.
 func (m *Mesh) addSummary() error {
 	grants := mtkernel.MustLookup[*mtgrant.Grants](m.kernel, NameGrants)
