--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -65,7 +65,9 @@
 	// Nested is set if a backend server waits for the answer: the call is part of a
 	// request that has already used other servers' time.
 	Nested bool
-	Repeat bool // an earlier try reached a backend server
+	// Repeat is set if an earlier try reached a backend server, or if the call is part of a run
+	// that was a repeat itself.
+	Repeat bool
 	// AnsweredBefore is set if the ingress daemon remembers that a server has answered
 	// the same request before, so it is not one that crashes servers.
 	AnsweredBefore bool
@@ -86,6 +88,7 @@
 	Arrived        mtclock.Instant
 	FirstArrived   mtclock.Instant // arrival of its caller's first try
 	CallerDeadline mtclock.Instant // deadline that the caller set; zero if none
+	Parent         Parent          // the call that a nested one is part of
 	// Announce is set if the daemon that gets the call has to be asked for room on its link
 	// before the body is sent.
 	Announce bool
@@ -99,6 +102,12 @@
 	EndedBy Limit
 }
 
+// Parent is what is known of the call that a nested call is part of.
+type Parent struct {
+	Priority int  // the lowest value is the most urgent
+	Repeat   bool // its run is a repeat, and so are the nested calls that it makes
+}
+
 // SearchCounts counts the servers that a call was not left at because they were full.
 type SearchCounts struct {
 	HandedBack int // servers that handed the call back
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -128,8 +128,8 @@
 
 // runs are the runs of the calls with one identifier that are in flight at the server.
 type runs struct {
-	count    int
-	priority int // of the run that started last
+	count  int
+	latest mtcall.Parent // what nested calls need to know of the run that started last
 }
 
 // Host represents the backend server on this VM.
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -150,7 +150,9 @@
 	defer h.inFlightMu.Unlock()
 	started := h.inFlight[call.ID]
 	started.count++
-	started.priority = call.Priority
+	// While several runs of a call are in flight, it isn't known which one makes a nested call.
+	repeat := call.Repeat || started.latest.Repeat
+	started.latest = mtcall.Parent{Priority: call.Priority, Repeat: repeat}
 	h.inFlight[call.ID] = started
 	return func() {
 		h.inFlightMu.Lock()
@@ -164,19 +166,18 @@
 	}
 }
 
-// ParentPriority returns the priority of the call in flight at this VM's server from whose
-// identifier another one is derived, by appending a dot and a suffix. The server sends the
-// request with that identifier as part of the call. ParentPriority returns false if there is no
-// such call.
-func (h *Host) ParentPriority(id mtcall.ID) (priority int, ok bool) {
+// Parent returns the call in flight at this VM's server from whose identifier another one is
+// derived, by appending a dot and a suffix. The server sends the request with that identifier
+// as part of the call. Parent returns false if there is no such call.
+func (h *Host) Parent(id mtcall.ID) (mtcall.Parent, bool) {
 	dot := strings.LastIndexByte(string(id), '.')
 	if dot < 0 {
-		return 0, false
+		return mtcall.Parent{}, false
 	}
 	h.inFlightMu.Lock()
 	defer h.inFlightMu.Unlock()
 	parents, ok := h.inFlight[id[:dot]]
-	return parents.priority, ok
+	return parents.latest, ok
 }
 
 // checkAccepts returns the server's record and gate if the server accepts the call.
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -52,9 +52,9 @@
 type Config struct {
 	HeaderNames mtheader.Names
 	Service     mtid.Service // service of the backend server on this VM
-	// ParentPriority returns the priority of the call of which a request with this ID is a
-	// part: the ID is derived from that of a request that the backend server on this VM runs.
-	ParentPriority func(id mtcall.ID) (priority int, ok bool)
+	// Parent returns the call of which a request with this ID is a part: the ID is derived
+	// from that of a request that the backend server on this VM runs.
+	Parent func(id mtcall.ID) (mtcall.Parent, bool)
 	// ConfigFresh reports whether the configuration in force was confirmed as the newest so
 	// recently that requests without a route in it can be answered with 404.
 	ConfigFresh func(now mtclock.Instant) bool
--- a/io/mtingress/nested_test.go
+++ b/io/mtingress/nested_test.go
@@ -22,8 +22,8 @@
 	ingress := mtingress.New(mtingress.Config{
 		ConfigFresh: func(mtclock.Instant) bool { return true },
 		HeaderNames: mtheader.DefaultNames, Service: "own",
-		ParentPriority: func(mtcall.ID) (int, bool) { return 7, true },
-		Sender:         &fakeSender{answer: answerOK}, Clock: mttime.New(), Log: slog.New(slog.DiscardHandler),
+		Parent: func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{Priority: 7}, true },
+		Sender: &fakeSender{answer: answerOK}, Clock: mttime.New(), Log: slog.New(slog.DiscardHandler),
 		OnCompletion: func(c *mtcall.Call, _ *mtcall.Answer, _ int, _ error, _ time.Duration) { call = c },
 	})
 	c, err := mtroute.New(1, []mtroute.Route{
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -61,8 +61,8 @@
 		return call, nil, &requestError{status: http.StatusBadRequest, reason: "identifier is missing or too long"}
 	}
 	call.Route, call.Idempotent, call.Priority = route.Name, route.Idempotent, route.Priority
-	if priority, ok := in.ParentPriority(call.ID); ok {
-		call.Nested, call.Priority = true, priority
+	if parent, ok := in.Parent(call.ID); ok {
+		call.Nested, call.Parent, call.Priority = true, parent, parent.Priority
 	}
 	call.Objective, call.TypicalService = route.ObjectiveAt(now), route.ExpectedDuration()
 	left := route.Timeout
