Don't send a call on whose caller had left before it was read

And a call whose context is canceled when it gets its slot was sent all the same on a connection kept to the server: only a dial looked at the context.

A call with a canceled context is refused as not run before anything is sent.

Ruled out by reading, as to what sends a call late: the gate (a canceled waiter leaves its queue), the search for room and the wait for an owner (both end with the context), the body (its read fails), another daemon's gate (gRPC ends the context of the stream there).

--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -87,6 +87,9 @@
 	if remaining < time.Millisecond {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1}
 	}
+	if ctx.Err() != nil {
+		return nil, &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1, Detail: "the caller went away"}
+	}
 	ctx, cancel := context.WithTimeout(ctx, remaining+mtcall.ServerAnswerMargin)
 	defer cancel()
 	conn, err := c.connect(ctx, target, call)
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -243,6 +243,26 @@
 	assert.Equal(t, refused.Cause, mtreply.CauseNoServer)
 }
 
+// Guards against a call that is sent to a server although its caller has left before, on a
+// connection that is there already.
+func TestCallOfCallerThatHasLeftIsNotSent(t *testing.T) {
+	c, clock := client(t)
+	s := newRawServer(t, replyWith(goodAnswer))
+	_, err := c.Do(t.Context(), s.target(), call(clock, "1"))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Do(ctx, s.target(), call(clock, "2"))
+	var refused *mtreply.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Cause, mtreply.CauseExpired)
+	_, err = c.Do(t.Context(), s.target(), call(clock, "3"))
+	assert.NilError(t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.requests), 2)
+}
+
 // The caller cancels while the server works. The connection is closed at once, which
 // notifies the server, and the call must not be reported as not run.
 func TestCanceledCallerEndsCall(t *testing.T) {
