Don't ask the kernel for each request whether its caller has left

In a crowd the daemons' time is what binds. Ruled out: the polls while nothing is read, which stay, and the listener's checks of its queue. Conclusion: the window of a request that a busy daemon reads after its caller has left stays open until the next read, as before.

--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -195,9 +195,6 @@
 	atLimit := c.pending >= c.server.Limits.MaxConcurrent
 	_ = c.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
-	if c.hungUp() {
-		c.cancel() // before the request goes to a server
-	}
 	go e.serve()
 	switch {
 	case exclusive:
