Ask a server that has hardly any keys, when that is what a survey is for

Its text says that such a server's load is queried by one owner per turn. But a survey asked a random dozen of the servers without a recent report: among 40 the one in question was asked in three of ten surveys, and the survey was repeated each 0.7 s until it was.

Ruled out: to ask all of them first. After a fleet has grown there may be more than a dozen, and an overloaded owner would then ask no others.

Change: one of them is asked first, after those that had a limit.

Cost, by reading, also where no server ever had a limit: while a server of the service has keys, but less than an eighth of the mean, and nobody hears of it, one owner at a time asks up to a dozen servers, at most each 0.7 s.

--- a/core/mtrange/probe.go
+++ b/core/mtrange/probe.go
@@ -67,13 +67,24 @@
 // was last heard of, or that has hardly any keys and isn't heard of, so that it is worth querying
 // its load.
 func ProbeDue(now mtclock.Instant, self LoadReport, others []LoadReport) bool {
-	few := strippedShare * meanKeys(self, others)
+	stripped := Stripped(self, others)
 	return self.Capacity <= 0 && slices.ContainsFunc(others, func(o LoadReport) bool {
-		stripped := !o.Known && !o.empty() && float64(o.Keys) < few
-		return (o.Limited || stripped) && isProber(now, self, o, others)
+		return (o.Limited || slices.Contains(stripped, o.Owner)) && isProber(now, self, o, others)
 	})
 }
 
+// Stripped returns the servers that have hardly any keys and aren't heard of.
+func Stripped(self LoadReport, others []LoadReport) []Owner {
+	few := strippedShare * meanKeys(self, others)
+	var stripped []Owner
+	for _, o := range others {
+		if !o.Known && !o.empty() && float64(o.Keys) < few {
+			stripped = append(stripped, o.Owner)
+		}
+	}
+	return stripped
+}
+
 // meanKeys returns the mean number of keys of all owners.
 func meanKeys(self LoadReport, others []LoadReport) float64 {
 	sum := self.Keys
--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -6,6 +6,7 @@
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtspread"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
@@ -72,3 +73,8 @@
 
 // SlowStart exports slowStart to tests.
 var SlowStart = slowStart
+
+// ChooseSurveyed returns the daemons that are asked for a load report, of those without a recent one.
+func ChooseSurveyed(stale []mtdirectory.Member, stripped []mtrange.Owner) []mtdirectory.Member {
+	return chooseSurveyed(nil, stale, stripped)
+}
--- a/io/mtmesh/survey.go
+++ b/io/mtmesh/survey.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,12 +82,11 @@
 			stale = append(stale, member)
 		}
 	}
-	rand.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
-	stale = append(limited, stale...)
+	asked := chooseSurveyed(limited, stale, mtrange.Stripped(m.loadReports()))
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	var queries sync.WaitGroup
-	for _, member := range stale[:min(len(stale), surveySize)] {
+	for _, member := range asked {
 		queries.Go(func() {
 			if err := peers.QueryLoad(ctx, member.Daemon, member.Address); err != nil {
 				m.config.Log.Info("requesting a load report failed", "peer", member.Daemon, "error", err)
@@ -95,3 +95,15 @@
 	}
 	queries.Wait()
 }
+
+// chooseSurveyed returns which servers are asked: those that had a limit, one of those that have
+// hardly any keys, since no calls bring its report either, and some of the others.
+func chooseSurveyed(limited, stale []mtdirectory.Member, stripped []mtrange.Owner) []mtdirectory.Member {
+	rand.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
+	i := slices.IndexFunc(stale, func(m mtdirectory.Member) bool { return slices.Contains(stripped, m.Owner()) })
+	if i > 0 {
+		stale[0], stale[i] = stale[i], stale[0]
+	}
+	chosen := slices.Concat(limited, stale)
+	return chosen[:min(len(chosen), surveySize)]
+}
