Name the times of a heartbeat's connection by what they bound

Cause: a reader stumbled on Heartbeat.Connected, which is a time before the sender connected, and on ConnTimes.NotBefore, the same time under another name; on heardSince, whose comment told how it was found; on maxBreakLead; on comments on the queue check and on pending requests that left out the reason. The poll of a socket stood twice.

Change: both are OpenedAfter; heartbeatRefutes; maxCrashTime; mtdial.Poll is used by the queue check and the check for a disconnect. Comments give reasons; stories above the tests are one line where one is enough. No change of behaviour.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -73,11 +73,11 @@
 	Sequence uint64
 	// Cold is the remaining time for which the server is cold.
 	Cold time.Duration
-	// Connected is a time before the sender opened the connection that carried the heartbeat:
-	// it was running after that. The heartbeat itself may arrive far later. Zero if unknown.
-	Connected mtclock.Instant
-	// Accepted is when that connection was accepted: a moment after the sender opened it, or
-	// longer if the daemon is busy or was frozen. The sender may have ended before. Zero if
+	// OpenedAfter is a time after which the sender opened the connection that carried the
+	// heartbeat, so it was running then. The heartbeat may arrive far later. Zero if unknown.
+	OpenedAfter mtclock.Instant
+	// Accepted is when that connection was accepted: soon after the sender opened it, or
+	// later if the daemon is busy or was frozen. The sender may have ended by then. Zero if
 	// unknown.
 	Accepted mtclock.Instant
 }
--- a/core/mtbackend/warmup.go
+++ b/core/mtbackend/warmup.go
@@ -32,11 +32,11 @@
 // long, but never for too short a time.
 //
 // A heartbeat that was in transit when the server became possibly cold may have been
-// sent before that. It confirms the state only if its connection was certainly made later, or if
+// sent before that. It confirms the state only if its connection was certainly opened later, or if
 // the time of its connection is unknown.
 func (w *WarmupTracker) ObserveHeartbeat(now mtclock.Instant, b Heartbeat) {
 	coldUntil := now.Add(b.Cold)
-	if b.Connected != 0 && !b.Connected.After(w.uncertainAt) {
+	if b.OpenedAfter != 0 && !b.OpenedAfter.After(w.uncertainAt) {
 		w.until = max(w.until, coldUntil)
 		return
 	}
--- a/core/mtbackend/warmup_test.go
+++ b/core/mtbackend/warmup_test.go
@@ -40,7 +40,7 @@
 				if len(inTransit) > 0 {
 					arrives = max(arrives, inTransit[len(inTransit)-1].arrives)
 				}
-				inTransit = append(inTransit, sent{mtbackend.Heartbeat{Cold: max(warmAt.Sub(now), 0), Connected: now}, arrives})
+				inTransit = append(inTransit, sent{mtbackend.Heartbeat{Cold: max(warmAt.Sub(now), 0), OpenedAfter: now}, arrives})
 			}
 			if now.Before(warmAt) {
 				assert.Assert(t, tracker.Cold(now), "cold until %s, now %s", time.Duration(warmAt), time.Duration(now))
@@ -54,9 +54,9 @@
 func TestHeartbeatInTransitDoesNotConfirmWarmState(t *testing.T) {
 	var tracker mtbackend.WarmupTracker
 	tracker.MarkPossiblyCold(100)
-	tracker.ObserveHeartbeat(200, mtbackend.Heartbeat{Connected: 90})
+	tracker.ObserveHeartbeat(200, mtbackend.Heartbeat{OpenedAfter: 90})
 	assert.Assert(t, tracker.Cold(200))
-	tracker.ObserveHeartbeat(300, mtbackend.Heartbeat{Connected: 290, Cold: 50})
+	tracker.ObserveHeartbeat(300, mtbackend.Heartbeat{OpenedAfter: 290, Cold: 50})
 	assert.Assert(t, tracker.Cold(349) && !tracker.Cold(350))
 }
 
--- a/core/mtpoison/recurring.go
+++ b/core/mtpoison/recurring.go
@@ -23,9 +23,10 @@
 	// maxLosses is the number of losses retained, the newest ones: all servers of a large
 	// fleet may be lost at once.
 	maxLosses = 1024
-	// maxBreakLead is how long before its process ends a server may break the connections of
-	// requests and still send heartbeats: several times what a busy VM needs.
-	maxBreakLead = time.Second
+	// maxCrashTime is the longest time from when a crashing server breaks the connections of
+	// its requests until its process ends: several times what a busy VM needs. It may send
+	// heartbeats meanwhile.
+	maxCrashTime = time.Second
 )
 
 // RecurrenceDetector detects requests that crash every backend server that runs them, by
@@ -121,12 +122,13 @@
 	}
 }
 
-// HeartbeatOpened records that a server that has not been lost since opened the connection of a
-// heartbeat after the given time. It may have been about to end by then. If that showed that it had
-// outlived the request that crashed it, the crash would count against none. Nor does the time of the
-// accept show it: the server may have ended while the connection waited.
+// HeartbeatOpened records that the server, which has not been lost since, opened the connection of
+// a heartbeat after the given time. A crashing server may still do so for up to maxCrashTime. If the
+// heartbeat showed that it had outlived its requests, the crash would count against none of them.
+// The time at which the connection was accepted must not be given: the server may have ended while
+// the connection waited.
 func (r *RecurrenceDetector) HeartbeatOpened(at mtclock.Instant) {
-	r.serverAlive(at.Add(-maxBreakLead))
+	r.serverAlive(at.Add(-maxCrashTime))
 }
 
 // serverAlive records that the server's process, which has not been lost since, was running at
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -87,6 +87,8 @@
 	if remaining < time.Millisecond {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1}
 	}
+	// An idle connection is used without regard to the context, so the call would be sent and
+	// have to be reported as unknown.
 	if ctx.Err() != nil {
 		return nil, &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1, Detail: "the caller went away"}
 	}
--- a/io/mthost/crash_test.go
+++ b/io/mthost/crash_test.go
@@ -32,7 +32,7 @@
 	_, err := s.host.Run(t.Context(), crashing)
 	assert.ErrorContains(t, err, "EOF")
 	time.Sleep(20 * time.Millisecond)
-	beat.Sequence, beat.Connected = 2, s.clock.Now()
+	beat.Sequence, beat.OpenedAfter = 2, s.clock.Now()
 	s.heartbeat(beat)
 	s.startServer("two")
 	s.mu.Lock()
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -74,12 +74,13 @@
 // handleUnconfirmed determines whether the sender of a heartbeat is the running
 // incarnation, by querying the server. If that fails, a second heartbeat of the same
 // incarnation confirms it too, unless both may have been sent before the known incarnation
-// started: then that one would be taken for ended. It is called with mu held.
+// started. In that case the known one would be taken for ended while it runs. It is called with
+// mu held.
 func (h *Host) handleUnconfirmed(b mtbackend.Heartbeat) {
 	previous := h.unconfirmed
 	h.unconfirmed, h.unconfirmedAt = b, h.Clock.Now()
-	later := h.record.Incarnation.IsZero() || b.Connected.After(h.lastAccepted)
-	if previous.Incarnation == b.Incarnation && b.Sequence > previous.Sequence && later {
+	newer := h.record.Incarnation.IsZero() || b.OpenedAfter.After(h.lastAccepted)
+	if previous.Incarnation == b.Incarnation && b.Sequence > previous.Sequence && newer {
 		h.startIncarnation(b)
 		return
 	}
@@ -141,7 +142,7 @@
 func (h *Host) applyHeartbeat(b mtbackend.Heartbeat) {
 	now := h.Clock.Now()
 	h.lastHeartbeat, h.lastAccepted, h.silent = now, max(h.lastAccepted, b.Accepted), false
-	h.heartbeatOpened(b.Connected)
+	h.heartbeatOpened(b.OpenedAfter)
 	if b.Sequence < h.sequence {
 		return
 	}
@@ -149,7 +150,7 @@
 	// A heartbeat may arrive, and its connection may be accepted, seconds after its sender has
 	// terminated. If the sender opened that connection after the liveness connection had been
 	// opened, both lead to the same incarnation.
-	if h.liveness != nil && h.liveness.opened.Before(b.Connected) {
+	if h.liveness != nil && h.liveness.opened.Before(b.OpenedAfter) {
 		h.confirmLiveness(h.liveness)
 	}
 	h.warmup.ObserveHeartbeat(h.Clock.Steady(), b)
--- a/io/mthost/liveness_test.go
+++ b/io/mthost/liveness_test.go
@@ -89,7 +89,7 @@
 			s.server.incarnation = "one"
 			heartbeat := func(sequence uint64) mtbackend.Heartbeat {
 				b := s.heartbeatStartedAt(started, sequence)
-				b.Address, b.Connected = p.address(), s.clock.Now()
+				b.Address, b.OpenedAfter = p.address(), s.clock.Now()
 				return b
 			}
 			s.heartbeat(heartbeat(1))
@@ -138,7 +138,7 @@
 	time.Sleep(50 * time.Millisecond) // until the daemon has recorded that it is open
 	late := heartbeat(100, 2)
 	s.heartbeat(late)
-	late.Connected, late.Accepted, late.Sequence = opened.Add(-time.Millisecond), s.clock.Now(), 3
+	late.OpenedAfter, late.Accepted, late.Sequence = opened.Add(-time.Millisecond), s.clock.Now(), 3
 	s.heartbeat(late)
 	assert.Assert(t, !s.host.ConnectedTo(previous), "a late heartbeat confirmed the incarnation that answers")
 	s.heartbeat(heartbeat(200, 1))
--- a/io/mthost/load.go
+++ b/io/mthost/load.go
@@ -92,9 +92,9 @@
 	return time.Duration(h.relativeTime * h.slowness.Factor(now) * float64(tenth))
 }
 
-// timeForCapacity returns the mean service time, or what the configuration expects while no call
-// has ended here: a restarted daemon may know the limit of its server by others first. It is
-// called with meterMu held.
+// timeForCapacity returns the service time by which a rate limit is converted to a capacity: the
+// mean, or that of the configuration while no call has ended here. A restarted daemon may receive
+// the limit of its server from other daemons before any call. It is called with meterMu held.
 func (h *Host) timeForCapacity() time.Duration {
 	if h.meanTime > 0 || len(h.configuredTimes) == 0 {
 		return h.meanTime
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -204,30 +204,29 @@
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.Incarnation.Server == "new" && r.AcceptsWork() })
 }
 
-// Guards against a running server that is taken for ended, so that others get its keys, because two
-// heartbeats of its predecessor arrive late at a daemon that was restarted meanwhile.
+// Guards against a running server that loses its keys because heartbeats of its predecessor come late.
 func TestLateHeartbeatsOfPredecessorDoNotReplaceRunningServer(t *testing.T) {
-	for name, answers := range map[string]mtid.Server{"it says its name": "new", "it does not answer": ""} {
+	for name, answers := range map[string]mtid.Server{"it reports its name": "new", "it does not answer": ""} {
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t, "server")
 			s.startServer("new")
 			running := s.newHeartbeat("new", 2)
-			running.Connected, running.Accepted = s.clock.Now(), s.clock.Now()
+			running.OpenedAfter, running.Accepted = s.clock.Now(), s.clock.Now()
 			s.heartbeat(running)
 			s.server.mu.Lock()
 			s.server.incarnation = answers
 			s.server.mu.Unlock()
 			for sequence := range uint64(3) {
 				late := s.newHeartbeat("old", 7+sequence)
-				late.Connected, late.Accepted = running.Connected.Add(-time.Second), s.clock.Now()
+				late.OpenedAfter, late.Accepted = running.OpenedAfter.Add(-time.Second), s.clock.Now()
 				s.heartbeat(late)
 			}
 			known, _ := s.host.Record()
 			assert.Equal(t, known.Incarnation.Server, mtid.Server("new"))
 			next := s.newHeartbeat("next", 1)
-			next.Connected, next.Accepted = running.Accepted.Add(time.Millisecond), s.clock.Now()
+			next.OpenedAfter, next.Accepted = running.Accepted.Add(time.Millisecond), s.clock.Now()
 			s.heartbeat(next)
-			next.Sequence, next.Connected = 2, s.clock.Now()
+			next.Sequence, next.OpenedAfter = 2, s.clock.Now()
 			s.heartbeat(next)
 			s.waitFor("its successor is known", func(r mtbackend.Record) bool { return r.Incarnation.Server == "next" })
 		})
@@ -497,8 +496,7 @@
 	assert.Assert(t, !ok)
 }
 
-// Guards against nested calls of a repeated run that are taken for first ones, also while an
-// earlier run of the same call is in flight.
+// Guards against nested calls of a repeat that aren't charged, also beside an earlier run of the call.
 func TestParentOfRepeatedRun(t *testing.T) {
 	s := newFixture(t, "127.0.0.1:1")
 	s.startServer("server-1")
--- a/io/mthost/process.go
+++ b/io/mthost/process.go
@@ -47,7 +47,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.checking = false
-		if found != processRuns && h.record.Incarnation == incarnation && !h.heardSince(begun, found) {
+		if found != processRuns && h.record.Incarnation == incarnation && !h.heartbeatRefutes(begun, found) {
 			h.handleUnreachable(found)
 		}
 	}()
@@ -58,12 +58,12 @@
 	return now.Sub(h.lastHeartbeat) > heartbeatTimeout
 }
 
-// heardSince reports whether a heartbeat has arrived during a check that found no connection, and
-// refutes it. A busy server that takes no connections gets one through at times: when that was
-// looked at before the check only, servers were taken for ended 0.1 s after their heartbeat. One whose
-// sender connected earlier refutes it too: a server that runs must not be taken for ended, and one
-// that has ended is checked again. It is called with mu held.
-func (h *Host) heardSince(begun mtclock.Instant, found processState) bool {
+// heartbeatRefutes reports whether a heartbeat that arrived during a check shows that the server may
+// run although the check found no connection: a busy server that accepts none may still send
+// heartbeats. A heartbeat whose sender connected before the check counts too, because a running
+// server must not be taken for ended, while one that has ended is checked again. It is called with
+// mu held.
+func (h *Host) heartbeatRefutes(begun mtclock.Instant, found processState) bool {
 	return h.lastAccepted.After(begun) || found == processSilent && !h.noHeartbeat(h.Clock.Now())
 }
 
@@ -103,7 +103,7 @@
 // ended. It is called with mu held.
 func (h *Host) hasOutlivedEnd(b mtbackend.Heartbeat) bool {
 	return h.record.State == mtbackend.Ended && h.record.Incarnation == b.Incarnation &&
-		h.endInferredAt != 0 && b.Connected.After(h.endInferredAt)
+		h.endInferredAt != 0 && b.OpenedAfter.After(h.endInferredAt)
 }
 
 // resumeIncarnation brings the current incarnation back that was taken for ended. Its keys may
--- a/io/mthost/process_test.go
+++ b/io/mthost/process_test.go
@@ -168,11 +168,11 @@
 	s := newFixture(t, "server")
 	startSilentServer(t, s)
 	late := s.newHeartbeat("one", 2)
-	late.Connected, late.Accepted = s.clock.Now().Add(-time.Second), s.clock.Now() // its sender may have ended since
+	late.OpenedAfter, late.Accepted = s.clock.Now().Add(-time.Second), s.clock.Now() // its sender may have ended since
 	s.heartbeat(late)
 	assert.Equal(t, s.record().State, mtbackend.Ended)
 	next := s.newHeartbeat("one", 3)
-	next.Connected = s.clock.Now()
+	next.OpenedAfter = s.clock.Now()
 	s.heartbeat(next)
 	s.waitFor("the server is in service", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 	assert.Equal(t, s.refusalCause(false), mtreply.Cause(""))
@@ -192,7 +192,7 @@
 	s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
 	s.waitFor("the end is published", func(r mtbackend.Record) bool { return r.State == mtbackend.Ended })
 	next := s.newHeartbeat("one", 2)
-	next.Connected = s.clock.Now()
+	next.OpenedAfter = s.clock.Now()
 	s.heartbeat(next)
 	assert.Equal(t, s.record().State, mtbackend.Ended)
 }
--- a/io/mthost/run.go
+++ b/io/mthost/run.go
@@ -150,7 +150,8 @@
 	defer h.inFlightMu.Unlock()
 	started := h.inFlight[call.ID]
 	started.count++
-	// While several runs of a call are in flight, it isn't known which one makes a nested call.
+	// If several runs of a call are in flight, a nested call could be part of any of them. One
+	// repeat among them makes all their nested calls repeats.
 	repeat := call.Repeat || started.latest.Repeat
 	started.latest = mtcall.Parent{Priority: call.Priority, Repeat: repeat}
 	h.inFlight[call.ID] = started
--- a/io/mthost/signals.go
+++ b/io/mthost/signals.go
@@ -113,8 +113,8 @@
 	h.Log.Info("server's rate limit", "server", h.record.Incarnation.String(), "limit", limitText(rate), "on", on, "started", h.startedCalls.Load())
 }
 
-// tryLimit decides whether the server's rate limit is tried, since no call has confirmed it for
-// some time. The gate keeps to it meanwhile. It is called with mu held.
+// tryLimit advances the trial of the server's rate limit, which begins when no call has confirmed
+// the limit for some time. The gate keeps to the limit meanwhile. It is called with mu held.
 func (h *Host) tryLimit() {
 	limit, started := h.signals.limit.Rate(), h.startedCalls.Load()
 	running, _ := h.admission.Busy()
--- a/io/mthost/signals_test.go
+++ b/io/mthost/signals_test.go
@@ -199,13 +199,11 @@
 	assert.Equal(t, s.refusalCause(true), mtreply.CauseDraining)
 }
 
-// Guards against a limit without calls that is never tried, and against a server that gets more
-// calls than it takes while it is tried: what it reports is raised, not what may start. In a
-// restarted daemon the limit is what another daemon knows.
+// Guards against a limit that is never tried, and against calls above the limit while it is tried.
 func TestTriedLimitHoldsUntilServerAnswers(t *testing.T) {
 	for name, begin := range map[string]func(s *fixture){
-		"named": func(s *fixture) { s.report(limited(1)); assert.Equal(t, s.refusalCause(false), mtreply.Cause("")) },
-		"known by another daemon": func(s *fixture) {
+		"reported by the server": func(s *fixture) { s.report(limited(1)); assert.Equal(t, s.refusalCause(false), mtreply.Cause("")) },
+		"received from another daemon, as after a restart": func(s *fixture) {
 			refused := s.call(false)
 			refused.Notice = notice("i-1", mtbackend.Notice{Limited: true, Limit: 1})
 			refused.Deadline = s.clock.Now()
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -78,7 +78,7 @@
 			return
 		}
 		h.applySignals(connected, health.Signals)
-		h.warmup.ObserveHeartbeat(h.Clock.Steady(), mtbackend.Heartbeat{Cold: health.Cold, Connected: connected})
+		h.warmup.ObserveHeartbeat(h.Clock.Steady(), mtbackend.Heartbeat{Cold: health.Cold, OpenedAfter: connected})
 		h.updateStartLimit()
 	}()
 }
--- a/io/mthost/zone_test.go
+++ b/io/mthost/zone_test.go
@@ -111,12 +111,12 @@
 	s.host.Warmup(3)
 	s.server.incarnation = "i-1"
 	cold := s.newHeartbeat("i-1", 1)
-	cold.Cold, cold.Connected = 3*time.Second, s.clock.Now()
+	cold.Cold, cold.OpenedAfter = 3*time.Second, s.clock.Now()
 	s.heartbeat(cold)
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 	assert.Assert(t, s.burst(12, 500*time.Millisecond) <= 3)
 	warm := s.newHeartbeat("i-1", 2)
-	warm.Connected = s.clock.Now()
+	warm.OpenedAfter = s.clock.Now()
 	s.heartbeat(warm)
 	assert.Equal(t, s.burst(12, 20*time.Second), 12)
 }
@@ -129,7 +129,7 @@
 	s.server.incarnation = "one"
 	start := func(at mtid.StartTime) {
 		cold := s.heartbeatStartedAt(at, 1)
-		cold.Cold, cold.Connected = 30*time.Second, s.clock.Now()
+		cold.Cold, cold.OpenedAfter = 30*time.Second, s.clock.Now()
 		s.heartbeat(cold)
 		s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.Incarnation.Started == at && r.AcceptsWork() })
 	}
@@ -155,7 +155,7 @@
 	s.server.mu.Unlock()
 	s.host.ZoneBack()
 	late := s.newHeartbeat("i-1", 2)
-	late.Connected = 1 // on a connection opened before
+	late.OpenedAfter = 1 // on a connection opened before
 	s.heartbeat(late)
 	assert.Assert(t, s.burst(12, 500*time.Millisecond) <= 3)
 }
--- a/io/mtlisten/mtlisten_test.go
+++ b/io/mtlisten/mtlisten_test.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// Guards against requests that go on after their caller has left behind further requests, at a
-// listener that limits connections.
+// Guards against a connection wrapped by the limit that hides from mtpipeline that its caller left.
 func TestDisconnectBehindUnreadRequestIsNoticed(t *testing.T) {
 	begun, canceled := make(chan struct{}), make(chan struct{})
 	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
--- a/io/mtlisten/times.go
+++ b/io/mtlisten/times.go
@@ -11,14 +11,16 @@
 	"golang.org/x/sys/unix"
 
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/io/mtdial"
 )
 
 // ConnTimes are times of a connection that a listener accepted. They are zero if unknown.
 type ConnTimes struct {
-	// NotBefore is when no connection waited to be accepted: the peer opened this one later.
-	// It may have ended before Accepted, since the kernel completes connections by itself.
-	NotBefore mtclock.Instant
-	Accepted  mtclock.Instant
+	// OpenedAfter is the latest time at which no connection was found waiting to be accepted, so
+	// the peer opened this one later. Accepted may be much later: the kernel completes
+	// connections by itself, and the peer may have ended while this one waited.
+	OpenedAfter mtclock.Instant
+	Accepted    mtclock.Instant
 }
 
 // TimesOf returns the times of the connection of a request, by Options.Clock.
@@ -31,10 +33,9 @@
 type timesKey struct{}
 
 const (
-	// queueCheckInterval is how often a listener without new connections is found to have none
-	// waiting.
+	// queueCheckInterval is how often the queue is checked while no connections arrive.
 	queueCheckInterval = 200 * time.Millisecond
-	// longAgo precedes all connections. Zero would mean an unknown time.
+	// longAgo is before all connections were opened. It isn't zero, which means unknown.
 	longAgo mtclock.Instant = 1
 )
 
@@ -43,7 +44,7 @@
 
 // socket is the part of a TCP listener by which its queue is checked.
 type socket interface {
-	SyscallConn() (syscall.RawConn, error)
+	syscall.Conn
 	SetDeadline(t time.Time) error
 }
 
@@ -56,16 +57,17 @@
 	latest  ConnTimes       // of the connection accepted last
 }
 
-// newTimedListener returns a listener that accepts by an inner one, which passes on the
-// connections of a socket.
+// newTimedListener returns a listener that accepts from inner, which wraps base. The times of
+// connections are known only if base is a TCP listener.
 func newTimedListener(inner, base net.Listener, clock clock) *timedListener {
 	l := &timedListener{Listener: inner, clock: clock, emptyAt: longAgo}
 	l.socket, _ = base.(socket)
 	return l
 }
 
-// Accept implements net.Listener. The queue is checked between the attempts to accept: one that
-// is found empty by another goroutine may have been emptied by this one.
+// Accept implements net.Listener. The queue is checked between the attempts to accept, by the same
+// goroutine. Otherwise the queue could be found empty because a connection had just been taken from
+// it, and that connection would seem to have been opened later.
 func (l *timedListener) Accept() (net.Conn, error) {
 	for {
 		if l.socket != nil {
@@ -80,7 +82,7 @@
 			continue
 		}
 		if err == nil {
-			l.latest = ConnTimes{NotBefore: l.emptyAt, Accepted: l.clock.Now()}
+			l.latest = ConnTimes{OpenedAfter: l.emptyAt, Accepted: l.clock.Now()}
 		}
 		return conn, err
 	}
@@ -94,14 +96,6 @@
 
 // queueIsEmpty reports whether no connection waits to be accepted; false if that is unknown.
 func queueIsEmpty(s socket) bool {
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Control(func(fd uintptr) {
-		waiting, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		empty = pollErr == nil && waiting == 0
-	})
-	return err == nil && empty
+	waiting, err := mtdial.Poll(s, unix.POLLIN)
+	return err == nil && !waiting
 }
--- a/io/mtlisten/times_test.go
+++ b/io/mtlisten/times_test.go
@@ -32,8 +32,7 @@
 	return mtclock.Instant(c.now.Add(1))
 }
 
-// Guards against a peer that seems to have run when its connection was accepted, although it ended
-// while the connection waited: a grant meant for it reached the server after it.
+// Guards against a peer that seems to run at the accept although it ended while its connection waited.
 func TestConnectionThatWaitsIsOpenedBeforeItsAcceptance(t *testing.T) {
 	clock := &heldClock{}
 	clock.now.Store(100)
@@ -57,7 +56,7 @@
 		ended := mtclock.Instant(clock.now.Add(100))
 		close(h.released)
 		got := <-times
-		assert.Assert(t, got.NotBefore > 0 && got.NotBefore < ended && got.Accepted > ended, "%+v, ended at %d", got, ended)
+		assert.Assert(t, got.OpenedAfter > 0 && got.OpenedAfter < ended && got.Accepted > ended, "%+v, ended at %d", got, ended)
 
 		accepted := clock.now.Load()
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -68,7 +67,7 @@
 		}, poll.WithTimeout(20*time.Second))
 		conn := send()
 		got = <-times
-		assert.Assert(t, got.NotBefore > ended, "%+v, ended at %d", got, ended)
+		assert.Assert(t, got.OpenedAfter > ended, "%+v, ended at %d", got, ended)
 		assert.NilError(t, conn.Close())
 	}
 }
--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -196,7 +196,7 @@
 	_ = c.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	if c.hungUp() {
-		c.cancel() // before the request goes to a server
+		c.cancel() // so that the request isn't sent to a server
 	}
 	go e.serve()
 	switch {
--- a/io/mtpipeline/hangup.go
+++ b/io/mtpipeline/hangup.go
@@ -5,14 +5,16 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"magnoliaturn/io/mtdial"
 )
 
-// hangUpInterval is how often it is checked that the caller is there while nothing is read.
+// hangUpInterval is how often the connection is checked for a disconnect while nothing is read.
 const hangUpInterval = 200 * time.Millisecond
 
-// awaitAnswered waits until a request has been answered. Nothing is read meanwhile, so that only
-// the kernel knows if the caller disconnects behind a request that it has sent already. Then all
-// pending requests are canceled.
+// awaitAnswered waits until a request has been answered, and cancels all pending requests if the
+// caller disconnects meanwhile. Nothing is read in that time, and the end of the input would be behind
+// requests that the caller has sent already, so the socket is polled for the disconnect.
 func (c *conn) awaitAnswered(answered <-chan struct{}) {
 	select {
 	case <-answered:
@@ -41,14 +43,6 @@
 	if !ok {
 		return false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	hungUp := false
-	err = raw.Control(func(fd uintptr) {
-		events, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 0)
-		hungUp = pollErr == nil && events > 0
-	})
+	hungUp, err := mtdial.Poll(socket, unix.POLLRDHUP)
 	return err == nil && hungUp
 }
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -172,8 +172,7 @@
 	}
 }
 
-// Guards against requests that are sent on to servers after their caller has left: it was not
-// noticed while a later request of the connection waited for them, or too many were in progress.
+// Guards against requests that go on after their caller has left while the connection isn't read.
 func TestDisconnectBehindUnreadRequestCancelsRequests(t *testing.T) {
 	post := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 	for name, test := range map[string]struct {
@@ -210,7 +209,7 @@
 	}
 }
 
-// lateReader is a listener whose connections are read a second time only after begun is closed.
+// lateReader is a listener whose connections block from the second Read until begun is closed.
 type lateReader struct {
 	net.Listener
 	begun chan struct{}
@@ -238,8 +237,7 @@
 	return c.TCPConn.Read(p)
 }
 
-// Guards against requests that are sent on to servers although their caller had left before a busy
-// daemon read them.
+// Guards against requests sent on to servers although their caller left before they were read.
 func TestRequestOfCallerThatHasLeftBeginsCanceled(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
