--- a/core/mtretry/mtretry.go
+++ b/core/mtretry/mtretry.go
@@ -26,27 +26,27 @@
 // # Quota
 //
 // A Quota replaces the budget where the operators limit the repeats of a service summed over all
-// daemons: see Limits. Without a message between daemons, each of N daemons takes a retry only
-// if in each window that contains it, its own repeats stay within
+// daemons: see Limits. A repeat is a retry, or the first try of a nested call of a run that is itself
+// a repeat. Without a message between daemons, each of N daemons takes a retry only if in each window
+// that contains it, its own repeats stay within
 //
 //	Ratio x its own requests + Extra/N
 //
-// with its requests counted from half a window before that window to the middle of it. A window
-// in which daemons take retries contains the last retry of each, and all of a daemon's repeats
-// until that one passed this check for just this window. The sum of the N bounds is Ratio x all
-// requests + Extra, because the requests of all daemons are counted over the same time. Requests
-// that are still to come add to the bound only.
+// with its requests counted from half a window before that window to the middle of it. This keeps
+// the sum over all daemons within Ratio x all requests + Extra, in any window: when a daemon took its
+// last retry in the window, all its repeats until then passed the check for just this window. The N
+// bounds add up because the requests of all daemons are counted over the same time. Requests that
+// arrive later only raise the bound.
 //
-// Nested calls of a run that is itself a repeat count as repeats of the service that is called.
-// They are charged, and not refused: further retries wait until they fit in again. So no window
-// has more repeats than the bound, plus the nested repeats after the last retry in it. A part of
-// Ratio is kept for these.
+// Nested repeats count for the service that is called. They are charged but never refused; retries
+// are refused until all fit in again. So a window may exceed the bound by the nested repeats after
+// the last retry in it. A part of Ratio is kept for these.
 //
-// The proof takes N to be the same everywhere. A daemon that starts again doesn't know what it has
+// The proof assumes that N is the same at all daemons. A restarted daemon doesn't know what it has
 // spent: it gets no part of Extra until a window has passed. When all daemons start for the first
-// time, none has spent anything. Windows that began before the first request then count their
-// own requests, at all daemons: there were none earlier. This takes requests to reach all daemons
-// from about the same moment.
+// time, none has spent anything. As there were no earlier requests, windows that began before the
+// first request then count their own requests, at all daemons. This assumes that requests reach all
+// daemons from about the same moment.
 //
 //	quota := mtretry.NewQuota(mtretry.Limits{Ratio: 0.2, Extra: 160, Window: 10 * time.Second}, mtretry.Restart)
 //	quota.RecordRequest(now, service)
--- a/core/mtretry/quota.go
+++ b/core/mtretry/quota.go
@@ -11,15 +11,16 @@
 // most Ratio times the callers' requests for the service, plus Extra. The requests are those of
 // the window half a window earlier. The zero value sets no limits.
 type Limits struct {
-	Ratio  float64 // 0 to 1
-	Extra  int
-	Window time.Duration
+	Ratio  float64       // repeats per request of a caller, 0 to 1
+	Extra  int           // repeats in a window that need no requests
+	Window time.Duration // length of a window
 }
 
 // Set reports whether there are limits.
 func (l Limits) Set() bool { return l.Ratio > 0 && l.Window > 0 }
 
-// Prospect is what a retry would be spent on.
+// Prospect is what the retry of a call can achieve. It decides which part of the quota the retry
+// may use.
 type Prospect int
 
 // Prospects of a call that asks for a retry.
@@ -34,27 +35,28 @@
 )
 
 const (
-	// binsPerWindow is the number of bins in which a window is counted, and half of it is that
-	// from the beginning of a window to the middle of it.
+	// binsPerWindow is the number of bins in which a window is counted.
 	binsPerWindow = 20
-	halfWindow    = binsPerWindow / 2
-	// reserve is the part of Limits.Ratio that is kept for repeats that this daemon doesn't
-	// charge in time: retries may wait at a server's gate, and nested repeats aren't refused.
+	// halfWindow is half a window, in bins.
+	halfWindow = binsPerWindow / 2
+	// reserve is the part of Limits.Ratio that is kept for repeats outside the window that they
+	// are checked for: retries that wait at a server's gate reach it in a later one, and nested
+	// repeats aren't refused.
 	reserve = 0.1
-	// maxKept limits the part of a quota that is kept for nested calls.
+	// maxKept is the largest part of a quota that is kept for nested calls.
 	maxKept = 0.5
 	// lateShare is the part of a quota of callers' requests that late ones may use.
 	lateShare = 0.5
 )
 
-// Start tells what a daemon that starts knows of the time before.
+// Start is the kind of a daemon's start, which tells whether it may have made repeats before.
 type Start int
 
 // Kinds of start.
 const (
 	// Restart may follow repeats that the daemon made earlier and doesn't know of.
 	Restart Start = iota
-	// FirstStart is that of all daemons together, before which there were no repeats.
+	// FirstStart is the first start of a deployment, before which there were no repeats.
 	FirstStart
 )
 
@@ -87,8 +89,8 @@
 	q.usage(now, service).current().requests++
 }
 
-// RecordNested records the first try of a nested call. If the run that it is part of was
-// itself a repeat, it is charged as one. It is sent in any case: refused, it would waste that run.
+// RecordNested records the first try of a nested call. If repeat is set, the run that makes the call
+// is a repeat, and so is the call: it is charged. It is not refused, since that would waste the run.
 func (q *Quota) RecordNested(now mtclock.Instant, service mtid.Service, repeat bool) {
 	b := q.usage(now, service).current()
 	b.nested++
@@ -98,8 +100,8 @@
 	}
 }
 
-// Spend reports whether a call to a service may be sent once more, and charges that. The
-// extra repeats are shared evenly among the daemons, whose number is 0 if it is unknown.
+// Spend reports whether a call to a service may be retried, and charges the retry if so. The extra
+// repeats are shared evenly among the daemons, whose number is 0 if it is unknown.
 func (q *Quota) Spend(now mtclock.Instant, service mtid.Service, daemons int, prospect Prospect) bool {
 	u := q.usage(now, service)
 	if !u.hasRoom(q.oldest(u), q.limits.Ratio*(1-reserve), q.share(now, daemons), u.part(prospect)) {
@@ -111,8 +113,9 @@
 	return true
 }
 
-// oldest returns how many bins ago the oldest window began whose requests are counted half a
-// window earlier. At a first start, windows that began before the first request count their own.
+// oldest returns the age, in bins, of the first bin of the oldest window whose requests are counted
+// half a window earlier. After a first start, windows that began before the first request count their
+// own requests.
 func (q *Quota) oldest(u *usage) int {
 	if q.start == Restart {
 		return binsPerWindow
@@ -184,17 +187,18 @@
 }
 
 // hasRoom reports whether one more repeat fits into a part of the quota, in each window that
-// contains the present. A window may begin anywhere in its first bin: its repeats are counted from
-// that whole bin, and the requests in the bins that are within half a window of any point of it.
-// Windows older than the oldest have all requests so far, and the repeats of the oldest.
+// contains the present. A window may begin anywhere in its first bin. So the repeats of that whole
+// bin count, but only the requests in bins that are within half a window of any point of it. Windows
+// that began before the oldest, if there are any, count all requests so far and the repeats since
+// the beginning of the oldest.
 func (u *usage) hasRoom(oldest int, ratio, share, part float64) bool {
-	repeats, requests, sofar := 1, 0, 0
+	repeats, requests, soFar := 1, 0, 0
 	for age := range halfWindow {
 		requests += u.at(age).requests
 	}
 	for first := range oldest + 1 {
 		repeats += u.at(first).repeats
-		sofar += u.at(first).requests
+		soFar += u.at(first).requests
 		if float64(repeats) > part*(ratio*float64(requests)+share) {
 			return false
 		}
@@ -203,11 +207,11 @@
 			requests -= u.at(latest).requests
 		}
 	}
-	return oldest == binsPerWindow || float64(repeats) <= part*(ratio*float64(sofar)+share)
+	return oldest == binsPerWindow || float64(repeats) <= part*(ratio*float64(soFar)+share)
 }
 
-// part returns the part of the quota that a call may use. Callers leave to nested calls the
-// part that these make up of all calls.
+// part returns the part of the quota that retries of a prospect may use. The part that nested calls
+// make up of all calls is kept for them, and lateShare of the rest is open to late calls.
 func (u *usage) part(prospect Prospect) float64 {
 	if prospect == Nested {
 		return 1
--- a/core/mtretry/quota_test.go
+++ b/core/mtretry/quota_test.go
@@ -78,8 +78,7 @@
 // passes are times between events, of which some end just inside a bin or window.
 var passes = []time.Duration{time.Millisecond, window / 40, window / 20, window / 4, window/2 - 1, window - window/20 - 1, window - 1, window}
 
-// For any order of events at any number of daemons, all of them together keep the limits in every
-// window.
+// For any order of events, all daemons together keep the limits in every window.
 func TestQuotasKeepLimitsTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		daemons := rapid.IntRange(1, 6).Draw(t, "daemons")
@@ -133,12 +132,12 @@
 	})
 }
 
-// load is what one daemon of several gets in a second, for one service whose servers reject half of
-// the tries for some seconds, after two windows without trouble.
+// load is what one daemon of several gets in a second, for one service. After two windows without
+// trouble its servers reject half of the tries for some seconds.
 type load struct {
 	requests, nested, late int // first tries of callers, of servers, and of callers whose objective has passed
-	repeated               int // how many of the nested calls are of runs that are repeats
-	seconds                int // of the trouble
+	repeated               int // nested calls that are part of repeats
+	seconds                int // for which servers reject tries
 }
 
 // losses counts the calls of a load that ended rejected, and the repeats of the service.
@@ -186,7 +185,8 @@
 	return q.Spend(now, service, 10, mtretry.Nested)
 }
 
-// Servers that reject half of what they get for some seconds, while others have room.
+// Guards against quotas that are left unused, exceeded or spent on calls that gain least, while
+// servers reject half of what they get for some seconds.
 func TestQuotaUnderRejections(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -245,8 +245,7 @@
 	}
 }
 
-// Guards against windows at whose edges repeats are forgotten too early, or requests count that
-// came too late.
+// Guards against repeats forgotten too early, and requests that count though they came too late.
 func TestQuotaAtEdgesOfWindow(t *testing.T) {
 	const bin = window / 20
 	tests := []struct {
--- a/io/mtingress/retry.go
+++ b/io/mtingress/retry.go
@@ -11,7 +11,8 @@
 // flow returns the flow whose budget pays for the retries of a call.
 func flow(call *mtcall.Call) mtretry.Flow { return mtretry.Flow{Class: mtid.Class(call.Service)} }
 
-// recordRequest records a call before its first try.
+// recordRequest records a call before its first try. With a quota, a nested call of a run that is a
+// repeat is marked as a repeat too.
 func (s *Sender) recordRequest(call *mtcall.Call) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -27,8 +28,8 @@
 	}
 }
 
-// mayRetry reports whether a call that may have reached a server may be sent once more, and
-// after which wait.
+// mayRetry returns how long to wait before a call that may have reached a server is retried, or
+// false if it must not be.
 func (s *Sender) mayRetry(call *mtcall.Call, state *sending, err error) (time.Duration, bool) {
 	attempt := mtretry.Attempt{
 		Flow:       flow(call),
@@ -48,12 +49,12 @@
 	if !ok {
 		return 0, false
 	}
-	// The members are the servers known, each with a daemon beside it.
+	// The members include daemons whose records have expired, which makes the shares smaller.
 	daemons := len(s.Directory.View().Members)
 	return wait, s.quota.Spend(s.Steady(), call.Service, daemons, s.prospect(call, wait))
 }
 
-// prospect returns what a retry of a call after a wait would be spent on.
+// prospect returns what a retry of a call after a wait can achieve.
 func (s *Sender) prospect(call *mtcall.Call, wait time.Duration) mtretry.Prospect {
 	begin := s.Clock.Now().Add(wait)
 	switch {
@@ -65,7 +66,7 @@
 	return mtretry.InTime
 }
 
-// RetryCounts returns how the limits on retries have acted; zeros without limits.
+// RetryCounts returns the totals of the retry quota; zeros without one.
 func (s *Sender) RetryCounts() mtretry.Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/mtingress/retry_test.go
+++ b/io/mtingress/retry_test.go
@@ -73,8 +73,7 @@
 	assert.Equal(t, s.RetryCounts(), mtretry.Counts{Retries: 1, Refused: 1})
 }
 
-// Guards against retries that take no account of the nested calls of runs that were repeats, and
-// against nested calls of such nested calls that count as first ones.
+// Guards against nested calls of repeats that aren't charged, or don't mark their own nested calls.
 func TestNestedCallOfRepeatedRunIsCharged(t *testing.T) {
 	s, p, next := newQuotaSender(t, retriesOn)
 	nested := next()
@@ -89,8 +88,7 @@
 	assert.Equal(t, s.RetryCounts(), mtretry.Counts{Refused: 1, NestedRepeats: 1})
 }
 
-// Guards against a request past its objective that takes the retry of one that can still be
-// answered in time.
+// Guards against a late request that takes the retry of one that can still be answered in time.
 func TestLateRequestLeavesRetryToOneInTime(t *testing.T) {
 	s, p, next := newQuotaSender(t, retriesOn)
 	late := next()
@@ -104,8 +102,8 @@
 	assert.NilError(t, err)
 }
 
-// Guards against limits that act although the policy is off.
-func TestRetriesWithoutPolicyAreAsBefore(t *testing.T) {
+// Guards against a quota that limits retries although the policy is off.
+func TestRetryQuotaNeedsPolicy(t *testing.T) {
 	s, p, next := newQuotaSender(t, mtoverload.Policies{})
 	for range 2 {
 		p.reject = 1
@@ -115,8 +113,7 @@
 	assert.Equal(t, s.RetryCounts(), mtretry.Counts{})
 }
 
-// Guards against a keyed call that waits long, or gives up at once, when the only server that may
-// run it rejects one try.
+// Guards against a keyed call that fails or waits long when its owner rejects one try.
 func TestRejectedKeyedCallIsRetriedSoonAtItsOwner(t *testing.T) {
 	s, p, next := newQuotaSender(t, retriesOn)
 	p.reject = 1
--- a/io/mtingress/send.go
+++ b/io/mtingress/send.go
@@ -58,7 +58,7 @@
 )
 
 // RetryFraction is the fraction of a retry that each first try of a service adds to the retry
-// budget, unless the operators set limits. The limit for all daemons together is a fifth of
+// budget, unless a quota replaces it. The operators' limit for all daemons together is a fifth of
 // the requests. It also covers the nested calls of a retried request.
 const RetryFraction = 0.08
 
@@ -68,8 +68,8 @@
 	Zone      mtid.Zone
 	Grace     time.Duration // from SIGTERM until the daemon's process is killed
 	Overload  mtoverload.Policies
-	Retries   mtretry.Limits // apply if they are set and Overload.Retries is on
-	Start     mtretry.Start  // of this process
+	Retries   mtretry.Limits // of the retry quota; used if set and Overload.Retries is on
+	Start     mtretry.Start  // of this process, for the retry quota
 	Directory *mtdirectory.Directory
 	Host      host
 	Peers     peers
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -126,7 +126,7 @@
 	kernel  *mtkernel.Kernel
 	callers *mtlisten.Server
 	peers   *grpc.Server
-	// retryCounts returns how the limits on retries have acted.
+	// retryCounts returns the totals of the retry quota.
 	retryCounts func() mtretry.Counts
 	recorder    *recorder
 	ready       atomic.Bool
@@ -248,7 +248,7 @@
 
 // enterEra makes a daemon that watches the store read everything again once the store has begun a
 // new era. Its watch may wait for changes after a revision that has been given out again. Daemons
-// that pull from it follow. Nothing is read twice when the daemon starts.
+// that pull from it follow. A copy that is of the era already, or not read yet, is left alone.
 func (m *Mesh) enterEra(era mtid.Era) {
 	directory := m.directory.Load()
 	if directory == nil || !m.feed.tree().WatchesStore(m.config.Daemon) {
@@ -375,7 +375,7 @@
 		Grace:     m.config.Grace,
 		Overload:  m.config.Overload,
 		Retries:   m.config.Retries,
-		Start:     m.start(),
+		Start:     m.startKind(),
 		Directory: mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory),
 		Host:      m.Host(),
 		Peers:     mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers),
@@ -400,8 +400,8 @@
 	return mtkernel.Register(m.kernel, NameIngress, ingress, nil)
 }
 
-// start returns the kind of start of this process.
-func (m *Mesh) start() mtretry.Start {
+// startKind tells the retry quota whether repeats may have been made before this process started.
+func (m *Mesh) startKind() mtretry.Start {
 	if m.config.Bootstrap {
 		return mtretry.FirstStart
 	}
--- a/io/mtmesh/record.go
+++ b/io/mtmesh/record.go
@@ -34,7 +34,7 @@
 	log      *slog.Logger
 	versions func() (configuration, seen mtid.Version)
 
-	// statusBefore and retriesBefore are what the previous summary started from.
+	// statusBefore and retriesBefore hold the totals at the previous summary.
 	statusBefore  mthost.Status
 	retriesBefore mtretry.Counts
 	// collectedBefore is the number of garbage collections until the previous summary.
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -133,15 +133,15 @@
 	}
 }
 
-// maxRepeats is the upper bound of Limits.Extra.
-const maxRepeats = 1_000_000
+// maxExtraRepeats is the upper bound of mtretry.Limits.Extra.
+const maxExtraRepeats = 1_000_000
 
 // parseRetries returns the limits that the section sets. Without a ratio or a window there are
 // none.
 func parseRetries(s *mtini.Section) mtretry.Limits {
 	return mtretry.Limits{
 		Ratio:  s.Float("ratio", 0, 0, 1),
-		Extra:  s.Int("extra", 0, 0, maxRepeats),
+		Extra:  s.Int("extra", 0, 0, maxExtraRepeats),
 		Window: s.Duration("window", 0, minTime, maxTime),
 	}
 }
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -118,7 +118,7 @@
 	assert.DeepEqual(t, got, want)
 }
 
-// Failure: a daemon doesn't start, because its settings name a policy that former releases had.
+// Guards against a daemon that doesn't start because its settings name a policy of former releases.
 func TestParseMeshAcceptsRemovedPolicy(t *testing.T) {
 	for _, value := range []string{"yes", "no"} {
 		text := strings.Replace(meshText, "[overload]\n", "[overload]\nnested = "+value+"\n", 1)
