Explain the trial of a limit and the probe of servers with few keys

Change: comments give the reason of each constant; fewKeysShare, namesLimit. No change of behaviour.

Conclusion: none beyond the wording.

--- a/core/mtbackend/trial.go
+++ b/core/mtbackend/trial.go
@@ -12,41 +12,43 @@
 	// tried. It doubles after each trial that did not end the limit, up to maxTrialWait.
 	trialWait    = 2 * time.Second
 	maxTrialWait = 8 * time.Second
-	// trialIntervals is the same as a number of calls that the limit allows: at a low limit
-	// even a server that is in demand has no call for seconds.
+	// trialIntervals is the least number of intervals between calls at the limit for which the
+	// server has to be without calls: at a low limit even a server in demand has none for
+	// seconds.
 	trialIntervals = 2
-	// trialDoubling is the time in which the reported capacity doubles during a trial. Little
-	// is offered first, so that a limit that is still in force shows at little cost; but a
-	// single busy key may be more work than a low limit allows.
+	// trialDoubling is the time in which the reported capacity doubles during a trial. It
+	// begins low, so that few calls are refused if the limit is still in force. It has to grow,
+	// because a single busy key may be more work than a low limit allows.
 	trialDoubling = time.Second
-	// maxTrialStep is the longest time that counts between two calls of Advance. After a pause
-	// or a jump of the clock nobody could have sent calls for longer.
+	// maxTrialStep is the longest time without calls that counts between two calls of Advance.
+	// During a pause of the process no calls could arrive, and a jump of the clock is no time.
 	maxTrialStep = 200 * time.Millisecond
 	// recoveryPeriod is how long after the end of a limit the server still reports a capacity.
 	recoveryPeriod = 20 * time.Second
-	// minCapacity is the least capacity of a server with a rate limit, in slots: none at all
-	// would make every load infinite.
+	// minCapacity is the least capacity of a server with a rate limit, in slots: with zero, the
+	// load in relation to it would be infinite.
 	minCapacity = 0.05
 	// minTrialRate keeps the interval of a limit of zero finite, in calls per second.
 	minTrialRate Rate = 0.25
 )
 
-// LimitTrial decides how much work a server with a rate limit is offered. Only an answer to a
-// call ends a limit, and others send calls by the capacity that is reported to them: a server
-// that they avoid would keep its limit forever. So a limit that no call has confirmed for some
-// time is tried: the reported capacity is raised step by step, up to all slots, until a call
-// begins. Starts stay limited by the rate meanwhile, so that a limit that is still in force is
-// never exceeded; the first answer ends it or not.
+// LimitTrial determines the capacity that is reported for a server with a rate limit. Only an
+// answer to a call shows that a limit has ended, and other daemons send calls according to the
+// reported capacity: a server that they avoid would keep its limit forever. So a limit that no call
+// has confirmed for some time is tried: the reported capacity is raised step by step, up to all
+// slots, until a call begins. The gate keeps to the rate limit meanwhile, so a limit that is still
+// in force is never exceeded. The answer to that call confirms the limit or ends it.
 //
-// For some time after the end of a limit the capacity is reported as all slots: others offer work
-// to a server that reports one and has none, though they have room themselves.
+// For recoveryPeriod after the end of a limit the reported capacity is all slots. Other daemons
+// offer work to a server that reports a capacity but has next to no work, also if they have room.
 //
 // The zero value is ready to use. A LimitTrial is not safe for concurrent use.
 type LimitTrial struct {
 	last  mtclock.Instant // of the latest Advance; zero before it
 	quiet time.Duration   // time without calls, as far as observed
 	tries int             // trials that did not end the limit
-	// limited is set while there is a limit, and recovery is the time that is left after it.
+	// limited is set while there is a limit. recovery is what is left of recoveryPeriod after
+	// its end.
 	limited  bool
 	recovery time.Duration
 }
@@ -80,7 +82,8 @@
 	return false
 }
 
-// wait returns how long the server has to be without calls before its limit is tried.
+// wait returns how long the server has to be without calls before its limit is tried, from the
+// number of trials so far and the interval between calls at the limit.
 func (t *LimitTrial) wait(limit Rate) time.Duration {
 	interval := time.Duration(float64(time.Second) / float64(max(limit, minTrialRate)))
 	return max(min(trialWait<<min(t.tries, 8), maxTrialWait), trialIntervals*interval)
--- a/core/mtbackend/trial_test.go
+++ b/core/mtbackend/trial_test.go
@@ -10,7 +10,7 @@
 	"magnoliaturn/core/mtclock"
 )
 
-// trialSim advances a trial in steps of 50 ms.
+// trialSim advances a trial in steps of 50 ms of simulated time.
 type trialSim struct {
 	trial mtbackend.LimitTrial
 	now   mtclock.Instant
@@ -43,8 +43,7 @@
 	assert.Equal(t, s.capacity(20), 4.0)
 }
 
-// Guards against trials without end of a limit that is still in force, and against a server in
-// demand whose limit is tried between two of its calls.
+// Guards against frequent trials of a limit in force, and against trials between calls at a low one.
 func TestCallEndsTrialAndDelaysTheNext(t *testing.T) {
 	s := &trialSim{now: at(1000)}
 	for _, wait := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second} {
--- a/core/mtchoice/least_test.go
+++ b/core/mtchoice/least_test.go
@@ -156,8 +156,7 @@
 	assert.Assert(t, got["s1"] < got["f1"] && got["s1"] < got["f2"], "%v", got)
 }
 
-// Guards against a server that no call reaches any more, although its limit has ended, since all
-// its daemon's reports say that there is no room.
+// Guards against a server that gets no call, which would end its limit, since it reports no room.
 func TestLeastLoadedTriesLimitThatNoCallConfirms(t *testing.T) {
 	limited, other := server("limited", "near"), server("other", "near")
 	p := newLeast(limited, other)
--- a/core/mtrange/probe.go
+++ b/core/mtrange/probe.go
@@ -22,10 +22,10 @@
 	probeShare = 0.3
 	// probeTurn is how long one owner is the only one that probes a server.
 	probeTurn = 2 * time.Second
-	// strippedShare is the share of the mean number of keys below which a server without a
-	// recent report may have a limit that the owner has not heard of: its keys may have moved
-	// away before any answer to this daemon named it.
-	strippedShare = 0.125
+	// fewKeysShare is the share of the mean number of keys below which a server without a
+	// recent report may have a limit unknown to the owner: its keys may have moved away before
+	// any answer to the owner's daemon named the limit.
+	fewKeysShare = 0.125
 )
 
 // PlanAll returns what the owner offloads because it is overloaded, and its probes.
@@ -43,8 +43,9 @@
 // loaded it is itself. Only an answer to a call ends a limit: a server whose keys have moved away
 // would keep its limit, and get no keys, for as long as nobody asks for one of those that it has
 // left. It gets less work than the limit allows, so that the probe costs nothing if the limit is
-// still in force, and no more than evens out the two. A server whose limit has just ended reports
-// all its slots, and gets work in the same way: its keys have moved to owners that have room.
+// still in force, and no more than makes both equally loaded. A server whose limit has just ended
+// reports all its slots as its capacity, and gets work in the same way: the owners that its keys have
+// moved to have room, and would not give them back because of overload.
 //
 // The owners take turns, so that not all of them probe a server at once. Their clocks differ: on
 // average it is the turn of one of them.
@@ -64,13 +65,12 @@
 }
 
 // ProbeDue reports whether it is the owner's turn to probe a server that had a rate limit when it
-// was last heard of, or that has hardly any keys and isn't heard of, so that it is worth querying
-// its load.
+// last reported, or that has hardly any keys and no recent report. If so, its load is worth querying.
 func ProbeDue(now mtclock.Instant, self LoadReport, others []LoadReport) bool {
-	few := strippedShare * meanKeys(self, others)
+	few := fewKeysShare * meanKeys(self, others)
 	return self.Capacity <= 0 && slices.ContainsFunc(others, func(o LoadReport) bool {
-		stripped := !o.Known && !o.empty() && float64(o.Keys) < few
-		return (o.Limited || stripped) && isProber(now, self, o, others)
+		unreported := !o.Known && !o.empty() && float64(o.Keys) < few
+		return (o.Limited || unreported) && isProber(now, self, o, others)
 	})
 }
 
--- a/core/mtrange/probe_test.go
+++ b/core/mtrange/probe_test.go
@@ -133,8 +133,7 @@
 	assert.Equal(t, total, 200)
 }
 
-// Guards against a limit that outlasts the server's word, since each key with calls is more work
-// than the limit allows, and against many moves to and fro while the limit is still in force.
+// Guards against a server that gets no busy key while its limit is tried, and against many moves.
 func TestServerIsOfferedBusyKeysWhileItsLimitIsTried(t *testing.T) {
 	const seconds, seeds, limit = 60, 20, 1
 	moves := 0
@@ -170,8 +169,7 @@
 	assert.Assert(t, got < 24, "%.1f moves", got)
 }
 
-// Guards against a server that gets next to no work for good after the end of its limit, since
-// the owners that its keys have moved to have room.
+// Guards against a server that stays without work after its limit, since the other owners have room.
 func TestServerGetsKeysBackAfterItsLimit(t *testing.T) {
 	for _, utilization := range []float64{0.05, 0.3, 0.6} {
 		for seed := range uint64(20) {
--- a/io/mtmesh/survey.go
+++ b/io/mtmesh/survey.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		r, ok := peers.LoadReport(member.Daemon)
-		report.Limited = ok && hadLimit(r)
+		report.Limited = ok && namesLimit(r)
 		if ok && now.Sub(r.ReceivedAt) < reportTTL {
 			report.Demand, report.ServiceTime, report.Capacity, report.Known = r.Demand, r.ServiceTime, r.Capacity, true
 		}
@@ -60,8 +60,9 @@
 	return self, others
 }
 
-// hadLimit reports whether a load report names a rate limit, or a capacity: one that has just ended.
-func hadLimit(r mtforward.LoadReport) bool { return r.Report.Notice.Limited || r.Capacity > 0 }
+// namesLimit reports whether a load report names a rate limit, or a capacity. For some time after
+// the end of a limit only the capacity is reported.
+func namesLimit(r mtforward.LoadReport) bool { return r.Report.Notice.Limited || r.Capacity > 0 }
 
 // survey requests load reports from some other servers of this VM's service.
 func (m *Mesh) survey(ctx context.Context) {
@@ -75,7 +76,7 @@
 		r, ok := peers.LoadReport(member.Daemon)
 		switch {
 		case ok && now.Sub(r.ReceivedAt) < surveyMaxAge:
-		case ok && hadLimit(r):
+		case ok && namesLimit(r):
 			limited = append(limited, member) // hardly any call's reply brings its report
 		default:
 			stale = append(stale, member)
