--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -75,6 +75,6 @@
 var SlowStart = slowStart
 
 // ChooseSurveyed returns the daemons that are asked for a load report, of those without a recent one.
-func ChooseSurveyed(stale []mtdirectory.Member, stripped []mtrange.Owner) []mtdirectory.Member {
-	return chooseSurveyed(nil, stale, stripped)
+func ChooseSurveyed(stale []mtdirectory.Member, unreported []mtrange.Owner) []mtdirectory.Member {
+	return chooseSurveyed(nil, stale, unreported)
 }
--- a/io/mtmesh/survey.go
+++ b/io/mtmesh/survey.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		r, ok := peers.LoadReport(member.Daemon)
-		report.Limited = ok && hadLimit(r)
+		report.Limited = ok && namesLimit(r)
 		if ok && now.Sub(r.ReceivedAt) < reportTTL {
 			report.Demand, report.ServiceTime, report.Capacity, report.Known = r.Demand, r.ServiceTime, r.Capacity, true
 		}
@@ -61,8 +61,9 @@
 	return self, others
 }
 
-// hadLimit reports whether a load report names a rate limit, or a capacity: one that has just ended.
-func hadLimit(r mtforward.LoadReport) bool { return r.Report.Notice.Limited || r.Capacity > 0 }
+// namesLimit reports whether a load report names a rate limit, or a capacity. For some time after
+// the end of a limit only the capacity is reported.
+func namesLimit(r mtforward.LoadReport) bool { return r.Report.Notice.Limited || r.Capacity > 0 }
 
 // survey requests load reports from some other servers of this VM's service.
 func (m *Mesh) survey(ctx context.Context) {
@@ -76,13 +77,13 @@
 		r, ok := peers.LoadReport(member.Daemon)
 		switch {
 		case ok && now.Sub(r.ReceivedAt) < surveyMaxAge:
-		case ok && hadLimit(r):
+		case ok && namesLimit(r):
 			limited = append(limited, member) // hardly any call's reply brings its report
 		default:
 			stale = append(stale, member)
 		}
 	}
-	asked := chooseSurveyed(limited, stale, mtrange.Stripped(m.loadReports()))
+	asked := chooseSurveyed(limited, stale, mtrange.Unreported(m.loadReports()))
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	var queries sync.WaitGroup
@@ -98,9 +99,9 @@
 
 // chooseSurveyed returns which servers are asked: those that had a limit, one of those that have
 // hardly any keys, since no calls bring its report either, and some of the others.
-func chooseSurveyed(limited, stale []mtdirectory.Member, stripped []mtrange.Owner) []mtdirectory.Member {
+func chooseSurveyed(limited, stale []mtdirectory.Member, unreported []mtrange.Owner) []mtdirectory.Member {
 	rand.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
-	i := slices.IndexFunc(stale, func(m mtdirectory.Member) bool { return slices.Contains(stripped, m.Owner()) })
+	i := slices.IndexFunc(stale, func(m mtdirectory.Member) bool { return slices.Contains(unreported, m.Owner()) })
 	if i > 0 {
 		stale[0], stale[i] = stale[i], stale[0]
 	}
--- a/io/mtmesh/survey_test.go
+++ b/io/mtmesh/survey_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against a large fleet in which the server with hardly any keys, that a survey is for, is seldom asked.
-func TestSurveyAsksStrippedServer(t *testing.T) {
+func TestSurveyAsksServerWithFewKeys(t *testing.T) {
 	for range 50 {
 		var serving []mtdirectory.Member
 		for i := range 40 {
@@ -24,9 +24,9 @@
 				Daemon: mtid.Daemon(name), Incarnation: mtid.ServerIncarnation{Server: mtid.Server(name)},
 			}})
 		}
-		stripped := serving[7].Owner()
-		asked := mtmesh.ChooseSurveyed(serving, []mtrange.Owner{stripped})
-		assert.Assert(t, slices.ContainsFunc(asked, func(m mtdirectory.Member) bool { return m.Owner() == stripped }))
+		unreported := serving[7].Owner()
+		asked := mtmesh.ChooseSurveyed(serving, []mtrange.Owner{unreported})
+		assert.Assert(t, slices.ContainsFunc(asked, func(m mtdirectory.Member) bool { return m.Owner() == unreported }))
 		assert.Equal(t, len(asked), 12)
 	}
 }
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -172,8 +172,7 @@
 	}
 }
 
-// Guards against requests that are sent on to servers after their caller has left: it was not
-// noticed while a later request of the connection waited for them, or too many were in progress.
+// Guards against requests that go on after their caller has left while the connection isn't read.
 func TestDisconnectBehindUnreadRequestCancelsRequests(t *testing.T) {
 	post := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 	for name, test := range map[string]struct {
