--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -216,13 +216,14 @@
 	waitFor(t, "the loss is stored again", func() bool { return hasLoss(t, store, loss) })
 }
 
-// Guards against an era that is never entered, because it begins while the daemon has no lease or as it learns that.
+// Guards against an era that is never entered because it begins while the daemon has no lease, or
+// while it is notified of that.
 func TestEraIsEnteredWithoutLease(t *testing.T) {
 	steps := map[string]struct {
 		published mtbackend.State // what the daemon writes when the store steps back
 		expired   bool            // the lease expired before
-		before    string          // the call that meets the store after its step back
-		after     string          // the call whose answer is the last one before the step back
+		before    string          // the store steps back before this call; empty: after one
+		after     string          // the store steps back after this call
 		held      bool            // the tenure lasted until the step back
 	}{
 		"the write of the record shows it":  {published: mtbackend.Draining, before: "swap", held: true},
@@ -277,8 +278,8 @@
 	s.before, s.after, s.copied = before, after, copied
 }
 
-// reach steps back if op is where it should.
-func (s *steppingStore) reach(at *string, op string) {
+// stepBackOnce makes the store step back if op is the call at which it should, and clears that.
+func (s *steppingStore) stepBackOnce(at *string, op string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if *at == op {
@@ -289,14 +290,14 @@
 
 // Grant implements mtstore.Store.
 func (s *steppingStore) Grant(ctx context.Context, ttl time.Duration) (mtstore.LeaseID, error) {
-	s.reach(&s.before, "grant")
-	defer s.reach(&s.after, "grant")
+	s.stepBackOnce(&s.before, "grant")
+	defer s.stepBackOnce(&s.after, "grant")
 	return s.RevisionStore.Grant(ctx, ttl)
 }
 
 // Swap implements mtstore.Store.
 func (s *steppingStore) Swap(ctx context.Context, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
-	s.reach(&s.before, "swap")
+	s.stepBackOnce(&s.before, "swap")
 	return s.RevisionStore.Swap(ctx, name, expected, value, lease)
 }
 
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -27,7 +27,8 @@
 	deletedAt mtid.Revision
 }
 
-// Reachable reports whether the daemon may be running, as far as its record shows.
+// Reachable reports whether the daemon may be running, by its record. One of an earlier era of the
+// store doesn't show that the daemon has ended, although it counts as expired.
 func (m Member) Reachable() bool { return !m.Expired || m.Former }
 
 // markExpired returns the member with its record deleted at a revision, reported now.
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -63,7 +63,7 @@
 	// this daemon has published. It may be nil, and must not block.
 	OnLoss func(mtpoison.Loss)
 	// OnEra is called when a call of the publisher has shown that the store is in a later era than
-	// known so far, also in the first one that is not zero. It may be nil.
+	// the publisher knew. The era known at the start is zero. It may be nil.
 	OnEra func(mtid.Era)
 	// OnUpdate is called with each update after it has been applied. It may be nil, and
 	// must not block.
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -255,8 +255,9 @@
 	p.validUntil.Store(int64(p.renewedAt.Add(time.Duration(float64(p.Lease) * (1 - maxClockDrift)))))
 }
 
-// enterEra reports whether the store has begun a later era than the one entered last. The lease and
-// the record, if there are any, are lost then: the store gives out their names again.
+// enterEra reports whether the store has begun a later era than the one entered last. If so, it
+// forgets the lease and the record, if there are any: the store may assign their lease ID and
+// version again.
 func (p *publisher) enterEra() bool {
 	era := p.Store.Era()
 	if era <= p.era {
@@ -311,7 +312,9 @@
 		p.loseLease()
 	}
 	lease, err := p.Store.Grant(ctx, p.Lease)
-	p.enterEra() // whether the answer or another one has shown it: a lease of an earlier one is refused
+	// This answer, or another one since, may have shown a new era. A lease that was granted in an
+	// earlier era is not returned: the call fails.
+	p.enterEra()
 	if err != nil {
 		return err
 	}
@@ -319,7 +322,7 @@
 	return nil
 }
 
-// loseLease is called when the store has said that the lease is gone, and the record with it.
+// loseLease forgets the lease, which the store has reported as expired, and the record with it.
 func (p *publisher) loseLease() {
 	if p.enterEra() {
 		return
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -43,7 +43,8 @@
 	// others. A watch that delivers nothing usually belongs to a watcher, and once that one
 	// has read everything again, no other daemon needs to.
 	deferralDivisor = 8
-	// notifyTimeout limits a notification of one other daemon, and a search for a configuration.
+	// notifyTimeout limits a notification of one other daemon, and a search for a configuration
+	// at others.
 	notifyTimeout = 500 * time.Millisecond
 	// maxConfigurationSources is how many daemons are asked, all at once, for a
 	// configuration that the store has lost. The next report of it starts anew, with others.
@@ -136,17 +137,17 @@
 	}
 }
 
-// configurationAnswer is what a daemon has answered that was asked for its configuration.
+// configurationAnswer is the answer of a daemon that was asked for its configuration.
 type configurationAnswer struct {
 	from    mtspread.Node
 	entries []mtstore.Entry
 	err     error
 }
 
-// askForConfiguration asks daemons at once for the newest configuration that each knows, and returns
-// the answers as they arrive, so that one that is silent delays nobody's. It requests nothing else:
-// everything together has a hundred kilobytes, and all daemons may have to ask several. What is
-// still unanswered when the iteration ends is canceled.
+// askForConfiguration asks all the daemons at once for the newest configuration that they know, and
+// returns their answers as they arrive, so that an unresponsive one delays no others. It requests
+// nothing else: the whole live state has a hundred kilobytes, and each daemon may have to ask several
+// others. Calls without an answer are canceled when the iteration ends.
 func askForConfiguration(peers upstreamClient, sources []mtspread.Node) iter.Seq[configurationAnswer] {
 	return func(yield func(configurationAnswer) bool) {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
--- a/io/mtmesh/versions_test.go
+++ b/io/mtmesh/versions_test.go
@@ -16,7 +16,7 @@
 	"magnoliaturn/io/mtmesh"
 )
 
-// delayedPeers answer a pull after a time each, by address; the others are silent.
+// delayedPeers is how long each daemon takes to answer a pull, by address; others don't answer.
 type delayedPeers map[string]time.Duration
 
 // PullChanges returns an entry with the address as its value.
@@ -36,7 +36,7 @@
 	return reply, nil
 }
 
-// Guards against daemons that start late because silent ones are asked for the configuration before those that have it.
+// Guards against a daemon that starts late because unresponsive ones are asked before those that answer.
 func TestSilentDaemonsDoNotDelaySearchForConfiguration(t *testing.T) {
 	sources := []mtspread.Node{node("a", "zone"), node("b", "zone"), node("c", "zone"), node("d", "zone")}
 	peers := delayedPeers{sources[1].Address: 300 * time.Millisecond, sources[3].Address: 20 * time.Millisecond}
