Log how each configuration was received, and why one was not

No line says by which way a configuration came, from whom and how old the knowledge here was, how much of a transfer had arrived when it ended, or that a full read was canceled by the next one.

Change: entries carry their origin (way, peer, time), which isn't passed on. A line 'configuration received' names it with the size, the age of what was known here, and for how long another daemon had reported a newer version. Failed transfers are counted by way, name the bytes that had arrived, and full reads that are canceled are logged.

Measured: nothing; no decision is changed.

--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -37,6 +37,7 @@
 	Value    []byte
 	Version  mtid.Version  // number of writes of this name, from 1
 	Revision mtid.Revision // revision of the store that wrote this version
+	Origin   Origin
 }
 
 // Changes is the result of a watch: the newest version of each name that changed
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -160,6 +160,7 @@
 		return mtstore.Changes{Revision: after}, nil
 	}
 	f.setHops(1)
+	started := f.clock.Now()
 	changes, err := f.store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		f.setHops(0)
@@ -169,7 +170,7 @@
 	if len(changes.Entries) > 0 {
 		mtduty.Sleep(ctx, f.batchDelay())
 	}
-	return changes, nil
+	return changes.From(mtstore.WayWatch, "", f.clock.Now().Sub(started)), nil
 }
 
 // deferWatch reports whether to pause and look for an upstream again instead of watching
@@ -199,7 +200,7 @@
 	if err == nil {
 		f.fullReadStarted.Store(int64(started))
 	}
-	return changes, err
+	return changes.From(mtstore.WayRead, "", f.clock.Now().Sub(started)), err
 }
 
 // applied confirms the freshness of the configuration once a full read from the store has
@@ -239,13 +240,14 @@
 		return reply.Changes, err
 	}
 	f.setHops(reply.Hops + 1)
-	if took := f.clock.Now().Sub(started); len(reply.Changes.Entries) == 0 && took < minPullInterval {
+	took := f.clock.Now().Sub(started)
+	if len(reply.Changes.Entries) == 0 && took < minPullInterval {
 		mtduty.Sleep(ctx, minPullInterval-took)
 	}
 	if after == 0 && reply.Changes.Revision <= view.Revision {
 		return reply.Changes, &mtstore.UnavailableError{Op: "learn", Err: notWatching{}}
 	}
-	return reply.Changes, nil
+	return reply.Changes.From(mtstore.WayPull, upstream, took), nil
 }
 
 // upstream returns the address of the daemon to pull from, or false if this daemon has to
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -136,6 +136,7 @@
 	recordCheck delayedCheck
 	freshness   *freshness
 	newest      newestConfiguration
+	arrivals    *arrivals
 	feed        *changeFeed
 	previous    deferred[mtbackend.Record] // of previous incarnations of this daemon, for the host
 	losses      deferred[mtpoison.Loss]    // for the host
@@ -202,6 +203,7 @@
 func (m *Mesh) addMetrics() error {
 	metrics, cleanUp := mtmetric.New()
 	clock := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock)
+	m.arrivals = newArrivals(metrics, m.config.Log)
 	m.recorder = newRecorder(metrics, clock, m.config.Service, m.config.Log, func() (configuration, seen mtid.Version) {
 		versions := m.knownVersions()
 		return versions.ConfigVersion, versions.NewestVersion
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -79,6 +79,7 @@
 		m.freshness.observe(own.ConfigVersion, theirs.ConfigVersion, theirs.Age, sent)
 	}
 	if own.ConfigVersion < theirs.ConfigVersion {
+		m.arrivals.report(m.now(), own.ConfigVersion, theirs.ConfigVersion)
 		m.configCheck.report(theirs.ConfigVersion, configCheckDelay+m.deferral(), m.checkConfiguration)
 	}
 	if own.NewestVersion < theirs.NewestVersion {
@@ -104,7 +105,7 @@
 // arrived in the end.
 func (m *Mesh) checkConfiguration(reported mtid.Version) bool {
 	if own := m.knownVersions(); own.ConfigVersion < reported {
-		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(reported))
+		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(reported), "age", own.Age, "behind", m.arrivals.behind(m.now(), own.ConfigVersion))
 		m.pollStore()
 	}
 	if own := m.knownVersions(); own.ConfigVersion < reported {
@@ -118,13 +119,15 @@
 // bring a configuration back into force that had been replaced. Daemons that have restarted too may
 // not have it either.
 func (m *Mesh) pullConfiguration(wanted mtid.Version) {
-	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
+	peers, started := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers), m.now()
 	for a := range askForConfiguration(peers, m.configurationSources()) {
+		took := m.now().Sub(started)
 		if a.err != nil {
-			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", a.from.Daemon, "error", a.err)
+			m.arrivals.fail(mtstore.WayAsk)
+			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", a.from.Daemon, "after", took, "error", a.err)
 			continue
 		}
-		for _, e := range a.entries {
+		for _, e := range (mtstore.Changes{Entries: a.entries}).From(mtstore.WayAsk, a.from.Address, took).Entries {
 			if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
 				m.config.OnOtherEntry(e) // passes over an older configuration than the one in force
 			}
@@ -193,13 +196,14 @@
 	started, before := m.now(), m.knownVersions().ConfigVersion
 	read, err := m.config.Refresh()
 	if err != nil {
-		m.config.Log.Warn("polling the store for the configuration failed", "error", err)
+		m.arrivals.fail(mtstore.WayPoll)
+		m.config.Log.Warn("polling the store for the configuration failed", "after", m.now().Sub(started), "error", err)
 		return
 	}
 	if read.Revision.Era() > directory.View().Era() {
 		directory.Resync() // the watch may wait for changes after a revision that is given out again
 	}
-	for _, e := range read.Entries {
+	for _, e := range read.From(mtstore.WayPoll, "", m.now().Sub(started)).Entries {
 		m.config.OnOtherEntry(e)
 	}
 	zonesChanged := directory.ApplyZones(read)
@@ -254,6 +258,9 @@
 // daemons, which may not have received it yet.
 func (m *Mesh) Configure(c *mtroute.Config, from mtstore.Entry) {
 	m.newest.offer(c.Version, from) // first: whoever reports a version can hand it over
+	if old := m.configuration(); old == nil || old.Version < c.Version {
+		m.arrivals.log(m.now(), c.Version, from, m.freshness.age(m.now()))
+	}
 	if !m.Ingress().Configure(c) {
 		return
 	}
--- a/io/mtstore/exchange.go
+++ b/io/mtstore/exchange.go
@@ -1,6 +1,7 @@
 package mtstore
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -50,7 +51,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
-		return nil, c.OutcomeError(err)
+		return nil, c.OutcomeError(&TransferError{Read: len(body), Total: response.ContentLength, Err: err})
 	}
 	if int64(len(body)) > limit {
 		return nil, c.OutcomeError(&ResponseError{Status: response.StatusCode, Reason: "too large"})
@@ -58,6 +59,21 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// TransferError reports that the transfer of a response ended early.
+type TransferError struct {
+	Read  int   // bytes received
+	Total int64 // bytes announced, or -1
+	Err   error
+}
+
+// Error implements error.
+func (e *TransferError) Error() string {
+	return fmt.Sprintf("transfer ended after %d of %d bytes: %v", e.Read, e.Total, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *TransferError) Unwrap() error { return e.Err }
+
 // NeverRedirect prevents a client from following redirects. A redirect with status 307
 // would make it send a write a second time, to another address.
 func NeverRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/io/mtwatch/mtwatch.go
+++ b/io/mtwatch/mtwatch.go
@@ -92,6 +92,7 @@
 	mu         sync.Mutex
 	cancel     context.CancelFunc // cancels the current attempt
 	pausing    bool               // after a failure
+	reading    time.Time          // when the full read under way began, or zero
 	resync     bool
 	lastResync time.Time // when the last Resync took effect
 }
@@ -110,6 +111,9 @@
 	}
 	w.lastResync = now
 	w.resync = true
+	if !w.reading.IsZero() {
+		w.Log.Info("full read canceled by another one", "after", now.Sub(w.reading))
+	}
 	if w.cancel != nil {
 		w.cancel()
 	}
@@ -135,8 +139,14 @@
 	if w.resync {
 		w.applied, w.resync = 0, false
 	}
+	if w.applied == 0 {
+		w.reading = time.Now()
+	}
 	w.mu.Unlock()
 	w.watchOnce(ctx)
+	w.mu.Lock()
+	w.reading = time.Time{}
+	w.mu.Unlock()
 }
 
 // watchOnce makes one watch call and applies the result.
