--- a/io/mtdial/mtdial.go
+++ b/io/mtdial/mtdial.go
@@ -29,6 +29,9 @@
 // keepAlive detects an idle connection whose peer or path is dead.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+// Func connects to an address, as Dial does.
+type Func func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dial connects to an address with the options of this package.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Control: control, KeepAliveConfig: keepAlive}
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	client, cleanUp := mtforward.NewClient(clock, exchange)
+//	client, cleanUp := mtforward.NewClient(clock, mtdial.Dial, exchange)
 //	answer, err := client.Forward(ctx, daemon, address, call)
 //	mtforward.Register(grpcServer, mtforward.Server{Host: host, Clock: clock, Exchange: exchange, ServeChanges: serve})
 //
@@ -117,13 +117,14 @@
 	detector *mtsilence.Detector
 }
 
-// NewClient returns a client and its clean-up function, which stops the probes and
-// closes all connections.
-func NewClient(c clock, exchange StateExchange) (*Client, func()) {
+// NewClient returns a client that connects by dial, and its clean-up function, which stops
+// the probes and closes all connections. Connections must fail soon when the peer becomes
+// unresponsive.
+func NewClient(c clock, dial mtdial.Func, exchange StateExchange) (*Client, func()) {
 	pool, cleanUp := mtconn.New(
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(connectParams),
-		grpc.WithContextDialer(dial),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }),
 		grpc.WithInitialWindowSize(FlowWindow),
 		grpc.WithInitialConnWindowSize(FlowWindow),
 		grpc.WithReadBufferSize(bufferSize),
@@ -143,11 +144,6 @@
 	}
 }
 
-// dial opens a connection that fails soon when its peer becomes unresponsive.
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	return mtdial.Dial(ctx, "tcp", address)
-}
-
 // markUnresponsive marks a daemon as unresponsive, so that it gets no new calls, and starts to
 // probe it. Probes and later calls use a new connection, because the old one may stay
 // dead while new ones work. The old connection is not closed at once: that would fail
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -21,6 +21,7 @@
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
+	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtforward"
 	"magnoliaturn/io/mttime"
 )
@@ -68,7 +69,7 @@
 	t.Helper()
 	clock := mttime.New()
 	local, received := exchange(mtforward.StateSummary{ConfigVersion: 5, NewestVersion: 50})
-	c, cleanUp := mtforward.NewClient(clock, local)
+	c, cleanUp := mtforward.NewClient(clock, mtdial.Dial, local)
 	t.Cleanup(cleanUp)
 	return c, clock, received
 }
@@ -122,7 +123,7 @@
 		return &mtcall.Answer{Status: 200}, nil
 	}})
 	local, _ := exchange(mtforward.StateSummary{})
-	c, cleanUp := mtforward.NewClient(fixedClock(now), local)
+	c, cleanUp := mtforward.NewClient(fixedClock(now), mtdial.Dial, local)
 	defer cleanUp()
 	for name, objective := range map[string]mtclock.Instant{"none": 0, "past": 1, "now": now, "future": now.Add(time.Minute)} {
 		sent := &mtcall.Call{Idempotent: true, Objective: objective, Deadline: now.Add(2 * time.Minute)}
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -43,6 +43,7 @@
 	"magnoliaturn/core/mtzone"
 	iobackend "magnoliaturn/io/mtbackend"
 	"magnoliaturn/io/mtcommit"
+	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtdirectory"
 	"magnoliaturn/io/mtduty"
 	"magnoliaturn/io/mtforward"
@@ -80,6 +81,7 @@
 	ServerAddress string              // address of the backend server
 	CallerAddress string              // address on which to accept requests of callers on this VM
 	PeerAddress   string              // address on which to accept calls of other daemons
+	Dial          mtdial.Func         // opens connections to other daemons; nil stands for mtdial.Dial
 	Store         mtstore.ConditionalStore
 	Port          mtgrant.ServerClient
 	Names         mtheader.Names
@@ -154,6 +156,9 @@
 	if config.ConfigDeadline <= 0 {
 		config.ConfigDeadline = mtroute.DefaultPropagationLimit
 	}
+	if config.Dial == nil {
+		config.Dial = mtdial.Dial
+	}
 	if config.ZoneOutDeadline <= 0 {
 		config.ZoneOutDeadline = mtzone.DefaultCloseTime
 	}
@@ -212,7 +217,7 @@
 }
 
 func (m *Mesh) addPeers() error {
-	client, cleanUp := mtforward.NewClient(mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), m.exchange())
+	client, cleanUp := mtforward.NewClient(mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), m.config.Dial, m.exchange())
 	return mtkernel.Register(m.kernel, NamePeers, client, cleanUp)
 }
 
