Let a full read end before another one begins

Cause: Resync canceled whatever the watcher had under way.

Ruled out: fewer calls of Resync. Each caller repeats it while it misses something, and must, since the read may have begun before what it misses.

Change: Resync has no effect while a full read is under way.

--- a/io/mtwatch/mtwatch.go
+++ b/io/mtwatch/mtwatch.go
@@ -92,7 +92,7 @@
 	mu         sync.Mutex
 	cancel     context.CancelFunc // cancels the current attempt
 	pausing    bool               // after a failure
-	reading    time.Time          // when the full read under way began, or zero
+	reading    bool               // a full read is under way
 	resync     bool
 	lastResync time.Time // when the last Resync took effect
 }
@@ -102,18 +102,16 @@
 const minResyncInterval = 300 * time.Millisecond
 
 // Resync makes the watcher read all entries again. It is for callers that know of a change
-// that the watch has missed.
+// that the watch has missed, and that call it again while they miss it: a full read that is
+// under way goes on. Over a slow link no read would end if each call began another.
 func (w *Watcher) Resync(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if now.Sub(w.lastResync) < minResyncInterval {
+	if now.Sub(w.lastResync) < minResyncInterval || w.reading {
 		return
 	}
 	w.lastResync = now
 	w.resync = true
-	if !w.reading.IsZero() {
-		w.Log.Info("full read canceled by another one", "after", now.Sub(w.reading))
-	}
 	if w.cancel != nil {
 		w.cancel()
 	}
@@ -139,20 +137,16 @@
 	if w.resync {
 		w.applied, w.resync = 0, false
 	}
-	if w.applied == 0 {
-		w.reading = time.Now()
-	}
+	w.reading = w.applied == 0
 	w.mu.Unlock()
 	w.watchOnce(ctx)
-	w.mu.Lock()
-	w.reading = time.Time{}
-	w.mu.Unlock()
 }
 
 // watchOnce makes one watch call and applies the result.
 func (w *Watcher) watchOnce(ctx context.Context) {
 	snapshot := w.applied == 0
 	changes, err := w.Source.Watch(ctx, allNames, w.applied, PollTimeout)
+	w.endRead()
 	if err != nil {
 		w.handleFailure(ctx, err)
 		return
@@ -170,6 +164,14 @@
 	}
 }
 
+// endRead lets Resync take effect again, also while the update is applied: that may find that it
+// can't be used.
+func (w *Watcher) endRead() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reading = false
+}
+
 // noteSuccess resets the failures and reports that the store is available.
 func (w *Watcher) noteSuccess() {
 	if w.failures > 0 {
