Compress large changes between daemons

Cause: a configuration of 4,000 routes is 0.7 MB. Each daemon gets it over its own link, from 0.4 s of 10 Mbit/s on, and the first of a zone sends it to all others of it.

Ruled out: compressing it once and keeping the result. It saves some milliseconds of processor time for each daemon of a zone and needs a field of our own; the library negotiates per call.

Change: replies with changes of 32 kB and more are sent with gzip at its fastest level, if the client says that it can read it; earlier releases don't.

--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -94,6 +94,7 @@
 	for _, e := range update.Changes.Entries {
 		reply.Entries = append(reply.Entries, entryToWire(e))
 	}
+	compressLarge(ctx, reply)
 	return reply, nil
 }
 
