Ask other daemons for a configuration one after the other, and before the store

Cause: a daemon that had been told of a newer configuration polled the store first, a megabyte over its own link, and then asked eight daemons at once, each of which sent the whole configuration, with half a second for all of it.

Ruled out: asking two or three at once. The link is shared all the same; the first answer is enough.

Change: the next daemon is asked when the previous one has answered, or after 150 ms; the search has 3 s. A daemon that has no newer configuration than the asking one says so without sending it. Daemons from which others pull still poll the store first, which shows whether their watch has failed silently.

Silent ones delay the others by 150 ms each.

--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -266,9 +266,12 @@
 	// Age is the time since the requesting daemon last knew for certain that its
 	// configuration was the newest.
 	Age time.Duration
-	// Configuration is set if only the newest configuration is requested. A daemon of an earlier
-	// release replies with all it knows.
+	// Configuration is set if only the newest configuration is requested, and only if it is newer than
+	// Known. A daemon of an earlier release replies with all it knows.
 	Configuration bool
+	// Known is the version of the requesting daemon's configuration. PullChanges takes it from the
+	// summary that it sends.
+	Known mtid.Version
 }
 
 // ChangesReply is the reply of an upstream to a ChangesRequest.
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -76,6 +76,7 @@
 		Age:    micros(w.GetNews().GetAgeUs()),
 
 		Configuration: w.GetConfiguration(),
+		Known:         mtid.Version(w.GetNews().GetConfig()),
 	}
 	for _, e := range w.GetEpochs() {
 		q.Epochs[e.GetName()] = mtid.Epoch(e.GetNext())
--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -25,7 +25,7 @@
 	return Feed{&changeFeed{
 		self: n.Daemon, zone: n.Zone, store: store, peers: peers, clock: clock, freshness: freshness, directory: directory,
 		changed: freshness.changed, pausedUntil: make(map[string]time.Time), configured: func() bool { return configured },
-		tree: func() *mtspread.Tree { return tree }, newestConfiguration: func() (mtstore.Entry, bool) { return mtstore.Entry{}, false },
+		tree: func() *mtspread.Tree { return tree }, newestConfiguration: func(mtid.Version) (mtstore.Entry, bool) { return mtstore.Entry{}, false },
 	}}
 }
 
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -78,9 +78,9 @@
 	hops atomic.Int32
 	// changed is signaled when waiting pulls have to be checked again.
 	changed *broadcast
-	// newestConfiguration returns the entry of the newest configuration received, if there is one.
-	// The directory's may be older.
-	newestConfiguration func() (mtstore.Entry, bool)
+	// newestConfiguration returns the entry of the newest configuration received, if it is later than
+	// the given version. The directory's may be older.
+	newestConfiguration func(known mtid.Version) (mtstore.Entry, bool)
 	// tree returns the distribution tree as this daemon knows it.
 	tree   func() *mtspread.Tree
 	cached atomic.Pointer[cachedTree]
@@ -294,7 +294,7 @@
 // configurations are compared by their own versions.
 func (f *changeFeed) serve(ctx context.Context, q mtforward.ChangesRequest) (mtforward.ChangesReply, error) {
 	if q.Configuration {
-		return mtforward.ChangesReply{Changes: mtstore.Changes{Entries: f.replaceConfiguration(nil)}}, nil
+		return mtforward.ChangesReply{Changes: mtstore.Changes{Entries: f.configurationAfter(q.Known)}}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
@@ -325,11 +325,19 @@
 	}
 }
 
+// configurationAfter returns the entry of the newest configuration received if it is later than known.
+func (f *changeFeed) configurationAfter(known mtid.Version) []mtstore.Entry {
+	if newest, ok := f.newestConfiguration(known); ok {
+		return []mtstore.Entry{newest}
+	}
+	return nil
+}
+
 // replaceConfiguration returns the directory's entries with the newest configuration received in
 // place of their own. After the store has come back from an older copy, theirs may be older: a
 // daemon that starts then gets the newest one only from other daemons.
 func (f *changeFeed) replaceConfiguration(entries []mtstore.Entry) []mtstore.Entry {
-	newest, ok := f.newestConfiguration()
+	newest, ok := f.newestConfiguration(0)
 	if !ok {
 		return entries
 	}
--- a/io/mtmesh/feed_test.go
+++ b/io/mtmesh/feed_test.go
@@ -181,13 +181,15 @@
 	c.feeds.Store(member.Address, feed)
 	_, err := c.PullChanges(t.Context(), member.Address, mtforward.ChangesRequest{})
 	assert.ErrorContains(t, err, "does not watch the store")
-	pull := func() []mtstore.Entry {
-		reply, err := c.PullChanges(t.Context(), member.Address, mtforward.ChangesRequest{Configuration: true})
+	pull := func(known mtid.Version) []mtstore.Entry {
+		reply, err := c.PullChanges(t.Context(), member.Address, mtforward.ChangesRequest{Configuration: true, Known: known})
 		assert.NilError(t, err)
 		return reply.Changes.Entries
 	}
-	assert.Equal(t, len(pull()), 0)
+	assert.Equal(t, len(pull(0)), 0)
 	newest := mtstore.Entry{Name: "op/routes", Value: []byte("newest"), Version: 3}
 	feed.OfferConfiguration(map[mtid.Version]mtstore.Entry{12: newest})
-	assert.DeepEqual(t, pull(), []mtstore.Entry{newest})
+	assert.DeepEqual(t, pull(0), []mtstore.Entry{newest})
+	assert.DeepEqual(t, pull(11), []mtstore.Entry{newest})
+	assert.Equal(t, len(pull(12)), 0)
 }
--- a/io/mtmesh/newest.go
+++ b/io/mtmesh/newest.go
@@ -25,9 +25,10 @@
 	}
 }
 
-// entry returns the entry of the newest configuration, or false if none is known.
-func (n *newestConfiguration) entry() (mtstore.Entry, bool) {
+// entry returns the entry of the newest configuration, or false if none later than known has been
+// received.
+func (n *newestConfiguration) entry(known mtid.Version) (mtstore.Entry, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.from, n.from.Name != ""
+	return n.from, n.from.Name != "" && n.version > known
 }
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -43,12 +43,16 @@
 	// others. A watch that delivers nothing usually belongs to a watcher, and once that one
 	// has read everything again, no other daemon needs to.
 	deferralDivisor = 8
-	// notifyTimeout limits a notification of one other daemon, and a search for a configuration
-	// at others.
+	// notifyTimeout limits a notification of one other daemon.
 	notifyTimeout = 500 * time.Millisecond
-	// maxConfigurationSources is how many daemons are asked, all at once, for a
-	// configuration that the store has lost. The next report of it starts anew, with others.
+	// maxConfigurationSources is how many daemons are asked for a configuration. The next report
+	// of it starts anew, with others.
 	maxConfigurationSources = 8
+	// askDelay is how long a daemon has for its answer before the next one is asked too. The answers
+	// share this VM's link, and the first one is enough.
+	askDelay = 150 * time.Millisecond
+	// searchTimeout limits a search for a configuration at others.
+	searchTimeout = 3 * time.Second
 )
 
 // exchange returns the functions by which versions are exchanged with other daemons.
@@ -100,24 +104,30 @@
 	return 2 * step
 }
 
-// checkConfiguration polls the store if a configuration that another daemon has reported still has
-// not arrived, and takes it from other daemons if the store has lost it. It reports whether it has
-// arrived in the end.
+// checkConfiguration fetches a configuration that another daemon has reported and that still has not
+// arrived, and reports whether it has arrived in the end. A daemon that passes changes on polls the store first, which
+// shows whether its watch has failed silently. All others ask other daemons first, whose
+// answers are smaller and cost the store nothing.
 func (m *Mesh) checkConfiguration(reported mtid.Version) bool {
 	if own := m.knownVersions(); own.ConfigVersion < reported {
 		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(reported), "age", own.Age, "behind", m.arrivals.behind(m.now(), own.ConfigVersion))
-		m.pollStore()
 	}
-	if own := m.knownVersions(); own.ConfigVersion < reported {
-		m.pullConfiguration(reported)
+	fetch := []func(){m.pollStore, func() { m.pullConfiguration(reported) }}
+	if m.feed.pollSchedule() == mtroute.PollFallback {
+		slices.Reverse(fetch)
+	}
+	for _, f := range fetch {
+		if m.knownVersions().ConfigVersion < reported {
+			f()
+		}
 	}
 	return m.knownVersions().ConfigVersion >= reported
 }
 
-// pullConfiguration takes a configuration of at least the given version from other daemons, because
-// the store has come back from a copy without it. A daemon that has just started could otherwise
-// bring a configuration back into force that had been replaced. Daemons that have restarted too may
-// not have it either.
+// pullConfiguration takes a configuration of at least the given version from other daemons. The store may
+// have come back from a copy without it: a daemon that has just started could otherwise bring a
+// configuration back into force that had been replaced. Daemons that have restarted too may not have it
+// either.
 func (m *Mesh) pullConfiguration(wanted mtid.Version) {
 	peers, started := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers), m.now()
 	for a := range askForConfiguration(peers, m.configurationSources()) {
@@ -127,6 +137,10 @@
 			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", a.from.Daemon, "after", took, "error", a.err)
 			continue
 		}
+		if len(a.entries) == 0 {
+			m.config.Log.Info("a daemon has no newer configuration", "peer", a.from.Daemon, "wanted", uint64(wanted))
+			continue
+		}
 		for _, e := range (mtstore.Changes{Entries: a.entries}).From(mtstore.WayAsk, a.from.Address, took).Entries {
 			if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
 				m.config.OnOtherEntry(e) // passes over an older configuration than the one in force
@@ -147,31 +161,42 @@
 	err     error
 }
 
-// askForConfiguration asks all the daemons at once for the newest configuration that they know, and
-// returns their answers as they arrive, so that an unresponsive one delays no others. It requests
-// nothing else: the whole live state has a hundred kilobytes, and each daemon may have to ask several
-// others. Calls without an answer are canceled when the iteration ends.
+// askForConfiguration asks the daemons for a newer configuration than this one's, and returns their answers as
+// they arrive. The next daemon is asked once the previous one has answered, or has taken askDelay, so that an
+// unresponsive one delays the others by no more than that, and the link isn't shared without need. Nothing else is requested: the whole
+// live state has a hundred kilobytes. Calls without an answer are canceled when the iteration ends.
 func askForConfiguration(peers upstreamClient, sources []mtspread.Node) iter.Seq[configurationAnswer] {
 	return func(yield func(configurationAnswer) bool) {
-		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
 		defer cancel()
 		answers := make(chan configurationAnswer, len(sources))
-		for _, n := range sources {
-			go func() {
-				reply, err := peers.PullChanges(ctx, n.Address, mtforward.ChangesRequest{Configuration: true})
-				answers <- configurationAnswer{from: n, entries: reply.Changes.Entries, err: err}
-			}()
+		ask := func(n mtspread.Node) {
+			reply, err := peers.PullChanges(ctx, n.Address, mtforward.ChangesRequest{Configuration: true})
+			answers <- configurationAnswer{from: n, entries: reply.Changes.Entries, err: err}
 		}
-		for range sources {
-			if !yield(<-answers) {
-				return
+		next := time.NewTimer(0)
+		defer next.Stop()
+		for asked, answered := 0, 0; answered < len(sources); {
+			select {
+			case <-next.C:
+				if asked < len(sources) {
+					go ask(sources[asked])
+					asked++
+					next.Reset(askDelay)
+				}
+			case a := <-answers:
+				answered++
+				if !yield(a) {
+					return
+				}
+				next.Reset(0)
 			}
 		}
 	}
 }
 
-// configurationSources returns the daemons to ask for a configuration that the store has lost: those
-// that distribute changes, and some others in random order.
+// configurationSources returns the daemons to ask for a configuration: those that distribute changes, and
+// some others in random order.
 func (m *Mesh) configurationSources() []mtspread.Node {
 	tree := m.feed.tree()
 	sources := append(tree.OtherWatchers(m.config.Daemon), tree.Upstreams(m.config.Daemon, m.config.Zone)...)
