Serve no requests by a configuration that others have long replaced

Cause: only denials looked at the age of the configuration.

Ruled out: refusing by age alone. While the store is away for nine seconds all daemons have an old confirmation, and must serve on.

Change: a daemon that knows of a later configuration and has had no confirmation of its own within the limit refuses requests at once ('outdated', 503, 0.5 s) and isn't ready, until it has the later one, or most of the daemons that it asks have none either. One that can't read the later one serves on.

--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -63,6 +63,7 @@
 	CauseWithdrawn   Cause = "withdrawn"   // taken back by the daemon that sent it, which is shutting down
 	CauseQuota       Cause = "quota"       // over the rate limit that the backend server names
 	CauseZoneOut     Cause = "zone-out"    // the server's availability zone is out of service
+	CauseOutdated    Cause = "outdated"    // other daemons have a later configuration than the one that this daemon has
 	CauseLinkFull    Cause = "link-full"   // the server's network link has no room for the body
 )
 
--- a/core/mtroute/freshness.go
+++ b/core/mtroute/freshness.go
@@ -51,6 +51,9 @@
 	limit     time.Duration   // time within which a configuration has to be in force
 	confirmed mtclock.Instant // when the configuration was last known to be the newest
 	polled    mtclock.Instant // when the store was last polled
+
+	newest     mtid.Version // newest version that another daemon has reported, unless it was forgotten
+	unreadable bool         // the newest configuration received can't be used
 }
 
 // NewFreshness returns the Freshness of a daemon that starts now. The limit is the time
@@ -79,6 +82,31 @@
 	}
 }
 
+// Report records that another daemon has a later version than this one.
+func (f *Freshness) Report(version mtid.Version) { f.newest = max(f.newest, version) }
+
+// Forget records that the daemons in reach have no version up to the given one that is later than this
+// daemon's: those that reported it are gone.
+func (f *Freshness) Forget(version mtid.Version) {
+	if f.newest <= version {
+		f.newest = 0
+	}
+}
+
+// PassOver records that a configuration was received that can't be used, and Adopt that one was put in
+// force.
+func (f *Freshness) PassOver() { f.unreadable = true }
+
+// Adopt is the opposite of PassOver.
+func (f *Freshness) Adopt() { f.unreadable = false }
+
+// Outdated reports whether requests must not be served by a configuration: it has not been confirmed within
+// the limit, and there is a later one. If none is known, a daemon whose store is away serves on, as do all others.
+// So does one that can't read the later configuration: waiting would not help its callers.
+func (f *Freshness) Outdated(now mtclock.Instant, own mtid.Version) bool {
+	return own < f.newest && !f.unreadable && !f.MayDenyRoute(now)
+}
+
 // ConfirmedAt returns the instant of the last confirmation.
 func (f *Freshness) ConfirmedAt() mtclock.Instant { return f.confirmed }
 
--- a/core/mtroute/freshness_test.go
+++ b/core/mtroute/freshness_test.go
@@ -123,3 +123,35 @@
 	}
 	assert.Assert(t, polls <= 6, "polled %d times", polls)
 }
+
+// Guards against a daemon that serves for long by a configuration that others have replaced, and against one that
+// refuses what it need not: it has only just missed the later one, nobody has it any more, or it can't read it.
+func TestOutdatedConfiguration(t *testing.T) {
+	const own, later = 3, 4
+	start := mtclock.Instant(time.Hour)
+	limit := mtroute.DefaultPropagationLimit
+	for name, c := range map[string]struct {
+		now      time.Duration // since the last confirmation
+		reported mtid.Version  // zero for none
+		own      mtid.Version
+		prepare  func(*mtroute.Freshness)
+		want     bool
+	}{
+		"nobody has a later one":      {now: 9 * time.Second, own: own},
+		"just missed":                 {now: limit / 2, reported: later, own: own},
+		"missed for long":             {now: limit + time.Second, reported: later, own: own, want: true},
+		"the others have lost it":     {now: limit + time.Second, reported: later, own: own, prepare: func(f *mtroute.Freshness) { f.Forget(later) }},
+		"the others have a later one": {now: limit + time.Second, reported: later, own: own, prepare: func(f *mtroute.Freshness) { f.Forget(later - 1) }, want: true},
+		"has it":                      {now: limit + time.Second, reported: later, own: later},
+		"can't read it":               {now: limit + time.Second, reported: later, own: own, prepare: (*mtroute.Freshness).PassOver},
+		"can read the one after that": {now: limit + time.Second, reported: later + 1, own: later, prepare: func(f *mtroute.Freshness) { f.PassOver(); f.Adopt() }, want: true},
+	} {
+		f := mtroute.NewFreshness(start, limit)
+		f.Confirm(start)
+		f.Report(c.reported)
+		if c.prepare != nil {
+			c.prepare(&f)
+		}
+		assert.Equal(t, f.Outdated(start.Add(c.now), c.own), c.want, name)
+	}
+}
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -51,6 +51,9 @@
 	// over a shared link of 10 Mbit/s, and with the timeout the caller got a 502 while
 	// the server began to process the call. PullChanges allows the same time beyond its wait.
 	headerTimeout = 1500 * time.Millisecond
+	// configurationTimeout limits the transfer of a configuration from a daemon that has been asked
+	// for nothing else.
+	configurationTimeout = 3 * time.Second
 	// detachedLifetime is the time after which a connection that was removed from the
 	// pool is closed. Calls on it may still be answered until their deadlines.
 	detachedLifetime = 30 * time.Second
@@ -288,7 +291,11 @@
 	if err != nil {
 		return ChangesReply{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+headerTimeout)
+	limit := q.Wait + headerTimeout
+	if q.Configuration {
+		limit = configurationTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	request := &mtwire.LearnRequest{After: uint64(q.After), WaitMs: q.Wait.Milliseconds(), Relays: q.Relays, Configuration: q.Configuration, News: summaryToWire(c.exchange.Summarize())}
 	for name, epoch := range q.Epochs {
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -58,9 +58,12 @@
 	// ConfigFresh reports whether the configuration in force was confirmed as the newest so
 	// recently that requests without a route in it can be answered with 404.
 	ConfigFresh func(now mtclock.Instant) bool
-	Sender      sender
-	Clock       clock
-	Log         *slog.Logger
+	// Outdated reports whether requests must not be served by a version of the configuration, since there is a
+	// later one. Nil stands for never.
+	Outdated func(now mtclock.Instant, version mtid.Version) bool
+	Sender   sender
+	Clock    clock
+	Log      *slog.Logger
 	// OnCompletion is called with the outcome of each request.
 	OnCompletion func(call *mtcall.Call, answer *mtcall.Answer, status int, err error, took time.Duration)
 }
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -50,6 +50,9 @@
 	if config == nil {
 		return call, nil, &mtreply.RefusedError{Cause: mtreply.CauseNoService, RetryAfter: unconfiguredRetry, Detail: "no configuration is known yet"}
 	}
+	if in.Outdated != nil && in.Outdated(now, config.Version) {
+		return call, nil, &mtreply.RefusedError{Cause: mtreply.CauseOutdated, RetryAfter: unconfiguredRetry, Detail: "other daemons have a later configuration"}
+	}
 	route, ok := config.Match(r.Host, r.RequestURI)
 	if !ok && !in.ConfigFresh(now) {
 		return call, nil, &mtreply.RefusedError{Cause: mtreply.CauseNoService, RetryAfter: unconfiguredRetry, Detail: "the route may be newer than the configuration"}
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -469,6 +469,23 @@
 	assert.Assert(t, w.Header().Get("Retry-After") != "")
 }
 
+// Guards against requests that are served by a configuration that other daemons have replaced for long.
+func TestOutdatedConfigurationServesNoRequests(t *testing.T) {
+	ingress, _, handler := newIngress(t, &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}})
+	c := configuration(t, 1)
+	ingress.Configure(c)
+	for _, test := range []struct {
+		outdated bool
+		want     int
+	}{{true, http.StatusServiceUnavailable}, {false, http.StatusOK}} {
+		ingress.Outdated = func(_ mtclock.Instant, version mtid.Version) bool { return test.outdated && version == c.Version }
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, newRequest("/plans/a", "1", mtheader.DefaultNames.Key, "4096"))
+		assert.Equal(t, w.Code, test.want)
+		assert.Equal(t, w.Header().Get("Retry-After") != "", test.outdated)
+	}
+}
+
 // Header fields that this system sets itself, which a caller might forge, and hop-by-hop
 // fields must not be forwarded. Everything else must arrive unchanged.
 func TestForwardedRequestAndAnswer(t *testing.T) {
--- a/io/mtmesh/freshness.go
+++ b/io/mtmesh/freshness.go
@@ -80,6 +80,36 @@
 	return f.core.MayDenyRoute(now)
 }
 
+func (f *freshness) report(version mtid.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.core.Report(version)
+}
+
+func (f *freshness) forget(version mtid.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.core.Forget(version)
+}
+
+func (f *freshness) passOver() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.core.PassOver()
+}
+
+func (f *freshness) adopt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.core.Adopt()
+}
+
+func (f *freshness) outdated(now mtclock.Instant, own mtid.Version) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.Outdated(now, own)
+}
+
 // broadcast signals an event to all goroutines that wait for it.
 type broadcast struct {
 	mu   sync.Mutex
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -193,10 +193,10 @@
 func (m *Mesh) Kernel() *mtkernel.Kernel { return m.kernel }
 
 // Ready reports whether callers should send requests to this daemon: a configuration is in
-// force, the other servers are known, and the daemon is not shutting down.
+// force that isn't known to be outdated, the other servers are known, and the daemon is not shutting down.
 func (m *Mesh) Ready() bool {
 	directory := mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory)
-	return m.ready.Load() && m.Ingress().Configuration() != nil && directory.View().Revision != 0
+	return m.ready.Load() && m.Ingress().Configuration() != nil && !m.outdated() && directory.View().Revision != 0
 }
 
 func (m *Mesh) addClock() error {
@@ -396,6 +396,7 @@
 		Service:      m.config.Service,
 		Parent:       m.Host().Parent,
 		ConfigFresh:  m.freshness.mayDenyRoute,
+		Outdated:     m.freshness.outdated,
 		Sender:       sender,
 		Clock:        clock,
 		Log:          m.config.Log,
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -84,6 +84,7 @@
 	}
 	if own.ConfigVersion < theirs.ConfigVersion {
 		m.arrivals.report(m.now(), own.ConfigVersion, theirs.ConfigVersion)
+		m.freshness.report(theirs.ConfigVersion)
 		m.configCheck.report(theirs.ConfigVersion, configCheckDelay+m.deferral(), m.checkConfiguration)
 	}
 	if own.NewestVersion < theirs.NewestVersion {
@@ -130,14 +131,17 @@
 // either.
 func (m *Mesh) pullConfiguration(wanted mtid.Version) {
 	peers, started := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers), m.now()
+	without, failed := 0, 0
 	for a := range askForConfiguration(peers, m.configurationSources()) {
 		took := m.now().Sub(started)
 		if a.err != nil {
+			failed++
 			m.arrivals.fail(mtstore.WayAsk)
 			m.config.Log.Info("operators' entries could not be taken from a daemon", "peer", a.from.Daemon, "after", took, "error", a.err)
 			continue
 		}
 		if len(a.entries) == 0 {
+			without++
 			m.config.Log.Info("a daemon has no newer configuration", "peer", a.from.Daemon, "wanted", uint64(wanted))
 			continue
 		}
@@ -152,6 +156,10 @@
 			return
 		}
 	}
+	if without > failed {
+		m.config.Log.Warn("the newer configuration is lost: served on by the one in force", "wanted", uint64(wanted))
+		m.freshness.forget(wanted)
+	}
 }
 
 // configurationAnswer is the answer of a daemon that was asked for its configuration.
@@ -286,6 +294,7 @@
 	if old := m.configuration(); old == nil || old.Version < c.Version {
 		m.arrivals.log(m.now(), c.Version, from, m.freshness.age(m.now()))
 	}
+	m.freshness.adopt()
 	if !m.Ingress().Configure(c) {
 		return
 	}
@@ -296,6 +305,16 @@
 	}
 }
 
+// PassOver tells that a configuration has been received that can't be used: the daemon serves by the one in
+// force until Configure is called.
+func (m *Mesh) PassOver() { m.freshness.passOver() }
+
+// outdated reports whether no requests may be served by the configuration in force.
+func (m *Mesh) outdated() bool {
+	c := m.configuration()
+	return c != nil && m.freshness.outdated(m.now(), c.Version)
+}
+
 // notifyPeers sends the versions that this daemon knows to all other live daemons.
 func (m *Mesh) notifyPeers() {
 	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
