Check for a reported configuration at the usual pace until somebody answers

Cause: after eight checks without success the next ones waited four seconds, also where all eight had found the store away. A daemon could run into the four seconds just when the store was back, longer than the time within which a configuration must be in force.

Ruled out: shorter pauses for all. A version that nobody has would be asked for without end (TestVersionThatNeverArrivesIsCheckedRarely, unchanged).

Change: only checks in which the store or most of the daemons asked answered that they don't have it count.

--- a/io/mtmesh/check.go
+++ b/io/mtmesh/check.go
@@ -16,6 +16,17 @@
 	slowCheckDelay = 4 * time.Second
 )
 
+// checkResult is the result of a check.
+type checkResult int
+
+// The results of a check. Only an absent version makes the next checks rare: a daemon that can't
+// reach the store or the others must not go on waiting once they are back.
+const (
+	versionArrived checkResult = iota
+	versionAbsent              // the store and the daemons that were asked don't have it
+	versionUnknown             // they didn't answer
+)
+
 // delayedCheck checks, some time after another daemon has reported a newer version, whether that has
 // arrived. At most one check is pending. It is safe for concurrent use.
 type delayedCheck struct {
@@ -26,9 +37,9 @@
 	misses  int          // checks of it in a row
 }
 
-// report schedules a check of a version, which returns whether the version has arrived. If one of an
+// report schedules a check of a version. If one of an
 // older version is pending, this one follows it: it may take long until the version is reported again.
-func (d *delayedCheck) report(version mtid.Version, after time.Duration, check func(mtid.Version) bool) {
+func (d *delayedCheck) report(version mtid.Version, after time.Duration, check func(mtid.Version) checkResult) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.pending {
@@ -40,8 +51,7 @@
 		after = max(after, slowCheckDelay)
 	}
 	time.AfterFunc(after, func() {
-		arrived := check(version)
-		newest := d.end(version, arrived)
+		newest := d.end(version, check(version))
 		if newest > version {
 			d.report(newest, after, check)
 		}
@@ -49,13 +59,14 @@
 }
 
 // end records the outcome of the pending check, and returns the newest version reported meanwhile.
-func (d *delayedCheck) end(version mtid.Version, arrived bool) mtid.Version {
+func (d *delayedCheck) end(version mtid.Version, result checkResult) mtid.Version {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pending = false
 	switch {
-	case arrived:
+	case result == versionArrived:
 		d.missed, d.misses = 0, 0
+	case result == versionUnknown:
 	case version > d.missed:
 		d.missed, d.misses = version, 1
 	default:
--- a/io/mtmesh/check_test.go
+++ b/io/mtmesh/check_test.go
@@ -63,3 +63,30 @@
 		assert.Equal(t, arrivals.Load(), int32(1))
 	})
 }
+
+// Guards against a configuration that is fetched seconds after the store is back, since all checks before found
+// the store away.
+func TestVersionIsCheckedSoonOnceStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const away, checkTime = 30 * time.Second, time.Second
+		var arrivedAt time.Time
+		backAt := time.Now().Add(away)
+		report := mtmesh.NewFailingCheck(checkDelay, func(mtid.Version) (arrived, answered bool) {
+			if !arrivedAt.IsZero() {
+				return true, true
+			}
+			time.Sleep(checkTime)
+			if time.Now().Before(backAt) {
+				return false, false
+			}
+			arrivedAt = time.Now()
+			return true, true
+		})
+		for time.Since(backAt) < 10*time.Second {
+			report(4)
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		assert.Assert(t, !arrivedAt.IsZero() && arrivedAt.Sub(backAt) < 2*checkTime, "arrived after %s", arrivedAt.Sub(backAt))
+	})
+}
--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -65,10 +65,26 @@
 	return m.freshness.at() > before, nil
 }
 
-// NewDelayedCheck returns the report function of a delayedCheck with a fixed delay.
+// NewDelayedCheck returns the report function of a delayedCheck with a fixed delay, whose check returns
+// whether the version has arrived.
 func NewDelayedCheck(after time.Duration, check func(mtid.Version) bool) func(mtid.Version) {
+	return NewFailingCheck(after, func(v mtid.Version) (arrived, answered bool) { return check(v), true })
+}
+
+// NewFailingCheck is like NewDelayedCheck. Its check also returns whether the store or others have answered.
+func NewFailingCheck(after time.Duration, check func(mtid.Version) (arrived, answered bool)) func(mtid.Version) {
 	d := &delayedCheck{}
-	return func(v mtid.Version) { d.report(v, after, check) }
+	return func(v mtid.Version) {
+		d.report(v, after, func(v mtid.Version) checkResult {
+			switch arrived, answered := check(v); {
+			case arrived:
+				return versionArrived
+			case answered:
+				return versionAbsent
+			}
+			return versionUnknown
+		})
+	}
 }
 
 // SlowStart exports slowStart to tests.
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -108,30 +108,37 @@
 }
 
 // checkConfiguration fetches a configuration that another daemon has reported and that still has not
-// arrived, and reports whether it has arrived in the end. A daemon that passes changes on polls the store first, which
+// arrived. A daemon that passes changes on polls the store first, which
 // shows whether its watch has failed silently. All others ask other daemons first, whose
 // answers are smaller and cost the store nothing.
-func (m *Mesh) checkConfiguration(reported mtid.Version) bool {
+func (m *Mesh) checkConfiguration(reported mtid.Version) checkResult {
 	if own := m.knownVersions(); own.ConfigVersion < reported {
 		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(reported), "age", own.Age, "behind", m.arrivals.behind(m.now(), own.ConfigVersion))
 	}
-	fetch := []func(){m.pollStore, func() { m.pullConfiguration(reported) }}
+	fetch := []func() bool{m.pollStore, func() bool { return m.pullConfiguration(reported) }}
 	if m.feed.pollSchedule() == mtroute.PollFallback {
 		slices.Reverse(fetch)
 	}
+	answered := false
 	for _, f := range fetch {
 		if m.knownVersions().ConfigVersion < reported {
-			f()
+			answered = f() || answered
 		}
 	}
-	return m.knownVersions().ConfigVersion >= reported
+	switch {
+	case m.knownVersions().ConfigVersion >= reported:
+		return versionArrived
+	case answered:
+		return versionAbsent
+	}
+	return versionUnknown
 }
 
 // pullConfiguration takes a configuration of at least the given version from other daemons. The store may
 // have come back from a copy without it: a daemon that has just started could otherwise bring a
 // configuration back into force that had been replaced. Daemons that have restarted too may not have it
-// either.
-func (m *Mesh) pullConfiguration(wanted mtid.Version) {
+// either. It reports whether it was told of a configuration, or by most that they have none.
+func (m *Mesh) pullConfiguration(wanted mtid.Version) bool {
 	peers, started := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers), m.now()
 	without, failed := 0, 0
 	for a := range askForConfiguration(peers, m.configurationSources()) {
@@ -155,13 +162,15 @@
 		own := m.knownVersions().ConfigVersion
 		m.config.Log.Info("operators' entries taken from a daemon", "peer", a.from.Daemon, "configuration", uint64(own), "wanted", uint64(wanted))
 		if own >= wanted {
-			return
+			return true
 		}
 	}
-	if without > failed {
+	lost := without > failed
+	if lost {
 		m.config.Log.Warn("the newer configuration is lost: served on by the one in force", "wanted", uint64(wanted))
 		m.freshness.forget(wanted)
 	}
+	return lost
 }
 
 // configurationAnswer is the answer of a daemon that was asked for its configuration.
@@ -225,15 +234,15 @@
 // pollStore polls the store for the configuration and the zones that are out of service. If
 // the store has changes that the watch has not delivered, the watch has failed silently. A
 // daemon from which others pull then reads everything again, since they miss the changes
-// too.
-func (m *Mesh) pollStore() {
+// too. It reports whether the store has answered.
+func (m *Mesh) pollStore() bool {
 	directory := mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory)
 	started, before := m.now(), m.knownVersions().ConfigVersion
 	read, err := m.config.Refresh()
 	if err != nil {
 		m.arrivals.fail(mtstore.WayPoll)
 		m.config.Log.Warn("polling the store for the configuration failed", "after", m.now().Sub(started), "error", err)
-		return
+		return false
 	}
 	if read.Revision.Era() > directory.View().Era() {
 		directory.Resync() // the watch may wait for changes after a revision that is given out again
@@ -247,6 +256,7 @@
 	if (newer || zonesChanged) && m.feed.pollSchedule() != mtroute.PollFallback {
 		directory.Resync()
 	}
+	return true
 }
 
 // now returns the current time by the clock that is used for ages.
@@ -256,12 +266,12 @@
 
 // checkRecords reads everything again if the newer records still have not arrived. It doesn't wait for
 // that, and reports that they arrive.
-func (m *Mesh) checkRecords(reported mtid.Version) bool {
+func (m *Mesh) checkRecords(reported mtid.Version) checkResult {
 	if own := m.knownVersions(); own.NewestVersion < reported {
 		m.config.Log.Warn("another daemon has seen newer records", "own", uint64(own.NewestVersion), "newest", uint64(reported))
 		mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory).Resync()
 	}
-	return true
+	return versionArrived
 }
 
 // addConfigPoller adds the task that polls the store for the configuration.
