--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,12 +35,13 @@
 	stops := flag.Bool("stops", true, "stop daemons by series of SIGTERMs that overlap, under pipelined callers")
 	crashes := flag.Bool("crashes", true, "requests crash the servers that run them, and servers cut answers and live")
 	stepBacks := flag.Bool("stepbacks", true, "the store comes back from older copies")
+	configs := flag.Bool("configs", true, "the configuration is replaced by small and large ones")
 	overload := flag.Bool("overload", true, "the policies for overload are on")
 	planned := flag.Bool("planned", false, "inject no faults but those of the options")
 	flag.Parse()
 	failed := 0
 	for i := range uint64(*runs) {
-		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Crashes: *crashes, StepBacks: *stepBacks, Overload: *overload, Planned: *planned, Logs: *logs}
+		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Crashes: *crashes, StepBacks: *stepBacks, Configs: *configs, Overload: *overload, Planned: *planned, Logs: *logs}
 		result, err := soak.Run(context.Background(), config)
 		if !report(config.Seed, result, err) {
 			failed++
