Take a configuration for adopted only once it is in force

Cause, by reading: Configure ended the note that the newest configuration can't be read also when it was called with the one in force again. A daemon could refuse requests as outdated until it read the unreadable one the next time.

Change: the note ends once a later configuration is in force. Comments are wrapped anew.

Measured: tests of io/mtmesh and core/mtroute pass; nothing else was run on this.

Conclusion: the refusal needs a later configuration that this daemon can read.

--- a/core/mtroute/freshness.go
+++ b/core/mtroute/freshness.go
@@ -100,9 +100,10 @@
 // Adopt is the opposite of PassOver.
 func (f *Freshness) Adopt() { f.unreadable = false }
 
-// Outdated reports whether requests must not be served by a configuration: it has not been confirmed within
-// the limit, and there is a later one. If none is known, a daemon whose store is away serves on, as do all others.
-// So does one that can't read the later configuration: waiting would not help its callers.
+// Outdated reports whether requests must not be served by a configuration: it has not been confirmed
+// within the limit, and there is a later one. If none is known, a daemon whose store is away serves on,
+// as do all others. So does one that can't read the later configuration: waiting would not help its
+// callers.
 func (f *Freshness) Outdated(now mtclock.Instant, own mtid.Version) bool {
 	return own < f.newest && !f.unreadable && !f.MayDenyRoute(now)
 }
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -108,9 +108,9 @@
 }
 
 // checkConfiguration fetches a configuration that another daemon has reported and that still has not
-// arrived. A daemon that passes changes on polls the store first, which
-// shows whether its watch has failed silently. All others ask other daemons first, whose
-// answers are smaller and cost the store nothing.
+// arrived. A daemon that passes changes on polls the store first, which shows whether its watch has
+// failed silently. All others ask other daemons first, whose answers are smaller and cost the store
+// nothing.
 func (m *Mesh) checkConfiguration(reported mtid.Version) checkResult {
 	if own := m.knownVersions(); own.ConfigVersion < reported {
 		m.config.Log.Warn("another daemon has a newer configuration", "own", uint64(own.ConfigVersion), "newest", uint64(reported), "age", own.Age, "behind", m.arrivals.behind(m.now(), own.ConfigVersion))
@@ -180,10 +180,11 @@
 	err     error
 }
 
-// askForConfiguration asks the daemons for a newer configuration than this one's, and returns their answers as
-// they arrive. The next daemon is asked once the previous one has answered, or has taken askDelay, so that an
-// unresponsive one delays the others by no more than that, and the link isn't shared without need. Nothing else is requested: the whole
-// live state has a hundred kilobytes. Calls without an answer are canceled when the iteration ends.
+// askForConfiguration asks the daemons for a newer configuration than this one's, and returns their
+// answers as they arrive. The next daemon is asked once the previous one has answered, or has taken
+// askDelay: an unresponsive one delays the others by no more than that, and the link isn't shared
+// without need. Nothing else is requested: the whole live state has a hundred kilobytes. Calls without
+// an answer are canceled when the iteration ends.
 func askForConfiguration(peers upstreamClient, sources []mtspread.Node) iter.Seq[configurationAnswer] {
 	return func(yield func(configurationAnswer) bool) {
 		ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
@@ -306,10 +307,10 @@
 	if old := m.configuration(); old == nil || old.Version < c.Version {
 		m.arrivals.log(m.now(), c.Version, from, m.freshness.age(m.now()))
 	}
-	m.freshness.adopt()
 	if !m.Ingress().Configure(c) {
 		return
 	}
+	m.freshness.adopt()
 	m.Host().Declare(c.Routes())
 	m.Host().Warmup(mtgate.StartRate(m.config.Warmup.Limit(c.Services[m.config.Service].ColdRate)))
 	if m.feed.tree().WatchesStore(m.config.Daemon) {
