--- a/review/tool/client.go
+++ b/review/tool/client.go
@@ -101,3 +101,26 @@
 	a.status, a.signature = response.StatusCode, response.Header.Get("X-Response-Signature")
 	return a
 }
+
+// logRequest writes a line for a request: where it was sent, which instance began it, and what its client got.
+func (w *world) logRequest(n *node, method string, key int, got answer) {
+	ran := "none"
+	if i := w.ranAt(got.id); i != nil {
+		ran = i.id
+	}
+	end := fmt.Sprintf("%d, %d bytes", got.status, got.bytes)
+	if got.err != nil {
+		end = got.err.Error()
+	}
+	w.log.line("%s %s key %d at %s, run by %s: %s", method, got.id, key, n.name, ran, end)
+}
+
+// ranAt returns the instance that has begun a request, or nil.
+func (w *world) ranAt(id string) *instance {
+	for _, n := range w.nodes {
+		if n.instance.ran(id) {
+			return n.instance
+		}
+	}
+	return nil
+}
--- a/review/tool/large.go
+++ b/review/tool/large.go
@@ -126,14 +126,13 @@
 			for time.Now().Before(end) {
 				got := a.send(transport, "POST", "/pufi791/2f", 1500*time.Millisecond, -1, nil)
 				paid.Add(1)
+				w.logRequest(a, "POST", -1, got)
 				switch {
 				case got.status == http.StatusOK:
 					answered.Add(1)
 				case got.status == 0 && kept && a.instance.ran(got.id):
 					w.log.line("client: payment %s, sent on a kept connection and run by the sound instance %s, ends with its connection and without an answer: %v", got.id, a.instance.id, got.err)
 					lost.Add(1)
-				default:
-					w.log.line("client: payment %s: status %d, retry after %q, error %v", got.id, got.status, got.retry, got.err)
 				}
 				kept = got.status != 0
 				time.Sleep(100 * time.Millisecond)
@@ -145,7 +144,9 @@
 			transport := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}
 			defer transport.CloseIdleConnections()
 			for time.Now().Before(end) {
-				got := a.send(transport, "GET", "/lohu930/2f", 2500*time.Millisecond, rand.IntN(keys), nil)
+				key := rand.IntN(keys)
+				got := a.send(transport, "GET", "/lohu930/2f", 2500*time.Millisecond, key, nil)
+				w.logRequest(a, "GET", key, got)
 				looked.Add(1)
 				if got.status == http.StatusOK {
 					lookedWell.Add(1)
--- a/review/tool/late.go
+++ b/review/tool/late.go
@@ -122,10 +122,13 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(20 * time.Millisecond):
+				case <-time.After(40 * time.Millisecond):
 				}
+				key := rand.IntN(keys)
+				got := n.send(transport, http.MethodGet, "/lohu930/2f", 2500*time.Millisecond, key, nil)
+				w.logRequest(n, "GET", key, got)
 				asked.Add(1)
-				if n.send(transport, http.MethodGet, "/lohu930/2f", 2500*time.Millisecond, rand.IntN(keys), nil).status == http.StatusOK {
+				if got.status == http.StatusOK {
 					served.Add(1)
 				}
 			}
--- a/review/tool/rolling.go
+++ b/review/tool/rolling.go
@@ -93,13 +93,3 @@
 	}
 	return lost.Load() > 0
 }
-
-// ranAt returns the instance that has begun a request, or nil.
-func (w *world) ranAt(id string) *instance {
-	for _, n := range w.nodes {
-		if n.instance.ran(id) {
-			return n.instance
-		}
-	}
-	return nil
-}
