Make a takeover that is executed late fail if its owner has been back

Cause: a takeover demanded that the record of the lost owner is absent. The store may execute a write seconds after it was sent.

The table had the expected version all the time, and the write got its 200 only 5.6 s after its arrival.

Change: a record that is created is written in one transaction with its daemon's registration, an entry without a lease; a takeover has the version of the registration as a condition. It covers 15 owners in one write instead of 30, and goes on at once with the rest. The log of a takeover names the registration and how long the record has been absent.

--- a/core/mtstore/mesh.go
+++ b/core/mtstore/mesh.go
@@ -13,12 +13,14 @@
 // assignments of numbered keys. Below ZonePrefix is one entry for each availability
 // zone that is out of service; only operators write it, and it exists for as long as
 // the zone is out of service. Below LossPrefix is one entry for each recent loss of a backend
-// server, under a lease that nobody renews.
+// server, under a lease that nobody renews. Below RegistrationPrefix is one entry for each daemon,
+// written without a lease whenever its record is created.
 const (
-	BackendPrefix = LivePrefix + "backend/"
-	RangePrefix   = LivePrefix + "range/"
-	ZonePrefix    = LivePrefix + "zone/"
-	LossPrefix    = LivePrefix + "loss/"
+	BackendPrefix      = LivePrefix + "backend/"
+	RangePrefix        = LivePrefix + "range/"
+	ZonePrefix         = LivePrefix + "zone/"
+	LossPrefix         = LivePrefix + "loss/"
+	RegistrationPrefix = LivePrefix + "registration/"
 )
 
 // BackendName returns the name, in an era of the store, of the record of the backend server that
@@ -39,6 +41,23 @@
 
 func eraPart(era mtid.Era) string { return strconv.FormatUint(uint64(era), 10) + "/" }
 
+// RegistrationName returns the name, in an era of the store, of the registration of a daemon. Its
+// version shows when the daemon's record was created last, also once the record has expired.
+//
+// A write that demands that a record is absent may be executed seconds after it was sent, when the
+// record has been present and is absent again. On condition that the registration has not changed,
+// it is not.
+func RegistrationName(era mtid.Era, d mtid.Daemon) string {
+	return RegistrationPrefix + eraPart(era) + string(d)
+}
+
+// SplitRegistrationName returns the era and the daemon of the name of a registration, or false for
+// another name.
+func SplitRegistrationName(name string) (mtid.Era, mtid.Daemon, bool) {
+	era, daemon, ok := splitName(name, RegistrationPrefix)
+	return era, mtid.Daemon(daemon), ok
+}
+
 // SplitBackendName returns the era and the daemon of the name of a record, or false for another
 // name.
 func SplitBackendName(name string) (mtid.Era, mtid.Daemon, bool) {
--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -81,11 +81,21 @@
 	Version mtid.Version
 }
 
+// Put is an entry that Commit writes.
+type Put struct {
+	Name  string
+	Value []byte
+	Lease LeaseID
+}
+
 // MaxConditions is the maximum number of conditions of SwapIf. The platform's store
 // accepts 32 entries in a transaction, and the written name needs two of them: one for
 // its expected version and one for its new value.
 const MaxConditions = 30
 
+// MaxEntries is the maximum number of conditions and puts of Commit together.
+const MaxEntries = MaxConditions + 2
+
 // ConditionalStore is a Store that can also write a name atomically under conditions
 // on other names, and end leases. A takeover from a lost process must check that the
 // process is still lost in the same transaction that writes the new owner, since
@@ -105,6 +115,9 @@
 	// SwapIf is Swap with up to MaxConditions additional conditions. It fails like
 	// Swap. A *ConflictError names the first condition that does not hold.
 	SwapIf(ctx context.Context, conditions []Condition, name string, expected mtid.Version, value []byte, lease LeaseID) (mtid.Version, error)
+	// Commit writes all puts atomically if all conditions hold, MaxEntries of both at most,
+	// and returns the version that the puts share. It fails like SwapIf.
+	Commit(ctx context.Context, conditions []Condition, puts ...Put) (mtid.Version, error)
 	// End ends a lease and deletes everything that was written under it. It
 	// succeeds if the lease has already expired.
 	End(ctx context.Context, lease LeaseID) error
--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -53,9 +53,10 @@
 		}
 	}
 	clear(v.InvalidRecords)
+	clear(v.Registrations)
 	for name := range d.entries {
-		if strings.HasPrefix(name, mtstore.BackendPrefix) || strings.HasPrefix(name, mtstore.RangePrefix) {
-			delete(d.entries, name) // names of the era that has ended
+		if namedByEra(name) {
+			delete(d.entries, name) // of the era that has ended
 		}
 	}
 	clear(d.doubtful)
@@ -63,6 +64,11 @@
 	return true
 }
 
+// namedByEra reports whether an entry has another name in each era of the store.
+func namedByEra(name string) bool {
+	return strings.HasPrefix(name, mtstore.BackendPrefix) || strings.HasPrefix(name, mtstore.RangePrefix) || strings.HasPrefix(name, mtstore.RegistrationPrefix)
+}
+
 // SettleTime is how long after the beginning of an era of the store the operators' last known
 // orders and configuration remain in force where the copy has older ones. The operators write
 // again what was lost.
--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -301,6 +301,12 @@
 	return s.RevisionStore.Swap(ctx, name, expected, value, lease)
 }
 
+// Commit implements mtstore.ConditionalStore.
+func (s *steppingStore) Commit(ctx context.Context, conditions []mtstore.Condition, puts ...mtstore.Put) (mtid.Version, error) {
+	s.stepBackOnce(&s.before, "swap")
+	return s.RevisionStore.Commit(ctx, conditions, puts...)
+}
+
 // lossOf returns the loss of a daemon's server.
 func lossOf(daemon mtid.Daemon) mtpoison.Loss {
 	return mtpoison.Loss{ID: mtpoison.LossID{Daemon: daemon, Server: record(daemon).Incarnation}}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -71,12 +71,12 @@
 	return deleted
 }
 
-// copyMembersOnce prepares a new view for the first change of Members, InvalidRecords
-// or OutOfService. It copies the maps, which the view shares with its predecessor
+// copyMembersOnce prepares a new view for the first change of Members, InvalidRecords,
+// Registrations or OutOfService. It copies the maps, which the view shares with its predecessor
 // until then, and increments MembershipVersion.
 func (d *Directory) copyMembersOnce(v *View) {
 	if old := d.view.Load(); v.MembershipVersion == old.MembershipVersion {
-		v.Members, v.InvalidRecords = maps.Clone(old.Members), maps.Clone(old.InvalidRecords)
+		v.Members, v.InvalidRecords, v.Registrations = maps.Clone(old.Members), maps.Clone(old.InvalidRecords), maps.Clone(old.Registrations)
 		v.MembershipVersion++
 	}
 }
@@ -137,6 +137,33 @@
 	v.Members[name] = Member{Record: record, Version: e.Version}
 }
 
+// applyRegistrationEntry applies a registration. If its daemon's record is known to be absent, it
+// has been present in between: the time since which it has been absent begins anew.
+func (d *Directory) applyRegistrationEntry(v *View, now mtclock.Instant, e mtstore.Entry) {
+	era, name, ok := mtstore.SplitRegistrationName(e.Name)
+	if !ok {
+		d.Log.Error("registration of a daemon passed over", "name", e.Name, "version", e.Version.Number())
+		return
+	}
+	if era != v.Era() {
+		delete(d.entries, e.Name)
+		return
+	}
+	d.copyMembersOnce(v)
+	if e.Version == 0 {
+		d.Log.Error("registration of a daemon was deleted by another writer", "peer", name, "revision", e.Revision.Number())
+		delete(v.Registrations, name)
+		return
+	}
+	if v.Registrations[name] == e.Version {
+		return
+	}
+	v.Registrations[name] = e.Version
+	if m, known := v.Members[name]; known && m.Expired && e.Revision > m.deletedAt {
+		v.Members[name] = m.markExpired(now, e.Revision)
+	}
+}
+
 // applyFormerRecord applies a record that was written in an earlier era of the store. That of this
 // daemon shows what its previous process knew; others count as absent until they are written anew.
 func (d *Directory) applyFormerRecord(name mtid.Daemon, e mtstore.Entry) {
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -96,7 +96,10 @@
 	if d.Source == nil {
 		d.Source = config.Store
 	}
-	d.view.Store(&View{Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}, InvalidRecords: map[mtid.Daemon]bool{}})
+	d.view.Store(&View{
+		Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}, InvalidRecords: map[mtid.Daemon]bool{},
+		Registrations: map[mtid.Daemon]mtid.Version{},
+	})
 	d.publisher = newPublisher(config)
 	watcher, stopWatch := mtwatch.Start(mtwatch.Config{
 		Source: d.Source, Apply: d.apply, Health: d.onStoreHealth, Log: config.Log,
@@ -253,12 +256,14 @@
 	}
 }
 
-// applyEntry applies an entry, and reports whether it is a record, an assignment, an order about
-// a zone or the loss of a server.
+// applyEntry applies an entry, and reports whether it is a record, a registration, an assignment, an
+// order about a zone or the loss of a server.
 func (d *Directory) applyEntry(v *View, now mtclock.Instant, e mtstore.Entry) bool {
 	switch {
 	case strings.HasPrefix(e.Name, mtstore.BackendPrefix):
 		d.applyRecordEntry(v, now, e)
+	case strings.HasPrefix(e.Name, mtstore.RegistrationPrefix):
+		d.applyRegistrationEntry(v, now, e)
 	case strings.HasPrefix(e.Name, mtstore.RangePrefix):
 		d.applyAssignmentEntry(v, e)
 	case strings.HasPrefix(e.Name, mtstore.ZonePrefix):
@@ -279,6 +284,7 @@
 		Members:           old.Members,
 		Assignments:       maps.Clone(old.Assignments),
 		InvalidRecords:    old.InvalidRecords,
+		Registrations:     old.Registrations,
 		OutOfService:      old.OutOfService,
 		Revision:          old.Revision,
 		MembershipVersion: old.MembershipVersion,
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -343,7 +343,7 @@
 	name := mtstore.BackendName(p.era, p.Self)
 	interrupted := p.version == 0 || p.validSince.Load() == 0
 	for range maxWriteAttempts {
-		version, err := p.Store.Swap(ctx, name, p.version, value, p.lease)
+		version, err := p.swapRecord(ctx, name, value)
 		p.endTenure(wanted, err)
 		var conflict *mtstore.ConflictError
 		var expired *mtstore.LeaseExpiredError
@@ -376,6 +376,17 @@
 	return &mtstore.ConflictError{Name: name, Expected: p.version}
 }
 
+// swapRecord writes the record over its last known version. Where there is none, the registration is
+// written with it: whoever takes this daemon's keys over while the record is absent goes by that.
+func (p *publisher) swapRecord(ctx context.Context, name string, value []byte) (mtid.Version, error) {
+	if p.version != 0 {
+		return p.Store.Swap(ctx, name, p.version, value, p.lease)
+	}
+	absent := []mtstore.Condition{{Name: name}}
+	record := mtstore.Put{Name: name, Value: value, Lease: p.lease}
+	return p.Store.Commit(ctx, absent, record, mtstore.Put{Name: mtstore.RegistrationName(p.era, p.Self)})
+}
+
 // reportPrevious passes on the record that a previous incarnation of this daemon left.
 // Otherwise, what that incarnation knew about its server would be lost, for example that it
 // is leaving, which a server may report only once.
--- a/io/mtdirectory/view.go
+++ b/io/mtdirectory/view.go
@@ -24,6 +24,9 @@
 	// daemon wrote, if no valid record of them is known. Such an entry identifies no
 	// usable server, and it does not prove that a server has terminated.
 	InvalidRecords map[mtid.Daemon]bool
+	// Registrations holds the versions of the daemons' registrations in the store's era. It is
+	// complete up to Revision.
+	Registrations map[mtid.Daemon]mtid.Version
 	// OutOfService contains the availability zones that the operators have taken out of
 	// service. It is complete up to Revision, and may be newer.
 	OutOfService mtzone.OutOfService
--- a/io/mtgrant/fleet_test.go
+++ b/io/mtgrant/fleet_test.go
@@ -172,6 +172,7 @@
 	t         *testing.T
 	clock     *clock
 	store     *mtstandin.RevisionStore
+	storeOfA  mtstore.ConditionalStore // the store as daemon a reaches it; nil means store
 	directory *mtdirectory.Directory
 	host      *host
 	server    *fakeServer
@@ -240,8 +241,12 @@
 }
 
 func (f *fleet) start() {
+	var store mtstore.ConditionalStore = f.store
+	if f.storeOfA != nil {
+		store = f.storeOfA
+	}
 	directory, closeDirectory := mtdirectory.New(mtdirectory.Config{
-		Self: "a", Store: f.store, Clock: f.clock, Lease: lease, Log: slog.New(slog.DiscardHandler), Source: f.source,
+		Self: "a", Store: store, Clock: f.clock, Lease: lease, Log: slog.New(slog.DiscardHandler), Source: f.source,
 	})
 	f.directory = directory
 	r, _ := f.host.Record()
@@ -256,7 +261,7 @@
 	}
 	grants, closeGrants := mtgrant.New(mtgrant.Config{
 		Self: "a", Bootstrap: !f.again, RunningSince: runningSince, Service: service, Keyed: func() bool { return true }, GrantDuration: grantDuration, Directory: directory,
-		Store: f.store, Host: f.host, Client: client, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
+		Store: store, Host: f.host, Client: client, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
 		LoadReports: func() (mtrange.LoadReport, []mtrange.LoadReport) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -63,12 +63,16 @@
 	if len(lost) == 0 {
 		return
 	}
-	// Each owner is a condition of the write, and the store limits the number of
-	// conditions. The remaining owners are handled in the next run.
-	lost = lost[:min(len(lost), mtstore.MaxConditions)]
-	g.takeOver(ctx, view, assignment, lost, survivors)
+	for chunk := range slices.Chunk(lost, ownersPerWrite) {
+		if !g.takeOver(ctx, g.Directory.View(), chunk, survivors) {
+			return // the remaining owners are handled in the next run
+		}
+	}
 }
 
+// ownersPerWrite is how many lost owners a takeover covers: each is two conditions of the write.
+const ownersPerWrite = mtstore.MaxConditions / 2
+
 // fallow stands for the owners of fallow ranges among lost ones: the newest changes of owners were
 // lost with an era of the store, so it is not known who they were.
 var fallow = mtrange.Owner{}
@@ -196,10 +200,16 @@
 	return g.Directory.Lease + g.maxGrantDuration() + takeoverMargin
 }
 
-// takeOver writes new owners for the keys of the lost ones, on condition that their records
-// have not changed since the decision: a daemon that has become available again in the
-// meantime has written its record before granting anything.
-func (g *Grants) takeOver(ctx context.Context, view *mtdirectory.View, a mtdirectory.Assignment, lost, survivors []mtrange.Owner) {
+// takeOver writes new owners for the keys of the lost ones, on condition that their daemons' records
+// and registrations have not changed since the decision: a daemon that has become available again in
+// the meantime has written both before granting anything. It reports whether the keys have new
+// owners.
+//
+// A write whose answer is lost may be executed seconds later. By then, an absent record may have been
+// present and be absent again, while the grants of that time are in effect. The registration shows
+// that, since it doesn't expire with the record.
+func (g *Grants) takeOver(ctx context.Context, view *mtdirectory.View, lost, survivors []mtrange.Owner) bool {
+	a := view.Assignments[g.Service]
 	base, expected := a.Basis(view.Era())
 	isLost := func(r mtrange.Range) bool {
 		if base.Fallow(r) {
@@ -210,26 +220,41 @@
 	next, err := base.TakeOver(isLost, survivors)
 	if err != nil {
 		g.Log.Warn("can't reassign the keys of lost servers", "service", g.Service, "lost", len(lost), "error", err)
-		return
+		return false
 	}
-	var conditions []mtstore.Condition
+	now := g.Clock.Steady()
 	for _, owner := range lost {
-		if owner == fallow {
-			continue
-		}
-		c := mtstore.Condition{Name: mtstore.BackendName(view.Era(), owner.Daemon)}
-		if m, ok := view.Members[owner.Daemon]; ok && !m.Expired {
-			c.Version = m.Version
+		absent := time.Duration(0)
+		if m := view.Members[owner.Daemon]; m.Expired {
+			absent = now.Sub(m.ExpiredSince)
 		}
+		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Incarnation.String(), "keys", a.Keys(owner), "fallow", owner == fallow,
+			"registered", view.Registrations[owner.Daemon].Number(), "absent", absent, "survivors", len(survivors))
+	}
+	if next.Next == base.Next {
+		return true // all ranges of the lost owners are fallow
+	}
+	return g.Committer.Write(ctx, stillLost(view, lost), next, expected, "takeover") == mtrange.Written
+}
+
+// stillLost returns the conditions that hold as long as nothing about the lost owners has changed.
+func stillLost(view *mtdirectory.View, lost []mtrange.Owner) []mtstore.Condition {
+	var conditions []mtstore.Condition
+	add := func(c mtstore.Condition) {
 		if !slices.Contains(conditions, c) {
 			conditions = append(conditions, c)
 		}
 	}
 	for _, owner := range lost {
-		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Incarnation.String(), "keys", a.Keys(owner), "fallow", owner == fallow, "survivors", len(survivors))
-	}
-	if next.Next == base.Next {
-		return // all ranges of the lost owners are fallow
+		if owner == fallow {
+			continue
+		}
+		record := mtstore.Condition{Name: mtstore.BackendName(view.Era(), owner.Daemon)}
+		if m, ok := view.Members[owner.Daemon]; ok && !m.Expired {
+			record.Version = m.Version
+		}
+		add(record)
+		add(mtstore.Condition{Name: mtstore.RegistrationName(view.Era(), owner.Daemon), Version: view.Registrations[owner.Daemon]})
 	}
-	g.Committer.Write(ctx, conditions, next, expected, "takeover")
+	return conditions
 }
--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -133,20 +133,28 @@
 }
 
 // SwapIf implements mtstore.ConditionalStore.
-func (s *RevisionStore) SwapIf(_ context.Context, conditions []mtstore.Condition, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
+func (s *RevisionStore) SwapIf(ctx context.Context, conditions []mtstore.Condition, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
+	all := append([]mtstore.Condition{{Name: name, Version: expected}}, conditions...)
+	return s.Commit(ctx, all, mtstore.Put{Name: name, Value: value, Lease: lease})
+}
+
+// Commit implements mtstore.ConditionalStore.
+func (s *RevisionStore) Commit(_ context.Context, conditions []mtstore.Condition, puts ...mtstore.Put) (mtid.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	if err := s.failure("swap", name); err != nil {
-		return 0, err
+	if len(conditions)+len(puts) > mtstore.MaxEntries {
+		return 0, &mtstore.RejectedError{Op: "swap", Reason: "too many entries"}
 	}
-	if len(conditions) > mtstore.MaxConditions {
-		return 0, &mtstore.RejectedError{Op: "swap", Reason: "too many conditions"}
-	}
-	if _, ok := s.leases[lease]; lease != "" && !ok {
-		return 0, &mtstore.LeaseExpiredError{Lease: lease}
+	for _, p := range puts {
+		if err := s.failure("swap", p.Name); err != nil {
+			return 0, err
+		}
+		if _, ok := s.leases[p.Lease]; p.Lease != "" && !ok {
+			return 0, &mtstore.LeaseExpiredError{Lease: p.Lease}
+		}
 	}
-	for _, c := range append([]mtstore.Condition{{Name: name, Version: expected}}, conditions...) {
+	for _, c := range conditions {
 		if now := s.items[c.Name]; s.versionOf(now.revision) != c.Version {
 			conflict := &mtstore.ConflictError{Name: c.Name, Expected: c.Version}
 			if now.revision != 0 {
@@ -155,9 +163,16 @@
 			return 0, conflict
 		}
 	}
-	version := s.versionOf(s.put(name, value, lease))
-	if s.failAfter != nil {
-		if err := s.failAfter("swap", name); err != nil {
+	s.revision++
+	for _, p := range puts {
+		s.set(p.Name, p.Value, p.Lease)
+	}
+	version := s.versionOf(s.revision)
+	if s.failAfter == nil {
+		return version, nil
+	}
+	for _, p := range puts {
+		if err := s.failAfter("swap", p.Name); err != nil {
 			return 0, err
 		}
 	}
@@ -280,10 +295,15 @@
 
 func (s *RevisionStore) put(name string, value []byte, lease mtstore.LeaseID) uint64 {
 	s.revision++
+	s.set(name, value, lease)
+	return s.revision
+}
+
+// set writes a name at the current revision.
+func (s *RevisionStore) set(name string, value []byte, lease mtstore.LeaseID) {
 	s.items[name] = item{value: slices.Clone(value), revision: s.revision, lease: lease}
 	delete(s.deleted, name)
 	s.notifyWatchers()
-	return s.revision
 }
 
 func (s *RevisionStore) expire() {
