Count the bytes of all requests and answers against the daemon's memory

Cause: each answer was bounded, and those that a daemon read from its own server at a time, but not those that it received of others; and each was copied five times on its way.

Ruled out: a bound at each place, since a VM of 184 MB has no room for the worst of all of them; that the heap alone is the cause: gRPC takes a buffer of 1 MB for a message over 32 KB, and half of the peak was garbage.

Change: one ledger (core/mtmemory, io/mtmemory) for all bodies, by the memory that the settings name. Bodies are segments of 32 KB that nobody joins or copies; answers pass between daemons in parts, which are received once there is memory. Requests without room are refused at once, answers wait. Callers that don't read or send for half a minute lose their connection.

--- a/core/mtcall/mtcall.go
+++ b/core/mtcall/mtcall.go
@@ -55,7 +55,7 @@
 	Target string // path and query as received
 	Host   string
 	Header []Field // end-to-end fields, without those that the system sets
-	Body   []byte
+	Body   Body
 
 	Service    mtid.Service
 	Route      mtid.Class // name of the route, for queues and histograms
@@ -141,7 +141,9 @@
 		_, _ = d.WriteString(part)
 		_, _ = d.WriteString("\x00")
 	}
-	_, _ = d.Write(c.Body)
+	for _, segment := range c.Body {
+		_, _ = d.Write(segment)
+	}
 	return mtpoison.Fingerprint(d.Sum64())
 }
 
@@ -180,9 +182,19 @@
 type Answer struct {
 	Status int
 	Header []Field
-	Body   []byte
+	Body   Body
 	Queued time.Duration // time in the gate's queue
 	Served time.Duration // time at the server
+	// Release returns the memory of the answer. Who gets the answer calls it once, when nothing
+	// refers to the body any more. It may be nil.
+	Release func()
+}
+
+// Free calls Release if it is set. The answer may be nil.
+func (a *Answer) Free() {
+	if a != nil && a.Release != nil {
+		a.Release()
+	}
 }
 
 // Finished reports whether the server finished the call. An error of its own only says that it
--- a/core/mtreply/mtreply.go
+++ b/core/mtreply/mtreply.go
@@ -65,6 +65,7 @@
 	CauseZoneOut     Cause = "zone-out"    // the server's availability zone is out of service
 	CauseOutdated    Cause = "outdated"    // other daemons have a later configuration than the one that this daemon has
 	CauseLinkFull    Cause = "link-full"   // the server's network link has no room for the body
+	CauseMemoryFull  Cause = "memory-full" // a daemon on the way has no memory for the body
 )
 
 // The causes of the Unknown outcome.
--- a/core/mtretry/mtretry.go
+++ b/core/mtretry/mtretry.go
@@ -276,7 +276,7 @@
 		mtreply.CauseStopping, mtreply.CauseDraining, mtreply.CauseNoServer:
 		return true
 	case mtreply.CauseQueueFull, mtreply.CauseShed, mtreply.CauseQuota, mtreply.CauseRefused, mtreply.CauseLinkFull,
-		mtreply.CauseRecentFull:
+		mtreply.CauseMemoryFull, mtreply.CauseRecentFull:
 		return elsewhere
 	}
 	return false
--- a/io/mtbackend/bound_test.go
+++ b/io/mtbackend/bound_test.go
@@ -108,7 +108,7 @@
 			}, poll.WithTimeout(time.Second))
 			answer, err := c.Do(t.Context(), s.target(), call(clock, "1"))
 			assert.NilError(t, err)
-			assert.Equal(t, string(answer.Body), "whole")
+			assert.Equal(t, string(answer.Body.Bytes()), "whole")
 		})
 	}
 }
@@ -135,10 +135,10 @@
 	for range 3 {
 		answer, err := c.Do(t.Context(), s.target(), call(clock, "e1"))
 		assert.NilError(t, err)
-		assert.Equal(t, string(answer.Body), "whole")
+		assert.Equal(t, string(answer.Body.Bytes()), "whole")
 		answer, err = c.Do(t.Context(), s.target(), call(clock, "1"))
 		assert.NilError(t, err)
-		assert.Equal(t, string(answer.Body), "whole")
+		assert.Equal(t, string(answer.Body.Bytes()), "whole")
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if sending.Load() == 0 {
@@ -179,7 +179,7 @@
 	c, clock := client(t)
 	answer, err := c.Do(t.Context(), s.target(), call(clock, "1"))
 	assert.NilError(t, err)
-	assert.Equal(t, string(answer.Body), strings.Repeat("xy", chunks))
+	assert.Equal(t, string(answer.Body.Bytes()), strings.Repeat("xy", chunks))
 }
 
 // Guards against a large answer that is given up because others beside it have no end.
@@ -218,7 +218,7 @@
 		one.Deadline = clock.Now().Add(20 * time.Second)
 		answer, err := c.Do(t.Context(), s.target(), one)
 		assert.NilError(t, err)
-		assert.Equal(t, string(answer.Body), large)
+		assert.Equal(t, string(answer.Body.Bytes()), large)
 	}
 	close(stop)
 	running.Wait()
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -36,7 +36,9 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtmemory"
 	"magnoliaturn/core/mtreply"
+	iomemory "magnoliaturn/io/mtmemory"
 )
 
 type clock interface{ Now() mtclock.Instant }
@@ -56,6 +58,8 @@
 	// ReadSignals reads from the header of an answer what the server reports about itself,
 	// all but the source. It may be nil.
 	ReadSignals func(http.Header) mtbackend.Signals
+	// Memory is the budget from which answers take their memory; nil stands for one of their own.
+	Memory *iomemory.Budget
 }
 
 // Target identifies the backend server to which a call is sent.
@@ -77,8 +81,11 @@
 
 // New returns a client, and its clean-up function, which closes the idle connections.
 func New(config Config) (*Client, func()) {
+	if config.Memory == nil {
+		config.Memory = iomemory.New(0)
+	}
 	c := &Client{
-		Config: config, pool: newPool(), bodies: newBodies(),
+		Config: config, pool: newPool(), bodies: newBodies(config.Memory),
 		health: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead, DisableCompression: true},
 	}
 	return c, c.pool.close
@@ -104,7 +111,7 @@
 	// The deadline applies to both directions. If the caller cancels, the deadline is moved
 	// to the past, which ends the call at once.
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	answer, reusable, err := c.exchange(conn, target, call, remaining)
+	answer, reusable, err := c.exchange(ctx, conn, target, call, remaining)
 	if !stop() || err != nil || !reusable {
 		_ = conn.Close()
 	} else {
@@ -161,38 +168,49 @@
 
 // exchange sends the call and reads its answer. It also reports whether the connection can
 // carry another call.
-func (c *Client) exchange(conn *conn, target Target, call *mtcall.Call, remaining time.Duration) (*mtcall.Answer, bool, error) {
+func (c *Client) exchange(ctx context.Context, conn *conn, target Target, call *mtcall.Call, remaining time.Duration) (*mtcall.Answer, bool, error) {
 	// There may be an answer even if the write fails: a server may refuse a long body
 	// before it has read it.
-	_, sendErr := conn.Write(c.encode(target, call, remaining))
+	sendErr := c.write(conn, target, call, remaining)
 	for range maxMismatchedAnswers {
 		response, err := readResponse(conn, call.Method)
 		if err != nil {
 			return nil, false, errors.Join(err, sendErr)
 		}
-		answer, reusable, err := c.readAnswer(conn, response)
+		answer, reusable, err := c.readAnswer(ctx, conn, response)
 		if err != nil {
 			return nil, false, err
 		}
-		if !c.authentic(response) {
-			return nil, false, &untrustedError{}
-		}
-		switch id := response.Header.Get(c.Names.ID); {
-		case id == string(call.ID):
-		case id == "" && response.Header.Get(c.Names.NotRun) != "":
-		default:
-			continue // a second answer to an earlier call
+		accepted, err := c.accept(response, target, call)
+		if accepted {
+			return answer, reusable && sendErr == nil, nil
 		}
-		refused := c.refusal(response, target)
-		c.observe(response, target, refused)
-		if refused != nil {
-			return nil, false, refused
+		answer.Free()
+		if err != nil {
+			return nil, false, err
 		}
-		return answer, reusable && sendErr == nil, nil
 	}
 	return nil, false, &mismatchError{}
 }
 
+// accept reports whether a response is the server's answer to the call. It fails if it is the server's
+// refusal, or not the server's own. Without an error, it is a second answer to an earlier call.
+func (c *Client) accept(response *http.Response, target Target, call *mtcall.Call) (bool, error) {
+	if !c.authentic(response) {
+		return false, &untrustedError{}
+	}
+	id := response.Header.Get(c.Names.ID)
+	if id != string(call.ID) && (id != "" || response.Header.Get(c.Names.NotRun) == "") {
+		return false, nil
+	}
+	refused := c.refusal(response, target)
+	c.observe(response, target, refused)
+	if refused != nil {
+		return false, refused
+	}
+	return true, nil
+}
+
 // observe passes on what the server reports about itself with an answer. An answer of
 // another server, which has taken over the address, says nothing about the target.
 func (c *Client) observe(response *http.Response, target Target, refused *mtreply.RefusedError) {
@@ -291,9 +309,24 @@
 // Error implements error.
 func (*mismatchError) Error() string { return "backend server answers other requests" }
 
-// encode returns the bytes of a call. The request target is written as the caller wrote it:
-// net/http sends url.URL.Opaque unchanged.
-func (c *Client) encode(target Target, call *mtcall.Call, remaining time.Duration) []byte {
+// write sends a call.
+func (c *Client) write(conn *conn, target Target, call *mtcall.Call, remaining time.Duration) error {
+	request := c.request(target, call, remaining)
+	if call.Body.Len() > smallBody {
+		writer := bufio.NewWriterSize(conn, smallBody)
+		return errors.Join(request.Write(writer), writer.Flush())
+	}
+	var out bytes.Buffer
+	// Writing to memory can't fail, and the fields were read from a valid request. The
+	// server would receive an invalid one as an incomplete request.
+	_ = request.Write(&out)
+	_, err := conn.Write(out.Bytes())
+	return err
+}
+
+// request returns a call as a request to the server. The request target is written as the caller wrote
+// it: net/http sends url.URL.Opaque unchanged.
+func (c *Client) request(target Target, call *mtcall.Call, remaining time.Duration) *http.Request {
 	header := make(http.Header, len(call.Header)+6)
 	for _, f := range call.Header {
 		header[f.Name] = append(header[f.Name], f.Value)
@@ -319,15 +352,11 @@
 		path, query, _ := strings.Cut(call.Target, "?")
 		request.URL = &url.URL{Path: path, RawPath: path, RawQuery: query}
 	}
-	if len(call.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(call.Body))
-		request.ContentLength = int64(len(call.Body))
+	if n := call.Body.Len(); n > 0 {
+		request.Body = io.NopCloser(call.Body.Reader())
+		request.ContentLength = int64(n)
 	}
-	var out bytes.Buffer
-	// Writing to memory can't fail, and the fields were read from a valid request. The
-	// server would receive an invalid one as an incomplete request.
-	_ = request.Write(&out)
-	return out.Bytes()
+	return request
 }
 
 // readResponse reads the head of the final response. It fails with io.EOF if the connection
@@ -351,19 +380,33 @@
 
 // readAnswer reads the whole body, and reports whether the connection can carry another
 // call.
-func (c *Client) readAnswer(conn *conn, response *http.Response) (*mtcall.Answer, bool, error) {
-	body, err := c.bodies.read(conn, response)
+func (c *Client) readAnswer(ctx context.Context, conn *conn, response *http.Response) (*mtcall.Answer, bool, error) {
+	hold := c.Memory.Hold(mtmemory.Answer)
+	hold.Add(headerSize(response.Header))
+	body, err := c.bodies.read(ctx, conn, response, hold)
 	if err != nil {
+		hold.Release()
 		return nil, false, err
 	}
 	_ = response.Body.Close()
-	answer := &mtcall.Answer{Status: response.StatusCode, Header: endToEndFields(response.Header), Body: body}
+	answer := &mtcall.Answer{Status: response.StatusCode, Header: endToEndFields(response.Header), Body: body, Release: hold.Release}
 	// Bytes after a complete answer belong to no call.
 	reusable := !response.Close && conn.reader.Buffered() == 0
 	conn.idleTimeout = keepAlive(response.Header)
 	return answer, reusable, nil
 }
 
+// headerSize returns the size of a header in bytes.
+func headerSize(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // endToEndFields returns the header without the fields that apply only to the connection.
 func endToEndFields(h http.Header) []mtcall.Field {
 	out := make([]mtcall.Field, 0, len(h))
@@ -410,6 +453,10 @@
 	var untrusted *untrustedError
 	var oversize *OversizeError
 	var framing *FramingError
+	var full *iomemory.FullError
+	if errors.As(err, &full) {
+		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
+	}
 	noAnswer := errors.As(err, &mismatch) || errors.As(err, &untrusted) || errors.As(err, &oversize) || errors.As(err, &framing)
 	if noAnswer || errors.Is(err, io.ErrUnexpectedEOF) {
 		return &mtreply.UnknownError{Cause: mtreply.CauseTruncated, Err: err}
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -149,7 +149,7 @@
 				assert.Equal(t, unknown.Cause, test.unknown)
 			default:
 				assert.NilError(t, err)
-				assert.Equal(t, string(answer.Body), test.body)
+				assert.Equal(t, string(answer.Body.Bytes()), test.body)
 			}
 		})
 	}
@@ -199,7 +199,7 @@
 	for _, id := range []mtcall.ID{"1", "2", "3"} {
 		answer, err := c.Do(t.Context(), server.target(), call(clock, id))
 		assert.NilError(t, err)
-		assert.Equal(t, string(answer.Body), "whole")
+		assert.Equal(t, string(answer.Body.Bytes()), "whole")
 	}
 	assert.Equal(t, server.conns.Load(), int64(2))
 }
--- a/io/mtforward/announce.go
+++ b/io/mtforward/announce.go
@@ -31,7 +31,7 @@
 func (c *Client) announce(ctx context.Context, conn grpc.ClientConnInterface, call *mtcall.Call) error {
 	limited, cancel := context.WithTimeout(ctx, min(announceTimeout, call.Deadline.Sub(c.clock.Now())))
 	defer cancel()
-	reply, err := mtwire.NewForwarderClient(conn).Announce(limited, &mtwire.AnnounceRequest{Bytes: uint64(len(call.Body))})
+	reply, err := mtwire.NewForwarderClient(conn).Announce(limited, &mtwire.AnnounceRequest{Bytes: uint64(call.Body.Len())})
 	switch {
 	case status.Code(err) == codes.Unimplemented:
 		return nil
--- a/io/mtforward/compress_test.go
+++ b/io/mtforward/compress_test.go
@@ -54,7 +54,7 @@
 	c, cleanUp := mtforward.NewClient(mttime.New(), func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := mtdial.Dial(ctx, network, address)
 		return countedConn{Conn: conn, received: &received}, err
-	}, local)
+	}, local, nil)
 	defer cleanUp()
 	reply, err := c.PullChanges(t.Context(), listener.Addr().String(), mtforward.ChangesRequest{})
 	assert.NilError(t, err)
--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	client, cleanUp := mtforward.NewClient(clock, mtdial.Dial, exchange)
+//	client, cleanUp := mtforward.NewClient(clock, mtdial.Dial, exchange, memory)
 //	answer, err := client.Forward(ctx, daemon, address, call)
 //	mtforward.Register(grpcServer, mtforward.Server{Host: host, Clock: clock, Exchange: exchange, ServeChanges: serve})
 //
@@ -39,6 +39,7 @@
 	"magnoliaturn/io/mtconn"
 	"magnoliaturn/io/mtdial"
 	"magnoliaturn/io/mtduty"
+	iomemory "magnoliaturn/io/mtmemory"
 )
 
 type clock interface{ Now() mtclock.Instant }
@@ -61,13 +62,18 @@
 	// connections to hundreds of others, and most messages are smaller. Write buffers
 	// are shared, since few connections write at the same time.
 	bufferSize = 8 << 10
-	// FlowWindow is the flow control window in bytes: how much may be in transit to a
-	// receiver. Setting it turns off gRPC's bandwidth estimation, which sends a ping for
-	// each burst of data. For nine daemons on a day with little traffic, this lowered
-	// the CPU time from 11.5 s to 10.3 s.
-	FlowWindow = 1 << 20
-	// maxMessageSize is the size of the largest message, in bytes.
+	// ConnWindow is the flow control window of a connection in bytes: how much may be in
+	// transit to a receiver, or have arrived without being received. Setting it turns off
+	// gRPC's bandwidth estimation, which sends a ping for each burst of data. For nine daemons
+	// on a day with little traffic, this lowered the CPU time from 11.5 s to 10.3 s.
+	ConnWindow = 1 << 20
+	// StreamWindow is that of one call. See ConnWindow.
+	StreamWindow = 256 << 10
+	// maxMessageSize is the size of the largest reply, in bytes: changes of the store, and the
+	// answer of a daemon of an earlier release, which sends no parts.
 	maxMessageSize = 72 << 20
+	// memoryRetry is the Retry-After of a call for whose body there is no memory.
+	memoryRetry = 500 * time.Millisecond
 	// unreachableRetry is the Retry-After of a call whose daemon can't be reached:
 	// about the time that a daemon needs to become available again.
 	unreachableRetry = 500 * time.Millisecond
@@ -110,6 +116,7 @@
 // Client sends calls to other daemons, over one connection to each of them.
 type Client struct {
 	clock    clock
+	memory   *iomemory.Budget
 	exchange StateExchange
 	pool     *mtconn.Pool
 	ctx      context.Context // canceled by the clean-up, ends the probes
@@ -122,14 +129,17 @@
 
 // NewClient returns a client that connects by dial, and its clean-up function, which stops
 // the probes and closes all connections. Connections must fail soon when the peer becomes
-// unresponsive.
-func NewClient(c clock, dial mtdial.Func, exchange StateExchange) (*Client, func()) {
+// unresponsive. Answers take their memory from the budget; nil stands for one of their own.
+func NewClient(c clock, dial mtdial.Func, exchange StateExchange, memory *iomemory.Budget) (*Client, func()) {
+	if memory == nil {
+		memory = iomemory.New(0)
+	}
 	pool, cleanUp := mtconn.New(
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(connectParams),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }),
-		grpc.WithInitialWindowSize(FlowWindow),
-		grpc.WithInitialConnWindowSize(FlowWindow),
+		grpc.WithInitialWindowSize(StreamWindow),
+		grpc.WithInitialConnWindowSize(ConnWindow),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithSharedWriteBuffer(true),
@@ -137,7 +147,7 @@
 	)
 	ctx, cancel := context.WithCancel(context.Background())
 	client := &Client{
-		clock: c, exchange: exchange, pool: pool, ctx: ctx,
+		clock: c, memory: memory, exchange: exchange, pool: pool, ctx: ctx,
 		reports: make(map[mtid.Daemon]LoadReport), notices: make(map[mtid.Daemon]*mtbackend.NoticeTracker), detector: mtsilence.New(),
 	}
 	return client, func() {
@@ -361,13 +371,20 @@
 			return nil, err
 		}
 	}
-	now := c.clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(now)+mtcall.CallerAnswerMargin)
+	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(c.clock.Now())+mtcall.CallerAnswerMargin)
 	defer cancel()
+	return c.forward(ctx, conn, daemon, address, call)
+}
+
+// forward sends a call together with its body.
+func (c *Client) forward(ctx context.Context, conn grpc.ClientConnInterface, daemon mtid.Daemon, address string, call *mtcall.Call) (*mtcall.Answer, error) {
+	now := c.clock.Now()
 	watched, sent := mtconn.TrackSend(ctx)
 	inner, cancelCall := context.WithCancel(watched)
 	defer cancelCall()
-	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, c.forwardRequest(now, daemon, call))
+	request := c.forwardRequest(now, daemon, call)
+	request.Body = call.Body.Bytes()
+	stream, err := mtwire.NewForwarderClient(conn).Forward(inner, request)
 	if err != nil {
 		return nil, mtconn.ClassifyError(ctx, err, sent, unreachableRetry)
 	}
@@ -378,9 +395,7 @@
 	if err != nil {
 		return nil, mtconn.ClassifyError(ctx, err, sent, unreachableRetry)
 	}
-	c.recordLoad(daemon, now, w.GetLoad())
-	c.exchange.Receive(summaryFromWire(w.GetNews()), now)
-	return replyFromWire(w)
+	return c.receive(ctx, stream, daemon, now, w)
 }
 
 // forwardRequest encodes a call, together with this daemon's summary of the shared state and
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -69,7 +69,7 @@
 	t.Helper()
 	clock := mttime.New()
 	local, received := exchange(mtforward.StateSummary{ConfigVersion: 5, NewestVersion: 50})
-	c, cleanUp := mtforward.NewClient(clock, mtdial.Dial, local)
+	c, cleanUp := mtforward.NewClient(clock, mtdial.Dial, local, nil)
 	t.Cleanup(cleanUp)
 	return c, clock, received
 }
@@ -78,7 +78,7 @@
 	now := clock.Now()
 	return &mtcall.Call{
 		ID: "7", Method: "POST", Target: "/a?b", Host: "h", Header: []mtcall.Field{{Name: "X", Value: "1"}, {Name: "X", Value: "2"}},
-		Body: []byte("body"), Service: "maps", Route: "plans", Keyed: true, Key: 65535, Idempotent: true, Nested: true, Repeat: true,
+		Body: mtcall.BodyOf([]byte("body")), Service: "maps", Route: "plans", Keyed: true, Key: 65535, Idempotent: true, Nested: true, Repeat: true,
 		Claims:   mtpoison.Claims{Answered: true, SoleServer: true, Cleared: []mtpoison.LossKey{7, 1<<64 - 1}},
 		Priority: 2, Objective: now.Add(-time.Second), Deadline: now.Add(30 * time.Second), Patience: 20 * time.Millisecond, Try: 1 << 63, Caller: "desk",
 	}
@@ -86,7 +86,7 @@
 
 func TestCallAndAnswerAreTransmittedUnchanged(t *testing.T) {
 	var got *mtcall.Call
-	want := &mtcall.Answer{Status: 201, Header: []mtcall.Field{{Name: "Y", Value: "3"}}, Body: []byte("tea"), Queued: time.Millisecond, Served: time.Second}
+	want := &mtcall.Answer{Status: 201, Header: []mtcall.Field{{Name: "Y", Value: "3"}}, Body: mtcall.BodyOf([]byte("tea")), Queued: time.Millisecond, Served: time.Second}
 	address, serverLog := serve(t, &host{run: func(_ context.Context, c *mtcall.Call) (*mtcall.Answer, error) {
 		got = c
 		return want, nil
@@ -95,6 +95,7 @@
 	sent := call(clock)
 	answer, err := c.Forward(t.Context(), "b", address, sent)
 	assert.NilError(t, err)
+	answer.Release = nil
 	assert.DeepEqual(t, answer, want)
 	// Instants are sent as remaining times, so they don't arrive exactly.
 	assert.Assert(t, got.Objective < got.Deadline)
@@ -123,7 +124,7 @@
 		return &mtcall.Answer{Status: 200}, nil
 	}})
 	local, _ := exchange(mtforward.StateSummary{})
-	c, cleanUp := mtforward.NewClient(fixedClock(now), mtdial.Dial, local)
+	c, cleanUp := mtforward.NewClient(fixedClock(now), mtdial.Dial, local, nil)
 	defer cleanUp()
 	for name, objective := range map[string]mtclock.Instant{"none": 0, "past": 1, "now": now, "future": now.Add(time.Minute)} {
 		sent := &mtcall.Call{Idempotent: true, Objective: objective, Deadline: now.Add(2 * time.Minute)}
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"magnoliaturn/core/mtbackend"
@@ -21,6 +20,7 @@
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtwire"
 	"magnoliaturn/core/mtzone"
+	iomemory "magnoliaturn/io/mtmemory"
 )
 
 // host runs calls on the backend server of this VM and reports its load.
@@ -50,6 +50,8 @@
 	// Withdraw refuses the calls with these tries that wait and returns their number. It
 	// refuses those that arrive in the given time too. It may be nil if none are refused.
 	Withdraw func(tries []mtid.TryID, remember time.Duration) int
+	// Memory is the budget from which calls take their memory; nil stands for one of their own.
+	Memory *iomemory.Budget
 }
 
 // server implements mtwire.ForwarderServer.
@@ -60,6 +62,9 @@
 
 // Register registers the Forwarder service with a gRPC server.
 func Register(r grpc.ServiceRegistrar, s Server) {
+	if s.Memory == nil {
+		s.Memory = iomemory.New(0)
+	}
 	mtwire.RegisterForwarderServer(r, &server{config: s})
 }
 
@@ -129,19 +134,6 @@
 	return reply, nil
 }
 
-// Forward implements mtwire.ForwarderServer.
-func (s *server) Forward(w *mtwire.ForwardRequest, stream grpc.ServerStreamingServer[mtwire.ForwardReply]) error {
-	if err := stream.SendHeader(metadata.MD{}); err != nil {
-		return err
-	}
-	s.config.Exchange.Receive(summaryFromWire(w.GetNews()), 0)
-	answer, err := s.config.Host.Run(stream.Context(), callFromWire(s.config.Clock.Now(), w))
-	reply := replyToWire(answer, err)
-	reply.Load = loadToWire(s.config.Host.Load())
-	reply.News = summaryToWire(s.config.Exchange.Summarize())
-	return stream.Send(reply)
-}
-
 // Observe implements mtwire.ForwarderServer.
 func (s *server) Observe(_ context.Context, w *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
 	s.config.Exchange.Receive(summaryFromWire(w.GetNews()), 0)
@@ -168,7 +160,7 @@
 		Target:      c.Target,
 		Host:        c.Host,
 		Header:      fieldsToWire(c.Header),
-		Body:        c.Body,
+		Parts:       true,
 		Service:     string(c.Service),
 		Route:       string(c.Route),
 		Keyed:       c.Keyed,
@@ -195,7 +187,7 @@
 		Target:     w.GetTarget(),
 		Host:       w.GetHost(),
 		Header:     fieldsFromWire(w.GetHeader()),
-		Body:       w.GetBody(),
+		Body:       mtcall.BodyOf(w.GetBody()),
 		Service:    mtid.Service(w.GetService()),
 		Route:      mtid.Class(w.GetRoute()),
 		Keyed:      w.GetKeyed(),
@@ -309,7 +301,6 @@
 			Outcome:  string(mtreply.Answered),
 			Status:   uint32(answer.Status),
 			Header:   fieldsToWire(answer.Header),
-			Body:     answer.Body,
 			QueuedUs: answer.Queued.Microseconds(),
 			ServedUs: answer.Served.Microseconds(),
 		}
@@ -339,7 +330,7 @@
 		return &mtcall.Answer{
 			Status: int(w.GetStatus()),
 			Header: fieldsFromWire(w.GetHeader()),
-			Body:   w.GetBody(),
+			Body:   mtcall.BodyOf(w.GetBody()),
 			Queued: micros(w.GetQueuedUs()),
 			Served: micros(w.GetServedUs()),
 		}, nil
--- a/io/mtingress/link_test.go
+++ b/io/mtingress/link_test.go
@@ -16,7 +16,7 @@
 	s, clock := newSender(t, p)
 	s.Overload.Link = policy
 	call := newCall(clock.Now(), false)
-	call.Body, call.Nested = make([]byte, size), nested
+	call.Body, call.Nested = mtcall.BodyOf(make([]byte, size)), nested
 	_, err := s.Send(t.Context(), call, 1)
 	return call, err
 }
--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -29,8 +29,10 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtmemory"
 	"magnoliaturn/core/mtroute"
 	"magnoliaturn/core/mtshutdown"
+	iomemory "magnoliaturn/io/mtmemory"
 )
 
 type clock interface{ Now() mtclock.Instant }
@@ -62,8 +64,10 @@
 	// later one. Nil stands for never.
 	Outdated func(now mtclock.Instant, version mtid.Version) bool
 	Sender   sender
-	Clock    clock
-	Log      *slog.Logger
+	// Memory is the budget from which requests take their memory; nil stands for one of their own.
+	Memory *iomemory.Budget
+	Clock  clock
+	Log    *slog.Logger
 	// OnCompletion is called with the outcome of each request.
 	OnCompletion func(call *mtcall.Call, answer *mtcall.Answer, status int, err error, took time.Duration)
 }
@@ -86,6 +90,9 @@
 // New returns an Ingress without a configuration. It answers all requests with 503 until
 // Configure is called.
 func New(config Config) *Ingress {
+	if config.Memory == nil {
+		config.Memory = iomemory.New(0)
+	}
 	in := &Ingress{Config: config, splitter: mtroute.NewSplitter(), attempts: mtattempt.New(maxFailedTries)}
 	in.lifetime, in.endLifetime = context.WithCancel(context.Background())
 	return in
@@ -138,7 +145,9 @@
 	if in.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	call, route, err := in.parseRequest(arrived, r)
+	hold := in.Memory.Hold(mtmemory.Request)
+	defer hold.Release()
+	call, route, err := in.parseRequest(arrived, r, hold)
 	if err != nil {
 		in.writeError(w, call, err)
 		in.OnCompletion(call, nil, w.Status, err, in.Clock.Now().Sub(arrived))
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -13,6 +13,7 @@
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/core/mtroute"
+	iomemory "magnoliaturn/io/mtmemory"
 )
 
 const (
@@ -22,6 +23,10 @@
 	// maxBody is the largest request body in bytes, and the limit if the configuration
 	// sets none.
 	maxBody = 16 << 20
+	// firstChunkedSegment is the size of the first segment of a body whose length is not known, in bytes.
+	firstChunkedSegment = 4 << 10
+	// memoryRetry is the Retry-After of a request for which there is no memory.
+	memoryRetry = 500 * time.Millisecond
 )
 
 // routeError reports that no route in the configuration in force matches the request.
@@ -41,8 +46,9 @@
 // Error implements error.
 func (e *requestError) Error() string { return e.reason }
 
-// parseRequest converts a request to a call. If it fails, the call holds what is known.
-func (in *Ingress) parseRequest(now mtclock.Instant, r *http.Request) (*mtcall.Call, *mtroute.Route, error) {
+// parseRequest converts a request to a call, which takes its memory from hold. If it fails, the call
+// holds what is known.
+func (in *Ingress) parseRequest(now mtclock.Instant, r *http.Request, hold *iomemory.Hold) (*mtcall.Call, *mtroute.Route, error) {
 	call := &mtcall.Call{
 		ID: mtcall.ID(r.Header.Get(in.HeaderNames.ID)), Method: r.Method, Target: r.RequestURI, Host: r.Host, Caller: in.Service, Arrived: now,
 	}
@@ -82,7 +88,10 @@
 		return call, nil, err
 	}
 	call.Header = in.forwardedFields(r.Header)
-	if err := in.readBody(call, config, r); err != nil {
+	if err := in.takeMemory(hold, headerSize(call)); err != nil {
+		return call, nil, err
+	}
+	if err := in.readBody(call, config, r, hold); err != nil {
 		return call, nil, err
 	}
 	// The shutdown may have begun while the body arrived.
@@ -134,24 +143,96 @@
 	return nil
 }
 
-// readBody reads the whole body into memory, because a retry sends it again.
-func (in *Ingress) readBody(call *mtcall.Call, config *mtroute.Config, r *http.Request) error {
+// takeMemory takes memory for a request, or refuses it.
+func (in *Ingress) takeMemory(hold *iomemory.Hold, n int) error {
+	if err := hold.Take(n); err != nil {
+		return &mtreply.RefusedError{Cause: mtreply.CauseMemoryFull, RetryAfter: memoryRetry, Detail: err.Error()}
+	}
+	return nil
+}
+
+// headerSize returns the size of what is forwarded of a request besides its body, in bytes.
+func headerSize(call *mtcall.Call) int {
+	n := len(call.Target) + len(call.Host)
+	for _, f := range call.Header {
+		n += len(f.Name) + len(f.Value)
+	}
+	return n
+}
+
+// readBody reads the whole body into memory, because a retry sends it again. A body whose length is
+// declared gets its memory, or is refused, before it is read.
+func (in *Ingress) readBody(call *mtcall.Call, config *mtroute.Config, r *http.Request, hold *iomemory.Hold) error {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
-	limit := config.Limits.BodyBytes
+	limit := int64(config.Limits.BodyBytes)
 	if limit <= 0 || limit > maxBody {
 		limit = maxBody
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		return &requestError{status: http.StatusBadRequest, reason: err.Error()}
-	}
-	if len(body) > limit {
+	if r.ContentLength > limit {
 		return &requestError{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
 	}
-	call.Body = body
-	return nil
+	if r.ContentLength > 0 {
+		return in.readDeclared(call, r, hold)
+	}
+	return in.readChunked(call, r, limit, hold)
+}
+
+// readDeclared reads a body whose length is declared.
+func (in *Ingress) readDeclared(call *mtcall.Call, r *http.Request, hold *iomemory.Hold) error {
+	if err := in.takeMemory(hold, int(r.ContentLength)); err != nil {
+		return err
+	}
+	for left := r.ContentLength; left > 0; {
+		segment := make([]byte, min(left, mtcall.SegmentSize))
+		if _, err := io.ReadFull(r.Body, segment); err != nil {
+			return &requestError{status: http.StatusBadRequest, reason: err.Error()}
+		}
+		call.Body = append(call.Body, segment)
+		left -= int64(len(segment))
+	}
+	// The connection is watched for the caller's leaving from the end of the body on.
+	return r.Body.Close()
+}
+
+// readChunked reads a body of at most limit bytes whose length is not known.
+func (in *Ingress) readChunked(call *mtcall.Call, r *http.Request, limit int64, hold *iomemory.Hold) error {
+	size := firstChunkedSegment
+	for total := int64(0); ; {
+		if err := in.takeMemory(hold, size); err != nil {
+			return err
+		}
+		segment := make([]byte, size)
+		n, err := readSegment(r.Body, segment)
+		if total += int64(n); total > limit {
+			return &requestError{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+		}
+		if n > 0 {
+			call.Body = append(call.Body, segment[:n])
+		}
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return &requestError{status: http.StatusBadRequest, reason: err.Error()}
+		}
+		size = mtcall.SegmentSize
+	}
+}
+
+// readSegment reads until the segment is full or reading fails. Unlike io.ReadFull it returns that error as it
+// is: at the end of a body another one than where its connection breaks off.
+func readSegment(r io.Reader, segment []byte) (int, error) {
+	total := 0
+	for total < len(segment) {
+		n, err := r.Read(segment[total:])
+		total += n
+		if err != nil {
+			return total, err
+		}
+	}
+	return total, nil
 }
 
 // forwardedFields returns the header fields to forward: all but hop-by-hop fields and those
--- a/io/mtingress/response.go
+++ b/io/mtingress/response.go
@@ -1,32 +1,46 @@
 package mtingress
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtreply"
 )
 
-// writeAnswer sends the caller the response of the backend server unchanged.
-func (in *Ingress) writeAnswer(w http.ResponseWriter, call *mtcall.Call, answer *mtcall.Answer) error {
+// bodySender is a response writer that sends a body without copying it, and calls release when it
+// doesn't refer to it any more.
+type bodySender interface {
+	SendBody(body [][]byte, release func())
+}
+
+// writeAnswer sends the caller the response of the backend server unchanged. It passes the memory of the
+// answer on to the response writer, or frees it.
+func (in *Ingress) writeAnswer(w *echo.Response, call *mtcall.Call, answer *mtcall.Answer) error {
 	h := w.Header()
 	h["Content-Type"] = nil // prevents net/http from guessing one
 	for _, f := range answer.Header {
 		h[f.Name] = append(h[f.Name], f.Value)
 	}
 	if bodyAllowed(answer.Status) {
-		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		h.Set("Content-Length", strconv.Itoa(answer.Body.Len()))
 	}
 	w.WriteHeader(answer.Status)
 	if call.Method == http.MethodHead || !bodyAllowed(answer.Status) {
+		answer.Free()
+		return nil
+	}
+	if sender, ok := w.Writer.(bodySender); ok {
+		sender.SendBody(answer.Body, answer.Free)
 		return nil
 	}
-	_, err := io.Copy(w, bytes.NewReader(answer.Body))
+	defer answer.Free()
+	_, err := io.Copy(w, answer.Body.Reader())
 	return err
 }
 
--- a/io/mtingress/room.go
+++ b/io/mtingress/room.go
@@ -53,7 +53,7 @@
 // patience returns how long a call may wait at the next server before that hands it back, or
 // 0 for as long as its time allows.
 func (s *Sender) patience(now mtclock.Instant, call *mtcall.Call) time.Duration {
-	if !s.Overload.Room || len(call.Body) > maxSearchBody {
+	if !s.Overload.Room || call.Body.Len() > maxSearchBody {
 		return 0
 	}
 	return mtroom.Patience(now, latestStart(call))
--- a/io/mtingress/room_test.go
+++ b/io/mtingress/room_test.go
@@ -83,7 +83,7 @@
 		name  string
 		alter func(*mtingress.Sender, *mtcall.Call)
 	}{
-		{"long body", func(_ *mtingress.Sender, c *mtcall.Call) { c.Body = make([]byte, 1<<20) }},
+		{"long body", func(_ *mtingress.Sender, c *mtcall.Call) { c.Body = mtcall.BodyOf(make([]byte, 1<<20)) }},
 		{"late", func(_ *mtingress.Sender, c *mtcall.Call) { c.Objective = c.Objective.Add(-time.Hour) }},
 		{"no objective", func(_ *mtingress.Sender, c *mtcall.Call) { c.Objective = 0 }},
 		{"switched off", func(s *mtingress.Sender, _ *mtcall.Call) { s.Overload.Room = false }},
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -489,7 +489,7 @@
 // Header fields that this system sets itself, which a caller might forge, and hop-by-hop
 // fields must not be forwarded. Everything else must arrive unchanged.
 func TestForwardedRequestAndAnswer(t *testing.T) {
-	s := &fakeSender{answer: &mtcall.Answer{Status: http.StatusTeapot, Header: []mtcall.Field{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}}, Body: []byte("tea")}}
+	s := &fakeSender{answer: &mtcall.Answer{Status: http.StatusTeapot, Header: []mtcall.Field{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}}, Body: mtcall.BodyOf([]byte("tea"))}}
 	ingress, clock, handler := newIngress(t, s)
 	ingress.Configure(configuration(t, 1))
 	r := newRequest("/plans/a%2Fb?x=%31", "id-7", mtheader.DefaultNames.Key, "4096", mtheader.DefaultNames.Caller, "forged",
--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -35,6 +35,7 @@
 const (
 	HeaderTimeout  = 5 * time.Second  // timeout for a request header
 	IdleTimeout    = 60 * time.Second // timeout for the next request on a connection
+	StallTimeout   = 30 * time.Second // timeout for progress of a body or a response, if pipelined
 	MaxHeaderBytes = 16 << 10         // maximum size of a request header
 	DefaultGrace   = 10 * time.Second // how long a shutdown waits for requests in flight
 
@@ -173,7 +174,7 @@
 
 func newEngine(handler http.Handler, options Options, connContext func(context.Context, net.Conn) context.Context) engine {
 	if options.Pipelined {
-		limits := mtpipeline.Limits{MaxHeaderBytes: MaxHeaderBytes, HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, MaxConcurrent: maxPipelined, MaxKept: max(options.MaxConnections/keptDivisor, 1)}
+		limits := mtpipeline.Limits{MaxHeaderBytes: MaxHeaderBytes, HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, StallTimeout: StallTimeout, MaxConcurrent: maxPipelined, MaxKept: max(options.MaxConnections/keptDivisor, 1)}
 		return &mtpipeline.Server{Handler: handler, Limits: limits, Log: options.Log}
 	}
 	server := &http.Server{
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -35,6 +35,7 @@
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
+	"magnoliaturn/core/mtmemory"
 	"magnoliaturn/core/mtoverload"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtretry"
@@ -51,6 +52,7 @@
 	"magnoliaturn/io/mthost"
 	"magnoliaturn/io/mtingress"
 	"magnoliaturn/io/mtlisten"
+	iomemory "magnoliaturn/io/mtmemory"
 	"magnoliaturn/io/mtmetric"
 	"magnoliaturn/io/mttime"
 )
@@ -59,6 +61,7 @@
 const (
 	NameClock        mtkernel.Name = "clock"
 	NameMetrics      mtkernel.Name = "metrics"
+	NameMemory       mtkernel.Name = "memory"
 	NameDirectory    mtkernel.Name = "directory"
 	NamePeers        mtkernel.Name = "peers"
 	NameClient       mtkernel.Name = "client"
@@ -77,6 +80,7 @@
 	Daemon        mtid.Daemon
 	Zone          mtid.Zone
 	Link          mtbackend.Bandwidth // of this VM
+	Memory        mtmemory.Bytes      // that the process may use; zero if that is not known
 	Service       mtid.Service        // of the backend server on this VM
 	ServerAddress string              // address of the backend server
 	CallerAddress string              // address on which to accept requests of callers on this VM
@@ -164,7 +168,7 @@
 	}
 	m := &Mesh{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
-		m.addClock, m.addMetrics, m.addPeers, m.addDirectory, m.addCommitter, m.addHost, m.addIngress, m.addConfigPoller, m.addSummary, m.listen,
+		m.addClock, m.addMetrics, m.addMemory, m.addPeers, m.addDirectory, m.addCommitter, m.addHost, m.addIngress, m.addConfigPoller, m.addSummary, m.listen,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -216,8 +220,19 @@
 	return mtkernel.Register(m.kernel, NameMetrics, metrics, cleanUp)
 }
 
+// addMemory adds the memory budget of the requests and answers that the daemon holds.
+func (m *Mesh) addMemory() error {
+	memory := iomemory.New(m.config.Memory)
+	m.Metrics().Gauge("memory", "held", func() any { return memory.Held() })
+	return mtkernel.Register(m.kernel, NameMemory, memory, nil)
+}
+
+func (m *Mesh) memory() *iomemory.Budget {
+	return mtkernel.MustLookup[*iomemory.Budget](m.kernel, NameMemory)
+}
+
 func (m *Mesh) addPeers() error {
-	client, cleanUp := mtforward.NewClient(mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), m.config.Dial, m.exchange())
+	client, cleanUp := mtforward.NewClient(mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), m.config.Dial, m.exchange(), m.memory())
 	return mtkernel.Register(m.kernel, NamePeers, client, cleanUp)
 }
 
@@ -271,7 +286,7 @@
 func (m *Mesh) addHost() error {
 	clock := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock)
 	directory := mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory)
-	client, closeClient := iobackend.New(iobackend.Config{Names: m.config.Names, Clock: clock, ReadSignals: m.config.ReadSignals})
+	client, closeClient := iobackend.New(iobackend.Config{Names: m.config.Names, Clock: clock, ReadSignals: m.config.ReadSignals, Memory: m.memory()})
 	if err := mtkernel.Register(m.kernel, NameClient, client, closeClient); err != nil {
 		return err
 	}
@@ -398,6 +413,7 @@
 		ConfigFresh:  m.freshness.mayDenyRoute,
 		Outdated:     m.freshness.outdated,
 		Sender:       sender,
+		Memory:       m.memory(),
 		Clock:        clock,
 		Log:          m.config.Log,
 		OnCompletion: m.recorder.done,
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -38,11 +38,11 @@
 		return &mtlisten.ListenError{Purpose: "callers", Address: m.config.CallerAddress, Err: err}
 	}
 	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(maxPeerStreams),
-		grpc.InitialWindowSize(mtforward.FlowWindow), grpc.InitialConnWindowSize(mtforward.FlowWindow),
+		grpc.InitialWindowSize(mtforward.StreamWindow), grpc.InitialConnWindowSize(mtforward.ConnWindow),
 		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
 	mtforward.Register(m.peers, mtforward.Server{
 		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveEntry: m.receivePushed, Commit: m.commitFor,
-		ReserveLink: m.Host().ReserveLink, Withdraw: m.Host().Withdraw,
+		ReserveLink: m.Host().ReserveLink, Withdraw: m.Host().Withdraw, Memory: m.memory(),
 	})
 	go func() {
 		if err := m.peers.Serve(peers); err != nil {
--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -48,7 +48,7 @@
 func newConn(s *Server, accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, server: s, limit: &io.LimitedReader{R: accepted, N: math.MaxInt64}}
 	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
-	c.writer = bufio.NewWriterSize(accepted, bufferSize)
+	c.writer = bufio.NewWriterSize(&stallWriter{Conn: accepted, timeout: s.Limits.StallTimeout}, bufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
--- a/io/mtpipeline/exchange.go
+++ b/io/mtpipeline/exchange.go
@@ -25,6 +25,9 @@
 	status int
 	header http.Header
 	body   bytes.Buffer
+	// large replaces body if it is set, and release ends its use.
+	large   [][]byte
+	release func()
 }
 
 // Header implements http.ResponseWriter.
@@ -43,6 +46,27 @@
 	return e.body.Write(p)
 }
 
+// SendBody makes segments the body of the response, which are not copied, and must not be modified until
+// release is called: when the response has been written, or never will be. Nothing can be written
+// besides.
+func (e *exchange) SendBody(segments [][]byte, release func()) {
+	e.WriteHeader(http.StatusOK)
+	e.large, e.release = segments, release
+}
+
+// content returns a reader of the body of the response, and its size in bytes.
+func (e *exchange) content() (io.Reader, int64) {
+	if e.release == nil {
+		return &e.body, int64(e.body.Len())
+	}
+	readers, size := make([]io.Reader, 0, len(e.large)), int64(0)
+	for _, segment := range e.large {
+		readers = append(readers, bytes.NewReader(segment))
+		size += int64(len(segment))
+	}
+	return io.MultiReader(readers...), size
+}
+
 // maxDiscard is how many bytes of a body are discarded that the handler has not read. If
 // there are more, the connection is closed instead.
 const maxDiscard = 256 << 10
@@ -86,9 +110,10 @@
 // writeResponse writes the response. It closes the connection if closeConn is set, or if the
 // request or the handler requests that.
 func (e *exchange) writeResponse(closeConn bool) {
+	body, size := e.content()
 	response := http.Response{
 		StatusCode: e.status, ProtoMajor: 1, ProtoMinor: 1, Request: e.request, Header: e.header,
-		Body: io.NopCloser(&e.body), ContentLength: int64(e.body.Len()),
+		Body: io.NopCloser(body), ContentLength: size,
 	}
 	if e.request.Method == http.MethodHead {
 		response.ContentLength = e.declaredLength()
@@ -139,6 +164,11 @@
 
 // finish records that the request has been answered, and lets the next response be written.
 func (e *exchange) finish() {
+	if e.release != nil {
+		e.release()
+	}
+	// The connection refers to its last exchange while it is idle.
+	e.request, e.large, e.body = nil, nil, bytes.Buffer{}
 	c := e.conn
 	c.mu.Lock()
 	c.pending--
@@ -156,17 +186,23 @@
 		_, _ = e.conn.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 		_ = e.conn.writer.Flush()
 	}
-	e.request.Body = &trackedBody{ReadCloser: e.request.Body, onEnd: sync.OnceFunc(func() { close(e.consumed) })}
+	e.request.Body = &trackedBody{ReadCloser: e.request.Body, conn: e.conn, onEnd: sync.OnceFunc(func() {
+		_ = e.conn.SetReadDeadline(time.Time{})
+		close(e.consumed)
+	})}
 }
 
 // trackedBody is a request body that calls onEnd when it has been read or closed.
 type trackedBody struct {
 	io.ReadCloser
-	onEnd func()
+	conn    *conn
+	onEnd   func()
+	renewed time.Time // when the deadline of the connection was set
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
+	b.awaitBody()
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
 		b.onEnd()
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -36,7 +36,10 @@
 	MaxHeaderBytes int           // maximum size of a request header, in bytes
 	HeaderTimeout  time.Duration // timeout for a request header, from its first byte
 	IdleTimeout    time.Duration // timeout for the next request on an idle connection
-	MaxConcurrent  int           // maximum number of concurrent requests of a connection
+	// StallTimeout is how long the caller may send nothing of a body, or read nothing of a
+	// response, before its connection is closed. The bytes of both are held until then.
+	StallTimeout  time.Duration
+	MaxConcurrent int // maximum number of concurrent requests of a connection
 	// MaxKept is the number of open connections above which each response closes its
 	// connection, so that those that callers keep without using them leave room for new ones.
 	// Zero means that connections are always kept.
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -38,10 +38,16 @@
 
 // startTestConn is newTestConn with a listener of the test.
 func startTestConn(t *testing.T, listener net.Listener, handler http.HandlerFunc) *testConn {
+	t.Helper()
+	return startTestConnWith(t, listener, handler, 0)
+}
+
+// startTestConnWith is startTestConn with a stall timeout.
+func startTestConnWith(t *testing.T, listener net.Listener, handler http.HandlerFunc, stall time.Duration) *testConn {
 	t.Helper()
 	s := &testConn{t: t, served: make(chan error, 1), server: &mtpipeline.Server{
 		Handler: handler, Log: slog.New(slog.DiscardHandler),
-		Limits: mtpipeline.Limits{MaxHeaderBytes: 4 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, MaxConcurrent: 8},
+		Limits: mtpipeline.Limits{MaxHeaderBytes: 4 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, StallTimeout: stall, MaxConcurrent: 8},
 	}}
 	go func() { s.served <- s.server.Serve(listener) }()
 	var err error
