Pass bodies of any allowed size between daemons

Cause: the server between daemons received messages of 4 MiB at most, gRPC's default, while the configuration allows bodies of 64 MiB. Bodies over 16 MiB got 413, whatever the configuration says.

Ruled out: that the recovery after the kill is at fault; a moved route alone shows it, and a route that leads to another VM from the start.

Change: a call with a large body is an Upload, whose parts follow once the other daemon has taken the memory. Until its last part is sent it counts as not run. The limit of a caller's body is the configuration's, and a declared length beyond it gets 413 before it is read.

--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -373,6 +373,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(c.clock.Now())+mtcall.CallerAnswerMargin)
 	defer cancel()
+	if call.Body.Len() > maxInline {
+		return c.upload(ctx, conn, daemon, address, call)
+	}
 	return c.forward(ctx, conn, daemon, address, call)
 }
 
--- a/io/mtforward/parts.go
+++ b/io/mtforward/parts.go
@@ -7,7 +7,9 @@
 	"io"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
@@ -18,11 +20,12 @@
 	iomemory "magnoliaturn/io/mtmemory"
 )
 
-// The body of an answer larger than maxInline is sent in parts. Nobody receives them before the budget
-// of its daemon has room for all: until then they wait for the flow control of their stream.
+// A body larger than maxInline is sent in parts. Nobody receives them before the budget of its
+// daemon has room for all: the sender of a request is told to go on, and the parts of an answer wait
+// for the flow control of its stream.
 
 const (
-	// maxInline is the size in bytes up to which a body is sent together with its answer.
+	// maxInline is the size in bytes up to which a body is sent together with its call or answer.
 	maxInline = 24 << 10
 	// maxBody is the largest body that is received, in bytes.
 	maxBody = 1 << 30
@@ -61,6 +64,55 @@
 	return &mtreply.RefusedError{Cause: mtreply.CauseMemoryFull, RetryAfter: memoryRetry, Detail: err.Error()}
 }
 
+// upload sends a call with a large body. Until its last part is sent, the call is certain not to have run.
+func (c *Client) upload(ctx context.Context, conn grpc.ClientConnInterface, daemon mtid.Daemon, address string, call *mtcall.Call) (*mtcall.Answer, error) {
+	now := c.clock.Now()
+	inner, cancelCall := context.WithCancel(ctx)
+	defer cancelCall()
+	stream, err := mtwire.NewForwarderClient(conn).Upload(inner)
+	if err != nil {
+		return nil, c.notUploaded(ctx, err)
+	}
+	first := c.forwardRequest(now, daemon, call)
+	first.BodySize = uint64(call.Body.Len())
+	if err := stream.Send(first); err != nil {
+		return nil, c.notUploaded(ctx, err)
+	}
+	err = c.awaitHeader(stream, daemon, address, call.Idempotent, cancelCall)
+	var granted *mtwire.ForwardReply
+	if err == nil {
+		granted, err = stream.Recv()
+	}
+	switch {
+	case status.Code(err) == codes.Unimplemented:
+		return c.forward(ctx, conn, daemon, address, call) // a daemon of an earlier release
+	case err != nil:
+		return nil, c.notUploaded(ctx, err)
+	case granted.GetOutcome() != "":
+		return c.receive(ctx, stream, daemon, now, granted)
+	}
+	for i, segment := range call.Body {
+		err := stream.Send(&mtwire.ForwardRequest{Body: segment})
+		if err != nil && i < len(call.Body)-1 {
+			return nil, c.notUploaded(ctx, err)
+		}
+	}
+	_ = stream.CloseSend()
+	w, err := stream.Recv()
+	if err != nil {
+		return nil, classifySent(ctx, err)
+	}
+	return c.receive(ctx, stream, daemon, now, w)
+}
+
+// notUploaded returns the refusal of a call whose body was not sent to its end.
+func (c *Client) notUploaded(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return &mtreply.RefusedError{Cause: mtreply.CauseExpired, RetryAfter: -1, Detail: "the time ended before the body was sent"}
+	}
+	return &mtreply.RefusedError{Cause: mtreply.CauseUnreachable, RetryAfter: unreachableRetry, Detail: err.Error()}
+}
+
 // replyStream is a stream of the reply to a call and the parts of its body.
 type replyStream interface {
 	Recv() (*mtwire.ForwardReply, error)
@@ -142,6 +194,36 @@
 	return s.run(stream, call, w.GetParts())
 }
 
+// Upload implements mtwire.ForwarderServer.
+func (s *server) Upload(stream grpc.BidiStreamingServer[mtwire.ForwardRequest, mtwire.ForwardReply]) error {
+	if err := stream.SendHeader(metadata.MD{}); err != nil {
+		return err
+	}
+	w, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	s.config.Exchange.Receive(summaryFromWire(w.GetNews()), 0)
+	call := callFromWire(s.config.Clock.Now(), w)
+	hold := s.config.Memory.Hold(mtmemory.Request)
+	defer hold.Release()
+	size := int(min(w.GetBodySize(), maxBody))
+	if err := hold.Take(size + headerSize(call.Header)); err != nil {
+		return stream.Send(s.reply(nil, memoryRefusal(err)))
+	}
+	if err := stream.Send(&mtwire.ForwardReply{}); err != nil {
+		return err
+	}
+	call.Body, err = collect(size, func() ([]byte, error) {
+		part, err := stream.Recv()
+		return part.GetBody(), err
+	})
+	if err != nil {
+		return status.Error(codes.Aborted, err.Error())
+	}
+	return s.run(stream, call, w.GetParts())
+}
+
 // sendStream is a stream to the sender of a call.
 type sendStream interface {
 	Context() context.Context
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -20,9 +20,8 @@
 	// unconfiguredRetry is the Retry-After while the configuration is unknown or may be
 	// outdated.
 	unconfiguredRetry = 500 * time.Millisecond
-	// maxBody is the largest request body in bytes, and the limit if the configuration
-	// sets none.
-	maxBody = 16 << 20
+	// defaultBody is the limit of a request body in bytes if the configuration sets none.
+	defaultBody = 16 << 20
 	// firstChunkedSegment is the size of the first segment of a body whose length is not known, in bytes.
 	firstChunkedSegment = 4 << 10
 	// memoryRetry is the Retry-After of a request for which there is no memory.
@@ -167,8 +166,8 @@
 		return nil
 	}
 	limit := int64(config.Limits.BodyBytes)
-	if limit <= 0 || limit > maxBody {
-		limit = maxBody
+	if limit <= 0 {
+		limit = defaultBody
 	}
 	if r.ContentLength > limit {
 		return &requestError{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
