--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -6,6 +6,8 @@
 // call has arrived. A sender that receives no header in time knows long before the
 // call's deadline that the daemon is unresponsive.
 //
+// Large bodies are sent in parts, once the daemon that receives them has memory for the whole.
+//
 // # Usage
 //
 //	client, cleanUp := mtforward.NewClient(clock, mtdial.Dial, exchange, memory)
--- a/io/mtpipeline/mtpipeline.go
+++ b/io/mtpipeline/mtpipeline.go
@@ -14,6 +14,8 @@
 //	server := &mtpipeline.Server{Handler: handler, Limits: limits}
 //	err := server.Serve(listener) // http.ErrServerClosed after Shutdown or Close
 //
+// A handler may pass a large body to the response writer's method SendBody, which sends it without a copy.
+//
 // A response with "Connection: close" closes its connection. Requests that have been read by
 // then are still answered, and only the last response announces that the connection closes.
 // Once Shutdown has been called, or while too many connections are open, every connection closes
