Send targets that begin with two slashes as they were received

Ruled out: a change on the way between daemons; the target passes as text.

Change: the request line of such a request is written by us.

Measured: TestTargetIsSentAsReceived failed before, at the first target with an escape, and passes; 13 targets, bodies of three sizes.

--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -311,21 +311,46 @@
 
 // write sends a call.
 func (c *Client) write(conn *conn, target Target, call *mtcall.Call, remaining time.Duration) error {
-	request := c.request(target, call, remaining)
+	request, writer := c.request(target, call, remaining), &requestWriter{Writer: conn, call: call}
 	if call.Body.Len() > smallBody {
-		writer := bufio.NewWriterSize(conn, smallBody)
-		return errors.Join(request.Write(writer), writer.Flush())
+		buffered := bufio.NewWriterSize(writer, smallBody)
+		return errors.Join(request.Write(buffered), buffered.Flush())
 	}
 	var out bytes.Buffer
 	// Writing to memory can't fail, and the fields were read from a valid request. The
 	// server would receive an invalid one as an incomplete request.
 	_ = request.Write(&out)
-	_, err := conn.Write(out.Bytes())
+	_, err := writer.Write(out.Bytes())
 	return err
 }
 
+// requestWriter writes a request to a connection with the target of the call as it was received. net/http
+// would write another one where it begins with two slashes.
+type requestWriter struct {
+	io.Writer
+	call  *mtcall.Call
+	begun bool // the request line is written
+}
+
+// Write implements io.Writer. The first part of a request holds its head.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	if w.begun || !strings.HasPrefix(w.call.Target, "//") {
+		return w.Writer.Write(p)
+	}
+	w.begun = true
+	_, rest, found := bytes.Cut(p, []byte("\r\n"))
+	if !found {
+		return 0, io.ErrShortWrite
+	}
+	line := w.call.Method + " " + w.call.Target + " HTTP/1.1\r\n"
+	if _, err := w.Writer.Write(append([]byte(line), rest...)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
 // request returns a call as a request to the server. The request target is written as the caller wrote
-// it: net/http sends url.URL.Opaque unchanged.
+// it: net/http sends url.URL.Opaque unchanged, and requestWriter what that doesn't.
 func (c *Client) request(target Target, call *mtcall.Call, remaining time.Duration) *http.Request {
 	header := make(http.Header, len(call.Header)+6)
 	for _, f := range call.Header {
@@ -347,11 +372,6 @@
 		Host:   call.Host,
 		Header: header,
 	}
-	if strings.HasPrefix(call.Target, "//") {
-		// An opaque target that begins with // would be sent as an absolute URL.
-		path, query, _ := strings.Cut(call.Target, "?")
-		request.URL = &url.URL{Path: path, RawPath: path, RawQuery: query}
-	}
 	if n := call.Body.Len(); n > 0 {
 		request.Body = io.NopCloser(call.Body.Reader())
 		request.ContentLength = int64(n)
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -314,3 +316,28 @@
 	// A busy machine may hold up a few of the answers.
 	assert.Assert(t, heard > calls/2, "%d of %d answers were heard", heard, calls)
 }
+
+// Guards against a server that runs a request with another target than the caller sent.
+func TestTargetIsSentAsReceived(t *testing.T) {
+	var got string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		got = r.RequestURI
+		w.Header().Set(mtheader.DefaultNames.ID, r.Header.Get(mtheader.DefaultNames.ID))
+		w.Header().Set(mtheader.DefaultNames.Signature, "s")
+	}))
+	defer server.Close()
+	c, clock := client(t)
+	for _, target := range []string{
+		"/", "//", "///", "/a%20b", "//other/a%20b", "//other/a%2520b", "//other/%2F/..//x?q=%20&r=//", "//h:80/x", "/a?b=//c", "//?", "//other/a|b", "//other/a[b]{c}",
+		"//o/" + strings.Repeat("a%20", 3000),
+	} {
+		for _, size := range []int{0, 10, 200_000} {
+			one := call(clock, "1")
+			one.Method, one.Target, one.Body = http.MethodPost, target, mtcall.BodyOf(make([]byte, size))
+			_, err := c.Do(t.Context(), iobackend.Target{Address: server.Listener.Addr().String(), Server: "server-1"}, one)
+			assert.NilError(t, err, "%s", target)
+			assert.Equal(t, got, target)
+		}
+	}
+}
