Give registrations a value, and read nothing of a body after its end

Cause: the platform's store rejects an entry without a value. Our stand-in accepted the null.

Ruled out: the second put of the transaction itself; with a value it is accepted.

Reading a body that has ended or failed returns that again. A declared body is read to its end instead of being closed.

--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -384,7 +384,8 @@
 	}
 	absent := []mtstore.Condition{{Name: name}}
 	record := mtstore.Put{Name: name, Value: value, Lease: p.lease}
-	return p.Store.Commit(ctx, absent, record, mtstore.Put{Name: mtstore.RegistrationName(p.era, p.Self)})
+	registration := mtstore.Put{Name: mtstore.RegistrationName(p.era, p.Self), Value: []byte(p.Self)}
+	return p.Store.Commit(ctx, absent, record, registration)
 }
 
 // reportPrevious passes on the record that a previous incarnation of this daemon left.
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -191,8 +191,11 @@
 		call.Body = append(call.Body, segment)
 		left -= int64(len(segment))
 	}
-	// The connection is watched for the caller's leaving from the end of the body on.
-	return r.Body.Close()
+	// The connection is watched for the caller's leaving once the end of the body has been read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return &requestError{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	return nil
 }
 
 // readChunked reads a body of at most limit bytes whose length is not known.
--- a/io/mtpipeline/exchange.go
+++ b/io/mtpipeline/exchange.go
@@ -198,13 +198,18 @@
 	conn    *conn
 	onEnd   func()
 	renewed time.Time // when the deadline of the connection was set
+	ended   error     // of the last read; nothing is read after it
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
+	if b.ended != nil {
+		return 0, b.ended // the connection is read for other purposes
+	}
 	b.awaitBody()
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
+		b.ended = err
 		b.onEnd()
 	}
 	return n, err
