Give up an answer at once that never fits the memory

Cause: an answer larger than all that a daemon may take for answers waited for room until its call's deadline, and held its bytes at the daemon beside its server. Found by reading; callers got 504 at their deadline instead of 502 at once.

Change: Await fails at once then.

Measured: TestAwaitFailsAtOnceForWhatNeverFits, which waits without end before.

Conclusion: none beyond.

--- a/io/mtmemory/mtmemory.go
+++ b/io/mtmemory/mtmemory.go
@@ -96,11 +96,15 @@
 	return &FullError{Use: h.use, Wanted: mtmemory.Bytes(n), Held: h.budget.ledger.Held()}
 }
 
-// Await takes more bytes as soon as there is room. It fails with a *FullError when ctx ends.
+// Await takes more bytes as soon as there is room. It fails with a *FullError when ctx ends, and at once
+// if there will never be room.
 func (h *Hold) Await(ctx context.Context, n int) error {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if size := h.bytes + mtmemory.Bytes(n); size > b.ledger.Limit(h.use, size) {
+		return h.full(n)
+	}
 	for !h.take(mtmemory.Bytes(n)) {
 		freed := b.freed
 		b.waiting++
--- a/io/mtmemory/mtmemory_test.go
+++ b/io/mtmemory/mtmemory_test.go
@@ -48,3 +48,11 @@
 	assert.Equal(t, full.Held, mtmemory.Bytes(30*mega))
 	assert.Assert(t, errors.As(b.Hold(mtmemory.Request).Take(mega), &full))
 }
+
+// Guards against an answer that can never fit and waits until its call's time is over.
+func TestAwaitFailsAtOnceForWhatNeverFits(t *testing.T) {
+	b := iomemory.New(100 * mega)
+	var full *iomemory.FullError
+	assert.Assert(t, errors.As(b.Hold(mtmemory.Answer).Await(t.Context(), 64*mega), &full))
+	assert.Equal(t, b.Held(), mtmemory.Bytes(0))
+}
