Confirm a configuration as soon as it is in force

Cause: a daemon that is outdated polls the store, puts the configuration in force and is ready again; only after the routes have been declared to the host and the zones applied was the configuration confirmed as the newest. Until then the daemon can't say that a route doesn't exist.

Callers saw: 503 with Retry-After for a path that has no route, for some milliseconds, in place of 404. Nothing was lost.

Evidence: log of a failing run of TestDaemonThatCannotReceiveConfigurationRefuses: configuration in force at 19.2916, refused at 19.2984 as 'the route may be newer than the configuration', polled at 18.92.

Change: an entry's origin names when its request was sent, where the reply comes from the store itself; Configure confirms by it right after the swap. Zones of the same reply are applied before, since a confirmation covers them too.

--- a/core/mtstore/origin.go
+++ b/core/mtstore/origin.go
@@ -1,6 +1,10 @@
 package mtstore
 
-import "time"
+import (
+	"time"
+
+	"magnoliaturn/core/mtclock"
+)
 
 // Way is how an entry was received.
 type Way string
@@ -14,18 +18,21 @@
 	WayAsk   Way = "ask"   // another daemon, asked for its newest configuration
 )
 
-// Origin is how this daemon received an entry, for its logs. It is not passed on.
+// Origin is how this daemon received an entry. It is not passed on.
 type Origin struct {
 	Way  Way
 	Peer string // address of the daemon that sent it; empty for the store
 	// Took is the time from the request to the end of the reply. It includes the wait for a change.
 	Took time.Duration
+	// Sent is when the request was sent, if the entry was the newest of its name in the store then or
+	// has been written since. It is zero if the reply doesn't show that.
+	Sent mtclock.Instant
 }
 
 // From returns the changes with the origin of all their entries set.
-func (c Changes) From(way Way, peer string, took time.Duration) Changes {
+func (c Changes) From(origin Origin) Changes {
 	for i := range c.Entries {
-		c.Entries[i].Origin = Origin{Way: way, Peer: peer, Took: took}
+		c.Entries[i].Origin = origin
 	}
 	return c
 }
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -170,7 +170,7 @@
 	if len(changes.Entries) > 0 {
 		mtduty.Sleep(ctx, f.batchDelay())
 	}
-	return changes.From(mtstore.WayWatch, "", f.clock.Now().Sub(started)), nil
+	return changes.From(mtstore.Origin{Way: mtstore.WayWatch, Took: f.clock.Now().Sub(started)}), nil
 }
 
 // deferWatch reports whether to pause and look for an upstream again instead of watching
@@ -200,7 +200,7 @@
 	if err == nil {
 		f.fullReadStarted.Store(int64(started))
 	}
-	return changes.From(mtstore.WayRead, "", f.clock.Now().Sub(started)), err
+	return changes.From(mtstore.Origin{Way: mtstore.WayRead, Took: f.clock.Now().Sub(started), Sent: started}), err
 }
 
 // applied confirms the freshness of the configuration once a full read from the store has
@@ -247,7 +247,7 @@
 	if after == 0 && reply.Changes.Revision <= view.Revision {
 		return reply.Changes, &mtstore.UnavailableError{Op: "learn", Err: notWatching{}}
 	}
-	return reply.Changes.From(mtstore.WayPull, upstream, took), nil
+	return reply.Changes.From(mtstore.Origin{Way: mtstore.WayPull, Peer: upstream, Took: took}), nil
 }
 
 // upstream returns the address of the daemon to pull from, or false if this daemon has to
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -154,7 +154,7 @@
 			m.config.Log.Info("a daemon has no newer configuration", "peer", a.from.Daemon, "wanted", uint64(wanted))
 			continue
 		}
-		for _, e := range (mtstore.Changes{Entries: a.entries}).From(mtstore.WayAsk, a.from.Address, took).Entries {
+		for _, e := range (mtstore.Changes{Entries: a.entries}).From(mtstore.Origin{Way: mtstore.WayAsk, Peer: a.from.Address, Took: took}).Entries {
 			if !strings.HasPrefix(e.Name, mtstore.LivePrefix) {
 				m.config.OnOtherEntry(e) // passes over an older configuration than the one in force
 			}
@@ -248,10 +248,10 @@
 	if read.Revision.Era() > directory.View().Era() {
 		directory.Resync() // the watch may wait for changes after a revision that is given out again
 	}
-	for _, e := range read.From(mtstore.WayPoll, "", m.now().Sub(started)).Entries {
+	zonesChanged := directory.ApplyZones(read)
+	for _, e := range read.From(mtstore.Origin{Way: mtstore.WayPoll, Took: m.now().Sub(started), Sent: started}).Entries {
 		m.config.OnOtherEntry(e)
 	}
-	zonesChanged := directory.ApplyZones(read)
 	m.freshness.confirm(started)
 	newer := m.knownVersions().ConfigVersion > before && before != 0
 	if (newer || zonesChanged) && m.feed.pollSchedule() != mtroute.PollFallback {
@@ -311,6 +311,9 @@
 		return
 	}
 	m.freshness.adopt()
+	if from.Origin.Sent != 0 {
+		m.freshness.confirm(from.Origin.Sent)
+	}
 	m.Host().Declare(c.Routes())
 	m.Host().Warmup(mtgate.StartRate(m.config.Warmup.Limit(c.Services[m.config.Service].ColdRate)))
 	if m.feed.tree().WatchesStore(m.config.Daemon) {
