Wait for ports in use instead of ending at the start

Cause: opening a listener was a condition of life. The address of a listener in use for a moment, by a process of before that has not gone yet or by somebody's outgoing connection, ended the daemon with code 1.

Change: mtlisten.Port is a listener that opens as soon as its address is free. Accept waits meanwhile, so that the servers behind it need to know nothing. The daemon does what it can without the port: it isn't ready as long as the port for callers isn't open, and serves the calls of other daemons. Other daemons find the port for their calls in the daemon's record, so the first free one of the range is taken. A line is logged when a port can't be opened and when it is, and the metrics open.* tell.

--- a/io/mtlisten/mtlisten.go
+++ b/io/mtlisten/mtlisten.go
@@ -12,6 +12,11 @@
 //
 // The clean-up stops accepting connections, waits up to Options.Grace for requests in
 // flight, and then closes the remaining connections.
+//
+// A daemon that goes on without one of its listeners as long as the address is in use opens a Port:
+//
+//	port := mtlisten.Open("callers", mtlisten.Listen, log, settings.Callers)
+//	server := mtlisten.Start(port, handler, options)
 package mtlisten
 
 import (
@@ -129,15 +134,26 @@
 	if err != nil {
 		return nil, nil, &ListenError{Address: address, Err: err}
 	}
-	if options.Grace == 0 {
-		options.Grace = DefaultGrace
-	}
 	s := Start(listener, handler, options)
-	return s, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), options.Grace)
+	return s, s.cleanUp(options.Grace), nil
+}
+
+// ServePort serves handler on a port until the clean-up function is called, which shuts the server
+// down gracefully.
+func ServePort(port *Port, handler http.Handler, options Options) (cleanUp func()) {
+	return Start(port, handler, options).cleanUp(options.Grace)
+}
+
+// cleanUp returns a function that shuts the server down.
+func (s *Server) cleanUp(grace time.Duration) func() {
+	if grace == 0 {
+		grace = DefaultGrace
+	}
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
 		defer cancel()
 		s.Shutdown(ctx)
-	}, nil
+	}
 }
 
 // Start serves handler on an open listener until Shutdown or Close is called.
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -62,6 +62,7 @@
 	NameClock        mtkernel.Name = "clock"
 	NameMetrics      mtkernel.Name = "metrics"
 	NameMemory       mtkernel.Name = "memory"
+	NamePorts        mtkernel.Name = "ports"
 	NameDirectory    mtkernel.Name = "directory"
 	NamePeers        mtkernel.Name = "peers"
 	NameClient       mtkernel.Name = "client"
@@ -85,6 +86,7 @@
 	ServerAddress string              // address of the backend server
 	CallerAddress string              // address on which to accept requests of callers on this VM
 	PeerAddress   string              // address on which to accept calls of other daemons
+	SparePeers    []string            // replace PeerAddress if it is in use at the start, the first free one
 	Dial          mtdial.Func         // opens connections to other daemons; nil stands for mtdial.Dial
 	Store         mtstore.ConditionalStore
 	Port          mtgrant.ServerClient
@@ -132,6 +134,9 @@
 	kernel  *mtkernel.Kernel
 	callers *mtlisten.Server
 	peers   *grpc.Server
+	// callerPort and peerPort are the listeners of callers and peers.
+	callerPort *mtlisten.Port
+	peerPort   *mtlisten.Port
 	// retryCounts returns the totals of the retry quota.
 	retryCounts func() mtretry.Counts
 	recorder    *recorder
@@ -154,8 +159,8 @@
 	ingress   atomic.Pointer[mtingress.Ingress]
 }
 
-// New assembles a daemon, opens its listeners and starts its background tasks. The clean-up
-// function stops them; Run calls it too.
+// New assembles a daemon, opens its ports, or later those that are in use, and starts its background
+// tasks. The clean-up function stops them; Run calls it too.
 func New(config Config) (*Mesh, func(), error) {
 	if config.ConfigDeadline <= 0 {
 		config.ConfigDeadline = mtroute.DefaultPropagationLimit
@@ -168,7 +173,7 @@
 	}
 	m := &Mesh{config: config, kernel: mtkernel.New()}
 	steps := []func() error{
-		m.addClock, m.addMetrics, m.addMemory, m.addPeers, m.addDirectory, m.addCommitter, m.addHost, m.addIngress, m.addConfigPoller, m.addSummary, m.listen,
+		m.addClock, m.addMetrics, m.addMemory, m.addPorts, m.addPeers, m.addDirectory, m.addCommitter, m.addHost, m.addIngress, m.addConfigPoller, m.addSummary, m.listen,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -197,10 +202,11 @@
 func (m *Mesh) Kernel() *mtkernel.Kernel { return m.kernel }
 
 // Ready reports whether callers should send requests to this daemon: a configuration is in
-// force that isn't known to be outdated, the other servers are known, and the daemon is not shutting down.
+// force that isn't known to be outdated, the other servers are known, the port for callers
+// is open, and the daemon is not shutting down.
 func (m *Mesh) Ready() bool {
 	directory := mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory)
-	return m.ready.Load() && m.Ingress().Configuration() != nil && !m.outdated() && directory.View().Revision != 0
+	return m.ready.Load() && m.callerPort.IsOpen() && m.Ingress().Configuration() != nil && !m.outdated() && directory.View().Revision != 0
 }
 
 func (m *Mesh) addClock() error {
@@ -297,7 +303,7 @@
 		Link:        m.config.Link,
 		Service:     m.config.Service,
 		Address:     m.config.ServerAddress,
-		PeerAddress: m.config.PeerAddress,
+		PeerAddress: m.peerPort.Addr().String(),
 		DrainPeriod: m.config.Drain,
 		Overload:    m.config.Overload,
 		Clock:       clock,
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -26,17 +25,28 @@
 	maxPeerStreams       = 4096
 )
 
-// listen opens the listeners for callers and for other daemons.
+// addPorts opens the ports for callers and for other daemons. The latter's address is part of this
+// daemon's record, so it is chosen before the host is added.
+func (m *Mesh) addPorts() error {
+	peers := append([]string{m.config.PeerAddress}, m.config.SparePeers...)
+	m.peerPort = m.OpenPort("peers", mtdial.Listen, peers...)
+	m.callerPort = m.OpenPort("callers", mtlisten.Listen, m.config.CallerAddress)
+	return mtkernel.Register(m.kernel, NamePorts, m, func() {
+		_ = m.callerPort.Close()
+		_ = m.peerPort.Close()
+	})
+}
+
+// OpenPort opens the first free one of the addresses, with a metric that tells whether the port is
+// open.
+func (m *Mesh) OpenPort(purpose string, listen mtlisten.ListenFunc, addresses ...string) *mtlisten.Port {
+	port := mtlisten.Open(purpose, listen, m.config.Log, addresses...)
+	m.Metrics().Gauge("open", purpose, func() any { return port.IsOpen() })
+	return port
+}
+
+// listen serves callers and other daemons.
 func (m *Mesh) listen() error {
-	peers, err := mtdial.Listen(context.Background(), m.config.PeerAddress)
-	if err != nil {
-		return &mtlisten.ListenError{Purpose: "other daemons", Address: m.config.PeerAddress, Err: err}
-	}
-	callers, err := net.Listen("tcp", m.config.CallerAddress)
-	if err != nil {
-		_ = peers.Close()
-		return &mtlisten.ListenError{Purpose: "callers", Address: m.config.CallerAddress, Err: err}
-	}
 	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(maxPeerStreams),
 		grpc.InitialWindowSize(mtforward.StreamWindow), grpc.InitialConnWindowSize(mtforward.ConnWindow),
 		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
@@ -45,14 +55,14 @@
 		ReserveLink: m.Host().ReserveLink, Withdraw: m.Host().Withdraw, Memory: m.memory(),
 	})
 	go func() {
-		if err := m.peers.Serve(peers); err != nil {
+		if err := m.peers.Serve(m.peerPort); err != nil {
 			m.config.Log.Error("listener for other daemons failed", "error", err)
 		}
 	}()
 	router := echo.New()
 	router.HideBanner = true
 	router.Any("/*", m.Ingress().Handle)
-	m.callers = mtlisten.Start(callers, router, mtlisten.Options{MaxConnections: maxCallerConnections, Pipelined: true, Log: m.config.Log})
+	m.callers = mtlisten.Start(m.callerPort, router, mtlisten.Options{MaxConnections: maxCallerConnections, Pipelined: true, Log: m.config.Log})
 	return mtkernel.Register(m.kernel, NameListeners, m, func() {
 		m.callers.Close()
 		m.peers.Stop()
--- a/io/mtsetting/mesh.go
+++ b/io/mtsetting/mesh.go
@@ -30,6 +30,7 @@
 	Ready           string              // listen address for the platform's readiness checks
 	Heartbeats      string              // listen address for heartbeats of the backend server
 	Peers           string              // listen address for calls of other daemons
+	SparePeers      []string            // those to be used instead of Peers if that is in use
 	Metrics         string              // listen address for metrics
 	Store           string              // host:port of the platform's store
 	GrantDuration   time.Duration       // upper bound of how long a key grant lasts
@@ -161,8 +162,11 @@
 	return v
 }
 
-// parsePorts assigns the first port of the range to calls of other daemons and
-// the second to metrics.
+// maxSparePeers is the largest number of Mesh.SparePeers.
+const maxSparePeers = 16
+
+// parsePorts assigns the first port of the range to calls of other daemons, with those after the
+// second to spare, and the second to metrics.
 func (s *Mesh) parsePorts(listen *mtini.Section) {
 	v := listen.Text("ports", "")
 	low, high, ok := strings.Cut(v, ",")
@@ -174,4 +178,7 @@
 	}
 	s.Peers = net.JoinHostPort(s.Host, strconv.FormatUint(from, 10))
 	s.Metrics = net.JoinHostPort(s.Host, strconv.FormatUint(from+1, 10))
+	for port := from + 2; port <= min(to, from+1+maxSparePeers); port++ {
+		s.SparePeers = append(s.SparePeers, net.JoinHostPort(s.Host, strconv.FormatUint(port, 10)))
+	}
 }
--- a/io/mtsetting/mesh_test.go
+++ b/io/mtsetting/mesh_test.go
@@ -1,6 +1,7 @@
 package mtsetting_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -57,12 +58,16 @@
 `
 
 func TestParseMesh(t *testing.T) {
+	var sparePeers []string
+	for port := 7382; port <= 7395; port++ {
+		sparePeers = append(sparePeers, fmt.Sprintf("10.1.0.38:%d", port))
+	}
 	got, faults := mtsetting.ParseMesh("daemon.ini", []byte(meshText))
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	assert.DeepEqual(t, got, &mtsetting.Mesh{
 		Name: "vm-1", Zone: "old-town", Link: 200, Memory: 160 * mtsetting.Megabyte, Bootstrap: true, Service: "maps", Host: "10.1.0.38", Server: "10.1.0.38:8145",
 		Callers: "10.1.0.38:8147", Ready: "10.1.0.38:8141", Heartbeats: "10.1.0.38:8144",
-		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", Store: "10.200.1.7:8142",
+		Peers: "10.1.0.38:7380", Metrics: "10.1.0.38:7381", SparePeers: sparePeers, Store: "10.200.1.7:8142",
 		GrantDuration: 10 * time.Second, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigDeadline: 3 * time.Second,
 		ZoneOutDeadline: 4 * time.Second, Warmup: mtbackend.Allowance{Factor: 1.5, Extra: 8},
 		Overload: mtoverload.Policies{Link: true, Room: true, Retries: true},
