Go on after a listener fails to accept a connection

Cause: any error of accept ended the listener for callers, and with it the process; the one for other daemons ended with a log line, and nobody reached the server on that VM any more. The usual error is that no descriptor is left.

What callers saw: a crowd of callers that open connections ended the daemon (code 1), and all requests in flight with it.

Change: a port that lacks descriptors or memory tries again after 10 to 100 ms, and keeps its socket, so that the connections that wait are accepted then. A port whose socket has failed is opened again. An error of a listener no longer ends the daemon.

Why it works: the servers behind a port see an error only when they have closed it themselves.

--- a/io/mtlisten/port.go
+++ b/io/mtlisten/port.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -12,7 +13,7 @@
 	"magnoliaturn/io/mtdial"
 )
 
-// Bounds of the pause between two attempts to open a port.
+// Bounds of the pause between two attempts to open a port, or to accept a connection at it.
 const (
 	minPortPause = 10 * time.Millisecond
 	maxPortPause = 100 * time.Millisecond
@@ -28,7 +29,8 @@
 }
 
 // Port is a listener whose address may be in use by somebody else at first. It opens as soon as it
-// can. Accept waits meanwhile.
+// can, and again after its socket has failed. Accept waits meanwhile and fails only once the port
+// has been closed.
 type Port struct {
 	purpose string
 	address string
@@ -67,11 +69,35 @@
 
 // Accept implements net.Listener.
 func (p *Port) Accept() (net.Conn, error) {
-	inner, err := p.await()
-	if err != nil {
-		return nil, err
+	for pause := minPortPause; ; pause = min(2*pause, maxPortPause) {
+		inner, err := p.await()
+		if err != nil {
+			return nil, err
+		}
+		conn, err := inner.Accept()
+		switch {
+		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+			return conn, err
+		case p.ctx.Err() != nil:
+			return nil, net.ErrClosed
+		}
+		p.log.Warn("port fails to accept a connection", "purpose", p.purpose, "address", p.address, "error", err)
+		if isSocketBroken(err) {
+			p.discard(inner)
+		}
+		p.sleep(pause)
 	}
-	return inner.Accept()
+}
+
+// isSocketBroken reports whether a listener can accept no connections any more. Otherwise it lacks
+// descriptors or memory, or the error is one of the connection.
+func isSocketBroken(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return errors.Is(err, net.ErrClosed)
 }
 
 // await returns the open listener. It opens the port if need be, until that succeeds or the port is
@@ -109,6 +135,14 @@
 	p.log.Info("port is open", "purpose", p.purpose, "address", p.address)
 }
 
+// discard closes a listener that has failed.
+func (p *Port) discard(inner net.Listener) {
+	_ = inner.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inner = nil
+}
+
 // sleep waits for a duration, or until the port is closed.
 func (p *Port) sleep(d time.Duration) {
 	select {
--- a/io/mtlisten/port_test.go
+++ b/io/mtlisten/port_test.go
@@ -122,3 +122,60 @@
 		return poll.Success()
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(300*time.Millisecond))
 }
+
+// failingListener fails to accept once.
+type failingListener struct {
+	net.Listener
+	failures chan error
+}
+
+// Accept implements net.Listener.
+func (l failingListener) Accept() (net.Conn, error) {
+	select {
+	case err := <-l.failures:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: err}
+	default:
+		return l.Listener.Accept()
+	}
+}
+
+// Guards against a server that fails, or drops the connections that wait, because the process has no
+// descriptor left for one or its socket is broken.
+func TestPortOutlivesFailureToAccept(t *testing.T) {
+	for _, test := range []struct {
+		err    error
+		opened int32 // how often the port is opened in all
+	}{
+		{syscall.EMFILE, 1},
+		{syscall.ENFILE, 1},
+		{syscall.ENOBUFS, 1},
+		{syscall.ENOMEM, 1},
+		{syscall.ECONNABORTED, 1},
+		{syscall.EPERM, 1},
+		{syscall.EINVAL, 2},
+		{syscall.EBADF, 2},
+		{net.ErrClosed, 2},
+	} {
+		t.Run(test.err.Error(), func(t *testing.T) {
+			var opened atomic.Int32
+			failures := make(chan error, 1)
+			failures <- test.err
+			listen := func(ctx context.Context, address string) (net.Listener, error) {
+				opened.Add(1)
+				inner, err := mtlisten.Listen(ctx, address)
+				return failingListener{inner, failures}, err
+			}
+			log := slog.New(slog.DiscardHandler)
+			port := mtlisten.Open("test", listen, log, anyAddress)
+			defer mtlisten.ServePort(port, http.NotFoundHandler(), mtlisten.Options{Pipelined: true, Log: log})()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if len(failures) == 0 && port.IsOpen() && opened.Load() == test.opened {
+					return poll.Success()
+				}
+				return poll.Continue("opened %d times", opened.Load())
+			}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
+			get(t, port.Addr().String())
+			assert.Equal(t, opened.Load(), test.opened)
+		})
+	}
+}
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -81,12 +81,9 @@
 		select {
 		case <-ctx.Done():
 			m.shutdown()
-			return nil
-		case err := <-m.callers.Failed():
-			return err
 		case <-inner.Done():
-			return nil
 		}
+		return nil
 	}, func(error) { cancel() })
 	return m.kernel.Run(inner)
 }
