Outlive the reader of the logs

Cause: a write to standard output or standard error whose reader is gone raises SIGPIPE, by which the Go runtime ends the process unless the signal is ignored. Connections don't have this, only these two descriptors.

What callers saw: every daemon whose logs go to a process that ends (a restart of the logger, a supervisor that closes its pipe) ends with the next line, at the latest after a second, without a line that tells why.

The tools still end by it. Lines that can't be written are counted and reported once a reader is back, as before for other errors.

Why it works: with the signal ignored, the write fails with EPIPE, which the writer of the logs takes as any other error.

--- a/cmd/magnoliaturn/serve.go
+++ b/cmd/magnoliaturn/serve.go
@@ -49,6 +49,8 @@
 		fmt.Fprintln(os.Stderr, faults)
 		return subcommands.ExitUsageError
 	}
+	// The runtime would end the process once the reader of the logs is gone.
+	signal.Ignore(syscall.SIGPIPE)
 	log := mtmetric.Logger(os.Stderr, settings.Log)
 	log = log.With("daemon", string(settings.Name), "zone", string(settings.Zone))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
