Ignore SIGHUP before the Go runtime starts

Cause: the daemon ignored SIGHUP only after all packages were initialized and the settings were read, 3 ms after its start. Until then the signal ends the process, with 129.

What callers saw: a daemon that never served where the settings change while it starts and nobody starts it again.

Change: a function that the dynamic linker calls ignores the signal; the runtime leaves ignored signals ignored. A build without cgo ignores it when the package is initialized, one of the first. Both are part of the program alone, not of package platform, whose tests would pass the ignored signal on to the processes that they start.

Why it works: what is left is the time that the kernel and the dynamic linker take to load the program.

--- a/cmd/magnoliaturn/main.go
+++ b/cmd/magnoliaturn/main.go
@@ -18,6 +18,7 @@
 	"github.com/google/subcommands"
 
 	"magnoliaturn/io/mtcommand"
+	_ "magnoliaturn/io/mtsignal" // SIGHUP may arrive before main is called
 	"magnoliaturn/platform"
 )
 
