Take no cut answer for whole when the write saw the reset

Cause: an answer without a length ends with its connection. The kernel reports the reset of a connection once. A long call is still being written then, so the write gets the error, and the read that follows sees what has arrived and an end in order.

Change: where the end of an answer is that of its connection, the answer counts only if the whole call was written without an error; otherwise the call may have run (unknown). Answers with a length or in chunks have an end of their own and are kept. A refusal is known from its head and counts before its body is read; else one of this form would be lost now.

Why it works: a reset shows in the write or in the read, and either is enough now. An end in order before the reset can't be told from it after a failed write and is given up too.

--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -177,22 +177,43 @@
 		if err != nil {
 			return nil, false, errors.Join(err, sendErr)
 		}
+		accepted, err := c.accept(response, target, call)
+		if err != nil {
+			return nil, false, err
+		}
 		answer, reusable, err := c.readAnswer(ctx, conn, response)
 		if err != nil {
 			return nil, false, err
 		}
-		accepted, err := c.accept(response, target, call)
+		if sendErr != nil && endsWithConnection(response) {
+			answer.Free()
+			return nil, false, &CutOffError{Err: sendErr}
+		}
 		if accepted {
 			return answer, reusable && sendErr == nil, nil
 		}
 		answer.Free()
-		if err != nil {
-			return nil, false, err
-		}
 	}
 	return nil, false, &mismatchError{}
 }
 
+// endsWithConnection reports whether the end of a response is that of its connection.
+func endsWithConnection(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// CutOffError reports an answer without a length whose connection failed while the call was sent. The kernel
+// reports a reset once: if the write gets it, the read sees an end in order.
+type CutOffError struct{ Err error }
+
+// Error implements error.
+func (e *CutOffError) Error() string {
+	return "answer without a length on a connection that failed: " + e.Err.Error()
+}
+
+// Unwrap returns the error of the write.
+func (e *CutOffError) Unwrap() error { return e.Err }
+
 // accept reports whether a response is the server's answer to the call. It fails if it is the server's
 // refusal, or not the server's own. Without an error, it is a second answer to an earlier call.
 func (c *Client) accept(response *http.Response, target Target, call *mtcall.Call) (bool, error) {
@@ -473,11 +494,12 @@
 	var untrusted *untrustedError
 	var oversize *OversizeError
 	var framing *FramingError
+	var cutOff *CutOffError
 	var full *iomemory.FullError
 	if errors.As(err, &full) {
 		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
-	noAnswer := errors.As(err, &mismatch) || errors.As(err, &untrusted) || errors.As(err, &oversize) || errors.As(err, &framing)
+	noAnswer := errors.As(err, &mismatch) || errors.As(err, &untrusted) || errors.As(err, &oversize) || errors.As(err, &framing) || errors.As(err, &cutOff)
 	if noAnswer || errors.Is(err, io.ErrUnexpectedEOF) {
 		return &mtreply.UnknownError{Cause: mtreply.CauseTruncated, Err: err}
 	}
