Take no answer whose head or trailer has no single meaning

Cause: the heads of answers were read by net/http, whose parser is lenient: any three digits are a status and those below 200 an interim answer, any version counts, a name may hold a blank or end in one, lines are folded, a length beside chunks is dropped, and so is any coding in HTTP/1.0. A framing field with a blank is an ordinary field for it.

Change: core/mthead checks the whole head before it is parsed, interim ones too, and the fields behind chunks: versions 1.0 and 1.1, status 100 to 599 but 101, names that are tokens, no control bytes, no folded lines, and one meaning of length and coding. io/mthead waits for the head in the buffer of the connection, which grows only for heads over 4 KB. Chunks are read by net/http/httputil as before; the trailer is read here. What is odd closes the connection and the call may have run (unknown). Accepted as before: no reason, bare line feeds, a repeated equal length, interim answers.

Why it works: what reaches the parser has one meaning only, so that leniency has nothing left to decide.

--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -25,6 +25,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"net/url"
 	"strconv"
 	"strings"
@@ -34,10 +35,12 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mthead"
 	"magnoliaturn/core/mtheader"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtmemory"
 	"magnoliaturn/core/mtreply"
+	iohead "magnoliaturn/io/mthead"
 	iomemory "magnoliaturn/io/mtmemory"
 )
 
@@ -401,22 +404,75 @@
 }
 
 // readResponse reads the head of the final response. It fails with io.EOF if the connection
-// ends before the first byte, which net/http does not tell from an incomplete head.
+// ends before the first byte, and with a *mthead.Error if the head is none.
 func readResponse(conn *conn, method string) (*http.Response, error) {
-	r := conn.reader
 	conn.allow(PartHead, maxHead)
 	for {
-		if _, err := r.Peek(1); err != nil {
-			return nil, err // of the connection, or that of its bound
+		if err := conn.checkHead(); err != nil {
+			return nil, conn.readError(err)
 		}
-		response, err := http.ReadResponse(r, &http.Request{Method: method})
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, conn.readError(err)
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+			response.Body = &chunkedBody{conn: conn, chunks: httputil.NewChunkedReader(conn.reader)}
 		}
+		return response, nil
+	}
+}
+
+// checkHead waits for a head and checks it.
+func (c *conn) checkHead() error {
+	head, reader, err := iohead.Await(c.reader, c, maxHead+readBuffer)
+	c.reader = reader
+	if err != nil {
+		return err
+	}
+	return mthead.CheckResponse(head)
+}
+
+// chunkedBody is a body in chunks, with the fields behind it, which are checked and discarded.
+type chunkedBody struct {
+	conn   *conn
+	chunks io.Reader
+	err    error // of the last read; nothing is read after it
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	var n int
+	n, b.err = b.chunks.Read(p)
+	if b.err == io.EOF {
+		b.err = b.conn.readTrailer()
+	}
+	return n, b.err
+}
+
+// Close implements io.Closer.
+func (*chunkedBody) Close() error { return nil }
+
+// readTrailer reads the fields behind a body in chunks. It returns io.EOF if they are whole and valid.
+func (c *conn) readTrailer() error {
+	trailer, reader, err := iohead.Await(c.reader, c, maxTrailer)
+	c.reader = reader
+	switch {
+	case err == io.EOF:
+		return io.ErrUnexpectedEOF
+	case err != nil:
+		return err
+	}
+	if err := mthead.CheckTrailer(trailer); err != nil {
+		return err
 	}
+	_, _ = c.reader.Discard(len(trailer))
+	return io.EOF
 }
 
 // readAnswer reads the whole body, and reports whether the connection can carry another
