Refuse requests whose head has no single meaning

A length or a coding with a blank in or before its colon was an ordinary field, a length beside chunks was dropped, a coding in HTTP/1.0 ignored, lines were folded, and any version counted.

Seen by callers: nothing on proper requests. Behind a proxy that reads such a head otherwise, the body of one request is taken for the next request (smuggling). Found by reading; no report.

Change: io/mtpipeline waits for the whole head and checks it with core/mthead before it is parsed. What is odd gets 400, and the connection is closed; requests with two Host fields too. A head that is too large gets 431 as before.

Measured: go test -race ./io/mtpipeline -run OddRequests.

Why it works: the end of the body is known from one field in one spelling, for each reader.

--- a/io/mtpipeline/conn.go
+++ b/io/mtpipeline/conn.go
@@ -5,13 +5,14 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"magnoliaturn/core/mthead"
 	"magnoliaturn/io/mtdial"
+	iohead "magnoliaturn/io/mthead"
 )
 
 // bufferSize is the size of the read and write buffers of a connection, in bytes.
@@ -22,7 +23,6 @@
 type conn struct {
 	net.Conn
 	server *Server
-	limit  *io.LimitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer // used by the oldest unanswered exchange only
 	// ctx is canceled when the caller has disconnected.
@@ -46,8 +46,8 @@
 const finalReadTimeout = 50 * time.Millisecond
 
 func newConn(s *Server, accepted net.Conn) *conn {
-	c := &conn{Conn: accepted, server: s, limit: &io.LimitedReader{R: accepted, N: math.MaxInt64}}
-	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
+	c := &conn{Conn: accepted, server: s}
+	c.reader = bufio.NewReaderSize(accepted, bufferSize)
 	c.writer = bufio.NewWriterSize(&stallWriter{Conn: accepted, timeout: s.Limits.StallTimeout}, bufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -150,15 +150,10 @@
 
 // readRequest reads the header of a request.
 func (c *conn) readRequest() (*http.Request, error) {
-	c.limit.N = int64(c.server.Limits.MaxHeaderBytes + bufferSize)
-	request, err := http.ReadRequest(c.reader)
-	if err == nil && request.Host == "" && request.ProtoAtLeast(1, 1) {
-		err = &hostError{}
-	}
-	if c.limit.N <= 0 {
+	request, err := c.parseRequest()
+	if errors.Is(err, bufio.ErrBufferFull) {
 		err = &headerError{}
 	}
-	c.limit.N = math.MaxInt64
 	if err != nil {
 		return nil, err
 	}
@@ -166,6 +161,27 @@
 	return request.WithContext(c.ctx), nil
 }
 
+// parseRequest waits for the header of a request, checks it and parses it.
+func (c *conn) parseRequest() (*http.Request, error) {
+	limit := c.server.Limits.MaxHeaderBytes + bufferSize
+	head, reader, err := iohead.Await(c.reader, c.Conn, limit)
+	c.reader = reader
+	switch {
+	case err != nil:
+		return nil, err
+	case len(head) > limit:
+		return nil, &headerError{}
+	}
+	if err := mthead.CheckRequest(head); err != nil {
+		return nil, err
+	}
+	request, err := http.ReadRequest(c.reader)
+	if err == nil && request.Host == "" && request.ProtoAtLeast(1, 1) {
+		err = &hostError{}
+	}
+	return request, err
+}
+
 // hostError reports an HTTP/1.1 request without a Host header.
 type hostError struct{}
 
--- a/io/mtpipeline/mtpipeline_test.go
+++ b/io/mtpipeline/mtpipeline_test.go
@@ -474,6 +474,40 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
 
+// Guards against a request that is smuggled inside another: what one reader takes for a body, the next
+// takes for a request.
+func TestOddRequestsAreRefused(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	odd := map[string]string{
+		"HTTP/2.0": "GET /1 HTTP/2.0\r\nHost: h\r\n\r\n", "HTTP/1.9": "GET /1 HTTP/1.9\r\nHost: h\r\n\r\n",
+		"chunks in HTTP/1.0": fmt.Sprintf("POST /1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(smuggled), smuggled),
+	}
+	for _, lines := range []string{
+		"Content-Length : 40", "Content-Length\t: 40", "Content Length: 40", "Content-Length: 40\r\nContent-Length: 4", "Content-Length: 40, 40", "Content-Length: +40",
+		"X: a\r\n Content-Length: 40", "X: a\rContent-Length: 40", "Content-Length: 40\r\nTransfer-Encoding: chunked", "Transfer-Encoding : chunked", "Transfer Encoding: chunked",
+		"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, identity", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding:\x0bchunked",
+		"Host: other", "X\x01: a", "X: \x00", "X\x7f: a", ": a", "no colon", "X: a\r\n folded",
+	} {
+		odd[lines] = "POST /1 HTTP/1.1\r\nHost: h\r\n" + lines + "\r\n\r\n"
+	}
+	for name, text := range odd {
+		t.Run(name, func(t *testing.T) {
+			served := make(chan string, 10)
+			s := newTestConn(t, func(w http.ResponseWriter, r *http.Request) {
+				served <- r.URL.Path
+				_, _ = io.Copy(w, r.Body)
+			})
+			s.send(text + smuggled)
+			response, _ := s.read()
+			assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+			assert.Assert(t, response.Close)
+			_, err := s.reader.ReadByte()
+			assert.Assert(t, err != nil)
+			assert.Equal(t, len(served), 0)
+		})
+	}
+}
+
 // For any input, the connection must end after the caller has closed its write side, and
 // nothing must panic.
 func FuzzConnection(f *testing.F) {
@@ -493,3 +527,23 @@
 		}
 	})
 }
+
+// Guards against a request that is refused for its header, within the limit, because its body has arrived with it.
+func TestLongHeaderWithBodyIsServed(t *testing.T) {
+	for _, header := range []int{3000, 4200, 5000, 7500} {
+		for _, body := range []int{100, 8000, 200_000} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			s := startTestConn(t, listener, func(w http.ResponseWriter, r *http.Request) {
+				n, _ := io.Copy(io.Discard, r.Body)
+				_, _ = fmt.Fprint(w, n)
+			})
+			for range 2 {
+				s.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("x", header), body, strings.Repeat("b", body)))
+				response, text := s.read()
+				assert.Equal(t, response.StatusCode, http.StatusOK, "header of %d, body of %d bytes", header, body)
+				assert.Equal(t, text, fmt.Sprint(body))
+			}
+		}
+	}
+}
