Take no odd answer from another daemon

Cause: an answer that another daemon passed on was taken as it came: any status, any name and value of a field. A daemon of an earlier release takes odd answers of its server, so that during a rolling update they would still reach callers through daemons that refuse them from their own.

The writer of net/http drops invalid names and replaces line ends in values.

Evidence: TestOddAnswerOfAnotherDaemonIsNone, ten answers over a real connection.

Change: io/mtforward checks status (200 to 599) and fields of an answer with core/mthead; what is odd counts as no answer (unknown, truncated).

Measured: go test -race ./io/mtforward -run OddAnswerOf.

Why it works: each daemon checks what it passes on, wherever it was read.

--- a/core/mthead/mthead.go
+++ b/core/mthead/mthead.go
@@ -118,6 +118,14 @@
 	return int(n), ok && n >= http.StatusContinue && n < 600 && n != http.StatusSwitchingProtocols
 }
 
+// ValidAnswer reports whether a final response can have a status.
+func ValidAnswer(status int) bool { return status >= http.StatusOK && status < 600 }
+
+// ValidField reports whether a message can have a field.
+func ValidField(name, value string) bool {
+	return httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value)
+}
+
 // number returns the value of a text that is all digits.
 func number(digits string) (int64, bool) {
 	if strings.ContainsFunc(digits, func(r rune) bool { return r < '0' || r > '9' }) {
@@ -177,7 +185,7 @@
 // on with the field before, has no valid name.
 func (f *framing) add(line string) bool {
 	name, value, found := strings.Cut(line, ":")
-	if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+	if !found || !ValidField(name, value) {
 		return false
 	}
 	value = strings.Trim(value, " \t")
--- a/io/mtforward/mtforward_test.go
+++ b/io/mtforward/mtforward_test.go
@@ -109,6 +109,25 @@
 	assert.Equal(t, (<-clientLog.received).NewestVersion, mtid.Version(70))
 }
 
+// Guards against an answer that another daemon, of an earlier release, passes on although it is none.
+func TestOddAnswerOfAnotherDaemonIsNone(t *testing.T) {
+	for name, odd := range map[string]*mtcall.Answer{
+		"status 0": {}, "interim": {Status: 103}, "status 600": {Status: 600}, "status 999": {Status: 999},
+		"blank in a name": {Status: 200, Header: []mtcall.Field{{Name: "X More", Value: "a"}}}, "blank behind a name": {Status: 200, Header: []mtcall.Field{{Name: "Content-Length ", Value: "5"}}},
+		"line in a name": {Status: 200, Header: []mtcall.Field{{Name: "X: a\r\nY", Value: "a"}}}, "no name": {Status: 200, Header: []mtcall.Field{{Value: "a"}}},
+		"line in a value": {Status: 200, Header: []mtcall.Field{{Name: "X", Value: "a\r\nY: b"}}}, "control byte in a value": {Status: 200, Header: []mtcall.Field{{Name: "X", Value: "a\x00"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, &host{run: func(context.Context, *mtcall.Call) (*mtcall.Answer, error) { return odd, nil }})
+			c, clock, _ := client(t)
+			_, err := c.Forward(t.Context(), "b", address, call(clock))
+			var unknown *mtreply.UnknownError
+			assert.Assert(t, errors.As(err, &unknown), "%v", err)
+			assert.Equal(t, unknown.Cause, mtreply.CauseTruncated)
+		})
+	}
+}
+
 // fixedClock is a clock that stands still.
 type fixedClock mtclock.Instant
 
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"google.golang.org/grpc"
@@ -12,6 +13,7 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mthead"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtlink"
 	"magnoliaturn/core/mtpoison"
@@ -324,9 +326,37 @@
 // Error implements error.
 func (e *remoteError) Error() string { return e.detail }
 
+// answerError reports an answer with a status or a field that no server can have sent.
+type answerError struct {
+	status int
+	field  string // its name, if the field is the reason
+}
+
+// Error implements error.
+func (e *answerError) Error() string {
+	return fmt.Sprintf("not an answer: status %d, field %q", e.status, e.field)
+}
+
+// checkAnswer checks the head of an answer. A daemon of an earlier release passes on any.
+func checkAnswer(w *mtwire.ForwardReply) error {
+	status := int(w.GetStatus())
+	if !mthead.ValidAnswer(status) {
+		return &answerError{status: status}
+	}
+	for _, f := range w.GetHeader() {
+		if !mthead.ValidField(f.GetName(), f.GetValue()) {
+			return &answerError{status: status, field: f.GetName()}
+		}
+	}
+	return nil
+}
+
 func replyFromWire(w *mtwire.ForwardReply) (*mtcall.Answer, error) {
 	switch mtreply.Outcome(w.GetOutcome()) {
 	case mtreply.Answered:
+		if err := checkAnswer(w); err != nil {
+			return nil, &mtreply.UnknownError{Cause: mtreply.CauseTruncated, Err: err}
+		}
 		return &mtcall.Answer{
 			Status: int(w.GetStatus()),
 			Header: fieldsFromWire(w.GetHeader()),
