Read the answer while a large body is still being sent

Cause: a call was written whole before its answer was read. A server that answers before it has read a long body, with an answer that is longer than the buffers of the connection, waits for a reader, and so does the daemon. A short early answer was kept back in the same way from a server that doesn't read on.

Seen by callers: 504 at the deadline, with the whole answer on the connection.

Evidence: TestAnswerBeforeUploadIsReadIsWhole: an upload of 16 MB, an answer of 16 MB or of 5 bytes before it is read.

Change: a call with a body of more than one segment is written beside the reading of its answer. After a whole answer the write may go on for 100 ms, so that a server that reads on keeps its connection; after that the connection is closed. The exchange ends only when the write has, since the memory of the body is given back then. An answer without a length still counts only if the whole call was written. The server of the tests reads the body of a call before it answers.

Why it works: neither side waits for the other's write any more. A server that has read the whole call shows that its write has ended, so the grace can't cut a whole one.

--- a/io/mtbackend/cut_test.go
+++ b/io/mtbackend/cut_test.go
@@ -1,6 +1,8 @@
 package mtbackend_test
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -46,7 +48,7 @@
 func upload(t *testing.T, size int, send func(*mtcall.Call) (*mtcall.Answer, error)) (*mtcall.Answer, error) {
 	t.Helper()
 	one := &mtcall.Call{ID: "7", Method: http.MethodPost, Target: "/plans/7", Host: "maps.example"}
-	content := make([]byte, size)
+	content := bytes.Repeat([]byte("u"), size)
 	for part := range (size + mtcall.SegmentSize - 1) / mtcall.SegmentSize {
 		one.Body = append(one.Body, content[part*mtcall.SegmentSize:min(size, (part+1)*mtcall.SegmentSize)])
 	}
@@ -99,3 +101,88 @@
 	var refused *mtreply.RefusedError
 	assert.Assert(t, errors.As(err, &refused), "%v", err)
 }
+
+// Guards against an answer without a length that is given up although the call was written whole.
+func TestAnswerWithoutLengthAfterUploadIsWhole(t *testing.T) {
+	const repetitions = 10
+	for _, size := range []int{0, 10, 70_000, 1 << 20, 8 << 20} {
+		server := newRawServer(t, replyWith("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Signature: s\r\nX-End: CLOSE\r\n\r\nto the end"))
+		c, clock := client(t)
+		for range repetitions {
+			answer, err := upload(t, size, func(one *mtcall.Call) (*mtcall.Answer, error) {
+				one.Deadline = clock.Now().Add(5 * time.Second)
+				return c.Do(t.Context(), server.target(), one)
+			})
+			assert.NilError(t, err, "%d bytes", size)
+			assert.Equal(t, string(answer.Body.Bytes()), "to the end")
+		}
+	}
+}
+
+// newEarlyServer starts a server that answers after the head of a call, reads some of its body then, and reports
+// through the returned channel whether that is the beginning of the body.
+func newEarlyServer(t *testing.T, answer []byte, read int) (iobackend.Target, chan error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	checked := make(chan error, 10)
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := conn.Write(answer); err != nil {
+				return
+			}
+			got, _ := io.ReadAll(io.LimitReader(r.Body, int64(read)))
+			if i := bytes.IndexFunc(got, func(r rune) bool { return r != 'u' }); i >= 0 {
+				err = fmt.Errorf("byte %d of the body is %q", i, got[i])
+			}
+			checked <- err
+			if read == 0 {
+				<-t.Context().Done()
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return iobackend.Target{Address: listener.Addr().String(), Server: "server-1"}, checked
+}
+
+// Guards against a whole answer that is lost because its server sends it before it reads the upload: both write, and
+// neither reads.
+func TestAnswerBeforeUploadIsReadIsWhole(t *testing.T) {
+	const size = 16 << 20
+	for name, test := range map[string]struct{ answered, read int }{
+		"long answer, then reads on": {answered: size, read: size}, "short answer, then reads on": {answered: 5, read: size}, "short answer, never reads": {answered: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, clock := client(t)
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nReply-Signature: s\r\nContent-Length: %d\r\n\r\n", test.answered)
+			target, checked := newEarlyServer(t, append([]byte(head), bytes.Repeat([]byte("a"), test.answered)...), test.read)
+			for range 3 {
+				answer, err := upload(t, size, func(one *mtcall.Call) (*mtcall.Answer, error) {
+					one.Deadline = clock.Now().Add(5 * time.Second)
+					return c.Do(t.Context(), target, one)
+				})
+				assert.NilError(t, err)
+				assert.Equal(t, answer.Body.Len(), test.answered)
+				answer.Free()
+				assert.NilError(t, <-checked)
+			}
+		})
+	}
+}
--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -172,13 +172,14 @@
 // exchange sends the call and reads its answer. It also reports whether the connection can
 // carry another call.
 func (c *Client) exchange(ctx context.Context, conn *conn, target Target, call *mtcall.Call, remaining time.Duration) (*mtcall.Answer, bool, error) {
-	// There may be an answer even if the write fails: a server may refuse a long body
-	// before it has read it.
-	sendErr := c.write(conn, target, call, remaining)
+	// There may be an answer before the call is written, and even if the write fails: a server may refuse a
+	// long body before it has read it.
+	sending := c.send(conn, target, call, remaining)
+	defer sending.end(0)
 	for range maxMismatchedAnswers {
 		response, err := readResponse(conn, call.Method)
 		if err != nil {
-			return nil, false, errors.Join(err, sendErr)
+			return nil, false, errors.Join(err, sending.failure())
 		}
 		accepted, err := c.accept(response, target, call)
 		if err != nil {
@@ -188,14 +189,16 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if !accepted {
+			answer.Free()
+			continue
+		}
+		sendErr := sending.end(sendGrace)
 		if sendErr != nil && endsWithConnection(response) {
 			answer.Free()
 			return nil, false, &CutOffError{Err: sendErr}
 		}
-		if accepted {
-			return answer, reusable && sendErr == nil, nil
-		}
-		answer.Free()
+		return answer, reusable && sendErr == nil, nil
 	}
 	return nil, false, &mismatchError{}
 }
@@ -333,6 +336,59 @@
 // Error implements error.
 func (*mismatchError) Error() string { return "backend server answers other requests" }
 
+// sendGrace is for how long a call is still written after its answer has been read.
+const sendGrace = 100 * time.Millisecond
+
+// sending is a call that is being written.
+type sending struct {
+	conn net.Conn
+	done <-chan struct{}
+	err  error // once done is closed
+}
+
+// written is the channel of a call that was written at once.
+var written = func() <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}()
+
+// send writes a call. One with a large body is written while its answer is read: a server that answers before
+// it has read the body may wait until somebody reads.
+func (c *Client) send(conn *conn, target Target, call *mtcall.Call, remaining time.Duration) *sending {
+	if call.Body.Len() <= smallBody {
+		return &sending{done: written, err: c.write(conn, target, call, remaining)}
+	}
+	done := make(chan struct{})
+	s := &sending{conn: conn, done: done}
+	go func() {
+		defer close(done)
+		s.err = c.write(conn, target, call, remaining)
+	}()
+	return s
+}
+
+// failure returns the error of the write, or nil if it goes on.
+func (s *sending) failure() error {
+	select {
+	case <-s.done:
+		return s.err
+	default:
+		return nil
+	}
+}
+
+// end gives the write some time to end and returns its error. The body isn't used after that.
+func (s *sending) end(grace time.Duration) error {
+	select {
+	case <-s.done:
+	default:
+		_ = s.conn.SetWriteDeadline(time.Now().Add(grace))
+		<-s.done
+	}
+	return s.err
+}
+
 // write sends a call.
 func (c *Client) write(conn *conn, target Target, call *mtcall.Call, remaining time.Duration) error {
 	request, writer := c.request(target, call, remaining), &requestWriter{Writer: conn, call: call}
--- a/io/mtbackend/mtbackend_test.go
+++ b/io/mtbackend/mtbackend_test.go
@@ -61,6 +61,7 @@
 		if err != nil {
 			return
 		}
+		_, _ = io.Copy(io.Discard, r.Body)
 		s.mu.Lock()
 		s.requests = append(s.requests, r.Method+" "+r.RequestURI)
 		n := len(s.requests)
