Take no odd head for the answer to a health check

Cause: as with odd answers; health checks were read by the transport of net/http, which is as lenient.

Seen by callers: nothing by itself. Such a reply names the incarnation that runs, and what it reports of itself.

Evidence: TestOddHealthChecksAreNone, seven heads.

Change: a health check has a connection of its own, as before, and its answer is read like those to calls: bounded and checked. It ends with its time, as before.

Measured: go test -race ./io/mtbackend -run OddHealth.

--- a/io/mtbackend/mtbackend.go
+++ b/io/mtbackend/mtbackend.go
@@ -79,7 +79,6 @@
 	Config
 	pool   *pool
 	bodies *bodies
-	health *http.Transport // of health checks
 }
 
 // New returns a client, and its clean-up function, which closes the idle connections.
@@ -87,10 +86,7 @@
 	if config.Memory == nil {
 		config.Memory = iomemory.New(0)
 	}
-	c := &Client{
-		Config: config, pool: newPool(), bodies: newBodies(config.Memory),
-		health: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead, DisableCompression: true},
-	}
+	c := &Client{Config: config, pool: newPool(), bodies: newBodies(config.Memory)}
 	return c, c.pool.close
 }
 
@@ -136,9 +132,7 @@
 	if err != nil {
 		return nil, &mtreply.RefusedError{Cause: dialCause(err), RetryAfter: unreachableRetry, Detail: err.Error()}
 	}
-	opened := &conn{Conn: dialed}
-	opened.reader = bufio.NewReaderSize(opened, readBuffer)
-	return opened, nil
+	return newConn(dialed), nil
 }
 
 // unreachableRetry is the time after which to retry a call to a server that accepts no
@@ -298,11 +292,10 @@
 		return Health{}, &mtreply.RefusedError{Cause: mtreply.CauseMalformed, Detail: err.Error()}
 	}
 	request.Close = true
-	response, err := c.health.RoundTrip(request)
+	response, err := check(ctx, address, request)
 	if err != nil {
 		return Health{}, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
-	_ = response.Body.Close()
 	return Health{
 		Server:  mtid.Server(response.Header.Get(c.Names.AnsweringServer)),
 		Cold:    c.parseCold(response.Header),
@@ -310,6 +303,28 @@
 	}, nil
 }
 
+// check sends a health check on a connection of its own and returns the head of the answer.
+func check(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
+	var dialer net.Dialer
+	dialed, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = dialed.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = dialed.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	opened := newConn(dialed)
+	writeErr := request.Write(opened)
+	response, err := readResponse(opened, request.Method)
+	switch {
+	case err == nil:
+		return response, nil
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	}
+	return nil, errors.Join(err, writeErr)
+}
+
 // parseCold returns how much longer a server stays cold, as its header reports. If the
 // header is missing or invalid, the heartbeats determine the warm-up state.
 func (c *Client) parseCold(h http.Header) time.Duration {
--- a/io/mtbackend/odd_test.go
+++ b/io/mtbackend/odd_test.go
@@ -98,3 +98,21 @@
 		})
 	}
 }
+
+// Guards against a health check that takes bytes that are no answer for the report of its server.
+func TestOddHealthChecksAreNone(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 OK\r\nServer-Answering: a\r\n", "HTTP/1.1 700 OK\r\nServer-Answering: a\r\n", "HTTP/9.9 200 OK\r\nServer-Answering: a\r\n", "HTTP/1.1 100 OK\r\nX More: a\r\n\r\nHTTP/1.1 200 OK\r\nServer-Answering: a\r\n",
+		"HTTP/1.1 200 OK\r\nServer-Answering: a\r\nX More: a\r\n", "HTTP/1.1 200 OK\r\nServer-Answering: a\r\n folded\r\n", "HTTP/1.1 200 OK\r\nServer-Answering: a\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		server := newRawServer(t, replyWith(head+"\r\n"))
+		c, _ := client(t)
+		health, err := c.Identify(t.Context(), server.listener.Addr().String(), "/healthz")
+		assert.Check(t, err != nil, "%q: %v", head, health)
+	}
+	server := newRawServer(t, replyWith("HTTP/1.1 200 OK\r\nServer-Answering: a\r\nContent-Length: 0\r\n\r\n"))
+	c, _ := client(t)
+	health, err := c.Identify(t.Context(), server.listener.Addr().String(), "/healthz")
+	assert.NilError(t, err)
+	assert.Equal(t, string(health.Server), "a")
+}
--- a/io/mtbackend/pool.go
+++ b/io/mtbackend/pool.go
@@ -45,6 +45,13 @@
 	exceeded bool
 }
 
+// newConn returns a connection that has just been opened.
+func newConn(dialed net.Conn) *conn {
+	c := &conn{Conn: dialed}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
 // pool keeps idle connections. The last used one is used first.
 type pool struct {
 	mu      sync.Mutex
