Bound the heads of the store's responses

Cause: the clients of the store bounded bodies, but left heads to the transport of net/http, whose own bound is 10 MB; it allocates five to nine times that on the way.

Seen by callers: nothing by itself; a daemon in a small VM whose store sends heads without end needs up to 90 MB for each call that it makes.

--- a/io/mtstore/client.go
+++ b/io/mtstore/client.go
@@ -22,6 +22,9 @@
 	idleTimeout     = 90 * time.Second
 )
 
+// maxHead limits the head of a response, in bytes.
+const maxHead = 64 << 10
+
 // Client accesses the platform's store over HTTP. It implements the Store interface of
 // core/mtstore and is safe for concurrent use. It never retries a call.
 type Client struct {
@@ -43,9 +46,10 @@
 		return nil, nil, &SettingError{Field: "timeout", Value: timeout.String(), Accept: "more than 0s"}
 	}
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHead,
 	}
 	c := &Client{
 		base:    strings.TrimSuffix(base, "/"),
