Refuse late nested calls that could outlast a stopping daemon

Cause: a nested call was never refused in a shutdown. It got the time until the last answers are due, however little that was, and the daemon awaits a server's word only 50 ms longer.

Change: from the time on when no other new calls are taken, a nested call that could outlast the last answers is refused, not run, with a time to come back. Earlier ones get the time that is left, as before.

Test changed: TestStoppingDaemonServesNestedCallsForTheTimeLeft asserted that a nested call gets the time left at any time of a shutdown, which is the fault. Its replacement, TestStoppingDaemonServesNestedCallsThatEndInTime, asserts that early in the shutdown, and late that a call that ends in time is served and one that doesn't is refused without being run.

Why it works: what is taken late ends before the last answers are due by its own deadline. What is taken early and cut was sent in the first 3 s and is cut in the last sixth.

--- a/core/mtshutdown/mtshutdown.go
+++ b/core/mtshutdown/mtshutdown.go
@@ -11,6 +11,7 @@
 //	schedule := mtshutdown.New(now, grace)
 //	err := schedule.CheckNew(now, call.Deadline) // when a call arrives
 //	err := schedule.Check(now, call.Deadline)    // before it is sent to a server
+//	deadline, err := schedule.LimitNested(now, call.Deadline) // when a nested call arrives
 //
 // Calls that wait at the gates of daemons when the shutdown begins, and could outlast it, are
 // withdrawn:
@@ -108,6 +109,16 @@
 	return s.refusal(now, "the call could outlast the daemon, which is shutting down")
 }
 
+// LimitNested returns until when a nested call may last that arrives now. The call that waits for it
+// was accepted, so that until Retire it gets the time that is left. After that LimitNested returns a
+// *mtreply.RefusedError if the call could still be at work when the last answers are due.
+func (s Schedule) LimitNested(now, deadline mtclock.Instant) (mtclock.Instant, error) {
+	if now.Before(s.Retire) {
+		return min(deadline, s.LastAnswers), nil
+	}
+	return deadline, s.Check(now, deadline)
+}
+
 // Outlasts reports whether a call could still be at work when the last answers are due.
 func (s Schedule) Outlasts(deadline mtclock.Instant) bool { return deadline.After(s.LastAnswers) }
 
--- a/core/mtshutdown/mtshutdown_test.go
+++ b/core/mtshutdown/mtshutdown_test.go
@@ -86,3 +86,29 @@
 		}
 	}
 }
+
+// Guards against a nested call that arrives late, gets less time than it asks for and is cut off, and against one that is refused although the request that waits for it may still succeed.
+func TestNestedCallIsShortenedEarlyAndRefusedLate(t *testing.T) {
+	s := mtshutdown.New(begun, 6*time.Second)
+	for _, test := range []struct {
+		name          string
+		now, deadline mtclock.Instant
+		want          mtclock.Instant // zero if it is refused
+	}{
+		{"early, ends in time", begun, s.LastAnswers - 1, s.LastAnswers - 1},
+		{"early, would outlast", s.Retire - 1, s.LastAnswers + 1, s.LastAnswers},
+		{"late, ends in time", s.Retire, s.LastAnswers, s.LastAnswers},
+		{"late, would outlast", s.Retire, s.LastAnswers + 1, 0},
+		{"after the last answers", s.LastAnswers + 1, s.LastAnswers + 2, 0},
+	} {
+		deadline, err := s.LimitNested(test.now, test.deadline)
+		if test.want != 0 {
+			assert.NilError(t, err, test.name)
+			assert.Equal(t, deadline, test.want, test.name)
+			continue
+		}
+		var refused *mtreply.RefusedError
+		assert.Assert(t, errors.As(err, &refused), test.name)
+		assert.Assert(t, refused.RetryAfter > 0, test.name)
+	}
+}
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -101,18 +101,19 @@
 	return call, route, nil
 }
 
-// checkShutdown refuses a call that could outlast the daemon. A nested call gets the time that
-// is left instead: the call that waits for it was accepted, and would fail.
+// checkShutdown refuses a call that could outlast the daemon. A nested call that arrives early gets
+// the time that is left instead: the call that waits for it was accepted, and would fail.
 func (in *Ingress) checkShutdown(now mtclock.Instant, call *mtcall.Call) error {
 	s := in.shutdown.Load()
 	if s == nil {
 		return nil
 	}
-	if call.Nested {
-		call.Deadline = min(call.Deadline, s.LastAnswers)
-		return nil
+	if !call.Nested {
+		return s.CheckNew(now, call.Deadline)
 	}
-	return s.CheckNew(now, call.Deadline)
+	deadline, err := s.LimitNested(now, call.Deadline)
+	call.Deadline = deadline
+	return err
 }
 
 // adjustObjective counts the objective of a retried call from its caller's first try.
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -563,18 +563,39 @@
 	assert.Equal(t, exchange(mtheader.DefaultNames.Deadline, "100").Code, http.StatusOK)
 }
 
-// Guards against refusing what a call waits for that the daemon has accepted.
-func TestStoppingDaemonServesNestedCallsForTheTimeLeft(t *testing.T) {
-	sender := &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}}
-	ingress, clock, handler := newIngress(t, sender)
-	ingress.Configure(configuration(t, 1))
-	ingress.Parent = func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, true }
-	end := clock.Now().Add(time.Second)
-	ingress.BeginShutdown(mtshutdown.Schedule{Return: end, LastAnswers: end})
-	w := httptest.NewRecorder()
-	handler.ServeHTTP(w, newRequest("/desk/1", "1"))
-	assert.Equal(t, w.Code, http.StatusOK)
-	assert.Equal(t, sender.call.Deadline, end)
+// Guards against refusing what a call waits for that the daemon has accepted, and against cutting it off because it was taken late.
+func TestStoppingDaemonServesNestedCallsThatEndInTime(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		late   bool // after new calls are no longer accepted
+		header []string
+		want   int
+	}{
+		{name: "early, would outlast", want: http.StatusOK},
+		{name: "late, ends in time", late: true, header: []string{mtheader.DefaultNames.Deadline, "100"}, want: http.StatusOK},
+		{name: "late, would outlast", late: true, want: http.StatusServiceUnavailable},
+	} {
+		sender := &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}}
+		ingress, clock, handler := newIngress(t, sender)
+		ingress.Configure(configuration(t, 1))
+		ingress.Parent = func(mtcall.ID) (mtcall.Parent, bool) { return mtcall.Parent{}, true }
+		end := clock.Now().Add(time.Second)
+		schedule := mtshutdown.Schedule{Return: end, Retire: end, LastAnswers: end}
+		if test.late {
+			schedule.Retire = 0
+		}
+		ingress.BeginShutdown(schedule)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, newRequest("/desk/1", "1", test.header...))
+		assert.Equal(t, w.Code, test.want, test.name)
+		if test.want != http.StatusOK {
+			assert.Assert(t, sender.call == nil, "a refused request must not run")
+			assert.Assert(t, w.Header().Get("Retry-After") != "")
+			continue
+		}
+		assert.Assert(t, sender.call.Deadline <= end, test.name)
+		assert.Assert(t, test.late || sender.call.Deadline == end, test.name)
+	}
 }
 
 // fakeClock is a clock that a test advances.
