--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// maxDeadline is the longest time that a caller is taken to wait.
+	maxDeadline = 24 * time.Hour
 	// unconfiguredRetry is the Retry-After while the configuration is unknown or may be
 	// outdated.
 	unconfiguredRetry = 500 * time.Millisecond
@@ -75,7 +77,7 @@
 	call.Objective, call.TypicalService = route.ObjectiveAt(now), route.ExpectedDuration()
 	left := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(in.HeaderNames.Deadline), 10, 64); err == nil {
-		given := time.Duration(ms) * time.Millisecond
+		given := time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
 		left = min(left, given)
 		call.CallerDeadline = now.Add(given)
 	}
--- a/io/mtingress/send_test.go
+++ b/io/mtingress/send_test.go
@@ -664,3 +664,16 @@
 		assert.Assert(t, early <= 0, "answered %s before the caller's deadline", early)
 	}
 }
+
+// Guards against a request that is taken for expired because its deadline overflows.
+func TestLongDeadlineLeavesRoutesTimeout(t *testing.T) {
+	for _, deadline := range []string{"9223372036855", "9223372036854", "9223372036854775807", "9223372036854775808"} {
+		sender := &fakeSender{answer: &mtcall.Answer{Status: http.StatusOK}}
+		ingress, _, handler := newIngress(t, sender)
+		ingress.Configure(configuration(t, 1))
+		handler.ServeHTTP(httptest.NewRecorder(), newRequest("/desk/1", "1", mtheader.DefaultNames.Deadline, deadline))
+		call := sender.call
+		assert.Equal(t, call.Deadline, call.Arrived.Add(2*time.Second), deadline)
+		assert.Assert(t, call.CallerDeadline == 0 || call.CallerDeadline > call.Deadline, deadline)
+	}
+}
