Count an entry of the store only under the name that its writer gives it

Cause: the directory took era and service from the name of an assignment's entry and stored it under the service that its value names, without comparing the two. A copy under another name beside it had the newer version and replaced it. Every later write was on condition of the copy's version, which the real name never has, so that no key could move or be taken over. What couldn't be decoded below live/range/ also counted as a patch that doesn't fit, which begins another full read; where one takes more than 0.3 s they followed each other without end.

Change: names are split only if they are the one that daemons form, and an assignment, a patch or a loss must stand under exactly the name of what it holds, wherever it is read. The store contains no patches. Entries of other writers have no effect, aren't kept and aren't passed on; each version of one is logged once ("entry of another writer passed over", with its name), and store.odd-entries counts them. That line replaces four ("record of backend server passed over", "registration of a daemon passed over", "assignment passed over" and "loss of a server passed over" for entries of the store).

Why it works: a daemon forms one name for each era and service, and writes an assignment only under it, so an entry elsewhere is not one of ours.

--- a/core/mtstore/mesh.go
+++ b/core/mtstore/mesh.go
@@ -72,14 +72,16 @@
 	return era, mtid.Service(service), ok
 }
 
+// splitName returns the era and the rest of a name, or false if no daemon writes under it. There is
+// one name for each era and rest: "00/maps" is not the one of "0/maps".
 func splitName(name, prefix string) (mtid.Era, string, bool) {
-	rest, ok := strings.CutPrefix(name, prefix)
+	inEra, ok := strings.CutPrefix(name, prefix)
 	if !ok {
 		return 0, "", false
 	}
-	number, rest, ok := strings.Cut(rest, "/")
+	number, rest, _ := strings.Cut(inEra, "/")
 	era, err := strconv.ParseUint(number, 10, 32)
-	if !ok || err != nil || mtid.Era(era) > mtid.MaxEra {
+	if err != nil || mtid.Era(era) > mtid.MaxEra || rest == "" || eraPart(mtid.Era(era))+rest != inEra {
 		return 0, "", false
 	}
 	return mtid.Era(era), rest, true
--- a/core/mtstore/origin.go
+++ b/core/mtstore/origin.go
@@ -29,6 +29,9 @@
 	Sent mtclock.Instant
 }
 
+// FromStore reports whether this daemon read the entry from the store itself.
+func (o Origin) FromStore() bool { return o.Way == WayRead || o.Way == WayWatch || o.Way == WayPoll }
+
 // From returns the changes with the origin of all their entries set.
 func (c Changes) From(origin Origin) Changes {
 	for i := range c.Entries {
--- a/io/mtcommit/mtcommit.go
+++ b/io/mtcommit/mtcommit.go
@@ -311,11 +311,11 @@
 	if current.Version == 0 {
 		return false
 	}
-	table, err := mtrange.Decode(current.Value)
+	winner, err := mtdirectory.DecodeAssignment(current)
 	if err != nil {
 		c.Log.Error("assignment passed over", "service", service, "error", err)
 		return false
 	}
-	c.Directory.ApplyAssignment(mtdirectory.Assignment{Table: table, Version: current.Version})
+	c.Directory.ApplyAssignment(winner)
 	return true
 }
--- a/io/mtdirectory/assignment.go
+++ b/io/mtdirectory/assignment.go
@@ -74,13 +74,11 @@
 // change.
 func (d *Directory) ApplyPushedAssignment(e mtstore.Entry) {
 	pushed, err := d.View().applyPatch(e)
-	_, service, isAssignment := mtstore.SplitRangeName(e.Name)
-	if err == nil && pushed == nil && isAssignment && e.Version != 0 {
+	if err == nil && pushed == nil && e.Version != 0 {
 		// An assignment that has not changed often is sent as a whole.
-		var table *mtrange.Table
-		if table, err = mtrange.Decode(e.Value); err == nil && table.Service == service {
-			pushed = &Assignment{Table: table, Version: e.Version}
-		}
+		var whole Assignment
+		whole, err = DecodeAssignment(e)
+		pushed = &whole
 	}
 	if err != nil {
 		d.Log.Info("pushed assignment ignored", "name", e.Name, "error", err)
@@ -103,16 +101,19 @@
 // applyPatch returns the assignment that results from the patch in an entry, or the
 // known assignment if that is not older. It returns nil if the entry contains no
 // patch, and fails with a *mtrange.PatchError if the patch cannot be applied to the
-// known assignment.
+// known assignment, or with another error if no daemon wrote it.
 func (v *View) applyPatch(e mtstore.Entry) (*Assignment, error) {
 	_, service, isAssignment := mtstore.SplitRangeName(e.Name)
-	if !isAssignment || e.Version == 0 {
-		return nil, nil
+	if !isAssignment || e.Version == 0 || e.Origin.FromStore() {
+		return nil, nil // the store contains no patches
 	}
 	patch, err := mtrange.DecodePatch(e.Value)
 	if err != nil || patch == nil {
 		return nil, err
 	}
+	if name := mtstore.RangeName(patch.Next.Era(), patch.Service); name != e.Name {
+		return nil, &MisplacedError{Name: e.Name, Proper: name}
+	}
 	current, known := v.Assignments[service]
 	if !known {
 		return nil, &mtrange.PatchError{Service: patch.Service, Since: patch.Since}
@@ -127,27 +128,37 @@
 	return &Assignment{Table: table, Version: e.Version}, nil
 }
 
-func (d *Directory) applyAssignmentEntry(v *View, e mtstore.Entry) {
-	era, service, ok := mtstore.SplitRangeName(e.Name)
+// DecodeAssignment reads the entry of an assignment. It fails with a *mtrange.DecodeError, or with a
+// *MisplacedError if the entry doesn't stand under the name that its writer would give it.
+func DecodeAssignment(e mtstore.Entry) (Assignment, error) {
+	table, err := mtrange.Decode(e.Value)
+	if err != nil {
+		return Assignment{}, err
+	}
+	if name := mtstore.RangeName(table.Era(), table.Service); name != e.Name {
+		return Assignment{}, &MisplacedError{Name: e.Name, Proper: name}
+	}
+	return Assignment{Table: table, Version: e.Version}, nil
+}
+
+// applyAssignmentEntry applies an assignment. It fails if no daemon wrote it.
+func (d *Directory) applyAssignmentEntry(v *View, e mtstore.Entry) error {
 	if e.Version == 0 {
 		d.Log.Error("assignment was deleted from the store", "name", e.Name)
-		return
-	}
-	table, err := mtrange.Decode(e.Value)
-	if err == nil && (!ok || table.Era() > era) {
-		err = &mtrange.DecodeError{Reason: "assignment of another era than its name"}
+		return nil
 	}
+	read, err := DecodeAssignment(e)
 	if err != nil {
-		d.Log.Error("assignment passed over", "service", service, "error", err)
-		return
+		return err
 	}
-	read := Assignment{Table: table, Version: e.Version}
+	table, service, era := read.Table, read.Service, read.Era()
 	if old, ok := v.Assignments[service]; ok && !read.newer(old) {
 		if old.newer(read) {
 			d.Log.Warn("older assignment passed over", "service", service, "version", e.Version.Number(), "epoch", uint64(table.Next), "known", old.Version.Number(), "known-epoch", uint64(old.Next))
 		}
-		return
+		return nil
 	}
 	d.Log.Info("assignment", "service", service, "era", era, "version", e.Version.Number(), "epoch", uint64(table.Next), "ranges", len(table.Ranges))
 	v.setAssignment(read)
+	return nil
 }
--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -60,6 +60,7 @@
 		}
 	}
 	clear(d.doubtful)
+	clear(d.odd)
 	d.publisher.runNow()
 	return true
 }
@@ -119,8 +120,7 @@
 	d.update(func(v *View) bool {
 		for name, e := range d.doubtful {
 			d.Log.Warn("entry of the copy comes into force", "name", name, "present", e.Version != 0, "revision", e.Revision.Number())
-			d.entries[name] = e
-			if !d.applyEntry(v, now, e) {
+			if !d.applyAndKeep(v, now, e) {
 				others = append(others, e)
 			}
 		}
--- a/io/mtdirectory/loss.go
+++ b/io/mtdirectory/loss.go
@@ -23,17 +23,22 @@
 }
 
 // applyLossEntry passes on a loss. Nothing is passed on when an entry expires: those who know the
-// loss count its age themselves.
-func (d *Directory) applyLossEntry(e mtstore.Entry) {
-	if e.Version == 0 || d.OnLoss == nil {
-		return
+// loss count its age themselves. It fails if no daemon wrote the entry.
+func (d *Directory) applyLossEntry(e mtstore.Entry) error {
+	if e.Version == 0 {
+		return nil
 	}
 	loss, err := mtpoison.DecodeLoss(e.Value)
+	if err == nil && mtstore.LossName(loss.ID) != e.Name {
+		err = &MisplacedError{Name: e.Name, Proper: mtstore.LossName(loss.ID)}
+	}
 	if err != nil {
-		d.Log.Error("loss of a server passed over", "name", e.Name, "error", err)
-		return
+		return err
+	}
+	if d.OnLoss != nil {
+		d.OnLoss(loss)
 	}
-	d.OnLoss(loss)
+	return nil
 }
 
 // pendingLoss is a loss that the store may not contain yet.
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -81,16 +81,12 @@
 	}
 }
 
-// applyRecordEntry applies a written or deleted record of a daemon.
-func (d *Directory) applyRecordEntry(v *View, now mtclock.Instant, e mtstore.Entry) {
-	era, name, ok := mtstore.SplitBackendName(e.Name)
-	if !ok {
-		d.Log.Error("record of backend server passed over", "name", e.Name, "version", e.Version.Number())
-		return
-	}
+// applyRecordEntry applies a written or deleted record of a daemon. It fails if no daemon wrote it.
+func (d *Directory) applyRecordEntry(v *View, now mtclock.Instant, e mtstore.Entry) error {
+	era, name, _ := mtstore.SplitBackendName(e.Name)
 	if era != v.Era() {
 		d.applyFormerRecord(name, e)
-		return
+		return nil
 	}
 	d.copyMembersOnce(v)
 	delete(v.InvalidRecords, name)
@@ -107,11 +103,11 @@
 			d.publisher.onDeleted(e.Revision)
 		}
 		if m.Expired && e.Revision <= m.deletedAt {
-			return
+			return nil
 		}
 		v.Members[name] = m.markExpired(now, e.Revision)
 		d.Log.Info("record of backend server gone", "peer", name, "server", m.Incarnation.String(), "known", ok, "revision", e.Revision.Number())
-		return
+		return nil
 	}
 	old, known := v.Members[name]
 	record, err := mtbackend.Decode(e.Value)
@@ -121,30 +117,26 @@
 	if err != nil {
 		// The last valid record remains in effect. A takeover is conditional on its
 		// version, so it fails while this entry exists.
-		d.Log.Error("record of backend server passed over", "name", e.Name, "version", e.Version.Number(), "error", err)
 		if !known {
 			v.InvalidRecords[name] = true
 		}
 		if name == d.Self {
 			d.publisher.onOverwritten(e.Version)
 		}
-		return
+		return err
 	}
 	if !known || old.Record != record || old.Expired {
 		d.Log.Info("backend server", "peer", name, "server", record.Incarnation.String(), "service", record.Service,
 			"state", record.State, "leaving", record.Leaving, "version", e.Version.Number())
 	}
 	v.Members[name] = Member{Record: record, Version: e.Version}
+	return nil
 }
 
 // applyRegistrationEntry applies a registration. If its daemon's record is known to be absent, it
 // has been present in between: the time since which it has been absent begins anew.
 func (d *Directory) applyRegistrationEntry(v *View, now mtclock.Instant, e mtstore.Entry) {
-	era, name, ok := mtstore.SplitRegistrationName(e.Name)
-	if !ok {
-		d.Log.Error("registration of a daemon passed over", "name", e.Name, "version", e.Version.Number())
-		return
-	}
+	era, name, _ := mtstore.SplitRegistrationName(e.Name)
 	if era != v.Era() {
 		delete(d.entries, e.Name)
 		return
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -18,6 +18,7 @@
 package mtdirectory
 
 import (
+	"errors"
 	"log/slog"
 	"maps"
 	"strings"
@@ -29,6 +30,7 @@
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
+	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtwatch"
 )
@@ -78,6 +80,7 @@
 	listeners    []func()
 	entries      map[string]mtstore.Entry // all entries that were received, including deletions
 	doubtful     map[string]mtstore.Entry // what operators may have changed since, by name
+	odd          map[string]mtid.Version  // entries in the store that no daemon wrote, by name
 	eraEntered   mtid.Revision            // of the update that began the era; the copy's entries are older
 	settleTimer  *time.Timer              // applies the doubtful entries; nil before the first of them
 	nextChange   chan struct{}            // closed at the next change
@@ -91,7 +94,7 @@
 // that this one has terminated.
 func New(config Config) (*Directory, func()) {
 	d := &Directory{
-		Config: config, entries: make(map[string]mtstore.Entry), doubtful: make(map[string]mtstore.Entry), nextChange: make(chan struct{}),
+		Config: config, entries: make(map[string]mtstore.Entry), doubtful: make(map[string]mtstore.Entry), odd: make(map[string]mtid.Version), nextChange: make(chan struct{}),
 	}
 	if d.Source == nil {
 		d.Source = config.Store
@@ -212,9 +215,16 @@
 	d.update(func(v *View) bool {
 		entered := d.enterEra(v, u.Changes.Revision, now)
 		for _, e := range d.deletedEntries(u, v, entered) {
-			d.applyEntry(v, now, e)
+			d.applyAndKeep(v, now, e)
+		}
+		if u.Snapshot {
+			d.forgetOdd(u.Changes)
 		}
 		for _, e := range u.Changes.Entries {
+			if err := checkName(e.Name); err != nil {
+				d.passOver(e, err)
+				continue
+			}
 			if d.zoneKnown(e) {
 				continue
 			}
@@ -226,17 +236,21 @@
 			}
 			delete(d.doubtful, e.Name)
 			patched, err := v.applyPatch(e)
-			if err != nil {
+			var unfit *mtrange.PatchError
+			if errors.As(err, &unfit) {
 				d.Log.Warn("patch of an assignment can't be applied", "name", e.Name, "error", err)
 				patchFailed = true
 				continue
 			}
+			if err != nil {
+				d.passOver(e, err)
+				continue
+			}
 			if patched != nil {
 				d.setPatched(v, e, *patched)
 				continue
 			}
-			d.entries[e.Name] = e
-			if !d.applyEntry(v, now, e) {
+			if !d.applyAndKeep(v, now, e) {
 				others = append(others, e)
 			}
 		}
@@ -257,23 +271,23 @@
 }
 
 // applyEntry applies an entry, and reports whether it is a record, a registration, an assignment, an
-// order about a zone or the loss of a server.
-func (d *Directory) applyEntry(v *View, now mtclock.Instant, e mtstore.Entry) bool {
+// order about a zone or the loss of a server. It fails if no daemon wrote the entry.
+func (d *Directory) applyEntry(v *View, now mtclock.Instant, e mtstore.Entry) (used bool, _ error) {
 	switch {
 	case strings.HasPrefix(e.Name, mtstore.BackendPrefix):
-		d.applyRecordEntry(v, now, e)
+		return true, d.applyRecordEntry(v, now, e)
 	case strings.HasPrefix(e.Name, mtstore.RegistrationPrefix):
 		d.applyRegistrationEntry(v, now, e)
 	case strings.HasPrefix(e.Name, mtstore.RangePrefix):
-		d.applyAssignmentEntry(v, e)
+		return true, d.applyAssignmentEntry(v, e)
 	case strings.HasPrefix(e.Name, mtstore.ZonePrefix):
 		d.applyZoneEntry(v, e)
 	case strings.HasPrefix(e.Name, mtstore.LossPrefix):
-		d.applyLossEntry(e)
+		return true, d.applyLossEntry(e)
 	default:
-		return false
+		return false, nil
 	}
-	return true
+	return true, nil
 }
 
 // update creates a new view and calls the listeners if edit reports a difference.
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -269,12 +269,12 @@
 		g.Log.Warn("assignment could not be read", "error", err)
 		return false
 	}
-	table, err := mtrange.Decode(entry.Value)
+	read, err := mtdirectory.DecodeAssignment(entry)
 	if err != nil {
 		g.Log.Error("assignment in the store is invalid", "error", err)
 		return false
 	}
-	g.Directory.ApplyAssignment(mtdirectory.Assignment{Table: table, Version: entry.Version})
+	g.Directory.ApplyAssignment(read)
 	return true
 }
 
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -271,6 +271,7 @@
 		OnEra:            m.enterEra,
 	})
 	m.directory.Store(directory)
+	m.Metrics().Gauge("store", "odd-entries", func() any { return directory.OddEntries() })
 	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
 }
 
