Take a record for a server only if its address can be dialed

Cause: the address in a stored record had to be there, and any text was one.

What callers saw: an entry of another writer under its own name, with a port out of range, counted as a ready server. Keys were moved to it, and every request for them was refused for good.

Change: an address is a host and a port from 1 to 65535. A record with another one is ignored like the others that no daemon writes.

Why it works: what can't be dialed is never a member, so nothing is sent or given to it.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -16,8 +16,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -145,8 +148,8 @@
 	switch {
 	case r.Daemon == "":
 		return &fieldError{field: "daemon"}
-	case r.Address == "":
-		return &fieldError{field: "address"}
+	case !reachable(r.Address):
+		return &fieldError{field: "address", value: r.Address}
 	case r.Service == "":
 		return &fieldError{field: "service"}
 	case !r.State.known():
@@ -160,6 +163,19 @@
 	return nil
 }
 
+// maxHostBytes is the longest name of a host.
+const maxHostBytes = 253
+
+// reachable reports whether an address can be dialed: a host and a port, both named.
+func reachable(address string) bool {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil || host == "" || len(host) > maxHostBytes {
+		return false
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	return err == nil && port != 0 && !strings.ContainsFunc(host, func(c rune) bool { return c <= ' ' || c == '/' || c > unicode.MaxASCII })
+}
+
 // fieldError reports an invalid field of a record.
 type fieldError struct{ field, value string }
 
@@ -168,5 +184,5 @@
 	if e.value == "" {
 		return fmt.Sprintf("field %q is empty", e.field)
 	}
-	return fmt.Sprintf("field %q has the invalid value %q", e.field, e.value)
+	return fmt.Sprintf("field %q has the invalid value %.80q", e.field, e.value)
 }
--- a/io/mtdirectory/invalid_test.go
+++ b/io/mtdirectory/invalid_test.go
@@ -28,7 +28,7 @@
 		assert.NilError(t, err)
 		return string(text)
 	}
-	return map[string]string{
+	invalid := map[string]string{
 		"empty value":            "",
 		"undecodable bytes":      "\x00\xff{",
 		"not an object":          `["b"]`,
@@ -43,7 +43,16 @@
 		"state of another type":  strings.Replace(good, `"ready"`, `7`, 1),
 		"name of another daemon": strings.Replace(good, `"daemon":"b"`, `"daemon":"c"`, 1),
 		"megabyte of garbage":    strings.Repeat("x", 1<<20),
+		"deep nesting":           strings.Replace(good, `"ready"`, strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000), 1),
+		"number too large":       strings.Replace(good, `"slots":3`, `"slots":1e400`, 1),
 	}
+	for _, address := range []string{
+		"a", "a:", ":1", "a:0", "a:-1", "a:+1", "a:65536", "a:70000", "a:18446744073709551617", "a:http", "a:1:2", "::1:80", "a:1/path", "http://a:1", "a b:1", "a/b:1", "\u0000:1", "ä:1",
+		strings.Repeat("a", 64<<10) + ":1",
+	} {
+		invalid["address "+address[:min(len(address), 30)]] = strings.Replace(good, `"address":"a:1"`, `"address":"`+address+`"`, 1)
+	}
+	return invalid
 }
 
 // Another program overwrites the record of a running daemon. Other daemons must keep
