--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,10 +38,15 @@
 	configs := flag.Bool("configs", true, "the configuration is replaced by small and large ones")
 	overload := flag.Bool("overload", true, "the policies for overload are on")
 	planned := flag.Bool("planned", false, "inject no faults but those of the options")
+	endings := flag.Bool("endings", false, "everything is lost at the end of each run")
 	flag.Parse()
 	failed := 0
 	for i := range uint64(*runs) {
 		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Crashes: *crashes, StepBacks: *stepBacks, Configs: *configs, Overload: *overload, Planned: *planned, Logs: *logs}
+		if *endings {
+			ending := soak.DrawEnding(config.Seed)
+			config.Ending = &ending
+		}
 		result, err := soak.Run(context.Background(), config)
 		if !report(config.Seed, result, err) {
 			failed++
@@ -62,6 +67,9 @@
 	}
 	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d faults injected, recovered in %s\n",
 		seed, result.Served, result.Refused, result.Failed, len(result.Injected), result.RecoveryTime.Round(time.Millisecond))
+	if result.Recovery != nil {
+		fmt.Printf("  %s\n", result.Recovery)
+	}
 	for _, c := range result.CrashCounts {
 		fmt.Printf("  %s crashed %d servers, %d of them late\n", c.Path, c.Crashes, c.Late)
 	}
