Answer a request whose body is still arriving when a daemon stops

Cause: the last answers of a shutdown were given to calls that were being sent to servers. A request whose body was still arriving was in no call yet, and its connection was closed.

What callers saw: no answer, at the end of the grace period, to an upload that had begun before or during the stop. Nothing had been passed on to a server.

Evidence: TestUnfinishedBodyIsRefusedAtEndOfGracePeriod without the change: "unexpected EOF: before", 2 of 2 runs.

Change: when the last answers are due, reading a body fails, and the request gets 503, not run, with a time to come back.

Why it works: the end of the body, or of the time for it, comes before the connections close, and either way the request is answered.

--- a/io/mtingress/mtingress.go
+++ b/io/mtingress/mtingress.go
@@ -147,7 +147,9 @@
 	}
 	hold := in.Memory.Hold(mtmemory.Request)
 	defer hold.Release()
+	bodyEnded := in.endBodyInTime(w, r)
 	call, route, err := in.parseRequest(arrived, r, hold)
+	bodyEnded()
 	if err != nil {
 		in.writeError(w, call, err)
 		in.OnCompletion(call, nil, w.Status, err, in.Clock.Now().Sub(arrived))
--- a/io/mtingress/request.go
+++ b/io/mtingress/request.go
@@ -1,6 +1,7 @@
 package mtingress
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -93,7 +94,7 @@
 		return call, nil, err
 	}
 	if err := in.readBody(call, config, r, hold); err != nil {
-		return call, nil, err
+		return call, nil, in.bodyError(call, err)
 	}
 	// The shutdown may have begun while the body arrived.
 	if err := in.checkShutdown(in.Clock.Now(), call); err != nil {
@@ -103,6 +104,24 @@
 	return call, route, nil
 }
 
+// endBodyInTime makes the read of a body fail when the last answers of a shutdown are due, until the
+// returned function is called.
+func (in *Ingress) endBodyInTime(w http.ResponseWriter, r *http.Request) func() bool {
+	if r.ContentLength == 0 {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(in.lifetime, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) })
+}
+
+// bodyError returns the error of a call whose body couldn't be read. At the end of a shutdown that is a
+// refusal: the call has not run.
+func (in *Ingress) bodyError(call *mtcall.Call, err error) error {
+	if in.lifetime.Err() == nil {
+		return err
+	}
+	return in.shutdown.Load().CheckNew(in.Clock.Now(), call.Deadline)
+}
+
 // checkShutdown refuses a call that could outlast the daemon. A nested call that arrives early gets
 // the time that is left instead: the call that waits for it was accepted, and would fail.
 func (in *Ingress) checkShutdown(now mtclock.Instant, call *mtcall.Call) error {
--- a/io/mtpipeline/exchange.go
+++ b/io/mtpipeline/exchange.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// SetReadDeadline sets the deadline of the body for http.ResponseController. Without a body it does
+// nothing.
+func (e *exchange) SetReadDeadline(deadline time.Time) error {
+	if e.consumed == nil {
+		return nil
+	}
+	return e.conn.SetReadDeadline(deadline)
+}
+
 // Write implements http.ResponseWriter.
 func (e *exchange) Write(p []byte) (int, error) {
 	e.WriteHeader(http.StatusOK)
