Bound the heads of messages between daemons

Cause: the listener for other daemons left the size of heads to gRPC: 16 MB of fields for each stream, which take as much again while they are decoded. The product's own listener had a bound; the one of the deployments with servers outside didn't, and no client had.

Evidence: TestEndlessBytesStayWithinMemory, processes with 284 MB beside small requests of another client: eleven forms of answers, and ten of requests to the listeners for callers, ready, beats and other daemons, four connections each.

Change: 16 KB at the listener, as everywhere, and 64 KB for what a client receives. The stand-in of a server has answers without end.

Why it works: a head is given up once it is larger than any that a daemon sends.

--- a/io/mtconn/mtconn.go
+++ b/io/mtconn/mtconn.go
@@ -29,6 +29,9 @@
 	"magnoliaturn/core/mtreply"
 )
 
+// maxHead is the maximum size of the head and of the trailer of a response, in bytes.
+const maxHead = 64 << 10
+
 // Pool holds one connection for each address.
 type Pool struct {
 	options []grpc.DialOption
@@ -39,7 +42,7 @@
 // New returns an empty pool and its clean-up function, which closes all connections. The
 // automatic retries of gRPC are turned off.
 func New(options ...grpc.DialOption) (*Pool, func()) {
-	options = append(options, grpc.WithStatsHandler(sentHandler{}), grpc.WithDisableRetry())
+	options = append(options, grpc.WithStatsHandler(sentHandler{}), grpc.WithDisableRetry(), grpc.WithMaxHeaderListSize(maxHead))
 	p := &Pool{options: options, conns: make(map[string]*grpc.ClientConn)}
 	return p, p.close
 }
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -47,7 +47,7 @@
 
 // listen serves callers and other daemons.
 func (m *Mesh) listen() error {
-	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(maxPeerStreams),
+	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(maxPeerStreams), grpc.MaxHeaderListSize(mtlisten.MaxHeaderBytes),
 		grpc.InitialWindowSize(mtforward.StreamWindow), grpc.InitialConnWindowSize(mtforward.ConnWindow),
 		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
 	mtforward.Register(m.peers, mtforward.Server{
