Let connections leave their ports to listeners

Cause: the kernel gives an outgoing connection a port of the same range from which a platform may deal the daemon's. Without SO_REUSEADDR at the connection, no listener can be opened at that port until the connection has ended, and for a minute after that (TIME_WAIT). Two kinds of connections hold a daemon's own port: those that it opens itself before the port (watches of the store come before the port for readiness checks and last as long as the process), and those of the process before.

Change: connections to the store and to other daemons, and those that wait for a listener's queue, have SO_REUSEADDR, as listeners have.

Why it works: the kernel refuses a listener only beside sockets that haven't the option, or that listen. Connections of other processes still hold ports; the port waits for them. Connections to the backend server are not changed here.

--- a/io/mtdial/accepted.go
+++ b/io/mtdial/accepted.go
@@ -26,7 +26,7 @@
 	if _, ok := address.(Unopened); ok {
 		return nil
 	}
-	var dialer net.Dialer
+	dialer := net.Dialer{Control: control}
 	conn, err := dialer.DialContext(ctx, address.Network(), address.String())
 	if err != nil {
 		return err
--- a/io/mtdial/mtdial.go
+++ b/io/mtdial/mtdial.go
@@ -44,10 +44,15 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
-// control sets TCP_USER_TIMEOUT, which package net has no setting for.
+// control sets TCP_USER_TIMEOUT, which package net has no setting for, and SO_REUSEADDR, which it sets
+// only for listeners. With both, a listener can be opened at the port that the kernel has given to a
+// connection.
 func control(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
+		if sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); sockErr != nil {
+			return
+		}
 		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
 	if err != nil {
