Leave the record to a former process that holds the ports

Cause: since a daemon no longer ends where its ports are in use, one that starts while its former process still serves wrote its own record at once, under the same name.

The former process serves on, while its record says that the state of its server is unknown.

Change: the record is held back until the port for heartbeats is open. Before that the daemon hears nothing of its server, so that its record would say nothing anyway.

Why it works: only one process can have the port open.

--- a/io/mtlisten/port.go
+++ b/io/mtlisten/port.go
@@ -38,6 +38,7 @@
 	log     *slog.Logger
 	ctx     context.Context // ends when the port is closed
 	cancel  context.CancelFunc
+	opened  chan struct{} // closed when the port is open for the first time
 
 	mu       sync.Mutex
 	inner    net.Listener // nil while the port isn't open
@@ -47,12 +48,13 @@
 // Open opens the first of the addresses that is free. If none is, it returns a port that opens the
 // first one later.
 func Open(purpose string, listen ListenFunc, log *slog.Logger, addresses ...string) *Port {
-	p := &Port{purpose: purpose, address: addresses[0], listen: listen, log: log}
+	p := &Port{purpose: purpose, address: addresses[0], listen: listen, log: log, opened: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, address := range addresses {
 		inner, err := listen(p.ctx, address)
 		if err == nil {
 			p.address, p.inner = address, inner
+			close(p.opened)
 			break
 		}
 		log.Warn("port can't be opened yet", "purpose", purpose, "address", address, "error", err)
@@ -67,6 +69,12 @@
 	return p.inner != nil
 }
 
+// Opened returns a channel that is closed when the port is open for the first time.
+func (p *Port) Opened() <-chan struct{} { return p.opened }
+
+// Closed returns a channel that is closed when the port is closed.
+func (p *Port) Closed() <-chan struct{} { return p.ctx.Done() }
+
 // Accept implements net.Listener.
 func (p *Port) Accept() (net.Conn, error) {
 	for pause := minPortPause; ; pause = min(2*pause, maxPortPause) {
@@ -131,6 +139,11 @@
 		return
 	}
 	p.inner = opened
+	select {
+	case <-p.opened:
+	default:
+		close(p.opened)
+	}
 	_ = setDeadline(opened, p.deadline)
 	p.log.Info("port is open", "purpose", p.purpose, "address", p.address)
 }
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -87,7 +87,11 @@
 	CallerAddress string              // address on which to accept requests of callers on this VM
 	PeerAddress   string              // address on which to accept calls of other daemons
 	SparePeers    []string            // replace PeerAddress if it is in use at the start, the first free one
-	Dial          mtdial.Func         // opens connections to other daemons; nil stands for mtdial.Dial
+	// HeartbeatPort is where heartbeats of the backend server arrive; nil if they come in another way.
+	// As long as it isn't open, a former process of this daemon may go on under its name: the record
+	// isn't written then.
+	HeartbeatPort *mtlisten.Port
+	Dial          mtdial.Func // opens connections to other daemons; nil stands for mtdial.Dial
 	Store         mtstore.ConditionalStore
 	Port          mtgrant.ServerClient
 	Names         mtheader.Names
@@ -313,7 +317,7 @@
 		Health:      m.healthPath,
 		IsDeclared:  m.declares,
 		Keyed:       m.keyed,
-		Publish:     directory.Publish,
+		Publish:     m.holdRecord(directory.Publish),
 		PublishLoss: m.publishLoss,
 		CheckGrant: func(incarnation mtid.ServerIncarnation, key mtid.KeyNumber) error {
 			return grants.Load().CheckGranted(incarnation, key)
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -31,9 +31,15 @@
 	peers := append([]string{m.config.PeerAddress}, m.config.SparePeers...)
 	m.peerPort = m.OpenPort("peers", mtdial.Listen, peers...)
 	m.callerPort = m.OpenPort("callers", mtlisten.Listen, m.config.CallerAddress)
+	if m.config.HeartbeatPort != nil {
+		m.watchPort("beats", m.config.HeartbeatPort)
+	}
 	return mtkernel.Register(m.kernel, NamePorts, m, func() {
 		_ = m.callerPort.Close()
 		_ = m.peerPort.Close()
+		if m.config.HeartbeatPort != nil {
+			_ = m.config.HeartbeatPort.Close()
+		}
 	})
 }
 
@@ -41,10 +47,15 @@
 // open.
 func (m *Mesh) OpenPort(purpose string, listen mtlisten.ListenFunc, addresses ...string) *mtlisten.Port {
 	port := mtlisten.Open(purpose, listen, m.config.Log, addresses...)
-	m.Metrics().Gauge("open", purpose, func() any { return port.IsOpen() })
+	m.watchPort(purpose, port)
 	return port
 }
 
+// watchPort adds a metric that tells whether a port is open.
+func (m *Mesh) watchPort(purpose string, port *mtlisten.Port) {
+	m.Metrics().Gauge("open", purpose, func() any { return port.IsOpen() })
+}
+
 // listen serves callers and other daemons.
 func (m *Mesh) listen() error {
 	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(maxPeerStreams), grpc.MaxHeaderListSize(mtlisten.MaxHeaderBytes),
