Outlive a panic in a handler of another daemon's call

Cause: gRPC lets a panic of a handler end the process. The servers for callers, probes and heartbeats catch it.

What callers saw: nothing was seen, and no message that makes a handler panic is known. It would end all requests in flight on the VM.

Change: the server for other daemons catches a panic, logs it with its stack, and fails the call.

Why it works: the error says nothing of whether the call ran, so the daemon that sent it takes its outcome for unknown.

--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -87,8 +87,11 @@
 	}
 }
 
-// SlowStart exports slowStart to tests.
-var SlowStart = slowStart
+// Unexported functions that the tests of the package use.
+var (
+	SlowStart     = slowStart
+	RecoverPanics = recoverPanics
+)
 
 // ChooseSurveyed returns the daemons that are asked for a load report, of those without a recent one.
 func ChooseSurveyed(stale []mtdirectory.Member, unreported []mtrange.Owner) []mtdirectory.Member {
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -58,9 +58,9 @@
 
 // listen serves callers and other daemons.
 func (m *Mesh) listen() error {
-	m.peers = grpc.NewServer(grpc.MaxConcurrentStreams(maxPeerStreams), grpc.MaxHeaderListSize(mtlisten.MaxHeaderBytes),
+	m.peers = grpc.NewServer(append(recoverPanics(m.config.Log), grpc.MaxConcurrentStreams(maxPeerStreams), grpc.MaxHeaderListSize(mtlisten.MaxHeaderBytes),
 		grpc.InitialWindowSize(mtforward.StreamWindow), grpc.InitialConnWindowSize(mtforward.ConnWindow),
-		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))
+		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))...)
 	mtforward.Register(m.peers, mtforward.Server{
 		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveEntry: m.receivePushed, Commit: m.commitFor,
 		ReserveLink: m.Host().ReserveLink, Withdraw: m.Host().Withdraw, Memory: m.memory(),
