--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -167,7 +167,7 @@
 		f.storePausedUntil = time.Now().Add(storePause)
 		return changes, err
 	}
-	if len(changes.Entries) > 0 {
+	if changes.Revision > after { // also after changes that nobody uses
 		mtduty.Sleep(ctx, f.batchDelay())
 	}
 	return changes.From(mtstore.Origin{Way: mtstore.WayWatch, Took: f.clock.Now().Sub(started)}), nil
