Wait for a daemon's own record before the store steps back in a test

By the log of a failing run the store stepped back before daemon a had written its record at all: the test waited only for that of b. Then a has no tenure in the era before, rightly.

--- a/io/mtdirectory/era_test.go
+++ b/io/mtdirectory/era_test.go
@@ -32,7 +32,7 @@
 	copied := store.Copy()
 	a.Publish(record("a"))
 	b.Publish(record("b"))
-	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
+	waitFor(t, "both records are written", func() bool { return knowsRecord(a, "b", false) && a.Current() })
 	for era := mtid.Era(1); era <= 2; era++ {
 		store.StepBack(copied)
 		waitFor(t, "the records are back", func() bool {
