Count chunks, records and bundles only under their own names

Cause: the copy of the live state of the product's own interface took service, daemon and business from a value and not from its name, so that a copy under another name stood beside its original, and the order of a map decided which one counted. The number of chunks that a value names was the size of a table in memory, without a bound.

What callers would see: by reading, requests sent by an assignment that isn't in force, and a daemon that runs out of memory (32 GB for one odd number).

Evidence: TestCopiesUnderOtherNamesAreNotUsed, before: 5 of 5 failed (five chunks instead of one, or two records of one daemon). TestTooManyChunksAreNotDecoded, before: 1025 chunks decoded.

Change: a value under another name than its own is kept and passed on as before, but not used. A chunk of more than 1024, the most that a bundle may ask for, can't be decoded; mtbundle takes its bound from there.

Measured: go test -race ./core/mtshard ./core/mtview ./core/mtbundle ./io/mtsync ./io/mtmember ./io/mtrollout passed once.

Why it works: a name is formed from what the value holds, so one of another writer's copies has a different one, and the size of the table is bounded before it is made.

--- a/core/mtbundle/parse.go
+++ b/core/mtbundle/parse.go
@@ -9,6 +9,7 @@
 
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtini"
+	"magnoliaturn/core/mtshard"
 )
 
 // Fault is one mistake in a bundle's text.
@@ -23,7 +24,7 @@
 	MaxClasses  = 32 // per service
 	MaxSigners  = 64
 	MaxShards   = 65536
-	MaxChunks   = 1024
+	MaxChunks   = mtshard.MaxChunks
 	MaxTimeout  = 5 * time.Minute
 	MinTimeout  = time.Millisecond
 	MaxQueue    = 65536
--- a/core/mtshard/codec.go
+++ b/core/mtshard/codec.go
@@ -54,6 +54,9 @@
 	return proto.MarshalOptions{Deterministic: true}.Marshal(w)
 }
 
+// MaxChunks is the largest number of chunks of an assignment.
+const MaxChunks = 1024
+
 // Decode decodes a stored chunk. Its errors are of type *DecodeError.
 func Decode(value []byte) (*Table, error) {
 	w := &mtwire.Chunk{}
@@ -66,6 +69,9 @@
 	if w.GetChunk() >= w.GetChunks() {
 		return nil, &DecodeError{Reason: "chunk number is not below the number of chunks"}
 	}
+	if w.GetChunks() > MaxChunks {
+		return nil, &DecodeError{Reason: "more chunks than an assignment has"}
+	}
 	t := &Table{
 		Service:   mtid.Ref{Business: mtid.Business(w.GetBusiness()), Service: mtid.Service(w.GetService())},
 		Chunk:     int(w.GetChunk()),
--- a/core/mtshard/mtshard_test.go
+++ b/core/mtshard/mtshard_test.go
@@ -237,3 +237,14 @@
 	assert.Assert(t, float64(most) <= 2.5*mean, "a holder is selected in %d chunks, the mean is %.1f", most, mean)
 	assert.Assert(t, len(selected) > holders*99/100, "only %d of %d holders are selected", len(selected), holders)
 }
+
+// Guards against a number of chunks for which a daemon takes all memory.
+func TestTooManyChunksAreNotDecoded(t *testing.T) {
+	for chunks, want := range map[int]bool{1: true, mtshard.MaxChunks: true, mtshard.MaxChunks + 1: false, 1<<32 - 1: false} {
+		table := mtshard.New(mtid.Ref{Business: "b", Service: "s"}, 0, chunks)
+		value, err := table.Encode()
+		assert.NilError(t, err)
+		_, err = mtshard.Decode(value)
+		assert.Equal(t, err == nil, want, chunks)
+	}
+}
--- a/core/mtview/mtview.go
+++ b/core/mtview/mtview.go
@@ -330,6 +330,9 @@
 		return nil
 	}
 	record, err := mtroster.Decode(item.Value)
+	if err == nil && mtstore.RosterName(record.Holder.Daemon) != item.Name {
+		return nil // a copy of another daemon's record
+	}
 	v.record = record
 	return err
 }
@@ -340,6 +343,9 @@
 		return nil
 	}
 	bundle, err := mtbundle.Decode(item.Value)
+	if err == nil && mtstore.BundleName(bundle.Business) != item.Name {
+		return nil // a copy of another business's bundle
+	}
 	v.bundle = bundle
 	return err
 }
@@ -349,6 +355,10 @@
 	if err != nil {
 		return err
 	}
+	if mtstore.ShardName(table.Service, table.Chunk) != item.Name {
+		v.bytes = item.Value // a copy of another chunk
+		return nil
+	}
 	if table.Version != item.Version {
 		return &VersionError{Table: table.Version, Store: item.Version}
 	}
--- a/core/mtview/mtview_test.go
+++ b/core/mtview/mtview_test.go
@@ -188,6 +188,29 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against a copy under another name that takes the place of what it was copied from.
+func TestCopiesUnderOtherNamesAreNotUsed(t *testing.T) {
+	store := newFakeStore()
+	store.record("a")
+	store.change(mtshard.Create{Shards: 1, Holders: []mtid.Holder{{Daemon: "a", Incarnation: 1}}})
+	more := *store.table
+	more.Chunks, more.Version = 5, 1
+	copied, err := more.Encode()
+	assert.NilError(t, err)
+	for _, name := range []string{mtstore.ShardName(ref, 1), mtstore.ShardName(ref, 0) + "0", mtstore.ShardPrefix + "copy"} {
+		store.put(name, copied)
+	}
+	other, err := (&mtroster.Record{Holder: mtid.Holder{Daemon: "a", Incarnation: 9}}).Encode()
+	assert.NilError(t, err)
+	store.put(mtstore.RosterName("b"), other)
+	v := mtview.New()
+	_, err = v.Merge(store.since(0))
+	assert.NilError(t, err)
+	assert.Equal(t, v.Snapshot().Frontier(), store.revision)
+	assert.Equal(t, len(v.Snapshot().Tables(ref)), 1)
+	assert.Equal(t, len(v.Snapshot().Roster()), 1)
+}
+
 // A daemon that wrote a table knows the new version before its revision. It must
 // use the new table immediately, and later accept the same version again together
 // with its revision.
