--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -17,6 +17,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"magnoliaturn/platform/soak"
@@ -39,12 +40,20 @@
 	overload := flag.Bool("overload", true, "the policies for overload are on")
 	planned := flag.Bool("planned", false, "inject no faults but those of the options")
 	endings := flag.Bool("endings", false, "everything is lost at the end of each run")
+	play := flag.String("play", "", "with -endings, the kind of ending: "+strings.Join(soak.Plays(), ", ")+"; any of them if empty")
 	flag.Parse()
 	failed := 0
 	for i := range uint64(*runs) {
 		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Crashes: *crashes, StepBacks: *stepBacks, Configs: *configs, Overload: *overload, Planned: *planned, Logs: *logs}
 		if *endings {
 			ending := soak.DrawEnding(config.Seed)
+			if *play != "" {
+				var known bool
+				if ending, known = soak.DrawPlay(*play, config.Seed); !known {
+					fmt.Println("no such play:", *play)
+					os.Exit(2)
+				}
+			}
 			config.Ending = &ending
 		}
 		result, err := soak.Run(context.Background(), config)
