Tell why keys have no owner yet, and why owned keys aren't granted

Change: the lines "keys that have no owner" and "keys that are not granted" at each change, and the metrics keys.unowned and keys.ungranted: keys by reason, with the time left where a reason ends by itself. lostOwners decides as before, from the same reasons. Measured: go test -race ./io/mtgrant passes.

--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -186,6 +186,8 @@
 	claimFailed        bool               // the last attempt to write them failed
 	claimedFirst       bool               // claims were made from some tenure
 	forgone            []mtrange.Range    // moves whose outcome is lost with their era
+	unowned            Waits              // keys of the service that have no owner
+	ungranted          Waits              // keys of the server that are not granted to it
 
 	offloads sync.WaitGroup // running ones
 	// lostSince holds when each lost owner was first found lost, by the steady clock. Only
--- a/io/mtgrant/sync.go
+++ b/io/mtgrant/sync.go
@@ -29,6 +29,7 @@
 	for _, held := range g.dueGrants(record) {
 		g.sendGrant(ctx, address, held)
 	}
+	g.reportUngranted(record)
 }
 
 // releaseUnassigned releases keys that the assignment has given to another server although
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -34,6 +34,7 @@
 	view := g.Directory.View()
 	steadySince, ok := g.Directory.StoreSteadySince()
 	if view.Revision == 0 || !ok {
+		g.reportUnowned(g.unreadable(view))
 		return
 	}
 	now := g.Clock.Steady()
@@ -45,11 +46,17 @@
 	if assigned && g.fallowDue(view, assignment, now) {
 		lost = append(lost, fallow)
 	}
-	if assigned && len(lost) == 0 {
+	if assigned && g.complete(view, assignment) {
 		g.lostSince = nil
+		g.reportUnowned(nil)
 		return
 	}
 	survivors := g.survivors(view)
+	g.reportUnowned(g.unownedKeys(view, assignment, now, steadySince, len(survivors)))
+	if assigned && len(lost) == 0 {
+		g.lostSince = nil
+		return
+	}
 	rank := slices.IndexFunc(survivors, func(o mtrange.Owner) bool { return o.Daemon == g.Self })
 	if rank < 0 {
 		return
@@ -100,8 +107,7 @@
 // Where the store has come back from an older copy, or may have, an assignment may have been
 // written and lost. Then nobody is granted keys before the grants by it must have expired.
 func (g *Grants) writeFirst(ctx context.Context, view *mtdirectory.View, now mtclock.Instant, survivors []mtrange.Owner, delay time.Duration) {
-	mayBeLost := !g.Bootstrap || view.FormerRevision != 0
-	if mayBeLost && now.Sub(view.EraSince) < g.grantsExpireAfter() {
+	if g.firstMayBeLost(view) && now.Sub(view.EraSince) < g.grantsExpireAfter() {
 		return
 	}
 	g.mu.Lock()
@@ -121,6 +127,11 @@
 	g.Committer.Write(ctx, nil, table, 0, "first assignment")
 }
 
+// firstMayBeLost reports whether an assignment may have been written and lost by the store.
+func (g *Grants) firstMayBeLost(view *mtdirectory.View) bool {
+	return !g.Bootstrap || view.FormerRevision != 0
+}
+
 // dueLosses returns the lost owners that have been lost for at least the delay that this
 // daemon's rank requires. All daemons see a loss at the same time. Without the delay all of
 // them would write: 39 writes had 38 conflicts.
@@ -165,24 +176,13 @@
 func (g *Grants) lostOwners(view *mtdirectory.View, now, steadySince mtclock.Instant) []mtrange.Owner {
 	var lost []mtrange.Owner
 	for _, owner := range g.owners {
-		m, known := view.Members[owner.Daemon]
-		switch {
-		case view.InvalidRecords[owner.Daemon]:
-			// Another writer overwrote the record. Its daemon may be alive and its server
-			// may hold keys.
-		case known && !m.Expired:
+		if m, known := view.Members[owner.Daemon]; known && !m.Expired && !view.InvalidRecords[owner.Daemon] {
 			if !m.MayHoldKeys(owner.Incarnation) {
 				lost = append(lost, owner)
 			}
-		case now.Sub(steadySince) < storeSettleTime:
-			// The record may return shortly.
-		case !known:
-			// This daemon has never seen the record, nor a registration that shows whether it has been
-			// back. The time counts from when the store began to be watched without a gap.
-			if since, ok := g.Directory.StoreUpSince(); ok && now.Sub(since) >= g.grantsExpireAfter() {
-				lost = append(lost, owner)
-			}
-		case now.Sub(m.ExpiredSince) >= g.grantsExpireAfter():
+			continue
+		}
+		if _, _, waiting := g.ownerWait(view, now, steadySince, owner); !waiting {
 			lost = append(lost, owner)
 		}
 	}
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -446,6 +446,14 @@
 // addSummary adds the task that logs a summary of the requests in each interval.
 func (m *Mesh) addSummary() error {
 	grants := mtkernel.MustLookup[*mtgrant.Grants](m.kernel, NameGrants)
+	m.Metrics().Gauge("keys", "unowned", func() any {
+		unowned, _ := grants.Waiting()
+		return unowned
+	})
+	m.Metrics().Gauge("keys", "ungranted", func() any {
+		_, ungranted := grants.Waiting()
+		return ungranted
+	})
 	stop := mtduty.Every(summaryInterval, func(context.Context) {
 		m.recorder.logSummary(m.Host().Load(), m.Host().Status(), m.retryCounts(), grants.TakeMovedCount(), m.storeCalls())
 	})
