Let fallow keys wait on through further steps back of the store

Cause: after everything was lost and the store came back from an older copy, no key is granted until no grant of an earlier era can be in force, 10.5 s. Each further step back began that time anew, since keys may have been claimed or taken over in the seconds lost with it. A wait that every disturbance restarts, though mostly nothing has happened that it would have to wait for. Callers saw: 503 for all keys, and 500 for what needs them, for as long as steps back came less than 10.5 s apart; there was no bound. Change: 2.5 s after an era is known, what is still fallow is sealed: an entry whose absence every claim has as a condition, and which names how long nobody takes fallow keys over. A daemon that saw everything up to the seal, and the next era within that time, counts on from the era before. The time that an era lasted is measured by the clock that never runs slow, waits by the one that never runs ahead. Why it works: in a sealed era a fallow key can get an owner only by a claim before the seal, which the daemon has seen, or a takeover after the seal's time, when the era was over. So no grant of that era exists for it.

--- a/core/mtrange/era.go
+++ b/core/mtrange/era.go
@@ -53,3 +53,30 @@
 	claimed := Range{Low: low, High: high, Owner: owner, Epoch: t.Next}
 	return &Table{Service: t.Service, Next: t.Next + 1, Ranges: overlay(t.Ranges, []Range{claimed})}
 }
+
+// Span is a run of adjacent keys. Both ends are inclusive.
+type Span struct{ Low, High mtid.KeyNumber }
+
+// AllKeys is the span of all keys of a service.
+var AllKeys = Span{High: mtid.LastKeyNumber}
+
+// FallowSpans returns the fallow keys, in order, as the longest spans.
+func (t *Table) FallowSpans() []Span {
+	var spans []Span
+	for _, r := range t.Ranges {
+		last := len(spans) - 1
+		switch {
+		case !t.Fallow(r):
+		case last >= 0 && int(spans[last].High)+1 == int(r.Low):
+			spans[last].High = r.High
+		default:
+			spans = append(spans, Span{Low: r.Low, High: r.High})
+		}
+	}
+	return spans
+}
+
+// Covered reports whether one of the spans contains all keys from low to high.
+func Covered(spans []Span, low, high mtid.KeyNumber) bool {
+	return slices.ContainsFunc(spans, func(s Span) bool { return s.Low <= low && high <= s.High })
+}
--- a/core/mtstore/mesh.go
+++ b/core/mtstore/mesh.go
@@ -14,13 +14,15 @@
 // zone that is out of service; only operators write it, and it exists for as long as
 // the zone is out of service. Below LossPrefix is one entry for each recent loss of a backend
 // server, under a lease that nobody renews. Below RegistrationPrefix is one entry for each daemon,
-// written without a lease whenever its record is created.
+// written without a lease whenever its record is created. Below SealPrefix is one entry for each service
+// with numbered keys and era of the store in which keys had no owner.
 const (
 	BackendPrefix      = LivePrefix + "backend/"
 	RangePrefix        = LivePrefix + "range/"
 	ZonePrefix         = LivePrefix + "zone/"
 	LossPrefix         = LivePrefix + "loss/"
 	RegistrationPrefix = LivePrefix + "registration/"
+	SealPrefix         = LivePrefix + "seal/"
 )
 
 // BackendName returns the name, in an era of the store, of the record of the backend server that
@@ -39,6 +41,17 @@
 	return RangePrefix + eraPart(era) + string(s)
 }
 
+// SealName returns the name of the seal of an era of the store for a service (see package mtseal).
+func SealName(era mtid.Era, s mtid.Service) string {
+	return SealPrefix + eraPart(era) + string(s)
+}
+
+// SplitSealName returns the era and the service of the name of a seal, or false for another name.
+func SplitSealName(name string) (mtid.Era, mtid.Service, bool) {
+	era, service, ok := splitName(name, SealPrefix)
+	return era, mtid.Service(service), ok
+}
+
 func eraPart(era mtid.Era) string { return strconv.FormatUint(uint64(era), 10) + "/" }
 
 // RegistrationName returns the name, in an era of the store, of the registration of a daemon. Its
--- a/io/mtcommit/mtcommit.go
+++ b/io/mtcommit/mtcommit.go
@@ -156,7 +156,7 @@
 		if slices.Contains(conditions, p.condition) {
 			continue
 		}
-		if len(conditions) == mtstore.MaxConditions {
+		if len(conditions) == mtstore.MaxConditions-1 { // one more is that the era is not sealed
 			batch := slices.Clone(q.waiting[:i])
 			q.waiting = slices.Delete(q.waiting, 0, i)
 			return batch
@@ -187,10 +187,15 @@
 		if len(applicable) == 0 {
 			return
 		}
-		outcome, stale := c.write(c.baseCtx, conditions(applicable), next, version, "moves")
+		era, sealName := next.Era(), mtstore.SealName(next.Era(), service)
+		all := conditions(applicable)
+		if slices.ContainsFunc(applicable, func(p *pendingTransfer) bool { return p.Claims(era) }) {
+			all = append(all, mtstore.Condition{Name: sealName})
+		}
+		outcome, stale := c.write(c.baseCtx, all, next, version, "moves")
 		if stale != "" {
 			batch = slices.DeleteFunc(applicable, func(p *pendingTransfer) bool {
-				refused := p.condition.Name == stale
+				refused := p.condition.Name == stale || stale == sealName && p.Claims(era)
 				if refused {
 					p.result <- mtrange.Refused
 				}
--- a/io/mtcommit/mtcommit_test.go
+++ b/io/mtcommit/mtcommit_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 	"gotest.tools/v3/poll"
 
 	"magnoliaturn/core/mtbackend"
@@ -191,3 +192,52 @@
 	outcome := f.committer.CommitForPeer(canceled, f.batch(6))[0]
 	assert.Assert(t, outcome == mtrange.OutcomeUnknown, "%v", outcome)
 }
+
+// Guards against a claim in an era whose seal shows other daemons that nobody claims keys any more. Moves go on.
+func TestClaimsAreRefusedInSealedEra(t *testing.T) {
+	for name, sealed := range map[string]bool{"sealed": true, "not sealed": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.store.StepBack(f.store.Copy())
+			f.store.Fail(nil)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if f.directory.View().Era() == 1 {
+					return poll.Success()
+				}
+				return poll.Continue("waiting until the era is known")
+			})
+			record := func(i int) mtid.Version {
+				value, err := mtbackend.Record{Daemon: daemonName(i), Address: "x:1", Service: service, Incarnation: ownerOf(i).Incarnation, Slots: 10, State: mtbackend.Ready}.Encode()
+				assert.NilError(t, err)
+				return f.store.Put(mtstore.BackendName(1, daemonName(i)), value)
+			}
+			claim := func(i int) mtrange.Batch {
+				r := f.directory.View().Assignments[service].Owned(ownerOf(i))[0]
+				return mtrange.Batch{Service: service, Daemon: daemonName(i), RecordVersion: record(i), Transfers: []mtrange.Transfer{
+					{From: r.Owner, Epoch: r.Epoch, Low: r.Low, High: r.High, To: r.Owner},
+				}}
+			}
+			first := claim(0)
+			assert.DeepEqual(t, f.committer.Commit(context.Background(), first), []mtrange.Outcome{mtrange.Written})
+			if sealed {
+				f.store.Put(mtstore.SealName(1, service), []byte("{}"))
+			}
+			second, want := claim(1), mtrange.Written
+			if sealed {
+				want = mtrange.Refused
+			}
+			owned := f.directory.View().Assignments[service].Owned(ownerOf(0))[0]
+			move := mtrange.Batch{Service: service, Daemon: daemonName(0), RecordVersion: first.RecordVersion, Transfers: []mtrange.Transfer{
+				{From: owned.Owner, Epoch: owned.Epoch, Low: owned.Low, High: owned.Low, To: ownerOf(1)},
+			}}
+			var both sync.WaitGroup
+			both.Go(func() {
+				assert.Check(t, is.DeepEqual(f.committer.CommitForPeer(context.Background(), second), []mtrange.Outcome{want}))
+			})
+			both.Go(func() {
+				assert.Check(t, is.DeepEqual(f.committer.CommitForPeer(context.Background(), move), []mtrange.Outcome{mtrange.Written}))
+			})
+			both.Wait()
+		})
+	}
+}
--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -37,11 +37,13 @@
 	if v.Revision != 0 && era <= v.Era() {
 		return false
 	}
-	v.EraSince = now
 	if v.Revision == 0 {
+		v.EraSince = now
 		v.Revision = mtid.RevisionOf(era, 1) // the copy is empty, and complete up to the first one
 		return false
 	}
+	d.endSeals(v, era)
+	v.EraSince = now
 	v.FormerRevision, d.eraEntered = v.Revision, revision
 	d.Log.Warn("copy enters a new era of the store", "era", era, "before", v.Era(), "revision", revision.Number(), "known", v.Revision.Number())
 	v.Revision = mtid.RevisionOf(era, 1)
@@ -67,7 +69,7 @@
 
 // namedByEra reports whether an entry has another name in each era of the store.
 func namedByEra(name string) bool {
-	return strings.HasPrefix(name, mtstore.BackendPrefix) || strings.HasPrefix(name, mtstore.RangePrefix) || strings.HasPrefix(name, mtstore.RegistrationPrefix)
+	return strings.HasPrefix(name, mtstore.BackendPrefix) || strings.HasPrefix(name, mtstore.RangePrefix) || strings.HasPrefix(name, mtstore.RegistrationPrefix) || strings.HasPrefix(name, mtstore.SealPrefix)
 }
 
 // SettleTime is how long after the beginning of an era of the store the operators' last known
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -75,19 +75,21 @@
 // Directory maintains the copy. See the package comment.
 type Directory struct {
 	Config
-	view         atomic.Pointer[View]
-	mu           sync.Mutex // guards listeners, entries, nextChange and the creation of views
-	listeners    []func()
-	entries      map[string]mtstore.Entry // all entries that were received, including deletions
-	doubtful     map[string]mtstore.Entry // what operators may have changed since, by name
-	odd          map[string]mtid.Version  // entries in the store that no daemon wrote, by name
-	eraEntered   mtid.Revision            // of the update that began the era; the copy's entries are older
-	settleTimer  *time.Timer              // applies the doubtful entries; nil before the first of them
-	nextChange   chan struct{}            // closed at the next change
-	publisher    *publisher
-	watcher      atomic.Pointer[mtwatch.Watcher]
-	storeUpSince atomic.Int64 // steady instant since when the store has responded; 0 if it fails
-	health       storeHealth
+	view       atomic.Pointer[View]
+	mu         sync.Mutex // guards listeners, entries, nextChange and the creation of views
+	listeners  []func()
+	entries    map[string]mtstore.Entry // all entries that were received, including deletions
+	doubtful   map[string]mtstore.Entry // what operators may have changed since, by name
+	odd        map[string]mtid.Version  // entries in the store that no daemon wrote, by name
+	eraEntered mtid.Revision            // of the update that began the era; the copy's entries are older
+	// assignmentMissed reports that an assignment could not be applied since everything was read last.
+	assignmentMissed bool
+	settleTimer      *time.Timer   // applies the doubtful entries; nil before the first of them
+	nextChange       chan struct{} // closed at the next change
+	publisher        *publisher
+	watcher          atomic.Pointer[mtwatch.Watcher]
+	storeUpSince     atomic.Int64 // steady instant since when the store has responded; 0 if it fails
+	health           storeHealth
 }
 
 // New starts to watch the store and returns the Directory and its clean-up function.
@@ -221,6 +223,7 @@
 		}
 		if u.Snapshot {
 			d.forgetOdd(u.Changes)
+			d.assignmentMissed = false
 		}
 		for _, e := range u.Changes.Entries {
 			if err := checkName(e.Name); err != nil {
@@ -240,11 +243,13 @@
 			patched, err := v.applyPatch(e)
 			var unfit *mtrange.PatchError
 			if errors.As(err, &unfit) {
+				d.assignmentMissed = true
 				d.Log.Warn("patch of an assignment can't be applied", "name", e.Name, "error", err)
 				patchFailed = true
 				continue
 			}
 			if err != nil {
+				d.assignmentMissed = true
 				d.passOver(e, err)
 				continue
 			}
@@ -280,6 +285,8 @@
 		return true, d.applyRecordEntry(v, now, e)
 	case strings.HasPrefix(e.Name, mtstore.RegistrationPrefix):
 		d.applyRegistrationEntry(v, now, e)
+	case strings.HasPrefix(e.Name, mtstore.SealPrefix):
+		return true, d.applySealEntry(v, now, e)
 	case strings.HasPrefix(e.Name, mtstore.RangePrefix):
 		return true, d.applyAssignmentEntry(v, e)
 	case strings.HasPrefix(e.Name, mtstore.ZonePrefix):
@@ -307,6 +314,8 @@
 		Former:            old.Former,
 		EraSince:          old.EraSince,
 		FormerRevision:    old.FormerRevision,
+		Seals:             old.Seals,
+		Unowned:           old.Unowned,
 	}
 	differs := edit(next)
 	if differs {
--- a/io/mtdirectory/odd.go
+++ b/io/mtdirectory/odd.go
@@ -31,6 +31,8 @@
 		_, _, ok = mtstore.SplitRegistrationName(name)
 	case strings.HasPrefix(name, mtstore.RangePrefix):
 		_, _, ok = mtstore.SplitRangeName(name)
+	case strings.HasPrefix(name, mtstore.SealPrefix):
+		_, _, ok = mtstore.SplitSealName(name)
 	case strings.HasPrefix(name, mtstore.ZonePrefix):
 		ok = name != mtstore.ZonePrefix
 	case strings.HasPrefix(name, mtstore.LossPrefix):
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -56,11 +56,12 @@
 	former    atomic.Pointer[Tenure]
 
 	validUntil     atomic.Int64
-	lastVersion    atomic.Uint64 // version of the last write
-	validSince     atomic.Uint64 // version since which the record has been present without a gap, and has not reported the end of the server
-	foreignVersion atomic.Uint64 // version that another writer stored under this daemon's name
-	deletedAt      atomic.Uint64 // revision at which the record was reported as deleted
-	unavailable    atomic.Bool   // the last attempt to maintain the record failed
+	lastVersion    atomic.Uint64               // version of the last write
+	validSince     atomic.Uint64               // version since which the record has been present without a gap, and has not reported the end of the server
+	foreignVersion atomic.Uint64               // version that another writer stored under this daemon's name
+	deletedAt      atomic.Uint64               // revision at which the record was reported as deleted
+	firstWrite     atomic.Pointer[recordWrite] // the first one of the era entered last
+	unavailable    atomic.Bool                 // the last attempt to maintain the record failed
 }
 
 func newPublisher(config Config) *publisher {
@@ -332,6 +333,22 @@
 	p.validUntil.Store(0)
 }
 
+// recordWrite is a write of the record that succeeded.
+type recordWrite struct {
+	version mtid.Version
+	sent    mtclock.Instant // by the clock that never runs slow
+}
+
+// sentBefore returns a time before which an entry with a version was certainly not written: this
+// daemon sent a write at that time, and the store gave it a lower version in the same era.
+func (p *publisher) sentBefore(version mtid.Version) (mtclock.Instant, bool) {
+	first := p.firstWrite.Load()
+	if first == nil || first.version.Era() != version.Era() || first.version >= version {
+		return 0, false
+	}
+	return first.sent, true
+}
+
 // writeRecord writes the record. A previous incarnation of this daemon may have left a
 // record whose lease is still active, or an earlier write whose response was lost may
 // have been applied. Both show as a conflict that contains the current entry.
@@ -344,6 +361,7 @@
 	interrupted := p.version == 0 || p.validSince.Load() == 0
 	mayBeAbsent := p.version == 0 || p.written == mtbackend.Record{}
 	for range maxWriteAttempts {
+		sent := p.Clock.Now()
 		version, err := p.swapRecord(ctx, name, value, mayBeAbsent)
 		p.endTenure(wanted, err)
 		var conflict *mtstore.ConflictError
@@ -352,6 +370,9 @@
 		case err == nil && version.Era() != p.era:
 			return &eraError{Name: name, Era: version.Era()} // written under a name that counts no more
 		case err == nil:
+			if first := p.firstWrite.Load(); first == nil || first.version.Era() != version.Era() {
+				p.firstWrite.Store(&recordWrite{version: version, sent: sent})
+			}
 			p.version, p.written = version, wanted
 			if interrupted {
 				p.setValidSince(version)
--- a/io/mtdirectory/view.go
+++ b/io/mtdirectory/view.go
@@ -3,6 +3,7 @@
 import (
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtseal"
 	"magnoliaturn/core/mtzone"
 )
 
@@ -20,6 +21,10 @@
 	// FormerRevision is the revision up to which the copy was complete at the end of the last era
 	// that it has seen; zero if it has seen one only.
 	FormerRevision mtid.Revision
+	// Seals holds the seals of the store's era, by service, and Unowned what is known of the eras just
+	// before it.
+	Seals   map[mtid.Service]mtseal.Observed
+	Unowned map[mtid.Service]mtseal.History
 	// InvalidRecords contains the daemons under whose names there is an entry that no
 	// daemon wrote, if no valid record of them is known. Such an entry identifies no
 	// usable server, and it does not prove that a server has terminated.
--- a/io/mtgrant/claim.go
+++ b/io/mtgrant/claim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtreply"
 	"magnoliaturn/io/mtdirectory"
@@ -93,13 +94,16 @@
 // checkFallow returns nil for a key of the server, fallow in the store's era, that it may still have
 // by a grant of this daemon's previous process: the server itself refuses a call for a key that it
 // does not have. After that time the error asks the caller to come back when the key can be granted.
-func (g *Grants) checkFallow(view *mtdirectory.View) error {
+func (g *Grants) checkFallow(view *mtdirectory.View, key mtid.KeyNumber) error {
 	now := g.Clock.Steady()
 	if now.Before(g.previous.expiry) {
 		return nil
 	}
-	due := view.EraSince.Add(g.grantsExpireAfter())
-	return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: max(due.Sub(now), grantRetry)}
+	r := mtrange.AllKeys
+	if assigned, ok := view.Assignments[g.Service].Lookup(key); ok {
+		r = mtrange.Span{Low: assigned.Low, High: assigned.High}
+	}
+	return &mtreply.RefusedError{Cause: mtreply.CauseNoLease, RetryAfter: max(g.fallowLeft(view, now, r.Low, r.High), grantRetry)}
 }
 
 // forgo records that a move was under way when its era ended, so that its keys are not claimed. A
@@ -121,11 +125,13 @@
 		if table != nil && table.Era() == view.Era() && table.Settled(c.Low, c.High) {
 			return true
 		}
-		late := !now.Before(c.until)
-		if late {
-			g.Log.Warn("claim of keys is given up: others may have taken them", "low", c.Low, "high", c.High, "epoch", uint64(c.Epoch))
+		seal := view.Seals[g.Service]
+		sealed := seal.Version != 0 && uint64(view.Revision) >= uint64(seal.Version)
+		given := sealed || !now.Before(c.until)
+		if given {
+			g.Log.Warn("claim of keys is given up: others may have taken them", "low", c.Low, "high", c.High, "epoch", uint64(c.Epoch), "sealed", sealed)
 		}
-		return late
+		return given
 	})
 }
 
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -257,7 +257,7 @@
 			return nil
 		}
 		if view := g.Directory.View(); held.Epoch.Era() != view.Era() {
-			return g.checkFallow(view)
+			return g.checkFallow(view, key)
 		}
 		return g.notGrantedError(now)
 	}
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/io/mtdirectory"
@@ -53,11 +54,14 @@
 	}
 	survivors := g.survivors(view)
 	g.reportUnowned(g.unownedKeys(view, assignment, now, steadySince, len(survivors)))
+	rank := slices.IndexFunc(survivors, func(o mtrange.Owner) bool { return o.Daemon == g.Self })
+	if rank >= 0 {
+		g.sealEra(ctx, view, assignment, now, rank)
+	}
 	if assigned && len(lost) == 0 {
 		g.lostSince = nil
 		return
 	}
-	rank := slices.IndexFunc(survivors, func(o mtrange.Owner) bool { return o.Daemon == g.Self })
 	if rank < 0 {
 		return
 	}
@@ -84,11 +88,9 @@
 // lost with an era of the store, so it is not known who they were.
 var fallow = mtrange.Owner{}
 
-// fallowDue reports whether fallow ranges of an assignment may be given to servers: no grant of an
-// earlier era of the store can be in force. A daemon sends grants for up to a lease after the era
-// has ended, as after the loss of its record.
+// fallowDue reports whether some fallow ranges of an assignment may be given to servers.
 func (g *Grants) fallowDue(view *mtdirectory.View, a mtdirectory.Assignment, now mtclock.Instant) bool {
-	return now.Sub(view.EraSince) >= g.grantsExpireAfter() && (a.Era() < view.Era() || a.HasFallow())
+	return slices.ContainsFunc(g.fallowRanges(view, a), func(r mtrange.Range) bool { return g.fallowLeft(view, now, r.Low, r.High) <= 0 })
 }
 
 // survivors returns the servers of the service that can be given keys, in the same order on
@@ -107,8 +109,12 @@
 // Where the store has come back from an older copy, or may have, an assignment may have been
 // written and lost. Then nobody is granted keys before the grants by it must have expired.
 func (g *Grants) writeFirst(ctx context.Context, view *mtdirectory.View, now mtclock.Instant, survivors []mtrange.Owner, delay time.Duration) {
-	if g.firstMayBeLost(view) && now.Sub(view.EraSince) < g.grantsExpireAfter() {
-		return
+	var unsealed []mtstore.Condition
+	if g.firstMayBeLost(view) {
+		if g.fallowLeft(view, now, 0, mtid.LastKeyNumber) > 0 {
+			return
+		}
+		unsealed = append(unsealed, g.sealed(view))
 	}
 	g.mu.Lock()
 	if len(survivors) != g.survivorCount {
@@ -124,7 +130,7 @@
 		g.Log.Warn("can't create the first assignment", "service", g.Service, "error", err)
 		return
 	}
-	g.Committer.Write(ctx, nil, table, 0, "first assignment")
+	g.Committer.Write(ctx, unsealed, table, 0, "first assignment")
 }
 
 // firstMayBeLost reports whether an assignment may have been written and lost by the store.
@@ -211,9 +217,14 @@
 func (g *Grants) takeOver(ctx context.Context, view *mtdirectory.View, lost, survivors []mtrange.Owner) bool {
 	a := view.Assignments[g.Service]
 	base, expected := a.Basis(view.Era())
+	now := g.Clock.Steady()
+	conditions := stillLost(view, lost)
+	if slices.Contains(lost, fallow) {
+		conditions = append(conditions, g.sealed(view))
+	}
 	isLost := func(r mtrange.Range) bool {
 		if base.Fallow(r) {
-			return slices.Contains(lost, fallow)
+			return slices.Contains(lost, fallow) && g.fallowLeft(view, now, r.Low, r.High) <= 0
 		}
 		return slices.Contains(lost, r.Owner)
 	}
@@ -222,7 +233,6 @@
 		g.Log.Warn("can't reassign the keys of lost servers", "service", g.Service, "lost", len(lost), "error", err)
 		return false
 	}
-	now := g.Clock.Steady()
 	for _, owner := range lost {
 		absent := time.Duration(0)
 		if m := view.Members[owner.Daemon]; m.Expired {
@@ -234,7 +244,7 @@
 	if next.Next == base.Next {
 		return true // all ranges of the lost owners are fallow
 	}
-	return g.Committer.Write(ctx, stillLost(view, lost), next, expected, "takeover") == mtrange.Written
+	return g.Committer.Write(ctx, conditions, next, expected, "takeover") == mtrange.Written
 }
 
 // stillLost returns the conditions that hold as long as nothing about the lost owners has changed.
--- a/io/mtgrant/wait.go
+++ b/io/mtgrant/wait.go
@@ -156,7 +156,7 @@
 
 // unownedKeys returns which keys have no owner, with a number of servers that can be given some.
 func (g *Grants) unownedKeys(view *mtdirectory.View, a mtdirectory.Assignment, now, steadySince mtclock.Instant, survivors int) Waits {
-	eraLeft := g.grantsExpireAfter() - now.Sub(view.EraSince)
+	eraLeft := g.fallowLeft(view, now, 0, mtid.LastKeyNumber)
 	switch {
 	case survivors == 0:
 		return Waits{ReasonNobody: {Keys: allKeys}}
@@ -178,7 +178,7 @@
 // rangeWait returns why a range has no owner and for how long if that is known, or false if it has one.
 func (g *Grants) rangeWait(view *mtdirectory.View, t *mtrange.Table, r mtrange.Range, now, steadySince mtclock.Instant) (Reason, time.Duration, bool) {
 	if t.Fallow(r) {
-		if left := g.grantsExpireAfter() - now.Sub(view.EraSince); left > 0 {
+		if left := g.fallowLeft(view, now, r.Low, r.High); left > 0 {
 			return ReasonEra, left, true
 		}
 		return ReasonTurn, 0, true
