Bound the wait of the first assignment for further servers

Cause: the first assignment waits 1.2 s after the last change of the number of servers. Callers would see: 503 for all keys for as long as that goes on, before there is any assignment, also after a step back to before the first one. Evidence: TestFirstAssignmentDoesNotWaitForeverForServers failed before (no assignment after 12 changes, half a second apart). Change: 4 s after the first server appeared the assignment is written in any case. Measured: the test passes; the two tests of what the wait is for pass unchanged. Why it works: servers that appear later are given keys as usual, by load.

--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -180,6 +180,7 @@
 	transfers          []*pendingTransfer // waiting to be written
 	survivorCount      int                // number of survivors since survivorCountSince
 	survivorCountSince mtclock.Instant    // by the steady clock
+	firstSurvivorSince mtclock.Instant    // when the first assignment could have been written; zero if never
 	claims             []claim            // not settled yet
 	claimedEra         mtid.Era           // era of the last tenure from which claims were made
 	claiming           bool               // claims are being written
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -22,6 +22,9 @@
 	// firstAssignmentDelay is how long the first assignment waits for further servers after
 	// the last one appeared. Daemons that are started together come up within a second.
 	firstAssignmentDelay = 1200 * time.Millisecond
+	// maxFirstAssignmentDelay is the same, counted from when the first server appeared: they may come and
+	// go all the time.
+	maxFirstAssignmentDelay = 4 * time.Second
 	// rankDelay is the additional delay of each daemon after the one before it in rank, so
 	// that usually one daemon writes and the others see its write.
 	rankDelay = 300 * time.Millisecond
@@ -120,7 +123,10 @@
 	if len(survivors) != g.survivorCount {
 		g.survivorCount, g.survivorCountSince = len(survivors), now
 	}
-	settled := now.Sub(g.survivorCountSince) >= firstAssignmentDelay+delay
+	if g.firstSurvivorSince == 0 {
+		g.firstSurvivorSince = now
+	}
+	settled := now.Sub(g.survivorCountSince) >= firstAssignmentDelay+delay || now.Sub(g.firstSurvivorSince) >= maxFirstAssignmentDelay+delay
 	g.mu.Unlock()
 	if !settled {
 		return
--- a/io/mtgrant/takeover_test.go
+++ b/io/mtgrant/takeover_test.go
@@ -150,3 +150,22 @@
 	f.store.Fail(nil)
 	f.until("the keys are taken over", func() bool { return f.owner(mtid.LastKeyNumber) == "a" })
 }
+
+// Guards against a first assignment that is never written because servers come and go all the time.
+func TestFirstAssignmentDoesNotWaitForeverForServers(t *testing.T) {
+	f := newFleet(t)
+	f.start()
+	f.until("the copy contains the own record", func() bool { return len(f.directory.View().Members) == 1 })
+	for n := 0; f.tableOf(0) == nil; n++ {
+		assert.Assert(t, n < 12, "no assignment after %d changes", n)
+		state := mtbackend.Ready
+		if n%2 == 1 {
+			state = mtbackend.Ended
+		}
+		f.write(record("b", state))
+		f.until("the change is known", func() bool { return f.directory.View().Members["b"].State == state })
+		f.letLoopsRun()
+		f.clock.advance(500 * time.Millisecond)
+		f.directory.Publish(f.host.set(mtbackend.Ready))
+	}
+}
