Send grants only over connections that are confirmed once they are open

Cause: a daemon asked whether its server's incarnation still runs, and then opened the connection for a grant. The answer came from a goroutine that had to notice the end first. A server that ends, and starts again within that time, got a grant meant for the incarnation before. It was possible before, and rarer: with a server that closes idle connections the daemon was unconfirmed for most of the time that the server hung. Change: the question is put to the kernel (is the end of the idle connection pending?), and once more after the connection for the grant is open, before anything is sent. Why it works: the idle connection was open after the other one had been opened, so that one leads to the same process: a process's connections end before another one can listen at its address.

--- a/io/mtgrant/command.go
+++ b/io/mtgrant/command.go
@@ -128,7 +128,9 @@
 		g.clearInFlight() // another incarnation might execute it; the host wakes the loop
 		return
 	}
-	err := g.Client.Grant(ctx, address, held.Range, g.GrantDuration)
+	// The server may end, and its next incarnation start, between that and the opening of a connection.
+	confirmed := WithConfirmation(ctx, func() bool { return g.Host.ConnectedTo(held.incarnation) })
+	err := g.Client.Grant(confirmed, address, held.Range, g.GrantDuration)
 	// The time counts from here: if this process was paused in the meantime, the command may
 	// have left only after the pause, and it is in effect from its arrival.
 	until := g.commandExpiry(g.Clock.Steady())
@@ -137,6 +139,10 @@
 		g.Host.CheckServer(held.incarnation)
 		until = 0 // nothing was delivered
 	}
+	var unconfirmed *UnconfirmedError
+	if errors.As(err, &unconfirmed) {
+		until = 0
+	}
 	g.endCommand(held, sent, until, err)
 }
 
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -50,9 +50,9 @@
 // ServerClient sends commands to a backend server.
 type ServerClient interface {
 	// Grant lets the server run calls for the range for the duration, counted from the
-	// arrival of the command. It fails with a *SupersededError if the server has seen a
-	// higher epoch on one of the keys, and with an *UnreachableError if the command was not
-	// delivered. After any other error the server may still execute the command, possibly
+	// arrival of the command. It calls Confirm after opening a connection for it. It fails with a
+	// *SupersededError if the server has seen a higher epoch on one of the keys, and with an
+	// *UnreachableError or an *UnconfirmedError if the command was not delivered. After any other error the server may still execute the command, possibly
 	// later.
 	Grant(ctx context.Context, address string, r mtrange.Range, duration time.Duration) error
 	// Release revokes keys. It returns once nothing runs on them, with the state that the
@@ -80,6 +80,33 @@
 // Unwrap returns the error of the connection attempt.
 func (e *UnreachableError) Unwrap() error { return e.Err }
 
+// UnconfirmedError reports that a command was not sent, since it is not certain which incarnation of the
+// server its connection leads to.
+type UnconfirmedError struct{}
+
+// Error implements error.
+func (*UnconfirmedError) Error() string {
+	return "grant: the connection may lead to another incarnation of the server"
+}
+
+// confirmKey is the context key of WithConfirmation.
+type confirmKey struct{}
+
+// WithConfirmation returns a context for a command that may be sent only if confirm, called once its
+// connection is open, returns true.
+func WithConfirmation(ctx context.Context, confirm func() bool) context.Context {
+	return context.WithValue(ctx, confirmKey{}, confirm)
+}
+
+// Confirm returns an *UnconfirmedError if a command with the context may not be sent over a connection that
+// has just been opened.
+func Confirm(ctx context.Context) error {
+	if confirm, ok := ctx.Value(confirmKey{}).(func() bool); ok && !confirm() {
+		return &UnconfirmedError{}
+	}
+	return nil
+}
+
 // AssignmentNotReadError reports that the assignment has not been read from the store yet.
 type AssignmentNotReadError struct{}
 
--- a/io/mthost/liveness.go
+++ b/io/mthost/liveness.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/io/mtdial"
@@ -49,12 +52,23 @@
 // Error implements error.
 func (*StrayBytesError) Error() string { return "the server sent bytes that answer nothing" }
 
-// ConnectedTo reports whether a command that is sent to the server's address now reaches
+// ConnectedTo reports whether a connection to the server's address that is open now leads to
 // that incarnation.
 func (h *Host) ConnectedTo(incarnation mtid.ServerIncarnation) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.liveness != nil && h.liveness.incarnation == incarnation && h.liveness.confirmed
+	return h.liveness != nil && h.liveness.incarnation == incarnation && h.liveness.confirmed && h.liveness.open()
+}
+
+// open reports whether the kernel has no sign yet that the peer has ended. The goroutine that waits for
+// the end may not have run since.
+func (t *livenessConn) open() bool {
+	socket, ok := t.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	pending, err := mtdial.Poll(socket, unix.POLLIN)
+	return err == nil && !pending
 }
 
 // openLiveness opens the liveness connection if there is none, or the current one is old.
--- a/io/mthost/liveness_test.go
+++ b/io/mthost/liveness_test.go
@@ -183,6 +183,26 @@
 	assert.Equal(t, s.record().State, mtbackend.Ready)
 }
 
+// Guards against a command that reaches the next incarnation because the end of the server's process has not been noticed yet.
+func TestEndOfProcessCountsBeforeItIsNoticed(t *testing.T) {
+	p := newProcess(t, "")
+	s := newFixture(t, p.address())
+	s.server.incarnation = "one"
+	one := mtid.ServerIncarnation{Server: "one", Started: 100}
+	for sequence := uint64(1); sequence <= 20; sequence++ {
+		s.waitFor("the incarnation is connected", func(mtbackend.Record) bool {
+			b := s.heartbeatStartedAt(100, sequence)
+			b.Address, b.OpenedAfter = p.address(), s.clock.Now()
+			s.heartbeat(b)
+			return s.host.ConnectedTo(one)
+		})
+		for len(p.accepted) > 0 {
+			assert.NilError(t, (<-p.accepted).Close())
+		}
+		assert.Assert(t, !s.host.ConnectedTo(one), "connected after the end, try %d", sequence)
+	}
+}
+
 // Guards against grants that wait for a heartbeat each time the server closes the idle connection that tells its lives apart.
 func TestIncarnationStaysConfirmedWhileServerClosesIdleConnections(t *testing.T) {
 	const idleTimeout, unreported = 700 * time.Millisecond, 3 * time.Second
