Split the loop that reassigns keys into steps

Cause: assignKeys had grown to forty lines, and read all ranges five times a second also where all keys have owners. Change: what is lost is found in a function of its own, after the check that everything has an owner; the seal is decided and written in two. Conclusion: behaviour as before.

--- a/io/mtgrant/seal.go
+++ b/io/mtgrant/seal.go
@@ -42,18 +42,23 @@
 	return mtstore.Condition{Name: mtstore.SealName(view.Era(), g.Service), Version: view.Seals[g.Service].Version}
 }
 
-// sealEra seals the era of a view in which keys are fallow, when it is this daemon's turn by its rank.
-func (g *Grants) sealEra(ctx context.Context, view *mtdirectory.View, a mtdirectory.Assignment, now mtclock.Instant, rank int) {
+// sealEra seals the era of a view in which keys are fallow, after a delay that is longer for daemons of a
+// higher rank.
+func (g *Grants) sealEra(ctx context.Context, view *mtdirectory.View, a mtdirectory.Assignment, now mtclock.Instant, delay time.Duration) {
 	hold, early := g.sealHold(view, a, now)
-	delay := sealDelay + time.Duration(rank)*rankDelay
 	if !early {
 		delay += lateSealDelay
 	}
-	age := now.Sub(view.EraSince)
-	if _, known := view.Seals[g.Service]; known || g.unsettledClaims() || hold < minSealHold || age < delay || age > sealDelay+sealWindow {
+	age := now.Sub(view.EraSince) - sealDelay
+	_, known := view.Seals[g.Service]
+	if known || g.unsettledClaims() || hold < minSealHold || age < delay || age > sealWindow {
 		return
 	}
-	seal := mtseal.Seal{Hold: min(hold, mtseal.MaxHold), By: g.Self}
+	g.writeSeal(ctx, view.Era(), mtseal.Seal{Hold: min(hold, mtseal.MaxHold), By: g.Self})
+}
+
+// writeSeal writes the seal of an era, unless there is one.
+func (g *Grants) writeSeal(ctx context.Context, era mtid.Era, seal mtseal.Seal) {
 	value, err := seal.Encode()
 	if err != nil {
 		g.Log.Error("can't encode a seal", "error", err)
@@ -62,9 +67,9 @@
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
 	sent := g.Clock.Now()
-	version, err := g.Store.SwapIf(ctx, nil, mtstore.SealName(view.Era(), g.Service), 0, value, "")
+	version, err := g.Store.SwapIf(ctx, nil, mtstore.SealName(era, g.Service), 0, value, "")
 	if err != nil {
-		g.Log.Info("era not sealed", "service", g.Service, "era", view.Era(), "error", err)
+		g.Log.Info("era not sealed", "service", g.Service, "era", era, "error", err)
 		return
 	}
 	g.Directory.Sealed(g.Service, seal, version, sent)
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -43,13 +43,6 @@
 	}
 	now := g.Clock.Steady()
 	assignment, assigned := view.Assignments[g.Service]
-	var lost []mtrange.Owner
-	if assigned && !g.allRecordsValid(view, assignment) {
-		lost = g.lostOwners(view, now, steadySince)
-	}
-	if assigned && g.fallowDue(view, assignment, now) {
-		lost = append(lost, fallow)
-	}
 	if assigned && g.complete(view, assignment) {
 		g.lostSince = nil
 		g.reportUnowned(nil)
@@ -58,25 +51,16 @@
 	survivors := g.survivors(view)
 	g.reportUnowned(g.unownedKeys(view, assignment, now, steadySince, len(survivors)))
 	rank := slices.IndexFunc(survivors, func(o mtrange.Owner) bool { return o.Daemon == g.Self })
-	if rank >= 0 {
-		g.sealEra(ctx, view, assignment, now, rank)
-	}
-	if assigned && len(lost) == 0 {
-		g.lostSince = nil
-		return
-	}
 	if rank < 0 {
 		return
 	}
 	delay := time.Duration(rank) * rankDelay
+	g.sealEra(ctx, view, assignment, now, delay)
 	if !assigned {
 		g.writeFirst(ctx, view, now, survivors, delay)
 		return
 	}
-	lost = g.dueLosses(now, lost, delay)
-	if len(lost) == 0 {
-		return
-	}
+	lost := g.dueLosses(now, g.lostAndFallow(view, assignment, now, steadySince), delay)
 	for chunk := range slices.Chunk(lost, ownersPerWrite) {
 		if !g.takeOver(ctx, g.Directory.View(), chunk, survivors) {
 			return // the remaining owners are handled in the next run
@@ -84,6 +68,18 @@
 	}
 }
 
+// lostAndFallow returns the owners whose keys may be given to others, with fallow among them if fallow ranges may.
+func (g *Grants) lostAndFallow(view *mtdirectory.View, a mtdirectory.Assignment, now, steadySince mtclock.Instant) []mtrange.Owner {
+	var lost []mtrange.Owner
+	if !g.allRecordsValid(view, a) {
+		lost = g.lostOwners(view, now, steadySince)
+	}
+	if g.fallowDue(view, a, now) {
+		lost = append(lost, fallow)
+	}
+	return lost
+}
+
 // ownersPerWrite is how many lost owners a takeover covers: each is two conditions of the write.
 const ownersPerWrite = mtstore.MaxConditions / 2
 
