--- a/io/mtgrant/wait.go
+++ b/io/mtgrant/wait.go
@@ -90,24 +90,36 @@
 
 // ungrantedKeys returns which keys of the server are not granted.
 func (g *Grants) ungrantedKeys(now mtclock.Instant, record mtbackend.Record) Waits {
-	reason := g.holdsBack(now, record)
+	former, present := g.countUngranted(now)
+	waits := Waits{}
+	if former > 0 {
+		waits.add(ReasonFormer, former, 0)
+	}
+	if present > 0 {
+		waits.add(g.holdsBack(now, record), present, 0)
+	}
+	return waits
+}
+
+// countUngranted counts the keys of the server that are not granted: those under an epoch of a former
+// era of the store, and the others.
+func (g *Grants) countUngranted(now mtclock.Instant) (former, present int) {
 	era := g.Directory.View().Era()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	waits := Waits{}
 	for _, held := range g.grants {
 		switch {
 		case held.moving, held.grantedAt != 0 && now.Before(held.grantedAt.Add(g.GrantDuration)):
 		case held.Epoch.Era() != era:
-			waits.add(ReasonFormer, held.Keys(), 0)
+			former += held.Keys()
 		default:
-			waits.add(reason, held.Keys(), 0)
+			present += held.Keys()
 		}
 	}
-	return waits
+	return former, present
 }
 
-// holdsBack returns why nothing is granted to the server, or ReasonUnanswered if everything is.
+// holdsBack returns why nothing is granted to the server, or ReasonUnanswered if commands are sent.
 func (g *Grants) holdsBack(now mtclock.Instant, record mtbackend.Record) Reason {
 	switch {
 	case g.Directory.RecordValidUntil().Sub(now) <= commandTimeout:
