Give each part of a record's maintenance its own time

Cause: the lease, the losses and the record of a daemon were written within 0.6 s together, and an attempt that took longer began with the lease again. With a store that answers within 0.3 to 0.6 s no attempt ever reached the record's end. Callers would see: nothing served by any daemon that has started since, for as long as the store is that slow: without its record nobody calls it, and it grants nothing. Change: 0.6 s for each of the three. Why it works: what an attempt has reached stays (the lease, a loss, the version of the record in place), so the next one needs one call less.

--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -396,3 +396,51 @@
 	_, later := observe("c")
 	assert.DeepEqual(t, <-later, loss)
 }
+
+// slowStore answers each call that maintains a record after a while.
+type slowStore struct {
+	*mtstandin.RevisionStore
+	delay time.Duration
+}
+
+func (s *slowStore) wait(ctx context.Context, op string) error {
+	select {
+	case <-time.After(s.delay):
+		return nil
+	case <-ctx.Done():
+		return &mtstore.UnknownError{Op: op, Err: ctx.Err()}
+	}
+}
+
+// Grant implements mtstore.Store.
+func (s *slowStore) Grant(ctx context.Context, ttl time.Duration) (mtstore.LeaseID, error) {
+	if err := s.wait(ctx, "grant"); err != nil {
+		return "", err
+	}
+	return s.RevisionStore.Grant(ctx, ttl)
+}
+
+// Renew implements mtstore.Store.
+func (s *slowStore) Renew(ctx context.Context, id mtstore.LeaseID) error {
+	if err := s.wait(ctx, "renew"); err != nil {
+		return err
+	}
+	return s.RevisionStore.Renew(ctx, id)
+}
+
+// Commit implements mtstore.ConditionalStore.
+func (s *slowStore) Commit(ctx context.Context, conditions []mtstore.Condition, puts ...mtstore.Put) (mtid.Version, error) {
+	if err := s.wait(ctx, "swap"); err != nil {
+		return 0, err
+	}
+	return s.RevisionStore.Commit(ctx, conditions, puts...)
+}
+
+// Guards against a record that is never written because its lease and its write together take longer than one attempt may.
+func TestRecordIsWrittenWhileStoreIsSlow(t *testing.T) {
+	store := &slowStore{RevisionStore: mtstandin.NewRevisionStore(time.Now), delay: 450 * time.Millisecond}
+	d, cleanUp := mtdirectory.New(mtdirectory.Config{Self: "a", Store: store, Clock: mttime.New(), Lease: 2 * time.Second, Log: slog.New(slog.DiscardHandler)})
+	t.Cleanup(cleanUp)
+	d.Publish(record("a"))
+	waitFor(t, "the record is written", func() bool { return d.RecordVersion() != 0 })
+}
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -223,14 +223,12 @@
 // lease from the arrival of the call, which is later than the time of sending from
 // which this daemon counts it.
 func (p *publisher) maintain(ctx context.Context, wanted mtbackend.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	p.enterEra()
 	sent := p.Clock.Now()
-	if err := p.ensureLease(ctx, sent); err != nil {
+	if err := inTime(ctx, func(ctx context.Context) error { return p.ensureLease(ctx, sent) }); err != nil {
 		return err
 	}
-	if err := p.writeLosses(ctx); err != nil {
+	if err := inTime(ctx, p.writeLosses); err != nil {
 		return err
 	}
 	if foreign := mtid.Version(p.foreignVersion.Swap(0)); p.version != 0 && foreign > p.version {
@@ -242,7 +240,7 @@
 		p.version, p.tenure = 0, Tenure{}
 	}
 	if p.needsWrite(wanted) {
-		if err := p.writeRecord(ctx, wanted); err != nil {
+		if err := inTime(ctx, func(ctx context.Context) error { return p.writeRecord(ctx, wanted) }); err != nil {
 			return err
 		}
 	}
@@ -250,6 +248,14 @@
 	return nil
 }
 
+// inTime runs one part of the maintenance of the record. Each part has its own time: if all shared one, and
+// the store were slow, no attempt would reach the last part, and each would begin with the first again.
+func inTime(ctx context.Context, part func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return part(ctx)
+}
+
 // extendValidity records that the record is valid for one lease duration after the
 // last renewal.
 func (p *publisher) extendValidity() {
