Await each write of a record by itself

Cause: the writes of an attempt to keep a record shared 0.6 s. Where the previous process's record stands, the first write meets a conflict and a second one follows. With answers after 0.3 to 0.6 s the second one was given up, though the store had executed it; so the next attempt's first write met a conflict with that one, and its second was given up again. No attempt ever learned that its write had succeeded: for as long as the store was that slow no daemon took its record for present, and none granted anything. Change: each call to the store has its 0.6 s. TestRecordIsWrittenWhileStoreIsSlow and TestServiceReturnsWhileStoreIsSlow failed before, pass. Why it works: a write whose answer is awaited is known, and the next attempt begins from its version.

--- a/io/mtdirectory/loss.go
+++ b/io/mtdirectory/loss.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"magnoliaturn/core/mtclock"
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtstore"
 )
@@ -112,11 +113,14 @@
 		return err
 	}
 	if l.lease == "" {
-		if l.lease, err = p.Store.Grant(ctx, mtpoison.LossTTL); err != nil {
+		l.lease, err = inTime(ctx, func(ctx context.Context) (mtstore.LeaseID, error) { return p.Store.Grant(ctx, mtpoison.LossTTL) })
+		if err != nil {
 			return err
 		}
 	}
-	_, err = p.Store.Swap(ctx, mtstore.LossName(l.loss.ID), 0, value, l.lease)
+	_, err = inTime(ctx, func(ctx context.Context) (mtid.Version, error) {
+		return p.Store.Swap(ctx, mtstore.LossName(l.loss.ID), 0, value, l.lease)
+	})
 	var conflict *mtstore.ConflictError
 	var rejected *mtstore.RejectedError
 	var expired *mtstore.LeaseExpiredError
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -397,16 +397,17 @@
 	assert.DeepEqual(t, <-later, loss)
 }
 
-// slowStore answers each call that maintains a record after a while.
+// slowStore executes each call that maintains a record at once, and answers it after a while.
 type slowStore struct {
 	*mtstandin.RevisionStore
 	delay time.Duration
 }
 
-func (s *slowStore) wait(ctx context.Context, op string) error {
+// answer returns err after the delay, or that there was no answer.
+func (s *slowStore) answer(ctx context.Context, op string, err error) error {
 	select {
 	case <-time.After(s.delay):
-		return nil
+		return err
 	case <-ctx.Done():
 		return &mtstore.UnknownError{Op: op, Err: ctx.Err()}
 	}
@@ -414,33 +415,47 @@
 
 // Grant implements mtstore.Store.
 func (s *slowStore) Grant(ctx context.Context, ttl time.Duration) (mtstore.LeaseID, error) {
-	if err := s.wait(ctx, "grant"); err != nil {
-		return "", err
-	}
-	return s.RevisionStore.Grant(ctx, ttl)
+	id, err := s.RevisionStore.Grant(ctx, ttl)
+	return id, s.answer(ctx, "grant", err)
 }
 
 // Renew implements mtstore.Store.
 func (s *slowStore) Renew(ctx context.Context, id mtstore.LeaseID) error {
-	if err := s.wait(ctx, "renew"); err != nil {
-		return err
-	}
-	return s.RevisionStore.Renew(ctx, id)
+	return s.answer(ctx, "renew", s.RevisionStore.Renew(ctx, id))
+}
+
+// Swap implements mtstore.Store.
+func (s *slowStore) Swap(ctx context.Context, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
+	version, err := s.RevisionStore.Swap(ctx, name, expected, value, lease)
+	return version, s.answer(ctx, "swap", err)
 }
 
 // Commit implements mtstore.ConditionalStore.
 func (s *slowStore) Commit(ctx context.Context, conditions []mtstore.Condition, puts ...mtstore.Put) (mtid.Version, error) {
-	if err := s.wait(ctx, "swap"); err != nil {
-		return 0, err
-	}
-	return s.RevisionStore.Commit(ctx, conditions, puts...)
+	version, err := s.RevisionStore.Commit(ctx, conditions, puts...)
+	return version, s.answer(ctx, "swap", err)
 }
 
-// Guards against a record that is never written because its lease and its write together take longer than one attempt may.
+// Guards against a record that is never written, or never known to be, because the calls of an attempt together take longer than it may.
 func TestRecordIsWrittenWhileStoreIsSlow(t *testing.T) {
-	store := &slowStore{RevisionStore: mtstandin.NewRevisionStore(time.Now), delay: 450 * time.Millisecond}
-	d, cleanUp := mtdirectory.New(mtdirectory.Config{Self: "a", Store: store, Clock: mttime.New(), Lease: 2 * time.Second, Log: slog.New(slog.DiscardHandler)})
-	t.Cleanup(cleanUp)
-	d.Publish(record("a"))
-	waitFor(t, "the record is written", func() bool { return d.RecordVersion() != 0 })
+	for name, previous := range map[string]bool{"first process": false, "record of the previous process": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := &slowStore{RevisionStore: mtstandin.NewRevisionStore(time.Now), delay: 450 * time.Millisecond}
+			if previous {
+				value, err := record("a").Encode()
+				assert.NilError(t, err)
+				store.Put(mtstore.BackendName(0, "a"), value)
+			}
+			d, cleanUp := mtdirectory.New(mtdirectory.Config{Self: "a", Store: store, Clock: mttime.New(), Lease: 2 * time.Second, Log: slog.New(slog.DiscardHandler)})
+			t.Cleanup(cleanUp)
+			changed := record("a")
+			d.Publish(changed)
+			waitFor(t, "the record is written", func() bool { return d.RecordVersion() != 0 })
+			version := d.RecordVersion()
+			changed.Slots++
+			d.Publish(changed)
+			waitFor(t, "its change is written", func() bool { return d.RecordVersion() > version })
+		})
+	}
 }
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -225,10 +225,10 @@
 func (p *publisher) maintain(ctx context.Context, wanted mtbackend.Record) error {
 	p.enterEra()
 	sent := p.Clock.Now()
-	if err := inTime(ctx, func(ctx context.Context) error { return p.ensureLease(ctx, sent) }); err != nil {
+	if err := p.ensureLease(ctx, sent); err != nil {
 		return err
 	}
-	if err := inTime(ctx, p.writeLosses); err != nil {
+	if err := p.writeLosses(ctx); err != nil {
 		return err
 	}
 	if foreign := mtid.Version(p.foreignVersion.Swap(0)); p.version != 0 && foreign > p.version {
@@ -240,7 +240,7 @@
 		p.version, p.tenure = 0, Tenure{}
 	}
 	if p.needsWrite(wanted) {
-		if err := inTime(ctx, func(ctx context.Context) error { return p.writeRecord(ctx, wanted) }); err != nil {
+		if err := p.writeRecord(ctx, wanted); err != nil {
 			return err
 		}
 	}
@@ -248,12 +248,13 @@
 	return nil
 }
 
-// inTime runs one part of the maintenance of the record. Each part has its own time: if all shared one, and
-// the store were slow, no attempt would reach the last part, and each would begin with the first again.
-func inTime(ctx context.Context, part func(ctx context.Context) error) error {
+// inTime makes a call to the store. Each call has its own time. If the calls of an attempt shared one, and the
+// store were slow, no attempt would come to its end; and the write that is given up would be executed, so
+// that the first write of the next attempt would meet a conflict and take its time.
+func inTime[T any](ctx context.Context, call func(ctx context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return part(ctx)
+	return call(ctx)
 }
 
 // extendValidity records that the record is valid for one lease duration after the
@@ -308,7 +309,7 @@
 		if p.renewedAt != 0 && sent.Sub(p.renewedAt) < p.Lease/renewalsPerLease/2 {
 			return nil // a record is published shortly after a renewal
 		}
-		err := p.Store.Renew(ctx, p.lease)
+		_, err := inTime(ctx, func(ctx context.Context) (struct{}, error) { return struct{}{}, p.Store.Renew(ctx, p.lease) })
 		var expired *mtstore.LeaseExpiredError
 		if !errors.As(err, &expired) {
 			if err == nil {
@@ -318,7 +319,7 @@
 		}
 		p.loseLease()
 	}
-	lease, err := p.Store.Grant(ctx, p.Lease)
+	lease, err := inTime(ctx, func(ctx context.Context) (mtstore.LeaseID, error) { return p.Store.Grant(ctx, p.Lease) })
 	// This answer, or another one since, may have shown a new era. A lease that was granted in an
 	// earlier era is not returned: the call fails.
 	p.enterEra()
@@ -368,7 +369,9 @@
 	mayBeAbsent := p.version == 0 || p.written == mtbackend.Record{}
 	for range maxWriteAttempts {
 		sent := p.Clock.Now()
-		version, err := p.swapRecord(ctx, name, value, mayBeAbsent)
+		version, err := inTime(ctx, func(ctx context.Context) (mtid.Version, error) {
+			return p.swapRecord(ctx, name, value, mayBeAbsent)
+		})
 		p.endTenure(wanted, err)
 		var conflict *mtstore.ConflictError
 		var expired *mtstore.LeaseExpiredError
