Take no seal for one of an era that began while it was written

Cause: a daemon recorded the seal that it had written under the era of the answer. If the store stepped back between, that is the next era, in which nothing is sealed: a claim there would not have been refused, and keys might have got two owners after one more step back. Callers saw: nothing; found by reading the diff. Change: a seal counts only if the answer is of its own era, as an assignment does. Measured: TestSealOfEndedEraCountsForNoOther fails without the check, passes. Why it works: the name of a seal holds its era, and nobody reads it in another one.

--- a/io/mtgrant/seal.go
+++ b/io/mtgrant/seal.go
@@ -68,8 +68,8 @@
 	defer cancel()
 	sent := g.Clock.Now()
 	version, err := g.Store.SwapIf(ctx, nil, mtstore.SealName(era, g.Service), 0, value, "")
-	if err != nil {
-		g.Log.Info("era not sealed", "service", g.Service, "era", era, "error", err)
+	if err != nil || version.Era() != era { // under a name that counts no more, if a later era has begun
+		g.Log.Info("era not sealed", "service", g.Service, "era", era, "in", version.Era(), "error", err)
 		return
 	}
 	g.Directory.Sealed(g.Service, seal, version, sent)
--- a/io/mtgrant/seal_test.go
+++ b/io/mtgrant/seal_test.go
@@ -179,3 +179,35 @@
 	f.letLoopsRun()
 	assert.Assert(t, f.tableOf(1) == nil, "%v", f.tableOf(1))
 }
+
+// endingEra is a store that comes back from a copy as an era is being sealed.
+type endingEra struct {
+	*mtstandin.RevisionStore
+	copied *mtstandin.Copy
+}
+
+// SwapIf implements mtstore.ConditionalStore.
+func (s *endingEra) SwapIf(ctx context.Context, conditions []mtstore.Condition, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
+	if name == mtstore.SealName(1, service) {
+		s.StepBack(s.copied)
+		time.Sleep(500 * time.Millisecond) // until the daemon knows the new era
+	}
+	return s.RevisionStore.SwapIf(ctx, conditions, name, expected, value, lease)
+}
+
+// Guards against a seal that is taken for one of the era that has begun while it was written.
+func TestSealOfEndedEraCountsForNoOther(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	copied := f.store.Copy()
+	f.store.StepBack(copied)
+	f.storeOfA = &endingEra{RevisionStore: f.store, copied: copied}
+	f.restarted = true
+	f.start()
+	f.awaitEra(1)
+	f.clock.advance(sealedAfter)
+	f.awaitEra(2)
+	f.letLoopsRun()
+	_, known := f.directory.View().Seals[service]
+	_, err := f.store.Get(context.Background(), mtstore.SealName(2, service))
+	assert.Assert(t, !known && err != nil, "taken for sealed: %v, stored: %v", known, err)
+}
