Keep renewing the lease while losses are written to a slow store

Cause: since each call has its own time, all pending losses were written before the next renewal: two calls each, 64 at most. While the store answers slowly the lease would expire meanwhile. Callers would see: 503 for the keys of a VM whose server was lost many times in a row. Change: while the record stands, losses are written for 0.15 s, then the lease is renewed and they go on; a changed record still follows all of them. Measured: TestLossesDoNotDelayRenewals (8 losses, 0.3 s an answer) fails without it (the record has expired), passes. Why it works: between two renewals there is at most one more loss, 0.6 s for each of its calls.

--- a/io/mtdirectory/loss.go
+++ b/io/mtdirectory/loss.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
@@ -82,18 +83,27 @@
 	p.runNow()
 }
 
-// writeLosses writes the pending losses, oldest first.
-func (p *publisher) writeLosses(ctx context.Context) error {
-	for {
+// lossesTime is how long losses are written before the record is maintained again: while the store is
+// slow, the lease must not expire meanwhile.
+const lossesTime = 150 * time.Millisecond
+
+// writeLosses writes the pending losses, oldest first, and reports whether none is left. If that takes long
+// while the record stands, it leaves some to the next step.
+func (p *publisher) writeLosses(ctx context.Context) (done bool, _ error) {
+	for end := p.Clock.Now().Add(lossesTime); ; {
 		p.mu.Lock()
 		if len(p.losses) == 0 {
 			p.mu.Unlock()
-			return nil
+			return true, nil
+		}
+		if p.stands() && p.Clock.Now().After(end) {
+			p.mu.Unlock()
+			return false, nil
 		}
 		first := p.losses[0]
 		p.mu.Unlock()
 		if err := p.writeLoss(ctx, first); err != nil {
-			return err
+			return false, err
 		}
 		p.mu.Lock()
 		if len(p.losses) > 0 && p.losses[0] == first {
--- a/io/mtdirectory/mtdirectory_test.go
+++ b/io/mtdirectory/mtdirectory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -459,3 +460,28 @@
 		})
 	}
 }
+
+// Guards against a lease that expires while a slow store is given many losses, and against a later record that overtakes them.
+func TestLossesDoNotDelayRenewals(t *testing.T) {
+	store := &slowStore{RevisionStore: mtstandin.NewRevisionStore(time.Now), delay: 300 * time.Millisecond}
+	d, cleanUp := mtdirectory.New(mtdirectory.Config{Self: "a", Store: store, Clock: mttime.New(), Lease: 2 * time.Second, Log: slog.New(slog.DiscardHandler)})
+	t.Cleanup(cleanUp)
+	d.Publish(record("a"))
+	waitFor(t, "the record is written", func() bool { return d.RecordVersion() != 0 })
+	const losses = 8
+	for n := range losses {
+		d.PublishLoss(mtpoison.Loss{ID: mtpoison.LossID{Daemon: "a", Server: mtid.ServerIncarnation{Server: mtid.Server(fmt.Sprint("s", n))}}})
+	}
+	version := d.RecordVersion()
+	changed := record("a")
+	changed.Slots++
+	d.Publish(changed)
+	waitFor(t, "the changed record is written", func() bool {
+		_, err := store.Get(context.Background(), mtstore.BackendName(0, "a"))
+		assert.NilError(t, err, "the record has expired")
+		return d.RecordVersion() > version
+	})
+	changes, err := store.Watch(context.Background(), mtstore.LossPrefix, 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(changes.Entries), losses)
+}
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -100,6 +100,9 @@
 	}
 }
 
+// stands reports whether a record of this process stands in the store, as far as it knows.
+func (p *publisher) stands() bool { return p.version != 0 && p.written != mtbackend.Record{} }
+
 // needsWrite reports whether the record in the store differs from the wanted one, or may have
 // reported the end of a server that runs.
 func (p *publisher) needsWrite(wanted mtbackend.Record) bool {
@@ -228,7 +231,8 @@
 	if err := p.ensureLease(ctx, sent); err != nil {
 		return err
 	}
-	if err := p.writeLosses(ctx); err != nil {
+	lossesWritten, err := p.writeLosses(ctx)
+	if err != nil {
 		return err
 	}
 	if foreign := mtid.Version(p.foreignVersion.Swap(0)); p.version != 0 && foreign > p.version {
@@ -239,6 +243,13 @@
 		p.Log.Warn("own record was deleted", "own", p.version.Number(), "revision", mtid.Revision(deleted).Number())
 		p.version, p.tenure = 0, Tenure{}
 	}
+	if !lossesWritten {
+		p.runNow() // a changed record is written after them
+		if p.stands() {
+			p.extendValidity()
+		}
+		return nil
+	}
 	if p.needsWrite(wanted) {
 		if err := p.writeRecord(ctx, wanted); err != nil {
 			return err
