Take no record without a lease for a server's

Seen by callers: with one record of the service maps that another writer had left without a lease, all keys stayed unserved after everything had ended and started again.

Cause: a record counted if it could be decoded. The one that another writer had left counted as a server that accepts work, for as long as it stood. It was the only one left when all daemons shut down: each of them moved all keys of its leaving server to it, since a leaving server's keys go to those that stay. After the restart the keys had an owner whose record stood, and nothing takes keys from such an owner. That is why all keys were unserved, not only the share of one server among four. It was no wait that doesn't end.

Change: the store names the lease of each entry (0: none). An entry under a record's name that is shown to have none was written by no daemon, and is passed over like one that can't be decoded: only that it stands there is kept and passed on, marked as without a lease, so that daemons that don't read the store themselves judge it in the same way. A field that is missing or of another type proves nothing.

What can't be decoded under a record's name keeps its keys from being taken over, since its daemon may run. So an entry without a lease under a name without a registration (View.Strangers) holds nothing up: its keys are taken over after the usual wait, counted from when the entry was first known, on condition that the entry is at the same version and that there is still no registration.

Why no key gets two owners: nothing is granted under a name before a record was written under it in the store's era, and each first record of an era (where none stands, or over another writer's entry) is written in one step with the registration. A takeover that is executed before that step is in the daemon's copy before it grants anything, since the copy must be as new as the record; one that comes after it fails on the registration. With a registration the rule is as before: nothing is taken over, and its daemon writes its record again.

Registrations are applied before the records of the same changes, since a record is judged by them.

The stand-in of the store said that no entry has a lease; it names one for those that have one.

--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -117,8 +117,21 @@
 	Record
 	Server mtid.Server    `json:"server"`
 	Born   mtid.StartTime `json:"born,omitempty"`
+	// Unleased reports that the value only stands for an entry without a lease; see EncodeUnleased.
+	Unleased bool `json:"unleased,omitempty"`
 }
 
+// UnleasedError reports an entry without a lease: daemons write their records under leases, so that these end with
+// them, and another writer's would stand for ever.
+type UnleasedError struct{}
+
+// Error implements error.
+func (*UnleasedError) Error() string { return "backend: record has no lease" }
+
+// EncodeUnleased returns what daemons pass on to each other in place of a record without a lease: only that it stands
+// there. It fails with an *UnleasedError when it is decoded.
+func EncodeUnleased() []byte { return []byte(`{"unleased":true}`) }
+
 // Encode returns the stored form of r.
 func (r Record) Encode() ([]byte, error) {
 	return json.Marshal(storedRecord{Record: r, Server: r.Incarnation.Server, Born: r.Incarnation.Started})
@@ -135,6 +148,9 @@
 	if err := json.Unmarshal(value, &s); err != nil {
 		return Record{}, &DecodeError{Err: err}
 	}
+	if s.Unleased {
+		return Record{}, &DecodeError{Err: &UnleasedError{}}
+	}
 	r := s.Record
 	r.Incarnation = mtid.ServerIncarnation{Server: s.Server, Started: s.Born}
 	if err := r.check(); err != nil {
--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -38,6 +38,9 @@
 	Version  mtid.Version  // number of writes of this name, from 1
 	Revision mtid.Revision // revision of the store that wrote this version
 	Origin   Origin
+	// Unleased reports that the store has shown the entry to be written without a lease. False proves nothing. It is
+	// not passed on.
+	Unleased bool `json:"-"`
 }
 
 // Changes is the result of a watch: the newest version of each name that changed
--- a/io/mtdirectory/era.go
+++ b/io/mtdirectory/era.go
@@ -56,6 +56,7 @@
 	}
 	clear(v.InvalidRecords)
 	clear(v.Registrations)
+	clear(v.Strangers)
 	for name := range d.entries {
 		if namedByEra(name) {
 			delete(d.entries, name) // of the era that has ended
--- /dev/null
+++ b/io/mtdirectory/foreign_test.go
@@ -0,0 +1,132 @@
+package mtdirectory_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtstandin"
+	"magnoliaturn/io/mttime"
+	"magnoliaturn/io/mtwatch"
+)
+
+// leaseSource is a store that shows of each record whether it has a lease, as the platform's does.
+type leaseSource struct{ *mtstandin.RevisionStore }
+
+// Watch implements mtwatch.Source.
+func (s leaseSource) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	changes, err := s.RevisionStore.Watch(ctx, prefix, after, wait)
+	for i, e := range changes.Entries {
+		changes.Entries[i].Unleased = e.Version != 0 && s.Unleased(e)
+	}
+	return changes, err
+}
+
+// downstreamSource is another daemon that passes its changes on, without what isn't passed on.
+type downstreamSource struct{ upstream *mtdirectory.Directory }
+
+// Watch implements mtwatch.Source.
+func (s downstreamSource) Watch(ctx context.Context, _ string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	changes := waitForChanges(ctx, s.upstream, after, nil, wait)
+	for i, e := range changes.Entries {
+		changes.Entries[i] = mtstore.Entry{Name: e.Name, Value: e.Value, Version: e.Version, Revision: e.Revision}
+	}
+	return changes, nil
+}
+
+// startFrom starts a directory that follows a source.
+func startFrom(t *testing.T, store *mtstandin.RevisionStore, self mtid.Daemon, source mtwatch.Source, log *entryLog) *mtdirectory.Directory {
+	t.Helper()
+	d, cleanUp := mtdirectory.New(mtdirectory.Config{
+		Self: self, Store: store, Source: source, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.NewTextHandler(log, nil)),
+	})
+	t.Cleanup(cleanUp)
+	return d
+}
+
+// Guards against a record that stands without a lease and counts as that of a daemon that runs, also at daemons that
+// don't read the store themselves.
+func TestRecordWithoutLeaseIsNoMember(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	value, err := record("b").Encode()
+	assert.NilError(t, err)
+	name := mtstore.BackendName(0, "b")
+	version := store.Put(name, value)
+	var log entryLog
+	a := startFrom(t, store, "a", leaseSource{store}, &log)
+	c := startFrom(t, store, "c", downstreamSource{a}, &log)
+	for _, d := range []*mtdirectory.Directory{a, c} {
+		waitFor(t, "the entry is known", func() bool { return d.View().Strangers["b"].Version == version })
+		_, known := d.View().Members["b"]
+		assert.Assert(t, !known && d.View().InvalidRecords["b"] && d.OddEntries() == 1)
+	}
+	assert.Equal(t, log.count("name="+name+" "), 2, "logged once by each")
+	b := startFrom(t, store, "b", leaseSource{store}, &log)
+	b.Publish(record("b"))
+	for _, d := range []*mtdirectory.Directory{a, c} {
+		waitFor(t, "the daemon's own record counts", func() bool { return knowsRecord(d, "b", false) })
+		assert.Assert(t, len(d.View().Strangers) == 0 && !d.View().InvalidRecords["b"] && d.OddEntries() == 0)
+	}
+}
+
+// Guards against a copy without a lease, under a daemon's own name, that replaces its record or makes its keys free.
+func TestRecordWithoutLeaseOverOwnIsReplaced(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
+	b.Publish(record("b"))
+	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
+	before := a.View().Members["b"]
+	r := record("b")
+	r.Incarnation.Server, r.Address = "other", "127.0.0.1:9"
+	value, err := r.Encode()
+	assert.NilError(t, err)
+	version := store.Put(mtstore.BackendName(0, "b"), value)
+	waitFor(t, "the record of b is back", func() bool { return a.View().Members["b"].Version > version })
+	assert.DeepEqual(t, a.View().Members["b"].Record, before.Record)
+	assert.Equal(t, len(a.View().Strangers), 0)
+}
+
+// Commit implements mtstore.ConditionalStore.
+func (s leaseSource) Commit(ctx context.Context, conditions []mtstore.Condition, puts ...mtstore.Put) (mtid.Version, error) {
+	version, err := s.RevisionStore.Commit(ctx, conditions, puts...)
+	var conflict *mtstore.ConflictError
+	if errors.As(err, &conflict) {
+		conflict.Current.Unleased = s.Unleased(conflict.Current)
+	}
+	return version, err
+}
+
+// Guards against what another writer left, under a daemon's own name, that is taken for its previous process's.
+func TestRecordWithoutLeaseIsNoPreviousOne(t *testing.T) {
+	for name, leased := range map[string]bool{"without a lease": false, "of the previous process": true} {
+		t.Run(name, func(t *testing.T) {
+			store := mtstandin.NewRevisionStore(time.Now)
+			if leased {
+				writeLeasedRecord(t, store)
+			} else {
+				value, err := record("a").Encode()
+				assert.NilError(t, err)
+				store.Put(mtstore.BackendName(0, "a"), value)
+			}
+			var previous atomic.Bool
+			a, cleanUp := mtdirectory.New(mtdirectory.Config{
+				Self: "a", Store: leaseSource{store}, Clock: mttime.New(), Lease: lease, Log: slog.New(slog.DiscardHandler),
+				OnPreviousRecord: func(mtbackend.Record) { previous.Store(true) },
+			})
+			t.Cleanup(cleanUp)
+			a.Publish(record("a"))
+			waitFor(t, "the record is written", func() bool { return knowsRecord(a, "a", false) && a.RecordVersion() != 0 })
+			assert.Equal(t, previous.Load(), leased)
+		})
+	}
+}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -1,6 +1,7 @@
 package mtdirectory
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"strings"
@@ -93,12 +94,44 @@
 	return mtstore.BackendName(era, daemon), true
 }
 
+// decodeRecord decodes an entry that stands in place of a record. It fails if no daemon wrote it.
+func decodeRecord(e mtstore.Entry) (mtbackend.Record, error) {
+	record, err := mtbackend.Decode(e.Value)
+	if err == nil && e.Unleased {
+		err = &mtbackend.UnleasedError{}
+	}
+	return record, err
+}
+
+// showsUnleased reports whether an entry that stands in place of a record has no lease: the store shows it, or
+// another daemon that has read it there.
+func showsUnleased(e mtstore.Entry) bool {
+	_, err := decodeRecord(e)
+	var unleased *mtbackend.UnleasedError
+	return e.Unleased || errors.As(err, &unleased)
+}
+
+// registrationsFirst returns the entries with the registrations before all others: a record is judged by whether
+// its daemon is registered, and both are written in one step.
+func registrationsFirst(entries []mtstore.Entry) []mtstore.Entry {
+	ordered := make([]mtstore.Entry, 0, len(entries))
+	for _, registration := range []bool{true, false} {
+		for _, e := range entries {
+			if strings.HasPrefix(e.Name, mtstore.RegistrationPrefix) == registration {
+				ordered = append(ordered, e)
+			}
+		}
+	}
+	return ordered
+}
+
 // copyMembersOnce prepares a new view for the first change of Members, InvalidRecords,
-// Registrations or OutOfService. It copies the maps, which the view shares with its predecessor
+// Registrations, Strangers or OutOfService. It copies the maps, which the view shares with its predecessor
 // until then, and increments MembershipVersion.
 func (d *Directory) copyMembersOnce(v *View) {
 	if old := d.view.Load(); v.MembershipVersion == old.MembershipVersion {
 		v.Members, v.InvalidRecords, v.Registrations = maps.Clone(old.Members), maps.Clone(old.InvalidRecords), maps.Clone(old.Registrations)
+		v.Strangers = maps.Clone(old.Strangers)
 		v.MembershipVersion++
 	}
 }
@@ -111,7 +144,9 @@
 		return nil
 	}
 	d.copyMembersOnce(v)
+	stranger := v.Strangers[name]
 	delete(v.InvalidRecords, name)
+	delete(v.Strangers, name)
 	if e.Version == 0 {
 		// A deletion is also stored for an unknown record. The record may have been
 		// present between the last full read and now, while this daemon received no
@@ -137,7 +172,7 @@
 		return nil
 	}
 	old, known := v.Members[name]
-	record, err := mtbackend.Decode(e.Value)
+	record, err := decodeRecord(e)
 	if err == nil && record.Daemon != name {
 		err = &mtbackend.DecodeError{Err: &nameMismatchError{name: name, daemon: record.Daemon}}
 	}
@@ -147,6 +182,9 @@
 		if !known {
 			v.InvalidRecords[name] = true
 		}
+		if showsUnleased(e) && v.Registrations[name] == 0 && (!known || old.Expired) {
+			v.Strangers[name] = stranger.renewed(e.Version, now)
+		}
 		if name == d.Self {
 			d.publisher.onOverwritten(e.Version)
 		}
@@ -160,6 +198,16 @@
 	return nil
 }
 
+// renewed returns the stranger with a version of its entry that is read at a time. Whatever stood there in between
+// was no daemon's: that would have left a registration.
+func (s Stranger) renewed(version mtid.Version, now mtclock.Instant) Stranger {
+	if s.Since == 0 {
+		s.Since = now
+	}
+	s.Version = version
+	return s
+}
+
 // applyRegistrationEntry applies a registration. If its daemon's record is known to be absent, it
 // has been present in between: the time since which it has been absent begins anew. A registration
 // that another writer has deleted proves nothing more.
@@ -180,6 +228,7 @@
 		return
 	}
 	v.Registrations[name] = e.Version
+	delete(v.Strangers, name)
 	v.restartAbsence(name, now)
 }
 
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -104,7 +104,7 @@
 	}
 	d.view.Store(&View{
 		Members: map[mtid.Daemon]Member{}, Assignments: map[mtid.Service]Assignment{}, InvalidRecords: map[mtid.Daemon]bool{},
-		Registrations: map[mtid.Daemon]mtid.Version{},
+		Registrations: map[mtid.Daemon]mtid.Version{}, Strangers: map[mtid.Daemon]Stranger{},
 	})
 	d.publisher = newPublisher(config)
 	watcher, stopWatch := mtwatch.Start(mtwatch.Config{
@@ -225,7 +225,7 @@
 			d.forgetOdd(u.Changes)
 			d.assignmentMissed = false
 		}
-		for _, e := range u.Changes.Entries {
+		for _, e := range registrationsFirst(u.Changes.Entries) {
 			if err := checkName(e.Name); err != nil {
 				d.passOver(e, err)
 				continue
@@ -308,6 +308,7 @@
 		Assignments:       maps.Clone(old.Assignments),
 		InvalidRecords:    old.InvalidRecords,
 		Registrations:     old.Registrations,
+		Strangers:         old.Strangers,
 		OutOfService:      old.OutOfService,
 		Revision:          old.Revision,
 		MembershipVersion: old.MembershipVersion,
--- a/io/mtdirectory/odd.go
+++ b/io/mtdirectory/odd.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtstore"
@@ -81,7 +82,7 @@
 }
 
 // applyAndKeep applies an entry and keeps it, unless no daemon wrote it: then what is known of the
-// name holds. Of a record, it keeps that something stands there. It reports whether the entry is of a
+// name holds. Of a record, it keeps that something stands there, and whether it has no lease. It reports whether the entry is of a
 // kind that the directory uses.
 func (d *Directory) applyAndKeep(v *View, now mtclock.Instant, e mtstore.Entry) bool {
 	before, known := d.entries[e.Name]
@@ -92,9 +93,12 @@
 		return used
 	}
 	d.passOver(e, err)
+	unleased := showsUnleased(e)
 	switch {
 	case strings.HasPrefix(e.Name, mtstore.BackendPrefix):
-		e.Value = nil
+		if e.Value = nil; unleased {
+			e.Value = mtbackend.EncodeUnleased()
+		}
 		d.entries[e.Name] = e
 	case known:
 		d.entries[e.Name] = before
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -438,7 +438,7 @@
 	if p.OnPreviousRecord == nil || e.Version == 0 {
 		return
 	}
-	record, err := mtbackend.Decode(e.Value)
+	record, err := decodeRecord(e)
 	if err != nil {
 		p.Log.Warn("record of a previous incarnation of this daemon can't be decoded", "version", e.Version.Number(), "error", err)
 		return
--- a/io/mtdirectory/view.go
+++ b/io/mtdirectory/view.go
@@ -29,6 +29,9 @@
 	// daemon wrote, if no valid record of them is known. Such an entry identifies no
 	// usable server, and it does not prove that a server has terminated.
 	InvalidRecords map[mtid.Daemon]bool
+	// Strangers contains those names of InvalidRecords, and of members whose records are absent, that have no
+	// registration in the store's era: no daemon has granted keys under them in it.
+	Strangers map[mtid.Daemon]Stranger
 	// Registrations holds the versions of the daemons' registrations in the store's era. It is
 	// complete up to Revision.
 	Registrations map[mtid.Daemon]mtid.Version
@@ -45,6 +48,12 @@
 	newestVersion     mtid.Version // of all members and assignments
 }
 
+// Stranger is an entry that no daemon wrote, under a name under which no daemon has written either.
+type Stranger struct {
+	Version mtid.Version
+	Since   mtclock.Instant // it has been known, by the steady clock
+}
+
 // Era returns the era of the store that the copy is from.
 func (v *View) Era() mtid.Era { return v.Revision.Era() }
 
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -237,11 +237,14 @@
 	}
 	for _, owner := range lost {
 		absent := time.Duration(0)
-		if m := view.Members[owner.Daemon]; m.Expired {
+		stranger, unregistered := view.Strangers[owner.Daemon]
+		if m := view.Members[owner.Daemon]; unregistered {
+			absent = now.Sub(stranger.Since)
+		} else if m.Expired {
 			absent = now.Sub(m.ExpiredSince)
 		}
 		g.Log.Warn("taking over keys of a lost server", "owner", owner.Daemon, "server", owner.Incarnation.String(), "keys", a.Keys(owner), "fallow", owner == fallow,
-			"registered", view.Registrations[owner.Daemon].Number(), "absent", absent, "survivors", len(survivors))
+			"registered", view.Registrations[owner.Daemon].Number(), "stranger", unregistered, "absent", absent, "survivors", len(survivors))
 	}
 	if next.Next == base.Next {
 		return true // all ranges of the lost owners are fallow
@@ -249,7 +252,8 @@
 	return g.Committer.Write(ctx, conditions, next, expected, "takeover") == mtrange.Written
 }
 
-// stillLost returns the conditions that hold as long as nothing about the lost owners has changed.
+// stillLost returns the conditions that hold as long as nothing about the lost owners has changed. In place of a record
+// may stand what another writer left, under a name without a registration: no daemon has granted anything under it.
 func stillLost(view *mtdirectory.View, lost []mtrange.Owner) []mtstore.Condition {
 	var conditions []mtstore.Condition
 	add := func(c mtstore.Condition) {
@@ -264,6 +268,8 @@
 		record := mtstore.Condition{Name: mtstore.BackendName(view.Era(), owner.Daemon)}
 		if m, ok := view.Members[owner.Daemon]; ok && !m.Expired {
 			record.Version = m.Version
+		} else if stranger, ok := view.Strangers[owner.Daemon]; ok {
+			record.Version = stranger.Version
 		}
 		add(record)
 		add(mtstore.Condition{Name: mtstore.RegistrationName(view.Era(), owner.Daemon), Version: view.Registrations[owner.Daemon]})
--- a/io/mtgrant/wait.go
+++ b/io/mtgrant/wait.go
@@ -138,9 +138,10 @@
 // known. It returns false if they may, or if the owner is present.
 func (g *Grants) ownerWait(view *mtdirectory.View, now, steadySince mtclock.Instant, owner mtrange.Owner) (Reason, time.Duration, bool) {
 	m, known := view.Members[owner.Daemon]
+	stranger, unregistered := view.Strangers[owner.Daemon]
 	absent := m.ExpiredSince
 	switch {
-	case view.InvalidRecords[owner.Daemon]:
+	case view.InvalidRecords[owner.Daemon] && !unregistered:
 		// Another writer overwrote the record. Its daemon may be alive and its server may hold keys.
 		return ReasonForeign, 0, true
 	case known && !m.Expired:
@@ -148,6 +149,8 @@
 	case now.Sub(steadySince) < storeSettleTime:
 		// The record may return shortly.
 		return ReasonUnsettled, storeSettleTime - now.Sub(steadySince), true
+	case unregistered:
+		absent = stranger.Since
 	case !known:
 		// This daemon has never seen the record, nor a registration that shows whether it has been
 		// back. The time counts from when the store began to be watched without a gap.
--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -127,6 +127,15 @@
 	return s.entry(name, i), nil
 }
 
+// Unleased reports whether a version of an entry was written without a lease. It returns false if the entry is
+// at another version by now.
+func (s *RevisionStore) Unleased(e mtstore.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[e.Name]
+	return ok && s.versionOf(i.revision) == e.Version && i.lease == ""
+}
+
 // Swap implements mtstore.Store.
 func (s *RevisionStore) Swap(ctx context.Context, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
 	return s.SwapIf(ctx, nil, name, expected, value, lease)
