Reject heartbeats that name another address than the settings

The daemon asked, dialed and sent work to whatever address a heartbeat named, and looked up names of hosts in it. Where nobody could be asked there, a second heartbeat counted as proof.

The settings name the server's address, and the daemon uses that one alone.

Tests changed: newHeartbeat of io/mthost names the configured address, and seven tests that gave a heartbeat the address of a listener configure that address instead (startSilentServer makes the fixture for that). What they check is the same.

Why it works. What a sender names is compared and nothing else; nothing is dialed or looked up for it.

--- a/io/mthost/crash_test.go
+++ b/io/mthost/crash_test.go
@@ -17,10 +17,9 @@
 // Guards against a crash that counts against no request: a heartbeat that the server had begun
 // before is accepted, by a busy daemon, after the connection of the request has broken.
 func TestHeartbeatAcceptedAfterCrashClearsNoRequest(t *testing.T) {
-	s := newFixture(t, "server")
+	s := newFixture(t, refusingAddress(t))
 	s.server.incarnation = "one"
 	beat := s.newHeartbeat("one", 1)
-	beat.Address = refusingAddress(t)
 	s.heartbeat(beat)
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 	s.server.mu.Lock()
--- a/io/mthost/end_test.go
+++ b/io/mthost/end_test.go
@@ -229,16 +229,13 @@
 // The same, but the server does end: its commands expire and nothing listens. Its keys must
 // not become free for others while a command could still be in force.
 func TestLeavingServerHasEndedOnceItsCommandsExpire(t *testing.T) {
-	s := newFixture(t, "server")
+	s := newFixture(t, refusingAddress(t))
 	s.startServer("one")
 	var commandExpiry atomic.Int64
 	commandExpiry.Store(int64(s.clock.Steady().Add(time.Hour)))
 	s.host.CommandExpiry = func() mtclock.Instant { return mtclock.Instant(commandExpiry.Load()) }
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	leaving := s.newHeartbeat("one", 2)
-	leaving.Address, leaving.Draining = listener.Addr().String(), true
-	assert.NilError(t, listener.Close())
+	leaving.Draining = true
 	s.heartbeat(leaving)
 	s.host.CheckServer(mtid.ServerIncarnation{Server: "one"})
 	time.Sleep(400 * time.Millisecond) // longer than the checks take
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -45,8 +45,11 @@
 // be free and would be granted to another server.
 //
 // It fails with a *UndeclaredServiceError if the heartbeat names a service that is not
-// declared.
+// declared, and with an *AddressError if it names another address than the settings.
 func (h *Host) ObserveHeartbeat(b mtbackend.Heartbeat) error {
+	if !sameAddress(b.Address, h.Address) {
+		return &AddressError{Address: b.Address, Configured: h.Address}
+	}
 	if b.Service != h.Service && !h.IsDeclared(b.Service) {
 		return &UndeclaredServiceError{Service: b.Service}
 	}
@@ -113,7 +116,7 @@
 	h.identifyAfter = now.Add(retryPause)
 	heartbeat := h.unconfirmed
 	go func() {
-		health, err := h.Client.Identify(context.Background(), heartbeat.Address, path)
+		health, err := h.Client.Identify(context.Background(), h.Address, path)
 		server := health.Server
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -156,7 +159,6 @@
 	h.warmup.ObserveHeartbeat(h.Clock.Steady(), b)
 	h.updateStartLimit()
 	h.sequence = b.Sequence
-	h.address = b.Address
 	h.record.Slots = b.Slots
 	h.admission.Resize(b.Slots, b.Slots)
 	if h.record.State == mtbackend.Unknown {
@@ -184,7 +186,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
 		defer cancel()
-		err := h.ClearGrants(ctx, b.Incarnation, b.Address)
+		err := h.ClearGrants(ctx, b.Incarnation, h.Address)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.clearing = false
--- a/io/mthost/liveness.go
+++ b/io/mthost/liveness.go
@@ -81,11 +81,11 @@
 	}
 	h.openingLiveness = true
 	h.openLivenessAfter = now.Add(livenessDialPause)
-	previous, address := h.liveness, h.address
+	previous := h.liveness
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), livenessDialTimeout)
 		defer cancel()
-		conn, err := mtdial.Dial(ctx, "tcp", address)
+		conn, err := mtdial.Dial(ctx, "tcp", h.Address)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.openingLiveness = false
@@ -169,10 +169,9 @@
 	if path == "" || h.nameIsAmbiguous(t.incarnation) {
 		return
 	}
-	address := h.address
 	go func() {
 		sent := h.Clock.Now()
-		health, err := h.Client.Identify(context.Background(), address, path)
+		health, err := h.Client.Identify(context.Background(), h.Address, path)
 		server := health.Server
 		if err != nil || server != t.incarnation.Server {
 			h.Log.Info("incarnation of the server is unconfirmed until its next heartbeat", "server", t.incarnation.String(), "answers", string(server), "error", err)
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -139,7 +139,6 @@
 	mu       sync.Mutex
 	record   mtbackend.Record
 	sequence uint64
-	address  string
 	ended    map[mtid.ServerIncarnation]bool // terminated or replaced
 	// leavingSince holds, by incarnation, when its leaving was acknowledged.
 	leavingSince  map[mtid.ServerIncarnation]mtclock.Instant
@@ -206,7 +205,6 @@
 func New(config Config) (*Host, func()) {
 	h := &Host{
 		Config:          config,
-		address:         config.Address,
 		ended:           make(map[mtid.ServerIncarnation]bool),
 		leavingSince:    make(map[mtid.ServerIncarnation]mtclock.Instant),
 		deniedKeys:      make(map[mtid.KeyNumber]bool),
@@ -330,7 +328,7 @@
 func (h *Host) Record() (mtbackend.Record, string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.record, h.address
+	return h.record, h.Address
 }
 
 // Stop makes new calls for keys wait while the keys move to another owner.
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -150,7 +150,7 @@
 }
 
 func (s *fixture) newHeartbeat(server mtid.Server, sequence uint64) mtbackend.Heartbeat {
-	return mtbackend.Heartbeat{Incarnation: mtid.ServerIncarnation{Server: server}, Address: "server", Service: "maps", Slots: 2, Sequence: sequence}
+	return mtbackend.Heartbeat{Incarnation: mtid.ServerIncarnation{Server: server}, Address: s.host.Address, Service: "maps", Slots: 2, Sequence: sequence}
 }
 
 // startServer brings an incarnation of the server into service.
--- a/io/mthost/process.go
+++ b/io/mthost/process.go
@@ -39,11 +39,10 @@
 		return
 	}
 	h.checking = true
-	address := h.address
 	begun := h.Clock.Now()
 	noHeartbeat := h.noHeartbeat(begun)
 	go func() {
-		found := probeProcess(address, noHeartbeat)
+		found := probeProcess(h.Address, noHeartbeat)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.checking = false
@@ -72,7 +71,7 @@
 func (h *Host) handleUnreachable(found processState) {
 	now := h.Clock.Now()
 	silent := found == processSilent
-	log := h.Log.With("server", h.record.Incarnation.String(), "state", h.record.State, "address", h.address,
+	log := h.Log.With("server", h.record.Incarnation.String(), "state", h.record.State, "address", h.Address,
 		"silent", silent, "heartbeat-age", now.Sub(h.lastHeartbeat), "commands-left", h.commandsLeft())
 	proven := found == processRefuses && h.record.State == mtbackend.Ready
 	if !proven && !h.commandsExpired() {
--- a/io/mthost/process_test.go
+++ b/io/mthost/process_test.go
@@ -22,11 +22,9 @@
 // Guards against two servers that own the same keys: one whose queue of connections is full for
 // seconds, and whose heartbeats are late, is taken for one that has terminated.
 func TestSilentServerHasNotEndedWhileCommandsAreInForce(t *testing.T) {
-	s := newFixture(t, "server")
-	address := listenWithFullQueue(t)
+	s := newFixture(t, listenWithFullQueue(t))
 	s.server.incarnation = "one"
 	beat := s.newHeartbeat("one", 1)
-	beat.Address = address
 	s.heartbeat(beat)
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 	incarnation := mtid.ServerIncarnation{Server: "one"}
@@ -47,10 +45,9 @@
 // Guards against two servers that own the same keys: the time of day jumps ahead, and a server that
 // takes no connections is taken for ended before its commands have expired.
 func TestClockThatJumpsAheadDoesNotEndServer(t *testing.T) {
-	s := newFixture(t, "server")
+	s := newFixture(t, listenWithFullQueue(t))
 	s.server.incarnation = "one"
 	beat := s.newHeartbeat("one", 1)
-	beat.Address = listenWithFullQueue(t)
 	s.heartbeat(beat)
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 	expiry := s.clock.Steady().Add(time.Minute)
@@ -109,25 +106,25 @@
 }
 
 // startSilentServer brings a server into service that no command was ever sent to, and silences it.
-func startSilentServer(t *testing.T, s *fixture) {
+func startSilentServer(t *testing.T) *fixture {
 	t.Helper()
-	s.host.CommandExpiry = func() mtclock.Instant { return 0 }
 	listener := newQuietListener(t)
+	s := newFixture(t, listener.address)
+	s.host.CommandExpiry = func() mtclock.Instant { return 0 }
 	s.server.mu.Lock()
 	s.server.incarnation = "one"
 	s.server.mu.Unlock()
 	beat := s.newHeartbeat("one", 1)
-	beat.Address = listener.address
 	s.heartbeat(beat)
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 	s.silence(listener)
+	return s
 }
 
 // Guards against two servers that own the same keys: one that was taken for ended is sent a grant
 // that was due, on the connection that it still has.
 func TestServerTakenForEndedIsSentNoGrants(t *testing.T) {
-	s := newFixture(t, "server")
-	startSilentServer(t, s)
+	s := startSilentServer(t)
 	assert.Assert(t, !s.host.ConnectedTo(mtid.ServerIncarnation{Server: "one"}))
 }
 
@@ -136,11 +133,10 @@
 func TestHeartbeatDuringCheckRefutesEnd(t *testing.T) {
 	for name, address := range map[string]func(t *testing.T) string{"silent": listenWithFullQueue, "refused": refusingAddress} {
 		t.Run(name, func(t *testing.T) {
-			s := newFixture(t, "server")
+			s := newFixture(t, address(t))
 			s.host.CommandExpiry = func() mtclock.Instant { return 0 }
 			s.server.incarnation = "one"
 			beat := s.newHeartbeat("one", 1)
-			beat.Address = address(t)
 			s.heartbeat(beat)
 			s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
 			s.clock.offset.Add(int64(3 * time.Second)) // no heartbeat for so long
@@ -165,8 +161,7 @@
 // Guards against a running server that gets no work for the rest of its life, since its daemon took
 // it for ended while it was silent.
 func TestServerTakenForEndedIsInServiceAfterItsNextHeartbeat(t *testing.T) {
-	s := newFixture(t, "server")
-	startSilentServer(t, s)
+	s := startSilentServer(t)
 	late := s.newHeartbeat("one", 2)
 	late.OpenedAfter, late.Accepted = s.clock.Now().Add(-time.Second), s.clock.Now() // its sender may have ended since
 	s.heartbeat(late)
@@ -180,11 +175,10 @@
 
 // Guards against a server whose process has ended and that comes back into service by a heartbeat.
 func TestServerThatRefusedConnectionsStaysEnded(t *testing.T) {
-	s := newFixture(t, "server")
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	s := newFixture(t, listener.Addr().String())
 	beat := s.newHeartbeat("one", 1)
-	beat.Address = listener.Addr().String()
 	s.server.incarnation = "one"
 	s.heartbeat(beat)
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
@@ -200,7 +194,8 @@
 // Guards against innocent requests that are refused since they were running at servers that were
 // silent for a while. A loss counts once the next incarnation has proved the end.
 func TestSilenceBringsNoSuspicionBeforeEndIsProven(t *testing.T) {
-	s := newFixture(t, "server")
+	listener := newQuietListener(t)
+	s := newFixture(t, listener.address)
 	var losses atomic.Int32
 	s.host.PublishLoss = func(mtpoison.Loss) { losses.Add(1) }
 	ctx, cancel := context.WithCancel(context.Background())
@@ -221,9 +216,7 @@
 		_, _ = s.host.Run(ctx, s.call(false))
 	}()
 	s.host.CommandExpiry = func() mtclock.Instant { return 0 }
-	listener := newQuietListener(t)
 	beat := s.newHeartbeat("one", 1)
-	beat.Address = listener.address
 	s.heartbeat(beat)
 	<-running
 	s.silence(listener)
--- a/io/mthost/zone.go
+++ b/io/mthost/zone.go
@@ -79,10 +79,10 @@
 	if h.startLimit <= 0 || path == "" {
 		return
 	}
-	incarnation, address := h.record.Incarnation, h.address
+	incarnation := h.record.Incarnation
 	go func() {
 		connected := h.Clock.Now() // lower bound for the query's connection
-		health, err := h.Client.Identify(context.Background(), address, path)
+		health, err := h.Client.Identify(context.Background(), h.Address, path)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if err != nil || health.Server != incarnation.Server || h.record.Incarnation != incarnation {
