Count no assignment of an era of the store that has not begun

Callers saw: with one entry of another writer under `live/range/1/maps` in era 0 of the store, a well formed assignment of era 1, all keys of maps were refused (503, no-lease and no-owner) for as long as it stood and after it was deleted, with or without a restart. Cause: a daemon took the newest of the assignments of a service by their epochs, which carry the era. One of an era to come is newer than all of the present era, and nothing compared its era with that of the copy. Every takeover was then written on condition of its version, which the assignment of this era never had. Why it works: the store names its era in each answer, and an update enters the era of its revision before its entries are applied. So a real assignment is never of a later era than the copy when it is read or pulled. One that is pushed by a daemon that has entered an era earlier is read once this daemon has entered it, and nothing is granted before.

--- a/io/mtdirectory/assignment.go
+++ b/io/mtdirectory/assignment.go
@@ -1,6 +1,7 @@
 package mtdirectory
 
 import (
+	"fmt"
 	"maps"
 
 	"magnoliaturn/core/mtid"
@@ -80,6 +81,9 @@
 		whole, err = DecodeAssignment(e)
 		pushed = &whole
 	}
+	if err == nil && pushed != nil {
+		err = d.View().checkEra(*pushed)
+	}
 	if err != nil {
 		d.Log.Info("pushed assignment ignored", "name", e.Name, "error", err)
 		return
@@ -114,6 +118,9 @@
 	if name := mtstore.RangeName(patch.Next.Era(), patch.Service); name != e.Name {
 		return nil, &MisplacedError{Name: e.Name, Proper: name}
 	}
+	if err := v.checkEra(Assignment{Table: &mtrange.Table{Service: service, Next: patch.Next}}); err != nil {
+		return nil, err
+	}
 	current, known := v.Assignments[service]
 	if !known {
 		return nil, &mtrange.PatchError{Service: patch.Service, Since: patch.Since}
@@ -141,6 +148,27 @@
 	return Assignment{Table: table, Version: e.Version}, nil
 }
 
+// LaterEraError reports an assignment of an era of the store that has not begun, by what is known of the store.
+type LaterEraError struct {
+	Service mtid.Service
+	Era     mtid.Era
+	Present mtid.Era
+}
+
+// Error implements error.
+func (e *LaterEraError) Error() string {
+	return fmt.Sprintf("directory: assignment of %q is of era %d of the store, which is in era %d", e.Service, e.Era, e.Present)
+}
+
+// checkEra returns a *LaterEraError if an assignment is of an era that has not begun. Its epochs are
+// higher than all of the present era, so that it would count as the newest one for good.
+func (v *View) checkEra(a Assignment) error {
+	if a.Era() > v.Era() {
+		return &LaterEraError{Service: a.Service, Era: a.Era(), Present: v.Era()}
+	}
+	return nil
+}
+
 // applyAssignmentEntry applies an assignment. It fails if no daemon wrote it.
 func (d *Directory) applyAssignmentEntry(v *View, e mtstore.Entry) error {
 	if e.Version == 0 {
@@ -151,6 +179,9 @@
 	if err != nil {
 		return err
 	}
+	if err := v.checkEra(read); err != nil {
+		return err
+	}
 	table, service, era := read.Table, read.Service, read.Era()
 	if old, ok := v.Assignments[service]; ok && !read.newer(old) {
 		if old.newer(read) {
