Let a seal that is written again restart no wait

Callers would see: after the store has come back from an older copy, 503 for all keys that nobody claims for as long as another writer writes the seal of the era again and again; found by reading, and shown by tests of the duties, not in a fleet. Cause: fallow keys wait until the hold of the seal has passed since it was seen, up to 15 s, and each version of it counted as seen anew. Evidence: TestSealWrittenAgainDoesNotRestartWait failed before ("the wait begins anew, 2.207119ms later", after one more write). Change: what follows a seal in its place holds no longer than 15 s (MaxHold) from when the first one of the era was seen, and proves nothing, as before. Why it works: no daemon writes a seal where one stands, or was seen. One that wrote its seal after another writer had deleted the first one did so within about 4 s of the era, and its hold is 10.5 s at most: both together are in the bound, unless it started later.

--- a/core/mtseal/mtseal.go
+++ b/core/mtseal/mtseal.go
@@ -83,6 +83,18 @@
 	Bounded bool
 	// Doubtful reports that another writer has changed it, so that it proves nothing.
 	Doubtful bool
+	// firstSeenAt is when the first seal of the era was seen, if another writer has changed it; zero otherwise.
+	firstSeenAt mtclock.Instant
+}
+
+// Changed returns what is known once the seal has been followed by another entry in its place, or by none. No
+// daemon does that: so the wait for the end of its hold doesn't begin anew.
+func (o Observed) Changed(next Observed) Observed {
+	next.Doubtful, next.firstSeenAt = true, o.firstSeenAt
+	if o.firstSeenAt == 0 {
+		next.firstSeenAt = o.SeenAt
+	}
+	return next
 }
 
 // Proves reports whether nobody can have given fallow keys to a server between the seal and the end of
@@ -98,7 +110,11 @@
 	if o.Version == 0 {
 		return 0
 	}
-	return o.SeenAt.Add(o.Hold)
+	until := o.SeenAt.Add(o.Hold)
+	if o.firstSeenAt != 0 {
+		until = min(until, o.firstSeenAt.Add(MaxHold))
+	}
+	return until
 }
 
 // Past is an era that has ended and in which certain keys had no owner from its beginning to its end.
--- a/io/mtdirectory/seal.go
+++ b/io/mtdirectory/seal.go
@@ -27,8 +27,11 @@
 	if err != nil {
 		seal.Hold = mtseal.MaxHold
 	}
-	observed := mtseal.Observed{Seal: seal, Version: e.Version, SeenAt: now, Doubtful: ok || err != nil || e.Version == 0}
+	observed := mtseal.Observed{Seal: seal, Version: e.Version, SeenAt: now, Doubtful: err != nil || e.Version == 0}
 	observed.After, observed.Bounded = d.publisher.sentBefore(e.Version)
+	if ok {
+		observed = known.Changed(observed)
+	}
 	v.Seals = maps.Clone(v.Seals)
 	if v.Seals == nil {
 		v.Seals = make(map[mtid.Service]mtseal.Observed)
