Take no record whose daemon has no registration for a server's

Seen by callers: with a record of maps that another writer had left under a lease of ten minutes, all keys stayed unserved after everything had ended and started again, as with one without a lease.

A record that was read from the store itself, of a daemon that has no registration in the store's era, is passed over like one that can't be decoded. Daemons that are served by others get only that something stands there.

Why a real daemon is never passed over: both entries have one revision, so that a watch shows both or neither, and within an update registrations are applied first. Nobody deletes registrations. Where another writer does, the daemon writes it again, in one step with its record; until then the last valid record holds.

--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -176,6 +176,9 @@
 	if err == nil && record.Daemon != name {
 		err = &mtbackend.DecodeError{Err: &nameMismatchError{name: name, daemon: record.Daemon}}
 	}
+	if err == nil && e.Origin.FromStore() && v.Registrations[name] == 0 {
+		err = &UnregisteredError{Daemon: name} // daemons pass on only what has a registration
+	}
 	if err != nil {
 		// The last valid record remains in effect. A takeover is conditional on its
 		// version, so it fails while this entry exists.
@@ -198,6 +201,14 @@
 	return nil
 }
 
+// UnregisteredError reports a record without a registration: daemons write both in one step.
+type UnregisteredError struct{ Daemon mtid.Daemon }
+
+// Error implements error.
+func (e *UnregisteredError) Error() string {
+	return fmt.Sprintf("directory: daemon %q has no registration", e.Daemon)
+}
+
 // renewed returns the stranger with a version of its entry that is read at a time. Whatever stood there in between
 // was no daemon's: that would have left a registration.
 func (s Stranger) renewed(version mtid.Version, now mtclock.Instant) Stranger {
@@ -221,6 +232,9 @@
 	if e.Version == 0 {
 		d.Log.Error("registration of a daemon was deleted by another writer", "peer", name, "revision", e.Revision.Number())
 		delete(v.Registrations, name)
+		if name == d.Self {
+			d.publisher.onUnregistered(e.Revision)
+		}
 		v.restartAbsence(name, now)
 		return
 	}
--- a/io/mtdirectory/publisher.go
+++ b/io/mtdirectory/publisher.go
@@ -60,6 +60,8 @@
 	validSince     atomic.Uint64               // version since which the record has been present without a gap, and has not reported the end of the server
 	foreignVersion atomic.Uint64               // version that another writer stored under this daemon's name
 	deletedAt      atomic.Uint64               // revision at which the record was reported as deleted
+	registeredAt   atomic.Uint64               // version of the last write of the registration
+	unregisteredAt atomic.Uint64               // revision at which the registration was reported as deleted
 	firstWrite     atomic.Pointer[recordWrite] // the first one of the era entered last
 	unavailable    atomic.Bool                 // the last attempt to maintain the record failed
 }
@@ -132,6 +134,13 @@
 	p.runNow()
 }
 
+// onUnregistered is called when this daemon's registration was reported as deleted. Other daemons accept no
+// record without one.
+func (p *publisher) onUnregistered(revision mtid.Revision) {
+	p.unregisteredAt.Store(uint64(revision))
+	p.runNow()
+}
+
 // runNow makes the background goroutine run its next step immediately.
 func (p *publisher) runNow() {
 	select {
@@ -243,6 +252,9 @@
 		p.Log.Warn("own record was deleted", "own", p.version.Number(), "revision", mtid.Revision(deleted).Number())
 		p.version, p.tenure = 0, Tenure{}
 	}
+	if p.unregisteredAt.Swap(0) > p.registeredAt.Load() {
+		p.written = mtbackend.Record{} // written again, with the registration
+	}
 	if !lossesWritten {
 		p.runNow() // a changed record is written after them
 		if p.stands() {
@@ -394,6 +406,9 @@
 				p.firstWrite.Store(&recordWrite{version: version, sent: sent})
 			}
 			p.version, p.written = version, wanted
+			if mayBeAbsent {
+				p.registeredAt.Store(uint64(version))
+			}
 			if interrupted {
 				p.setValidSince(version)
 			} else if !reportsEnd(wanted) {
--- /dev/null
+++ b/io/mtdirectory/unregistered_test.go
@@ -0,0 +1,84 @@
+package mtdirectory_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtbackend"
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtstore"
+	"magnoliaturn/io/mtdirectory"
+	"magnoliaturn/io/mtstandin"
+)
+
+// originSource is a store that names itself as the origin of its entries.
+type originSource struct{ leaseSource }
+
+// Watch implements mtwatch.Source.
+func (s originSource) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	changes, err := s.leaseSource.Watch(ctx, prefix, after, wait)
+	return changes.From(mtstore.Origin{Way: mtstore.WayWatch}), err
+}
+
+// putLeased writes the record of a daemon under a lease, without its registration.
+func putLeased(t *testing.T, store *mtstandin.RevisionStore, r mtbackend.Record) mtid.Version {
+	t.Helper()
+	value, err := r.Encode()
+	assert.NilError(t, err)
+	lease, err := store.Grant(context.Background(), time.Minute)
+	assert.NilError(t, err)
+	version, err := store.Swap(context.Background(), mtstore.BackendName(0, r.Daemon), 0, value, lease)
+	assert.NilError(t, err)
+	return version
+}
+
+// Guards against a record that another writer puts under a lease and that counts as that of a daemon that runs, and
+// against a daemon that doesn't count once it has written over it.
+func TestRecordWithoutRegistrationIsNoMember(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	r := record("b")
+	r.Daemon = "b"
+	version := putLeased(t, store, r)
+	var log entryLog
+	a := startFrom(t, store, "a", originSource{leaseSource{store}}, &log)
+	c := startFrom(t, store, "c", downstreamSource{a}, &log)
+	for _, d := range []*mtdirectory.Directory{a, c} {
+		waitFor(t, "the entry is known", func() bool { return d.View().InvalidRecords["b"] && d.OddEntries() == 1 })
+		_, known := d.View().Members["b"]
+		assert.Assert(t, !known && len(d.View().Strangers) == 0, "a lease may be that of a daemon")
+	}
+	b := startFrom(t, store, "b", originSource{leaseSource{store}}, &log)
+	b.Publish(r)
+	for _, d := range []*mtdirectory.Directory{a, b, c} {
+		waitFor(t, "the daemon's own record counts", func() bool { return d.View().Members["b"].Version > version && d.OddEntries() == 0 })
+	}
+}
+
+// Guards against a daemon that no longer counts, for good, because another writer has deleted its registration.
+func TestDeletedRegistrationIsWrittenAgain(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a, b := startFrom(t, store, "a", originSource{leaseSource{store}}, &log), startFrom(t, store, "b", originSource{leaseSource{store}}, &log)
+	b.Publish(record("b"))
+	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
+	store.SuppressWatchEvents(true) // b writes before it is notified
+	store.Delete(mtstore.RegistrationName(0, "b"))
+	changed := record("b")
+	changed.Slots++
+	b.Publish(changed)
+	since := b.RecordVersion()
+	waitFor(t, "the changed record is written", func() bool { return b.RecordVersion() > since })
+	store.SuppressWatchEvents(false)
+	waitFor(t, "the registration and the record are back", func() bool {
+		return a.View().Registrations["b"] != 0 && a.View().Members["b"].Record == changed && a.OddEntries() == 0
+	})
+	assert.Equal(t, a.View().Members["b"].Version, b.RecordVersion())
+	assert.Assert(t, b.Current(), "the record has stood all the while")
+	version, view := b.RecordVersion(), a.View().Revision
+	mark := store.Put("mark", nil)
+	waitFor(t, "a has received the later changes", func() bool { return uint64(a.View().Revision) >= uint64(mark) && view < a.View().Revision })
+	assert.Equal(t, b.RecordVersion(), version, "written again once")
+}
