Judge a record by its registration only where the store has shown a lease

Change: an entry has what the store has shown of its lease: nothing, none, or one. A record is judged by its registration if the store has shown either; the platform's store always does. The stand-in of the store names no lease for an entry that has changed since it was read, instead of that of the later one.

--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -38,11 +38,19 @@
 	Version  mtid.Version  // number of writes of this name, from 1
 	Revision mtid.Revision // revision of the store that wrote this version
 	Origin   Origin
-	// Unleased reports that the store has shown the entry to be written without a lease. False proves nothing. It is
-	// not passed on.
-	Unleased bool `json:"-"`
+	Lease    LeaseShown `json:"-"` // not passed on to other daemons
 }
 
+// LeaseShown is what the store has shown of the lease of an entry.
+type LeaseShown uint8
+
+// What the store shows of a lease.
+const (
+	LeaseUnknown LeaseShown = iota // nothing, or the entry was not read from the store
+	Unleased                       // the entry was written without one
+	Leased                         // the entry ends with a lease
+)
+
 // Changes is the result of a watch: the newest version of each name that changed
 // after the requested revision, in order of Revision.
 type Changes struct {
--- a/io/mtdirectory/foreign_test.go
+++ b/io/mtdirectory/foreign_test.go
@@ -26,7 +26,7 @@
 func (s leaseSource) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
 	changes, err := s.RevisionStore.Watch(ctx, prefix, after, wait)
 	for i, e := range changes.Entries {
-		changes.Entries[i].Unleased = e.Version != 0 && s.Unleased(e)
+		changes.Entries[i].Lease = s.LeaseOf(e)
 	}
 	return changes, err
 }
@@ -101,7 +101,7 @@
 	version, err := s.RevisionStore.Commit(ctx, conditions, puts...)
 	var conflict *mtstore.ConflictError
 	if errors.As(err, &conflict) {
-		conflict.Current.Unleased = s.Unleased(conflict.Current)
+		conflict.Current.Lease = s.LeaseOf(conflict.Current)
 	}
 	return version, err
 }
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -97,7 +97,7 @@
 // decodeRecord decodes an entry that stands in place of a record. It fails if no daemon wrote it.
 func decodeRecord(e mtstore.Entry) (mtbackend.Record, error) {
 	record, err := mtbackend.Decode(e.Value)
-	if err == nil && e.Unleased {
+	if err == nil && e.Lease == mtstore.Unleased {
 		err = &mtbackend.UnleasedError{}
 	}
 	return record, err
@@ -108,7 +108,7 @@
 func showsUnleased(e mtstore.Entry) bool {
 	_, err := decodeRecord(e)
 	var unleased *mtbackend.UnleasedError
-	return e.Unleased || errors.As(err, &unleased)
+	return e.Lease == mtstore.Unleased || errors.As(err, &unleased)
 }
 
 // registrationsFirst returns the entries with the registrations before all others: a record is judged by whether
@@ -176,8 +176,8 @@
 	if err == nil && record.Daemon != name {
 		err = &mtbackend.DecodeError{Err: &nameMismatchError{name: name, daemon: record.Daemon}}
 	}
-	if err == nil && e.Origin.FromStore() && v.Registrations[name] == 0 {
-		err = &UnregisteredError{Daemon: name} // daemons pass on only what has a registration
+	if err == nil && e.Lease != mtstore.LeaseUnknown && v.Registrations[name] == 0 {
+		err = &UnregisteredError{Daemon: name} // other daemons have checked what they pass on
 	}
 	if err != nil {
 		// The last valid record remains in effect. A takeover is conditional on its
--- a/io/mtdirectory/unregistered_test.go
+++ b/io/mtdirectory/unregistered_test.go
@@ -14,15 +14,6 @@
 	"magnoliaturn/io/mtstandin"
 )
 
-// originSource is a store that names itself as the origin of its entries.
-type originSource struct{ leaseSource }
-
-// Watch implements mtwatch.Source.
-func (s originSource) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
-	changes, err := s.leaseSource.Watch(ctx, prefix, after, wait)
-	return changes.From(mtstore.Origin{Way: mtstore.WayWatch}), err
-}
-
 // putLeased writes the record of a daemon under a lease, without its registration.
 func putLeased(t *testing.T, store *mtstandin.RevisionStore, r mtbackend.Record) mtid.Version {
 	t.Helper()
@@ -43,14 +34,14 @@
 	r.Daemon = "b"
 	version := putLeased(t, store, r)
 	var log entryLog
-	a := startFrom(t, store, "a", originSource{leaseSource{store}}, &log)
+	a := startFrom(t, store, "a", leaseSource{store}, &log)
 	c := startFrom(t, store, "c", downstreamSource{a}, &log)
 	for _, d := range []*mtdirectory.Directory{a, c} {
 		waitFor(t, "the entry is known", func() bool { return d.View().InvalidRecords["b"] && d.OddEntries() == 1 })
 		_, known := d.View().Members["b"]
 		assert.Assert(t, !known && len(d.View().Strangers) == 0, "a lease may be that of a daemon")
 	}
-	b := startFrom(t, store, "b", originSource{leaseSource{store}}, &log)
+	b := startFrom(t, store, "b", leaseSource{store}, &log)
 	b.Publish(r)
 	for _, d := range []*mtdirectory.Directory{a, b, c} {
 		waitFor(t, "the daemon's own record counts", func() bool { return d.View().Members["b"].Version > version && d.OddEntries() == 0 })
@@ -61,7 +52,7 @@
 func TestDeletedRegistrationIsWrittenAgain(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
 	var log entryLog
-	a, b := startFrom(t, store, "a", originSource{leaseSource{store}}, &log), startFrom(t, store, "b", originSource{leaseSource{store}}, &log)
+	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
 	b.Publish(record("b"))
 	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
 	store.SuppressWatchEvents(true) // b writes before it is notified
--- a/io/mtgrant/foreign_test.go
+++ b/io/mtgrant/foreign_test.go
@@ -26,7 +26,9 @@
 func (s leaseStore) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
 	changes, err := s.RevisionStore.Watch(ctx, prefix, after, wait)
 	for i, e := range changes.Entries {
-		changes.Entries[i].Unleased = s.shown[e.Name] && s.Unleased(e)
+		if s.shown[e.Name] {
+			changes.Entries[i].Lease = s.LeaseOf(e)
+		}
 	}
 	return changes, err
 }
--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -127,13 +127,18 @@
 	return s.entry(name, i), nil
 }
 
-// Unleased reports whether a version of an entry was written without a lease. It returns false if the entry is
-// at another version by now.
-func (s *RevisionStore) Unleased(e mtstore.Entry) bool {
+// LeaseOf returns whether an entry that was read has a lease, or LeaseUnknown if it has changed since.
+func (s *RevisionStore) LeaseOf(e mtstore.Entry) mtstore.LeaseShown {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i, ok := s.items[e.Name]
-	return ok && s.versionOf(i.revision) == e.Version && i.lease == ""
+	switch {
+	case !ok || s.versionOf(i.revision) != e.Version:
+		return mtstore.LeaseUnknown
+	case i.lease == "":
+		return mtstore.Unleased
+	}
+	return mtstore.Leased
 }
 
 // Swap implements mtstore.Store.
