Let what shows that the known server runs refute other senders

A second heartbeat of an unknown incarnation counted as proof, whatever else was known: also after the server had answered with the known name (that answer was not kept), while the liveness connection to the known process was open, and where nothing listened at the address. The known incarnation was then ended for ever. One unknown sender at a time was kept, so that heartbeats of several displaced one another.

The server's answer names one of them or refutes them; a refuted name comes in by an answer alone, and is queried for once a second. A second heartbeat counts only if a query since the first was not answered, and not if the liveness connection to a server that has named itself is open, if the known incarnation or another contender was running after the contender's first heartbeat, or if connections to the address are refused and the contender isn't leaving. What a second heartbeat alone has replaced can come back by a heartbeat on a later connection. Its daemon reports an end before that, so that keys which others took over meanwhile aren't granted again. A liveness connection counts as confirmed only if it is open after the confirmation, and inherits that only from one that is still open.

Tests changed. TestLateHeartbeatOfPreviousIncarnationIsIgnored expects the refutation instead of a nil error. In TestLateHeartbeatsOfPredecessorDoNotReplaceRunningServer late heartbeats may be refuted, and the successor answers with its own name: the test let it answer with its predecessor's and demanded that two heartbeats outweigh that, which is this fault.

Why it works. One process at a time has the server's address. Its answer and a connection that ends with it show which one that is; heartbeats show only that a sender exists.

--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -8,6 +8,7 @@
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
 	"magnoliaturn/core/mtid"
+	iobackend "magnoliaturn/io/mtbackend"
 )
 
 // checkHeartbeat checks the process of a server from which no heartbeat has been received
@@ -40,12 +41,13 @@
 // acknowledgement that binds this daemon.
 //
 // A heartbeat may be delayed and arrive after its sender has crashed and another
-// incarnation has started. So a heartbeat of an unknown incarnation only makes the daemon
-// query the server. If it were trusted, the keys of the running incarnation would appear to
-// be free and would be granted to another server.
+// incarnation has started, or come from another sender. So a heartbeat of an unknown incarnation
+// only makes the daemon query the server. If it were trusted, the keys of the running incarnation
+// would appear to be free and would be granted to another server.
 //
 // It fails with a *UndeclaredServiceError if the heartbeat names a service that is not
-// declared, and with an *AddressError if it names another address than the settings.
+// declared, with an *AddressError if it names another address than the settings, and with a
+// *ForeignSenderError if its sender isn't the server.
 func (h *Host) ObserveHeartbeat(b mtbackend.Heartbeat) error {
 	if !sameAddress(b.Address, h.Address) {
 		return &AddressError{Address: b.Address, Configured: h.Address}
@@ -55,39 +57,31 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	outlivedEnd := h.hasOutlivedEnd(b)
-	if !outlivedEnd && (h.ended[b.Incarnation] || b.Incarnation.Before(h.record.Incarnation)) {
-		h.Log.Info("heartbeat of a previous incarnation ignored", "server", b.Incarnation.String(), "sequence", b.Sequence)
+	if h.hasOutlivedEnd(b) {
+		h.observeLeaving(b)
+		h.resumeIncarnation(b)
 		return nil
 	}
-	if b.Draining {
-		h.acknowledgeLeaving(b.Incarnation, h.Clock.Now())
+	if !h.hasOutlivedReplacement(b) && (h.ended[b.Incarnation] || b.Incarnation.Before(h.record.Incarnation)) {
+		if h.ignored != b.Incarnation {
+			h.Log.Info("heartbeat of a previous incarnation ignored", "server", b.Incarnation.String(), "sequence", b.Sequence)
+		}
+		h.ignored = b.Incarnation
+		return nil
 	}
-	switch {
-	case outlivedEnd:
-		h.resumeIncarnation(b)
-	case h.record.Incarnation == b.Incarnation:
+	if h.record.Incarnation == b.Incarnation {
+		h.observeLeaving(b)
 		h.applyHeartbeat(b)
-	default:
-		h.handleUnconfirmed(b)
+		return nil
 	}
-	return nil
+	return h.observeContender(b)
 }
 
-// handleUnconfirmed determines whether the sender of a heartbeat is the running
-// incarnation, by querying the server. If that fails, a second heartbeat of the same
-// incarnation confirms it too, unless both may have been sent before the known incarnation
-// started. In that case the known one would be taken for ended while it runs. It is called with
-// mu held.
-func (h *Host) handleUnconfirmed(b mtbackend.Heartbeat) {
-	previous := h.unconfirmed
-	h.unconfirmed, h.unconfirmedAt = b, h.Clock.Now()
-	newer := h.record.Incarnation.IsZero() || b.OpenedAfter.After(h.lastAccepted)
-	if previous.Incarnation == b.Incarnation && b.Sequence > previous.Sequence && newer {
-		h.startIncarnation(b)
-		return
+// observeLeaving acknowledges the leaving that a heartbeat announces. It is called with mu held.
+func (h *Host) observeLeaving(b mtbackend.Heartbeat) {
+	if b.Draining {
+		h.acknowledgeLeaving(b.Incarnation, h.Clock.Now())
 	}
-	h.identify(h.unconfirmedAt)
 }
 
 const (
@@ -97,6 +91,8 @@
 	// assignment. If it then waited for the next heartbeat, every server would stay out of
 	// service for 1.5 s.
 	retryPause = 50 * time.Millisecond
+	// refutedPause is the pause between two queries because of senders that aren't the server.
+	refutedPause = time.Second
 	// identifyWindow is how long after its heartbeat a server is queried: until the next
 	// heartbeat.
 	identifyWindow = 2 * time.Second
@@ -105,38 +101,29 @@
 // identify queries the server for the running incarnation if a heartbeat of an unknown one
 // is pending. It is called with mu held.
 func (h *Host) identify(now mtclock.Instant) {
-	if h.unconfirmed.Incarnation.IsZero() || h.identifying || now.Before(h.identifyAfter) || now.Sub(h.unconfirmedAt) > identifyWindow {
-		return
-	}
 	path := h.Health()
-	if path == "" {
+	pause := retryPause
+	if h.contenders.allRefuted() {
+		pause = refutedPause
+	}
+	if path == "" || h.identifying || now.Before(h.identifiedAt.Add(pause)) || !h.contenders.pending(now) {
 		return
 	}
 	h.identifying = true
-	h.identifyAfter = now.Add(retryPause)
-	heartbeat := h.unconfirmed
+	h.identifiedAt = now
 	go func() {
 		health, err := h.Client.Identify(context.Background(), h.Address, path)
-		server := health.Server
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.identifying = false
-		switch {
-		case err != nil || server == "":
-			h.Log.Info("running incarnation of the server could not be determined", "beat", heartbeat.Incarnation.String(), "error", err)
-		case h.unconfirmed.Incarnation.IsZero():
-			// A second heartbeat has confirmed it in the meantime.
-		case server == h.unconfirmed.Incarnation.Server:
-			// Of two incarnations with this name the later one is running, and earlier ones
-			// are not queried.
-			h.startIncarnation(h.unconfirmed)
-			h.applySignals(now, health.Signals)
-		case h.record.Incarnation.Server == server:
-			// The known incarnation is running, and the heartbeat is an old one.
-		default:
-			h.Log.Warn("heartbeat is not from the running incarnation of the server", "beat", heartbeat.Incarnation.String(), "server", server)
-			h.unconfirmed = mtbackend.Heartbeat{}
+		h.nothingListens = err != nil && iobackend.ConnectionRefused(err)
+		if err != nil || health.Server == "" {
+			h.logUndetermined(err)
+			h.contenders.unanswered()
+			h.acceptHeartbeats()
+			return
 		}
+		h.settle(now, health)
 	}()
 }
 
@@ -145,6 +132,7 @@
 func (h *Host) applyHeartbeat(b mtbackend.Heartbeat) {
 	now := h.Clock.Now()
 	h.lastHeartbeat, h.lastAccepted, h.silent = now, max(h.lastAccepted, b.Accepted), false
+	h.lastOpened = max(h.lastOpened, b.OpenedAfter)
 	h.heartbeatOpened(b.OpenedAfter)
 	if b.Sequence < h.sequence {
 		return
@@ -223,13 +211,13 @@
 
 // startIncarnation makes the sender of a heartbeat the current incarnation of the server.
 // It is called with mu held.
-func (h *Host) startIncarnation(b mtbackend.Heartbeat) {
+func (h *Host) startIncarnation(b mtbackend.Heartbeat, by proof) {
+	h.Log.Info("server has a new incarnation", "former", h.record.Incarnation.String(), "server", b.Incarnation.String(), "proof", string(by))
 	if !h.record.Incarnation.IsZero() {
 		if !h.ended[h.record.Incarnation] || h.endInferredAt != 0 {
 			h.serverLost()
 		}
-		h.ended[h.record.Incarnation] = true
-		h.Log.Info("server has a new incarnation", "former", h.record.Incarnation.String(), "server", b.Incarnation.String())
+		h.replaceIncarnation(h.record.Incarnation, by)
 		h.admission.Drain()
 		h.admission, h.zoneClosed = h.newAdmission(), false
 		if h.record.Incarnation.Server == b.Incarnation.Server {
@@ -238,15 +226,25 @@
 			h.admission.AssumeRecentStarts()
 		}
 	}
+	if h.ended[b.Incarnation] {
+		// Its keys may have been taken over while the record named another incarnation. After a reported
+		// end, keys are granted only by a copy of the assignment that is as new as the next record.
+		end := h.record
+		end.State = mtbackend.Ended
+		h.Publish(end)
+	}
+	delete(h.ended, b.Incarnation)
+	delete(h.replacedAt, b.Incarnation)
+	h.contenders = contenders{}
+	h.proof = by
 	h.warmup = mtbackend.WarmupTracker{}
 	h.updateZone(h.Clock.Now())
-	h.unconfirmed = mtbackend.Heartbeat{}
 	h.record.Incarnation = b.Incarnation
 	h.signals = signals{logged: h.signals.logged}
 	h.applyRateLimit("new incarnation")
 	h.record.Service = b.Service
 	h.record.State = mtbackend.Unknown
-	h.sequence = 0
+	h.sequence, h.lastOpened = 0, 0
 	h.drainAt, h.endInferredAt = 0, 0
 	clear(h.deniedKeys)
 	h.closeLivenessLocked()
--- a/io/mthost/liveness.go
+++ b/io/mthost/liveness.go
@@ -106,7 +106,7 @@
 	}
 	h.liveness = t
 	if previous != nil && previous.incarnation == t.incarnation {
-		t.confirmed = previous.confirmed
+		t.confirmed = previous.confirmed && previous.open()
 	}
 	if previous != nil {
 		_ = previous.conn.Close()
@@ -181,6 +181,7 @@
 		defer h.mu.Unlock()
 		h.confirmLiveness(t)
 		if h.record.Incarnation == t.incarnation {
+			h.proof = proofAnswer
 			h.applySignals(sent, health.Signals)
 		}
 	}()
@@ -196,7 +197,7 @@
 // confirmLiveness records that the incarnation at the other end of a liveness connection is
 // known. It is called with mu held.
 func (h *Host) confirmLiveness(t *livenessConn) {
-	if t == nil || h.liveness != t || t.confirmed {
+	if t == nil || h.liveness != t || t.confirmed || !t.open() {
 		return
 	}
 	t.confirmed = true
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -141,32 +141,38 @@
 	sequence uint64
 	ended    map[mtid.ServerIncarnation]bool // terminated or replaced
 	// leavingSince holds, by incarnation, when its leaving was acknowledged.
-	leavingSince  map[mtid.ServerIncarnation]mtclock.Instant
-	admission     *iogate.AdmissionController[*mtgate.Urgent]
-	routes        []mtroute.Route
-	drainAt       mtclock.Instant // while draining, the end of new work; zero otherwise
-	checking      bool
-	clearing      bool
-	unconfirmed   mtbackend.Heartbeat // latest heartbeat of an unknown incarnation
-	unconfirmedAt mtclock.Instant     // when it arrived
-	identifyAfter mtclock.Instant     // no earlier query for the running incarnation
+	leavingSince map[mtid.ServerIncarnation]mtclock.Instant
+	admission    *iogate.AdmissionController[*mtgate.Urgent]
+	routes       []mtroute.Route
+	drainAt      mtclock.Instant // while draining, the end of new work; zero otherwise
+	checking     bool
+	clearing     bool
+	contenders   contenders      // senders of heartbeats that may be the server
+	identifiedAt mtclock.Instant // when the latest query for the running incarnation began
 	// uncleared is the latest heartbeat of an incarnation that still has to be cleared.
 	uncleared  mtbackend.Heartbeat
 	clearAfter mtclock.Instant
 	// identifying is set while a query for the running incarnation is in progress.
 	identifying       bool
-	lastHeartbeat     mtclock.Instant         // time of the latest heartbeat
-	lastAccepted      mtclock.Instant         // when the latest connection with a heartbeat of the current incarnation was accepted
-	lastCheck         mtclock.Instant         // time of the latest process check for lack of heartbeats
-	silent            bool                    // it answered nothing at the latest process check
-	endInferredAt     mtclock.Instant         // when the current incarnation was taken for ended because of silence; zero if it was not
-	liveness          *livenessConn           // nil if there is none
-	livenessAge       time.Duration           // after which it is replaced
-	livenessClosed    livenessClose           // the last one that the server closed, until an incarnation is confirmed
-	openingLiveness   bool                    // a liveness connection is being opened
-	openLivenessAfter mtclock.Instant         // no earlier attempt to open one
-	lastConfirmed     mtid.ServerIncarnation  // latest incarnation confirmed on a liveness connection
-	deniedKeys        map[mtid.KeyNumber]bool // keys that the server denied holding since its latest heartbeat
+	undetermined      string                                     // latest line about a query without result
+	ignored           mtid.ServerIncarnation                     // latest one whose heartbeat was ignored
+	nothingListens    bool                                       // the latest query was refused
+	proof             proof                                      // that the current incarnation is the server
+	refuted           map[mtid.Server]bool                       // names of senders that aren't the server
+	replacedAt        map[mtid.ServerIncarnation]mtclock.Instant // when an incarnation was replaced that may still run
+	lastOpened        mtclock.Instant                            // when the current incarnation was certainly running, by its heartbeats
+	lastHeartbeat     mtclock.Instant                            // time of the latest heartbeat
+	lastAccepted      mtclock.Instant                            // when the latest connection with a heartbeat of the current incarnation was accepted
+	lastCheck         mtclock.Instant                            // time of the latest process check for lack of heartbeats
+	silent            bool                                       // it answered nothing at the latest process check
+	endInferredAt     mtclock.Instant                            // when the current incarnation was taken for ended because of silence; zero if it was not
+	liveness          *livenessConn                              // nil if there is none
+	livenessAge       time.Duration                              // after which it is replaced
+	livenessClosed    livenessClose                              // the last one that the server closed, until an incarnation is confirmed
+	openingLiveness   bool                                       // a liveness connection is being opened
+	openLivenessAfter mtclock.Instant                            // no earlier attempt to open one
+	lastConfirmed     mtid.ServerIncarnation                     // latest incarnation confirmed on a liveness connection
+	deniedKeys        map[mtid.KeyNumber]bool                    // keys that the server denied holding since its latest heartbeat
 	zone              mtzone.Admission
 	zoneClosed        bool            // the gate is closed because of the zone
 	ordersDoubted     mtclock.Instant // by the steady clock, until when an order about the zone may be unknown
@@ -205,6 +211,8 @@
 func New(config Config) (*Host, func()) {
 	h := &Host{
 		Config:          config,
+		refuted:         make(map[mtid.Server]bool),
+		replacedAt:      make(map[mtid.ServerIncarnation]mtclock.Instant),
 		ended:           make(map[mtid.ServerIncarnation]bool),
 		leavingSince:    make(map[mtid.ServerIncarnation]mtclock.Instant),
 		deniedKeys:      make(map[mtid.KeyNumber]bool),
--- a/io/mthost/mthost_test.go
+++ b/io/mthost/mthost_test.go
@@ -1,6 +1,7 @@
 package mthost_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -29,6 +30,8 @@
 type server struct {
 	mu          sync.Mutex
 	incarnation mtid.Server // the incarnation that answers
+	failure     error       // of a health check that isn't answered; nil stands for some other
+	queries     int         // health checks
 	cold        time.Duration
 	calls       int
 	answer      func(ctx context.Context) (*mtcall.Answer, error)
@@ -49,8 +52,9 @@
 func (s *server) Identify(context.Context, string, string) (iobackend.Health, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.queries++
 	if s.incarnation == "" {
-		return iobackend.Health{}, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: errors.New("no answer")}
+		return iobackend.Health{}, &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: cmp.Or(s.failure, errors.New("no answer"))}
 	}
 	return iobackend.Health{Server: s.incarnation, Cold: s.cold, Signals: s.health}, nil
 }
@@ -75,7 +79,8 @@
 	clock     *clock
 	mu        sync.Mutex
 	published mtbackend.Record
-	losses    []mtpoison.Loss // published
+	losses    []mtpoison.Loss        // published
+	observe   func(mtbackend.Record) // called with each record; may be nil
 	holds     error
 	clear     func() error
 	keyed     atomic.Bool
@@ -97,6 +102,9 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.published = r
+			if s.observe != nil {
+				s.observe(r)
+			}
 		},
 		PublishLoss: func(l mtpoison.Loss) {
 			s.mu.Lock()
@@ -188,7 +196,8 @@
 	s.heartbeat(s.newHeartbeat("old", 9))
 	s.heartbeat(s.newHeartbeat("new", 1))
 	s.waitFor("the running incarnation is known", func(r mtbackend.Record) bool { return r.Incarnation.Server == "new" })
-	s.heartbeat(s.newHeartbeat("old", 9))
+	var foreign *mthost.ForeignSenderError
+	assert.Assert(t, errors.As(s.host.ObserveHeartbeat(s.newHeartbeat("old", 9)), &foreign))
 	assert.Equal(t, s.record().Incarnation.Server, mtid.Server("new"))
 }
 
@@ -219,10 +228,18 @@
 			for sequence := range uint64(3) {
 				late := s.newHeartbeat("old", 7+sequence)
 				late.OpenedAfter, late.Accepted = running.OpenedAfter.Add(-time.Second), s.clock.Now()
-				s.heartbeat(late)
+				if err := s.host.ObserveHeartbeat(late); err != nil {
+					var foreign *mthost.ForeignSenderError
+					assert.Assert(t, errors.As(err, &foreign), "%v", err)
+				}
 			}
 			known, _ := s.host.Record()
 			assert.Equal(t, known.Incarnation.Server, mtid.Server("new"))
+			if answers != "" {
+				s.server.mu.Lock()
+				s.server.incarnation = "next" // the successor reports its own name
+				s.server.mu.Unlock()
+			}
 			next := s.newHeartbeat("next", 1)
 			next.OpenedAfter, next.Accepted = running.Accepted.Add(time.Millisecond), s.clock.Now()
 			s.heartbeat(next)
