Order heartbeats of an incarnation by their connections too

A heartbeat with a lower sequence than the largest so far counted as late, whatever its connection showed.

TestLaterHeartbeatCountsWhateverItsNumber before the change: "1 (s.record().Slots int) != 2 (before.Slots int)". It passes now.

A lower number on a connection that was certainly opened after the one with the larger number was accepted is not late: one of the two isn't the server's, and the later one counts.

Why it works. A server's numbers grow with each heartbeat, and so do the times of its connections. Where the time is unknown, the number decides as before.

--- a/io/mthost/foreign_test.go
+++ b/io/mthost/foreign_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -198,3 +199,20 @@
 	s.mu.Unlock()
 	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.Incarnation == one && r.AcceptsWork() })
 }
+
+// Guards against a server whose heartbeats all count as late because another sender used its name and the largest number.
+func TestLaterHeartbeatCountsWhateverItsNumber(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	s.answer("one")
+	s.heartbeat(s.beat(one, 1))
+	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.AcceptsWork() })
+	before := s.beat(one, 2)
+	made := s.beat(one, math.MaxUint64)
+	made.Slots = 1
+	s.heartbeat(made)
+	assert.Equal(t, s.record().Slots, 1)
+	s.heartbeat(before)
+	assert.Equal(t, s.record().Slots, 1, "a late heartbeat counted")
+	s.heartbeat(s.beat(one, 3))
+	assert.Equal(t, s.record().Slots, before.Slots)
+}
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -134,7 +134,7 @@
 	h.lastHeartbeat, h.lastAccepted, h.silent = now, max(h.lastAccepted, b.Accepted), false
 	h.lastOpened = max(h.lastOpened, b.OpenedAfter)
 	h.heartbeatOpened(b.OpenedAfter)
-	if b.Sequence < h.sequence {
+	if b.Sequence < h.sequence && !b.OpenedAfter.After(h.sequenceAt) {
 		return
 	}
 	h.regrantDenied()
@@ -146,7 +146,7 @@
 	}
 	h.warmup.ObserveHeartbeat(h.Clock.Steady(), b)
 	h.updateStartLimit()
-	h.sequence = b.Sequence
+	h.sequence, h.sequenceAt = b.Sequence, b.Accepted
 	h.record.Slots = b.Slots
 	h.admission.Resize(b.Slots, b.Slots)
 	if h.record.State == mtbackend.Unknown {
@@ -244,7 +244,7 @@
 	h.applyRateLimit("new incarnation")
 	h.record.Service = b.Service
 	h.record.State = mtbackend.Unknown
-	h.sequence, h.lastOpened = 0, 0
+	h.sequence, h.sequenceAt, h.lastOpened = 0, 0, 0
 	h.drainAt, h.endInferredAt = 0, 0
 	clear(h.deniedKeys)
 	h.closeLivenessLocked()
--- a/io/mthost/mthost.go
+++ b/io/mthost/mthost.go
@@ -138,8 +138,11 @@
 
 	mu       sync.Mutex
 	record   mtbackend.Record
-	sequence uint64
-	ended    map[mtid.ServerIncarnation]bool // terminated or replaced
+	sequence uint64 // of the latest heartbeat of the current incarnation
+	// sequenceAt is when the connection with that heartbeat was accepted. A lower number on a later connection shows
+	// that one of the two isn't the server's; the later one counts.
+	sequenceAt mtclock.Instant
+	ended      map[mtid.ServerIncarnation]bool // terminated or replaced
 	// leavingSince holds, by incarnation, when its leaving was acknowledged.
 	leavingSince map[mtid.ServerIncarnation]mtclock.Instant
 	admission    *iogate.AdmissionController[*mtgate.Urgent]
