--- a/core/mtbackend/mtbackend.go
+++ b/core/mtbackend/mtbackend.go
@@ -17,6 +17,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -179,6 +180,14 @@
 	return nil
 }
 
+// NamesIP reports whether the record's address is an IP address and a port, spelled as daemons spell them whose settings
+// name an IP address.
+func (r Record) NamesIP() bool {
+	address, err := netip.ParseAddrPort(r.Address)
+	_, port, _ := net.SplitHostPort(r.Address)
+	return err == nil && port == strconv.FormatUint(uint64(address.Port()), 10)
+}
+
 // maxHostBytes is the longest name of a host.
 const maxHostBytes = 253
 
--- a/io/mtdirectory/foreign_test.go
+++ b/io/mtdirectory/foreign_test.go
@@ -43,6 +43,13 @@
 	return changes, nil
 }
 
+// recordAt returns the record of a daemon at an IP address, as daemons write it beside the platform's store.
+func recordAt(daemon mtid.Daemon) mtbackend.Record {
+	r := record(daemon)
+	r.Address = "127.0.0.1:1"
+	return r
+}
+
 // startFrom starts a directory that follows a source.
 func startFrom(t *testing.T, store *mtstandin.RevisionStore, self mtid.Daemon, source mtwatch.Source, log *entryLog) *mtdirectory.Directory {
 	t.Helper()
@@ -57,7 +64,7 @@
 // don't read the store themselves.
 func TestRecordWithoutLeaseIsNoMember(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
-	value, err := record("b").Encode()
+	value, err := recordAt("b").Encode()
 	assert.NilError(t, err)
 	name := mtstore.BackendName(0, "b")
 	version := store.Put(name, value)
@@ -71,7 +78,7 @@
 	}
 	assert.Equal(t, log.count("name="+name+" "), 2, "logged once by each")
 	b := startFrom(t, store, "b", leaseSource{store}, &log)
-	b.Publish(record("b"))
+	b.Publish(recordAt("b"))
 	for _, d := range []*mtdirectory.Directory{a, c} {
 		waitFor(t, "the daemon's own record counts", func() bool { return knowsRecord(d, "b", false) })
 		assert.Assert(t, len(d.View().Strangers) == 0 && !d.View().InvalidRecords["b"] && d.OddEntries() == 0)
@@ -83,10 +90,10 @@
 	store := mtstandin.NewRevisionStore(time.Now)
 	var log entryLog
 	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
-	b.Publish(record("b"))
+	b.Publish(recordAt("b"))
 	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
 	before := a.View().Members["b"]
-	r := record("b")
+	r := recordAt("b")
 	r.Incarnation.Server, r.Address = "other", "127.0.0.1:9"
 	value, err := r.Encode()
 	assert.NilError(t, err)
@@ -112,9 +119,9 @@
 		t.Run(name, func(t *testing.T) {
 			store := mtstandin.NewRevisionStore(time.Now)
 			if leased {
-				writeLeasedRecord(t, store)
+				putLeased(t, store, recordAt("a"))
 			} else {
-				value, err := record("a").Encode()
+				value, err := recordAt("a").Encode()
 				assert.NilError(t, err)
 				store.Put(mtstore.BackendName(0, "a"), value)
 			}
@@ -124,9 +131,28 @@
 				OnPreviousRecord: func(mtbackend.Record) { previous.Store(true) },
 			})
 			t.Cleanup(cleanUp)
-			a.Publish(record("a"))
+			a.Publish(recordAt("a"))
 			waitFor(t, "the record is written", func() bool { return knowsRecord(a, "a", false) && a.RecordVersion() != 0 })
 			assert.Equal(t, previous.Load(), leased)
 		})
 	}
 }
+
+// Guards against a record of another writer that names a host nobody can find, under a daemon's own name and under a lease: calls
+// for the daemon's keys went there.
+func TestRecordThatNamesHostIsReplaced(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
+	own := recordAt("b")
+	b.Publish(own)
+	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
+	value, err := record("b").Encode() // at a host
+	assert.NilError(t, err)
+	lease, err := store.Grant(context.Background(), time.Minute)
+	assert.NilError(t, err)
+	version, err := store.Swap(context.Background(), mtstore.BackendName(0, "b"), a.View().Members["b"].Version, value, lease)
+	assert.NilError(t, err)
+	waitFor(t, "the record of b is back", func() bool { return a.View().Members["b"].Version > version })
+	assert.DeepEqual(t, a.View().Members["b"].Record, own)
+}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -94,13 +94,30 @@
 	return mtstore.BackendName(era, daemon), true
 }
 
+// AddressError reports a record whose address is not an IP address and a port. The settings of daemons that use a store
+// which shows leases name an IP address.
+type AddressError struct {
+	Daemon  mtid.Daemon
+	Address string
+}
+
+// Error implements error.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("directory: record of daemon %q has the address %.80q", e.Daemon, e.Address)
+}
+
 // decodeRecord decodes an entry that stands in place of a record. It fails if no daemon wrote it.
 func decodeRecord(e mtstore.Entry) (mtbackend.Record, error) {
 	record, err := mtbackend.Decode(e.Value)
-	if err == nil && e.Lease == mtstore.Unleased {
-		err = &mtbackend.UnleasedError{}
+	switch {
+	case err != nil:
+		return mtbackend.Record{}, err
+	case e.Lease == mtstore.Unleased:
+		return mtbackend.Record{}, &mtbackend.UnleasedError{}
+	case e.Lease == mtstore.Leased && !record.NamesIP():
+		return mtbackend.Record{}, &AddressError{Daemon: record.Daemon, Address: record.Address}
 	}
-	return record, err
+	return record, nil
 }
 
 // showsUnleased reports whether an entry that stands in place of a record has no lease: the store shows it, or
--- a/io/mtdirectory/unregistered_test.go
+++ b/io/mtdirectory/unregistered_test.go
@@ -30,8 +30,7 @@
 // against a daemon that doesn't count once it has written over it.
 func TestRecordWithoutRegistrationIsNoMember(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
-	r := record("b")
-	r.Daemon = "b"
+	r := recordAt("b")
 	version := putLeased(t, store, r)
 	var log entryLog
 	a := startFrom(t, store, "a", leaseSource{store}, &log)
@@ -53,11 +52,11 @@
 	store := mtstandin.NewRevisionStore(time.Now)
 	var log entryLog
 	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
-	b.Publish(record("b"))
+	b.Publish(recordAt("b"))
 	waitFor(t, "a knows the record of b", func() bool { return knowsRecord(a, "b", false) })
 	store.SuppressWatchEvents(true) // b writes before it is notified
 	store.Delete(mtstore.RegistrationName(0, "b"))
-	changed := record("b")
+	changed := recordAt("b")
 	changed.Slots++
 	b.Publish(changed)
 	since := b.RecordVersion()
