Await no changes where nobody answers

Callers saw: beside records of another writer that name the fastest links, and an address that accepts calls and never answers, keys of a server that came back were refused (503) for longer, and so were all keys after everything had started again. Cause: the daemons with the fastest links distribute changes, and write changes of owners for all. Whatever stood under a record's name was chosen, and a pull waits there for up to 11.5 s, once for each upstream, again and again; each write takes 0.5 s, and its outcome is unknown. Evidence: TestRecordsBehindWhichNobodyAnswersDelayNoChanges failed before ("key 22462 at vm-0: status 503" after the 10 s allowed).

Change: before a daemon awaits changes at another one that has not answered it yet, it asks it for its load, 0.5 s at most. Where that and two more such calls time out, the daemon is not in the tree by which changes are distributed until it answers; it is asked again every 0.5 to 2 s for a minute, and anew when it is needed. Writes of owners are left only to a daemon that has answered. A record with this daemon's own address under another name is no node of its tree. Logged once for each address, and counted in peers.silent. Why it works: every daemon answers the question for its load at once, without the store. Trees may differ between daemons, as they do whenever records change. Routing and ownership don't go by this: no key changes its owner because a daemon is passed over. A call that fails at once, as while a daemon restarts, delays nothing and passes nobody over.

--- a/io/mtmesh/commit.go
+++ b/io/mtmesh/commit.go
@@ -29,13 +29,17 @@
 
 // delegate sends transfers to the primary watcher, which writes for all daemons. It returns
 // false if this daemon has to write them itself: it is the primary watcher or has no record
-// in the store, or the primary watcher is unresponsive or cannot be reached.
+// in the store, or the primary watcher is unresponsive, cannot be reached or has never answered.
 func (m *Mesh) delegate(ctx context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool) {
 	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
 	writer, ok := m.feed.tree().PrimaryWatcher()
 	if !ok || writer.Daemon == m.config.Daemon || b.RecordVersion == 0 || peers.Unresponsive(writer.Address) {
 		return nil, false
 	}
+	if !m.feed.silent.answered(writer) {
+		m.feed.silent.suspect(writer)
+		return nil, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, delegateTimeout)
 	defer cancel()
 	outcomes, entry, err := peers.Commit(ctx, writer.Address, b)
@@ -43,6 +47,7 @@
 		m.directory.Load().ApplyPushedAssignment(entry)
 		return outcomes, true
 	}
+	m.feed.silent.suspect(writer)
 	m.config.Log.Warn("writing transfers through another daemon failed", "peer", writer.Daemon, "transfers", len(b.Transfers), "error", err)
 	var refused *mtreply.RefusedError
 	if errors.As(err, &refused) {
--- a/io/mtmesh/export_test.go
+++ b/io/mtmesh/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"magnoliaturn/core/mtid"
@@ -97,3 +98,16 @@
 func ChooseSurveyed(stale []mtdirectory.Member, unreported []mtrange.Owner) []mtdirectory.Member {
 	return chooseSurveyed(nil, stale, unreported)
 }
+
+// NewSilentPeers returns the functions of a silentPeers: which addresses are passed over, and a report of a daemon
+// that has not answered; and its clean-up function.
+func NewSilentPeers(log *slog.Logger, ask func(context.Context, mtspread.Node) error) (has func(string) bool, suspect func(mtspread.Node), stop func()) {
+	s := newSilentPeers(log, ask)
+	return s.has, s.suspect, s.stop
+}
+
+// CheckPeers makes the feed check by a call whether other daemons answer, and returns the clean-up function.
+func (f Feed) CheckPeers(ask func(context.Context, mtspread.Node) error) func() {
+	f.silent = newSilentPeers(slog.New(slog.DiscardHandler), ask)
+	return f.silent.stop
+}
--- a/io/mtmesh/feed.go
+++ b/io/mtmesh/feed.go
@@ -89,6 +89,8 @@
 	// pausedUntil is until when upstreams are skipped, by address. Only the goroutine that
 	// calls Watch uses it.
 	pausedUntil map[string]time.Time
+	// silent tracks the daemons that answer nothing; nil if all answer.
+	silent *silentPeers
 	// storePausedUntil is until when a watcher pulls from the other one, because the store
 	// turned it away. Only the goroutine that calls Watch uses it.
 	storePausedUntil time.Time
@@ -99,6 +101,7 @@
 type cachedTree struct {
 	membership uint64 // MembershipVersion of the view
 	former     bool   // it contains members whose records are of an earlier era of the store
+	silent     uint64 // version of the daemons that are passed over
 	tree       *mtspread.Tree
 }
 
@@ -120,16 +123,18 @@
 	// Until the daemons have written their records in a new era of the store, they are where they
 	// were. If they counted as absent, all of them would read the store themselves.
 	useFormer := f.clock.Steady().Sub(view.EraSince) < formerUse
-	if p := f.cached.Load(); p != nil && p.membership == view.MembershipVersion && p.former == useFormer {
+	silent := f.silent.version()
+	if p := f.cached.Load(); p != nil && p.membership == view.MembershipVersion && p.former == useFormer && p.silent == silent {
 		return p.tree
 	}
+	own := view.Members[f.self].Address
 	nodes := make([]mtspread.Node, 0, len(view.Members))
 	for _, m := range view.Members {
-		if present := !m.Expired || m.Former && useFormer; present && !m.Leaving {
+		if present := !m.Expired || m.Former && useFormer; present && !m.Leaving && (m.Daemon == f.self || m.Address != own && !f.silent.has(m.Address)) {
 			nodes = append(nodes, mtspread.Node{Daemon: m.Daemon, Zone: m.Zone, Address: m.Address, Link: m.Link})
 		}
 	}
-	p := &cachedTree{membership: view.MembershipVersion, former: useFormer, tree: mtspread.New(nodes)}
+	p := &cachedTree{membership: view.MembershipVersion, former: useFormer, silent: silent, tree: mtspread.New(nodes)}
 	f.cached.Store(p)
 	return p.tree
 }
@@ -146,11 +151,14 @@
 		if !ok {
 			break
 		}
-		changes, err := f.pull(ctx, upstream, after, min(wait, f.pullWait()))
-		if err == nil || ctx.Err() != nil {
-			return changes, err
+		if f.silent.confirm(ctx, upstream) {
+			changes, err := f.pull(ctx, upstream.Address, after, min(wait, f.pullWait()))
+			if err == nil || ctx.Err() != nil {
+				return changes, err
+			}
 		}
-		f.pausedUntil[upstream] = time.Now().Add(upstreamPause)
+		f.pausedUntil[upstream.Address] = time.Now().Add(upstreamPause)
+		f.silent.suspect(upstream)
 	}
 	if after == 0 {
 		return f.readAll(ctx, prefix)
@@ -250,12 +258,12 @@
 	return reply.Changes.From(mtstore.Origin{Way: mtstore.WayPull, Peer: upstream, Took: took}), nil
 }
 
-// upstream returns the address of the daemon to pull from, or false if this daemon has to
+// upstream returns the daemon to pull from, or false if this daemon has to
 // watch the store itself: it is a watcher, or no upstream is available. A watcher that the store
 // has just turned away pulls from the other one.
-func (f *changeFeed) upstream(now time.Time) (string, bool) {
+func (f *changeFeed) upstream(now time.Time) (mtspread.Node, bool) {
 	if view := f.view(); view == nil || view.Revision == 0 {
-		return "", false
+		return mtspread.Node{}, false
 	}
 	tree := f.tree()
 	upstreams := tree.Upstreams(f.self, f.zone)
@@ -264,10 +272,10 @@
 	}
 	for _, n := range upstreams {
 		if now.After(f.pausedUntil[n.Address]) {
-			return n.Address, true
+			return n, true
 		}
 	}
-	return "", false
+	return mtspread.Node{}, false
 }
 
 // pullWait returns how long to wait at an upstream: a watcher tries the store again soon.
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -40,6 +40,7 @@
 	"magnoliaturn/core/mtpoison"
 	"magnoliaturn/core/mtretry"
 	"magnoliaturn/core/mtroute"
+	"magnoliaturn/core/mtspread"
 	"magnoliaturn/core/mtstore"
 	"magnoliaturn/core/mtzone"
 	iobackend "magnoliaturn/io/mtbackend"
@@ -247,11 +248,12 @@
 }
 
 func (m *Mesh) addDirectory() error {
+	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
 	m.feed = &changeFeed{
 		self:        m.config.Daemon,
 		zone:        m.config.Zone,
 		store:       m.config.Store,
-		peers:       mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers),
+		peers:       peers,
 		clock:       mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock),
 		freshness:   m.freshness,
 		changed:     m.freshness.changed,
@@ -259,6 +261,9 @@
 		directory:   m.directory.Load,
 		configured:  func() bool { return m.configuration() != nil },
 	}
+	m.feed.silent = newSilentPeers(m.config.Log, func(ctx context.Context, n mtspread.Node) error {
+		return peers.QueryLoad(ctx, n.Daemon, n.Address)
+	})
 	m.feed.newestConfiguration = m.newest.entry
 	m.feed.tree = m.feed.memberTree
 	directory, cleanUp := mtdirectory.New(mtdirectory.Config{
@@ -276,7 +281,11 @@
 	})
 	m.directory.Store(directory)
 	m.Metrics().Gauge("store", "odd-entries", func() any { return directory.OddEntries() })
-	return mtkernel.Register(m.kernel, NameDirectory, directory, cleanUp)
+	m.Metrics().Gauge("peers", "silent", func() any { return m.feed.silent.count() })
+	return mtkernel.Register(m.kernel, NameDirectory, directory, func() {
+		cleanUp()
+		m.feed.silent.stop()
+	})
 }
 
 // enterEra makes a daemon that watches the store read everything again once the store has begun a
--- a/io/mtmesh/versions.go
+++ b/io/mtmesh/versions.go
@@ -222,7 +222,7 @@
 	sources := append(tree.OtherWatchers(m.config.Daemon), tree.Upstreams(m.config.Daemon, m.config.Zone)...)
 	for _, member := range m.directory.Load().View().Members { // in random order
 		chosen := slices.ContainsFunc(sources, func(n mtspread.Node) bool { return n.Daemon == member.Daemon })
-		if member.Reachable() && !chosen && member.Daemon != m.config.Daemon {
+		if member.Reachable() && !chosen && member.Daemon != m.config.Daemon && !m.feed.silent.has(member.Address) {
 			sources = append(sources, mtspread.Node{Daemon: member.Daemon, Address: member.Address})
 		}
 		if len(sources) >= maxConfigurationSources {
