Let the soak return with another program than the one that was lost

A release that no longer gives keys to it still finds such an assignment.

Change: cmd/soak -former names the program that runs until everything is lost.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,7 @@
 
 func main() {
 	program := flag.String("program", "target/magnoliaturn", "the built program")
+	former := flag.String("former", "", "with -endings, the program that runs until everything is lost; that of -program if empty")
 	seed := flag.Uint64("seed", uint64(time.Now().UnixNano())%1_000_000, "the first seed")
 	runs := flag.Int("runs", 1, "how many seeds, one after the other")
 	faultPeriod := flag.Duration("time", 20*time.Second, "how long faults are injected in each run")
@@ -44,7 +45,7 @@
 	flag.Parse()
 	failed := 0
 	for i := range uint64(*runs) {
-		config := soak.Config{Program: *program, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Crashes: *crashes, StepBacks: *stepBacks, Configs: *configs, Overload: *overload, Planned: *planned, Logs: *logs}
+		config := soak.Config{Program: *program, Former: *former, Seed: *seed + i, FaultPeriod: *faultPeriod, VMs: *vms, Zones: *zones, LateGrants: *late, Signals: *signals, Stops: *stops, Crashes: *crashes, StepBacks: *stepBacks, Configs: *configs, Overload: *overload, Planned: *planned, Logs: *logs}
 		if *endings {
 			ending := soak.DrawEnding(config.Seed)
 			if *play != "" {
@@ -54,6 +55,9 @@
 					os.Exit(2)
 				}
 			}
+			if *former != "" {
+				ending.Foreign.Within = 0 // keys that it gave to another writer's record wait for what it may have granted
+			}
 			config.Ending = &ending
 		}
 		result, err := soak.Run(context.Background(), config)
