Keep the leaving of a server whatever others deregister

Acknowledged leavings are bounded, and a further one dropped all of them, the server's own too.

TestDeregistrationsOfOtherSendersDisplaceNoLeaving before the change: "published as ready". It passes now, three times.

The leavings of the current incarnation and of contenders that aren't refuted are kept, the others dropped.

--- a/io/mthost/contender.go
+++ b/io/mthost/contender.go
@@ -52,6 +52,11 @@
 	*c = append(*c, next)
 }
 
+// has reports whether an incarnation is a contender that isn't refuted.
+func (c contenders) has(incarnation mtid.ServerIncarnation) bool {
+	return slices.ContainsFunc(c, func(o contender) bool { return !o.refuted && o.latest.Incarnation == incarnation })
+}
+
 // unanswered records that the server has not answered a query.
 func (c contenders) unanswered() {
 	for i := range c {
--- a/io/mthost/end.go
+++ b/io/mthost/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"magnoliaturn/core/mtbackend"
@@ -30,13 +31,16 @@
 		return
 	}
 	if len(h.leavingSince) >= maxLeaving {
-		clear(h.leavingSince) // incarnations that never ran here
+		// Incarnations that never ran here. Those that run, or may turn out to, are kept.
+		maps.DeleteFunc(h.leavingSince, func(i mtid.ServerIncarnation, _ mtclock.Instant) bool {
+			return i != h.record.Incarnation && !h.contenders.has(i)
+		})
 	}
 	h.leavingSince[incarnation] = at
 }
 
-// maxLeaving limits the number of incarnations known to be leaving. One runs at a time; the
-// others come from late heartbeats, or from heartbeats forged by another sender.
+// maxLeaving limits the number of incarnations known to be leaving, besides contenders. One runs at a time; the
+// others come from late heartbeats, or from calls of another sender.
 const maxLeaving = 64
 
 // startDraining makes the server drain if the leaving of its current incarnation has been
--- a/io/mthost/foreign_test.go
+++ b/io/mthost/foreign_test.go
@@ -12,6 +12,7 @@
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtid"
+	"magnoliaturn/core/mtreply"
 	"magnoliaturn/io/mthost"
 )
 
@@ -216,3 +217,33 @@
 	s.heartbeat(s.beat(one, 3))
 	assert.Equal(t, s.record().Slots, before.Slots)
 }
+
+// Guards against a leaving server that gets new work because deregistrations of other senders displaced its own.
+func TestDeregistrationsOfOtherSendersDisplaceNoLeaving(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	s.answer("one")
+	var assignmentRead atomic.Bool
+	s.mu.Lock()
+	s.clear = func() error {
+		if assignmentRead.Load() {
+			return nil
+		}
+		return errors.New("the assignment has not been read yet")
+	}
+	s.mu.Unlock()
+	s.heartbeat(s.beat(one, 1))
+	s.waitFor("the server is known", func(mtbackend.Record) bool {
+		known, _ := s.host.Record()
+		return known.Incarnation == one
+	})
+	s.host.Deregister(one)
+	for n := range 200 {
+		s.host.Deregister(mtid.ServerIncarnation{Server: mtid.Server(fmt.Sprint("other-", n))})
+	}
+	assignmentRead.Store(true)
+	s.waitFor("the server is draining", func(r mtbackend.Record) bool {
+		assert.Assert(t, r.State != mtbackend.Ready, "published as ready")
+		return r.State == mtbackend.Draining
+	})
+	assert.Equal(t, s.refusalCause(false), mtreply.CauseDraining)
+}
