Clear a server whose predecessor is being cleared without its next heartbeat

The end of an earlier incarnation's clearing dropped what was noted of the next one, which came meanwhile.

TestClearingOfFormerIncarnationDelaysNoServer before the change: "timeout hit after 20s: the server is ready". It passes now, three times.

Only the note of the incarnation that was cleared is dropped; the other is cleared at the next tick.

--- a/io/mthost/foreign_test.go
+++ b/io/mthost/foreign_test.go
@@ -247,3 +247,29 @@
 	})
 	assert.Equal(t, s.refusalCause(false), mtreply.CauseDraining)
 }
+
+// Guards against a server that waits for its next heartbeat because an earlier incarnation was being cleared when it came.
+func TestClearingOfFormerIncarnationDelaysNoServer(t *testing.T) {
+	s := newFixture(t, "127.0.0.1:1")
+	var started atomic.Int64
+	release := make(chan struct{})
+	s.mu.Lock()
+	s.clear = func() error {
+		if started.Add(1) == 1 {
+			<-release
+		}
+		return nil
+	}
+	s.mu.Unlock()
+	s.answer("other")
+	s.heartbeat(s.beat(other, 1))
+	s.waitFor("the first is being cleared", func(mtbackend.Record) bool { return started.Load() == 1 })
+	s.answer("one")
+	s.heartbeat(s.beat(one, 1))
+	s.waitFor("the server is known", func(mtbackend.Record) bool {
+		known, _ := s.host.Record()
+		return known.Incarnation == one
+	})
+	close(release)
+	s.waitFor("the server is ready", func(r mtbackend.Record) bool { return r.Incarnation == one && r.AcceptsWork() })
+}
--- a/io/mthost/incarnation.go
+++ b/io/mthost/incarnation.go
@@ -182,7 +182,9 @@
 			h.Log.Warn("new life of the server could not be cleared", "server", b.Incarnation.String(), "error", err)
 			return
 		}
-		h.uncleared = mtbackend.Heartbeat{}
+		if h.uncleared.Incarnation == b.Incarnation {
+			h.uncleared = mtbackend.Heartbeat{}
+		}
 		if h.record.Incarnation != b.Incarnation || h.record.State != mtbackend.Unknown {
 			return
 		}
