--- a/io/mtgrant/foreign_test.go
+++ b/io/mtgrant/foreign_test.go
@@ -104,7 +104,9 @@
 	})
 	directory, closeDirectory := mtdirectory.New(mtdirectory.Config{Self: "b", Store: f.store, Clock: f.clock, Lease: lease, Log: slog.New(slog.DiscardHandler)})
 	t.Cleanup(closeDirectory)
-	directory.Publish(record("b", mtbackend.Ready))
+	own := record("b", mtbackend.Ready)
+	own.Address = "127.0.0.1:1"
+	directory.Publish(own)
 	f.until("b has written its record", func() bool { return directory.RecordVersion() != 0 })
 	assert.Equal(t, late.executeLate(), 0)
 	assert.Assert(t, len(f.storedTable().Owned(ownerOf("b"))) > 0)
