Give no keys to servers whose daemons don't answer

Callers saw: all keys unserved after everything had ended and started again beside a record of another writer, also if it stands under a lease that somebody renews and has a registration. Cause: servers were given keys by their records alone. A record shows who wrote it, and not that anybody can be called there. Each leaving server moved its keys to the last record that accepted work. Why it works: what is not known to answer gets nothing; nothing is taken away because of that, so that no key changes its owner by it.

--- a/io/mtgrant/fleet_test.go
+++ b/io/mtgrant/fleet_test.go
@@ -169,6 +169,7 @@
 
 // fleet is a store with daemon "a", which is under test, and the records of other daemons.
 type fleet struct {
+	answers   func(ctx context.Context, daemon mtid.Daemon) bool // nil: all daemons answer
 	t         *testing.T
 	clock     *clock
 	store     *mtstandin.RevisionStore
@@ -270,6 +271,7 @@
 		QueryLoads:  func(context.Context) { f.surveys.Add(1) },
 		NotifyOwner: f.notify,
 		Delegate:    f.delegate,
+		Answers:     f.answers,
 	})
 	f.grants = grants
 	f.closeGrants = sync.OnceFunc(closeGrants)
--- a/io/mtgrant/move.go
+++ b/io/mtgrant/move.go
@@ -62,7 +62,10 @@
 func (g *Grants) drain(ctx context.Context, owned []mtrange.Range) {
 	// This daemon's record in the directory may still be the one from before the server was
 	// leaving.
-	survivors := slices.DeleteFunc(g.survivors(g.Directory.View()), func(o mtrange.Owner) bool { return o.Daemon == g.Self })
+	now := g.Clock.Steady()
+	survivors := slices.DeleteFunc(g.survivors(g.Directory.View()), func(o mtrange.Owner) bool {
+		return o.Daemon == g.Self || g.receivers.excluded(now, o.Daemon)
+	})
 	if len(survivors) == 0 {
 		g.Log.Warn("leaving server keeps its keys: no other server accepts work", "ranges", len(owned))
 		return
@@ -78,7 +81,7 @@
 func (g *Grants) spill(ctx context.Context, owner mtrange.Owner, owned []mtrange.Range) {
 	g.QueryLoads(ctx)
 	_, others := g.LoadReports()
-	runs := g.Host.Spill(owned, g.spillPosition(owner), others)
+	runs := g.Host.Spill(owned, g.spillPosition(owner), g.otherReports(others))
 	if len(runs) == 0 {
 		g.Log.Warn("server keeps its keys: no other zone is in service", "ranges", len(owned))
 		return
@@ -118,7 +121,7 @@
 		g.QueryLoads(ctx)
 		self, others = g.LoadReports()
 	}
-	runs := g.Host.SelectMoves(owned, mtrange.PlanAll(now, self, others))
+	runs := g.Host.SelectMoves(owned, mtrange.PlanAll(now, self, g.otherReports(others)))
 	g.mu.Lock()
 	g.lastOffload = now
 	g.offloading = len(runs) > 0
@@ -152,10 +155,11 @@
 	return min(mtrange.MoveCooldown*time.Duration(1+failed), maxOffloadPause)
 }
 
-// moveAll moves runs of keys in the owned ranges concurrently and waits for all of them.
+// moveAll moves runs of keys in the owned ranges concurrently and waits for all of them. Moves to servers whose daemons
+// don't answer are left out.
 func (g *Grants) moveAll(ctx context.Context, owned []mtrange.Range, runs []mtrange.KeyMove, why moveReason) {
 	var moves sync.WaitGroup
-	for _, run := range runs {
+	for _, run := range g.answeredMoves(ctx, runs) {
 		i := slices.IndexFunc(owned, func(r mtrange.Range) bool { return r.Covers(run.Low) })
 		if i < 0 {
 			continue
--- a/io/mtgrant/mtgrant.go
+++ b/io/mtgrant/mtgrant.go
@@ -168,6 +168,9 @@
 	Delegate func(ctx context.Context, b mtrange.Batch) ([]mtrange.Outcome, bool)
 	// QueryLoads queries the load of other servers of the service.
 	QueryLoads func(ctx context.Context)
+	// Answers asks another daemon whether it can be called, and returns within some tenths of a second. If it is nil,
+	// all can.
+	Answers func(ctx context.Context, daemon mtid.Daemon) bool
 }
 
 // grant is the state of one range of keys that is assigned to the server.
@@ -186,7 +189,8 @@
 // Grants manages the grants of one server. See the package comment.
 type Grants struct {
 	Config
-	wake chan struct{}
+	wake      chan struct{}
+	receivers receivers
 	// baseCtx is canceled by the clean-up function. Moves use it, since they outlive the
 	// step that began them.
 	baseCtx context.Context
@@ -234,7 +238,7 @@
 
 // New starts the background loops and returns the Grants and its clean-up function.
 func New(config Config) (*Grants, func()) {
-	g := &Grants{Config: config, wake: make(chan struct{}, 1)}
+	g := &Grants{Config: config, wake: make(chan struct{}, 1), receivers: receivers{answers: config.Answers, silent: make(map[mtid.Daemon]mtclock.Instant)}}
 	config.Directory.OnChange(g.Wake)
 	if g.RunningSince == 0 {
 		g.RunningSince = config.Clock.Steady()
--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -231,6 +231,11 @@
 		return slices.Contains(lost, r.Owner)
 	}
 	next, err := base.TakeOver(isLost, survivors)
+	if err == nil {
+		if answering := g.answeringSurvivors(ctx, base, next, survivors); len(answering) < len(survivors) {
+			next, err = base.TakeOver(isLost, answering)
+		}
+	}
 	if err != nil {
 		g.Log.Warn("can't reassign the keys of lost servers", "service", g.Service, "lost", len(lost), "error", err)
 		return false
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -356,6 +356,7 @@
 		Log:           m.config.Log,
 		LoadReports:   m.loadReports,
 		QueryLoads:    m.survey,
+		Answers:       m.answers,
 		NotifyOwner:   m.sendOwnershipUpdate,
 		Committer:     mtkernel.MustLookup[*mtcommit.Committer](m.kernel, NameCommitter),
 		Delegate:      m.delegate,
--- a/io/mtmesh/survey.go
+++ b/io/mtmesh/survey.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"magnoliaturn/core/mtid"
 	"magnoliaturn/core/mtkernel"
 	"magnoliaturn/core/mtrange"
 	"magnoliaturn/io/mtdirectory"
@@ -28,6 +29,8 @@
 	surveyMaxAge = 400 * time.Millisecond
 	// surveyTimeout limits the survey: a reply takes a few milliseconds.
 	surveyTimeout = 150 * time.Millisecond
+	// answerTimeout limits the question whether a daemon can be called at all.
+	answerTimeout = 300 * time.Millisecond
 )
 
 // loadReports returns the load reports of the servers of this VM's service.
@@ -108,3 +111,19 @@
 	chosen := slices.Concat(limited, stale)
 	return chosen[:min(len(chosen), surveySize)]
 }
+
+// answers reports whether another daemon can be called.
+func (m *Mesh) answers(ctx context.Context, daemon mtid.Daemon) bool {
+	member, known := mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory).View().Members[daemon]
+	if !known {
+		return false
+	}
+	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
+	now := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock).Now()
+	if r, ok := peers.LoadReport(daemon); ok && now.Sub(r.ReceivedAt) < reportTTL {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	return peers.QueryLoad(ctx, member.Daemon, member.Address) == nil
+}
