Let no entry over a lost daemon's name hold up the takeover of others

Callers would see: keys of lost servers unserved for as long as another writer's entry stands under the name of one daemon that has ended: all owners of a write share its conditions, and that the entry's name be absent never held. Change: an entry under the name of a daemon whose record has been absent since its registration was written is a stranger's, since its daemon would have changed the registration; the takeover demands both versions. A daemon that reads its own record without a registration writes both again. Why no key gets two owners: a daemon that returns changes its record and its registration in one step, before it grants anything.

--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -199,14 +199,22 @@
 	if err != nil {
 		// The last valid record remains in effect. A takeover is conditional on its
 		// version, so it fails while this entry exists.
-		if !known {
+		if !known || old.Expired {
 			v.InvalidRecords[name] = true
 		}
-		if showsUnleased(e) && v.Registrations[name] == 0 && (!known || old.Expired) {
+		switch {
+		case v.absentSinceRegistered(old):
+			// Its daemon would have changed the registration.
+			v.Strangers[name] = Stranger{Version: e.Version, Since: old.ExpiredSince}
+		case showsUnleased(e) && v.Registrations[name] == 0 && (!known || old.Expired):
 			v.Strangers[name] = stranger.renewed(e.Version, now)
 		}
 		if name == d.Self {
 			d.publisher.onOverwritten(e.Version)
+			var unregistered *UnregisteredError
+			if errors.As(err, &unregistered) {
+				d.publisher.onUnregistered(e.Revision + 1) // after this version was written
+			}
 		}
 		return err
 	}
--- a/io/mtdirectory/unregistered_test.go
+++ b/io/mtdirectory/unregistered_test.go
@@ -72,3 +72,40 @@
 	waitFor(t, "a has received the later changes", func() bool { return uint64(a.View().Revision) >= uint64(mark) && view < a.View().Revision })
 	assert.Equal(t, b.RecordVersion(), version, "written again once")
 }
+
+// gatedSource lets nothing be read before its gate is open.
+type gatedSource struct {
+	leaseSource
+	gate chan struct{}
+}
+
+// Watch implements mtwatch.Source.
+func (s gatedSource) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
+	select {
+	case <-s.gate:
+	case <-ctx.Done():
+		return mtstore.Changes{}, ctx.Err()
+	}
+	return s.leaseSource.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a daemon that counts nowhere, for good, because its registration was deleted before it had read it.
+func TestRegistrationDeletedBeforeItWasReadIsWrittenAgain(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	gate := make(chan struct{})
+	b := startFrom(t, store, "b", gatedSource{leaseSource{store}, gate}, &log)
+	b.Publish(reviewed("b"))
+	waitFor(t, "b has written", func() bool { return b.RecordVersion() != 0 })
+	store.Delete(mtstore.RegistrationName(0, "b"))
+	close(gate)
+	a := startFrom(t, store, "a", leaseSource{store}, &log)
+	waitFor(t, "b counts", func() bool { return knowsRecord(a, "b", false) && knowsRecord(b, "b", false) })
+}
+
+// reviewed returns a record with an IP address.
+func reviewed(d mtid.Daemon) mtbackend.Record {
+	r := record(d)
+	r.Address = "127.0.0.1:1"
+	return r
+}
--- a/io/mtdirectory/view.go
+++ b/io/mtdirectory/view.go
@@ -29,8 +29,8 @@
 	// daemon wrote, if no valid record of them is known. Such an entry identifies no
 	// usable server, and it does not prove that a server has terminated.
 	InvalidRecords map[mtid.Daemon]bool
-	// Strangers contains those names of InvalidRecords, and of members whose records are absent, that have no
-	// registration in the store's era: no daemon has granted keys under them in it.
+	// Strangers contains those names of InvalidRecords under which no daemon has written since: there is no registration
+	// in the store's era, or its record has been absent since it was registered. So no daemon grants keys under them.
 	Strangers map[mtid.Daemon]Stranger
 	// Registrations holds the versions of the daemons' registrations in the store's era. It is
 	// complete up to Revision.
@@ -48,10 +48,10 @@
 	newestVersion     mtid.Version // of all members and assignments
 }
 
-// Stranger is an entry that no daemon wrote, under a name under which no daemon has written either.
+// Stranger is an entry that no daemon wrote, under a name whose daemon has no record.
 type Stranger struct {
 	Version mtid.Version
-	Since   mtclock.Instant // it has been known, by the steady clock
+	Since   mtclock.Instant // it has been known, or its daemon's record absent, by the steady clock
 }
 
 // Era returns the era of the store that the copy is from.
--- a/io/mtgrant/foreign_test.go
+++ b/io/mtgrant/foreign_test.go
@@ -130,3 +130,36 @@
 	f.letLoopsRun()
 	assert.Equal(t, f.server.count("release"), 0, "keys leave although there is nobody")
 }
+
+// Guards against keys of servers that have ended and that nobody takes over, because another writer's entry stands under the
+// name of another daemon that has ended: all were taken over in one write, whose conditions never held.
+func TestForeignEntryOverLostDaemonHoldsUpNoTakeover(t *testing.T) {
+	for kind, leased := range map[string]bool{"without a lease": false, "under a lease": true} {
+		t.Run(kind, func(t *testing.T) {
+			f := newFleet(t, "a", "b", "c")
+			name := mtstore.BackendName(0, "b")
+			f.source = leaseStore{f.store, map[string]bool{name: true}}
+			for _, d := range []mtid.Daemon{"b", "c"} {
+				f.store.Put(mtstore.RegistrationName(0, d), []byte(d))
+			}
+			f.start()
+			f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
+			f.store.Delete(mtstore.BackendName(0, "b"))
+			f.store.Delete(mtstore.BackendName(0, "c"))
+			f.until("both are absent", func() bool { return f.directory.View().Members["b"].Expired && f.directory.View().Members["c"].Expired })
+			value, err := record("b", mtbackend.Ready).Encode()
+			assert.NilError(t, err)
+			if leased {
+				value = []byte("\x00") // as a leased one of another writer that can't be read
+			}
+			version := f.store.Put(name, value)
+			f.until("it is read", func() bool { return uint64(f.directory.View().Revision) >= uint64(version) })
+			owned := func(d mtid.Daemon) int { return f.directory.View().Assignments[service].Keys(ownerOf(d)) }
+			assert.Assert(t, owned("c") > 0)
+			f.passTime(30 * time.Second)
+			f.letLoopsRun()
+			unowned, _ := f.grants.Waiting()
+			assert.Equal(t, owned("b")+owned("c"), 0, "b owns %d, c owns %d, waits %v", owned("b"), owned("c"), unowned)
+		})
+	}
+}
