--- a/io/mtdirectory/foreign_test.go
+++ b/io/mtdirectory/foreign_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -156,3 +157,44 @@
 	waitFor(t, "the record of b is back", func() bool { return a.View().Members["b"].Version > version })
 	assert.DeepEqual(t, a.View().Members["b"].Record, own)
 }
+
+// Guards against a daemon that has ended and counts as one that accepts work for as long as a copy of its record, which
+// another writer left without a lease in its place, stands.
+func TestCopyOverRecordOfEndedDaemonServesNothing(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a := startFrom(t, store, "a", leaseSource{store}, &log)
+	r := recordAt("b")
+	value, err := r.Encode()
+	assert.NilError(t, err)
+	grant, err := store.Grant(context.Background(), time.Minute)
+	assert.NilError(t, err)
+	name := mtstore.BackendName(0, "b")
+	_, err = store.Commit(context.Background(), []mtstore.Condition{{Name: name}}, mtstore.Put{Name: name, Value: value, Lease: grant}, mtstore.Put{Name: mtstore.RegistrationName(0, "b"), Value: []byte("b")})
+	assert.NilError(t, err)
+	waitFor(t, "a knows b", func() bool { return knowsRecord(a, "b", false) })
+	r.Incarnation.Server, r.Address = "other", "127.0.0.1:9"
+	foreign, err := r.Encode()
+	assert.NilError(t, err)
+	version := store.Put(name, foreign)
+	assert.NilError(t, store.End(context.Background(), grant)) // b has ended, and won't write its record again
+	waitFor(t, "it is read", func() bool { return uint64(a.View().Revision) >= uint64(version) })
+	waitFor(t, "b no longer counts", func() bool { return len(a.View().Serving("maps")) == 0 })
+}
+
+// Guards against members that grow without bound.
+func TestEntriesThatComeAndGoLeaveNothingBehind(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a := startFrom(t, store, "a", leaseSource{store}, &log)
+	a.Publish(recordAt("a"))
+	waitFor(t, "a stands", func() bool { return knowsRecord(a, "a", false) })
+	for i := range 500 {
+		name := mtstore.BackendName(0, record("x").Daemon) + fmt.Sprint(i)
+		store.Put(name, []byte("{}"))
+		store.Delete(name)
+	}
+	mark := store.Put("mark", nil)
+	waitFor(t, "it is read", func() bool { return uint64(a.View().Revision) >= uint64(mark) })
+	assert.Equal(t, len(a.View().Members), 1)
+}
--- a/io/mtgrant/foreign_test.go
+++ b/io/mtgrant/foreign_test.go
@@ -163,3 +163,24 @@
 		})
 	}
 }
+
+// Guards against a wait that begins anew each time another writer deletes and writes its entry under a name of its own.
+func TestStrangerThatComesAndGoesRestartsNoWait(t *testing.T) {
+	f := newForeignFleet(t, nil)
+	name := mtstore.BackendName(0, "b")
+	value, err := record("b", mtbackend.Ready).Encode()
+	assert.NilError(t, err)
+	f.store.Put(name, value)
+	f.start()
+	f.until("the own range is granted", func() bool { return f.server.count("grant") == 1 })
+	for range 10 { // every 4 s for 40 s
+		f.store.Delete(name)
+		f.until("it is absent", func() bool { return f.directory.View().Members["b"].Expired && len(f.directory.View().Strangers) == 0 })
+		f.passTime(2 * time.Second)
+		f.store.Put(name, value)
+		f.until("it is back", func() bool { return len(f.directory.View().Strangers) == 1 })
+		f.passTime(2 * time.Second)
+	}
+	f.letLoopsRun()
+	assert.Equal(t, f.owner(mtid.LastKeyNumber), mtid.Daemon("a"), "nobody takes the keys over")
+}
