--- a/io/mtgrant/takeover.go
+++ b/io/mtgrant/takeover.go
@@ -258,7 +258,7 @@
 }
 
 // stillLost returns the conditions that hold as long as nothing about the lost owners has changed. In place of a record
-// may stand what another writer left, under a name without a registration: no daemon has granted anything under it.
+// may stand what another writer left (View.Strangers): no daemon has granted anything under the name since.
 func stillLost(view *mtdirectory.View, lost []mtrange.Owner) []mtstore.Condition {
 	var conditions []mtstore.Condition
 	add := func(c mtstore.Condition) {
