Check records of a store that leaves out the zero of a lease

Registration and address of a record were looked at only where the store had shown whether it has a lease. A store may leave the field out where there is none; then a record counted because it could be decoded. The one guard left, asking who is to be given keys, holds only where nobody answers: Go's dialer reads the port of "127.0.0.1:07010" as 7010, so the question reached a daemon that lives.

What was read from the store itself is checked for registration and address, whatever the store shows of leases. What other daemons pass on isn't checked again, as before. The fixture of io/mtmesh now writes records as daemons do, with a registration and an IP address.

Why it holds. Daemons write each first record in one step with its registration, and name an IP address, beside any store.

--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -94,8 +94,8 @@
 	return mtstore.BackendName(era, daemon), true
 }
 
-// AddressError reports a record whose address is not an IP address and a port. The settings of daemons that use a store
-// which shows leases name an IP address.
+// AddressError reports a record whose address is not an IP address and a port. The settings of daemons that read a store
+// name an IP address.
 type AddressError struct {
 	Daemon  mtid.Daemon
 	Address string
@@ -114,12 +114,16 @@
 		return mtbackend.Record{}, err
 	case e.Lease == mtstore.Unleased:
 		return mtbackend.Record{}, &mtbackend.UnleasedError{}
-	case e.Lease == mtstore.Leased && !record.NamesIP():
+	case unchecked(e) && !record.NamesIP():
 		return mtbackend.Record{}, &AddressError{Daemon: record.Daemon, Address: record.Address}
 	}
 	return record, nil
 }
 
+// unchecked reports whether no other daemon has checked an entry: it was read from the store, which may show nothing of
+// leases, or leave out that there is none.
+func unchecked(e mtstore.Entry) bool { return e.Lease != mtstore.LeaseUnknown || e.Origin.FromStore() }
+
 // showsUnleased reports whether an entry that stands in place of a record has no lease: the store shows it, or
 // another daemon that has read it there.
 func showsUnleased(e mtstore.Entry) bool {
@@ -193,8 +197,8 @@
 	if err == nil && record.Daemon != name {
 		err = &mtbackend.DecodeError{Err: &nameMismatchError{name: name, daemon: record.Daemon}}
 	}
-	if err == nil && e.Lease != mtstore.LeaseUnknown && v.Registrations[name] == 0 {
-		err = &UnregisteredError{Daemon: name} // other daemons have checked what they pass on
+	if err == nil && unchecked(e) && v.Registrations[name] == 0 {
+		err = &UnregisteredError{Daemon: name}
 	}
 	if err != nil {
 		// The last valid record remains in effect. A takeover is conditional on its
--- a/io/mtmesh/feed_test.go
+++ b/io/mtmesh/feed_test.go
@@ -58,9 +58,10 @@
 
 // write writes the record of a daemon outside the cluster.
 func (c *cluster) write(name mtid.Daemon) {
-	value, err := mtbackend.Record{Daemon: name, Address: "x:1", Service: "maps", State: mtbackend.Unknown}.Encode()
+	value, err := mtbackend.Record{Daemon: name, Address: "192.0.2.1:1", Service: "maps", State: mtbackend.Unknown}.Encode()
 	assert.NilError(c.t, err)
-	_, err = c.store.Swap(context.Background(), mtstore.BackendName(0, name), 0, value, "")
+	record, registration := mtstore.BackendName(0, name), mtstore.RegistrationName(0, name)
+	_, err = c.store.Commit(context.Background(), []mtstore.Condition{{Name: record}}, mtstore.Put{Name: record, Value: value}, mtstore.Put{Name: registration, Value: []byte(name)})
 	assert.NilError(c.t, err)
 }
 
