Give no keys to a record that names another daemon's address

Whoever gives keys to a server asks its daemon first whether it can be called. The question didn't name that daemon, so where a record names the address of another one that lives, that one answered for it. A report that came with a call's reply counted as an answer too.

A record under a lease and with a registration, under a name of its own, with a living daemon's address; everything stopped and started again. All keys were moved to it, and as its record stands nobody takes them over.

A request for the load names the daemon in a gRPC header; another one rejects it, and only a named answer counts in Mesh.answers. The rejection shows that somebody answers at the address, so it doesn't make the address unresponsive or silent: it may be the right one of another record. Daemons of earlier releases neither send nor read the header, and are asked as before.

Why it holds. A daemon knows its own name; nothing that another writer can put into the store answers for a name that no process has.

--- a/io/mtforward/mtforward.go
+++ b/io/mtforward/mtforward.go
@@ -20,13 +20,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtcall"
@@ -92,6 +95,9 @@
 type LoadReport struct {
 	mtcall.Load
 	ReceivedAt mtclock.Instant
+	// NamedAt is when the daemon last answered a request that named it; zero if it never did. Other reports may be
+	// another daemon's that answers at its address.
+	NamedAt mtclock.Instant
 }
 
 // StateSummary summarizes which versions of the shared state a daemon has received. Daemons
@@ -182,7 +188,8 @@
 		ctx, cancel := context.WithTimeout(c.ctx, c.responseTimeout(address))
 		err := c.QueryLoad(ctx, daemon, address)
 		cancel()
-		if err == nil {
+		var other *OtherDaemonError
+		if err == nil || errors.As(err, &other) {
 			return
 		}
 		c.mu.Lock()
@@ -234,7 +241,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	load := loadFromWire(w)
-	c.reports[daemon] = LoadReport{Load: load, ReceivedAt: now}
+	c.reports[daemon] = LoadReport{Load: load, ReceivedAt: now, NamedAt: c.reports[daemon].NamedAt}
 	notice := c.notices[daemon]
 	if notice == nil {
 		notice = &mtbackend.NoticeTracker{}
@@ -253,20 +260,35 @@
 	return mtbackend.Notice{}
 }
 
+// recordName records that a daemon has answered a request that named it.
+func (c *Client) recordName(daemon mtid.Daemon) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := c.reports[daemon]
+	report.NamedAt = c.clock.Now()
+	c.reports[daemon] = report
+}
+
 // QueryLoad requests the load of a daemon, stores it for LoadReport and exchanges
-// summaries of the shared state.
+// summaries of the shared state. It fails with an *OtherDaemonError if another daemon answers at the
+// address, and with a *mtreply.UnknownError if none does.
 func (c *Client) QueryLoad(ctx context.Context, daemon mtid.Daemon, address string) error {
 	conn, err := c.pool.Conn(address)
 	if err != nil {
 		return err
 	}
 	sent := c.clock.Now()
-	load, err := mtwire.NewForwarderClient(conn).Observe(ctx, &mtwire.ObserveRequest{News: summaryToWire(c.exchange.Summarize())})
+	load, err := mtwire.NewForwarderClient(conn).Observe(withName(ctx, daemon), &mtwire.ObserveRequest{News: summaryToWire(c.exchange.Summarize())})
+	if status.Code(err) == codes.NotFound {
+		c.recordResponse(address, sent)
+		return &OtherDaemonError{Daemon: daemon, Address: address}
+	}
 	if err != nil {
 		return &mtreply.UnknownError{Cause: mtreply.CauseLost, Err: err}
 	}
 	c.recordResponse(address, sent)
 	c.recordLoad(daemon, sent, load)
+	c.recordName(daemon)
 	c.exchange.Receive(summaryFromWire(load.GetNews()), sent)
 	return nil
 }
--- /dev/null
+++ b/io/mtforward/name_test.go
@@ -0,0 +1,39 @@
+package mtforward_test
+
+import (
+	"errors"
+	"net"
+	"testing"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"magnoliaturn/core/mtid"
+	"magnoliaturn/io/mtforward"
+	"magnoliaturn/io/mttime"
+)
+
+// Guards against a daemon that passes for another one, since a record names its address: keys were given to that one. A
+// daemon of an earlier release doesn't read the name.
+func TestLoadOfOtherDaemonIsNotReported(t *testing.T) {
+	for self, known := range map[mtid.Daemon]bool{"vm-1 üİ": true, "": false} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		server := grpc.NewServer()
+		local, _ := exchange(mtforward.StateSummary{})
+		mtforward.Register(server, mtforward.Server{Self: self, Host: &host{}, Clock: mttime.New(), Exchange: local})
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(server.Stop)
+		c, _, _ := client(t)
+		address := listener.Addr().String()
+		assert.NilError(t, c.QueryLoad(t.Context(), "vm-1 üİ", address))
+		err = c.QueryLoad(t.Context(), "vm-2", address)
+		var other *mtforward.OtherDaemonError
+		assert.Equal(t, errors.As(err, &other), known, "%v", err)
+		_, reported := c.LoadReport("vm-2")
+		assert.Equal(t, reported, !known)
+		report, _ := c.LoadReport("vm-1 üİ")
+		assert.Assert(t, report.NamedAt >= report.ReceivedAt && report.NamedAt != 0)
+		assert.Assert(t, !c.Unresponsive(address))
+	}
+}
--- a/io/mtforward/server.go
+++ b/io/mtforward/server.go
@@ -33,6 +33,7 @@
 
 // Server holds the handlers for the requests of other daemons.
 type Server struct {
+	Self     mtid.Daemon // the daemon's name; requests for the load of another one fail. Empty if that isn't checked
 	Host     host
 	Clock    clock
 	Exchange StateExchange
@@ -137,7 +138,10 @@
 }
 
 // Observe implements mtwire.ForwarderServer.
-func (s *server) Observe(_ context.Context, w *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
+func (s *server) Observe(ctx context.Context, w *mtwire.ObserveRequest) (*mtwire.ForwardLoad, error) {
+	if err := s.checkName(ctx); err != nil {
+		return nil, err
+	}
 	s.config.Exchange.Receive(summaryFromWire(w.GetNews()), 0)
 	load := loadToWire(s.config.Host.Load())
 	load.News = summaryToWire(s.config.Exchange.Summarize())
--- a/io/mtmesh/mtmesh.go
+++ b/io/mtmesh/mtmesh.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -262,7 +263,12 @@
 		configured:  func() bool { return m.configuration() != nil },
 	}
 	m.feed.silent = newSilentPeers(m.config.Log, func(ctx context.Context, n mtspread.Node) error {
-		return peers.QueryLoad(ctx, n.Daemon, n.Address)
+		err := peers.QueryLoad(ctx, n.Daemon, n.Address)
+		var other *mtforward.OtherDaemonError
+		if errors.As(err, &other) {
+			return nil // changes are the same from any daemon
+		}
+		return err
 	})
 	m.feed.newestConfiguration = m.newest.entry
 	m.feed.tree = m.feed.memberTree
--- a/io/mtmesh/run.go
+++ b/io/mtmesh/run.go
@@ -62,7 +62,7 @@
 		grpc.InitialWindowSize(mtforward.StreamWindow), grpc.InitialConnWindowSize(mtforward.ConnWindow),
 		grpc.ReadBufferSize(peerBufferSize), grpc.WriteBufferSize(peerBufferSize), grpc.SharedWriteBuffer(true))...)
 	mtforward.Register(m.peers, mtforward.Server{
-		Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveEntry: m.receivePushed, Commit: m.commitFor,
+		Self: m.config.Daemon, Host: m.Host(), Clock: mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock), Exchange: m.exchange(), ServeChanges: m.feed.serve, ReceiveEntry: m.receivePushed, Commit: m.commitFor,
 		ReserveLink: m.Host().ReserveLink, Withdraw: m.Host().Withdraw, Memory: m.memory(),
 	})
 	go func() {
--- a/io/mtmesh/survey.go
+++ b/io/mtmesh/survey.go
@@ -112,7 +112,7 @@
 	return chosen[:min(len(chosen), surveySize)]
 }
 
-// answers reports whether another daemon can be called.
+// answers reports whether another daemon can be called, and is the one that answers at its address.
 func (m *Mesh) answers(ctx context.Context, daemon mtid.Daemon) bool {
 	member, known := mtkernel.MustLookup[*mtdirectory.Directory](m.kernel, NameDirectory).View().Members[daemon]
 	if !known {
@@ -120,7 +120,7 @@
 	}
 	peers := mtkernel.MustLookup[*mtforward.Client](m.kernel, NamePeers)
 	now := mtkernel.MustLookup[*mttime.Clock](m.kernel, NameClock).Now()
-	if r, ok := peers.LoadReport(daemon); ok && now.Sub(r.ReceivedAt) < reportTTL {
+	if r, ok := peers.LoadReport(daemon); ok && r.NamedAt != 0 && now.Sub(r.NamedAt) < reportTTL {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
