Give no new work to a daemon whose record stays overwritten

Where another writer's entry stands in place of a record, the last valid one holds, since its daemon may run and hold keys. If the daemon has ended, nobody deletes the entry with its lease, and it counted as one that accepts work for as long as the entry stood.

A daemon whose record has not been written again within a lease gets no new work. That is as long as its record would have stood without the entry. Its keys stay its own, as before: it may live.

--- a/io/mtdirectory/foreign_test.go
+++ b/io/mtdirectory/foreign_test.go
@@ -198,3 +198,17 @@
 	waitFor(t, "it is read", func() bool { return uint64(a.View().Revision) >= uint64(mark) })
 	assert.Equal(t, len(a.View().Members), 1)
 }
+
+// Guards against a daemon that gets no new work although it lives: another writer overwrites its record again and again.
+func TestDaemonWhoseRecordIsOverwrittenAgainAndAgainServes(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
+	b.Publish(recordAt("b"))
+	waitFor(t, "a knows b", func() bool { return knowsRecord(a, "b", false) })
+	for end := time.Now().Add(2 * lease); time.Now().Before(end); {
+		version := store.Put(mtstore.BackendName(0, "b"), []byte("{}"))
+		waitFor(t, "the record of b is back", func() bool { return a.View().Members["b"].Version > version })
+		assert.Equal(t, len(a.View().Serving("maps")), 1)
+	}
+}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"strings"
+	"time"
 
 	"magnoliaturn/core/mtbackend"
 	"magnoliaturn/core/mtclock"
@@ -24,6 +25,9 @@
 	// Former reports that the record is of an earlier era of the store and has not been written in
 	// this one. It proves nothing, and serves to reach the daemon until it has written its record.
 	Former bool
+	// Overwritten reports that another writer's entry has stood in place of the record for a lease. Its daemon would have
+	// written it again if it could, and may hold keys.
+	Overwritten bool
 	// deletedAt is the store revision at which the record was last known to be absent.
 	deletedAt mtid.Revision
 }
@@ -32,6 +36,9 @@
 // store doesn't show that the daemon has ended, although it counts as expired.
 func (m Member) Reachable() bool { return !m.Expired || m.Former }
 
+// AcceptsWork reports whether the server accepts new work, by its record.
+func (m Member) AcceptsWork() bool { return m.Record.AcceptsWork() && !m.Overwritten }
+
 // markExpired returns the member with its record deleted at a revision, reported now.
 // If the record was already known to be absent at an earlier revision, it has been
 // present in between, and its daemon may have sent grants until just now. When the
@@ -205,6 +212,8 @@
 		// version, so it fails while this entry exists.
 		if !known || old.Expired {
 			v.InvalidRecords[name] = true
+		} else {
+			d.awaitRecord(old)
 		}
 		switch {
 		case v.absentSinceRegistered(old):
@@ -230,6 +239,47 @@
 	return nil
 }
 
+// awaitRecord marks a member as overwritten unless its daemon writes its record again within a lease. It is called with mu
+// held.
+func (d *Directory) awaitRecord(m Member) {
+	waiting, ok := d.overwritten[m.Daemon]
+	if ok && waiting.version == m.Version {
+		return
+	}
+	if ok {
+		waiting.timer.Stop()
+	}
+	timer := time.AfterFunc(d.Lease, func() {
+		d.update(func(v *View) bool {
+			now := v.Members[m.Daemon]
+			if now.Version != m.Version || now.Expired {
+				return false
+			}
+			d.Log.Warn("record of backend server stays overwritten: it gets no new work", "peer", m.Daemon, "version", m.Version.Number())
+			d.copyMembersOnce(v)
+			now.Overwritten = true
+			v.Members[m.Daemon] = now
+			return true
+		})
+	})
+	d.overwritten[m.Daemon] = overwrittenRecord{version: m.Version, timer: timer}
+}
+
+// overwrittenRecord is the last valid record of a daemon in place of which another writer's entry was found.
+type overwrittenRecord struct {
+	version mtid.Version
+	timer   *time.Timer
+}
+
+// stopAwaiting stops waiting for records that were overwritten.
+func (d *Directory) stopAwaiting() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, waiting := range d.overwritten {
+		waiting.timer.Stop()
+	}
+}
+
 // UnregisteredError reports a record without a registration: daemons write both in one step.
 type UnregisteredError struct{ Daemon mtid.Daemon }
 
--- a/io/mtdirectory/mtdirectory.go
+++ b/io/mtdirectory/mtdirectory.go
@@ -75,13 +75,15 @@
 // Directory maintains the copy. See the package comment.
 type Directory struct {
 	Config
-	view       atomic.Pointer[View]
-	mu         sync.Mutex // guards listeners, entries, nextChange and the creation of views
-	listeners  []func()
-	entries    map[string]mtstore.Entry // all entries that were received, including deletions
-	doubtful   map[string]mtstore.Entry // what operators may have changed since, by name
-	odd        map[string]mtid.Version  // entries in the store that no daemon wrote, by name
-	eraEntered mtid.Revision            // of the update that began the era; the copy's entries are older
+	view      atomic.Pointer[View]
+	mu        sync.Mutex // guards listeners, entries, nextChange and the creation of views
+	listeners []func()
+	entries   map[string]mtstore.Entry // all entries that were received, including deletions
+	doubtful  map[string]mtstore.Entry // what operators may have changed since, by name
+	odd       map[string]mtid.Version  // entries in the store that no daemon wrote, by name
+	// overwritten holds the last valid records that were overwritten; later ones of the same daemons may stand.
+	overwritten map[mtid.Daemon]overwrittenRecord
+	eraEntered  mtid.Revision // of the update that began the era; the copy's entries are older
 	// assignmentMissed reports that an assignment could not be applied since everything was read last.
 	assignmentMissed bool
 	settleTimer      *time.Timer   // applies the doubtful entries; nil before the first of them
@@ -97,7 +99,7 @@
 // that this one has terminated.
 func New(config Config) (*Directory, func()) {
 	d := &Directory{
-		Config: config, entries: make(map[string]mtstore.Entry), doubtful: make(map[string]mtstore.Entry), odd: make(map[string]mtid.Version), nextChange: make(chan struct{}),
+		Config: config, entries: make(map[string]mtstore.Entry), doubtful: make(map[string]mtstore.Entry), odd: make(map[string]mtid.Version), overwritten: make(map[mtid.Daemon]overwrittenRecord), nextChange: make(chan struct{}),
 	}
 	if d.Source == nil {
 		d.Source = config.Store
@@ -116,6 +118,7 @@
 		stopWatch()
 		stopPublisher()
 		d.stopSettling()
+		d.stopAwaiting()
 	}
 }
 
