Let no wait begin anew with an entry that no daemon wrote

The deletion of a record restarts the time since which its daemon has been absent, as it may have been back. That held also for an entry of another writer under a name without a registration, and the time began anew when the entry was put again.

Under a name without a registration in the era, the time goes on through deletions and new entries. A registration restarts it, also one that is deleted, as before.

Why it holds. Daemons write a registration in one step with each first record, and a takeover is on condition that there is still none. That is what the wait of an entry that is only put again went by already.

--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -195,6 +195,12 @@
 			v.Members[name] = m
 			return nil
 		}
+		if stranger.Since != 0 && v.Registrations[name] == 0 {
+			// No daemon was there, neither before nor now.
+			m.Expired, m.ExpiredSince, m.deletedAt = true, stranger.Since, e.Revision
+			v.Members[name] = m
+			return nil
+		}
 		v.Members[name] = m.markExpired(now, e.Revision)
 		d.Log.Info("record of backend server gone", "peer", name, "server", m.Incarnation.String(), "known", ok, "revision", e.Revision.Number())
 		return nil
@@ -220,7 +226,11 @@
 			// Its daemon would have changed the registration.
 			v.Strangers[name] = Stranger{Version: e.Version, Since: old.ExpiredSince}
 		case showsUnleased(e) && v.Registrations[name] == 0 && (!known || old.Expired):
-			v.Strangers[name] = stranger.renewed(e.Version, now)
+			since := now
+			if known && v.Registrations[name] == 0 {
+				since = old.ExpiredSince // a registration would have restarted it
+			}
+			v.Strangers[name] = stranger.renewed(e.Version, since)
 		}
 		if name == d.Self {
 			d.publisher.onOverwritten(e.Version)
@@ -288,11 +298,11 @@
 	return fmt.Sprintf("directory: daemon %q has no registration", e.Daemon)
 }
 
-// renewed returns the stranger with a version of its entry that is read at a time. Whatever stood there in between
-// was no daemon's: that would have left a registration.
-func (s Stranger) renewed(version mtid.Version, now mtclock.Instant) Stranger {
+// renewed returns the stranger with a version of its entry, under a name that has had no daemon since a time. Whatever
+// stood there in between was no daemon's: that would have left a registration.
+func (s Stranger) renewed(version mtid.Version, since mtclock.Instant) Stranger {
 	if s.Since == 0 {
-		s.Since = now
+		s.Since = since
 	}
 	s.Version = version
 	return s
