Pause after an answer of the store that is older than what is known

A watch that is answered with an older revision than it asked for is passed over, and was repeated at once.

Nothing yet: found by going through the readers of answers. Each call is charged, and counts against the store's rate.

A pause of 50 ms before the next one, as after a first failure.

--- a/io/mtwatch/mtwatch.go
+++ b/io/mtwatch/mtwatch.go
@@ -163,6 +163,7 @@
 		// The answer came from a replica that lags behind, and would revert what has been
 		// applied.
 		w.Log.Warn("older answer passed over", "revision", uint64(changes.Revision), "applied", uint64(w.applied))
+		mtduty.Sleep(ctx, minBackoff)
 		return
 	}
 	w.applied = changes.Revision
--- a/io/mtwatch/mtwatch_test.go
+++ b/io/mtwatch/mtwatch_test.go
@@ -17,6 +17,28 @@
 	"magnoliaturn/io/mtwatch"
 )
 
+// laggingSource answers each watch at once with an older revision than the one asked for.
+type laggingSource struct{ watches atomic.Int64 }
+
+// Watch implements mtwatch.Source.
+func (s *laggingSource) Watch(_ context.Context, _ string, after mtid.Revision, _ time.Duration) (mtstore.Changes, error) {
+	if after == 0 {
+		return mtstore.Changes{Revision: 9}, nil
+	}
+	s.watches.Add(1)
+	return mtstore.Changes{Revision: 8}, nil
+}
+
+// Guards against calls without a pause, each of which is charged, to a store that answers at once with what is older than known.
+func TestOlderAnswersAreNotAskedForWithoutPause(t *testing.T) {
+	source, began := &laggingSource{}, time.Now()
+	_, stop := mtwatch.Start(mtwatch.Config{Source: source, Apply: func(mtwatch.Update) {}, Log: slog.New(slog.DiscardHandler)})
+	defer stop()
+	const watches = 20
+	until(t, "it has watched often", func() bool { return source.watches.Load() >= watches })
+	assert.Assert(t, time.Since(began) > watches*20*time.Millisecond, "%s", time.Since(began))
+}
+
 // recorder records the updates that a watcher applies.
 type recorder struct {
 	mu      sync.Mutex
