Believe no record under a lease that its daemon doesn't have

The daemon itself believed it too, so it didn't write its own again.

By reading: if it says that the server has ended, others may take its keys over while the daemon goes on granting them (two owners). The daemon's renewals succeed all the while.

A record that replaces one under another lease, while its daemon's registration is the same, is passed over like any that no daemon wrote; its daemon writes its own again. The store's client shows the lease of an entry for that; it isn't passed on between daemons.

Why it holds. A daemon that has lost its lease, or has started again, writes its record in one step with a new registration.

--- a/core/mtstore/mtstore.go
+++ b/core/mtstore/mtstore.go
@@ -39,6 +39,7 @@
 	Revision mtid.Revision // revision of the store that wrote this version
 	Origin   Origin
 	Lease    LeaseShown `json:"-"` // not passed on to other daemons
+	LeaseID  LeaseID    `json:"-"` // as the store spells it in answers; empty if it shows none. Not passed on either
 }
 
 // LeaseShown is what the store has shown of the lease of an entry.
--- a/io/mtdirectory/foreign_test.go
+++ b/io/mtdirectory/foreign_test.go
@@ -27,7 +27,7 @@
 func (s leaseSource) Watch(ctx context.Context, prefix string, after mtid.Revision, wait time.Duration) (mtstore.Changes, error) {
 	changes, err := s.RevisionStore.Watch(ctx, prefix, after, wait)
 	for i, e := range changes.Entries {
-		changes.Entries[i].Lease = s.LeaseOf(e)
+		changes.Entries[i].Lease, changes.Entries[i].LeaseID = s.LeaseOf(e), s.LeaseIDOf(e)
 	}
 	return changes, err
 }
@@ -212,3 +212,88 @@
 		assert.Equal(t, len(a.View().Serving("maps")), 1)
 	}
 }
+
+// Guards against two owners: another writer overwrites a daemon's record with one of its own under a lease of its own, by which the
+// daemon's server has ended.
+func TestRecordUnderOtherLeaseIsReplaced(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
+	c := startFrom(t, store, "c", downstreamSource{a}, &log)
+	b.Publish(recordAt("b"))
+	all := []*mtdirectory.Directory{a, b, c}
+	for _, d := range all {
+		waitFor(t, "the record of b is known", func() bool { return knowsRecord(d, "b", false) })
+	}
+	before := a.View().Members["b"]
+	foreign := recordAt("b")
+	foreign.State = mtbackend.Ended
+	value, err := foreign.Encode()
+	assert.NilError(t, err)
+	grant, err := store.Grant(context.Background(), time.Minute)
+	assert.NilError(t, err)
+	version, err := store.Swap(context.Background(), mtstore.BackendName(0, "b"), before.Version, value, grant)
+	assert.NilError(t, err)
+	for _, d := range all {
+		waitFor(t, "the record of b is back", func() bool {
+			now := d.View().Members["b"]
+			assert.DeepEqual(t, now.Record, before.Record)
+			return now.Version > version
+		})
+	}
+}
+
+// Guards against a daemon that no longer counts after it has lost its lease, or has started again, and has written its record under
+// another one, also where that is seen only after it was changed once more.
+func TestRecordUnderNewLeaseOfItsDaemonCounts(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a, b := startFrom(t, store, "a", leaseSource{store}, &log), startFrom(t, store, "b", leaseSource{store}, &log)
+	b.Publish(recordAt("b"))
+	waitFor(t, "a knows b", func() bool { return knowsRecord(a, "b", false) })
+	for slots := range 3 {
+		store.SuppressWatchEvents(true)
+		since := b.RecordVersion()
+		store.EndLeases()
+		waitFor(t, "b has written its record", func() bool { return b.RecordVersion() > since })
+		changed := recordAt("b")
+		changed.Slots += 7 + slots
+		written := b.RecordVersion()
+		b.Publish(changed)
+		waitFor(t, "b has changed its record", func() bool { return b.RecordVersion() > written })
+		store.SuppressWatchEvents(false)
+		waitFor(t, "a knows it", func() bool { return a.View().Members["b"].Record == changed && !a.View().Members["b"].Expired })
+		assert.Equal(t, a.OddEntries(), 0)
+	}
+}
+
+// replayedSource returns changes in turn, and nothing after the last ones.
+type replayedSource struct{ changes chan mtstore.Changes }
+
+// Watch implements mtwatch.Source.
+func (s replayedSource) Watch(ctx context.Context, _ string, _ mtid.Revision, _ time.Duration) (mtstore.Changes, error) {
+	select {
+	case c := <-s.changes:
+		return c, nil
+	case <-ctx.Done():
+		return mtstore.Changes{}, ctx.Err()
+	}
+}
+
+// Guards against a daemon that no longer counts because a full read, which is no snapshot, shows its former record with its new
+// registration.
+func TestRecordOlderThanItsRegistrationIsReplaced(t *testing.T) {
+	entry := func(name string, value []byte, version uint64, lease mtstore.LeaseID) mtstore.Entry {
+		return mtstore.Entry{Name: name, Value: value, Version: mtid.Version(version), Revision: mtid.Revision(version), Lease: mtstore.Leased, LeaseID: lease}
+	}
+	value, err := recordAt("b").Encode()
+	assert.NilError(t, err)
+	record, registration := mtstore.BackendName(0, "b"), mtstore.RegistrationName(0, "b")
+	source := replayedSource{changes: make(chan mtstore.Changes, 2)}
+	source.changes <- mtstore.Changes{Revision: 8, Entries: []mtstore.Entry{entry(record, value, 5, "1"), entry(registration, nil, 10, "")}}
+	source.changes <- mtstore.Changes{Revision: 10, Entries: []mtstore.Entry{entry(registration, nil, 10, ""), entry(record, value, 10, "2")}}
+	var log entryLog
+	a := startFrom(t, mtstandin.NewRevisionStore(time.Now), "a", source, &log)
+	waitFor(t, "the new record counts", func() bool { return a.View().Members["b"].Version == 10 })
+	assert.Equal(t, a.OddEntries(), 0)
+}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -28,6 +28,9 @@
 	// Overwritten reports that another writer's entry has stood in place of the record for a lease. Its daemon would have
 	// written it again if it could, and may hold keys.
 	Overwritten bool
+	// lease is that of the record, if the store has shown it, and registered the version of its daemon's registration then.
+	lease      mtstore.LeaseID
+	registered mtid.Version
 	// deletedAt is the store revision at which the record was last known to be absent.
 	deletedAt mtid.Revision
 }
@@ -213,6 +216,9 @@
 	if err == nil && unchecked(e) && v.Registrations[name] == 0 {
 		err = &UnregisteredError{Daemon: name}
 	}
+	if err == nil && v.underOtherLease(old, e) {
+		err = &OtherLeaseError{Daemon: name}
+	}
 	if err != nil {
 		// The last valid record remains in effect. A takeover is conditional on its
 		// version, so it fails while this entry exists.
@@ -245,10 +251,37 @@
 		d.Log.Info("backend server", "peer", name, "server", record.Incarnation.String(), "service", record.Service,
 			"state", record.State, "leaving", record.Leaving, "version", e.Version.Number())
 	}
-	v.Members[name] = Member{Record: record, Version: e.Version}
+	next := Member{Record: record, Version: e.Version, lease: v.leaseOf(old, e), registered: v.Registrations[name]}
+	if uint64(next.registered) > uint64(e.Version) {
+		next.lease = "" // a full read is no snapshot: the record that was written with the registration follows
+	}
+	v.Members[name] = next
 	return nil
 }
 
+// underOtherLease reports whether an entry that replaces a daemon's record has another lease, although the daemon's registration
+// is the same: a daemon writes its record under a new lease in one step with its registration.
+func (v *View) underOtherLease(old Member, e mtstore.Entry) bool {
+	same := !old.Expired && old.registered == v.Registrations[old.Daemon]
+	return same && old.lease != "" && e.LeaseID != "" && e.LeaseID != old.lease
+}
+
+// leaseOf returns the lease of a record that replaces another one: the shown one, or the same as before if it can't have changed.
+func (v *View) leaseOf(old Member, e mtstore.Entry) mtstore.LeaseID {
+	if e.LeaseID == "" && !old.Expired && old.registered == v.Registrations[old.Daemon] {
+		return old.lease
+	}
+	return e.LeaseID
+}
+
+// OtherLeaseError reports a record of a daemon under a lease that the daemon doesn't have.
+type OtherLeaseError struct{ Daemon mtid.Daemon }
+
+// Error implements error.
+func (e *OtherLeaseError) Error() string {
+	return fmt.Sprintf("directory: record of daemon %q has another lease than before, and the same registration", e.Daemon)
+}
+
 // awaitRecord marks a member as overwritten unless its daemon writes its record again within a lease. It is called with mu
 // held.
 func (d *Directory) awaitRecord(m Member) {
--- a/io/mtstandin/revisions.go
+++ b/io/mtstandin/revisions.go
@@ -141,6 +141,16 @@
 	return mtstore.Leased
 }
 
+// LeaseIDOf returns the lease of an entry that was read, or an empty one if it has none or has changed since.
+func (s *RevisionStore) LeaseIDOf(e mtstore.Entry) mtstore.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i, ok := s.items[e.Name]; ok && s.versionOf(i.revision) == e.Version {
+		return i.lease
+	}
+	return ""
+}
+
 // Swap implements mtstore.Store.
 func (s *RevisionStore) Swap(ctx context.Context, name string, expected mtid.Version, value []byte, lease mtstore.LeaseID) (mtid.Version, error) {
 	return s.SwapIf(ctx, nil, name, expected, value, lease)
