Restart the time of a name at an entry under a lease

By reading, keys could have been taken over while that daemon's grants are in force.

The test before: the time is that of the first entry.

An entry under a lease, or of which no lease is known, restarts the time.

--- a/io/mtdirectory/foreign_test.go
+++ b/io/mtdirectory/foreign_test.go
@@ -297,3 +297,27 @@
 	waitFor(t, "the new record counts", func() bool { return a.View().Members["b"].Version == 10 })
 	assert.Equal(t, a.OddEntries(), 0)
 }
+
+// Guards against two owners: the time since which nobody has been there goes on, while a daemon of a release that writes no
+// registration has been there.
+func TestUnregisteredRecordUnderLeaseRestartsTime(t *testing.T) {
+	store := mtstandin.NewRevisionStore(time.Now)
+	var log entryLog
+	a := startFrom(t, store, "a", leaseSource{store}, &log)
+	name := mtstore.BackendName(0, "b")
+	putStranger := func() mtdirectory.Stranger {
+		version := store.Put(name, []byte("{}"))
+		waitFor(t, "the entry is known", func() bool { return a.View().Strangers["b"].Version == version })
+		return a.View().Strangers["b"]
+	}
+	first := putStranger()
+	store.Delete(name)
+	waitFor(t, "it is absent", func() bool { return a.View().Members["b"].Expired })
+	assert.Equal(t, putStranger().Since, first.Since, "nobody has been there")
+	store.Delete(name)
+	waitFor(t, "it is absent", func() bool { return len(a.View().Strangers) == 0 })
+	putLeased(t, store, recordAt("b"))
+	waitFor(t, "the record is known", func() bool { return a.View().InvalidRecords["b"] })
+	again := putStranger()
+	assert.Assert(t, again.Since > first.Since)
+}
--- a/io/mtdirectory/member.go
+++ b/io/mtdirectory/member.go
@@ -233,10 +233,12 @@
 			v.Strangers[name] = Stranger{Version: e.Version, Since: old.ExpiredSince}
 		case showsUnleased(e) && v.Registrations[name] == 0 && (!known || old.Expired):
 			since := now
-			if known && v.Registrations[name] == 0 {
+			if known {
 				since = old.ExpiredSince // a registration would have restarted it
 			}
 			v.Strangers[name] = stranger.renewed(e.Version, since)
+		case v.Registrations[name] == 0:
+			v.restartAbsence(name, now) // under a lease, it may be a daemon's of a release that writes no registration
 		}
 		if name == d.Self {
 			d.publisher.onOverwritten(e.Version)
