--- a/io/mtdirectory/foreign_test.go
+++ b/io/mtdirectory/foreign_test.go
@@ -213,8 +213,7 @@
 	}
 }
 
-// Guards against two owners: another writer overwrites a daemon's record with one of its own under a lease of its own, by which the
-// daemon's server has ended.
+// Guards against two owners: another writer puts a record, by which the server has ended, over a daemon's own, under another lease.
 func TestRecordUnderOtherLeaseIsReplaced(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
 	var log entryLog
@@ -243,8 +242,7 @@
 	}
 }
 
-// Guards against a daemon that no longer counts after it has lost its lease, or has started again, and has written its record under
-// another one, also where that is seen only after it was changed once more.
+// Guards against a daemon that no longer counts once its lease has ended, as its record has a new one.
 func TestRecordUnderNewLeaseOfItsDaemonCounts(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
 	var log entryLog
@@ -280,8 +278,7 @@
 	}
 }
 
-// Guards against a daemon that no longer counts because a full read, which is no snapshot, shows its former record with its new
-// registration.
+// Guards against a daemon that no longer counts because a full read, which is no snapshot, shows its former record with its new registration.
 func TestRecordOlderThanItsRegistrationIsReplaced(t *testing.T) {
 	entry := func(name string, value []byte, version uint64, lease mtstore.LeaseID) mtstore.Entry {
 		return mtstore.Entry{Name: name, Value: value, Version: mtid.Version(version), Revision: mtid.Revision(version), Lease: mtstore.Leased, LeaseID: lease}
@@ -298,8 +295,7 @@
 	assert.Equal(t, a.OddEntries(), 0)
 }
 
-// Guards against two owners: the time since which nobody has been there goes on, while a daemon of a release that writes no
-// registration has been there.
+// Guards against two owners: the time of absence goes on though a daemon of a release that writes no registration was there.
 func TestUnregisteredRecordUnderLeaseRestartsTime(t *testing.T) {
 	store := mtstandin.NewRevisionStore(time.Now)
 	var log entryLog
--- a/io/mtforward/name_test.go
+++ b/io/mtforward/name_test.go
@@ -13,9 +13,9 @@
 	"magnoliaturn/io/mttime"
 )
 
-// Guards against a daemon that passes for another one, since a record names its address: keys were given to that one. A
-// daemon of an earlier release doesn't read the name.
+// Guards against keys that are given to a record, since another daemon answers at its address.
 func TestLoadOfOtherDaemonIsNotReported(t *testing.T) {
+	// A daemon of an earlier release doesn't read the name.
 	for self, known := range map[mtid.Daemon]bool{"vm-1 üİ": true, "": false} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
